--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test lint unit model check-deep measure slopes format generate
+
+$(VENV)/.installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --editable '.[dev]'
+	touch $@
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff check wagtailtrestle tests
+	$(BIN)/ruff format --check wagtailtrestle tests
+
+unit: $(VENV)/.installed
+	$(BIN)/python -m tests
+
+test: lint unit
+
+format: $(VENV)/.installed
+	$(BIN)/ruff check --fix wagtailtrestle tests
+	$(BIN)/ruff format wagtailtrestle tests
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m wagtailtrestle.demo
--- /dev/null
+++ b/tests/__main__.py
@@ -0,0 +1,16 @@
+"""Runs every test and closes with a plain count."""
+
+import sys
+import unittest
+
+
+def main():
+    suite = unittest.defaultTestLoader.discover("tests", top_level_dir=".")
+    result = unittest.TextTestRunner(verbosity=1).run(suite)
+    failed = len(result.failures) + len(result.errors)
+    print(f"{result.testsRun - failed - len(result.skipped)} passed, {failed} failed, {len(result.skipped)} skipped")
+    sys.exit(0 if result.wasSuccessful() and result.testsRun else 1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wagtailtrestle/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line programs: thin mains over fire."""
--- /dev/null
+++ b/wagtailtrestle/outcomes.py
@@ -0,0 +1,206 @@
+"""Tagged outcomes: what an operation came to, as values rather than exceptions."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Executed(str, Enum):
+    """What a caller is told about whether its request ran; ``no`` is a promise."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+    YES = "yes"
+
+
+class Reason(str, Enum):
+    """Why a request got no whole answer; the value is what callers read."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NO_ROUTE = "no_route"
+    TOO_LARGE = "too_large"
+    NOT_READY = "not_ready"
+    DRAINING = "draining"
+    ROUTER_FULL = "router_full"
+    OVERLOADED = "overloaded"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    NO_ENGINE = "no_engine"
+    PREEMPTED = "preempted"
+    POISONED = "poisoned"
+    RETRY_BUDGET = "retry_budget_exhausted"
+    ENGINE_LOST = "engine_lost"
+    ENGINE_ERROR = "engine_error"
+    ANSWER_INCOMPLETE = "answer_incomplete"
+    LEDGER_UNAVAILABLE = "ledger_unavailable"
+    KEY_IN_USE = "idempotency_key_in_use"
+    KEY_MISMATCH = "idempotency_key_mismatch"
+    CALLER_GONE = "caller_gone"
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Refusal:
+    """Final answer to a caller whose request got no whole answer.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    reason : Reason
+    executed : Executed
+    detail : str
+        One sentence for a person; never holds a key or a prompt.
+    retry_after_s : float or None
+        When to come back, from the present queue and service rates.
+    """
+
+    status: int
+    reason: Reason
+    executed: Executed
+    detail: str
+    retry_after_s: float | None = None
+
+
+# How one run on one engine ended.
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class RunDone:
+    """The engine sent its whole answer and it was checked complete."""
+
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    output_tokens: int = 0
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class RunRejected:
+    """The engine answered whole, with an HTTP error status of its own."""
+
+    status: int
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class RunNotSent:
+    """No byte of the request reached the engine, so it truly did not run."""
+
+    detail: str
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class RunCut:
+    """The connection ended, or the answer was not this run's, after bytes were sent.
+
+    ``reached`` tells whether the engine is known to have begun the run.
+    """
+
+    detail: str
+    output_tokens: int = 0
+    reached: bool = False
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class RunSilent:
+    """No progress within the progress deadline on a connection that stayed open."""
+
+    output_tokens: int = 0
+    reached: bool = False
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class RunCancelled:
+    """The run ended because this router cancelled it."""
+
+    output_tokens: int = 0
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class RunLost:
+    """The engine does not know the run it was asked to resume (it restarted)."""
+
+    output_tokens: int = 0
+
+
+RunOutcome = RunDone | RunRejected | RunNotSent | RunCut | RunSilent | RunCancelled | RunLost
+
+
+# What a call on the platform's object API came to.
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class StoreDone:
+    """The call took effect; for a read, ``value`` holds what was read."""
+
+    version: int
+    value: object = None
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class StoreConflict:
+    """A conditional write was refused: the object is at another version."""
+
+    version: int | None = None
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class StoreAbsent:
+    """There is no such object."""
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class StoreUnavailable:
+    """The call certainly took no effect: it was never sent, or was refused."""
+
+    detail: str
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class StoreUnknown:
+    """The call was sent and no answer came: the write may have taken effect."""
+
+    detail: str
+
+
+StoreOutcome = StoreDone | StoreConflict | StoreAbsent | StoreUnavailable | StoreUnknown
+
+
+# What a claim on an idempotency key came to.
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class ClaimWon:
+    """The claim is in the ledger under this nonce: this request alone may run."""
+
+    nonce: str
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class ClaimTaken:
+    """An earlier request holds the key and its outcome can't be told: say ``unknown``."""
+
+    detail: str
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class ClaimFinished:
+    """An earlier request with the same key and body ran; this is its answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class ClaimMismatch:
+    """The key was used before with another request body."""
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class ClaimUnavailable:
+    """The ledger can't be reached: nothing ran and nothing will."""
+
+    detail: str
+
+
+ClaimOutcome = ClaimWon | ClaimTaken | ClaimFinished | ClaimMismatch | ClaimUnavailable
--- /dev/null
+++ b/wagtailtrestle/ports.py
@@ -0,0 +1,61 @@
+"""Ports: what the decisions need from the outside, as ``Protocol`` types."""
+
+from typing import Protocol
+
+from wagtailtrestle.messages import EntryMessage, StewardMessage
+from wagtailtrestle.outcomes import ClaimOutcome, StoreOutcome
+
+
+class ObjectStore(Protocol):
+    """The platform's object API. Values are what JSON holds; outcomes are values."""
+
+    async def get(self, *, kind: str, name: str) -> StoreOutcome:
+        """Read one object."""
+
+    async def list(self, *, kind: str) -> StoreOutcome:
+        """Read all objects of a kind: ``value`` maps name to ``(version, value)``."""
+
+    async def create(self, *, kind: str, name: str, value) -> StoreOutcome:
+        """Create an object that must not exist yet."""
+
+    async def update(self, *, kind: str, name: str, value, if_version: int) -> StoreOutcome:
+        """Replace an object that must be at ``if_version``."""
+
+    async def delete(self, *, kind: str, name: str, if_version: int) -> StoreOutcome:
+        """Delete an object that must be at ``if_version``."""
+
+    async def watch(self, *, kind: str, from_version: int, timeout_s: float) -> StoreOutcome:
+        """Wait for changes after ``from_version``.
+
+        ``value`` is a tuple of ``(name, version, value)``, empty when none came in time.
+        """
+
+    async def vms(self) -> StoreOutcome:
+        """Read the lagging list of VMs: ``value`` is a tuple of ``VM``."""
+
+
+class StewardLink(Protocol):
+    """Carries an entry's messages to whichever router is steward of a cell."""
+
+    def send(self, *, cell: str, message: EntryMessage) -> bool:
+        """Queue a message; ``False`` if no steward can be reached now."""
+
+
+class EntryLink(Protocol):
+    """Carries a steward's messages to the entry that owns a request."""
+
+    def send(self, *, entry: str, message: StewardMessage) -> bool:
+        """Queue a message; ``False`` if that entry can't be reached now."""
+
+
+class Claims(Protocol):
+    """The ledger of idempotency keys, as the entry sees it."""
+
+    async def claim(self, *, team: str, key: str, body_digest: str, nonce: str) -> ClaimOutcome:
+        """Claim a key for the request that made ``nonce``."""
+
+    def release(self, *, team: str, key: str, nonce: str) -> None:
+        """Give back a claim whose request was never dispatched."""
+
+    def finish(self, *, team: str, key: str, nonce: str, status: int, content_type: str, body: bytes) -> None:
+        """Record the answer of the request that holds the claim."""
--- /dev/null
+++ b/wagtailtrestle/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, each its own process."""
