--- a/wagtailtrestle/outcomes.py
+++ b/wagtailtrestle/outcomes.py
@@ -1,10 +1,10 @@
 """Tagged outcomes: what an operation came to, as values rather than exceptions."""
 
 from dataclasses import dataclass
-from enum import Enum
+from enum import StrEnum
 
 
-class Executed(str, Enum):
+class Executed(StrEnum):
     """What a caller is told about whether its request ran; ``no`` is a promise."""
 
     NO = "no"
@@ -12,7 +12,7 @@
     YES = "yes"
 
 
-class Reason(str, Enum):
+class Reason(StrEnum):
     """Why a request got no whole answer; the value is what callers read."""
 
     BAD_REQUEST = "bad_request"
