--- /dev/null
+++ b/wagtailtrestle/fading_line.py
@@ -0,0 +1,56 @@
+"""Weighted least squares of a line whose old evidence fades, around a prior line."""
+
+RIDGE = 1e-9
+
+
+class FadingLine:
+    """Fit ``y = base + slope * x`` with forgetting; the prior never fades.
+
+    Parameters
+    ----------
+    base, slope : float
+        The prior line.
+    weight : float
+        How many observations the prior counts for.
+    fade : float
+        Share of the old evidence's weight kept at each observation.
+    low, high : float
+        Range of ``x`` over which the prior is believed.
+    """
+
+    __slots__ = ("_prior_base", "_prior_slope", "_prior_weight", "_fade", "_ends", "_sums", "_fit")
+
+    def __init__(self, *, base, slope, weight, fade, low, high):
+        self._prior_base = base
+        self._prior_slope = slope
+        self._prior_weight = weight
+        self._fade = fade
+        self._ends = (low, max(high, low + 1.0))
+        self._sums = [0.0] * 5
+        self._fit = (base, slope)
+
+    @property
+    def weight(self):
+        """Weight of the measured evidence, the prior's left out."""
+        return self._sums[0]
+
+    def observe(self, *, x, y, weight):
+        """Take in one measured point."""
+        point = (1.0, x, y, x * x, x * y)
+        self._sums = [old * self._fade + weight * new for old, new in zip(self._sums, point, strict=True)]
+        self._fit = self._solve()
+
+    def at(self, x):
+        """Value of the line at ``x``."""
+        base, slope = self._fit
+        return base + slope * x
+
+    def _solve(self):
+        n, sx, sy, sxx, sxy = self._sums
+        half = self._prior_weight / 2.0
+        for x in self._ends:
+            y = self._prior_base + self._prior_slope * x
+            n, sx, sy, sxx, sxy = n + half, sx + half * x, sy + half * y, sxx + half * x * x, sxy + half * x * y
+        spread = n * sxx - sx * sx
+        slope = max(0.0, (n * sxy - sx * sy) / max(spread, RIDGE))
+        return (sy - slope * sx) / n, slope
