Add the entry: the state machine that owns each request

Cause: the router that took a call must be the only one that can dispatch it. Change: RequestTask (claim, place, run, attach, retry, final answer) and Entry, which routes messages to tasks.

--- /dev/null
+++ b/wagtailtrestle/entry.py
@@ -0,0 +1,225 @@
+"""The entry: owns every request that callers gave to this router.
+
+Runs one :class:`wagtailtrestle.request_task.RequestTask` per request and routes the
+messages of callers and stewards to them.
+"""
+
+import asyncio
+
+from wagtailtrestle.cells import cells_of, choose_cell
+from wagtailtrestle.declaration import LANGUAGE
+from wagtailtrestle.exchange import AnswerRefusal
+from wagtailtrestle.messages import Granted, Register, RunFinished, Withdraw
+from wagtailtrestle.outcomes import Executed, Reason, Refusal, RunLost, RunNotSent
+from wagtailtrestle.request_task import DEFAULT_RETRY_AFTER_S, Displaced, RequestState, RequestTask
+
+FINAL_STATES = (RequestState.FINISHED, RequestState.REFUSED, RequestState.UNKNOWN)
+
+
+class RequestContext:
+    """What a request's task may use of its router.
+
+    Parameters
+    ----------
+    name : str
+        This router's name.
+    stewards : StewardLink
+    claims : Claims
+    crash_book : CrashBook
+    budget_by_service : Callable
+        Maps a service's name to its :class:`wagtailtrestle.retry_budget.RetryBudget`.
+    declaration : Callable
+        Gives the declaration in force.
+    now : Callable
+        The loop's clock, seconds.
+    on_lost_run : Callable
+        Told ``(task, outcome)`` when a run was lost on its engine.
+    """
+
+    __slots__ = ("name", "claims", "crash_book", "retry_budget", "now", "note_lost_run", "_stewards", "_declaration")
+
+    def __init__(self, *, name, stewards, claims, crash_book, budget_by_service, declaration, now, on_lost_run):
+        self.name = name
+        self.claims = claims
+        self.crash_book = crash_book
+        self.retry_budget = budget_by_service
+        self.now = now
+        self.note_lost_run = on_lost_run
+        self._stewards = stewards
+        self._declaration = declaration
+
+    def send(self, cell, message):
+        """Send to the cell's steward; a lost message is made good by registering."""
+        self._stewards.send(cell=cell, message=message)
+
+    def address_of(self, engine):
+        """Address of a declared engine, or ``None``."""
+        declared = self._declaration().engines_by_name.get(engine)
+        return declared.address if declared else None
+
+    def can_cancel(self, service):
+        """Whether runs of the service can be cancelled and attached to again."""
+        declared = self._declaration().services_by_name.get(service)
+        return declared is not None and declared.kind == LANGUAGE
+
+
+class Entry:
+    """Owner of the requests this router took from callers.
+
+    Parameters
+    ----------
+    name : str
+        This router's name.
+    stewards, claims, crash_book, budget_by_service, declaration
+        See :class:`RequestContext`.
+    loop : asyncio.AbstractEventLoop
+    on_lost_run : Callable or None
+        See :class:`RequestContext`.
+    """
+
+    __slots__ = ("name", "tasks_by_id", "_context", "_declaration", "_loop", "_running_by_id", "_idle")
+
+    def __init__(self, *, name, stewards, claims, crash_book, budget_by_service, declaration, loop, on_lost_run=None):
+        self.name = name
+        self.tasks_by_id = {}
+        self._declaration = declaration
+        self._loop = loop
+        self._running_by_id = {}
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._context = RequestContext(
+            name=name,
+            stewards=stewards,
+            claims=claims,
+            crash_book=crash_book,
+            budget_by_service=budget_by_service,
+            declaration=declaration,
+            now=loop.time,
+            on_lost_run=on_lost_run or self._note_lost_run,
+        )
+
+    def submit(self, request, caller):
+        """Take ownership of a request and start serving it."""
+        cells = cells_of(self._declaration(), request.service)
+        cell = choose_cell(cells=cells, prefix_blocks=request.prefix_blocks, request_id=request.request_id)
+        if cell is None:
+            caller.post(AnswerRefusal(refusal=_no_engine()))
+            return
+        task = RequestTask(request=request, caller=caller, context=self._context, cell=cell)
+        self.tasks_by_id[request.request_id] = task
+        self._idle.clear()
+        running = self._loop.create_task(task.serve())
+        self._running_by_id[request.request_id] = running
+        running.add_done_callback(lambda done: self._forget(request.request_id, done))
+
+    def post(self, request_id, event):
+        """Give a caller's event to its request; late ones are dropped."""
+        task = self.tasks_by_id.get(request_id)
+        if task is not None:
+            task.post(event)
+
+    def displace(self, request_id):
+        """Give up a waiting request, for a higher tier needs its room in the router."""
+        self.post(request_id, Displaced())
+
+    def on_steward_message(self, message):
+        """Give a steward's message to its request."""
+        task = self.tasks_by_id.get(message.request_id)
+        if isinstance(message, Granted) and not _awaits(task, message):
+            self._return_grant(task, message)
+            return
+        if task is not None:
+            task.post(message)
+
+    def register(self, cell):
+        """Everything this entry holds for ``cell``, for a new steward."""
+        tasks = [task for task in self.tasks_by_id.values() if task.cell == cell]
+        waiting = [task.grant_request() for task in tasks if task.state is RequestState.QUEUED and task.attempt]
+        running = [task.running_record() for task in tasks if task.state is RequestState.DISPATCHED]
+        return Register(entry=self.name, cell=cell, waiting=tuple(waiting), running=tuple(running))
+
+    def cells_held(self):
+        """Cells for which a request waits or runs."""
+        return {task.cell for task in self.tasks_by_id.values()}
+
+    async def drained(self):
+        """Wait until no request is held."""
+        await self._idle.wait()
+
+    async def close(self):
+        """Stop every request's task; used when the process ends after its drain."""
+        running = list(self._running_by_id.values())
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
+    def dump(self):
+        """Plain data for the state dump."""
+        now = self._loop.time()
+        return {
+            "requests": [
+                {
+                    "request_id": task.request.request_id,
+                    "service": task.request.service,
+                    "route": task.request.route,
+                    "team": task.request.team,
+                    "tier": task.request.tier,
+                    "state": str(task.state),
+                    "cell": task.cell,
+                    "engine": task.engine,
+                    "runs": task.runs,
+                    "attempt": task.attempt,
+                    "remaining_s": round(task.request.deadline - now, 3),
+                }
+                for task in self.tasks_by_id.values()
+            ]
+        }
+
+    def _return_grant(self, task, granted):
+        # Two stewards may serve one cell for a moment, or a grant may cross a
+        # withdrawal. The place must go back or its engine looks busy for ever; a
+        # running request's true place is told again so that its account stays exact.
+        if task is None:
+            self._withdraw(granted)
+            return
+        give_back = RunFinished(
+            request_id=granted.request_id, engine=granted.engine, result=RunNotSent.__name__, duration_s=0.0
+        )
+        if task.state is RequestState.DISPATCHED and task.engine != granted.engine:
+            self._context.send(task.cell, give_back)
+        self._context.send(task.cell, self.register(task.cell))
+
+    def _withdraw(self, granted):
+        engine = self._declaration().engines_by_name.get(granted.engine)
+        if engine is not None:
+            self._context.send(engine.cell, Withdraw(request_id=granted.request_id))
+
+    def _note_lost_run(self, task, outcome):
+        """Count a run lost with its engine against the requests that ran there."""
+        if not isinstance(outcome, RunLost | RunNotSent):
+            return
+
+    def _forget(self, request_id, done):
+        self.tasks_by_id.pop(request_id, None)
+        self._running_by_id.pop(request_id, None)
+        if not self.tasks_by_id:
+            self._idle.set()
+        if not done.cancelled() and done.exception() is not None:
+            # A broken invariant in one request's task must not be lost silently.
+            self._loop.call_exception_handler(
+                {"message": f"task of request {request_id} failed", "exception": done.exception()}
+            )
+
+
+def _awaits(task, granted):
+    return task is not None and task.state is RequestState.QUEUED and task.attempt == granted.attempt
+
+
+def _no_engine():
+    return Refusal(
+        status=503,
+        reason=Reason.NO_ENGINE,
+        executed=Executed.NO,
+        detail="The service has no engine.",
+        retry_after_s=DEFAULT_RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/wagtailtrestle/request_task.py
@@ -0,0 +1,559 @@
+"""The state machine of one request, owned by the router that took the call.
+
+``queued -> granted -> dispatched -> finished | refused | unknown``. Only this task
+may dispatch its request, so no crossed message can make it run twice.
+"""
+
+import asyncio
+from dataclasses import dataclass
+from enum import StrEnum
+
+from wagtailtrestle.exchange import (
+    AnswerRecorded,
+    AnswerRefusal,
+    AnswerWhole,
+    CallerGone,
+    RunAdvanced,
+    RunBegan,
+    RunEnded,
+    StartRun,
+)
+from wagtailtrestle.messages import (
+    Granted,
+    GrantRequest,
+    Preempt,
+    Refused,
+    RunFinished,
+    RunningRecord,
+    RunProgress,
+    RunStarted,
+    Withdraw,
+)
+from wagtailtrestle.outcomes import (
+    ClaimFinished,
+    ClaimMismatch,
+    ClaimTaken,
+    ClaimUnavailable,
+    ClaimWon,
+    Executed,
+    Reason,
+    Refusal,
+    RunCancelled,
+    RunCut,
+    RunDone,
+    RunLost,
+    RunNotSent,
+    RunRejected,
+    RunSilent,
+)
+
+MAX_NOT_SENT = 4
+MAX_ATTACHES = 2
+ATTACH_ROOM_S = 0.05
+CANCEL_GRACE_S = 2.0
+DEFAULT_RETRY_AFTER_S = 1.0
+
+STATUS_BY_REASON = {
+    Reason.OVERLOADED: 429,
+    Reason.DEADLINE_UNREACHABLE: 503,
+    Reason.DEADLINE_EXCEEDED: 504,
+    Reason.NO_ENGINE: 503,
+    Reason.ROUTER_FULL: 503,
+    Reason.PREEMPTED: 503,
+    Reason.POISONED: 422,
+    Reason.RETRY_BUDGET: 503,
+    Reason.ENGINE_LOST: 502,
+    Reason.ENGINE_ERROR: 502,
+    Reason.ANSWER_INCOMPLETE: 502,
+    Reason.LEDGER_UNAVAILABLE: 503,
+    Reason.KEY_IN_USE: 409,
+    Reason.KEY_MISMATCH: 422,
+    Reason.CALLER_GONE: 499,
+}
+
+DETAIL_BY_REASON = {
+    Reason.OVERLOADED: "The service is full with work of this tier or higher.",
+    Reason.DEADLINE_UNREACHABLE: "No engine can finish this request within its deadline.",
+    Reason.DEADLINE_EXCEEDED: "The deadline passed before the answer was complete.",
+    Reason.NO_ENGINE: "No engine of the service takes work at present.",
+    Reason.ROUTER_FULL: "This router needed its room for a higher tier.",
+    Reason.PREEMPTED: "The run was stopped for a higher tier and could not be resumed in time.",
+    Reason.POISONED: "Earlier runs of this request stopped several engines; it is not run again.",
+    Reason.RETRY_BUDGET: "The run was lost and the service's retry budget is used up.",
+    Reason.ENGINE_LOST: "The engine was lost while the request may have been running.",
+    Reason.ENGINE_ERROR: "The engine answered with an error.",
+    Reason.ANSWER_INCOMPLETE: "The engine's answer was not complete.",
+    Reason.LEDGER_UNAVAILABLE: "The idempotency key could not be recorded, so nothing was run.",
+    Reason.KEY_IN_USE: "An earlier request with this idempotency key may have run; its outcome is not known.",
+    Reason.KEY_MISMATCH: "This idempotency key was used before with another request.",
+    Reason.CALLER_GONE: "The caller closed the connection.",
+}
+
+
+class RequestState(StrEnum):
+    """Where a request stands; the last three are final."""
+
+    QUEUED = "queued"
+    GRANTED = "granted"
+    DISPATCHED = "dispatched"
+    FINISHED = "finished"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Displaced:
+    """The router needs this waiting request's room for a higher tier."""
+
+    retry_after_s: float = DEFAULT_RETRY_AFTER_S
+
+
+class RequestTask:
+    """Serves one request from its claim to its one final answer.
+
+    Parameters
+    ----------
+    request : CallerRequest
+    caller : CallerLink
+    context : RequestContext
+        What the owning entry offers: stewards, claims, budgets, addresses.
+    """
+
+    __slots__ = (
+        "request",
+        "caller",
+        "context",
+        "state",
+        "cell",
+        "attempt",
+        "runs",
+        "engine",
+        "dispatched_at",
+        "done_tokens",
+        "run_tokens",
+        "_inbox",
+        "_excluded",
+        "_maybe_reached",
+        "_known_reached",
+        "_not_sent",
+        "_attaches",
+        "_preempted",
+        "_cancelling",
+        "_nonce",
+        "_caller_gone",
+        "_address",
+    )
+
+    def __init__(self, *, request, caller, context, cell):
+        self.request = request
+        self.caller = caller
+        self.context = context
+        self.cell = cell
+        self.state = RequestState.QUEUED
+        self.attempt = 0
+        self.runs = 0
+        self.engine = ""
+        self.dispatched_at = 0.0
+        self.done_tokens = 0
+        self.run_tokens = 0
+        self._inbox = asyncio.Queue()
+        self._excluded = set()
+        self._maybe_reached = False
+        self._known_reached = False
+        self._not_sent = 0
+        self._attaches = 0
+        self._preempted = False
+        self._cancelling = False
+        self._nonce = ""
+        self._caller_gone = False
+        self._address = ""
+
+    def post(self, message):
+        """Queue a message for this task."""
+        self._inbox.put_nowait(message)
+
+    async def serve(self):
+        """Run the request to its final answer."""
+        if not await self._claim():
+            return
+        while self._may_go_on():
+            granted = await self._obtain_place()
+            if granted is None:
+                return
+            ended = await self._run_on(granted)
+            if self._settled(ended):
+                return
+
+    # What others are told of this request.
+
+    def grant_request(self):
+        """Build the ask for a place as it stands now."""
+        request = self.request
+        return GrantRequest(
+            request_id=request.request_id,
+            attempt=self.attempt,
+            entry=self.context.name,
+            service=request.service,
+            cell=self.cell,
+            team=request.team,
+            tier=request.tier,
+            repeatable=request.repeatable and self.context.can_cancel(request.service),
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=max(request.output_tokens - self.done_tokens, 1),
+            remaining_s=max(self._remaining(), 0.0),
+            done_tokens=self.done_tokens,
+            prefix_blocks=request.prefix_blocks,
+            excluded_engines=tuple(sorted(self._excluded)),
+        )
+
+    def running_record(self):
+        """Build the record of the present run for a new steward."""
+        return RunningRecord(
+            request=self.grant_request(),
+            engine=self.engine,
+            elapsed_s=self.context.now() - self.dispatched_at,
+            output_tokens=self.run_tokens,
+        )
+
+    def executed(self):
+        """What may truthfully be said about whether the request ran."""
+        if self._known_reached:
+            return Executed.YES
+        if self._maybe_reached:
+            return Executed.UNKNOWN
+        return Executed.NO
+
+    # Claim.
+
+    async def _claim(self):
+        request = self.request
+        if not (request.at_most_once and request.idempotency_key):
+            return True
+        # A caller that sends again through another router must not make a second
+        # run. The claim is proved in the platform's store before the first dispatch;
+        # without that proof nothing is dispatched, so the refusal is true.
+        outcome = await self._claim_within_deadline()
+        match outcome:
+            case ClaimWon(nonce=nonce):
+                self._nonce = nonce
+                return True
+            case ClaimFinished(status=status, content_type=content_type, body=body):
+                self._finish(AnswerRecorded(status=status, content_type=content_type, body=body))
+            case ClaimMismatch():
+                self._refuse(Reason.KEY_MISMATCH, executed=Executed.NO)
+            case ClaimTaken():
+                self._refuse(Reason.KEY_IN_USE, executed=Executed.UNKNOWN)
+            case ClaimUnavailable():
+                self._refuse(Reason.LEDGER_UNAVAILABLE, executed=Executed.NO)
+        return False
+
+    async def _claim_within_deadline(self):
+        request = self.request
+        nonce = request.request_id
+        claim = self.context.claims.claim(
+            team=request.team,
+            key=request.idempotency_key,
+            body_digest=request.body_digest,
+            nonce=nonce,
+        )
+        try:
+            return await asyncio.wait_for(claim, timeout=max(self._remaining(), 0.0))
+        except TimeoutError:
+            self._release(nonce)
+            return ClaimUnavailable(detail="no answer from the ledger within the deadline")
+
+    def _release(self, nonce):
+        request = self.request
+        self.context.claims.release(team=request.team, key=request.idempotency_key, nonce=nonce)
+
+    # Place.
+
+    def _may_go_on(self):
+        if self.context.crash_book.blocked(self.request.body_digest):
+            self._refuse(Reason.POISONED)
+            return False
+        return True
+
+    async def _obtain_place(self):
+        self.state = RequestState.QUEUED
+        self.attempt += 1
+        self.context.send(self.cell, self.grant_request())
+        while True:
+            message = await self._next_message(until=self.request.deadline)
+            match message:
+                case None:
+                    return self._give_up_waiting(Reason.DEADLINE_EXCEEDED)
+                case CallerGone():
+                    return self._give_up_waiting(Reason.CALLER_GONE)
+                case Displaced(retry_after_s=retry_after_s):
+                    return self._give_up_waiting(Reason.ROUTER_FULL, retry_after_s)
+                case Refused(attempt=self.attempt, reason=reason, retry_after_s=retry_after_s):
+                    return self._take_refusal(reason, retry_after_s)
+                case Granted(attempt=self.attempt):
+                    if self.context.address_of(message.engine) is not None:
+                        self.state = RequestState.GRANTED
+                        return message
+                    # The steward knows an engine that this router's declaration does
+                    # not: give the place back and ask again without that engine.
+                    self._give_back(message.engine, RunNotSent.__name__)
+                    self._excluded.add(message.engine)
+                    self.attempt += 1
+                    self.context.send(self.cell, self.grant_request())
+
+    def _give_up_waiting(self, reason, retry_after_s=None):
+        self.context.send(self.cell, Withdraw(request_id=self.request.request_id))
+        self._refuse(reason, retry_after_s=retry_after_s)
+
+    def _take_refusal(self, reason, retry_after_s):
+        if self._preempted and reason in (Reason.OVERLOADED, Reason.DEADLINE_UNREACHABLE):
+            reason = Reason.PREEMPTED
+        self._refuse(reason, retry_after_s=retry_after_s)
+
+    # Run.
+
+    async def _run_on(self, granted):
+        self.engine = granted.engine
+        self.runs += 1
+        self._begin_run(granted, attach=False)
+        while True:
+            ended = await self._until_run_ends(granted)
+            if not self._can_attach(ended):
+                return ended
+            # The stream broke but the engine may still hold the run: attaching to it
+            # gives the rest of the same run, which is no second dispatch.
+            self._attaches += 1
+            self._begin_run(granted, attach=True)
+
+    def _begin_run(self, granted, *, attach):
+        if not attach:
+            self._address = self.context.address_of(granted.engine)
+            self.dispatched_at = self.context.now()
+            self.run_tokens = 0
+            self._cancelling = False
+        self.state = RequestState.DISPATCHED
+        self.caller.post(
+            StartRun(
+                run_id=self._run_id(),
+                engine=granted.engine,
+                address=self._address,
+                first_token_deadline_s=granted.first_token_deadline_s,
+                progress_deadline_s=granted.progress_deadline_s,
+                overall_s=max(self._remaining(), ATTACH_ROOM_S),
+                attach=attach,
+            )
+        )
+
+    async def _until_run_ends(self, granted):
+        until = self.request.deadline
+        while True:
+            message = await self._next_message(until=until)
+            match message:
+                case None:
+                    if self._cancelling:
+                        # The engine did not confirm; the caller's side ends its own
+                        # read at the overall limit, so this can't wait for ever.
+                        until = None
+                        continue
+                    until = self.context.now() + CANCEL_GRACE_S
+                    self._cancel()
+                case CallerGone():
+                    self._caller_gone = True
+                    self._cancel()
+                case Preempt(engine=self.engine) if self.request.repeatable and not self._cancelling:
+                    self._preempted = True
+                    self._cancel()
+                case RunBegan():
+                    self._known_reached = True
+                    self._tell_started(message)
+                case RunAdvanced(output_tokens=output_tokens):
+                    self.run_tokens = output_tokens
+                    self.context.send(
+                        self.cell,
+                        RunProgress(request_id=self.request.request_id, output_tokens=output_tokens),
+                    )
+                case Granted(engine=engine) if engine != self.engine:
+                    # A second steward granted the same ask; the place is not needed.
+                    self._give_back(engine, RunNotSent.__name__)
+                case RunEnded():
+                    self._note_reach(message.outcome)
+                    return message
+
+    def _cancel(self):
+        if self._cancelling:
+            return
+        self._cancelling = True
+        if self.context.can_cancel(self.request.service):
+            self.caller.cancel_run(run_id=self._run_id(), engine=self.engine, address=self._address)
+
+    def _can_attach(self, ended):
+        if self._cancelling or self._attaches >= MAX_ATTACHES:
+            return False
+        if self._remaining() < ATTACH_ROOM_S or not self.context.can_cancel(self.request.service):
+            return False
+        return isinstance(ended.outcome, RunCut | RunSilent)
+
+    def _note_reach(self, outcome):
+        match outcome:
+            case RunNotSent():
+                return
+            case RunCut(reached=False) | RunSilent(reached=False) | RunLost() | RunRejected():
+                self._maybe_reached = True
+            case _:
+                self._maybe_reached = True
+                self._known_reached = True
+
+    # What follows a run.
+
+    def _settled(self, ended):
+        """Tell the steward, then answer the caller or return ``False`` to ask again."""
+        self._tell_finished(ended)
+        outcome = ended.outcome
+        if isinstance(outcome, RunDone):
+            return self._answer_whole(ended)
+        if self._caller_gone:
+            return self._refuse(Reason.CALLER_GONE)
+        if self._remaining() <= 0:
+            return self._refuse(Reason.DEADLINE_EXCEEDED)
+        match outcome:
+            case RunNotSent():
+                return self._after_not_sent()
+            case RunRejected(status=status):
+                return self._refuse(Reason.ENGINE_ERROR, status=_rejected_status(status))
+            case RunCancelled() if self._preempted:
+                self._keep_tokens(outcome)
+                return False
+            case _:
+                return self._after_loss(outcome)
+
+    def _after_not_sent(self):
+        self._not_sent += 1
+        self._excluded.add(self.engine)
+        if self._maybe_reached and not self.request.repeatable:
+            return self._lost()
+        if self._not_sent >= MAX_NOT_SENT:
+            return self._refuse(Reason.NO_ENGINE)
+        return False
+
+    def _after_loss(self, outcome):
+        self._keep_tokens(outcome)
+        self.context.note_lost_run(self, outcome)
+        # One byte sent may have started the run. A second dispatch of a request that
+        # may not be repeated could charge a caller twice, so it ends here as unknown.
+        if not self.request.repeatable:
+            return self._lost()
+        if not self.context.retry_budget(self.request.service).allow():
+            return self._refuse(Reason.RETRY_BUDGET)
+        self._excluded.add(self.engine)
+        self._attaches = 0
+        self._preempted = False
+        return False
+
+    def _lost(self):
+        return self._refuse(Reason.ENGINE_LOST)
+
+    def _keep_tokens(self, outcome):
+        tokens = getattr(outcome, "output_tokens", 0)
+        self.done_tokens = max(self.done_tokens, tokens)
+
+    def _answer_whole(self, ended):
+        self.context.retry_budget(self.request.service).on_success()
+        self._finish(AnswerWhole())
+        self._record(ended.status, ended.content_type, ended.body)
+        return True
+
+    def _record(self, status, content_type, body):
+        if not self._nonce:
+            return
+        request = self.request
+        self.context.claims.finish(
+            team=request.team,
+            key=request.idempotency_key,
+            nonce=self._nonce,
+            status=status,
+            content_type=content_type,
+            body=body,
+        )
+
+    # Messages out.
+
+    def _tell_started(self, began):
+        self.context.send(
+            self.cell,
+            RunStarted(
+                request_id=self.request.request_id,
+                engine=self.engine,
+                first_token_s=began.first_token_s,
+                prompt_tokens=began.prompt_tokens,
+                cached_tokens=began.cached_tokens,
+            ),
+        )
+
+    def _tell_finished(self, ended):
+        outcome = ended.outcome
+        self.context.send(
+            self.cell,
+            RunFinished(
+                request_id=self.request.request_id,
+                engine=self.engine,
+                result=type(outcome).__name__,
+                duration_s=ended.duration_s,
+                first_token_s=ended.first_token_s,
+                prompt_tokens=getattr(outcome, "prompt_tokens", 0),
+                cached_tokens=getattr(outcome, "cached_tokens", 0),
+                output_tokens=getattr(outcome, "output_tokens", 0),
+            ),
+        )
+
+    def _give_back(self, engine, result):
+        self.context.send(
+            self.cell,
+            RunFinished(request_id=self.request.request_id, engine=engine, result=result, duration_s=0.0),
+        )
+
+    def _finish(self, command):
+        self.state = RequestState.FINISHED
+        self.caller.post(command)
+
+    def _refuse(self, reason, *, executed=None, retry_after_s=None, status=None):
+        """Give the final answer at once; returns ``True`` as the request is settled."""
+        executed = executed or self.executed()
+        if self._nonce and executed is Executed.NO:
+            self._release(self._nonce)
+        self.state = RequestState.UNKNOWN if executed is Executed.UNKNOWN else RequestState.REFUSED
+        self.caller.post(
+            AnswerRefusal(
+                refusal=Refusal(
+                    status=status or STATUS_BY_REASON[reason],
+                    reason=reason,
+                    executed=executed,
+                    detail=DETAIL_BY_REASON[reason],
+                    retry_after_s=retry_after_s or DEFAULT_RETRY_AFTER_S,
+                )
+            )
+        )
+        return True
+
+    # Helpers.
+
+    async def _next_message(self, *, until):
+        """Next message, or ``None`` once ``until`` (loop time) has passed."""
+        if until is None:
+            return await self._inbox.get()
+        timeout = until - self.context.now()
+        if timeout <= 0 and self._inbox.empty():
+            return None
+        try:
+            return await asyncio.wait_for(self._inbox.get(), timeout=max(timeout, 0))
+        except TimeoutError:
+            return None
+
+    def _remaining(self):
+        return self.request.deadline - self.context.now()
+
+    def _run_id(self):
+        return f"{self.request.request_id}.{self.runs}"
+
+
+def _rejected_status(status):
+    """Pass an engine's 4xx on; hide its 5xx behind 502, since the fault isn't ours."""
+    return status if 400 <= status < 500 else 502
