--- a/wagtailtrestle/ports.py
+++ b/wagtailtrestle/ports.py
@@ -9,8 +9,8 @@
 class ObjectStore(Protocol):
     """The platform's object API. Values are what JSON holds; outcomes are values."""
 
-    async def get(self, *, kind: str, name: str) -> StoreOutcome:
-        """Read one object."""
+    async def get(self, *, kind: str, name: str, unless_version: int | None = None) -> StoreOutcome:
+        """Read one object; ``value`` is ``None`` if it is still at ``unless_version``."""
 
     async def list(self, *, kind: str) -> StoreOutcome:
         """Read all objects of a kind: ``value`` maps name to ``(version, value)``."""
