--- /dev/null
+++ b/wagtailtrestle/argument_types.py
@@ -0,0 +1,229 @@
+"""Types of single values at the edge: what is allowed, and what is wrong with a bad one.
+
+The same types check YAML scalars and command-line arguments. ``read`` takes the text
+as it was written and returns the value or a :class:`Wrong`; it never raises.
+"""
+
+import ipaddress
+import math
+import re
+from dataclasses import dataclass
+from typing import Protocol
+from urllib.parse import urlsplit
+
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+INTEGER_PATTERN = re.compile(r"[-+]?[0-9]{1,18}")
+NUMBER_PATTERN = re.compile(r"[-+]?[0-9]{1,18}(\.[0-9]{0,18})?([eE][-+]?[0-9]{1,2})?")
+SHA256_PATTERN = re.compile(r"[0-9a-f]{64}")
+PATH_PATTERN = re.compile(r"(/[A-Za-z0-9._~!$&'()*+,;=:@-]+)*/?")
+LARGEST_PATH = 512
+LARGEST_PORT = 65535
+LARGEST_SHOWN = 40
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Wrong:
+    """What is wrong with a value, as the end of a sentence that begins with the field."""
+
+    problem: str
+
+
+class ValueType(Protocol):
+    """One type of value.
+
+    Attributes
+    ----------
+    allowed : str
+        What may be written, for a person.
+    is_text : bool
+        Whether a value is text to YAML; otherwise it must stand unquoted.
+    """
+
+    allowed: str
+    is_text: bool
+
+    def read(self, text: str) -> object:
+        """Return the value, or ``Wrong``."""
+
+
+def shown(text):
+    """Quote a value for a message, cut short so that one long value can't flood it."""
+    text = str(text)
+    if len(text) > LARGEST_SHOWN:
+        text = text[:LARGEST_SHOWN] + "…"
+    return repr(text)
+
+
+class Name:
+    """Name of something declared; safe in a URL path, a header and a metric label."""
+
+    allowed = "1 to 63 letters, digits, '.', '_' or '-', beginning with a letter or digit"
+    is_text = True
+
+    def read(self, text):
+        """Return the name, or ``Wrong``."""
+        if NAME_PATTERN.fullmatch(text):
+            return text
+        return Wrong(problem=f"is {shown(text)}, which is not a name")
+
+
+class Integer:
+    """Whole number within bounds, both allowed."""
+
+    is_text = False
+
+    def __init__(self, *, least, most):
+        self.least = least
+        self.most = most
+        self.allowed = f"a whole number from {least} to {most}"
+
+    def read(self, text):
+        """Return the number, or ``Wrong``."""
+        if not INTEGER_PATTERN.fullmatch(text):
+            return Wrong(problem=f"is {shown(text)}, which is not a whole number")
+        value = int(text)
+        if not self.least <= value <= self.most:
+            return Wrong(problem=f"is {value}, out of range")
+        return value
+
+
+class Number:
+    """Finite decimal number within bounds, both allowed."""
+
+    is_text = False
+
+    def __init__(self, *, least, most):
+        self.least = least
+        self.most = most
+        self.allowed = f"a number from {least} to {most}"
+
+    def read(self, text):
+        """Return the number as a float, or ``Wrong``."""
+        if not NUMBER_PATTERN.fullmatch(text):
+            return Wrong(problem=f"is {shown(text)}, which is not a number")
+        value = float(text)
+        if not math.isfinite(value) or not self.least <= value <= self.most:
+            return Wrong(problem=f"is {text}, out of range")
+        return value
+
+
+class Flag:
+    """Truth value, in YAML 1.2's two words only ('no' and 'off' are too easily misread)."""
+
+    allowed = "true or false"
+    is_text = False
+
+    def read(self, text):
+        """Return the truth value, or ``Wrong``."""
+        if text.lower() == "true":
+            return True
+        if text.lower() == "false":
+            return False
+        return Wrong(problem=f"is {shown(text)}, which is neither true nor false")
+
+
+class OneOf:
+    """One of a few words."""
+
+    is_text = True
+
+    def __init__(self, *, words):
+        self.words = tuple(words)
+        self.allowed = " or ".join(self.words) if len(self.words) < 3 else "one of " + ", ".join(self.words)
+
+    def read(self, text):
+        """Return the word, or ``Wrong``."""
+        if text in self.words:
+            return text
+        return Wrong(problem=f"is {shown(text)}, which is not known")
+
+
+class HostPort:
+    """``host:port`` with an IP number; an IPv6 number stands in brackets."""
+
+    allowed = "IP:PORT, for instance 10.0.0.7:8080 or [fd00::7]:8080"
+    is_text = True
+
+    def read(self, text):
+        """Return the address as written, or ``Wrong``."""
+        host, colon, port = text.rpartition(":")
+        if not colon:
+            return Wrong(problem=f"is {shown(text)}, which has no port")
+        if not (port.isascii() and port.isdigit() and len(port) <= 5 and 1 <= int(port) <= LARGEST_PORT):
+            return Wrong(problem=f"is {shown(text)}, whose port is not from 1 to {LARGEST_PORT}")
+        bracketed = host.startswith("[") and host.endswith("]")
+        if not _is_ip(host[1:-1] if bracketed else host, version=6 if bracketed else 4):
+            return Wrong(problem=f"is {shown(text)}, whose host is not an IP number")
+        return text
+
+
+class Sha256:
+    """Hex digest of a key. The value is never shown: a key itself may stand there by mistake."""
+
+    allowed = "the SHA-256 of the key: 64 lower-case hex digits (printf %s KEY | sha256sum)"
+    is_text = True
+
+    def read(self, text):
+        """Return the digest, or ``Wrong``."""
+        if SHA256_PATTERN.fullmatch(text):
+            return text
+        return Wrong(problem=f"is not a SHA-256 digest ({len(text)} characters; not shown, as it may be a key)")
+
+
+class UrlPath:
+    """Path of a URL, without query, empty segments, '.' or '..'."""
+
+    allowed = "a path that begins with '/', without query, '%', '//', '.' or '..' segments"
+    is_text = True
+
+    def read(self, text):
+        """Return the path, or ``Wrong``."""
+        segments = text.split("/")
+        if len(text) > LARGEST_PATH or not text.startswith("/") or "." in segments or ".." in segments:
+            return Wrong(problem=f"is {shown(text)}, which is not a path")
+        if not PATH_PATTERN.fullmatch(text):
+            return Wrong(problem=f"is {shown(text)}, which is not a path")
+        return text
+
+
+class Url:
+    """``http://host:port`` of a process, optionally with a path."""
+
+    allowed = "http://HOST:PORT, for instance http://10.0.0.5:8700"
+    is_text = True
+
+    def read(self, text):
+        """Return the URL without a trailing slash, or ``Wrong``."""
+        try:
+            parts = urlsplit(text)
+            usable = parts.scheme in ("http", "https") and bool(parts.hostname) and parts.port != 0
+        except ValueError:
+            usable = False
+        if not usable or parts.query or parts.fragment or parts.username is not None or _has_blank(text):
+            return Wrong(problem=f"is {shown(text)}, which is not the URL of a process")
+        return text.rstrip("/")
+
+
+class Peer:
+    """``name=host:port`` of another router."""
+
+    allowed = "NAME=IP:PORT, for instance router-2=10.0.0.8:7100"
+    is_text = True
+
+    def read(self, text):
+        """Return ``(name, address)``, or ``Wrong``."""
+        name, _, address = text.partition("=")
+        if isinstance(Name().read(name), Wrong) or isinstance(HostPort().read(address), Wrong):
+            return Wrong(problem=f"is {shown(text)}, which is not a named address")
+        return name, address
+
+
+def _is_ip(text, *, version):
+    try:
+        return ipaddress.ip_address(text).version == version
+    except ValueError:
+        return False
+
+
+def _has_blank(text):
+    return any(character.isspace() or not character.isprintable() for character in text)
--- /dev/null
+++ b/wagtailtrestle/settings.py
@@ -0,0 +1,197 @@
+"""Checked settings of one process; its own file, apart from the declaration."""
+
+from dataclasses import dataclass
+
+from wagtailtrestle.argument_types import Flag, HostPort, Integer, Name, Number, OneOf, Peer, Url
+from wagtailtrestle.yaml_source import Fault, FaultList, compose, open_mapping
+
+DEFAULT_CALLER_THREADS = 128
+DEFAULT_MAX_BODY_BYTES = 4_194_304
+DEFAULT_MAX_HEADER_BYTES = 16_384
+DEFAULT_DRAIN_TIMEOUT_S = 60.0
+DEFAULT_PEER_HEARTBEAT_S = 0.5
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class SettingsFaults:
+    """Everything wrong with a settings file; the process does not start."""
+
+    faults: tuple[Fault, ...]
+
+
+class RouterSettings:
+    """Settings of one router.
+
+    Parameters
+    ----------
+    name : str
+        Unique among the routers of the deployment.
+    zone : str
+        Availability zone.
+    callers_address, peers_address, admin_address : str
+        ``IP:PORT`` on which callers, other routers and operators reach it.
+    platform_url : str
+    peers : tuple of (str, str)
+        Name and peers address of routers to greet before the platform answers.
+    caller_threads : int
+        Largest number of callers' requests in work.
+    max_body_bytes, max_header_bytes : int
+        Largest request from a caller.
+    log_level : str
+    log_json : bool
+    drain_timeout_s : float
+        Longest wait for requests in flight on a graceful stop.
+    peer_heartbeat_s : float
+        Time between two heartbeats to a peer.
+    """
+
+    __slots__ = (
+        "name",
+        "zone",
+        "callers_address",
+        "peers_address",
+        "admin_address",
+        "platform_url",
+        "peers",
+        "caller_threads",
+        "max_body_bytes",
+        "max_header_bytes",
+        "log_level",
+        "log_json",
+        "drain_timeout_s",
+        "peer_heartbeat_s",
+    )
+
+    def __init__(
+        self,
+        *,
+        name,
+        zone,
+        callers_address,
+        peers_address,
+        admin_address,
+        platform_url,
+        peers=(),
+        caller_threads=DEFAULT_CALLER_THREADS,
+        max_body_bytes=DEFAULT_MAX_BODY_BYTES,
+        max_header_bytes=DEFAULT_MAX_HEADER_BYTES,
+        log_level="INFO",
+        log_json=False,
+        drain_timeout_s=DEFAULT_DRAIN_TIMEOUT_S,
+        peer_heartbeat_s=DEFAULT_PEER_HEARTBEAT_S,
+    ):
+        self.name = name
+        self.zone = zone
+        self.callers_address = callers_address
+        self.peers_address = peers_address
+        self.admin_address = admin_address
+        self.platform_url = platform_url
+        self.peers = peers
+        self.caller_threads = caller_threads
+        self.max_body_bytes = max_body_bytes
+        self.max_header_bytes = max_header_bytes
+        self.log_level = log_level
+        self.log_json = log_json
+        self.drain_timeout_s = drain_timeout_s
+        self.peer_heartbeat_s = peer_heartbeat_s
+
+
+def load_router_settings(path):
+    """Return the settings in the file at ``path``, or every fault in it.
+
+    Parameters
+    ----------
+    path : str
+
+    Returns
+    -------
+    RouterSettings or SettingsFaults
+    """
+    try:
+        with open(path, "rb") as file:
+            text = file.read()
+    except (OSError, ValueError) as error:
+        problem = f"cannot be read: {getattr(error, 'strerror', None) or error}"
+        fault = Fault(file=str(path), line=0, field="", problem=problem, allowed="a readable settings file")
+        return SettingsFaults(faults=(fault,))
+    return parse_router_settings(text, file=str(path))
+
+
+def parse_router_settings(text, *, file="settings"):
+    """Return the settings written in ``text``, or every fault in it."""
+    return check_settings(text, file=file, read=_read_router, settings_class=RouterSettings)
+
+
+def check_settings(text, *, file, read, settings_class):
+    """Check a settings text against the fields of one kind of process.
+
+    Parameters
+    ----------
+    text : str or bytes
+    file : str
+        Name of the file, for the faults.
+    read : callable
+        Takes a ``MappingReader`` and returns the values by field name.
+    settings_class : type
+        Built from those values if there is no fault.
+    """
+    faults = FaultList(file=file)
+    node = compose(text, faults=faults)
+    reader = open_mapping(node, field="", faults=faults) if node is not None else None
+    if reader is None:
+        return SettingsFaults(faults=faults.in_order())
+    values = read(reader)
+    reader.close()
+    if faults.faults:
+        return SettingsFaults(faults=faults.in_order())
+    return settings_class(**values)
+
+
+def _read_router(reader):
+    address = HostPort()
+    values = {
+        "name": reader.value("name", Name()),
+        "zone": reader.value("zone", Name()),
+        "callers_address": reader.value("callers_address", address),
+        "peers_address": reader.value("peers_address", address),
+        "admin_address": reader.value("admin_address", address),
+        "platform_url": reader.value("platform_url", Url()),
+        "peers": tuple(peer for peer, _ in reader.values("peers", Peer(), required=False)),
+    }
+    values |= _read_router_limits(reader)
+    _check_addresses_differ(reader, values)
+    return values
+
+
+def _read_router_limits(reader):
+    seconds = Number(least=0, most=3600)
+    return {
+        "caller_threads": reader.value("caller_threads", Integer(least=4, most=4096), default=DEFAULT_CALLER_THREADS),
+        "max_body_bytes": reader.value(
+            "max_body_bytes", Integer(least=1024, most=67_108_864), default=DEFAULT_MAX_BODY_BYTES
+        ),
+        "max_header_bytes": reader.value(
+            "max_header_bytes", Integer(least=1024, most=1_048_576), default=DEFAULT_MAX_HEADER_BYTES
+        ),
+        "log_level": reader.value("log_level", OneOf(words=LOG_LEVELS), default="INFO"),
+        "log_json": reader.value("log_json", Flag(), default=False),
+        "drain_timeout_s": reader.value("drain_timeout_s", seconds, default=DEFAULT_DRAIN_TIMEOUT_S),
+        "peer_heartbeat_s": reader.value(
+            "peer_heartbeat_s", Number(least=0.01, most=60), default=DEFAULT_PEER_HEARTBEAT_S
+        ),
+    }
+
+
+def _check_addresses_differ(reader, values):
+    seen = {}
+    for name in ("callers_address", "peers_address", "admin_address"):
+        address = values[name]
+        if address is not None and address in seen:
+            reader.faults.add(
+                node=reader.get(name),
+                field=name,
+                problem=f"is the same as {seen[address]}",
+                allowed="an address of its own",
+            )
+        seen[address] = name
