--- /dev/null
+++ b/wagtailtrestle/standins/platform.py
@@ -0,0 +1,404 @@
+"""Stand-in for the platform: its object API and its list of VMs over HTTP, with faults.
+
+The API is the section "Platform HTTP" of ``docs/design/architecture.md``. Objects live
+in memory only: stopping the process loses them.
+"""
+
+import errno
+import gzip
+import json
+import signal
+import socket
+import sys
+import threading
+import time
+import weakref
+from http import HTTPStatus
+from urllib.parse import parse_qs, unquote, urlsplit
+
+from cheroot import wsgi
+
+from wagtailtrestle.outcomes import StoreAbsent, StoreConflict, StoreDone, StoreUnavailable
+from wagtailtrestle.standins.object_table import ObjectTable
+from wagtailtrestle.standins.platform_faults import (
+    DOWN_CUT,
+    DOWN_UNAVAILABLE,
+    SILENT_ALL,
+    SILENT_OPEN,
+    PlatformFaults,
+    RateLimit,
+    parse_faults,
+)
+from wagtailtrestle.standins.platform_settings import check_vms, load_platform_settings
+
+MAX_VALUE_BYTES = 1024 * 1024
+# Larger bodies are read whole, so that the client gets its 413 and not a reset.
+MAX_BODY_BYTES = 16 * MAX_VALUE_BYTES
+MAX_WATCH_S = 60.0
+COMPRESS_ABOVE_BYTES = 1400
+KEEP_ALIVE_CONNECTIONS = 2048
+IDLE_CONNECTION_S = 60
+SILENT_CHECK_S = 0.2
+CONNECTION_KEY = "wagtailtrestle.connection"
+
+
+class CallCounts:
+    """Calls by kind since the start; ``watches`` counts each waiting watch as one call."""
+
+    __slots__ = ("reads", "writes", "watches", "refused")
+
+    def __init__(self):
+        self.reads = 0
+        self.writes = 0
+        self.watches = 0
+        self.refused = 0
+
+    def dump(self):
+        """Return a plain dict."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
+class Answer:
+    """One HTTP answer: a status, a JSON body and an entity tag if it has a version."""
+
+    __slots__ = ("status", "body", "version")
+
+    def __init__(self, *, status, body=None, version=None):
+        self.status = status
+        self.body = body
+        self.version = version
+
+
+class ConnectionLost(ConnectionResetError):
+    """Raised to have the server close this connection without an answer."""
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Tells the application which connection a request came over."""
+
+    def get_environ(self):
+        environ = super().get_environ()
+        environ[CONNECTION_KEY] = self.req.conn
+        return environ
+
+
+class PlatformStandIn:
+    """The HTTP server around one :class:`ObjectTable`.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+    """
+
+    def __init__(self, *, settings):
+        self.settings = settings
+        self.table = ObjectTable()
+        self.faults = PlatformFaults()
+        self.counts = CallCounts()
+        self._rate_limit = RateLimit()
+        self._changed = threading.Condition()
+        self._closing = threading.Event()
+        self._faults_set = threading.Event()
+        self._connections = weakref.WeakSet()
+        self._silent_connections = weakref.WeakSet()
+        self._server = None
+        self._thread = None
+        self.table.set_vms(vms=list(settings.vms), now=float("-inf"))
+
+    @property
+    def address(self):
+        """``host:port`` actually listened on."""
+        host, port = self._server.bind_addr[:2]
+        return f"{host}:{port}"
+
+    def start(self):
+        """Listen and serve on threads of its own."""
+        self._server = wsgi.Server(
+            (self.settings.host, self.settings.port),
+            self._application,
+            numthreads=self.settings.threads,
+            request_queue_size=256,
+            timeout=IDLE_CONNECTION_S,
+            shutdown_timeout=1,
+        )
+        self._server.gateway = _Gateway
+        self._server.max_request_body_size = MAX_BODY_BYTES
+        self._server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
+        self._server.prepare()
+        self._thread = threading.Thread(target=self._server.serve, name="platform", daemon=True)
+        self._thread.start()
+
+    def close(self):
+        """End waiting watches and silent connections, then stop serving."""
+        self._closing.set()
+        self._faults_set.set()
+        with self._changed:
+            self._changed.notify_all()
+        self._server.stop()
+        self._thread.join(timeout=5)
+
+    # HTTP
+
+    def _application(self, environ, start_response):
+        connection = environ[CONNECTION_KEY]
+        self._connections.add(connection)
+        answer = self._answer(environ, connection)
+        return _send(answer, environ, start_response)
+
+    def _answer(self, environ, connection):
+        target = urlsplit(environ["REQUEST_URI"])
+        path = tuple(unquote(part) for part in target.path.strip("/").split("/"))
+        query = {name: values[-1] for name, values in parse_qs(target.query).items()}
+        body = environ["wsgi.input"].read(int(environ.get("CONTENT_LENGTH") or 0))
+        method = environ["REQUEST_METHOD"]
+        if path[0] not in ("objects", "watch", "vms") or (path == ("vms",) and method == "POST"):
+            return self._answer_admin(method, path, body)
+        self._show_faults(connection)
+        refusal = self._refuse()
+        if refusal is not None:
+            return refusal
+        return self._answer_object(method, path, query, body, environ)
+
+    def _show_faults(self, connection):
+        """Be silent, cut or slow, as the faults say."""
+        while self._is_silent(connection):
+            if _is_closed_by_client(connection):
+                raise _connection_lost()
+            self._faults_set.wait(SILENT_CHECK_S)
+        if self._closing.is_set() or self.faults.down == DOWN_CUT:
+            raise _connection_lost()
+        if self.faults.slow_s:
+            self._closing.wait(self.faults.slow_s)
+
+    def _is_silent(self, connection):
+        if self._closing.is_set():
+            return False
+        return connection in self._silent_connections or self.faults.silent == SILENT_ALL
+
+    def _refuse(self):
+        if self.faults.down == DOWN_UNAVAILABLE:
+            return self._refused(HTTPStatus.SERVICE_UNAVAILABLE, "down")
+        over = self._rate_limit.refuse(limit_per_s=self.faults.rate_limit_per_s, now=time.monotonic())
+        if over is not None:
+            return self._refused(HTTPStatus.TOO_MANY_REQUESTS, over.detail)
+        return None
+
+    def _refused(self, status, problem):
+        self.counts.refused += 1
+        return Answer(status=status, body={"applied": False, "error": problem})
+
+    def _answer_object(self, method, path, query, body, environ):
+        match method, path:
+            case "GET", ("vms",):
+                return self._read_vms()
+            case "GET", ("watch", kind):
+                return self._watch(kind, query)
+            case "GET", ("objects", kind):
+                return self._list(kind)
+            case "GET", ("objects", kind, name):
+                return self._get(kind, name, environ.get("HTTP_IF_NONE_MATCH"))
+            case (("POST" | "PUT" | "DELETE"), ("objects", kind, name)):
+                return self._write(method, kind, name, query, body)
+        return Answer(status=HTTPStatus.NOT_FOUND, body={"error": "no such path"})
+
+    # Reads
+
+    def _get(self, kind, name, known_tag):
+        with self._changed:
+            self.counts.reads += 1
+            outcome = self.table.get(kind=kind, name=name, stale_versions=self.faults.stale_versions)
+        if isinstance(outcome, StoreDone) and known_tag == _entity_tag(outcome.version):
+            return Answer(status=HTTPStatus.NOT_MODIFIED, version=outcome.version)
+        return _answer_outcome(outcome)
+
+    def _list(self, kind):
+        with self._changed:
+            self.counts.reads += 1
+            outcome = self.table.list(kind=kind, stale_versions=self.faults.stale_versions)
+        objects = {name: {"version": version, "value": value} for name, (version, value) in outcome.value.items()}
+        return Answer(status=HTTPStatus.OK, body={"version": outcome.version, "value": objects})
+
+    def _read_vms(self):
+        with self._changed:
+            self.counts.reads += 1
+            outcome = self.table.vms(now=time.monotonic(), lag_s=self.settings.vm_list_lag_s)
+        return Answer(status=HTTPStatus.OK, body={"version": outcome.version, "value": outcome.value})
+
+    def _watch(self, kind, query):
+        try:
+            from_version = int(query.get("from_version", "0"))
+            timeout_s = min(float(query.get("timeout_s", "30")), MAX_WATCH_S)
+        except ValueError:
+            return _bad_request("from_version and timeout_s must be numbers")
+        deadline = time.monotonic() + timeout_s
+        with self._changed:
+            self.counts.watches += 1
+            while True:
+                outcome = self.table.changes(kind=kind, from_version=from_version)
+                left_s = deadline - time.monotonic()
+                if outcome.value or left_s <= 0 or self._closing.is_set():
+                    break
+                self._changed.wait(left_s)
+        events = [{"name": name, "version": version, "value": value} for name, version, value in outcome.value]
+        return Answer(status=HTTPStatus.OK, body={"version": outcome.version, "value": events})
+
+    # Writes
+
+    def _write(self, method, kind, name, query, body):
+        if len(body) > MAX_VALUE_BYTES:
+            return self._refused(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, f"value over {MAX_VALUE_BYTES} bytes")
+        try:
+            value = json.loads(body)["value"] if method != "DELETE" else None
+            if_version = int(query["if_version"]) if method != "POST" else None
+        except (ValueError, KeyError, TypeError):
+            return _bad_request('needs {"value": …} and, but for POST, ?if_version=V')
+        with self._changed:
+            self.counts.writes += 1
+            outcome = self._write_table(method, kind, name, value, if_version)
+            is_lost = isinstance(outcome, StoreDone) and self.faults.take_lost_answer()
+            self._changed.notify_all()
+        if is_lost:
+            raise _connection_lost()
+        # The writer knows its value: only the version goes back.
+        return _answer_outcome(outcome, with_value=False)
+
+    def _write_table(self, method, kind, name, value, if_version):
+        hide = self.faults.drop_watch_events
+        if method == "POST":
+            return self.table.create(kind=kind, name=name, value=value, hide=hide)
+        if method == "PUT":
+            return self.table.update(kind=kind, name=name, value=value, if_version=if_version, hide=hide)
+        return self.table.delete(kind=kind, name=name, if_version=if_version, hide=hide)
+
+    # Administration
+
+    def _answer_admin(self, method, path, body):
+        match method, path:
+            case "GET", ("healthz",):
+                return Answer(status=HTTPStatus.OK, body={"alive": True})
+            case "GET", ("counts",):
+                return Answer(status=HTTPStatus.OK, body=self.counts.dump())
+            case "GET", ("faults",):
+                return Answer(status=HTTPStatus.OK, body=self.faults.dump())
+            case "GET", ("state",):
+                return Answer(status=HTTPStatus.OK, body=self.dump())
+            case "POST", ("faults",):
+                return self._set_faults(_parse_json(body))
+            case "POST", ("vms",):
+                return self._set_vms(_parse_json(body))
+        return Answer(status=HTTPStatus.NOT_FOUND, body={"error": "no such path"})
+
+    def dump(self):
+        """Return the whole state, without objects' values, as a plain dict."""
+        with self._changed:
+            return {
+                "process": "platform",
+                "name": self.settings.name,
+                "revision": self.table.revision,
+                "objects_by_kind": self.table.objects_by_kind(),
+                "counts": self.counts.dump(),
+                "faults": self.faults.dump(),
+                "vm_list_lag_s": self.settings.vm_list_lag_s,
+                "vms": self.table.vms(now=time.monotonic(), lag_s=0).value,
+                "connections": len(self._connections),
+            }
+
+    def _set_faults(self, fields):
+        faults = parse_faults(fields)
+        if isinstance(faults, list):
+            return _bad_request(*faults)
+        with self._changed:
+            self.faults = faults
+            self._silent_connections.clear()
+            if faults.silent == SILENT_OPEN:
+                self._silent_connections.update(self._connections)
+        # Wakes threads that were silent, so that a cleared fault holds no thread.
+        self._faults_set.set()
+        self._faults_set.clear()
+        return Answer(status=HTTPStatus.OK, body=faults.dump())
+
+    def _set_vms(self, vms):
+        problems = check_vms(vms)
+        if problems:
+            return _bad_request(*problems)
+        with self._changed:
+            self.table.set_vms(vms=vms, now=time.monotonic())
+        return Answer(status=HTTPStatus.OK, body={"vms": len(vms)})
+
+
+def _answer_outcome(outcome, with_value=True):
+    match outcome:
+        case StoreDone(version=version, value=value):
+            body = {"version": version, "value": value} if with_value else {"version": version}
+            return Answer(status=HTTPStatus.OK, body=body, version=version)
+        case StoreConflict(version=version):
+            return Answer(status=HTTPStatus.CONFLICT, body={"version": version, "applied": False})
+        case StoreAbsent():
+            return Answer(status=HTTPStatus.NOT_FOUND, body={"applied": False, "error": "no such object"})
+        case StoreUnavailable(detail=detail):
+            return Answer(status=HTTPStatus.SERVICE_UNAVAILABLE, body={"applied": False, "error": detail})
+    raise AssertionError(f"not an outcome of the table: {outcome}")
+
+
+def _bad_request(*problems):
+    return Answer(status=HTTPStatus.BAD_REQUEST, body={"applied": False, "error": "; ".join(problems)})
+
+
+def _parse_json(body):
+    try:
+        return json.loads(body)
+    except ValueError:
+        return None
+
+
+def _connection_lost():
+    # The server ignores a reset silently and closes the connection, which is what we want.
+    return ConnectionLost(errno.ECONNRESET, "closed without an answer")
+
+
+def _is_closed_by_client(connection):
+    """Tell whether a silent connection may give its thread back."""
+    try:
+        return connection.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+def _entity_tag(version):
+    return f'"{version}"'
+
+
+def _send(answer, environ, start_response):
+    headers = []
+    body = b""
+    if answer.version is not None:
+        headers.append(("ETag", _entity_tag(answer.version)))
+    if answer.body is not None:
+        body = json.dumps(answer.body).encode()
+        headers.append(("Content-Type", "application/json"))
+        if len(body) > COMPRESS_ABOVE_BYTES and "gzip" in environ.get("HTTP_ACCEPT_ENCODING", ""):
+            body = gzip.compress(body, compresslevel=5)
+            headers.append(("Content-Encoding", "gzip"))
+        headers.append(("Content-Length", str(len(body))))
+    start_response(f"{answer.status.value} {answer.status.phrase}", headers)
+    return [body]
+
+
+def main(settings_path):
+    """Run one platform stand-in until SIGTERM or SIGINT; returns the exit status."""
+    settings = load_platform_settings(settings_path)
+    if isinstance(settings, list):
+        for problem in settings:
+            print(f"{settings_path}: {problem}", file=sys.stderr)
+        return 2
+    stopped = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopped.set())
+    stand_in = PlatformStandIn(settings=settings)
+    stand_in.start()
+    print(json.dumps({"event": "listening", "process": "platform", "address": stand_in.address}), flush=True)
+    stopped.wait()
+    stand_in.close()
+    return 0
