Add the ledger: claims on idempotency keys by conditional update

Cause: a request sent again through another router could run twice; nothing recognised it. Change: claims batched per shard into one conditional update, proved by the nonce in the version written or read back; a re-send asks the router that holds the key. The port Claims gains wait_s (with a default) and finish_unknown. The number of shards in force is kept in the store, since two declared numbers at once would let one key live in two shards.

--- /dev/null
+++ b/wagtailtrestle/ledger.py
@@ -0,0 +1,343 @@
+"""The ledger of idempotency keys: at most one run per key, whichever routers it is sent to.
+
+Both sides are here: the entry's, which claims a key before its request is dispatched, and
+the shard owner's, which batches the claims of many entries into one conditional update.
+The owner is a convenience: every router may write every shard, and a claim counts only
+when its nonce is proved to be in the store.
+"""
+
+import asyncio
+import time
+
+from wagtailtrestle.ledger_messages import (
+    ClaimAnswer,
+    ClaimAsk,
+    ClaimResult,
+    ClaimState,
+    NonceAnswer,
+    NonceAsk,
+    NonceState,
+    SettleAnswer,
+    SettleAsk,
+)
+from wagtailtrestle.ledger_nonces import NonceBook
+from wagtailtrestle.ledger_record import LEDGER_KIND, MAX_BODY_BYTES, ShardContents, key_hash, shard_name
+from wagtailtrestle.ledger_shard import ShardWriter, WritePacer, bounded
+from wagtailtrestle.outcomes import (
+    ClaimFinished,
+    ClaimMismatch,
+    ClaimTaken,
+    ClaimUnavailable,
+    ClaimWon,
+    StoreAbsent,
+    StoreDone,
+)
+
+LAYOUT_NAME = "layout"
+CLAIM_WAIT_S = 10.0
+WRITE_S = 2.5
+HOLDER_SLICE_S = 5.0
+HOLDER_ROOM_S = 1.0
+HOLDER_SILENCES = 2
+MAX_TAKEOVERS = 4
+SETTLE_S = 4.0
+SETTLE_PAUSE_S = 1.0
+SETTLE_PAUSE_LIMIT_S = 30.0
+RELEASE_TRIES = 2
+CLOSE_S = 5.0
+LEDGER_WRITES_PER_S = 200.0
+SILENT = NonceAnswer(state="")
+
+
+class Ledger:
+    """Implements :class:`wagtailtrestle.ports.Claims` and answers other routers' asks.
+
+    Parameters
+    ----------
+    name, incarnation : str
+        This router and this life of it; an incarnation is never used twice.
+    store : ObjectStore
+    owner_of : Callable
+        Maps a shard's name to the router that batches its writes; empty if none is known.
+    ask : Callable
+        Coroutine function ``ask(peer, message, timeout_s)``: the peer's answer, ``None`` if
+        none came in time.
+    shards : Callable
+        Declared number of shards; counts only until the ledger's layout exists.
+    retention_s : Callable
+        Declared time to remember a claim.
+    live_routers : Callable
+        Number of live routers, to share the budget of writes.
+    wall_clock : Callable
+        Seconds, comparable between VMs.
+    """
+
+    def __init__(
+        self,
+        *,
+        name,
+        incarnation,
+        store,
+        owner_of,
+        ask,
+        shards,
+        retention_s,
+        live_routers=lambda: 1,
+        wall_clock=time.time,
+    ):
+        self.name = name
+        self.incarnation = incarnation
+        self._store = store
+        self._owner_of = owner_of
+        self._ask = ask
+        self._shards = shards
+        self._retention_s = retention_s
+        self._wall_clock = wall_clock
+        self._pacer = WritePacer(writes_per_s=lambda: LEDGER_WRITES_PER_S / max(live_routers(), 1))
+        self._writers_by_shard = {}
+        self._book = NonceBook(keep_s=retention_s, now=lambda: asyncio.get_running_loop().time())
+        self._settling_by_nonce = {}
+        self._layout = None
+        self._layout_detail = ""
+
+    # The entry's side: the port Claims.
+
+    async def claim(self, *, team, key, body_digest, nonce, wait_s=CLAIM_WAIT_S):
+        """Claim a key; see :class:`wagtailtrestle.ports.Claims`."""
+        self._book.begin(nonce)
+        outcome = ClaimUnavailable(detail="the claim was abandoned")
+        try:
+            outcome = await self._claim(key_hash(team=team, key=key), body_digest, nonce, wait_s)
+        finally:
+            # Also when cancelled: a write still under way may put the nonce into the store
+            # later; whoever finds it there learns here that it was never dispatched.
+            if isinstance(outcome, ClaimUnavailable):
+                self.release(team=team, key=key, nonce=nonce)
+        if not isinstance(outcome, ClaimWon):
+            self._book.refuse(nonce)
+        elif not self._book.win(nonce):
+            return ClaimUnavailable(detail="the claim was given up meanwhile")
+        return outcome
+
+    def release(self, *, team, key, nonce):
+        """Give back a claim whose request was never dispatched."""
+        self._book.refuse(nonce)
+        self._settle(team, key, nonce, state=NonceState.REFUSED, tries=RELEASE_TRIES)
+
+    def finish(self, *, team, key, nonce, status, content_type, body):
+        """Record the answer; a body over ``MAX_BODY_BYTES`` is not kept."""
+        body_kept = len(body) <= MAX_BODY_BYTES
+        answer = dict(status=status, content_type=content_type, body=body if body_kept else b"", body_kept=body_kept)
+        self._book.finish(nonce, **answer)
+        self._settle(team, key, nonce, state=NonceState.FINISHED, **answer)
+
+    def finish_unknown(self, *, team, key, nonce):
+        """Record that the request was dispatched and its outcome can't be told."""
+        self._book.lose(nonce)
+        self._settle(team, key, nonce, state=NonceState.UNKNOWN)
+
+    # The owner's and the holder's side.
+
+    async def handle(self, message):
+        """Answer another router's ask."""
+        match message:
+            case ClaimAsk():
+                return await self._writer(message.shard).claim(message, timeout_s=WRITE_S)
+            case SettleAsk():
+                return SettleAnswer(stored=await self._writer(message.shard).settle(message))
+            case NonceAsk(incarnation=self.incarnation):
+                return await self._book.wait(message.nonce, wait_s=message.wait_s)
+            case NonceAsk():
+                return NonceAnswer(state=str(NonceState.UNKNOWN))
+
+    async def start(self):
+        """Read or make the layout; a platform that is out now is asked again by the first claim."""
+        await self._shard_of("0" * 8)
+
+    async def close(self):
+        """Let ends of requests reach the store, then stop."""
+        settling = list(self._settling_by_nonce.values())
+        if settling:
+            await asyncio.wait(settling, timeout=CLOSE_S)
+        for task in settling:
+            task.cancel()
+        await asyncio.gather(*settling, return_exceptions=True)
+        for writer in self._writers_by_shard.values():
+            await writer.close()
+
+    def dump(self):
+        """Plain data for the state dump."""
+        return {
+            "shards_in_force": self._layout,
+            "shards_declared": self._shards(),
+            "nonces": len(self._book.entries_by_nonce),
+            "settling": len(self._settling_by_nonce),
+            "writers": [writer.dump() for writer in self._writers_by_shard.values()],
+        }
+
+    # Claiming.
+
+    async def _claim(self, key, digest, nonce, wait_s):
+        deadline = _now() + wait_s
+        shard = await self._shard_of(key)
+        if shard is None:
+            return ClaimUnavailable(detail=self._layout_detail)
+        replaces = ""
+        for _ in range(MAX_TAKEOVERS):
+            ask = ClaimAsk(
+                shard=shard,
+                key=key,
+                digest=digest,
+                nonce=nonce,
+                entry=self.name,
+                incarnation=self.incarnation,
+                replaces=replaces,
+            )
+            answer = await self._write(ask, deadline)
+            if answer.result == ClaimResult.WON:
+                return ClaimWon(nonce=nonce)
+            if answer.result == ClaimResult.UNAVAILABLE:
+                return ClaimUnavailable(detail=answer.detail)
+            outcome = await self._learn_outcome(answer, ask, deadline)
+            if outcome is not None:
+                return outcome
+            replaces = answer.nonce
+        return ClaimTaken(detail="others claim this key at the same moment")
+
+    async def _write(self, ask, deadline):
+        """Have the claim written by the shard's owner, else write it here."""
+        owner = self._owner_of(ask.shard)
+        timeout_s = min(WRITE_S, deadline - _now())
+        if owner and owner != self.name:
+            answer = await self._ask(owner, ask, timeout_s)
+            if answer is not None and answer.result != ClaimResult.UNAVAILABLE:
+                return answer
+        # The owner may be dead, paused, or cut off, before or after its write. Reading the
+        # shard tells: with this nonce in it the claim is won, else it is written here.
+        timeout_s = min(WRITE_S, deadline - _now())
+        if timeout_s <= 0:
+            return ClaimAnswer(result=str(ClaimResult.UNAVAILABLE), detail="no answer from the ledger in time")
+        writer = self._writer(ask.shard)
+        writer.forget()
+        return await writer.claim(ask, timeout_s=timeout_s)
+
+    async def _learn_outcome(self, held, ask, deadline):
+        """Outcome for a re-send whose key another request holds; ``None`` if it may be taken over."""
+        if held.digest != ask.digest:
+            return ClaimMismatch()
+        if held.state == ClaimState.CLAIMED:
+            told = await self._ask_holder(held, deadline)
+            if told.state == NonceState.REFUSED:
+                return None
+            if told.state in (NonceState.FINISHED, NonceState.UNKNOWN) and told.body_kept:
+                return _recorded(told)
+            if told.state in (NonceState.CLAIMING, NonceState.RUNNING):
+                return ClaimTaken(detail="the earlier request has not ended yet")
+            held = await self._read_again(held, ask)
+        if held.state == ClaimState.FINISHED and held.body_kept:
+            return _recorded(held)
+        if held.state == ClaimState.FINISHED:
+            return ClaimTaken(detail="the earlier request ran to its end; its answer was not kept")
+        return ClaimTaken(detail="the earlier request's outcome is not known")
+
+    async def _ask_holder(self, held, deadline):
+        """Ask the router that holds the key; waits there, not by polling."""
+        last_end = deadline - HOLDER_ROOM_S
+        silences = 0
+        while silences < HOLDER_SILENCES:
+            wait_s = max(min(last_end - _now(), HOLDER_SLICE_S), 0.0)
+            ask = NonceAsk(nonce=held.nonce, incarnation=held.incarnation, wait_s=wait_s)
+            if held.entry == self.name:
+                told = await self.handle(ask)
+            else:
+                told = await self._ask(held.entry, ask, wait_s + HOLDER_ROOM_S)
+            if told is None:
+                silences += 1
+            elif told.state not in (NonceState.CLAIMING, NonceState.RUNNING) or _now() >= last_end:
+                return told
+        return SILENT
+
+    async def _read_again(self, held, ask):
+        """Look once more in the store: the holder may have recorded its end before it went."""
+        outcome = await bounded(self._store.get(kind=LEDGER_KIND, name=ask.shard), timeout_s=HOLDER_ROOM_S)
+        if not isinstance(outcome, StoreDone):
+            return held
+        record = ShardContents.from_value(outcome.value).records_by_key.get(ask.key)
+        return record.answer(ClaimResult.HELD) if record is not None and record.nonce == held.nonce else held
+
+    # Ends of requests.
+
+    def _settle(self, team, key, nonce, *, state, tries=None, **answer):
+        if nonce in self._settling_by_nonce:
+            return
+        task = asyncio.get_running_loop().create_task(self._store_end(team, key, nonce, str(state), tries, answer))
+        self._settling_by_nonce[nonce] = task
+        task.add_done_callback(lambda _: self._settling_by_nonce.pop(nonce, None))
+
+    async def _store_end(self, team, key, nonce, state, tries, answer):
+        """Record an end, trying again until it is stored or no longer matters."""
+        hashed = key_hash(team=team, key=key)
+        give_up_at = _now() + self._retention_s()
+        pause_s = SETTLE_PAUSE_S
+        while tries != 0 and _now() < give_up_at:
+            shard = await self._shard_of(hashed)
+            if shard and await self._store_once(SettleAsk(shard=shard, key=hashed, nonce=nonce, state=state, **answer)):
+                if state != NonceState.REFUSED:
+                    self._book.drop(nonce)
+                return
+            tries = None if tries is None else tries - 1
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, SETTLE_PAUSE_LIMIT_S)
+
+    async def _store_once(self, ask):
+        owner = self._owner_of(ask.shard)
+        if owner and owner != self.name:
+            answer = await self._ask(owner, ask, SETTLE_S)
+            if answer is not None and answer.stored:
+                return True
+        return await self._writer(ask.shard).settle(ask)
+
+    # Shards.
+
+    def _writer(self, shard):
+        writer = self._writers_by_shard.get(shard)
+        if writer is None:
+            writer = self._writers_by_shard[shard] = ShardWriter(
+                shard=shard,
+                store=self._store,
+                pacer=self._pacer,
+                wall_clock=self._wall_clock,
+                retention_s=self._retention_s,
+            )
+        return writer
+
+    async def _shard_of(self, key):
+        if self._layout is None:
+            self._layout = await self._read_layout()
+        return None if self._layout is None else shard_name(key=key, shards=self._layout)
+
+    async def _read_layout(self):
+        """Read the number of shards that is in force, making it the declared one at first.
+
+        Two routers with different numbers in force would look for one key in two shards, and
+        it would run twice. The number is therefore kept beside the shards, not taken from
+        whichever declaration a router holds at the moment.
+        """
+        outcome = await bounded(self._store.get(kind=LEDGER_KIND, name=LAYOUT_NAME))
+        if isinstance(outcome, StoreAbsent):
+            layout = {"shards": self._shards()}
+            await bounded(self._store.create(kind=LEDGER_KIND, name=LAYOUT_NAME, value=layout))
+            # Made here or by another router, or the answer was lost: what stands there counts.
+            outcome = await bounded(self._store.get(kind=LEDGER_KIND, name=LAYOUT_NAME))
+        if isinstance(outcome, StoreDone):
+            return outcome.value["shards"]
+        self._layout_detail = getattr(outcome, "detail", "the ledger's layout could not be read")
+        return None
+
+
+def _now():
+    return asyncio.get_running_loop().time()
+
+
+def _recorded(told):
+    return ClaimFinished(status=told.status, content_type=told.content_type, body=told.body)
--- /dev/null
+++ b/wagtailtrestle/ledger_record.py
@@ -0,0 +1,252 @@
+"""What one ledger shard holds, and what a claim or its end does to it.
+
+Pure: no store, no clock. The specification's traces are replayed against this module.
+"""
+
+import base64
+import hashlib
+
+from wagtailtrestle.ledger_messages import ClaimAnswer, ClaimAsk, ClaimResult, ClaimState, NonceState
+
+LEDGER_KIND = "ledger"
+MAX_BODY_BYTES = 4096
+BODIES_LIMIT_BYTES = 256 * 1024
+SHARD_LIMIT_BYTES = 768 * 1024
+CLOCK_ROOM_S = 60.0
+RECORD_OVERHEAD_BYTES = 64
+KEY_HEX_DIGITS = 40
+
+
+def key_hash(*, team, key):
+    """Hash of team and idempotency key; the length prefix keeps two pairs from colliding."""
+    text = f"{len(team)}:{team}:{key}"
+    return hashlib.sha256(text.encode()).hexdigest()[:KEY_HEX_DIGITS]
+
+
+def shard_name(*, key, shards):
+    """Name of the shard that holds a key hash."""
+    return f"shard-{int(key[:8], 16) % shards:03d}"
+
+
+class ClaimRecord:
+    """One claim as it stands in the store; replaced, never changed.
+
+    Parameters
+    ----------
+    nonce : str
+        Who holds the key: the request's id.
+    entry, incarnation : str
+        The router that took the request, and which life of it.
+    digest : str
+        Digest of the request.
+    claimed_at : float
+        Wall clock of the writer, seconds.
+    state : ClaimState
+    status, content_type, body
+        The recorded answer; ``body`` is ``None`` when it was too large to keep.
+    """
+
+    __slots__ = ("nonce", "entry", "incarnation", "digest", "claimed_at", "state", "status", "content_type", "body")
+
+    def __init__(self, *, nonce, entry, incarnation, digest, claimed_at, state, status=0, content_type="", body=None):
+        self.nonce = nonce
+        self.entry = entry
+        self.incarnation = incarnation
+        self.digest = digest
+        self.claimed_at = claimed_at
+        self.state = state
+        self.status = status
+        self.content_type = content_type
+        self.body = body
+
+    @classmethod
+    def from_value(cls, value):
+        """Read what :meth:`to_value` wrote."""
+        nonce, entry, incarnation, digest, claimed_at, state, status, content_type, body = value
+        return cls(
+            nonce=nonce,
+            entry=entry,
+            incarnation=incarnation,
+            digest=digest,
+            claimed_at=claimed_at,
+            state=ClaimState(state),
+            status=status,
+            content_type=content_type,
+            body=None if body is None else base64.b64decode(body),
+        )
+
+    def to_value(self):
+        """Give a list that JSON holds; short, since every write carries the whole shard."""
+        body = None if self.body is None else base64.b64encode(self.body).decode()
+        return [
+            self.nonce,
+            self.entry,
+            self.incarnation,
+            self.digest,
+            self.claimed_at,
+            str(self.state),
+            self.status,
+            self.content_type,
+            body,
+        ]
+
+    def settled(self, ask):
+        """Give the record after its request's end."""
+        return ClaimRecord(
+            nonce=self.nonce,
+            entry=self.entry,
+            incarnation=self.incarnation,
+            digest=self.digest,
+            claimed_at=self.claimed_at,
+            state=ClaimState(ask.state),
+            status=ask.status,
+            content_type=ask.content_type,
+            body=ask.body if ask.body_kept and len(ask.body) <= MAX_BODY_BYTES else None,
+        )
+
+    def without_body(self):
+        """Give the record with its recorded body dropped; the claim itself stays."""
+        return ClaimRecord(
+            nonce=self.nonce,
+            entry=self.entry,
+            incarnation=self.incarnation,
+            digest=self.digest,
+            claimed_at=self.claimed_at,
+            state=self.state,
+            status=self.status,
+            content_type=self.content_type,
+        )
+
+    def answer(self, result):
+        """Tell an asker of this claim."""
+        return ClaimAnswer(
+            result=str(result),
+            nonce=self.nonce,
+            digest=self.digest,
+            entry=self.entry,
+            incarnation=self.incarnation,
+            state=str(self.state),
+            status=self.status,
+            content_type=self.content_type,
+            body=self.body or b"",
+            body_kept=self.body is not None,
+        )
+
+    def size(self):
+        """Bytes of this record in JSON, to within its constant overhead."""
+        text = len(self.nonce) + len(self.entry) + len(self.incarnation) + len(self.digest) + len(self.content_type)
+        return text + KEY_HEX_DIGITS + RECORD_OVERHEAD_BYTES + (len(self.body) * 4 // 3 if self.body else 0)
+
+
+class ShardContents:
+    """All claims of one shard at one version.
+
+    Parameters
+    ----------
+    records_by_key : dict of str to ClaimRecord
+        In the order of claiming.
+    """
+
+    __slots__ = ("records_by_key", "changed", "size")
+
+    def __init__(self, *, records_by_key=None, size=None):
+        self.records_by_key = records_by_key or {}
+        self.changed = False
+        self.size = sum(record.size() for record in self.records_by_key.values()) if size is None else size
+
+    @classmethod
+    def from_value(cls, value):
+        """Read a shard object's value."""
+        records = {key: ClaimRecord.from_value(item) for key, item in value["claims"].items()}
+        return cls(records_by_key=records)
+
+    def to_value(self):
+        """Give the shard object's value."""
+        return {"claims": {key: record.to_value() for key, record in self.records_by_key.items()}}
+
+    def copy(self):
+        """Give an unchanged copy to apply a batch to."""
+        return ShardContents(records_by_key=dict(self.records_by_key), size=self.size)
+
+    def apply(self, ask, *, now):
+        """Apply one ask.
+
+        Returns
+        -------
+        ClaimAnswer or bool
+            For a claim its answer; for an end of a request whether its claim was found.
+        """
+        if isinstance(ask, ClaimAsk):
+            return self._claim(ask, now)
+        return self._settle(ask)
+
+    def prune(self, *, now, retention_s):
+        """Drop claims that nobody has to remember any more.
+
+        The writer's clock may run ahead of the one that dated the claim: without room a claim
+        would be forgotten early and its key could run twice. The platform keeps its VMs'
+        clocks within half of ``CLOCK_ROOM_S``, so the room covers both.
+        """
+        horizon = now - retention_s - CLOCK_ROOM_S
+        for key in [key for key, record in self.records_by_key.items() if record.claimed_at < horizon]:
+            self._remove(key)
+
+    def _claim(self, ask, now):
+        record = self.records_by_key.get(ask.key)
+        if record is not None and record.nonce == ask.nonce:
+            # An earlier write of the same ask took effect though its answer was lost.
+            return record.answer(ClaimResult.WON)
+        # Only a claim that still stands under exactly the nonce that was refused on its own
+        # router may be replaced; any other holder may be running.
+        takes_over = record is not None and record.nonce == ask.replaces and record.state is ClaimState.CLAIMED
+        if record is not None and not takes_over:
+            return record.answer(ClaimResult.HELD)
+        mine = ClaimRecord(
+            nonce=ask.nonce,
+            entry=ask.entry,
+            incarnation=ask.incarnation,
+            digest=ask.digest,
+            claimed_at=round(now, 1),
+            state=ClaimState.CLAIMED,
+        )
+        if not takes_over and not self._make_room(mine.size()):
+            return ClaimAnswer(result=str(ClaimResult.UNAVAILABLE), detail="this part of the ledger is full")
+        self._put(ask.key, mine)
+        return mine.answer(ClaimResult.WON)
+
+    def _settle(self, ask):
+        record = self.records_by_key.get(ask.key)
+        if record is None or record.nonce != ask.nonce:
+            return False
+        if ask.state == NonceState.REFUSED:
+            self._remove(ask.key)
+        elif record.state is ClaimState.CLAIMED:
+            self._put(ask.key, record.settled(ask))
+            self._drop_bodies(BODIES_LIMIT_BYTES)
+        return True
+
+    def _make_room(self, size):
+        # A claim is never given up for room, or its key could run twice; recorded bodies
+        # are, since a re-send without one is told plainly that the outcome is unknown.
+        if self.size + size > SHARD_LIMIT_BYTES:
+            self._drop_bodies(0)
+        return self.size + size <= SHARD_LIMIT_BYTES
+
+    def _drop_bodies(self, limit):
+        if self.size <= limit:
+            return
+        for key, record in self.records_by_key.items():
+            if record.body:
+                self._put(key, record.without_body())
+            if self.size <= limit:
+                return
+
+    def _put(self, key, record):
+        old = self.records_by_key.get(key)
+        self.size += record.size() - (old.size() if old else 0)
+        self.records_by_key[key] = record
+        self.changed = True
+
+    def _remove(self, key):
+        self.size -= self.records_by_key.pop(key).size()
+        self.changed = True
--- /dev/null
+++ b/wagtailtrestle/ledger_shard.py
@@ -0,0 +1,261 @@
+"""Writes ledger shards: group commit by conditional update, within a budget of writes.
+
+Whoever writes a shard, safety is the conditional update alone: an ask is answered only
+from a version that was read back or that this write certainly made. Two writers of one shard,
+a paused one or a lost answer cost conflicts and reads, never a second run.
+"""
+
+import asyncio
+import random
+
+from wagtailtrestle.ledger_messages import ClaimAnswer, ClaimAsk, ClaimResult
+from wagtailtrestle.ledger_record import LEDGER_KIND, ShardContents
+from wagtailtrestle.outcomes import StoreAbsent, StoreDone, StoreUnavailable, StoreUnknown
+
+STORE_CALL_S = 2.0
+LINGER_S = 0.25
+MAX_ATTEMPTS = 8
+CONFLICT_PAUSE_S = 0.01
+NEVER_WRITTEN = 0
+
+
+async def bounded(call, *, timeout_s=STORE_CALL_S):
+    """Await a store call; one that doesn't end in time may still take effect."""
+    try:
+        return await asyncio.wait_for(call, timeout=timeout_s)
+    except TimeoutError:
+        return StoreUnknown(detail=f"no answer from the store within {timeout_s} s")
+
+
+class WritePacer:
+    """Spreads one router's ledger writes over time.
+
+    Writers that wait for their turn gather more asks, so writes per claim fall as load
+    grows and the platform's budget holds.
+
+    Parameters
+    ----------
+    writes_per_s : Callable
+        This router's present share of the budget.
+    burst : int
+        Writes that may start at once after a quiet time.
+    """
+
+    __slots__ = ("_writes_per_s", "_burst", "_free_at")
+
+    def __init__(self, *, writes_per_s, burst=10):
+        self._writes_per_s = writes_per_s
+        self._burst = burst
+        self._free_at = 0.0
+
+    async def turn(self):
+        """Wait until a write may start."""
+        now = asyncio.get_running_loop().time()
+        step = 1.0 / self._writes_per_s()
+        self._free_at = max(self._free_at + step, now - self._burst * step)
+        if self._free_at > now:
+            await asyncio.sleep(self._free_at - now)
+
+
+class PendingAsk:
+    """An ask that waits for its shard's next write."""
+
+    __slots__ = ("ask", "answered")
+
+    def __init__(self, *, ask, answered):
+        self.ask = ask
+        self.answered = answered
+
+    def resolve(self, answer):
+        """Give the answer, unless the asker has gone."""
+        if not self.answered.done():
+            self.answered.set_result(answer)
+
+
+class ShardWriter:
+    """Writes one shard; the next write starts when the last has ended.
+
+    Parameters
+    ----------
+    shard : str
+        Object name.
+    store : ObjectStore
+    pacer : WritePacer
+    wall_clock : Callable
+        Seconds, comparable between VMs; only to date and prune claims.
+    retention_s : Callable
+        How long a claim is remembered.
+    """
+
+    __slots__ = (
+        "writes",
+        "reads",
+        "claims",
+        "_shard",
+        "_store",
+        "_pacer",
+        "_wall_clock",
+        "_retention_s",
+        "_pending",
+        "_hurry",
+        "_task",
+        "_contents",
+        "_version",
+    )
+
+    def __init__(self, *, shard, store, pacer, wall_clock, retention_s):
+        self.writes = 0
+        self.reads = 0
+        self.claims = 0
+        self._shard = shard
+        self._store = store
+        self._pacer = pacer
+        self._wall_clock = wall_clock
+        self._retention_s = retention_s
+        self._pending = []
+        self._hurry = asyncio.Event()
+        self._task = None
+        self._contents = None
+        self._version = NEVER_WRITTEN
+
+    async def claim(self, ask, *, timeout_s):
+        """Put a claim; ``unavailable`` means nothing certain, so nothing may run on it."""
+        self.claims += 1
+        try:
+            return await asyncio.wait_for(self._submit(ask, hurry=True), timeout=timeout_s)
+        except TimeoutError:
+            return _unavailable("the platform's store did not answer in time")
+
+    async def settle(self, ask, *, hurry=False):
+        """Record a request's end with the next write; ``True`` once it is in the store."""
+        return await self._submit(ask, hurry=hurry)
+
+    def forget(self):
+        """Read the shard again before the next write."""
+        self._contents = None
+
+    async def close(self):
+        """Stop writing; asks that wait are answered ``unavailable``."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        self._fail(self._pending, "the router is closing")
+        self._pending = []
+
+    def dump(self):
+        """Plain data for the state dump."""
+        contents = self._contents
+        return {
+            "shard": self._shard,
+            "version": self._version,
+            "claims_held": len(contents.records_by_key) if contents else None,
+            "bytes": contents.size if contents else None,
+            "waiting": len(self._pending),
+            "writes": self.writes,
+            "reads": self.reads,
+        }
+
+    def _submit(self, ask, *, hurry):
+        answered = asyncio.get_running_loop().create_future()
+        self._pending.append(PendingAsk(ask=ask, answered=answered))
+        if hurry:
+            self._hurry.set()
+        if self._task is None or self._task.done():
+            self._task = asyncio.get_running_loop().create_task(self._write_all())
+        return answered
+
+    async def _write_all(self):
+        while self._pending:
+            await self._linger()
+            await self._pacer.turn()
+            self._hurry.clear()
+            batch = [pending for pending in self._pending if not pending.answered.done()]
+            self._pending = []
+            try:
+                await self._write(batch)
+            finally:
+                self._fail(batch, "the shard's writer stopped")
+
+    async def _linger(self):
+        """Let ends of requests wait a little for a claim whose write carries them too."""
+        if self._hurry.is_set():
+            return
+        try:
+            await asyncio.wait_for(self._hurry.wait(), timeout=LINGER_S)
+        except TimeoutError:
+            return
+
+    async def _write(self, batch):
+        fresh = False
+        for _ in range(MAX_ATTEMPTS):
+            if self._contents is None:
+                detail = await self._read()
+                if detail is not None:
+                    self._fail(batch, detail)
+                    return
+                fresh = True
+            contents = self._contents.copy()
+            contents.prune(now=self._wall_clock(), retention_s=self._retention_s())
+            answers = [contents.apply(pending.ask, now=self._wall_clock()) for pending in batch]
+            if False in answers and not fresh:
+                # Another writer may have put the claim whose end this is: the remembered
+                # version can't prove that it is missing.
+                self._contents = None
+                continue
+            outcome = await self._update(contents)
+            match outcome:
+                case StoreDone(version=version):
+                    self._keep(contents, version)
+                    self._answer(batch, answers)
+                    return
+                case StoreUnavailable(detail=detail):
+                    self._fail(batch, detail)
+                    return
+                case _:
+                    # A conflict, or no answer: the write may have taken effect, now or
+                    # later. Reading back tells; a write that lands later conflicts with
+                    # ours or ours with it, since both name the version they replace.
+                    self._contents = None
+                    await asyncio.sleep(CONFLICT_PAUSE_S * random.random())
+        self._fail(batch, "the platform's store did not settle the write")
+
+    async def _read(self):
+        """Read the shard; returns why not, or ``None``."""
+        self.reads += 1
+        outcome = await bounded(self._store.get(kind=LEDGER_KIND, name=self._shard))
+        match outcome:
+            case StoreDone(version=version, value=value):
+                self._keep(ShardContents.from_value(value), version)
+            case StoreAbsent():
+                self._keep(ShardContents(), NEVER_WRITTEN)
+            case _:
+                return getattr(outcome, "detail", "the platform's store gave no usable answer")
+        return None
+
+    async def _update(self, contents):
+        if not contents.changed:
+            return StoreDone(version=self._version)
+        self.writes += 1
+        value = contents.to_value()
+        if self._version == NEVER_WRITTEN:
+            return await bounded(self._store.create(kind=LEDGER_KIND, name=self._shard, value=value))
+        return await bounded(
+            self._store.update(kind=LEDGER_KIND, name=self._shard, value=value, if_version=self._version)
+        )
+
+    def _keep(self, contents, version):
+        contents.changed = False
+        self._contents = contents
+        self._version = version
+
+    def _answer(self, batch, answers):
+        for pending, answer in zip(batch, answers, strict=True):
+            pending.resolve(answer)
+
+    def _fail(self, batch, detail):
+        for pending in batch:
+            pending.resolve(_unavailable(detail) if isinstance(pending.ask, ClaimAsk) else False)
+
+
+def _unavailable(detail):
+    return ClaimAnswer(result=str(ClaimResult.UNAVAILABLE), detail=detail)
--- a/wagtailtrestle/ports.py
+++ b/wagtailtrestle/ports.py
@@ -51,11 +51,17 @@
 class Claims(Protocol):
     """The ledger of idempotency keys, as the entry sees it."""
 
-    async def claim(self, *, team: str, key: str, body_digest: str, nonce: str) -> ClaimOutcome:
-        """Claim a key for the request that made ``nonce``."""
+    async def claim(self, *, team: str, key: str, body_digest: str, nonce: str, wait_s: float = 10.0) -> ClaimOutcome:
+        """Claim a key for the request that made ``nonce``; answers within ``wait_s``.
+
+        A re-send waits that long for the outcome of the first request with its key.
+        """
 
     def release(self, *, team: str, key: str, nonce: str) -> None:
         """Give back a claim whose request was never dispatched."""
 
     def finish(self, *, team: str, key: str, nonce: str, status: int, content_type: str, body: bytes) -> None:
         """Record the answer of the request that holds the claim."""
+
+    def finish_unknown(self, *, team: str, key: str, nonce: str) -> None:
+        """Record that the request was dispatched and its outcome can't be told."""
