Serve callers and operators over HTTP, thin

Cause: the whole path needs a side that carries callers' bytes and one that shows a process's state.

--- /dev/null
+++ b/wagtailtrestle/caller_answer.py
@@ -0,0 +1,200 @@
+"""What a caller is sent: the response being written, and one way of answering for each kind of request."""
+
+from typing import Protocol
+
+from wagtailtrestle.caller_stream import JSON_TYPE, SSE_TYPE, AnswerEnd, EventWriter, whole_answer
+from wagtailtrestle.exchange import AnswerRecorded
+from wagtailtrestle.outcomes import Executed, Refusal
+from wagtailtrestle.problem import EXECUTED_HEADER, REQUEST_ID_HEADER, problem_bytes, problem_headers, status_line
+
+BODYLESS_STATUSES = frozenset({204, 304})
+
+
+class CallerResponse:
+    """The response of one request, written from the thread that carries it.
+
+    Parameters
+    ----------
+    start_response : callable
+        WSGI's.
+    request_id : str
+        As the caller reads it.
+    on_gone : callable
+        Called once when a write finds the caller gone.
+    closing : callable
+        Whether the connection is to end with this answer.
+    """
+
+    __slots__ = ("request_id", "begun", "gone", "status", "_start_response", "on_gone", "_closing", "_write")
+
+    def __init__(self, *, start_response, request_id, on_gone, closing):
+        self.request_id = request_id
+        self.begun = False
+        self.gone = False
+        self.status = 0
+        self._start_response = start_response
+        self.on_gone = on_gone
+        self._closing = closing
+        self._write = None
+
+    def begin(self, *, status: int, headers: list):
+        """Give the head; it leaves with the first bytes written."""
+        if self._closing():
+            headers = [*headers, ("Connection", "close")]
+        self.begun = True
+        self.status = status
+        self._write = self._start_response(status_line(status), headers)
+
+    def write(self, data: bytes):
+        """Send bytes now; once the caller is gone they are dropped."""
+        if self.gone:
+            return
+        try:
+            self._write(data)
+        except OSError:
+            self.gone = True
+            self.on_gone()
+
+    def send(self, *, status: int, content_type: str, body: bytes, executed=Executed.YES, extra_headers=()):
+        """Give a whole answer."""
+        headers = [(EXECUTED_HEADER, executed.value), (REQUEST_ID_HEADER, self.request_id), *extra_headers]
+        if status not in BODYLESS_STATUSES:
+            headers.append(("Content-Length", str(len(body))))
+        if content_type:
+            headers.append(("Content-Type", content_type))
+        self.begin(status=status, headers=headers)
+        if body:
+            self.write(body)
+
+    def send_refusal(self, refusal: Refusal, *, extra_headers=()):
+        """Give a problem document as the whole answer."""
+        body = problem_bytes(refusal=refusal, request_id=self.request_id)
+        headers = problem_headers(refusal=refusal, request_id=self.request_id, length=len(body))
+        self.begin(status=refusal.status, headers=[*headers, *extra_headers])
+        self.write(body)
+
+
+class Answer(Protocol):
+    """How one kind of request is answered."""
+
+    def token(self, text: str) -> None:
+        """Take one token of the answer as it arrives."""
+
+    def whole(self, received) -> None:
+        """Everything arrived and was checked."""
+
+    def recorded(self, command: AnswerRecorded) -> None:
+        """Give the recorded answer of an earlier request."""
+
+    def refuse(self, refusal: Refusal) -> None:
+        """End without a whole answer."""
+
+
+class StreamedAnswer:
+    """A completion given token by token; its head leaves with the first token."""
+
+    __slots__ = ("_response", "_events")
+
+    def __init__(self, *, response: CallerResponse, events: EventWriter):
+        self._response = response
+        self._events = events
+
+    def token(self, text):
+        """Send one token's event."""
+        if not self._response.begun:
+            self._begin()
+        self._response.write(self._events.token(text))
+
+    def whole(self, received):
+        """Send the closing events; only these tell the caller that it has everything."""
+        if not self._response.begun:
+            self._begin()
+        self._response.write(self._events.end(answer_end(received)))
+
+    def recorded(self, command):
+        """Give an earlier answer; it was recorded whole, so it is not a stream any more."""
+        self._response.send(status=command.status, content_type=command.content_type, body=command.body)
+
+    def refuse(self, refusal):
+        """A problem if nothing was sent yet, else an error event and no ``[DONE]``."""
+        if self._response.begun:
+            self._response.write(self._events.error(refusal=refusal))
+        else:
+            self._response.send_refusal(refusal)
+
+    def _begin(self):
+        headers = [
+            ("Content-Type", SSE_TYPE),
+            ("Cache-Control", "no-store"),
+            (REQUEST_ID_HEADER, self._response.request_id),
+            (EXECUTED_HEADER, Executed.YES.value),
+        ]
+        self._response.begin(status=200, headers=headers)
+
+
+class WholeAnswer:
+    """A completion given in one piece, once it was checked complete."""
+
+    __slots__ = ("_response", "_model", "_chat")
+
+    def __init__(self, *, response: CallerResponse, model: str, chat: bool):
+        self._response = response
+        self._model = model
+        self._chat = chat
+
+    def token(self, text):
+        """Nothing leaves before the end; the text is kept with what was received."""
+
+    def whole(self, received):
+        """Send the answer assembled from the engine's stream."""
+        body = whole_answer(
+            request_id=self._response.request_id,
+            model=self._model,
+            chat=self._chat,
+            text=received.text,
+            end=answer_end(received),
+        )
+        self._response.send(status=200, content_type=JSON_TYPE, body=body)
+
+    def recorded(self, command):
+        """Give an earlier answer."""
+        self._response.send(status=command.status, content_type=command.content_type, body=command.body)
+
+    def refuse(self, refusal):
+        """Send a problem."""
+        self._response.send_refusal(refusal)
+
+
+class PlainAnswer:
+    """A plain service's answer, passed on whole."""
+
+    __slots__ = ("_response",)
+
+    def __init__(self, *, response: CallerResponse):
+        self._response = response
+
+    def token(self, text):
+        """Plain services send no tokens."""
+
+    def whole(self, received):
+        """Pass on the service's status, type and body."""
+        content_type = received.headers.get("Content-Type", "")
+        self._response.send(status=received.status, content_type=content_type, body=received.body)
+
+    def recorded(self, command):
+        """Give an earlier answer."""
+        self._response.send(status=command.status, content_type=command.content_type, body=command.body)
+
+    def refuse(self, refusal):
+        """Send a problem."""
+        self._response.send_refusal(refusal)
+
+
+def answer_end(received) -> AnswerEnd:
+    """The closing facts of what an engine sent."""
+    return AnswerEnd(
+        finish_reason=received.finish_reason,
+        prompt_tokens=received.prompt_tokens,
+        completion_tokens=received.completion_tokens,
+        cached_tokens=received.cached_tokens,
+    )
--- /dev/null
+++ b/wagtailtrestle/caller_headers.py
@@ -0,0 +1,68 @@
+"""Headers by which callers steer one request, checked at the edge."""
+
+import re
+import uuid
+from dataclasses import dataclass
+
+from wagtailtrestle.caller_body import bad_request
+from wagtailtrestle.outcomes import Refusal
+
+REQUEST_ID = "HTTP_WAGTAILTRESTLE_REQUEST_ID"
+DEADLINE = "HTTP_WAGTAILTRESTLE_DEADLINE_MS"
+ROUTE = "HTTP_WAGTAILTRESTLE_ROUTE"
+TIER = "HTTP_WAGTAILTRESTLE_TIER"
+IDEMPOTENCY_KEY = "HTTP_IDEMPOTENCY_KEY"
+REQUEST_ID_FORM = re.compile(r"[A-Za-z0-9._:/+=@-]{1,128}")
+KEY_FORM = re.compile(r"[\x21-\x7e]{1,255}")
+DEADLINE_FORM = re.compile(r"[0-9]{1,12}")
+MS_PER_S = 1000.0
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class CallerHeaders:
+    """The steering headers of one request.
+
+    Parameters
+    ----------
+    deadline_ms : int or None
+        ``None`` where the caller gave none.
+    route, tier, idempotency_key : str
+        Empty where the caller gave none.
+    """
+
+    deadline_ms: int | None
+    route: str
+    tier: str
+    idempotency_key: str
+
+
+def caller_request_id(environ: dict) -> str | Refusal:
+    """The caller's own id of the request, or one made for it."""
+    given = environ.get(REQUEST_ID)
+    if given is None:
+        return uuid.uuid4().hex
+    if REQUEST_ID_FORM.fullmatch(given):
+        return given
+    return bad_request("'Wagtailtrestle-Request-Id' must be 1 to 128 letters, digits or any of . _ : / + = @ -")
+
+
+def caller_headers(environ: dict) -> CallerHeaders | Refusal:
+    """Read and check the headers."""
+    deadline = environ.get(DEADLINE)
+    if deadline is not None and (not DEADLINE_FORM.fullmatch(deadline) or int(deadline) == 0):
+        return bad_request("'Wagtailtrestle-Deadline-Ms' must be a whole number of milliseconds above 0.")
+    key = environ.get(IDEMPOTENCY_KEY, "")
+    if IDEMPOTENCY_KEY in environ and not KEY_FORM.fullmatch(key):
+        return bad_request("'Idempotency-Key' must be 1 to 255 visible ASCII characters.")
+    return CallerHeaders(
+        deadline_ms=int(deadline) if deadline is not None else None,
+        route=environ.get(ROUTE, ""),
+        tier=environ.get(TIER, ""),
+        idempotency_key=key,
+    )
+
+
+def deadline_s(*, headers: CallerHeaders, default_ms: int, most_s: float) -> float:
+    """Seconds the whole answer may take: the caller's, else the route's, never above ``most_s``."""
+    asked_ms = headers.deadline_ms if headers.deadline_ms is not None else default_ms
+    return min(asked_ms / MS_PER_S, most_s)
--- /dev/null
+++ b/wagtailtrestle/caller_limits.py
@@ -0,0 +1,148 @@
+"""The router's own resources, cut by tier: requests held (one thread each) and body memory.
+
+Pure bookkeeping: no I/O and no clock. Called from the threads that carry callers' bytes.
+"""
+
+import threading
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Admitted:
+    """The request is held; each of ``displaced`` must be answered ``router_full`` in its place."""
+
+    displaced: tuple = ()
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Full:
+    """The request can't be held, and nothing of a lower tier could make room for it."""
+
+    detail: str
+
+
+class Held:
+    """One request held: its tier's rank, its body's bytes, whether a run may have begun."""
+
+    __slots__ = ("request_id", "tier", "body_bytes", "repeatable", "running", "order")
+
+    def __init__(self, *, request_id, tier, body_bytes, repeatable, order):
+        self.request_id = request_id
+        self.tier = tier
+        self.body_bytes = body_bytes
+        self.repeatable = repeatable
+        self.running = False
+        self.order = order
+
+    @property
+    def displaceable(self):
+        """Whether it may be given up: it waits, or its run may be cancelled."""
+        return self.repeatable or not self.running
+
+
+class CallerLimits:
+    """Which requests this router holds, and which give way.
+
+    Parameters
+    ----------
+    held : int
+        Requests held at once. The server has more threads than this: the rest read
+        heads and refuse, so that a full router still answers.
+    body_bytes : int
+        Bytes of the bodies of all requests held.
+    """
+
+    __slots__ = ("_held", "_body_bytes", "_lock", "_by_id", "_bytes_used", "_next_order", "displaced_total")
+
+    def __init__(self, *, held, body_bytes):
+        self._held = held
+        self._body_bytes = body_bytes
+        self._lock = threading.Lock()
+        self._by_id = {}
+        self._bytes_used = 0
+        self._next_order = 0
+        self.displaced_total = 0
+
+    def admit(self, *, request_id, tier, body_bytes, repeatable) -> Admitted | Full:
+        """Hold one more request, displacing lower tiers if there is no room."""
+        # A flood of low-tier requests can hold every thread of this router while engines still
+        # have room for the tiers above; seen from outside, the family's booking is shed while
+        # tagging runs. So whoever is of a lower tier makes room, lowest first, before any
+        # arrival is refused; only an arrival below everything held is refused itself.
+        with self._lock:
+            victims = self._victims(tier=tier, body_bytes=body_bytes)
+            if victims is None:
+                return Full(detail="Every place is held by requests of this tier or above, or by runs not to be cut.")
+            for victim in victims:
+                self._drop(victim)
+            self.displaced_total += len(victims)
+            self._hold(request_id=request_id, tier=tier, body_bytes=body_bytes, repeatable=repeatable)
+        return Admitted(displaced=tuple(victim.request_id for victim in victims))
+
+    def mark_running(self, *, request_id):
+        """Note that a run of this request may have begun."""
+        with self._lock:
+            held = self._by_id.get(request_id)
+            if held is not None:
+                held.running = True
+
+    def mark_waiting(self, *, request_id):
+        """Note that the request waits again after a run that ended."""
+        with self._lock:
+            held = self._by_id.get(request_id)
+            if held is not None:
+                held.running = False
+
+    def release(self, *, request_id):
+        """Give back what the request held; does nothing once it was displaced."""
+        with self._lock:
+            held = self._by_id.get(request_id)
+            if held is not None:
+                self._drop(held)
+
+    def usage(self) -> dict:
+        """Figures for the state dump."""
+        with self._lock:
+            count_by_tier = {}
+            for held in self._by_id.values():
+                count_by_tier[held.tier] = count_by_tier.get(held.tier, 0) + 1
+            return {
+                "held": len(self._by_id),
+                "held_limit": self._held,
+                "held_by_tier": count_by_tier,
+                "body_bytes": self._bytes_used,
+                "body_bytes_limit": self._body_bytes,
+                "displaced_total": self.displaced_total,
+            }
+
+    def _victims(self, *, tier, body_bytes):
+        """The requests to displace, ``[]`` if there is room, ``None`` if there can be none."""
+        excess_held = len(self._by_id) + 1 - self._held
+        excess_bytes = self._bytes_used + body_bytes - self._body_bytes
+        if excess_held <= 0 and excess_bytes <= 0:
+            return []
+        if self._held < 1 or body_bytes > self._body_bytes:
+            return None
+        candidates = [held for held in self._by_id.values() if held.tier > tier and held.displaceable]
+        # Lowest tier first; within it those that wait before those that run (no prefill is lost),
+        # and the youngest first, which waited least.
+        candidates.sort(key=lambda held: (held.tier, not held.running, held.order), reverse=True)
+        victims = []
+        for held in candidates:
+            if excess_held <= 0 and excess_bytes <= 0:
+                break
+            victims.append(held)
+            excess_held -= 1
+            excess_bytes -= held.body_bytes
+        return victims if excess_held <= 0 and excess_bytes <= 0 else None
+
+    def _hold(self, *, request_id, tier, body_bytes, repeatable):
+        self._next_order += 1
+        self._by_id[request_id] = Held(
+            request_id=request_id, tier=tier, body_bytes=body_bytes, repeatable=repeatable, order=self._next_order
+        )
+        self._bytes_used += body_bytes
+
+    def _drop(self, held):
+        del self._by_id[held.request_id]
+        self._bytes_used -= held.body_bytes
--- /dev/null
+++ b/wagtailtrestle/caller_wsgi.py
@@ -0,0 +1,224 @@
+"""The HTTP library's server fitted to callers: errors as problems, limits, the connection shown to the application."""
+
+import socket
+import threading
+import time
+import uuid
+
+from cheroot import server as http_server
+from cheroot import wsgi
+from cheroot.workers.threadpool import ThreadPool
+from loguru import logger
+
+from wagtailtrestle.outcomes import Executed, Reason, Refusal
+from wagtailtrestle.problem import problem_bytes, problem_headers, status_line
+
+CONNECTION_ENVIRON = "wagtailtrestle.connection"
+REQUEST_ENVIRON = "wagtailtrestle.request"
+BACKLOG = 512
+READ_TIMEOUT_S = 10.0
+IDLE_TIMEOUT_S = 75
+KEEPALIVE_IDLE_S = 10
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_PROBES = 3
+WRITE_TIMEOUT_MS = 20_000
+STOP_TIMEOUT_S = 5.0
+FULL_RETRY_AFTER_S = 1.0
+REASON_BY_STATUS = {413: Reason.TOO_LARGE, 414: Reason.TOO_LARGE, 431: Reason.TOO_LARGE}
+LOG_LEVELS = (10, 20, 30, 40, 50)
+
+
+class CallersGateway(wsgi.Gateway_10):
+    """Shows the application its connection, so that a caller who leaves can be noticed."""
+
+    def get_environ(self):
+        """The environ with the connection and the library's request added."""
+        environ = super().get_environ()
+        environ[CONNECTION_ENVIRON] = self.req.conn
+        environ[REQUEST_ENVIRON] = self.req
+        return environ
+
+
+class CallersRequest(http_server.HTTPRequest):
+    """Writes the library's own errors as problem documents."""
+
+    def simple_response(self, status, msg=""):
+        """Answer an error found while the head is read; nothing was run."""
+        code = int(str(status)[:3])
+        if self.conn.too_slow:
+            code, msg = 408, "The request took too long to arrive."
+        if code == 413 and "headers" in msg:
+            code = 431
+        refusal = Refusal(
+            status=code,
+            reason=REASON_BY_STATUS.get(code, Reason.BAD_REQUEST),
+            executed=Executed.NO,
+            detail=msg or "The request can't be read.",
+        )
+        self.close_connection = True
+        self.sent_headers = True
+        self.conn.send_problem(refusal)
+
+
+class CallersConnection(http_server.HTTPConnection):
+    """A caller's connection, counted, with a deadline for the arrival of each request."""
+
+    RequestHandlerClass = CallersRequest
+
+    def __init__(self, server, sock, makefile=http_server.MakeFile):
+        super().__init__(server, sock, makefile)
+        sock.settimeout(READ_TIMEOUT_S)
+        self.too_slow = False
+        self.has_waited = False
+        self.closed = False
+        server.connection_opened()
+
+    def communicate(self):
+        """Read one request and answer it."""
+        deadline = time.monotonic() + self.server.receive_timeout_s
+        self.server.watch.expect(connection=self, deadline=deadline)
+        try:
+            return super().communicate()
+        finally:
+            self.server.watch.received(connection=self)
+
+    def send_problem(self, refusal):
+        """Write a whole problem answer and mark the connection as ending."""
+        request_id = uuid.uuid4().hex
+        body = problem_bytes(refusal=refusal, request_id=request_id)
+        headers = problem_headers(refusal=refusal, request_id=request_id, length=len(body))
+        head = [f"HTTP/1.1 {status_line(refusal.status)}", "Connection: close"]
+        head.extend(f"{name}: {value}" for name, value in headers)
+        data = "\r\n".join(head).encode("latin-1") + b"\r\n\r\n" + body
+        try:
+            self.wfile.write(data)
+        except OSError:
+            return
+
+    def close(self):
+        """Close the socket and count the connection out."""
+        if not self.closed:
+            self.closed = True
+            self.server.connection_closed()
+        super().close()
+
+
+class CallerThreads(ThreadPool):
+    """The worker threads, which never keep the process from ending."""
+
+    def _spawn_worker(self):
+        worker = http_server.threadpool.WorkerThread(self.server)
+        worker.name = f"caller-{worker.name}"
+        worker.daemon = True
+        worker.start()
+        return worker
+
+    def stop(self, timeout=STOP_TIMEOUT_S):
+        """End the threads, waiting at most ``timeout`` seconds for all of them together."""
+        deadline = time.monotonic() + timeout
+        threads, self._threads[:] = self._threads[:], []
+        for _ in threads:
+            self._queue.put(http_server.threadpool._SHUTDOWNREQUEST)
+        for thread in threads:
+            thread.join(max(0.0, deadline - time.monotonic()))
+
+
+class CallersWsgiServer(wsgi.Server):
+    """The listening server.
+
+    Parameters
+    ----------
+    address : tuple of (str, int)
+    application : callable
+        WSGI application.
+    threads : int
+    watch : CallerWatch
+    max_connections, max_header_bytes, max_body_bytes : int
+    receive_timeout_s : float
+        Longest time for the arrival of one whole request.
+    """
+
+    ConnectionClass = CallersConnection
+
+    def __init__(
+        self,
+        *,
+        address,
+        application,
+        threads,
+        watch,
+        max_connections,
+        max_header_bytes,
+        max_body_bytes,
+        receive_timeout_s,
+    ):
+        super().__init__(address, application, numthreads=threads, server_name="wagtailtrestle")
+        self.gateway = CallersGateway
+        self.requests = CallerThreads(self, min=threads, max=threads)
+        self.request_queue_size = BACKLOG
+        self.timeout = IDLE_TIMEOUT_S
+        self.shutdown_timeout = STOP_TIMEOUT_S
+        self.keep_alive_conn_limit = None
+        self.max_request_header_size = max_header_bytes
+        self.max_request_body_size = max_body_bytes
+        self.receive_timeout_s = receive_timeout_s
+        self.watch = watch
+        self.max_connections = max_connections
+        self.connections = 0
+        self._count_lock = threading.Lock()
+
+    def connection_opened(self):
+        """Count a connection in."""
+        with self._count_lock:
+            self.connections += 1
+
+    def connection_closed(self):
+        """Count a connection out."""
+        with self._count_lock:
+            self.connections -= 1
+
+    def process_conn(self, conn):
+        """Give a connection to a worker once it has something to read."""
+        if conn.has_waited:
+            super().process_conn(conn)
+            return
+        # The library hands a new connection to a worker before a byte has come. A balancer
+        # that opens connections ahead would hold a thread by each; so a new one waits with
+        # the idle ones, where it costs no thread.
+        conn.has_waited = True
+        if self.connections > self.max_connections:
+            self._refuse_connection(conn)
+            return
+        self.put_conn(conn)
+
+    def bind(self, family, type, proto=0):  # noqa: A002
+        """Bind, with options that accepted connections inherit."""
+        sock = super().bind(family, type, proto)
+        # A caller's VM that vanishes sends no end of connection: without these its thread
+        # and its run would be held until the deadline.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, WRITE_TIMEOUT_MS)
+        return sock
+
+    def error_log(self, msg="", level=20, traceback=False):
+        """Send the library's messages to the log."""
+        logger.opt(exception=traceback).log(_level_name(level), "callers' server: {}", msg)
+
+    def _refuse_connection(self, conn):
+        refusal = Refusal(
+            status=503,
+            reason=Reason.ROUTER_FULL,
+            executed=Executed.NO,
+            detail=f"This router holds {self.max_connections} connections, its limit.",
+            retry_after_s=FULL_RETRY_AFTER_S,
+        )
+        conn.send_problem(refusal)
+        conn.close()
+
+
+def _level_name(level):
+    names = dict(zip(LOG_LEVELS, ("DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL"), strict=True))
+    return names.get(level, "INFO")
--- /dev/null
+++ b/wagtailtrestle/prompt_shape.py
@@ -0,0 +1,62 @@
+"""Sizes and prefix of a prompt, as engines count them: no text leaves this module.
+
+Engines count four bytes of prompt text as one token and cache whole blocks of 64
+tokens; see the engine's HTTP in docs/design/architecture.md.
+"""
+
+import hashlib
+from dataclasses import dataclass
+
+BYTES_PER_TOKEN = 4
+BLOCK_TOKENS = 64
+BLOCK_BYTES = BLOCK_TOKENS * BYTES_PER_TOKEN
+HASH_BYTES = 8
+# Blocks told to a steward: 64 × 64 tokens of common prefix tell engines apart well enough, and
+# the grant of a long report stays near half a kilobyte on the link between routers.
+MAX_BLOCKS = 64
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class PromptShape:
+    """Estimated tokens of a prompt and the chained hashes of its leading blocks."""
+
+    tokens: int
+    prefix_blocks: tuple = ()
+
+
+def chat_text(messages: list) -> str:
+    """The text of all messages joined; parts that are not text count nothing."""
+    pieces = []
+    for message in messages:
+        content = message.get("content")
+        if isinstance(content, str):
+            pieces.append(content)
+        elif isinstance(content, list):
+            pieces.extend(_part_texts(content))
+    return "".join(pieces)
+
+
+def _part_texts(parts):
+    for part in parts:
+        text = part.get("text") if isinstance(part, dict) else None
+        if isinstance(text, str):
+            yield text
+
+
+def shape_of(text: str) -> PromptShape:
+    """Shape of a prompt given as text."""
+    data = text.encode("utf-8", "surrogatepass")
+    tokens = -(-len(data) // BYTES_PER_TOKEN)
+    return PromptShape(tokens=tokens, prefix_blocks=prefix_blocks(data))
+
+
+def prefix_blocks(data: bytes) -> tuple:
+    """Chained 64-bit hashes of the whole blocks at the start of a prompt, at most ``MAX_BLOCKS``."""
+    blocks = []
+    previous = b""
+    whole = min(len(data) // BLOCK_BYTES, MAX_BLOCKS)
+    for index in range(whole):
+        block = data[index * BLOCK_BYTES : (index + 1) * BLOCK_BYTES]
+        previous = hashlib.sha256(previous + block).digest()[:HASH_BYTES]
+        blocks.append(int.from_bytes(previous, "big"))
+    return tuple(blocks)
--- /dev/null
+++ b/wagtailtrestle/route_match.py
@@ -0,0 +1,146 @@
+"""Which declared route a request takes, and the tier it is served in."""
+
+import re
+from dataclasses import dataclass
+
+from wagtailtrestle.declaration import LANGUAGE, PLAIN, Declaration, Route, Service, Team
+from wagtailtrestle.outcomes import Executed, Reason, Refusal
+
+CHAT_PATH = "/v1/chat/completions"
+TEXT_PATH = "/v1/completions"
+MODELS_PATH = "/v1/models"
+LANGUAGE_PATHS = frozenset({CHAT_PATH, TEXT_PATH})
+ENCODED_SEPARATOR = re.compile(r"%(2f|5c)", re.IGNORECASE)
+FORBIDDEN_IN_PATH = re.compile(r"[\x00-\x1f\x7f\\]")
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Matched:
+    """The service and route of a request, and the tier's rank after any lowering."""
+
+    service: Service
+    route: Route
+    tier: int
+
+
+def may_use(*, route: Route, team: Team) -> bool:
+    """Whether the declaration lets ``team`` use ``route``."""
+    return not route.teams or team.name in route.teams
+
+
+def services_of(*, declaration: Declaration, team: Team) -> list:
+    """Language services with at least one route that ``team`` may use, in declared order."""
+    found = []
+    for service in declaration.services_by_name.values():
+        usable = any(may_use(route=route, team=team) for route in service.routes_by_name.values())
+        if service.kind == LANGUAGE and usable:
+            found.append(service)
+    return found
+
+
+def path_fault(path: str) -> str | None:
+    """Why ``path`` is not accepted.
+
+    An engine may resolve ``slots/../charge`` or a coded separator to another call than the
+    one matched here, and run a call that must not be repeated under a route that may be.
+    Such paths are refused whole; no client library sends them by itself.
+    """
+    if ENCODED_SEPARATOR.search(path) or FORBIDDEN_IN_PATH.search(path):
+        return "The path holds a coded separator or a control character."
+    segments = path.split("/")[1:]
+    if any(segment in (".", "..") for segment in segments):
+        return "The path holds a '.' or '..' segment."
+    if any(segment == "" for segment in segments[:-1]):
+        return "The path holds an empty segment."
+    return None
+
+
+def match_language(*, declaration, team, path, model, route_name, tier_name) -> Matched | Refusal:
+    """Match a completion by its path and the service named in ``model``."""
+    service = declaration.services_by_name.get(model)
+    if service is None or service.kind != LANGUAGE:
+        return _no_route(f"No language service is called {model[:64]!r}.")
+    routes = [r for r in service.routes_by_name.values() if r.path == path and r.method == "POST"]
+    return _choose(
+        declaration=declaration,
+        team=team,
+        service=service,
+        routes=routes,
+        route_name=route_name,
+        tier_name=tier_name,
+    )
+
+
+def match_plain(*, declaration, team, method, path, route_name, tier_name) -> Matched | Refusal:
+    """Match a plain service's call by ``/{service}/…`` and the declared prefixes."""
+    fault = path_fault(path)
+    if fault is not None:
+        return _bad_request(fault)
+    name, _, rest = path.lstrip("/").partition("/")
+    service = declaration.services_by_name.get(name)
+    if service is None or service.kind != PLAIN:
+        return _no_route("No service is reached by this path.")
+    on_path = [r for r in service.routes_by_name.values() if _has_prefix(rest=rest, prefix=r.path)]
+    routes = [r for r in on_path if r.method == method]
+    if on_path and not routes:
+        return _wrong_method(on_path)
+    return _choose(
+        declaration=declaration,
+        team=team,
+        service=service,
+        routes=routes,
+        route_name=route_name,
+        tier_name=tier_name,
+    )
+
+
+def _has_prefix(*, rest, prefix):
+    prefix = prefix.strip("/")
+    return prefix == "" or rest == prefix or rest.startswith(prefix + "/")
+
+
+def _choose(*, declaration, team, service, routes, route_name, tier_name):
+    if not routes:
+        return _no_route(f"Service {service.name!r} declares no route for this method and path.")
+    usable = [route for route in routes if may_use(route=route, team=team)]
+    if not usable:
+        return _forbidden(f"Team {team.name!r} may not use this path of {service.name!r}.")
+    default = usable[0]
+    route = default if not route_name else next((r for r in usable if r.name == route_name), None)
+    if route is None:
+        return _forbidden(f"No route {route_name[:64]!r} on this path for team {team.name!r}.")
+    ceiling = declaration.tiers_by_name[default.tier].rank
+    rank = declaration.tiers_by_name[route.tier].rank
+    if rank < ceiling:
+        return _forbidden(f"Route {route.name!r} is of a higher tier than {default.name!r}, the team's own here.")
+    return _lower(declaration=declaration, service=service, route=route, rank=rank, tier_name=tier_name)
+
+
+def _lower(*, declaration, service, route, rank, tier_name):
+    if not tier_name:
+        return Matched(service=service, route=route, tier=rank)
+    asked = declaration.tiers_by_name.get(tier_name)
+    if asked is None:
+        return _bad_request(f"No tier is called {tier_name[:64]!r}.")
+    if asked.rank < rank:
+        return _forbidden("A caller may lower its tier, never raise it.")
+    return Matched(service=service, route=route, tier=asked.rank)
+
+
+def _bad_request(detail):
+    return Refusal(status=400, reason=Reason.BAD_REQUEST, executed=Executed.NO, detail=detail)
+
+
+def _forbidden(detail):
+    return Refusal(status=403, reason=Reason.FORBIDDEN, executed=Executed.NO, detail=detail)
+
+
+def _no_route(detail):
+    return Refusal(status=404, reason=Reason.NO_ROUTE, executed=Executed.NO, detail=detail)
+
+
+def _wrong_method(routes):
+    allowed = ", ".join(sorted({route.method for route in routes}))
+    return Refusal(
+        status=405, reason=Reason.NO_ROUTE, executed=Executed.NO, detail=f"Allowed methods on this path: {allowed}."
+    )
