--- /dev/null
+++ b/wagtailtrestle/applying.py
@@ -0,0 +1,267 @@
+"""The one conditional update behind ``apply``, settled when its answer is lost.
+
+The declaration is one object whose value carries its generation, the id of the apply
+that wrote it and a short history of earlier ids; see ``docs/design/configuration.md``.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from wagtailtrestle.outcomes import StoreAbsent, StoreConflict, StoreDone, StoreUnavailable, StoreUnknown
+
+DECLARATION_KIND = "declarations"
+DECLARATION_NAME = "current"
+READ_TRIES = 3
+SETTLE_TRIES = 6
+SETTLE_PAUSE_S = 0.5
+# Applies remembered in the value: 2,500 changes a day are two a minute, so this covers
+# many times the few seconds that settling takes.
+HISTORY_LENGTH = 32
+NO_GENERATION = 0
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Applied:
+    """The declaration was accepted as ``generation``."""
+
+    generation: int
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class ApplyConflict:
+    """Certainly not applied: ``generation``, applied by ``by``, stands in its way.
+
+    ``by`` is an apply id, empty when it can't be told.
+    """
+
+    generation: int
+    by: str = ""
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class ApplyNotDone:
+    """Certainly not applied: the platform could not be reached or refused."""
+
+    detail: str
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class ApplyUnknown:
+    """The update was sent, no answer came, and reading back could not settle it."""
+
+    detail: str
+
+
+ApplyOutcome = Applied | ApplyConflict | ApplyNotDone | ApplyUnknown
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Accepted:
+    """The declaration that the platform holds.
+
+    Parameters
+    ----------
+    version : int
+        The platform's version of the object; 0 when there is none.
+    generation : int
+        0 when there is none.
+    apply_id, text : str
+    applied_at : float
+        Unix time, from the clock of the VM that applied it.
+    ids_by_generation : dict of int to str
+        Recent applies, this one among them.
+    """
+
+    version: int
+    generation: int
+    apply_id: str
+    applied_at: float
+    text: str
+    ids_by_generation: dict
+
+
+NOTHING_ACCEPTED = Accepted(
+    version=0, generation=NO_GENERATION, apply_id="", applied_at=0.0, text="", ids_by_generation={}
+)
+
+
+def accepted_from_value(*, version, value):
+    """Build from the object's value; ``None`` if it is not a declaration of ours."""
+    try:
+        history = {int(item["generation"]): str(item["apply_id"]) for item in value.get("recent", ())}
+        return Accepted(
+            version=version,
+            generation=int(value["generation"]),
+            apply_id=str(value["apply_id"]),
+            applied_at=float(value["applied_at"]),
+            text=str(value["text"]),
+            ids_by_generation=history,
+        )
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return None
+
+
+async def read_accepted(*, store):
+    """Read the accepted declaration.
+
+    Returns
+    -------
+    Accepted or StoreUnavailable
+        :data:`NOTHING_ACCEPTED` when there is none yet.
+    """
+    outcome = await store.get(kind=DECLARATION_KIND, name=DECLARATION_NAME)
+    match outcome:
+        case StoreAbsent():
+            return NOTHING_ACCEPTED
+        case StoreDone(version=version, value=value):
+            accepted = accepted_from_value(version=version, value=value)
+            return accepted or StoreUnavailable(detail="the object declarations/current is not a declaration")
+    return StoreUnavailable(detail=getattr(outcome, "detail", ""))
+
+
+async def apply(*, store, text, apply_id, clock, base_generation=None):
+    """Make ``text`` the declaration by one conditional update.
+
+    Parameters
+    ----------
+    store : ObjectStore
+    text : str
+        The whole declaration, already checked.
+    apply_id : str
+        Unique for ever; tells this apply from any other when an answer was lost.
+    clock : callable
+        Returns Unix seconds, only recorded.
+    base_generation : int, optional
+        The generation this text was made from; a conflict if another is accepted now.
+
+    Returns
+    -------
+    ApplyOutcome
+    """
+    base = await _read_base(store, at_least=base_generation or NO_GENERATION)
+    if isinstance(base, StoreUnavailable):
+        return ApplyNotDone(detail=f"the accepted declaration can't be read: {base.detail}")
+    generation = base.generation
+    if base is NOTHING_ACCEPTED and base_generation:
+        # The operator knows of a generation that the platform lost. Routers only ever go
+        # up, so a new first generation would be accepted and never be in force.
+        generation = base_generation
+    if base_generation is not None and base_generation != generation:
+        return ApplyConflict(generation=base.generation, by=base.apply_id)
+    update = _Update(store=store, base=base, value=_make_value(base, generation + 1, text, apply_id, clock()))
+    return await update.run()
+
+
+async def _read_base(store, at_least):
+    """Read what to update; a read below ``at_least`` may be stale and is repeated."""
+    for attempt in range(READ_TRIES):
+        if attempt:
+            await asyncio.sleep(SETTLE_PAUSE_S)
+        base = await read_accepted(store=store)
+        if not isinstance(base, StoreUnavailable) and base.generation >= at_least:
+            break
+    return base
+
+
+def _make_value(base, generation, text, apply_id, applied_at):
+    ids_by_generation = {**base.ids_by_generation, generation: apply_id}
+    newest = sorted(ids_by_generation)[-HISTORY_LENGTH:]
+    return {
+        "generation": generation,
+        "apply_id": apply_id,
+        "applied_at": applied_at,
+        "text": text,
+        "recent": [{"generation": number, "apply_id": ids_by_generation[number]} for number in newest],
+    }
+
+
+class _Update:
+    """One apply's update and whatever it takes to learn what came of it."""
+
+    __slots__ = ("_store", "_base", "_value", "_generation", "_apply_id", "_may_be_applied")
+
+    def __init__(self, *, store, base, value):
+        self._store = store
+        self._base = base
+        self._value = value
+        self._generation = value["generation"]
+        self._apply_id = value["apply_id"]
+        self._may_be_applied = False
+
+    async def run(self):
+        """Send the update once; settle it if no answer came."""
+        outcome = await self._send()
+        match outcome:
+            case StoreDone():
+                return Applied(generation=self._generation)
+            case StoreUnavailable(detail=detail):
+                return ApplyNotDone(detail=detail)
+            case StoreUnknown():
+                self._may_be_applied = True
+                return await self._settle()
+        return await self._tell_conflict()
+
+    async def _send(self):
+        if self._base is NOTHING_ACCEPTED:
+            return await self._store.create(kind=DECLARATION_KIND, name=DECLARATION_NAME, value=self._value)
+        return await self._store.update(
+            kind=DECLARATION_KIND, name=DECLARATION_NAME, value=self._value, if_version=self._base.version
+        )
+
+    async def _settle(self):
+        """Learn whether an update without an answer took effect.
+
+        Finding our id by reading proves that it did; not finding it proves nothing, since
+        the update may still be on its way. Sending the very same conditional update again
+        does: of the two, at most one can take effect, and once the version has moved on,
+        neither can any more.
+        """
+        detail = ""
+        for _ in range(SETTLE_TRIES):
+            await asyncio.sleep(SETTLE_PAUSE_S)
+            settled = await self._look_for_own_id()
+            if settled is not None:
+                return settled
+            outcome = await self._send()
+            match outcome:
+                case StoreDone():
+                    return Applied(generation=self._generation)
+                case StoreConflict() | StoreAbsent():
+                    return await self._tell_conflict()
+            detail = outcome.detail
+        return ApplyUnknown(detail=f"no answer, and {SETTLE_TRIES} tries to read it back failed: {detail}")
+
+    async def _look_for_own_id(self):
+        """Outcome told by what the platform holds; ``None`` if that tells nothing."""
+        accepted = await read_accepted(store=self._store)
+        if isinstance(accepted, StoreUnavailable):
+            return None
+        return self._judge(accepted)
+
+    def _judge(self, accepted):
+        """Whoever is recorded under our generation is the one that got it."""
+        owner = accepted.ids_by_generation.get(self._generation)
+        if owner is None:
+            return None
+        if owner == self._apply_id:
+            return Applied(generation=self._generation)
+        return ApplyConflict(generation=accepted.generation, by=accepted.apply_id)
+
+    async def _tell_conflict(self):
+        """Our update was refused: find out whose stands there, which may be our own.
+
+        A read may be stale and still show our base, so it is repeated until it shows
+        who got our generation.
+        """
+        newest = self._generation
+        for _ in range(SETTLE_TRIES):
+            accepted = await read_accepted(store=self._store)
+            if not isinstance(accepted, StoreUnavailable):
+                settled = self._judge(accepted)
+                if settled is not None:
+                    return settled
+                newest = max(newest, accepted.generation)
+            await asyncio.sleep(SETTLE_PAUSE_S)
+        if self._may_be_applied:
+            return ApplyUnknown(detail="another apply followed and the history does not tell whether ours came first")
+        return ApplyConflict(generation=newest)
--- /dev/null
+++ b/wagtailtrestle/status_report.py
@@ -0,0 +1,150 @@
+"""What ``wagtailtrestle status`` tells: the accepted generation and each router's."""
+
+import asyncio
+from dataclasses import dataclass
+
+import urllib3
+
+from wagtailtrestle.applying import NOTHING_ACCEPTED, read_accepted
+from wagtailtrestle.outcomes import StoreDone, StoreUnavailable
+from wagtailtrestle.vm_list import ROUTER
+
+FETCH_TIMEOUT_S = 2.0
+FETCH_AT_ONCE = 16
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class RouterInForce:
+    """A router that answered.
+
+    Parameters
+    ----------
+    id, zone : str
+    generation : int
+        In force there; 0 if none.
+    is_lagging : bool
+        Whether it is below the accepted generation.
+    is_leaving : bool
+    faults : tuple of str
+        Why a newer generation was not put in force, if so.
+    """
+
+    id: str
+    zone: str
+    generation: int
+    is_lagging: bool
+    is_leaving: bool
+    faults: tuple = ()
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class RouterUnreachable:
+    """A router on the platform's list that gave no usable answer."""
+
+    id: str
+    zone: str
+    is_leaving: bool
+    detail: str
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class StatusReport:
+    """The accepted declaration and what each router on the list has in force.
+
+    Parameters
+    ----------
+    generation : int
+        Accepted by the platform; 0 if there is none.
+    apply_id : str
+    applied_at : float
+        Unix time.
+    routers : tuple of RouterInForce or RouterUnreachable
+        By id.
+    """
+
+    generation: int
+    apply_id: str
+    applied_at: float
+    routers: tuple
+
+    @property
+    def is_in_force_everywhere(self):
+        """Whether every router on the list that is to stay has the accepted generation."""
+        staying = [router for router in self.routers if not router.is_leaving]
+        return all(isinstance(router, RouterInForce) and not router.is_lagging for router in staying)
+
+
+def fetch_json(url):
+    """Read a URL's JSON from a thread.
+
+    Returns
+    -------
+    object or str
+        What the JSON holds, or a text that says what went wrong.
+    """
+    try:
+        response = urllib3.request("GET", url, timeout=FETCH_TIMEOUT_S, retries=False)
+        if response.status != 200:
+            return f"HTTP {response.status}"
+        return response.json()
+    except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+        return f"{type(error).__name__}: {error}"
+
+
+async def collect_status(*, store, fetch=fetch_json):
+    """Ask the platform and every router on its list.
+
+    Parameters
+    ----------
+    store : ObjectStore
+    fetch : callable
+        ``fetch(url)`` runs on a thread; see :func:`fetch_json`.
+
+    Returns
+    -------
+    StatusReport or StoreUnavailable
+    """
+    accepted, listed = await asyncio.gather(read_accepted(store=store), store.vms())
+    if isinstance(accepted, StoreUnavailable):
+        return accepted
+    if not isinstance(listed, StoreDone):
+        return StoreUnavailable(detail=f"the list of VMs can't be read: {getattr(listed, 'detail', '')}")
+    routers = sorted((vm for vm in listed.value if vm.role == ROUTER), key=lambda vm: vm.id)
+    slots = asyncio.Semaphore(FETCH_AT_ONCE)
+    answers = await asyncio.gather(*(_ask_router(vm, accepted.generation, fetch, slots) for vm in routers))
+    return StatusReport(
+        generation=accepted.generation,
+        apply_id=accepted.apply_id,
+        applied_at=accepted.applied_at if accepted is not NOTHING_ACCEPTED else 0.0,
+        routers=tuple(answers),
+    )
+
+
+async def _ask_router(vm, accepted_generation, fetch, slots):
+    if not vm.admin:
+        return RouterUnreachable(id=vm.id, zone=vm.zone, is_leaving=vm.leaving, detail="no admin address on the list")
+    async with slots:
+        state = await asyncio.to_thread(fetch, f"{_base_url(vm.admin)}/state")
+    configuration = state.get("configuration") if isinstance(state, dict) else None
+    if not isinstance(configuration, dict) or not isinstance(configuration.get("generation"), int):
+        detail = state if isinstance(state, str) else "its state has no generation"
+        return RouterUnreachable(id=vm.id, zone=vm.zone, is_leaving=vm.leaving, detail=detail)
+    generation = configuration["generation"]
+    return RouterInForce(
+        id=vm.id,
+        zone=vm.zone,
+        generation=generation,
+        is_lagging=generation < accepted_generation,
+        is_leaving=vm.leaving,
+        faults=_faults_above(generation, configuration.get("faults_by_generation")),
+    )
+
+
+def _faults_above(generation, faults_by_generation):
+    """Faults of the newest declaration that a router refused, if it is newer than its own."""
+    newer = {int(key): faults for key, faults in (faults_by_generation or {}).items() if int(key) > generation}
+    return tuple(newer[max(newer)]) if newer else ()
+
+
+def _base_url(admin):
+    return admin.rstrip("/") if "://" in admin else f"http://{admin}"
--- a/wagtailtrestle/vm_list.py
+++ b/wagtailtrestle/vm_list.py
@@ -1,5 +1,15 @@
 """The platform's lagging list of live and leaving VMs, polled and kept through outages."""
 
+import asyncio
+import random
+
+from wagtailtrestle.outcomes import StoreDone
+
+DEFAULT_INTERVAL_S = 1.0
+JITTER = 0.25
+ROUTER = "router"
+ENGINE = "engine"
+
 
 class VM:
     """One VM on the platform's list.
@@ -50,3 +60,66 @@
         admin=item.get("admin", ""),
         leaving=item.get("state") == "leaving",
     )
+
+
+class VMList:
+    """The last list the platform told, refreshed at a bounded rate.
+
+    An outage keeps the last list: the platform going quiet says nothing about the VMs,
+    and forgetting them would stop all traffic between healthy ones.
+
+    Parameters
+    ----------
+    store : ObjectStore
+    on_change : callable
+        ``on_change(by_id)``, called on the loop after each change.
+    interval_s : float
+        Mean time between reads.
+    jitter : random.Random, optional
+    """
+
+    def __init__(self, *, store, on_change, interval_s=DEFAULT_INTERVAL_S, jitter=None):
+        self.by_id = {}
+        self._store = store
+        self._on_change = on_change
+        self._interval_s = interval_s
+        self._jitter = jitter or random.Random()
+        self._last_read = None
+        self._last_problem = ""
+        self._task = None
+
+    def start(self):
+        """Start polling; must be called on the running event loop."""
+        self._task = asyncio.get_running_loop().create_task(self._poll())
+
+    async def close(self):
+        """Stop polling; the last list stays readable."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    def dump(self):
+        """Return the state as a plain dict."""
+        now = asyncio.get_running_loop().time()
+        return {
+            "vms": [{name: getattr(vm, name) for name in VM.__slots__} for vm in self.by_id.values()],
+            "read_age_s": None if self._last_read is None else round(now - self._last_read, 3),
+            "last_problem": self._last_problem,
+            "interval_s": self._interval_s,
+        }
+
+    async def _poll(self):
+        while True:
+            await self._read()
+            await asyncio.sleep(self._interval_s * self._jitter.uniform(1 - JITTER, 1 + JITTER))
+
+    async def _read(self):
+        outcome = await self._store.vms()
+        if not isinstance(outcome, StoreDone):
+            self._last_problem = getattr(outcome, "detail", type(outcome).__name__)
+            return
+        self._last_problem = ""
+        self._last_read = asyncio.get_running_loop().time()
+        by_id = {vm.id: vm for vm in outcome.value}
+        if by_id != self.by_id:
+            self.by_id = by_id
+            self._on_change(by_id)
