Build declaration nodes from YAML events in one pass

Cause: checking a declaration of 1,700 teams and 750 engines (434 KB) spent over half its time composing nodes and resolving tags that no check reads, after a first pass for safety. Change: one pass builds light nodes and refuses anchors, tags and depth; tags are resolved only for text fields; the checks of services and engines are modules of their own.

--- /dev/null
+++ b/wagtailtrestle/declared_names.py
@@ -0,0 +1,48 @@
+"""Names declared so far in a declaration, to find duplicates and dangling references."""
+
+
+class NameTable:
+    """Names of one kind with the lines that declare them."""
+
+    __slots__ = ("kind", "lines_by_name")
+
+    def __init__(self, *, kind):
+        self.kind = kind
+        self.lines_by_name = {}
+
+    def declare(self, reader, field, name, *, node=None):
+        """Take a name that stands in ``field``; a fault if it is taken already.
+
+        Returns
+        -------
+        bool
+            Whether the name is new.
+        """
+        if name is None:
+            return False
+        line = reader.line_of(field) if node is None else node.line
+        if name in self.lines_by_name:
+            problem = f"is the {self.kind} {name} again, as on line {self.lines_by_name[name]}"
+            reader.fault(field, problem, f"each {self.kind} once", node=node)
+            return False
+        self.lines_by_name[name] = line
+        return True
+
+    def refer(self, reader, field, name, *, node=None):
+        """Record a fault if nobody declared the name that stands in ``field``."""
+        if name is not None and name not in self.lines_by_name:
+            reader.fault(field, f"is {name}, which is not declared", f"a declared {self.kind}", node=node)
+
+
+class DeclaredNames:
+    """The tables of one declaration that its sections share."""
+
+    __slots__ = ("zones", "tiers", "teams", "keys", "services", "kinds_by_service")
+
+    def __init__(self):
+        self.zones = NameTable(kind="zone")
+        self.tiers = NameTable(kind="tier")
+        self.teams = NameTable(kind="team")
+        self.keys = NameTable(kind="key")
+        self.services = NameTable(kind="service")
+        self.kinds_by_service = {}
--- /dev/null
+++ b/wagtailtrestle/engine_check.py
@@ -0,0 +1,106 @@
+"""Checks of the section ``engines`` of a declaration."""
+
+from wagtailtrestle.argument_types import Flag, HostPort, Integer, Name, Number
+from wagtailtrestle.declaration import PLAIN, DeclaredEngine
+from wagtailtrestle.declared_names import NameTable
+from wagtailtrestle.field_reader import REQUIRED
+
+LARGEST_SLOTS = 100_000
+LARGEST_STEP_MS = 600_000
+LARGEST_PREFILL_RATE = 100_000_000
+# Priors of a plain service's engine, whose calls have no steps; measurement replaces them.
+PLAIN_STEP_MS = 10.0
+PLAIN_PREFILL_TOKENS_PER_S = 4000.0
+
+
+def read_engines(root, names):
+    """Return the engines by name; faults go to the reader.
+
+    Parameters
+    ----------
+    root : MappingReader
+        The whole declaration.
+    names : DeclaredNames
+        With zones and services already declared.
+    """
+    section = _EngineSection(names=names)
+    engines_by_name = {}
+    for reader in root.mappings("engines"):
+        engine = section.read(reader)
+        engines_by_name[engine.name] = engine
+        reader.close()
+    section.check_services_served(root)
+    return engines_by_name
+
+
+class _EngineSection:
+    """Reads engines one by one and remembers what must be unique among them."""
+
+    __slots__ = ("names", "engines", "addresses", "services_by_cell", "served")
+
+    def __init__(self, *, names):
+        self.names = names
+        self.engines = NameTable(kind="engine")
+        self.addresses = NameTable(kind="address")
+        self.services_by_cell = {}
+        self.served = set()
+
+    def read(self, reader):
+        """Return one engine."""
+        name = reader.value("name", Name())
+        self.engines.declare(reader, "name", name)
+        service = reader.value("service", Name())
+        self.names.services.refer(reader, "service", service)
+        self.served.add(service)
+        zone = reader.value("zone", Name())
+        self.names.zones.refer(reader, "zone", zone)
+        address = reader.value("address", HostPort())
+        self.addresses.declare(reader, "address", address)
+        step_ms, prefill_tokens_per_s = self._read_speed(reader, service=service)
+        return DeclaredEngine(
+            name=name,
+            service=service,
+            cell=self._read_cell(reader, service=service),
+            zone=zone,
+            hardware=reader.value("hardware", Name()),
+            address=address,
+            slots=reader.value("slots", Integer(least=1, most=LARGEST_SLOTS)),
+            step_ms=step_ms,
+            prefill_tokens_per_s=prefill_tokens_per_s,
+            checks_fencing=reader.value("checks_fencing", Flag(), default=False),
+            leaving=reader.value("leaving", Flag(), default=False),
+        )
+
+    def check_services_served(self, root):
+        """Record a fault for each service that no engine belongs to."""
+        for name, line in self.names.services.lines_by_name.items():
+            if name not in self.served:
+                root.faults.add(
+                    line=line, field=f"services[{name}]", problem="has no engine", allowed="at least one engine"
+                )
+
+    def _read_speed(self, reader, *, service):
+        plain = self.names.kinds_by_service.get(service) == PLAIN
+        step_ms = reader.value(
+            "step_ms", Number(least=0.001, most=LARGEST_STEP_MS), default=PLAIN_STEP_MS if plain else REQUIRED
+        )
+        prefill_tokens_per_s = reader.value(
+            "prefill_tokens_per_s",
+            Number(least=1, most=LARGEST_PREFILL_RATE),
+            default=PLAIN_PREFILL_TOKENS_PER_S if plain else REQUIRED,
+        )
+        return step_ms, prefill_tokens_per_s
+
+    def _read_cell(self, reader, *, service):
+        """Return the engine's cell.
+
+        One steward decides a cell's admission in one queue; two services in it would be given
+        each other's engines.
+        """
+        cell = reader.value("cell", Name(), default=service)
+        if cell is None or service is None:
+            return cell
+        owner = self.services_by_cell.setdefault(cell, service)
+        if owner != service:
+            reader.fault("cell", f"is {cell}, which holds engines of {owner}", "a cell with engines of one service")
+        return cell
--- /dev/null
+++ b/wagtailtrestle/service_check.py
@@ -0,0 +1,114 @@
+"""Checks of the section ``services`` of a declaration, with the routes."""
+
+from wagtailtrestle.argument_types import Flag, Integer, Name, Number, OneOf, UrlPath
+from wagtailtrestle.declaration import LANGUAGE, PLAIN, Route, Service
+from wagtailtrestle.declared_names import NameTable
+
+LANGUAGE_PATHS = ("/v1/chat/completions", "/v1/completions")
+LANGUAGE_METHOD = "POST"
+METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
+# A plain service of this name would be reached by the paths of the language services.
+RESERVED_NAME = "v1"
+DEFAULT_PREFILL_WEIGHT = 0.5
+LARGEST_DEADLINE_MS = 86_400_000
+
+
+def read_services(root, names):
+    """Return the services by name; faults go to the reader.
+
+    Parameters
+    ----------
+    root : MappingReader
+        The whole declaration.
+    names : DeclaredNames
+    """
+    services_by_name = {}
+    for reader in root.mappings("services"):
+        service = _read_service(reader, names)
+        services_by_name[service.name] = service
+        reader.close()
+    return services_by_name
+
+
+def _read_service(reader, names):
+    name = reader.value("name", Name())
+    names.services.declare(reader, "name", name)
+    if name == RESERVED_NAME:
+        reader.fault("name", f"is {name}, with which the paths of language services begin", "another name")
+    kind = reader.value("kind", OneOf(words=(LANGUAGE, PLAIN)))
+    names.kinds_by_service[name] = kind
+    prefill_weight = reader.value("prefill_weight", Number(least=0, most=1), default=DEFAULT_PREFILL_WEIGHT)
+    routes_by_name = _read_routes(reader, names, service=name, kind=kind)
+    return Service(name=name, kind=kind, routes_by_name=routes_by_name, prefill_weight=prefill_weight)
+
+
+def _read_routes(service_reader, names, *, service, kind):
+    table = NameTable(kind="route")
+    routes = []
+    for reader in service_reader.mappings("routes"):
+        route = _read_route(reader, names, table=table)
+        if kind == LANGUAGE:
+            _check_language_route(reader, route)
+        if kind == PLAIN and route.path is not None:
+            _check_plain_route(reader, route, service=service, earlier=routes)
+        routes.append(route)
+        reader.close()
+    return {route.name: route for route in routes}
+
+
+def _read_route(reader, names, *, table):
+    name = reader.value("name", Name())
+    table.declare(reader, "name", name)
+    tier = reader.value("tier", Name())
+    names.tiers.refer(reader, "tier", tier)
+    teams = reader.values("teams", Name(), required=False)
+    for team, node in teams:
+        names.teams.refer(reader, "teams", team, node=node)
+    route = Route(
+        name=name,
+        method=reader.value("method", OneOf(words=METHODS)),
+        path=reader.value("path", UrlPath()),
+        tier=tier,
+        deadline_ms=reader.value("deadline_ms", Integer(least=1, most=LARGEST_DEADLINE_MS)),
+        repeatable=reader.value("repeatable", Flag()),
+        at_most_once=reader.value("at_most_once", Flag(), default=False),
+        teams=tuple(team for team, _ in teams),
+    )
+    if route.repeatable and route.at_most_once:
+        reader.fault("at_most_once", "is true on a repeatable route", "true only beside repeatable: false")
+    return route
+
+
+def _check_language_route(reader, route):
+    if route.path is not None and route.path not in LANGUAGE_PATHS:
+        reader.fault("path", f"is {route.path} on a language service", " or ".join(LANGUAGE_PATHS))
+    if route.method is not None and route.method != LANGUAGE_METHOD:
+        reader.fault("method", f"is {route.method} on a language service", LANGUAGE_METHOD)
+
+
+def _check_plain_route(reader, route, *, service, earlier):
+    if service and _is_below(route.path, f"/{service}"):
+        problem = f"is {route.path}, which names the service again"
+        reader.fault("path", problem, "the part of the path below the service, for instance /bookings")
+    for other in earlier:
+        if other.method == route.method and other.path is not None:
+            _check_not_hidden(reader, route, other=other)
+
+
+def _check_not_hidden(reader, route, *, other):
+    """Refuse a route that an earlier one answers for, or contradicts.
+
+    The first declared route that fits a call is its default. A call that charges, hidden by a
+    repeatable route above it, would be run again after a failure: the member pays twice.
+    """
+    if not _is_below(route.path, other.path):
+        return
+    if not _is_below(other.path, route.path):
+        reader.fault("path", f"is {route.path}, hidden by route {other.name} above it", "the longer path first")
+    elif (other.repeatable, other.at_most_once) != (route.repeatable, route.at_most_once):
+        problem = f"is that of route {other.name}, which promises something else about repeats"
+        reader.fault("path", problem, "the same repeatable and at_most_once for one method and path")
+
+
+def _is_below(path, prefix):
+    return f"{path.rstrip('/')}/".startswith(f"{prefix.rstrip('/')}/")
--- a/wagtailtrestle/settings.py
+++ b/wagtailtrestle/settings.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass
 
 from wagtailtrestle.argument_types import Flag, HostPort, Integer, Name, Number, OneOf, Peer, Url
-from wagtailtrestle.yaml_source import Fault, FaultList, compose, open_mapping
+from wagtailtrestle.field_reader import open_mapping
+from wagtailtrestle.yaml_source import Fault, FaultList, compose
 
 DEFAULT_CALLER_THREADS = 128
 DEFAULT_MAX_BODY_BYTES = 4_194_304
@@ -184,14 +185,11 @@
 
 
 def _check_addresses_differ(reader, values):
-    seen = {}
+    names_by_address = {}
     for name in ("callers_address", "peers_address", "admin_address"):
         address = values[name]
-        if address is not None and address in seen:
-            reader.faults.add(
-                node=reader.get(name),
-                field=name,
-                problem=f"is the same as {seen[address]}",
-                allowed="an address of its own",
-            )
-        seen[address] = name
+        if address is None:
+            continue
+        other = names_by_address.setdefault(address, name)
+        if other != name:
+            reader.fault(name, f"is the same as {other}", "an address of its own")
--- a/wagtailtrestle/yaml_source.py
+++ b/wagtailtrestle/yaml_source.py
@@ -1,19 +1,20 @@
-"""YAML text to nodes that know their lines, and readers that collect every fault at once.
+"""YAML text to nodes that know their lines.
 
-Text comes from outside: nothing here raises on any input, however hostile.
+Text comes from outside: nothing here raises on any input, however hostile. Nodes are built from
+the library's flat stream of events, which needs no recursion, in the same pass that refuses what
+must not be built.
 """
 
 from dataclasses import dataclass
 
 import yaml
 
-from wagtailtrestle.argument_types import Wrong, shown
-
 LARGEST_TEXT_BYTES = 1_000_000
 LARGEST_DEPTH = 16
-STRING_TAG = "tag:yaml.org,2002:str"
-NULL_TAG = "tag:yaml.org,2002:null"
-REQUIRED = object()
+LARGEST_REASON = 200
+NULL_WORDS = ("", "~", "null", "Null", "NULL")
+# A huge declaration takes several times longer with the pure Python reader, which is kept for
+# machines where the C library is missing.
 Loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
 
@@ -56,13 +57,8 @@
         self.file = file
         self.faults = []
 
-    def add(self, *, node, field, problem, allowed):
-        """Record a fault at a node's line, or of the whole file without a node."""
-        line = node.start_mark.line + 1 if node is not None else 0
-        self.add_at(line=line, field=field, problem=problem, allowed=allowed)
-
-    def add_at(self, *, line, field, problem, allowed):
-        """Record a fault at a line."""
+    def add(self, *, line, field, problem, allowed):
+        """Record a fault at a line, or at line 0 for the whole file."""
         self.faults.append(Fault(file=self.file, line=line, field=field, problem=problem, allowed=allowed))
 
     def in_order(self):
@@ -70,8 +66,71 @@
         return tuple(sorted(self.faults, key=lambda fault: fault.line))
 
 
+class ScalarNode:
+    """A single value as written; ``is_quoted`` tells text from what YAML reads otherwise."""
+
+    __slots__ = ("line", "text", "is_quoted")
+
+    def __init__(self, *, line, text, is_quoted):
+        self.line = line
+        self.text = text
+        self.is_quoted = is_quoted
+
+    @property
+    def is_null(self):
+        """Whether nothing stands here."""
+        return not self.is_quoted and self.text in NULL_WORDS
+
+    @property
+    def is_text(self):
+        """Whether any YAML reader takes this for text, and not for a number or a truth value."""
+        if self.is_quoted:
+            return True
+        resolvers = Loader.yaml_implicit_resolvers.get(self.text[:1], ())
+        return not any(pattern.match(self.text) for _, pattern in resolvers)
+
+
+class SequenceNode:
+    """A list; ``items`` holds its nodes."""
+
+    __slots__ = ("line", "items")
+
+    def __init__(self, *, line):
+        self.line = line
+        self.items = []
+
+    def add(self, node):
+        """Take the next node of the list."""
+        self.items.append(node)
+
+
+class MappingNode:
+    """A mapping; ``pairs`` holds ``(key node, value node)`` in the order written."""
+
+    __slots__ = ("line", "pairs", "_key")
+
+    def __init__(self, *, line):
+        self.line = line
+        self.pairs = []
+        self._key = None
+
+    def add(self, node):
+        """Take the next node: keys and values come in turn."""
+        if self._key is None:
+            self._key = node
+            return
+        self.pairs.append((self._key, node))
+        self._key = None
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class _Refused:
+    problem: str
+    allowed: str
+
+
 def compose(text, *, faults):
-    """Return the root node of one safe YAML document, or ``None`` with a fault recorded.
+    """Return the root node of one YAML document, or ``None`` with a fault recorded.
 
     Parameters
     ----------
@@ -82,205 +141,91 @@
     if text is None:
         return None
     try:
-        if not _is_plain_tree(text, faults=faults):
-            return None
-        node = yaml.compose(text, Loader=Loader)
+        node = _build(text, faults=faults)
     except yaml.YAMLError as error:
         mark = getattr(error, "problem_mark", None)
         reason = getattr(error, "problem", None) or getattr(error, "reason", None) or "unreadable"
-        faults.add_at(
+        faults.add(
             line=mark.line + 1 if mark else 0,
             field="",
-            problem=f"is not YAML: {str(reason)[:200]}",
+            problem=f"is not YAML: {str(reason)[:LARGEST_REASON]}",
             allowed="one YAML document",
         )
         return None
-    if node is None:
-        faults.add_at(line=0, field="", problem="is empty", allowed="a mapping of fields")
+    if node is None and not faults.faults:
+        faults.add(line=0, field="", problem="is empty", allowed="a mapping of fields")
     return node
 
 
 def _decoded(text, *, faults):
     if isinstance(text, str):
-        try:
-            text = text.encode()
-        except UnicodeEncodeError:
-            text = b"\xff"
+        # A lone surrogate can't be sent to the platform; it turns into the fault below.
+        text = text.encode(errors="surrogatepass")
     if not isinstance(text, (bytes, bytearray)):
-        faults.add_at(line=0, field="", problem="is not text", allowed="YAML text")
+        faults.add(line=0, field="", problem="is not text", allowed="YAML text")
         return None
     if len(text) > LARGEST_TEXT_BYTES:
         allowed = f"at most {LARGEST_TEXT_BYTES} bytes"
-        faults.add_at(line=0, field="", problem=f"is {len(text)} bytes long", allowed=allowed)
+        faults.add(line=0, field="", problem=f"is {len(text)} bytes long", allowed=allowed)
         return None
     try:
         return text.decode()
     except UnicodeDecodeError:
-        faults.add_at(line=0, field="", problem="is not text in UTF-8", allowed="YAML text in UTF-8")
+        faults.add(line=0, field="", problem="is not text in UTF-8", allowed="YAML text in UTF-8")
         return None
 
 
-def _is_plain_tree(text, *, faults):
-    """Tell whether composing is safe; records a fault if not.
-
-    A few bytes of nested aliases stand for billions of nodes, and deep nesting overruns
-    the C stack of the composer: the process would hang or die. Both show in the
-    flat stream of events, which needs neither memory nor recursion.
-    """
-    depth = 0
-    documents = 0
+def _build(text, *, faults):
+    """Build the tree of one document from its events."""
+    root = None
+    open_nodes = []
     for event in yaml.parse(text, Loader=Loader):
-        fault = None
-        if isinstance(event, yaml.CollectionStartEvent):
-            depth += 1
-            if depth > LARGEST_DEPTH:
-                fault = ("is nested too deeply", f"at most {LARGEST_DEPTH} levels")
-        elif isinstance(event, yaml.CollectionEndEvent):
-            depth -= 1
-        elif isinstance(event, yaml.DocumentStartEvent):
-            documents += 1
-            if documents > 1:
-                fault = ("holds a second document", "one YAML document in a file")
-        if isinstance(event, yaml.AliasEvent) or getattr(event, "anchor", None):
-            fault = ("has an anchor or an alias ('&' or '*')", "values written out, or quoted text")
-        elif isinstance(event, yaml.NodeEvent) and event.tag is not None:
-            fault = ("has a tag ('!')", "plain YAML without tags")
-        if fault:
-            line = event.start_mark.line + 1
-            faults.add_at(line=line, field="", problem=fault[0], allowed=fault[1])
-            return False
-    return True
-
-
-class MappingReader:
-    """Reads the fields of one YAML mapping; ``close`` reports those nobody asked for."""
-
-    __slots__ = ("node", "field", "faults", "_nodes_by_key", "_known")
-
-    def __init__(self, *, node, field, faults):
-        self.node = node
-        self.field = field
-        self.faults = faults
-        self._nodes_by_key = {}
-        self._known = []
-        for key, value in node.value:
-            self._add(key, value)
-
-    def _add(self, key, value):
-        if not isinstance(key, yaml.ScalarNode):
-            self.faults.add(
-                node=key, field=self.field, problem="has a key that is not a word", allowed="a field's name"
-            )
-        elif key.value in self._nodes_by_key:
-            field = self.path(shown(key.value)[1:-1])
-            self.faults.add(node=key, field=field, problem="stands here twice", allowed="each field once")
-        else:
-            self._nodes_by_key[key.value] = (key, value)
-
-    def path(self, name):
-        """Return the full name of one of this mapping's fields."""
-        return f"{self.field}.{name}" if self.field else name
-
-    def keys(self):
-        """Return ``(key node, value node)`` pairs, for a mapping whose keys are data."""
-        return tuple(self._nodes_by_key.values())
-
-    def get(self, name, *, allowed="this field", required=True):
-        """Return the node of a field, or ``None`` (a fault if it is required)."""
-        self._known.append(name)
-        if name in self._nodes_by_key:
-            return self._nodes_by_key[name][1]
-        if required:
-            self.faults.add(node=self.node, field=self.path(name), problem="is missing", allowed=allowed)
-        return None
-
-    def value(self, name, value_type, *, default=REQUIRED):
-        """Return the value of a scalar field; ``None`` if it is faulty."""
-        node = self.get(name, allowed=value_type.allowed, required=default is REQUIRED)
-        if node is None:
-            return None if default is REQUIRED else default
-        return read_scalar(node, value_type, field=self.path(name), faults=self.faults)
-
-    def values(self, name, value_type, *, required=True):
-        """Return ``(value, node)`` for each sound item of a list of scalars."""
-        field = self.path(name)
-        sound = []
-        for node in self.items(name, required=required, allowed=f"a list: {value_type.allowed}"):
-            value = read_scalar(node, value_type, field=field, faults=self.faults)
-            if value is not None:
-                sound.append((value, node))
-        return sound
-
-    def items(self, name, *, required=True, allowed="a list"):
-        """Return the nodes of a list field; empty if it is absent or no list."""
-        node = self.get(name, allowed=allowed, required=required)
-        if node is None:
-            return ()
-        if not isinstance(node, yaml.SequenceNode):
-            self.faults.add(node=node, field=self.path(name), problem="is not a list", allowed=allowed)
-            return ()
-        return node.value
-
-    def mapping(self, name, *, required=True):
-        """Return a reader of a mapping field, or ``None``."""
-        node = self.get(name, allowed="a mapping of fields", required=required)
-        if node is None:
+        if isinstance(event, yaml.CollectionEndEvent):
+            open_nodes.pop()
+            continue
+        line = event.start_mark.line + 1
+        refused = _refusal(event, depth=len(open_nodes), is_second=root is not None)
+        if refused is not None:
+            faults.add(line=line, field="", problem=refused.problem, allowed=refused.allowed)
             return None
-        return open_mapping(node, field=self.path(name), faults=self.faults)
-
-    def mappings(self, name, *, required=True):
-        """Yield a reader for each mapping of a list field, called by its ``name`` or its place."""
-        for index, node in enumerate(self.items(name, required=required, allowed="a list of mappings")):
-            field = f"{self.path(name)}[{_name_in(node) or index}]"
-            reader = open_mapping(node, field=field, faults=self.faults)
-            if reader is not None:
-                yield reader
-
-    def close(self):
-        """Report every field that was never asked for."""
-        for name, (key, _) in self._nodes_by_key.items():
-            if name not in self._known:
-                allowed = ", ".join(self._known)
-                field = self.path(shown(name)[1:-1])
-                self.faults.add(node=key, field=field, problem="is an unknown field", allowed=allowed)
-
-
-def open_mapping(node, *, field, faults):
-    """Return a reader of a mapping node, or ``None`` with a fault recorded."""
-    if isinstance(node, yaml.MappingNode):
-        return MappingReader(node=node, field=field, faults=faults)
-    faults.add(node=node, field=field, problem="is not a mapping", allowed="a mapping of fields")
-    return None
-
-
-def read_scalar(node, value_type, *, field, faults):
-    """Return the value of a scalar node, or ``None`` with a fault recorded."""
-    problem = _shape_problem(node, value_type)
-    if problem is None:
-        value = value_type.read(node.value)
-        if not isinstance(value, Wrong):
-            return value
-        problem = value.problem
-    faults.add(node=node, field=field, problem=problem, allowed=value_type.allowed)
+        node = _node(event, line=line)
+        if node is None:
+            continue
+        if open_nodes:
+            open_nodes[-1].add(node)
+        else:
+            root = node
+        if not isinstance(node, ScalarNode):
+            open_nodes.append(node)
+    return root
+
+
+def _node(event, *, line):
+    if isinstance(event, yaml.ScalarEvent):
+        return ScalarNode(line=line, text=event.value, is_quoted=bool(event.style))
+    if isinstance(event, yaml.MappingStartEvent):
+        return MappingNode(line=line)
+    if isinstance(event, yaml.SequenceStartEvent):
+        return SequenceNode(line=line)
     return None
 
 
-def _shape_problem(node, value_type):
-    if not isinstance(node, yaml.ScalarNode):
-        return "is not a single value"
-    if node.tag == NULL_TAG:
-        return "is empty"
-    if value_type.is_text and node.tag != STRING_TAG:
-        return "is read by YAML as something other than text; put it in quotes"
-    if not value_type.is_text and node.style:
-        return "is quoted text"
-    return None
+def _refusal(event, *, depth, is_second):
+    """Return why an event may not be built, or ``None``.
 
-
-def _name_in(node):
-    if not isinstance(node, yaml.MappingNode):
-        return None
-    for key, value in node.value:
-        if isinstance(key, yaml.ScalarNode) and key.value == "name" and isinstance(value, yaml.ScalarNode):
-            return shown(value.value)[1:-1]
+    A few bytes of nested aliases stand for billions of nodes, and deep nesting overruns
+    whatever walks the tree: the process would hang or die. Without either, the tree is no
+    larger than the text, whose size is bounded.
+    """
+    if isinstance(event, yaml.NodeEvent):
+        if event.anchor is not None:
+            return _Refused(
+                problem="has an anchor or an alias ('&' or '*')", allowed="the value itself, or quoted text"
+            )
+        if event.tag is not None:
+            return _Refused(problem="has a tag ('!')", allowed="plain YAML without tags")
+        if isinstance(event, yaml.CollectionStartEvent) and depth >= LARGEST_DEPTH:
+            return _Refused(problem="is nested too deeply", allowed=f"at most {LARGEST_DEPTH} levels")
+    if isinstance(event, yaml.DocumentStartEvent) and is_second:
+        return _Refused(problem="holds a second document", allowed="one YAML document in a file")
     return None
