Thin peers, membership and directory over one grpclib stream per pair

Cause: entries and stewards on different routers need to exchange messages. Change: batched protobuf items on one long-lived stream per pair, opened by whoever has something to send first; simultaneous dials are settled by name and the loser is read out; a static view from the platform's list; a directory with a local short cut and re-registration on a change of steward and on reconnect.

--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,8 @@
 
 demo: $(VENV)/.installed
 	$(BIN)/python -m wagtailtrestle.demo
+
+# The generated code is committed: only a change of proto/ needs this.
+generate: $(VENV)/.installed
+	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc -Iwagtailtrestle/generated=proto \
+		--python_out=. --grpclib_python_out=. wagtailtrestle/generated/peers.proto
--- /dev/null
+++ b/wagtailtrestle/peer_link.py
@@ -0,0 +1,130 @@
+"""One stream to one peer: a reader and a writer, and what is known of its health."""
+
+import asyncio
+
+from wagtailtrestle.generated import peers_pb2 as pb
+
+FLUSH_INTERVAL_S = 0.002
+RETIRE_AFTER_S = 1.0
+
+
+class Link:
+    """One established connection; lives as long as :meth:`run`.
+
+    Parameters
+    ----------
+    stream : grpclib stream of either end
+    hello : Hello
+        What the peer said first.
+    dialed_by : str
+        Name of the router that opened the connection.
+    outbox : Outbox
+        The peer's, shared by successive links.
+    deliver : callable
+        Called with ``(link, item)`` for each ``pb.Item`` received.
+    loop : asyncio event loop
+    """
+
+    __slots__ = (
+        "_deliver",
+        "_loop",
+        "_outbox",
+        "_reader",
+        "_stream",
+        "_writer",
+        "awaiting_since",
+        "batches_received",
+        "batches_sent",
+        "closed",
+        "dialed_by",
+        "hello",
+        "items_received",
+        "items_sent",
+        "last_received",
+        "pinged",
+        "retired",
+        "up_since",
+    )
+
+    def __init__(self, *, stream, hello, dialed_by, outbox, deliver, loop):
+        self._stream = stream
+        self._outbox = outbox
+        self._deliver = deliver
+        self._loop = loop
+        self._reader = None
+        self._writer = None
+        self.hello = hello
+        self.dialed_by = dialed_by
+        self.up_since = loop.time()
+        self.last_received = self.up_since
+        self.awaiting_since = None
+        self.pinged = False
+        self.closed = False
+        self.retired = False
+        self.batches_sent = self.batches_received = 0
+        self.items_sent = self.items_received = 0
+
+    async def run(self):
+        """Carry items both ways until the connection ends or :meth:`reset`."""
+        if self.closed:
+            return
+        self._reader = self._loop.create_task(self._read())
+        if not self.retired:
+            self._writer = self._loop.create_task(self._write())
+        try:
+            # A writer that fails (connection lost) is seen by the reader too.
+            await asyncio.wait({self._reader})
+        finally:
+            self.reset()
+            tasks = [task for task in (self._reader, self._writer) if task is not None]
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def reset(self):
+        """End the connection now; what the peer has not read is lost."""
+        self.closed = True
+        for task in (self._reader, self._writer):
+            if task is not None:
+                task.cancel()
+
+    def retire(self):
+        """Send nothing more but read on for a while: the peer may have written to this connection already."""
+        self.retired = True
+        self._loop.call_later(RETIRE_AFTER_S, self.reset)
+        if self._writer is not None:
+            self._writer.cancel()
+
+    async def _read(self):
+        while (batch := await self._stream.recv_message()) is not None:
+            self.last_received = self._loop.time()
+            self.awaiting_since = None
+            self.pinged = False
+            self.batches_received += 1
+            self.items_received += len(batch.items)
+            for item in batch.items:
+                self._deliver(self, item)
+
+    async def _write(self):
+        while True:
+            await self._outbox.wait()
+            items = self._outbox.take()
+            if self.awaiting_since is None:
+                self.awaiting_since = self._loop.time()
+            await self._stream.send_message(pb.Batch(items=items))
+            self.batches_sent += 1
+            self.items_sent += len(items)
+            # The first item of a burst leaves at once; the rest of it shares the next batch.
+            await asyncio.sleep(FLUSH_INTERVAL_S)
+
+    def dump(self):
+        """State for the dump: ages in seconds."""
+        now = self._loop.time()
+        return {
+            "dialed_by": self.dialed_by,
+            "incarnation": self.hello.incarnation,
+            "age_s": round(now - self.up_since, 3),
+            "silent_s": round(now - self.last_received, 3),
+            "batches_sent": self.batches_sent,
+            "batches_received": self.batches_received,
+            "items_sent": self.items_sent,
+            "items_received": self.items_received,
+        }
--- /dev/null
+++ b/wagtailtrestle/peer_messages.py
@@ -0,0 +1,112 @@
+"""Messages between routers that concern neither entries nor stewards."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class MemberState(StrEnum):
+    """What is said of a router; a later one outweighs an earlier one of the same version."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Hello:
+    """First item on each connection, in both directions.
+
+    Parameters
+    ----------
+    incarnation : int
+        Grows with each start of the router of that name.
+    address : str
+        ``host:port`` on which the sender takes connections.
+    """
+
+    name: str
+    incarnation: int
+    zone: str
+    address: str
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Ping:
+    """Asks for a sign of life on this very connection."""
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Pong:
+    """Answers :class:`Ping`."""
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class NoAnswer:
+    """The peer has nothing to say to a question: no handler, or an unknown question."""
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Heartbeat:
+    """A router's sign of life to its partners.
+
+    Parameters
+    ----------
+    version : int
+        Counts what the router said about itself within its incarnation.
+    generation : int
+        Generation of the configuration it has in force, 0 for none.
+    view_digest : int
+        Equal for equal views.
+    """
+
+    incarnation: int
+    version: int
+    generation: int
+    draining: bool
+    view_digest: int
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class ViewEvent:
+    """One router's state, passed from peer to peer; (incarnation, version, state) orders events."""
+
+    name: str
+    zone: str
+    address: str
+    incarnation: int
+    version: int
+    state: MemberState
+    draining: bool = False
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class ViewAsk:
+    """Asks a peer for all it knows of the members."""
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class ViewText:
+    """Answers :class:`ViewAsk`."""
+
+    events: tuple = ()
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class ConfigurationAsk:
+    """Asks a peer for the configuration it has in force."""
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class ConfigurationText:
+    """A whole declaration; generation 0 means none is in force."""
+
+    generation: int
+    text: str
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class PeerUnreachable:
+    """Outcome of a question that got no answer: the peer may or may not have acted on it."""
+
+    peer: str
+    detail: str
