Stand-in engine and service, and one run over HTTP

Cause: the whole path needs something to run on and a way to send one run. Change: a pure batching model stepped in real time by a small HTTP process with faults and a record of what ran; a plain service; a blocking client whose outcomes tell not sent, cut, silent, lost, cancelled and done apart, and a pure check of whole answers.

--- /dev/null
+++ b/wagtailtrestle/answer_check.py
@@ -0,0 +1,179 @@
+"""Whether a streamed answer is whole and this run's own: pure, fed with bytes."""
+
+import json
+from dataclasses import dataclass
+
+CANCELLED_REASON = "cancelled"
+EVENT_END = b"\n\n"
+DONE_DATA = b"[DONE]"
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class AnswerFault:
+    """Why an answer can't be the whole answer of its run."""
+
+    detail: str
+
+
+class ReceivedAnswer:
+    """What was received of one request's answer, over all of its runs.
+
+    Attributes
+    ----------
+    tokens : list of str
+        Text of the token with index ``i`` at ``i - 1``; checked, contiguous.
+    finish_reason : str
+        Empty until the last chunk.
+    prompt_tokens, cached_tokens, completion_tokens : int
+        Usage as the engine told it.
+    done : bool
+        The end mark was received.
+    status, headers, body
+        Of a plain answer, or of an engine's error.
+    """
+
+    __slots__ = (
+        "tokens",
+        "finish_reason",
+        "prompt_tokens",
+        "cached_tokens",
+        "completion_tokens",
+        "done",
+        "status",
+        "headers",
+        "body",
+    )
+
+    def __init__(self):
+        self.tokens = []
+        self.finish_reason = ""
+        self.prompt_tokens = 0
+        self.cached_tokens = 0
+        self.completion_tokens = 0
+        self.done = False
+        self.status = 0
+        self.headers = {}
+        self.body = b""
+
+    @property
+    def text(self) -> str:
+        """Text received so far."""
+        return "".join(self.tokens)
+
+
+class AnswerCheck:
+    """Checks the events of one run and adds its tokens to what was received.
+
+    Failures this guards against: an answer of another run on this connection (its id
+    differs), a token lost between engine and router (a gap in the indices), a token sent
+    twice (its index was had already: dropped), an answer that ends early (no reason, no
+    end mark, or a count that differs). Only a checked token reaches ``on_token``, so a
+    caller never reads a foreign one, not even at the start of a stream.
+
+    Parameters
+    ----------
+    run_id : str
+    received : ReceivedAnswer
+    on_token : callable
+        ``on_token(index, text)`` for each new token, in order.
+    """
+
+    __slots__ = ("_run_id", "_received", "_on_token", "_rest")
+
+    def __init__(self, *, run_id, received, on_token):
+        self._run_id = run_id
+        self._received = received
+        self._on_token = on_token
+        self._rest = b""
+
+    def feed(self, data) -> AnswerFault | None:
+        """Take bytes of the stream; return the first fault found."""
+        events = (self._rest + data).split(EVENT_END)
+        self._rest = events.pop()
+        for event in events:
+            fault = self._take_event(event)
+            if fault is not None:
+                return fault
+        return None
+
+    def end(self) -> AnswerFault | None:
+        """Tell whether the answer is whole now that the stream has ended."""
+        received = self._received
+        if not received.done:
+            return AnswerFault(detail="the stream ended without its end mark")
+        if received.completion_tokens != len(received.tokens):
+            return AnswerFault(
+                detail=f"{len(received.tokens)} tokens received, {received.completion_tokens} counted by the engine"
+            )
+        return None
+
+    @property
+    def cancelled(self) -> bool:
+        """Whether the engine says that the run was cancelled."""
+        return self._received.finish_reason == CANCELLED_REASON
+
+    def _take_event(self, event) -> AnswerFault | None:
+        event_id, data = _split_event(event)
+        if data is None:
+            return None
+        if data == DONE_DATA:
+            return self._take_done()
+        try:
+            chunk = json.loads(data)
+            choice = chunk["choices"][0]
+        except (ValueError, LookupError, TypeError):
+            return AnswerFault(detail="an event is no completion chunk")
+        if chunk.get("id") != self._run_id:
+            return AnswerFault(detail="crossed: the answer carries another run's id")
+        usage = chunk.get("usage")
+        if usage:
+            self._take_usage(usage)
+        if choice.get("finish_reason"):
+            return self._take_finish(choice["finish_reason"], usage)
+        return self._take_token(event_id, choice)
+
+    def _take_token(self, event_id, choice) -> AnswerFault | None:
+        tokens = self._received.tokens
+        try:
+            index = int(event_id)
+        except ValueError:
+            return AnswerFault(detail="a token has no index")
+        if index <= len(tokens):
+            return None
+        if index != len(tokens) + 1:
+            return AnswerFault(detail=f"gap: token {index} follows token {len(tokens)}")
+        text = choice["text"] if "text" in choice else choice.get("delta", {}).get("content")
+        if not isinstance(text, str):
+            return AnswerFault(detail=f"token {index} has no text")
+        tokens.append(text)
+        self._on_token(index, text)
+        return None
+
+    def _take_finish(self, reason, usage) -> AnswerFault | None:
+        if not usage:
+            return AnswerFault(detail="the last chunk counts nothing")
+        self._received.finish_reason = reason
+        self._received.completion_tokens = usage.get("completion_tokens", 0)
+        return None
+
+    def _take_usage(self, usage):
+        self._received.prompt_tokens = usage.get("prompt_tokens", 0)
+        self._received.cached_tokens = usage.get("cached_tokens", 0)
+
+    def _take_done(self) -> AnswerFault | None:
+        if not self._received.finish_reason:
+            return AnswerFault(detail="end mark without a finish reason")
+        self._received.done = True
+        return None
+
+
+def _split_event(event):
+    """Return ``(id, data)`` of an event; ``data`` is ``None`` for a comment."""
+    event_id = b""
+    data = None
+    for line in event.split(b"\n"):
+        if line.startswith(b"data: "):
+            data = line[6:]
+        elif line.startswith(b"id: "):
+            event_id = line[4:]
+    return event_id, data
--- /dev/null
+++ b/wagtailtrestle/standins/faults.py
@@ -0,0 +1,107 @@
+"""Faults a stand-in can be told to show, set over its own HTTP."""
+
+STREAM_KINDS = ("cut", "silent", "cross", "duplicate", "late", "gap")
+CRASH_MODES = ("emulate", "exit")
+
+
+class Faults:
+    """Faults in force; every field has the value of a healthy process by default.
+
+    Parameters
+    ----------
+    poison_marker : str
+        A prompt that holds this text crashes the engine once its prefill is done.
+    crash_mode : str
+        ``exit`` ends the process; ``emulate`` drops every connection, forgets every run
+        and refuses connections for ``down_s``.
+    down_s : float
+        Length of an emulated crash.
+    straggle : float
+        Factor on the length of each step or service time.
+    stream_kind : str
+        What the next ``stream_count`` answers suffer after ``stream_after_tokens`` tokens:
+        ``cut``, ``silent`` (the connection stays open), ``cross`` (another run's id),
+        ``duplicate``, ``late`` (held back ``late_s``) or ``gap`` (a token left out).
+    silent_open : bool
+        Connections that were open when this was set carry nothing more; new ones work.
+    ignore_fencing : bool
+        Accept orders with an old fencing number.
+    reject_status : int
+        Answer the next ``reject_count`` requests with this HTTP status.
+    crash_now : bool
+        Crash at once in the way of ``crash_mode``.
+    refuse_connects_s : float
+        Drop every connection and listen no more for so long; runs go on.
+    """
+
+    __slots__ = (
+        "poison_marker",
+        "crash_mode",
+        "down_s",
+        "straggle",
+        "stream_kind",
+        "stream_after_tokens",
+        "stream_count",
+        "late_s",
+        "silent_open",
+        "ignore_fencing",
+        "reject_status",
+        "reject_count",
+        "crash_now",
+        "refuse_connects_s",
+    )
+
+    def __init__(self):
+        self.poison_marker = ""
+        self.crash_mode = "emulate"
+        self.down_s = 1.0
+        self.straggle = 1.0
+        self.stream_kind = ""
+        self.stream_after_tokens = 0
+        self.stream_count = 0
+        self.late_s = 1.0
+        self.silent_open = False
+        self.ignore_fencing = False
+        self.reject_status = 0
+        self.reject_count = 0
+        self.crash_now = False
+        self.refuse_connects_s = 0.0
+
+    def update(self, values) -> list:
+        """Set the faults named in ``values``; return every problem, and set none if there is one."""
+        problems = [problem for name, value in values.items() if (problem := self._problem(name, value))]
+        if not problems:
+            for name, value in values.items():
+                setattr(self, name, value)
+        return problems
+
+    def take_stream_kind(self) -> str:
+        """Return what the answer that begins now shall suffer."""
+        if self.stream_count <= 0:
+            return ""
+        self.stream_count -= 1
+        return self.stream_kind
+
+    def take_reject_status(self) -> int:
+        """Return the HTTP status to refuse the present request with, or 0."""
+        if self.reject_count <= 0:
+            return 0
+        self.reject_count -= 1
+        return self.reject_status
+
+    def as_dict(self) -> dict:
+        """Return the faults in force as JSON holds them."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+    def _problem(self, name, value) -> str:
+        if name not in self.__slots__:
+            return f"{name}: no such fault; known: {', '.join(self.__slots__)}"
+        present = getattr(self, name)
+        allowed = (int, float) if isinstance(present, int | float) and not isinstance(present, bool) else type(present)
+        if not isinstance(value, allowed) or (isinstance(value, bool) and not isinstance(present, bool)):
+            return f"{name}: {value!r} is not of the kind of {present!r}"
+        if name == "stream_kind" and value not in ("", *STREAM_KINDS):
+            return f"stream_kind: {value!r}; allowed: {', '.join(STREAM_KINDS)}"
+        if name == "crash_mode" and value not in CRASH_MODES:
+            return f"crash_mode: {value!r}; allowed: {', '.join(CRASH_MODES)}"
+        return ""
--- /dev/null
+++ b/wagtailtrestle/standins/orders.py
@@ -0,0 +1,45 @@
+"""Orders the stand-in engine takes, with or without a check of their fencing numbers."""
+
+import threading
+
+LEAVE = "leave"
+STAY = "stay"
+
+
+class Orders:
+    """Orders taken so far, and whether the engine is leaving.
+
+    Parameters
+    ----------
+    checks_fencing : bool
+        Refuse an order whose fencing number is lower than one already seen.
+    """
+
+    __slots__ = ("leaving", "_checks_fencing", "_highest", "_taken", "_lock")
+
+    def __init__(self, *, checks_fencing):
+        self.leaving = False
+        self._checks_fencing = checks_fencing
+        self._highest = 0
+        self._taken = []
+        self._lock = threading.Lock()
+
+    def take(self, order, *, ignore_fencing):
+        """Take or refuse an order: HTTP status and answer."""
+        fencing = order.get("fencing")
+        kind = order.get("order")
+        if not isinstance(fencing, int) or not isinstance(kind, str):
+            return 400, {"error": "an order needs a whole fencing number and a text in 'order'"}
+        with self._lock:
+            if fencing < self._highest and self._checks_fencing and not ignore_fencing:
+                return 409, {"highest": self._highest}
+            self._highest = max(self._highest, fencing)
+            self._taken.append(order)
+            if kind in (LEAVE, STAY):
+                self.leaving = kind == LEAVE
+        return 200, {"highest": self._highest}
+
+    def as_dict(self) -> dict:
+        """Return what was taken, for a dump."""
+        with self._lock:
+            return {"leaving": self.leaving, "highest": self._highest, "taken": list(self._taken)}
--- /dev/null
+++ b/wagtailtrestle/standins/record.py
@@ -0,0 +1,81 @@
+"""The engine's own record of what truly ran, kept through an emulated crash."""
+
+import threading
+
+
+class RunRecord:
+    """What one run came to on this engine."""
+
+    __slots__ = (
+        "caller_request_id",
+        "starts",
+        "finished",
+        "cancelled",
+        "prefill_tokens",
+        "cached_tokens",
+        "output_tokens",
+    )
+
+    def __init__(self, *, caller_request_id):
+        self.caller_request_id = caller_request_id
+        self.starts = 0
+        self.finished = 0
+        self.cancelled = 0
+        self.prefill_tokens = 0
+        self.cached_tokens = 0
+        self.output_tokens = 0
+
+    def as_dict(self) -> dict:
+        """Return the record as JSON holds it."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
+COUNTED = tuple(name for name in RunRecord.__slots__ if name != "caller_request_id")
+
+
+class Record:
+    """Records of runs by run id, shared by the threads of a stand-in."""
+
+    __slots__ = ("_by_run_id", "_lock")
+
+    def __init__(self):
+        self._by_run_id = {}
+        self._lock = threading.Lock()
+
+    def started(self, *, run_id, caller_request_id):
+        """Count a start; a second one under the same id is a repeated dispatch."""
+        with self._lock:
+            record = self._by_run_id.get(run_id)
+            if record is None:
+                record = self._by_run_id[run_id] = RunRecord(caller_request_id=caller_request_id)
+            record.starts += 1
+
+    def finished(self, *, run_id):
+        """Count an end with a whole answer."""
+        with self._lock:
+            self._by_run_id[run_id].finished += 1
+
+    def cancelled(self, *, run_id):
+        """Count an end by cancellation."""
+        with self._lock:
+            self._by_run_id[run_id].cancelled += 1
+
+    def computed(self, *, run_id, prefill_tokens, cached_tokens, output_tokens):
+        """Set the work done for a run so far."""
+        with self._lock:
+            record = self._by_run_id[run_id]
+            record.prefill_tokens = prefill_tokens
+            record.cached_tokens = cached_tokens
+            record.output_tokens = output_tokens
+
+    def as_dict(self) -> dict:
+        """Return every run, the totals, and the counts by the caller's request id."""
+        with self._lock:
+            runs = {run_id: record.as_dict() for run_id, record in self._by_run_id.items()}
+        totals = {name: sum(run[name] for run in runs.values()) for name in COUNTED}
+        starts_by_caller_request_id = {}
+        for run in runs.values():
+            key = run["caller_request_id"]
+            if key:
+                starts_by_caller_request_id[key] = starts_by_caller_request_id.get(key, 0) + run["starts"]
+        return {"runs": runs, "totals": totals, "starts_by_caller_request_id": starts_by_caller_request_id}
