--- /dev/null
+++ b/wagtailtrestle/admission.py
@@ -0,0 +1,198 @@
+"""Predicted finish against the deadline: what cannot make it is refused at once.
+
+Work is counted in engine-seconds: the share of one full engine's time that a run uses
+up. A cell of ``n`` healthy engines serves ``n`` engine-seconds a second, whatever the mix.
+"""
+
+import math
+import zlib
+
+from wagtailtrestle.grants import WaitingRequest
+from wagtailtrestle.outcomes import Reason
+
+FINISH_MARGIN = 1.1
+"""A finish is promised only if it would still hold this much later than predicted."""
+
+COLD_TOLERANCE = 3.0
+"""How many times too late a prediction without any measurement may be and still be tried."""
+
+TRUSTED_CONFIDENCE = 0.5
+"""Mean confidence of the engines' models above which a predicted wait refuses."""
+
+RATE_WINDOW_S = 5.0
+"""Time over which the arrival of work is averaged."""
+
+LEAST_SERVICE_SHARE = 0.05
+"""Least share of the cell assumed to be left for a tier by those above it."""
+
+LEAST_RETRY_AFTER_S = 1.0
+
+RETRY_SPREAD = 0.25
+"""Retry-After is longer by up to this share, so that callers refused together don't return together."""
+
+MAX_ASKS = 5
+"""Asks after which a request that was preempted again and again is refused for good."""
+
+
+class ArrivalRates:
+    """Engine-seconds of admitted work arriving per second, by tier, over a fading window."""
+
+    __slots__ = ("_clock", "_rate_by_tier", "_at_by_tier")
+
+    def __init__(self, *, clock):
+        self._clock = clock
+        self._rate_by_tier = {}
+        self._at_by_tier = {}
+
+    def note(self, tier, work_s):
+        """Count admitted work."""
+        self._rate_by_tier[tier] = self.rate(tier) + work_s / RATE_WINDOW_S
+        self._at_by_tier[tier] = self._clock()
+
+    def rate(self, tier):
+        """Present rate of one tier."""
+        elapsed_s = self._clock() - self._at_by_tier.get(tier, 0.0)
+        return self._rate_by_tier.get(tier, 0.0) * math.exp(-elapsed_s / RATE_WINDOW_S)
+
+    def rate_above(self, tier):
+        """Present rate of all tiers above this one."""
+        return sum(self.rate(other) for other in self._rate_by_tier if other < tier)
+
+
+class Admission:
+    """Judges requests against the engines' models and the queue.
+
+    Parameters
+    ----------
+    clock : callable
+    queue : TierQueue
+    """
+
+    __slots__ = ("_clock", "_queue", "_rates", "_engines")
+
+    def __init__(self, *, clock, queue):
+        self._clock = clock
+        self._queue = queue
+        self._rates = ArrivalRates(clock=clock)
+        self._engines = ()
+
+    def set_engines(self, engines):
+        """Judge by these engines from now on."""
+        self._engines = tuple(engines)
+
+    def waiting(self, request, *, arrived_at=None):
+        """Build the queue's view of a request, with its predicted work."""
+        now = self._clock()
+        return WaitingRequest(
+            request=request,
+            arrived_at=now if arrived_at is None else arrived_at,
+            deadline=now + request.remaining_s,
+            work_s=self._work_s(request),
+            shortest_run_s=min((run_s(request, engine, 1, 0) for engine in self._engines), default=0.0),
+        )
+
+    def admit(self, waiting: WaitingRequest):
+        """Count an admitted request's work as demand of its tier."""
+        self._rates.note(waiting.request.tier, waiting.work_s)
+
+    def refusal(self, waiting: WaitingRequest):
+        """Reason to refuse an arriving request, or ``None`` to let it wait or run.
+
+        A higher tier is refused for load only once nothing lower waits and no lower
+        repeatable run is left to be preempted; until then it stays, ahead of them.
+        """
+        request = waiting.request
+        possible = [engine for engine in self._engines if not engine.leaving]
+        possible = [engine for engine in possible if engine.name not in request.excluded_engines]
+        if not possible:
+            return Reason.NO_ENGINE
+        if not any(self.could_finish(waiting, engine) for engine in possible):
+            return Reason.DEADLINE_UNREACHABLE
+        if self._places_free() and not len(self._queue):
+            return None
+        if request.attempt > MAX_ASKS and request.done_tokens:
+            return Reason.PREEMPTED
+        if self._holds_lower(request.tier) or not self._models_trusted():
+            return None
+        full_s = min(run_s(request, engine, max(1, engine.limit), 0) for engine in possible)
+        if self.wait_s(waiting) + full_s > waiting.deadline - self._clock():
+            return Reason.OVERLOADED
+        return None
+
+    def could_finish(self, waiting: WaitingRequest, engine):
+        """Whether the engine could finish it if all that may be preempted for it were gone."""
+        held = [grant for grant in engine.grants_by_request_id.values() if not _yields(grant, waiting.request.tier)]
+        predicted_s = run_s(waiting.request, engine, len(held) + 1, 0)
+        return predicted_s <= tolerance(engine) * (waiting.deadline - self._clock())
+
+    def can_finish_now(self, waiting: WaitingRequest, engine):
+        """Whether the engine would finish it in time if it were granted there now."""
+        concurrency = min(max(1, engine.limit), engine.running + 1 + len(self._queue))
+        predicted_s = run_s(waiting.request, engine, concurrency, engine.pending_prefill_tokens)
+        return FINISH_MARGIN * predicted_s <= tolerance(engine) * (waiting.deadline - self._clock())
+
+    def wait_s(self, waiting: WaitingRequest):
+        """Predicted wait: the work ahead over what the tiers above leave of the cell."""
+        return self._queue.work_ahead_s(waiting) / self._service_rate(waiting.request.tier)
+
+    def retry_after_s(self, request):
+        """Time until what waits now in this tier and above would be served."""
+        ahead = sum(work for tier, work in self._queue.work_by_tier().items() if tier <= request.tier)
+        wait_s = max(LEAST_RETRY_AFTER_S, ahead / self._service_rate(request.tier))
+        spread = zlib.crc32(request.request_id.encode()) / 2**32
+        return wait_s * (1.0 + RETRY_SPREAD * spread)
+
+    def _work_s(self, request):
+        costs = []
+        for engine in self._engines:
+            limit = max(1, engine.limit)
+            decode_s = request.output_tokens * engine.model.step_s(limit) / limit
+            costs.append(engine.model.prefill_s(uncached_tokens(request, engine)) + decode_s)
+        return sum(costs) / len(costs) if costs else 0.0
+
+    def _service_rate(self, tier):
+        capacity = sum(engine.health_share for engine in self._engines if engine.limit)
+        left = capacity - self._rates.rate_above(tier)
+        return max(left, LEAST_SERVICE_SHARE * max(1.0, capacity))
+
+    def _places_free(self):
+        return any(engine.available for engine in self._engines)
+
+    def _holds_lower(self, tier):
+        if any(rank > tier for rank in self._queue.waiting_by_tier()):
+            return True
+        return any(_yields(grant, tier) for engine in self._engines for grant in engine.grants_by_request_id.values())
+
+    def _models_trusted(self):
+        confidences = [engine.model.confidence() for engine in self._engines]
+        return sum(confidences) >= TRUSTED_CONFIDENCE * len(confidences)
+
+
+def uncached_tokens(request, engine):
+    """Tokens the engine would prefill for the request."""
+    total = request.prompt_tokens + request.done_tokens
+    return max(1, total - engine.cache.cached_tokens(request.prefix_blocks))
+
+
+def run_s(request, engine, concurrency, pending_prefill_tokens):
+    """Predicted seconds from dispatch to the last token."""
+    return engine.model.predict_finish_s(
+        uncached_tokens=uncached_tokens(request, engine),
+        output_tokens=request.output_tokens,
+        concurrency=concurrency,
+        pending_prefill_tokens=pending_prefill_tokens,
+    )
+
+
+def tolerance(engine):
+    """Factor on the time left: above 1 while the engine's model has few measurements.
+
+    A cold model knows only declared figures. Refusing by them would keep the engine
+    cold for ever if they are too pessimistic: every request would be refused, and no
+    run would correct the model.
+    """
+    return 1.0 + (COLD_TOLERANCE - 1.0) * (1.0 - engine.model.confidence())
+
+
+def _yields(grant, tier):
+    return grant.request.tier > tier and grant.request.repeatable
--- a/wagtailtrestle/engine_state.py
+++ b/wagtailtrestle/engine_state.py
@@ -25,6 +25,17 @@
     declared : DeclaredEngine
     clock : callable
         Returns the loop's time in seconds.
+
+    Attributes
+    ----------
+    declared_leaving, marked_leaving : bool
+        Whether the declaration, or the platform's list or a peer, says it is leaving.
+    health_share : float
+        Share of its concurrency that its health allows.
+    unreachable : bool
+        Whether it did not answer when it was last asked for its load.
+    trusted_after : float
+        Reports from before this time show nothing; see :meth:`distrust`.
     """
 
     __slots__ = (
@@ -35,15 +46,19 @@
         "zone",
         "hardware",
         "grants_by_request_id",
-        "leaving",
+        "declared_leaving",
+        "marked_leaving",
         "health_share",
         "unreachable",
-        "places_open",
+        "trusted_after",
         "_clock",
+        "_concurrency_limit",
         "_finishes",
         "_report",
         "_report_at",
         "_phantom",
+        "_unstarted_tokens",
+        "_prefill_until",
     )
 
     def __init__(self, *, declared, clock):
@@ -58,15 +73,19 @@
         self.zone = declared.zone
         self.hardware = declared.hardware
         self.grants_by_request_id = {}
-        self.leaving = declared.leaving
+        self.declared_leaving = declared.leaving
+        self.marked_leaving = False
         self.health_share = 1.0
         self.unreachable = False
-        self.places_open = True
+        self.trusted_after = -math.inf
         self._clock = clock
+        self._concurrency_limit = self.model.concurrency_limit()
         self._finishes = deque()
         self._report = None
         self._report_at = -math.inf
         self._phantom = 0
+        self._unstarted_tokens = 0
+        self._prefill_until = clock()
 
     @property
     def running(self):
@@ -82,8 +101,11 @@
 
     @property
     def pending_prefill_tokens(self):
-        """Prompt tokens still to compute for grants that gave no first token yet."""
-        return sum(grant.prefill_tokens for grant in self.grants_by_request_id.values() if not grant.started)
+        """Prompt tokens the engine has still to compute for what was granted there."""
+        left_s = max(0.0, self._prefill_until - self._clock())
+        if not left_s or not self._unstarted_tokens:
+            return 0
+        return min(self._unstarted_tokens, int(left_s / self.model.prefill_s(1)))
 
     @property
     def reported_running(self):
@@ -95,12 +117,22 @@
         """Age of the last load report; infinite before the first."""
         return self._clock() - self._report_at
 
+    @property
+    def reported(self):
+        """Whether a report shows the engine as it was since it was last distrusted."""
+        return self._report_at >= self.trusted_after
+
+    @property
+    def leaving(self):
+        """Whether anyone said so: the declaration, the list, or the engine itself."""
+        return self.declared_leaving or self.marked_leaving or (self._report is not None and self._report.leaving)
+
     @property
     def limit(self):
-        """Runs that keep it just full; fewer while its health is in doubt."""
+        """Runs that keep it just full; fewer while its health is in doubt, none if it leaves."""
         if self.leaving or self.unreachable:
             return 0
-        return math.ceil(self.model.concurrency_limit() * self.health_share)
+        return math.ceil(self._concurrency_limit * self.health_share)
 
     @property
     def room(self):
@@ -110,44 +142,85 @@
     @property
     def available(self):
         """Whether the policy may choose it."""
-        return self.places_open and self.room > 0
+        return self.room > 0
 
     def add(self, grant: Grant):
         """Count a grant against this engine."""
         self.grants_by_request_id[grant.request_id] = grant
+        if not grant.started:
+            self._unstarted_tokens += grant.prefill_tokens
+            busy_until = max(self._clock(), self._prefill_until)
+            self._prefill_until = busy_until + self.model.prefill_s(grant.prefill_tokens)
+
+    def add_registered(self, grant: Grant):
+        """Count a run an entry registered; a report that showed it no longer shows a phantom."""
+        if grant.granted_at <= self._report_at:
+            self._phantom = max(0, self._phantom - 1)
+        self.add(grant)
+
+    def start(self, grant: Grant):
+        """Note that the grant's run gave its first token."""
+        if not grant.started:
+            grant.started = True
+            self._unstarted_tokens -= grant.prefill_tokens
 
     def end(self, grant: Grant):
         """Free the grant's place."""
-        if self.grants_by_request_id.pop(grant.request_id, None) is not None:
-            self._finishes.append((self._clock(), grant.granted_at))
+        if self.grants_by_request_id.pop(grant.request_id, None) is None:
+            return
+        self._finishes.append((self._clock(), grant.granted_at))
+        if not grant.started:
+            self._unstarted_tokens -= grant.prefill_tokens
+            self._prefill_until -= self.model.prefill_s(grant.prefill_tokens)
+
+    def distrust(self):
+        """Believe no report from before now: this process may have been paused."""
+        self.trusted_after = self._clock()
 
     def report(self, report):
         """Correct the account by a load report, which shows the past.
 
         Only what was granted before the report's time and had not ended by then is set
-        against it: comparing a late report with the present account would count every
-        run that ended since as load, and leave its place empty until the next report.
+        against it. Comparing a late report with the present account would count every run
+        that ended since as load, and leave its place empty until the next report.
+
+        Returns
+        -------
+        list of Grant
+            Orphaned grants that the report shows gone.
         """
         report_at = self._clock() - report.age_s
         if report_at < self._report_at:
-            return
+            return []
         self._report = report
         self._report_at = report_at
-        known = sum(1 for grant in self.grants_by_request_id.values() if grant.granted_at <= report_at)
-        known += sum(1 for ended_at, granted_at in self._finishes if granted_at <= report_at < ended_at)
-        self._phantom = max(0, report.running + report.waiting - known)
-        self.leaving = self.leaving or report.leaving
         self.unreachable = False
         if report.step_s and report.running:
             self.model.observe_report(step_s=report.step_s, running=report.running)
+        unexplained = report.running + report.waiting - self._known_at(report_at)
+        orphans = [grant for grant in self.grants_by_request_id.values() if _is_orphan_at(grant, report_at)]
+        gone = orphans[: max(0, len(orphans) - max(0, unexplained))]
+        self._phantom = max(0, unexplained - len(orphans))
+        return gone
 
     def tick(self):
-        """Forget ended grants that no report can still speak of, and sample concurrency."""
+        """Refresh what is computed seldom, and forget what no report can still speak of."""
+        self._concurrency_limit = self.model.concurrency_limit()
         horizon = self._clock() - FINISHES_KEPT_S
         while self._finishes and self._finishes[0][0] < horizon:
             self._finishes.popleft()
+        running = self.running
         for grant in self.grants_by_request_id.values():
-            grant.sample_concurrency(self.running)
+            grant.sample_concurrency(running)
+
+    def remaining_s(self, grant: Grant):
+        """Predicted seconds until the grant's run ends by itself."""
+        step_s = self.model.step_s(self.running)
+        since_progress_s = self._clock() - grant.progress_at
+        decode_s = grant.remaining_tokens * step_s
+        if not grant.started:
+            decode_s += self.model.prefill_s(grant.prefill_tokens)
+        return max(step_s, decode_s - since_progress_s)
 
     def dump(self):
         """Return a plain view for the state dump."""
@@ -163,3 +236,14 @@
             "health_share": self.health_share,
             "model": self.model.dump(),
         }
+
+    def _known_at(self, at):
+        """Runs of live entries that the engine held at that time, by this account."""
+        known = sum(
+            1 for grant in self.grants_by_request_id.values() if grant.granted_at <= at and not _is_orphan_at(grant, at)
+        )
+        return known + sum(1 for ended_at, granted_at in self._finishes if granted_at <= at < ended_at)
+
+
+def _is_orphan_at(grant, at):
+    return grant.orphaned_at is not None and grant.orphaned_at <= at
--- a/wagtailtrestle/grants.py
+++ b/wagtailtrestle/grants.py
@@ -1,7 +1,12 @@
 """What a steward holds for one request: its wait in the queue, then its grant."""
 
+from collections import OrderedDict
+
 from wagtailtrestle.messages import GrantRequest
 
+ENDED_KEPT = 8192
+"""Settled asks remembered: tens of seconds at the rates of one cell."""
+
 
 class WaitingRequest:
     """A request that waits for a place.
@@ -17,7 +22,7 @@
         Time the run would take on the best engine with nothing else on it.
     """
 
-    __slots__ = ("request", "arrived_at", "deadline", "work_s", "shortest_run_s")
+    __slots__ = ("request", "arrived_at", "deadline", "work_s", "shortest_run_s", "tried_engines")
 
     def __init__(self, *, request: GrantRequest, arrived_at, deadline, work_s, shortest_run_s):
         self.request = request
@@ -25,6 +30,12 @@
         self.deadline = deadline
         self.work_s = work_s
         self.shortest_run_s = shortest_run_s
+        self.tried_engines = frozenset()
+
+    @property
+    def request_id(self):
+        """Identity of the request."""
+        return self.request.request_id
 
     @property
     def latest_start(self):
@@ -43,6 +54,17 @@
         Times on the steward's clock.
     prefill_tokens : int
         Tokens the engine is expected to prefill for it (not in its cache).
+
+    Attributes
+    ----------
+    started : bool
+        Whether the first token came.
+    progress_at : float
+        When ``output_tokens`` was last told.
+    preempted_at : float or None
+        When its place was taken back; the run is still to end.
+    orphaned_at : float or None
+        When its entry left the view; the engine may still run it.
     """
 
     __slots__ = (
@@ -55,9 +77,9 @@
         "output_tokens",
         "progress_at",
         "preempted_at",
-        "preempted_for_tier",
-        "concurrency_sum",
-        "concurrency_samples",
+        "orphaned_at",
+        "_concurrency_sum",
+        "_concurrency_samples",
     )
 
     def __init__(self, *, request: GrantRequest, engine, granted_at, deadline, prefill_tokens):
@@ -70,9 +92,9 @@
         self.output_tokens = 0
         self.progress_at = granted_at
         self.preempted_at = None
-        self.preempted_for_tier = None
-        self.concurrency_sum = 0
-        self.concurrency_samples = 0
+        self.orphaned_at = None
+        self._concurrency_sum = 0
+        self._concurrency_samples = 0
 
     @property
     def request_id(self):
@@ -84,21 +106,38 @@
         """Expected tokens still to generate."""
         return max(1, self.request.output_tokens - self.output_tokens)
 
-    @property
-    def discarded_prefill_tokens(self):
-        """Tokens that a run resumed elsewhere would prefill once more."""
-        if not self.started:
-            return 0
-        return self.request.prompt_tokens + self.request.done_tokens + self.output_tokens
-
     def sample_concurrency(self, running):
         """Note how many runs shared the engine, for the engine's model."""
-        self.concurrency_sum += running
-        self.concurrency_samples += 1
+        self._concurrency_sum += running
+        self._concurrency_samples += 1
 
     @property
     def mean_concurrency(self):
         """Mean number of runs on the engine during this one, itself included."""
-        if not self.concurrency_samples:
+        if not self._concurrency_samples:
             return 1.0
-        return max(1.0, self.concurrency_sum / self.concurrency_samples)
+        return max(1.0, self._concurrency_sum / self._concurrency_samples)
+
+
+class EndedAsks:
+    """The last asks that were settled, so that a late copy of one is recognised.
+
+    A copy that comes after its request was served would wait, be granted, and hold a
+    place for a run that never comes. Attempts only grow, so the last one is enough.
+    """
+
+    __slots__ = ("_attempt_by_request_id",)
+
+    def __init__(self):
+        self._attempt_by_request_id = OrderedDict()
+
+    def note(self, request: GrantRequest):
+        """Remember that this ask is settled."""
+        self._attempt_by_request_id[request.request_id] = request.attempt
+        self._attempt_by_request_id.move_to_end(request.request_id)
+        while len(self._attempt_by_request_id) > ENDED_KEPT:
+            self._attempt_by_request_id.popitem(last=False)
+
+    def holds(self, request: GrantRequest):
+        """Whether this ask, or a later one of the same request, is settled."""
+        return request.attempt <= self._attempt_by_request_id.get(request.request_id, 0)
--- /dev/null
+++ b/wagtailtrestle/poison.py
@@ -0,0 +1,240 @@
+"""Requests that crash the engines that run them, told from those that die beside them.
+
+A request is known by its fingerprint, the SHA-256 of its body's digest, so that it is
+recognised when its caller sends it again through another router. Each crash of an
+engine is an incident; whatever ran there is a suspect, and one of them is to blame. Blame
+for an incident goes to the suspects that were in the most incidents, in equal parts: an
+innocent request that died beside the poisoned one once or twice is cleared as soon as
+the poisoned one dies without it. Suspects are to be run alone, which makes that quick.
+"""
+
+import hashlib
+import secrets
+from collections import OrderedDict
+from dataclasses import dataclass
+
+CRASH_LIMIT = 3
+"""Blame at which a fingerprint is refused: whole crashes that only it explains."""
+
+CRASH_WINDOW_S = 600.0
+"""How long a crash is held against what ran there."""
+
+SAME_CRASH_S = 2.0
+"""Reports of one engine by different routers within this time speak of one crash."""
+
+CUTS_OF_A_CRASH = 2
+"""Runs of one engine cut within the window that make a crash rather than a broken connection."""
+
+CUT_WINDOW_S = 0.5
+
+RESTART_WINDOW_S = 5.0
+"""A run lost, or a connection refused, this soon after a cut shows that the engine went down."""
+
+
+def fingerprint_of(body_digest: str) -> str:
+    """Name of a request body by which crashes are counted; the body can't be read from it."""
+    return hashlib.sha256(body_digest.encode()).hexdigest()
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class CrashReport:
+    """One router's word on one crash, for all other routers.
+
+    Parameters
+    ----------
+    incident : str
+        Unique for ever; merging the same incident twice changes nothing.
+    suspects : tuple of str
+        Fingerprints of what the reporting router ran on the engine.
+    age_s : float
+        Time since the crash.
+    """
+
+    engine: str
+    incident: str
+    suspects: tuple
+    age_s: float = 0.0
+
+
+class _Incident:
+    """One crash: when, of which engine, as told by whom, and who ran there."""
+
+    __slots__ = ("engine", "at", "ids", "suspects")
+
+    def __init__(self, *, engine, at):
+        self.engine = engine
+        self.at = at
+        self.ids = {}
+        self.suspects = set()
+
+
+class CrashBook:
+    """Crashes of engines and who is to blame for them.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns the loop's time in seconds.
+    limit : int
+        Crashes after which a request is refused.
+    window_s : float
+        How long a crash counts.
+    reporter : str
+        Name of this router, part of its incidents' ids; made up if left out.
+    """
+
+    __slots__ = ("_clock", "_limit", "_window_s", "_reporter", "_count", "_incidents", "_blame_by_fingerprint")
+
+    def __init__(self, *, clock, limit=CRASH_LIMIT, window_s=CRASH_WINDOW_S, reporter=""):
+        self._clock = clock
+        self._limit = limit
+        self._window_s = window_s
+        self._reporter = f"{reporter}/{secrets.token_hex(4)}"
+        self._count = 0
+        self._incidents = []
+        self._blame_by_fingerprint = {}
+
+    def note_crash(self, engine, by_fingerprint_running) -> CrashReport:
+        """Count a crash seen here; ``by_fingerprint_running`` holds what this router ran there."""
+        self._count += 1
+        report = CrashReport(
+            engine=engine,
+            incident=f"{self._reporter}/{self._count}",
+            suspects=tuple(sorted(by_fingerprint_running)),
+        )
+        self.merge(report)
+        return report
+
+    def merge(self, report: CrashReport):
+        """Take in a crash seen by any router; twice the same incident is one."""
+        self._forget_old()
+        incident = self._incident_of(report)
+        known = incident.ids.setdefault(report.incident, set())
+        incident.suspects |= set(report.suspects) - known
+        known |= set(report.suspects)
+        self._assign_blame()
+
+    def note_success(self, fingerprint):
+        """Clear a request that ran whole: it does not crash what runs it."""
+        suspected = [incident for incident in self._incidents if fingerprint in incident.suspects]
+        for incident in suspected:
+            incident.suspects.discard(fingerprint)
+        if suspected:
+            self._assign_blame()
+
+    def is_suspect(self, fingerprint) -> bool:
+        """Whether it ran in a crash that is not explained; it is to run beside no other."""
+        self._forget_old()
+        return fingerprint in self._blame_by_fingerprint and not self.blocked(fingerprint)
+
+    def blocked(self, fingerprint) -> bool:
+        """Whether it is to blame for so many crashes that no engine may run it."""
+        self._forget_old()
+        return self._blame_by_fingerprint.get(fingerprint, 0.0) >= self._limit
+
+    def reports(self):
+        """Everything known, for a router that starts or was cut off."""
+        now = self._clock()
+        return tuple(
+            CrashReport(
+                engine=incident.engine,
+                incident=incident_id,
+                suspects=tuple(sorted(suspects & incident.suspects)),
+                age_s=now - incident.at,
+            )
+            for incident in self._incidents
+            for incident_id, suspects in incident.ids.items()
+        )
+
+    def dump(self):
+        """Return a plain view for the state dump."""
+        return {"incidents": len(self._incidents), "blame": dict(self._blame_by_fingerprint)}
+
+    def _incident_of(self, report):
+        at = self._clock() - report.age_s
+        for incident in self._incidents:
+            if report.incident in incident.ids:
+                return incident
+        for incident in self._incidents:
+            if self._is_same_crash(incident, report, at):
+                return incident
+        incident = _Incident(engine=report.engine, at=at)
+        self._incidents.append(incident)
+        return incident
+
+    def _is_same_crash(self, incident, report, at):
+        # Each router reports a crash by itself. Counted apart, one crash seen by three
+        # routers would look like three, and block a request that ran once.
+        reporter = report.incident.rpartition("/")[0]
+        told = any(known.rpartition("/")[0] == reporter for known in incident.ids)
+        return incident.engine == report.engine and abs(incident.at - at) <= SAME_CRASH_S and not told
+
+    def _assign_blame(self):
+        count_by_fingerprint = {}
+        for incident in self._incidents:
+            for fingerprint in incident.suspects:
+                count_by_fingerprint[fingerprint] = count_by_fingerprint.get(fingerprint, 0) + 1
+        blame = dict.fromkeys(count_by_fingerprint, 0.0)
+        for incident in self._incidents:
+            most = max((count_by_fingerprint[fingerprint] for fingerprint in incident.suspects), default=0)
+            guilty = [name for name in incident.suspects if count_by_fingerprint[name] == most]
+            for fingerprint in guilty:
+                blame[fingerprint] += 1.0 / len(guilty)
+        self._blame_by_fingerprint = blame
+
+    def _forget_old(self):
+        horizon = self._clock() - self._window_s
+        kept = [incident for incident in self._incidents if incident.at >= horizon]
+        if len(kept) != len(self._incidents):
+            self._incidents = kept
+            self._assign_blame()
+
+
+class CrashDetector:
+    """Tells an engine's crash from a mere cut connection, by what one router sees.
+
+    Parameters
+    ----------
+    clock : callable
+    """
+
+    __slots__ = ("_clock", "_cuts_by_engine", "_crashed_at_by_engine")
+
+    def __init__(self, *, clock):
+        self._clock = clock
+        self._cuts_by_engine = {}
+        self._crashed_at_by_engine = {}
+
+    def on_cut(self, engine, fingerprint):
+        """Note a run that ended without its whole answer; see :meth:`on_gone`.
+
+        Returns
+        -------
+        set of str
+            Fingerprints to report as one crash; empty if it may be a broken connection.
+        """
+        self._cuts(engine)[fingerprint] = self._clock()
+        recent = self._since(engine, CUT_WINDOW_S)
+        return self._crash(engine, recent) if len(recent) >= CUTS_OF_A_CRASH else set()
+
+    def on_gone(self, engine, fingerprint=None):
+        """Note that the engine does not know a run, or refuses connections.
+
+        After a cut this shows that the engine went down; without one it shows nothing
+        about what ran there.
+        """
+        if fingerprint is not None:
+            self._cuts(engine)[fingerprint] = self._clock()
+        return self._crash(engine, self._since(engine, RESTART_WINDOW_S))
+
+    def _cuts(self, engine):
+        return self._cuts_by_engine.setdefault(engine, OrderedDict())
+
+    def _since(self, engine, window_s):
+        horizon = self._clock() - window_s
+        return {fingerprint for fingerprint, at in self._cuts(engine).items() if at >= horizon}
+
+    def _crash(self, engine, suspects):
+        if suspects:
+            self._cuts_by_engine.pop(engine, None)
+        return suspects
--- a/wagtailtrestle/steward.py
+++ b/wagtailtrestle/steward.py
@@ -5,12 +5,16 @@
 can't make a request run twice.
 """
 
+from dataclasses import dataclass
+
+from wagtailtrestle.admission import Admission
 from wagtailtrestle.engine_health import EngineHealth
 from wagtailtrestle.engine_state import EngineState
-from wagtailtrestle.grants import Grant, WaitingRequest
+from wagtailtrestle.grants import EndedAsks, Grant
 from wagtailtrestle.messages import (
     Granted,
     GrantRequest,
+    Preempt,
     Refused,
     Register,
     RunFinished,
@@ -18,7 +22,9 @@
     RunStarted,
     Withdraw,
 )
-from wagtailtrestle.outcomes import Reason
+from wagtailtrestle.outcomes import Reason, RunDone, RunLost
+from wagtailtrestle.preemption import LOOK_AHEAD, PreemptionPlanner
+from wagtailtrestle.registration import Registration
 from wagtailtrestle.tier_queue import TierQueue
 
 PROGRESS_FLOOR_S = 1.0
@@ -30,8 +36,35 @@
 SILENCE_FACTOR = 8.0
 """How many times the predicted time a run may stay silent before it is given up."""
 
-MAX_SET_ASIDE = 64
-"""Requests passed over in one round because no engine with room suits them."""
+CHUNK_TOKENS = 1024
+"""Prompt tokens of other runs that an engine may prefill between two tokens of one."""
+
+TRIES_IN_A_ROW = 128
+"""Waiting requests tried in one round, so that no message costs unbounded time."""
+
+UNPARK_IN_A_ROW = 32
+"""Parked requests tried again at each tick, as predictions change with time."""
+
+GRANT_GRACE_S = 5.0
+"""Time after a run's deadline at which its place is free even if nobody said so."""
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class CellDigest:
+    """Summary of a cell by which entries choose between cells.
+
+    Parameters
+    ----------
+    free : int
+        Places free now.
+    waiting_by_tier : dict of int to int
+    lowest_tier : int or None
+        Rank of the lowest tier that waits or runs here.
+    """
+
+    free: int
+    waiting_by_tier: dict
+    lowest_tier: int | None
 
 
 class Steward:
@@ -54,11 +87,14 @@
         "_policy",
         "_clock",
         "_entries",
-        "_prefill_weight",
         "_engines_by_name",
         "_health",
         "_queue",
+        "_admission",
+        "_planner",
+        "_registration",
         "_grants_by_request_id",
+        "_ended",
         "_members",
         "_granting",
         "_handlers_by_type",
@@ -69,11 +105,14 @@
         self._policy = policy
         self._clock = clock
         self._entries = entries
-        self._prefill_weight = prefill_weight
         self._engines_by_name = {}
         self._health = EngineHealth()
         self._queue = TierQueue()
+        self._admission = Admission(clock=clock, queue=self._queue)
+        self._planner = PreemptionPlanner(clock=clock, prefill_weight=prefill_weight)
+        self._registration = Registration(clock=clock)
         self._grants_by_request_id = {}
+        self._ended = EndedAsks()
         self._members = frozenset()
         self._granting = True
         self._handlers_by_type = {
@@ -85,15 +124,22 @@
             Register: self._on_register,
         }
 
+    # What is declared and seen.
+
     def set_engines(self, by_name):
         """Put the declared engines of this cell in force; what is known of kept ones stays."""
         kept = {}
         for name, declared in by_name.items():
-            state = self._engines_by_name.get(name) or EngineState(declared=declared, clock=self._clock)
-            state.leaving = declared.leaving
+            state = self._engines_by_name.get(name)
+            if state is None:
+                state = EngineState(declared=declared, clock=self._clock)
+                if self._registration.cautious:
+                    state.distrust()
+            state.declared_leaving = declared.leaving
             kept[name] = state
         self._engines_by_name = kept
         self._health.set_engines(kept)
+        self._admission.set_engines(kept.values())
         self._grant_ready()
 
     def set_teams(self, share_by_name):
@@ -101,20 +147,29 @@
         self._queue.set_shares(share_by_name)
 
     def set_members(self, entries):
-        """Take in the live view of routers."""
+        """Take in the live view of routers; what those that left hold is let go."""
+        gone = self._members - frozenset(entries)
         self._members = frozenset(entries)
-
-    def receive(self, message):
-        """Act on one message of an entry."""
-        self._handlers_by_type[type(message)](message)
+        self._registration.set_members(self._members)
+        if self._registration.cautious:
+            self._distrust_engines()
+        for entry in gone:
+            self._drop_entry(entry)
         self._grant_ready()
 
+    @property
+    def awaited_entries(self):
+        """Members whose registration is awaited; whoever can ask them to register may do so."""
+        return self._registration.awaited if self._registration.cautious else frozenset()
+
     def on_load_report(self, report):
         """Correct an engine's account by its own report."""
         engine = self._engines_by_name.get(report.engine)
-        if engine is not None:
-            engine.report(report)
-            self._grant_ready()
+        if engine is None:
+            return
+        for grant in engine.report(report):
+            self._end(grant)
+        self._grant_ready()
 
     def on_unreachable(self, engine):
         """Grant nothing on an engine that does not answer, until it reports again."""
@@ -122,35 +177,49 @@
         if state is not None:
             state.unreachable = True
 
-    def mark_leaving(self, engine):
-        """Grant nothing more on this engine."""
+    def mark_leaving(self, engine, leaving=True):
+        """Grant nothing more on this engine, or again if the platform's list takes it back."""
         state = self._engines_by_name.get(engine)
         if state is not None:
-            state.leaving = True
+            state.marked_leaving = leaving
+
+    def stop_granting(self):
+        """Grant nothing more: the router is draining and another will be steward."""
+        self._granting = False
+
+    # What drives it.
+
+    def receive(self, message):
+        """Act on one message of an entry."""
+        self._notice_pause()
+        self._handlers_by_type[type(message)](message)
+        self._grant_ready()
 
     def tick(self):
-        """Sweep deadlines and grant what has become possible; about every 50 ms."""
+        """Sweep deadlines, preempt, and grant what has become possible; about every 50 ms."""
+        self._notice_pause()
         now = self._clock()
         for engine in self._engines_by_name.values():
             engine.health_share = self._health.share(engine.name, now)
             engine.tick()
         for waiting in self._queue.pop_expired(now):
-            self._refuse(waiting.request, Reason.DEADLINE_UNREACHABLE)
+            self._refuse(waiting.request, Reason.OVERLOADED)
+        self._sweep_grants(now)
+        self._queue.unpark_some(UNPARK_IN_A_ROW)
         self._grant_ready()
+        self._preempt()
 
-    def stop_granting(self):
-        """Grant nothing more: the router is draining and another will be steward."""
-        self._granting = False
+    # What is told.
 
     def digest(self):
         """Summary by which entries choose between cells."""
         waiting_by_tier = self._queue.waiting_by_tier()
         tiers = [grant.request.tier for grant in self._grants_by_request_id.values()] + list(waiting_by_tier)
-        return {
-            "free": sum(engine.room for engine in self._engines_by_name.values()),
-            "waiting_by_tier": waiting_by_tier,
-            "lowest_tier_held": max(tiers, default=None),
-        }
+        return CellDigest(
+            free=sum(engine.room for engine in self._engines_by_name.values()),
+            waiting_by_tier=waiting_by_tier,
+            lowest_tier=max(tiers, default=None),
+        )
 
     def dump(self):
         """Return a plain view of everything held, for the state dump."""
@@ -158,39 +227,46 @@
             "cell": self.cell,
             "granting": self._granting,
             "members": sorted(self._members),
+            "awaited": sorted(self.awaited_entries),
             "waiting_by_tier": self._queue.waiting_by_tier(),
+            "work_by_tier": {tier: round(work, 3) for tier, work in self._queue.work_by_tier().items()},
             "running": {request_id: grant.engine for request_id, grant in self._grants_by_request_id.items()},
             "engines": {name: engine.dump() for name, engine in self._engines_by_name.items()},
         }
 
+    # Messages of entries.
+
     def _on_grant_request(self, request):
-        request_id = request.request_id
-        grant = self._grants_by_request_id.get(request_id)
+        grant = self._grants_by_request_id.get(request.request_id)
+        if grant is not None and request.attempt == grant.request.attempt:
+            self._tell_granted(grant)
+            return
+        waiting = self._queue.waiting_by_request_id.get(request.request_id)
+        if waiting is not None and request.attempt <= waiting.request.attempt:
+            return
+        if self._ended.holds(request) or (grant is not None and request.attempt < grant.request.attempt):
+            return
         if grant is not None:
-            if request.attempt <= grant.request.attempt:
-                return
             self._end(grant)
-        waiting = self._queue.waiting_by_request_id.get(request_id)
-        if waiting is not None:
-            if request.attempt <= waiting.request.attempt:
-                return
-            self._queue.remove(request_id)
-        self._enqueue(request)
+        self._queue.remove(request.request_id)
+        self._consider(request)
 
     def _on_withdraw(self, message):
-        self._queue.remove(message.request_id)
+        waiting = self._queue.remove(message.request_id)
+        if waiting is not None:
+            self._ended.note(waiting.request)
         grant = self._grants_by_request_id.get(message.request_id)
         if grant is not None:
             self._end(grant)
 
     def _on_run_started(self, message):
         grant = self._grants_by_request_id.get(message.request_id)
-        if grant is None or grant.engine != message.engine:
+        engine = self._engines_by_name.get(message.engine)
+        if grant is None or engine is None or grant.engine != message.engine:
             return
-        grant.started = True
-        grant.progress_at = self._clock()
-        engine = self._engines_by_name.get(grant.engine)
-        if engine is not None:
+        if not grant.started:
+            engine.start(grant)
+            grant.progress_at = self._clock()
             engine.model.observe_first_token(
                 first_token_s=message.first_token_s,
                 uncached_tokens=message.prompt_tokens - message.cached_tokens,
@@ -207,99 +283,118 @@
         grant = self._grants_by_request_id.get(message.request_id)
         if grant is None or grant.engine != message.engine:
             return
-        self._health.on_outcome(message.engine, message.result, self._clock())
         engine = self._engines_by_name.get(grant.engine)
-        if engine is not None and message.result == "RunDone" and message.output_tokens:
-            engine.model.observe_finish(
-                output_tokens=message.output_tokens,
-                decode_s=message.duration_s - message.first_token_s,
-                mean_concurrency=grant.mean_concurrency,
-            )
+        # A place given back unused, told by no duration, says nothing about the engine.
+        if message.duration_s > 0.0 and engine is not None:
+            self._health.on_outcome(message.engine, message.result, self._clock())
+            self._learn(message, grant, engine)
         self._end(grant)
 
+    def _learn(self, message, grant, engine):
+        if message.result == RunLost.__name__:
+            engine.cache.clear()
+        if message.result != RunDone.__name__:
+            return
+        tokens = message.output_tokens or grant.request.output_tokens
+        decode_s = message.duration_s - (message.first_token_s if message.output_tokens else 0.0)
+        concurrency = grant.mean_concurrency
+        expected_s = tokens * engine.model.step_s(concurrency)
+        self._health.on_progress_rate(engine.name, decode_s / expected_s, self._clock())
+        engine.model.observe_finish(output_tokens=tokens, decode_s=decode_s, mean_concurrency=concurrency)
+
     def _on_register(self, message):
-        for waiting in list(self._queue.waiting_by_request_id.values()):
-            if waiting.request.entry == message.entry:
-                self._queue.remove(waiting.request.request_id)
-        for grant in list(self._grants_by_request_id.values()):
-            if grant.request.entry == message.entry:
+        self._registration.registered(message.entry)
+        running_by_id = {record.request.request_id: record for record in message.running}
+        asked_by_id = {request.request_id: request for request in message.waiting}
+        for grant in self._grants_of(message.entry):
+            asked = asked_by_id.get(grant.request_id)
+            in_flight = asked is not None and asked.attempt == grant.request.attempt
+            record = running_by_id.get(grant.request_id)
+            held = record is not None and record.engine == grant.engine
+            if not in_flight and not held:
                 self._end(grant)
+        for waiting in self._waiting_of(message.entry):
+            if waiting.request_id not in asked_by_id:
+                self._queue.remove(waiting.request_id)
         for record in message.running:
-            self._add_grant(
-                record.request, record.engine, elapsed_s=record.elapsed_s
-            ).output_tokens = record.output_tokens
+            self._hold_registered(record)
         for request in message.waiting:
-            self._enqueue(request)
+            self._on_registered_ask(request)
+
+    def _on_registered_ask(self, request):
+        # The entry says it still waits, so an answer to this ask was lost on the way.
+        if self._ended.holds(request):
+            self._consider(request)
+        else:
+            self._on_grant_request(request)
+
+    def _hold_registered(self, record):
+        request = record.request
+        self._queue.remove(request.request_id)
+        grant = self._grants_by_request_id.get(request.request_id)
+        if grant is None:
+            grant = self._new_grant(request, record.engine, elapsed_s=record.elapsed_s)
+            grant.started = record.output_tokens > 0
+            engine = self._engines_by_name.get(record.engine)
+            if engine is not None:
+                engine.add_registered(grant)
+        grant.orphaned_at = None
+        grant.output_tokens = max(grant.output_tokens, record.output_tokens)
+        grant.progress_at = self._clock()
+        if grant.preempted_at is not None:
+            self._tell_preempt(grant)
 
-    def _enqueue(self, request):
-        now = self._clock()
-        self._queue.push(
-            WaitingRequest(
-                request=request,
-                arrived_at=now,
-                deadline=now + request.remaining_s,
-                work_s=self._work_s(request),
-                shortest_run_s=self._shortest_run_s(request),
-            )
-        )
+    # Queue, grants, refusals.
 
-    def _work_s(self, request):
-        """Engine-seconds: the share of a full engine's time that the run uses."""
-        costs = [
-            engine.model.prefill_s(request.prompt_tokens + request.done_tokens)
-            + request.output_tokens * engine.model.step_s(engine.slots) / engine.slots
-            for engine in self._engines_by_name.values()
-        ]
-        return sum(costs) / len(costs) if costs else 1.0
-
-    def _shortest_run_s(self, request):
-        runs = [
-            engine.model.predict_finish_s(
-                uncached_tokens=request.prompt_tokens + request.done_tokens,
-                output_tokens=request.output_tokens,
-                concurrency=1,
-                pending_prefill_tokens=0,
-            )
-            for engine in self._engines_by_name.values()
-        ]
-        return min(runs, default=0.0)
+    def _consider(self, request):
+        waiting = self._admission.waiting(request)
+        reason = self._admission.refusal(waiting)
+        if reason is not None:
+            self._refuse(request, reason)
+            return
+        self._admission.admit(waiting)
+        self._queue.push(waiting)
 
     def _grant_ready(self):
         if not self._granting:
             return
-        engines = [engine for engine in self._engines_by_name.values() if engine.available]
-        set_aside = []
-        while engines and len(self._queue) and len(set_aside) < MAX_SET_ASIDE:
+        open_engines = self._open_engines()
+        self._queue.unpark({engine.name for engine in open_engines})
+        for _ in range(TRIES_IN_A_ROW):
+            if not open_engines:
+                return
             waiting = self._queue.pop()
-            engine = self._policy.choose(request=waiting.request, engines=engines, now=self._clock())
-            if engine is None:
-                set_aside.append(waiting)
-                continue
+            if waiting is None:
+                return
+            self._try(waiting, open_engines)
+            open_engines = self._open_engines()
+
+    def _open_engines(self):
+        cautious = self._registration.cautious
+        engines = self._engines_by_name.values()
+        return [engine for engine in engines if engine.available and (engine.reported or not cautious)]
+
+    def _try(self, waiting, open_engines):
+        """Grant the request on one of the engines with room, park it, or refuse it."""
+        suited = [engine for engine in open_engines if self._admission.can_finish_now(waiting, engine)]
+        engine = self._policy.choose(request=waiting.request, engines=suited, now=self._clock()) if suited else None
+        if engine is not None:
             self._grant(waiting, engine)
-            engines = [engine for engine in engines if engine.available]
-        for waiting in reversed(set_aside):
-            self._queue.put_back(waiting)
+            return
+        others = [engine for engine in self._engines_by_name.values() if not engine.leaving]
+        if any(self._admission.could_finish(waiting, engine) for engine in others):
+            self._queue.park(waiting, tried_engines=frozenset(engine.name for engine in open_engines))
+        else:
+            self._refuse(waiting.request, Reason.DEADLINE_UNREACHABLE)
 
     def _grant(self, waiting, engine):
-        request = waiting.request
-        grant = self._add_grant(request, engine.name)
+        grant = self._new_grant(waiting.request, engine.name)
         grant.deadline = waiting.deadline
-        first_token_s = engine.model.predict_first_token_s(
-            uncached_tokens=request.prompt_tokens + request.done_tokens,
-            concurrency=engine.running,
-            pending_prefill_tokens=engine.pending_prefill_tokens,
-        )
-        granted = Granted(
-            request_id=request.request_id,
-            attempt=request.attempt,
-            engine=engine.name,
-            progress_deadline_s=max(PROGRESS_FLOOR_S, SILENCE_FACTOR * engine.model.step_s(engine.slots)),
-            first_token_deadline_s=max(FIRST_TOKEN_FLOOR_S, SILENCE_FACTOR * first_token_s),
-        )
-        if not self._entries.send(entry=request.entry, message=granted):
-            self._end(grant)
+        engine.add(grant)
+        engine.cache.stored(waiting.request.prefix_blocks)
+        self._tell_granted(grant)
 
-    def _add_grant(self, request, engine_name, elapsed_s=0.0):
+    def _new_grant(self, request, engine_name, elapsed_s=0.0):
         now = self._clock()
         engine = self._engines_by_name.get(engine_name)
         prompt_tokens = request.prompt_tokens + request.done_tokens
@@ -312,28 +407,84 @@
             prefill_tokens=max(1, prompt_tokens - cached),
         )
         self._grants_by_request_id[request.request_id] = grant
-        if engine is not None:
-            engine.add(grant)
-            engine.cache.stored(request.prefix_blocks)
         return grant
 
+    def _tell_granted(self, grant):
+        engine = self._engines_by_name.get(grant.engine)
+        if engine is None:
+            return
+        model = engine.model
+        first_token_s = model.predict_first_token_s(
+            uncached_tokens=grant.prefill_tokens,
+            concurrency=engine.slots,
+            pending_prefill_tokens=engine.pending_prefill_tokens,
+        )
+        step_s = model.step_s(engine.slots) + model.prefill_s(CHUNK_TOKENS)
+        granted = Granted(
+            request_id=grant.request_id,
+            attempt=grant.request.attempt,
+            engine=grant.engine,
+            progress_deadline_s=max(PROGRESS_FLOOR_S, SILENCE_FACTOR * step_s),
+            first_token_deadline_s=max(FIRST_TOKEN_FLOOR_S, SILENCE_FACTOR * first_token_s),
+        )
+        if not self._entries.send(entry=grant.request.entry, message=granted):
+            self._end(grant)
+
     def _end(self, grant):
         self._grants_by_request_id.pop(grant.request_id, None)
+        self._ended.note(grant.request)
         engine = self._engines_by_name.get(grant.engine)
         if engine is not None:
             engine.end(grant)
 
     def _refuse(self, request, reason):
-        self._entries.send(
-            entry=request.entry,
-            message=Refused(
-                request_id=request.request_id,
-                attempt=request.attempt,
-                reason=reason,
-                retry_after_s=self._retry_after_s(request.tier),
-            ),
+        self._ended.note(request)
+        refused = Refused(
+            request_id=request.request_id,
+            attempt=request.attempt,
+            reason=reason,
+            retry_after_s=self._admission.retry_after_s(request),
         )
+        self._entries.send(entry=request.entry, message=refused)
+
+    # Preemption, members that left, pauses.
 
-    def _retry_after_s(self, tier):
-        open_engines = sum(1 for engine in self._engines_by_name.values() if engine.limit)
-        return 1.0 + self._queue.work_up_to(tier) / max(1, open_engines)
+    def _preempt(self):
+        if not self._granting or self._registration.cautious or not len(self._queue):
+            return
+        first = self._queue.first(LOOK_AHEAD)
+        for grant in self._planner.victims(waiting=first, engines=self._engines_by_name.values()):
+            if self._tell_preempt(grant):
+                grant.preempted_at = self._clock()
+
+    def _tell_preempt(self, grant):
+        message = Preempt(request_id=grant.request_id, engine=grant.engine)
+        return self._entries.send(entry=grant.request.entry, message=message)
+
+    def _grants_of(self, entry):
+        return [grant for grant in self._grants_by_request_id.values() if grant.request.entry == entry]
+
+    def _waiting_of(self, entry):
+        return [waiting for waiting in self._queue.waiting_by_request_id.values() if waiting.request.entry == entry]
+
+    def _drop_entry(self, entry):
+        # The engines may still run what the dead entry dispatched. Freeing those places
+        # at once would overfill them; they count until a report shows them gone.
+        for waiting in self._waiting_of(entry):
+            self._queue.remove(waiting.request_id)
+        for grant in self._grants_of(entry):
+            grant.orphaned_at = self._clock()
+
+    def _sweep_grants(self, now):
+        for grant in list(self._grants_by_request_id.values()):
+            if now > grant.deadline + GRANT_GRACE_S:
+                self._end(grant)
+
+    def _notice_pause(self):
+        if self._registration.woke():
+            self._registration.begin()
+            self._distrust_engines()
+
+    def _distrust_engines(self):
+        for engine in self._engines_by_name.values():
+            engine.distrust()
--- a/wagtailtrestle/tier_queue.py
+++ b/wagtailtrestle/tier_queue.py
@@ -1,50 +1,123 @@
 """Requests that wait for a place: strict order of tiers, fair shares of teams inside a tier.
 
 Inside a tier, start-time fair queueing shares engine-seconds between teams by their
-declared shares. Inside a team, the order is shortest predicted work first with ageing:
-the key is ``arrived_at + AGEING * work_s``, so a request is overtaken only by work that is
-shorter by at least a fixed part of the time it has waited already, and by nothing that
-arrives more than ``AGEING * work_s`` after it. The key never changes, so a heap keeps it.
+declared shares. Inside a team, requests are taken by their due time,
+``min(arrived_at + AGEING * work_s, latest_start - URGENT_S)``: shortest predicted work
+first, but a request is overtaken by nothing that arrives more than ``AGEING * work_s``
+after it, and one that is about to become infeasible goes first. The due time never changes,
+so heaps keep the order at O(log n) for each operation.
 """
 
 import heapq
 import itertools
+import math
 
 from wagtailtrestle.grants import WaitingRequest
 
 AGEING = 4.0
+"""Seconds of later arrivals that may overtake a request, for each second of its work."""
+
+URGENT_S = 0.5
+"""A request goes first once this little is left to its latest start."""
+
 DEFAULT_SHARE = 1.0
 
+COMPACT_ABOVE = 64
+"""Entries of removed requests that a heap may hold beyond as many as wait."""
 
-class _TeamQueue:
-    """Requests of one team in one tier, with its virtual time."""
+SLOT_S = 1.0
+"""Width of the slots of due time over which waiting work is summed."""
 
-    __slots__ = ("heap", "virtual_start")
 
-    def __init__(self):
+def due(waiting):
+    """Time by which a waiting request is to be served, as its order among its team's."""
+    return min(waiting.arrived_at + AGEING * waiting.work_s, waiting.latest_start - URGENT_S)
+
+
+def _slot(waiting):
+    return math.floor(due(waiting) / SLOT_S)
+
+
+class _TeamQueue:
+    """Requests of one team in one tier, with its virtual time.
+
+    Attributes
+    ----------
+    heap : list
+        ``(due, sequence, waiting)``; entries of removed requests are skipped when met.
+    virtual_start : float
+        Start tag of the team's next request, in engine-seconds per share.
+    ticket : int or None
+        Sequence of the team's valid entry in its tier's heap of teams.
+    """
+
+    __slots__ = ("name", "heap", "virtual_start", "ticket", "waiting", "work_by_slot")
+
+    def __init__(self, *, name):
+        self.name = name
         self.heap = []
         self.virtual_start = 0.0
+        self.ticket = None
+        self.waiting = 0
+        self.work_by_slot = {}
+
+    def count(self, waiting):
+        """Add a request to the sums."""
+        self.waiting += 1
+        slot = _slot(waiting)
+        self.work_by_slot[slot] = self.work_by_slot.get(slot, 0.0) + waiting.work_s
+
+    def discount(self, waiting):
+        """Take a request out of the sums."""
+        self.waiting -= 1
+        slot = _slot(waiting)
+        left = self.work_by_slot[slot] - waiting.work_s
+        if not self.waiting:
+            self.work_by_slot.clear()
+        elif left <= 0.0:
+            self.work_by_slot.pop(slot)
+        else:
+            self.work_by_slot[slot] = left
+
+    def work_s(self):
+        """Engine-seconds that wait."""
+        return sum(self.work_by_slot.values())
+
+    def work_ahead_s(self, waiting):
+        """Engine-seconds of the team's requests that are due before this one."""
+        slot = _slot(waiting)
+        return sum(work for other, work in self.work_by_slot.items() if other < slot)
 
 
 class _Tier:
     """One tier: its teams, and the heap of teams by virtual start time."""
 
-    __slots__ = ("teams_by_name", "active_heap", "active_names", "virtual_time", "waiting", "work_s")
+    __slots__ = ("teams_by_name", "heap", "virtual_time")
 
     def __init__(self):
         self.teams_by_name = {}
-        self.active_heap = []
-        self.active_names = set()
+        self.heap = []
         self.virtual_time = 0.0
-        self.waiting = 0
-        self.work_s = 0.0
+
+    def count(self):
+        return sum(team.waiting for team in self.teams_by_name.values())
+
+    def work_s(self):
+        return sum(team.work_s() for team in self.teams_by_name.values())
 
 
 class TierQueue:
-    """Waiting requests by tier, team and predicted work; each operation is O(log n)."""
+    """Waiting requests by tier, team and due time.
+
+    Attributes
+    ----------
+    waiting_by_request_id : dict of str to WaitingRequest
+        Everything that waits, parked requests included.
+    """
 
     __slots__ = (
         "waiting_by_request_id",
+        "_parked_by_request_id",
         "_tiers_by_rank",
         "_ranks",
         "_latest_start_heap",
@@ -54,6 +127,7 @@
 
     def __init__(self, *, share_by_team=None):
         self.waiting_by_request_id = {}
+        self._parked_by_request_id = {}
         self._tiers_by_rank = {}
         self._ranks = []
         self._latest_start_heap = []
@@ -69,40 +143,49 @@
 
     def push(self, waiting: WaitingRequest):
         """Add a request; it must not be waiting already."""
-        request = waiting.request
-        self.waiting_by_request_id[request.request_id] = waiting
-        tier = self._tier(request.tier)
-        team = tier.teams_by_name.setdefault(request.team, _TeamQueue())
-        order = waiting.arrived_at + AGEING * waiting.work_s
-        heapq.heappush(team.heap, (order, next(self._sequence), waiting))
+        self._hold(waiting)
         heapq.heappush(self._latest_start_heap, (waiting.latest_start, next(self._sequence), waiting))
-        tier.waiting += 1
-        tier.work_s += waiting.work_s
-        self._activate(tier, request.team, team)
+        self._order(waiting)
 
     def remove(self, request_id):
         """Take a request out, wherever it stands; ``None`` if it is not waiting."""
         waiting = self.waiting_by_request_id.pop(request_id, None)
         if waiting is not None:
-            tier = self._tiers_by_rank[waiting.request.tier]
-            tier.waiting -= 1
-            tier.work_s = max(0.0, tier.work_s - waiting.work_s) if tier.waiting else 0.0
+            self._parked_by_request_id.pop(request_id, None)
+            team = self._team(waiting)
+            team.discount(waiting)
+            self._compact(team)
         return waiting
 
     def pop(self):
-        """Take the next request in order; ``None`` when nothing waits."""
+        """Take the next request in order; ``None`` when nothing is to be tried."""
         for rank in self._ranks:
             waiting = self._pop_tier(self._tiers_by_rank[rank])
             if waiting is not None:
                 return waiting
         return None
 
-    def put_back(self, waiting: WaitingRequest):
-        """Return a popped request that found no place, and its team's charge with it."""
-        request = waiting.request
-        team = self._tier(request.tier).teams_by_name[request.team]
-        team.virtual_start -= waiting.work_s / self._share(request.team)
-        self.push(waiting)
+    def park(self, waiting: WaitingRequest, *, tried_engines):
+        """Put back a popped request that none of these engines suits, until another has room.
+
+        Its team is given back what the pop charged it.
+        """
+        team = self._team(waiting)
+        self._set_virtual_start(team, waiting, team.virtual_start - waiting.work_s / self._share(team.name))
+        waiting.tried_engines = tried_engines
+        self._hold(waiting)
+        self._parked_by_request_id[waiting.request_id] = waiting
+
+    def unpark(self, engine_names):
+        """Let parked requests be tried again for which one of these engines is new."""
+        for waiting in list(self._parked_by_request_id.values()):
+            if not engine_names <= waiting.tried_engines:
+                self._unpark(waiting)
+
+    def unpark_some(self, count):
+        """Let the ``count`` requests parked longest be tried again on every engine."""
+        for waiting in list(itertools.islice(self._parked_by_request_id.values(), count)):
+            self._unpark(waiting)
 
     def pop_expired(self, now):
         """Take out and return all whose latest start has passed."""
@@ -110,64 +193,142 @@
         while self._latest_start_heap and self._latest_start_heap[0][0] < now:
             waiting = heapq.heappop(self._latest_start_heap)[2]
             if self._is_waiting(waiting):
-                self.remove(waiting.request.request_id)
+                self.remove(waiting.request_id)
                 expired.append(waiting)
         return expired
 
-    def count(self, rank):
-        """How many wait in one tier."""
+    def first(self, count):
+        """Look at the first requests in order, by tier and due time; shares are left out."""
+        found = []
+        for rank in self._ranks:
+            tier = self._tiers_by_rank[rank]
+            parked = sorted(
+                (due(waiting), index, waiting)
+                for index, waiting in enumerate(self._parked_by_request_id.values())
+                if waiting.request.tier == rank
+            )
+            ordered = [_in_order(team.heap) for team in tier.teams_by_name.values()]
+            for _, _, waiting in heapq.merge(parked, *ordered, key=lambda entry: entry[:2]):
+                if len(found) >= count:
+                    return found
+                if self._is_waiting(waiting):
+                    found.append(waiting)
+        return found
+
+    def work_ahead_s(self, waiting: WaitingRequest):
+        """Engine-seconds that will be served before this request, whether it waits or not.
+
+        Its own tier counts only as far as fair shares let other teams go ahead: a team
+        that floods the queue must not make another's requests look hopeless.
+        """
+        rank = waiting.request.tier
+        above = sum(self._tiers_by_rank[other].work_s() for other in self._ranks if other < rank)
         tier = self._tiers_by_rank.get(rank)
-        return tier.waiting if tier else 0
-
-    def work_up_to(self, rank):
-        """Predicted engine-seconds waiting in this tier and those above it."""
-        return sum(self._tiers_by_rank[other].work_s for other in self._ranks if other <= rank)
+        team = tier.teams_by_name.get(waiting.request.team) if tier else None
+        own = team.work_ahead_s(waiting) if team else 0.0
+        if not tier:
+            return above
+        share = self._share(waiting.request.team)
+        others = [other for other in tier.teams_by_name.values() if other.waiting and other is not team]
+        fair = sum(min(other.work_s(), own * self._share(other.name) / share) for other in others)
+        return above + own + fair
 
     def waiting_by_tier(self):
         """Count by rank of the tiers in which something waits."""
-        return {rank: self.count(rank) for rank in self._ranks if self.count(rank)}
+        counts = {rank: self._tiers_by_rank[rank].count() for rank in self._ranks}
+        return {rank: count for rank, count in counts.items() if count}
+
+    def work_by_tier(self):
+        """Engine-seconds by rank."""
+        return {rank: self._tiers_by_rank[rank].work_s() for rank in self._ranks}
+
+    def _share(self, team_name):
+        return self._share_by_team.get(team_name, DEFAULT_SHARE)
+
+    def _is_waiting(self, waiting):
+        return self.waiting_by_request_id.get(waiting.request_id) is waiting
 
-    def _tier(self, rank):
+    def _is_ready(self, waiting):
+        return self._is_waiting(waiting) and waiting.request_id not in self._parked_by_request_id
+
+    def _team(self, waiting):
+        rank = waiting.request.tier
         tier = self._tiers_by_rank.get(rank)
         if tier is None:
             tier = self._tiers_by_rank[rank] = _Tier()
             self._ranks = sorted(self._tiers_by_rank)
-        return tier
+        name = waiting.request.team
+        team = tier.teams_by_name.get(name)
+        if team is None:
+            team = tier.teams_by_name[name] = _TeamQueue(name=name)
+        return team
+
+    def _compact(self, team):
+        # A starved tier is never popped: without this, every request that expired in it
+        # would stay in the heap for as long as the overload lasts, and memory would grow.
+        if len(team.heap) > COMPACT_ABOVE + 2 * team.waiting:
+            team.heap = [entry for entry in team.heap if self._is_ready(entry[2])]
+            heapq.heapify(team.heap)
+
+    def _hold(self, waiting):
+        self.waiting_by_request_id[waiting.request_id] = waiting
+        self._team(waiting).count(waiting)
+
+    def _order(self, waiting):
+        team = self._team(waiting)
+        heapq.heappush(team.heap, (due(waiting), next(self._sequence), waiting))
+        if team.ticket is None:
+            # A team that was idle starts at the tier's present: it has no claim on what
+            # it did not ask for, or its first burst would stop every other team.
+            tier = self._tiers_by_rank[waiting.request.tier]
+            team.virtual_start = max(team.virtual_start, tier.virtual_time)
+            self._enter(tier, team)
 
-    def _share(self, team_name):
-        return self._share_by_team.get(team_name, DEFAULT_SHARE)
+    def _unpark(self, waiting):
+        self._parked_by_request_id.pop(waiting.request_id)
+        waiting.tried_engines = frozenset()
+        self._order(waiting)
 
-    def _is_waiting(self, waiting):
-        return self.waiting_by_request_id.get(waiting.request.request_id) is waiting
+    def _enter(self, tier, team):
+        team.ticket = next(self._sequence)
+        heapq.heappush(tier.heap, (team.virtual_start, team.ticket, team))
 
-    def _activate(self, tier, team_name, team):
-        if team_name in tier.active_names:
-            return
-        # A team that was idle starts at the tier's present: it has no claim on what it
-        # did not ask for, or its first burst would stop every other team.
-        team.virtual_start = max(team.virtual_start, tier.virtual_time)
-        tier.active_names.add(team_name)
-        heapq.heappush(tier.active_heap, (team.virtual_start, next(self._sequence), team_name))
+    def _set_virtual_start(self, team, waiting, virtual_start):
+        team.virtual_start = virtual_start
+        if team.ticket is not None:
+            self._enter(self._tiers_by_rank[waiting.request.tier], team)
 
     def _pop_tier(self, tier):
-        while tier.active_heap:
-            virtual_start, _, team_name = heapq.heappop(tier.active_heap)
-            tier.active_names.discard(team_name)
-            team = tier.teams_by_name[team_name]
+        while tier.heap:
+            virtual_start, ticket, team = heapq.heappop(tier.heap)
+            if ticket != team.ticket:
+                continue
+            team.ticket = None
             waiting = self._pop_team(team)
             if waiting is None:
                 continue
-            tier.virtual_time = virtual_start
-            team.virtual_start = virtual_start + waiting.work_s / self._share(team_name)
+            tier.virtual_time = max(tier.virtual_time, virtual_start)
+            team.virtual_start = virtual_start + waiting.work_s / self._share(team.name)
             if team.heap:
-                self._activate(tier, team_name, team)
-            self.remove(waiting.request.request_id)
+                self._enter(tier, team)
+            self.remove(waiting.request_id)
             return waiting
         return None
 
     def _pop_team(self, team):
         while team.heap:
             waiting = heapq.heappop(team.heap)[2]
-            if self._is_waiting(waiting):
+            if self._is_ready(waiting):
                 return waiting
         return None
+
+
+def _in_order(heap):
+    """Yield a heap's entries in order, O(k log k) for the first k, leaving it as it is."""
+    frontier = [(heap[0], 0)] if heap else []
+    while frontier:
+        entry, index = heapq.heappop(frontier)
+        yield entry
+        for child in (2 * index + 1, 2 * index + 2):
+            if child < len(heap):
+                heapq.heappush(frontier, (heap[child], child))
