Entry: crashes noted for every run, plain answers passed whole

Cause: the poison book needs each run's end, and a plain service's 409 is its whole answer. Conclusion: ready for the router to wire.

--- /dev/null
+++ b/wagtailtrestle/crash_watch.py
@@ -0,0 +1,62 @@
+"""Watches how runs end for engines that crash, and shares what it learns with all routers."""
+
+from wagtailtrestle.outcomes import RunCut, RunDone, RunLost, RunNotSent
+from wagtailtrestle.poison import fingerprint_of
+
+
+class CrashWatch:
+    """Turns ends of runs into crash reports.
+
+    Parameters
+    ----------
+    book : CrashBook
+    detector : CrashDetector
+    broadcast : Callable
+        Sends a ``CrashReport`` to every other router.
+    """
+
+    __slots__ = ("_book", "_detector", "_broadcast")
+
+    def __init__(self, *, book, detector, broadcast):
+        self._book = book
+        self._detector = detector
+        self._broadcast = broadcast
+
+    def blocked(self, body_digest):
+        """Whether a request with this body must not run again."""
+        return self._book.blocked(fingerprint_of(body_digest))
+
+    def note(self, *, engine, body_digest, outcome, was_sent):
+        """Take in the end of one run, or of one try to attach to it.
+
+        Parameters
+        ----------
+        was_sent : bool
+            Whether some byte of the request had reached the engine.
+        """
+        fingerprint = fingerprint_of(body_digest)
+        match outcome:
+            case RunDone():
+                self._book.note_success(fingerprint)
+            case RunCut():
+                self._report(engine, self._detector.on_cut(engine, fingerprint))
+            case RunLost():
+                self._report(engine, self._detector.on_gone(engine, fingerprint))
+            case RunNotSent():
+                self._report(engine, self._detector.on_gone(engine, fingerprint if was_sent else None))
+
+    def merge(self, report):
+        """Take in another router's report."""
+        self._book.merge(report)
+
+    def reports(self):
+        """Everything known, for a router that starts."""
+        return self._book.reports()
+
+    def dump(self):
+        """Plain data for the state dump."""
+        return self._book.dump()
+
+    def _report(self, engine, suspects):
+        if suspects:
+            self._broadcast(self._book.note_crash(engine, suspects))
--- a/wagtailtrestle/entry.py
+++ b/wagtailtrestle/entry.py
@@ -10,7 +10,7 @@
 from wagtailtrestle.declaration import LANGUAGE
 from wagtailtrestle.exchange import AnswerRefusal
 from wagtailtrestle.messages import Granted, Register, RunFinished, Withdraw
-from wagtailtrestle.outcomes import Executed, Reason, Refusal, RunLost, RunNotSent
+from wagtailtrestle.outcomes import Executed, Reason, Refusal, RunNotSent
 from wagtailtrestle.request_task import DEFAULT_RETRY_AFTER_S, Displaced, RequestState, RequestTask
 
 FINAL_STATES = (RequestState.FINISHED, RequestState.REFUSED, RequestState.UNKNOWN)
@@ -25,26 +25,23 @@
         This router's name.
     stewards : StewardLink
     claims : Claims
-    crash_book : CrashBook
+    crashes : CrashWatch
     budget_by_service : Callable
         Maps a service's name to its :class:`wagtailtrestle.retry_budget.RetryBudget`.
     declaration : Callable
         Gives the declaration in force.
     now : Callable
         The loop's clock, seconds.
-    on_lost_run : Callable
-        Told ``(task, outcome)`` when a run was lost on its engine.
     """
 
-    __slots__ = ("name", "claims", "crash_book", "retry_budget", "now", "note_lost_run", "_stewards", "_declaration")
+    __slots__ = ("name", "claims", "crashes", "retry_budget", "now", "_stewards", "_declaration")
 
-    def __init__(self, *, name, stewards, claims, crash_book, budget_by_service, declaration, now, on_lost_run):
+    def __init__(self, *, name, stewards, claims, crashes, budget_by_service, declaration, now):
         self.name = name
         self.claims = claims
-        self.crash_book = crash_book
+        self.crashes = crashes
         self.retry_budget = budget_by_service
         self.now = now
-        self.note_lost_run = on_lost_run
         self._stewards = stewards
         self._declaration = declaration
 
@@ -70,16 +67,14 @@
     ----------
     name : str
         This router's name.
-    stewards, claims, crash_book, budget_by_service, declaration
+    stewards, claims, crashes, budget_by_service, declaration
         See :class:`RequestContext`.
     loop : asyncio.AbstractEventLoop
-    on_lost_run : Callable or None
-        See :class:`RequestContext`.
     """
 
     __slots__ = ("name", "tasks_by_id", "_context", "_declaration", "_loop", "_running_by_id", "_idle")
 
-    def __init__(self, *, name, stewards, claims, crash_book, budget_by_service, declaration, loop, on_lost_run=None):
+    def __init__(self, *, name, stewards, claims, crashes, budget_by_service, declaration, loop):
         self.name = name
         self.tasks_by_id = {}
         self._declaration = declaration
@@ -91,11 +86,10 @@
             name=name,
             stewards=stewards,
             claims=claims,
-            crash_book=crash_book,
+            crashes=crashes,
             budget_by_service=budget_by_service,
             declaration=declaration,
             now=loop.time,
-            on_lost_run=on_lost_run or self._note_lost_run,
         )
 
     def submit(self, request, caller):
@@ -194,11 +188,6 @@
         if engine is not None:
             self._context.send(engine.cell, Withdraw(request_id=granted.request_id))
 
-    def _note_lost_run(self, task, outcome):
-        """Count a run lost with its engine against the requests that ran there."""
-        if not isinstance(outcome, RunLost | RunNotSent):
-            return
-
     def _forget(self, request_id, done):
         self.tasks_by_id.pop(request_id, None)
         self._running_by_id.pop(request_id, None)
--- a/wagtailtrestle/ports.py
+++ b/wagtailtrestle/ports.py
@@ -65,3 +65,6 @@
 
     def finish_unknown(self, *, team: str, key: str, nonce: str) -> None:
         """Record that the request was dispatched and its outcome can't be told."""
+
+    def finish_unknown(self, *, team: str, key: str, nonce: str) -> None:
+        """Record that the request was dispatched and its outcome can't be told."""
--- a/wagtailtrestle/request_task.py
+++ b/wagtailtrestle/request_task.py
@@ -269,7 +269,7 @@
     # Place.
 
     def _may_go_on(self):
-        if self.context.crash_book.blocked(self.request.body_digest):
+        if self.context.crashes.blocked(self.request.body_digest):
             self._refuse(Reason.POISONED)
             return False
         return True
@@ -317,6 +317,7 @@
         self._begin_run(granted, attach=False)
         while True:
             ended = await self._until_run_ends(granted)
+            self._note_crash(ended.outcome)
             if not self._can_attach(ended):
                 return ended
             # The stream broke but the engine may still hold the run: attaching to it
@@ -385,6 +386,14 @@
         if self.context.can_cancel(self.request.service):
             self.caller.cancel_run(run_id=self._run_id(), engine=self.engine, address=self._address)
 
+    def _note_crash(self, outcome):
+        self.context.crashes.note(
+            engine=self.engine,
+            body_digest=self.request.body_digest,
+            outcome=outcome,
+            was_sent=self._attaches > 0,
+        )
+
     def _can_attach(self, ended):
         if self._cancelling or self._attaches >= MAX_ATTACHES:
             return False
@@ -417,6 +426,9 @@
         match outcome:
             case RunNotSent():
                 return self._after_not_sent()
+            case RunRejected() if not self.context.can_cancel(self.request.service):
+                # A plain service's own refusal (a slot taken) is its whole answer.
+                return self._answer_whole(ended)
             case RunRejected(status=status):
                 return self._refuse(Reason.ENGINE_ERROR, status=_rejected_status(status))
             case RunCancelled() if self._preempted:
@@ -436,7 +448,6 @@
 
     def _after_loss(self, outcome):
         self._keep_tokens(outcome)
-        self.context.note_lost_run(self, outcome)
         # One byte sent may have started the run. A second dispatch of a request that
         # may not be repeated could charge a caller twice, so it ends here as unknown.
         if not self.request.repeatable:
@@ -474,6 +485,10 @@
             body=body,
         )
 
+    def _record_unknown(self):
+        request = self.request
+        self.context.claims.finish_unknown(team=request.team, key=request.idempotency_key, nonce=self._nonce)
+
     # Messages out.
 
     def _tell_started(self, began):
@@ -519,6 +534,8 @@
         executed = executed or self.executed()
         if self._nonce and executed is Executed.NO:
             self._release(self._nonce)
+        elif self._nonce:
+            self._record_unknown()
         self.state = RequestState.UNKNOWN if executed is Executed.UNKNOWN else RequestState.REFUSED
         self.caller.post(
             AnswerRefusal(
--- /dev/null
+++ b/wagtailtrestle/steward_set.py
@@ -0,0 +1,121 @@
+"""The stewards that this router holds, one for each cell whose messages reach it."""
+
+from wagtailtrestle.policies import PredictedFinish
+from wagtailtrestle.steward import Steward
+
+
+class StewardSet:
+    """Creates stewards when their first message comes and keeps them up to date.
+
+    Parameters
+    ----------
+    clock : Callable
+        The loop's time, seconds.
+    entries : EntryLink
+    """
+
+    __slots__ = ("by_cell", "_clock", "_entries", "_declaration", "_members", "_leaving", "_granting")
+
+    def __init__(self, *, clock, entries):
+        self.by_cell = {}
+        self._clock = clock
+        self._entries = entries
+        self._declaration = None
+        self._members = frozenset()
+        self._leaving = frozenset()
+        self._granting = True
+
+    def deliver(self, cell, message):
+        """Give an entry's message to the cell's steward."""
+        steward = self.by_cell.get(cell) or self._create(cell)
+        if steward is not None:
+            steward.receive(message)
+
+    def set_declaration(self, declaration):
+        """Put a newly accepted declaration in force for every steward."""
+        self._declaration = declaration
+        for cell in list(self.by_cell):
+            if not self._engines_of(cell):
+                del self.by_cell[cell]
+        for steward in self.by_cell.values():
+            self._update(steward)
+
+    def set_members(self, names):
+        """Tell every steward which entries live."""
+        self._members = frozenset(names)
+        for steward in self.by_cell.values():
+            steward.set_members(self._members)
+
+    def set_leaving(self, engines):
+        """Engines that the platform's list marks as leaving; they get no new work."""
+        came_back = self._leaving - engines
+        self._leaving = engines
+        for steward in self.by_cell.values():
+            for engine in engines:
+                steward.mark_leaving(engine)
+            for engine in came_back & set(self._engines_of(steward.cell)):
+                declared = self._declaration.engines_by_name[engine]
+                steward.mark_leaving(engine, declared.leaving)
+
+    def on_load_report(self, report):
+        """Give an engine's load report to the steward that holds the engine."""
+        steward = self._steward_of(report.engine)
+        if steward is not None:
+            steward.on_load_report(report)
+
+    def on_unreachable(self, engine):
+        """Tell the steward that an engine did not answer."""
+        steward = self._steward_of(engine)
+        if steward is not None:
+            steward.on_unreachable(engine)
+
+    def tick(self):
+        """Let every steward sweep its deadlines."""
+        for steward in self.by_cell.values():
+            steward.tick()
+
+    def stop_granting(self):
+        """Grant nothing more here; other routers take the cells over."""
+        self._granting = False
+        for steward in self.by_cell.values():
+            steward.stop_granting()
+
+    def dump(self):
+        """Plain data for the state dump."""
+        return {cell: steward.dump() for cell, steward in self.by_cell.items()}
+
+    def _create(self, cell):
+        engines = self._engines_of(cell)
+        if not engines:
+            return None
+        service = self._declaration.services_by_name[next(iter(engines.values())).service]
+        steward = Steward(
+            cell=cell,
+            policy=PredictedFinish(prefill_weight=service.prefill_weight),
+            clock=self._clock,
+            entries=self._entries,
+            prefill_weight=service.prefill_weight,
+        )
+        self.by_cell[cell] = steward
+        steward.set_members(self._members)
+        self._update(steward)
+        if not self._granting:
+            steward.stop_granting()
+        return steward
+
+    def _update(self, steward):
+        teams = self._declaration.teams_by_name.values()
+        steward.set_teams({team.name: team.share for team in teams})
+        steward.set_engines(self._engines_of(steward.cell))
+        for engine in self._leaving:
+            steward.mark_leaving(engine)
+
+    def _engines_of(self, cell):
+        if self._declaration is None:
+            return {}
+        engines = self._declaration.engines_by_name
+        return {name: engine for name, engine in engines.items() if engine.cell == cell}
+
+    def _steward_of(self, engine):
+        declared = self._declaration.engines_by_name.get(engine) if self._declaration else None
+        return self.by_cell.get(declared.cell) if declared else None
