Split the callers' side and close its races

Change: intake, carriage and exchange apart; displacing and dispatching decided under one lock; reception limits, 413 and 408 that reach the caller; a service's own 4xx and recorded answers passed on.

--- a/wagtailtrestle/caller_answer.py
+++ b/wagtailtrestle/caller_answer.py
@@ -1,13 +1,36 @@
 """What a caller is sent: the response being written, and one way of answering for each kind of request."""
 
+from dataclasses import dataclass
 from typing import Protocol
 
-from wagtailtrestle.caller_stream import JSON_TYPE, SSE_TYPE, AnswerEnd, EventWriter, whole_answer
+from wagtailtrestle.answer_check import ReceivedAnswer
+from wagtailtrestle.caller_stream import (
+    JSON_TYPE,
+    SSE_TYPE,
+    AnswerEnd,
+    EventWriter,
+    read_whole_answer,
+    whole_answer,
+)
 from wagtailtrestle.exchange import AnswerRecorded
-from wagtailtrestle.outcomes import Executed, Refusal
+from wagtailtrestle.outcomes import Executed, Reason, Refusal
 from wagtailtrestle.problem import EXECUTED_HEADER, REQUEST_ID_HEADER, problem_bytes, problem_headers, status_line
 
 BODYLESS_STATUSES = frozenset({204, 304})
+# Of the connection to the engine, or naming the run there.
+NOT_PASSED_ON = frozenset(
+    {
+        "connection",
+        "content-length",
+        "date",
+        "keep-alive",
+        "server",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-request-id",
+    }
+)
 
 
 class CallerResponse:
@@ -19,21 +42,24 @@
         WSGI's.
     request_id : str
         As the caller reads it.
-    on_gone : callable
-        Called once when a write finds the caller gone.
     closing : callable
         Whether the connection is to end with this answer.
+
+    Attributes
+    ----------
+    on_gone : callable
+        Called once when a write finds the caller gone.
     """
 
     __slots__ = ("request_id", "begun", "gone", "status", "_start_response", "on_gone", "_closing", "_write")
 
-    def __init__(self, *, start_response, request_id, on_gone, closing):
+    def __init__(self, *, start_response, request_id, closing):
         self.request_id = request_id
         self.begun = False
         self.gone = False
         self.status = 0
         self._start_response = start_response
-        self.on_gone = on_gone
+        self.on_gone = _ignore
         self._closing = closing
         self._write = None
 
@@ -63,40 +89,93 @@
         if content_type:
             headers.append(("Content-Type", content_type))
         self.begin(status=status, headers=headers)
-        if body:
+        if body and status not in BODYLESS_STATUSES:
             self.write(body)
 
-    def send_refusal(self, refusal: Refusal, *, extra_headers=()):
+    def send_refusal(self, refusal: Refusal):
         """Give a problem document as the whole answer."""
         body = problem_bytes(refusal=refusal, request_id=self.request_id)
         headers = problem_headers(refusal=refusal, request_id=self.request_id, length=len(body))
-        self.begin(status=refusal.status, headers=[*headers, *extra_headers])
+        self.begin(status=refusal.status, headers=headers)
         self.write(body)
 
 
+def _ignore():
+    """Nothing is to be told yet of a caller who left."""
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Recordable:
+    """A whole answer as the ledger keeps it."""
+
+    content_type: str
+    body: bytes
+
+
 class Answer(Protocol):
-    """How one kind of request is answered."""
+    """How one kind of request is answered, once or in pieces."""
 
     def token(self, text: str) -> None:
         """Take one token of the answer as it arrives."""
 
-    def whole(self, received) -> None:
+    def whole(self, received: ReceivedAnswer) -> None:
         """Everything arrived and was checked."""
 
+    def recordable(self, received: ReceivedAnswer) -> Recordable:
+        """The whole answer, for a later request with the same idempotency key."""
+
     def recorded(self, command: AnswerRecorded) -> None:
         """Give the recorded answer of an earlier request."""
 
-    def refuse(self, refusal: Refusal) -> None:
+    def refuse(self, refusal: Refusal, received: ReceivedAnswer) -> None:
         """End without a whole answer."""
 
 
-class StreamedAnswer:
-    """A completion given token by token; its head leaves with the first token."""
+class WholeAnswer:
+    """A completion given in one piece, once it was checked complete."""
 
-    __slots__ = ("_response", "_events")
+    __slots__ = ("_response", "_model", "_chat")
 
-    def __init__(self, *, response: CallerResponse, events: EventWriter):
+    def __init__(self, *, response: CallerResponse, model: str, chat: bool):
         self._response = response
+        self._model = model
+        self._chat = chat
+
+    def token(self, text):
+        """Nothing leaves before the end; the text is kept with what was received."""
+
+    def whole(self, received):
+        """Send the answer assembled from the engine's stream."""
+        answer = self.recordable(received)
+        self._response.send(status=200, content_type=answer.content_type, body=answer.body)
+
+    def recordable(self, received):
+        """The same JSON that a caller is sent."""
+        body = whole_answer(
+            request_id=self._response.request_id,
+            model=self._model,
+            chat=self._chat,
+            text=received.text,
+            end=answer_end(received),
+        )
+        return Recordable(content_type=JSON_TYPE, body=body)
+
+    def recorded(self, command):
+        """Give an earlier answer."""
+        self._response.send(status=command.status, content_type=command.content_type, body=command.body)
+
+    def refuse(self, refusal, received):
+        """Send a problem."""
+        self._response.send_refusal(refusal)
+
+
+class StreamedAnswer(WholeAnswer):
+    """A completion given token by token; its head leaves with the first token."""
+
+    __slots__ = ("_events",)
+
+    def __init__(self, *, response: CallerResponse, events: EventWriter, model: str, chat: bool):
+        super().__init__(response=response, model=model, chat=chat)
         self._events = events
 
     def token(self, text):
@@ -107,21 +186,26 @@
 
     def whole(self, received):
         """Send the closing events; only these tell the caller that it has everything."""
-        if not self._response.begun:
-            self._begin()
-        self._response.write(self._events.end(answer_end(received)))
+        self._end(answer_end(received))
 
     def recorded(self, command):
-        """Give an earlier answer; it was recorded whole, so it is not a stream any more."""
-        self._response.send(status=command.status, content_type=command.content_type, body=command.body)
+        """Give an earlier answer as a stream of one token, since a stream was asked for."""
+        text, end = read_whole_answer(command.body)
+        self.token(text)
+        self._end(end)
 
-    def refuse(self, refusal):
+    def refuse(self, refusal, received):
         """A problem if nothing was sent yet, else an error event and no ``[DONE]``."""
         if self._response.begun:
             self._response.write(self._events.error(refusal=refusal))
         else:
             self._response.send_refusal(refusal)
 
+    def _end(self, end):
+        if not self._response.begun:
+            self._begin()
+        self._response.write(self._events.end(end))
+
     def _begin(self):
         headers = [
             ("Content-Type", SSE_TYPE),
@@ -132,39 +216,6 @@
         self._response.begin(status=200, headers=headers)
 
 
-class WholeAnswer:
-    """A completion given in one piece, once it was checked complete."""
-
-    __slots__ = ("_response", "_model", "_chat")
-
-    def __init__(self, *, response: CallerResponse, model: str, chat: bool):
-        self._response = response
-        self._model = model
-        self._chat = chat
-
-    def token(self, text):
-        """Nothing leaves before the end; the text is kept with what was received."""
-
-    def whole(self, received):
-        """Send the answer assembled from the engine's stream."""
-        body = whole_answer(
-            request_id=self._response.request_id,
-            model=self._model,
-            chat=self._chat,
-            text=received.text,
-            end=answer_end(received),
-        )
-        self._response.send(status=200, content_type=JSON_TYPE, body=body)
-
-    def recorded(self, command):
-        """Give an earlier answer."""
-        self._response.send(status=command.status, content_type=command.content_type, body=command.body)
-
-    def refuse(self, refusal):
-        """Send a problem."""
-        self._response.send_refusal(refusal)
-
-
 class PlainAnswer:
     """A plain service's answer, passed on whole."""
 
@@ -177,20 +228,32 @@
         """Plain services send no tokens."""
 
     def whole(self, received):
-        """Pass on the service's status, type and body."""
-        content_type = received.headers.get("Content-Type", "")
-        self._response.send(status=received.status, content_type=content_type, body=received.body)
+        """Pass on the service's status, headers and body."""
+        self._pass_on(received, executed=Executed.YES)
+
+    def recordable(self, received):
+        """Type and body; the status is recorded beside them."""
+        return Recordable(content_type=received.headers.get("Content-Type", ""), body=received.body)
 
     def recorded(self, command):
         """Give an earlier answer."""
         self._response.send(status=command.status, content_type=command.content_type, body=command.body)
 
-    def refuse(self, refusal):
-        """Send a problem."""
-        self._response.send_refusal(refusal)
+    def refuse(self, refusal, received):
+        """Send a problem, or the service's own refusal, which tells its caller more."""
+        if refusal.reason is Reason.ENGINE_ERROR and received.status == refusal.status:
+            self._pass_on(received, executed=refusal.executed)
+        else:
+            self._response.send_refusal(refusal)
+
+    def _pass_on(self, received, *, executed):
+        headers = [(name, value) for name, value in received.headers.items() if name.lower() not in NOT_PASSED_ON]
+        self._response.send(
+            status=received.status, content_type="", body=received.body, executed=executed, extra_headers=headers
+        )
 
 
-def answer_end(received) -> AnswerEnd:
+def answer_end(received: ReceivedAnswer) -> AnswerEnd:
     """The closing facts of what an engine sent."""
     return AnswerEnd(
         finish_reason=received.finish_reason,
--- a/wagtailtrestle/caller_body.py
+++ b/wagtailtrestle/caller_body.py
@@ -2,16 +2,18 @@
 
 import hashlib
 import json
-import time
+import re
 from dataclasses import dataclass
 
+from cheroot.errors import MaxSizeExceeded
+
 from wagtailtrestle.outcomes import Executed, Reason, Refusal
 from wagtailtrestle.prompt_shape import PromptShape, chat_text, shape_of
 from wagtailtrestle.route_match import CHAT_PATH
 
-READ_PIECE_BYTES = 65_536
 DEFAULT_OUTPUT_TOKENS = 256
 MAX_OUTPUT_TOKENS = 1_000_000
+LENGTH_FORM = re.compile(r"[0-9]{1,18}")
 LIMIT_FIELDS = ("max_completion_tokens", "max_tokens")
 
 
@@ -27,38 +29,55 @@
     shape: PromptShape
 
 
+@dataclass(slots=True, frozen=True, kw_only=True)
+class BodyLength:
+    """Declared bytes of a body, or that its chunks tell its end."""
+
+    size: int
+    chunked: bool
+
+
 class BodyFault(Exception):
     """A body that can't be taken; carries the sentence for the caller. Stays in this module."""
 
 
-def read_body(*, stream, length, deadline) -> bytes | Refusal:
-    """Read a body whole.
-
-    Parameters
-    ----------
-    stream : file object
-        ``wsgi.input``; its reads end by the connection's timeout.
-    length : int or None
-        Declared length; ``None`` for a chunked body, which ends itself.
-    deadline : float
-        ``time.monotonic`` at which a sender is too slow: without it a caller that sends
-        one byte before each timeout would hold a thread for ever.
-    """
-    pieces = []
-    remaining = length
-    while remaining is None or remaining > 0:
-        if time.monotonic() > deadline:
-            return slow_sender()
-        size = READ_PIECE_BYTES if remaining is None else min(READ_PIECE_BYTES, remaining)
-        piece = stream.read(size)
-        if not piece:
-            break
-        pieces.append(piece)
-        if remaining is not None:
-            remaining -= len(piece)
-    if remaining:
+def body_length(environ: dict) -> BodyLength | Refusal:
+    """How the body's end is known."""
+    chunked = bool(environ.get("wsgi.input_terminated"))
+    declared = environ.get("CONTENT_LENGTH")
+    if chunked and declared is not None:
+        # A balancer that believes the length where this side believes the chunks would see
+        # two requests in one: a caller's request could be answered to another.
+        return bad_request("A body can't have both a length and a chunked coding.")
+    if declared is not None and not LENGTH_FORM.fullmatch(declared):
+        return bad_request("'Content-Length' must be a whole number.")
+    return BodyLength(size=int(declared or 0), chunked=chunked)
+
+
+def read_body(*, stream, length: BodyLength) -> bytes | Refusal:
+    """Read a body whole; one that ends early is never taken for a shorter one."""
+    if length.chunked:
+        return _read_chunked(stream)
+    body = stream.read(length.size)
+    if len(body) < length.size:
         return bad_request("The body ended before its declared length.")
-    return b"".join(pieces)
+    return body
+
+
+def _read_chunked(stream):
+    try:
+        body = stream.read()
+        # The line after the last chunk is part of this request; left unread, it would look
+        # like the start of the next one and hold a thread until that never came.
+        for _ in stream.read_trailer_lines():
+            pass
+    except TimeoutError:
+        raise
+    except (MaxSizeExceeded, OSError):
+        return too_large("The body exceeds the allowed bytes.")
+    except ValueError:
+        return bad_request("The chunked body is malformed or ended early.")
+    return body
 
 
 def parse_language(*, body: bytes, path: str) -> LanguageBody | Refusal:
@@ -82,11 +101,9 @@
     return Refusal(status=400, reason=Reason.BAD_REQUEST, executed=Executed.NO, detail=detail)
 
 
-def slow_sender() -> Refusal:
-    """A 408 for a body that takes too long to arrive."""
-    return Refusal(
-        status=408, reason=Reason.BAD_REQUEST, executed=Executed.NO, detail="The request took too long to arrive."
-    )
+def too_large(detail: str) -> Refusal:
+    """A 413."""
+    return Refusal(status=413, reason=Reason.TOO_LARGE, executed=Executed.NO, detail=detail)
 
 
 def _parse(*, body, chat):
--- /dev/null
+++ b/wagtailtrestle/caller_carriage.py
@@ -0,0 +1,158 @@
+"""One held request in its thread: runs on engines, the caller's answer, and what is noted of it."""
+
+import dataclasses
+import time
+
+from loguru import logger
+
+from wagtailtrestle.answer_check import ReceivedAnswer
+from wagtailtrestle.caller_exchange import CallerExchange
+from wagtailtrestle.caller_intake import Arrival, Prepared
+from wagtailtrestle.caller_limits import CallerLimits
+from wagtailtrestle.exchange import AnswerRecorded, AnswerRefusal, AnswerWhole, RunEnded
+from wagtailtrestle.metrics import Metrics
+from wagtailtrestle.outcomes import Reason, Refusal, RunDone, RunNotSent
+
+ANSWERED = "answered"
+RECORDED = "recorded"
+RETRY_AFTER_S = 1.0
+
+
+class CallerCarriage:
+    """Carries one request from its first run to its answer.
+
+    Parameters
+    ----------
+    arrival : Arrival
+    prepared : Prepared
+    exchange : CallerExchange
+    engine_client : EngineClient
+    limits : CallerLimits
+    metrics : Metrics
+    """
+
+    __slots__ = (
+        "_arrival",
+        "_prepared",
+        "_exchange",
+        "_engine_client",
+        "_limits",
+        "_metrics",
+        "_received",
+        "_first_run_at",
+        "_first_token_at",
+    )
+
+    def __init__(
+        self,
+        *,
+        arrival: Arrival,
+        prepared: Prepared,
+        exchange: CallerExchange,
+        engine_client,
+        limits: CallerLimits,
+        metrics: Metrics,
+    ):
+        self._arrival = arrival
+        self._prepared = prepared
+        self._exchange = exchange
+        self._engine_client = engine_client
+        self._limits = limits
+        self._metrics = metrics
+        self._received = ReceivedAnswer()
+        self._first_run_at = 0.0
+        self._first_token_at = 0.0
+
+    def carry(self, *, wait_s: float):
+        """Do what the task asks for, then answer the caller."""
+        command = self._exchange.carry(run=self._run, wait_s=wait_s)
+        outcome = self._answer(command)
+        self._note(outcome)
+
+    def _run(self, command):
+        request = self._prepared.request
+        if not self._limits.mark_running(request_id=request.request_id):
+            return RunEnded(run_id=command.run_id, outcome=RunNotSent(detail="displaced"), duration_s=0.0)
+        if not self._first_run_at:
+            self._first_run_at = time.monotonic()
+        try:
+            ended = self._engine_client.run(
+                command=command,
+                request=self._prepared.call,
+                received=self._received,
+                on_event=self._exchange.post_event,
+                on_token=self._on_token,
+            )
+        finally:
+            self._limits.mark_waiting(request_id=request.request_id)
+        return self._with_record(ended)
+
+    def _on_token(self, index, text):
+        if not self._first_token_at:
+            self._first_token_at = time.monotonic()
+        self._prepared.answer.token(text)
+
+    def _with_record(self, ended):
+        """Add the whole answer to the run's end where the ledger will ask for it."""
+        request = self._prepared.request
+        kept = request.at_most_once and request.idempotency_key
+        if not kept or not isinstance(ended.outcome, RunDone):
+            return ended
+        answer = self._prepared.answer.recordable(self._received)
+        return dataclasses.replace(ended, content_type=answer.content_type, body=answer.body)
+
+    def _answer(self, command):
+        answer = self._prepared.answer
+        match command:
+            case AnswerWhole():
+                answer.whole(self._received)
+                return ANSWERED
+            case AnswerRecorded():
+                answer.recorded(command)
+                return RECORDED
+            case AnswerRefusal(refusal=refusal):
+                refusal = self._true_reason(refusal)
+                if refusal.reason is not Reason.CALLER_GONE:
+                    answer.refuse(refusal, self._received)
+                return refusal.reason.value
+
+    def _true_reason(self, refusal):
+        # The task was told that its caller had gone, which is how a request is given up; the
+        # caller is still there and is told why.
+        if self._exchange.displaced and refusal.reason is Reason.CALLER_GONE:
+            return Refusal(
+                status=503,
+                reason=Reason.ROUTER_FULL,
+                executed=refusal.executed,
+                detail="This router needed its room for a higher tier.",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        return refusal
+
+    def _note(self, outcome):
+        prepared = self._prepared
+        request = prepared.request
+        began_at = self._arrival.at
+        now = time.monotonic()
+        labels = {"route": f"{request.service}/{request.route}", "tier": prepared.tier_name}
+        self._metrics.count("requests", outcome=outcome, **labels)
+        self._metrics.observe("total", seconds=now - began_at, **labels)
+        if self._first_run_at:
+            self._metrics.observe("queue_wait", seconds=self._first_run_at - began_at, **labels)
+        if self._first_token_at:
+            self._metrics.observe("first_token", seconds=self._first_token_at - began_at, **labels)
+        bound = logger.bind(
+            request_id=request.request_id,
+            caller_request_id=self._arrival.response.request_id,
+            team=request.team,
+            tier=prepared.tier_name,
+            generation=prepared.generation,
+        )
+        bound.info(
+            "{}/{} {} after {:.3f} s, {} runs",
+            request.service,
+            request.route,
+            outcome,
+            now - began_at,
+            self._exchange.runs,
+        )
--- a/wagtailtrestle/caller_exchange.py
+++ b/wagtailtrestle/caller_exchange.py
@@ -36,14 +36,13 @@
         ``cancel(run_id=…, address=…)``, which must not block.
     """
 
-    __slots__ = ("request_id", "displaced", "runs", "running", "_post_event", "_cancel", "_commands", "_gone", "_lock")
+    __slots__ = ("request_id", "displaced", "runs", "post_event", "_cancel", "_commands", "_gone", "_lock")
 
     def __init__(self, *, request_id, post_event: Callable[[CallerEvent], None], cancel):
         self.request_id = request_id
         self.displaced = False
         self.runs = 0
-        self.running = False
-        self._post_event = post_event
+        self.post_event = post_event
         self._cancel = cancel
         self._commands = queue.SimpleQueue()
         self._gone = False
@@ -67,7 +66,7 @@
             if self._gone:
                 return
             self._gone = True
-        self._post_event(CallerGone())
+        self.post_event(CallerGone())
 
     def displace(self):
         """Give the request up for a higher tier; the caller is told so."""
@@ -92,11 +91,10 @@
                 return AnswerRefusal(refusal=self._undecided())
             if not isinstance(command, StartRun):
                 return command
-            self._post_event(self._run(run, command))
+            self.post_event(self._run(run, command))
 
     def _run(self, run, command):
         self.runs += 1
-        self.running = True
         try:
             return run(command)
         except Exception:
@@ -105,8 +103,6 @@
             logger.exception("run {} failed in its thread", command.run_id)
             outcome = RunCut(detail="the run failed inside the router", reached=True)
             return RunEnded(run_id=command.run_id, outcome=outcome, duration_s=0.0)
-        finally:
-            self.running = False
 
     def _undecided(self):
         return Refusal(
--- a/wagtailtrestle/caller_headers.py
+++ b/wagtailtrestle/caller_headers.py
@@ -16,6 +16,27 @@
 KEY_FORM = re.compile(r"[\x21-\x7e]{1,255}")
 DEADLINE_FORM = re.compile(r"[0-9]{1,12}")
 MS_PER_S = 1000.0
+HEADER_PREFIX = "HTTP_"
+STEERING_PREFIX = "HTTP_WAGTAILTRESTLE_"
+# The caller's key is for this router alone. A coding is not offered on, so that an answer's
+# length is the length of its body.
+UNFORWARDED = frozenset(
+    {
+        "HTTP_ACCEPT_ENCODING",
+        "HTTP_AUTHORIZATION",
+        "HTTP_CONNECTION",
+        "HTTP_EXPECT",
+        "HTTP_HOST",
+        "HTTP_KEEP_ALIVE",
+        "HTTP_PROXY_AUTHORIZATION",
+        "HTTP_TE",
+        "HTTP_TRAILER",
+        "HTTP_TRANSFER_ENCODING",
+        "HTTP_UPGRADE",
+        "HTTP_X_REQUEST_ID",
+        "HTTP_X_CALLER_REQUEST_ID",
+    }
+)
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
@@ -66,3 +87,15 @@
     """Seconds the whole answer may take: the caller's, else the route's, never above ``most_s``."""
     asked_ms = headers.deadline_ms if headers.deadline_ms is not None else default_ms
     return min(asked_ms / MS_PER_S, most_s)
+
+
+def forwarded_headers(environ: dict) -> dict:
+    """The caller's headers that a plain service is sent."""
+    value_by_name = {}
+    for name, value in environ.items():
+        if not name.startswith(HEADER_PREFIX) or name in UNFORWARDED or name.startswith(STEERING_PREFIX):
+            continue
+        value_by_name[name[len(HEADER_PREFIX) :].replace("_", "-").title()] = value
+    if "CONTENT_TYPE" in environ:
+        value_by_name["Content-Type"] = environ["CONTENT_TYPE"]
+    return value_by_name
--- /dev/null
+++ b/wagtailtrestle/caller_intake.py
@@ -0,0 +1,302 @@
+"""From a caller's HTTP request to what the decisions take: read, authenticated, matched, checked."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wagtailtrestle.authentication import KeyIndex, authenticate
+from wagtailtrestle.caller_answer import Answer, CallerResponse, PlainAnswer, StreamedAnswer, WholeAnswer
+from wagtailtrestle.caller_body import BodyLength, body_digest, body_length, parse_language, read_body
+from wagtailtrestle.caller_headers import caller_headers, deadline_s, forwarded_headers
+from wagtailtrestle.caller_limits import ReceiveLimit
+from wagtailtrestle.caller_stream import EventWriter, model_list
+from wagtailtrestle.caller_watch import CallerWatch
+from wagtailtrestle.caller_wsgi import CONNECTION_ENVIRON
+from wagtailtrestle.declaration import LANGUAGE, PLAIN
+from wagtailtrestle.engine_http import EngineCall
+from wagtailtrestle.exchange import CallerRequest
+from wagtailtrestle.outcomes import Executed, Reason, Refusal
+from wagtailtrestle.prompt_shape import PromptShape
+from wagtailtrestle.route_match import (
+    CHAT_PATH,
+    LANGUAGE_PATHS,
+    MODELS_PATH,
+    match_language,
+    match_plain,
+    may_use,
+    services_of,
+    wrong_method,
+)
+
+NO_PROMPT = PromptShape(tokens=0)
+RETRY_AFTER_S = 1.0
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Prepared:
+    """A request ready for its task, and how its caller will be answered."""
+
+    request: CallerRequest
+    call: EngineCall
+    answer: Answer
+    body_bytes: int
+    tier_name: str
+    generation: int
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class ModelList:
+    """The answer of ``/v1/models``, which needs no task."""
+
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Arrival:
+    """One request as it came.
+
+    Parameters
+    ----------
+    environ : dict
+        WSGI's.
+    response : CallerResponse
+    request_id : str
+        Ours.
+    at : float
+        ``time.monotonic`` when its head had been read.
+    """
+
+    environ: dict
+    response: CallerResponse
+    request_id: str
+    at: float
+
+
+class Intake:
+    """Reads and checks requests; called from callers' threads, keeps nothing of a request.
+
+    Parameters
+    ----------
+    directory : callable
+        Returns the configuration in force or ``None``.
+    now : callable
+        The loop's clock.
+    watch : CallerWatch
+    receive_limit : ReceiveLimit
+    most_deadline_s : float
+    """
+
+    __slots__ = ("_directory", "_now", "_watch", "_receive_limit", "_most_deadline_s", "_keys")
+
+    def __init__(
+        self,
+        *,
+        directory,
+        now: Callable[[], float],
+        watch: CallerWatch,
+        receive_limit: ReceiveLimit,
+        most_deadline_s: float,
+    ):
+        self._directory = directory
+        self._now = now
+        self._watch = watch
+        self._receive_limit = receive_limit
+        self._most_deadline_s = most_deadline_s
+        self._keys = (None, None)
+
+    def prepare(self, arrival: Arrival) -> Prepared | ModelList | Refusal:
+        """Read and check one request."""
+        in_force = self._directory()
+        if in_force is None:
+            return closed(Reason.NOT_READY)
+        environ = arrival.environ
+        index = self._key_index(in_force.declaration)
+        team = authenticate(header=environ.get("HTTP_AUTHORIZATION", ""), index=index)
+        if isinstance(team, Refusal):
+            return team
+        headers = caller_headers(environ)
+        if isinstance(headers, Refusal):
+            return headers
+        if environ["PATH_INFO"] == MODELS_PATH:
+            return _models(environ=environ, declaration=in_force.declaration, team=team)
+        body = self._read(environ, declaration=in_force.declaration, team=team)
+        if isinstance(body, Refusal):
+            return body
+        reading = _Reading(arrival=arrival, in_force=in_force, team=team, headers=headers, body=body)
+        if environ["PATH_INFO"] in LANGUAGE_PATHS:
+            return self._language(reading)
+        return self._plain(reading)
+
+    def _key_index(self, declaration):
+        # One tuple, replaced whole: two threads that see a new declaration at once must not
+        # leave the keys of the old one beside the new.
+        indexed, index = self._keys
+        if indexed is not declaration:
+            index = KeyIndex(declaration=declaration)
+            self._keys = (declaration, index)
+        return index
+
+    def _read(self, environ, *, declaration, team):
+        length = body_length(environ)
+        if isinstance(length, Refusal):
+            return length
+        size = self._receive_limit.most_bytes if length.chunked else length.size
+        if not self._receive_limit.take(size=size, highest=_has_highest_tier(declaration=declaration, team=team)):
+            return _no_room()
+        try:
+            return self._read_within(environ, length)
+        finally:
+            self._receive_limit.give_back(size=size)
+
+    def _read_within(self, environ, length: BodyLength):
+        connection = environ[CONNECTION_ENVIRON]
+        body = read_body(stream=environ["wsgi.input"], length=length)
+        self._watch.received(connection=connection)
+        return slow_sender() if connection.too_slow else body
+
+    def _language(self, reading):
+        environ = reading.arrival.environ
+        path = environ["PATH_INFO"]
+        if environ["REQUEST_METHOD"] != "POST":
+            return wrong_method(["POST"])
+        parsed = parse_language(body=reading.body, path=path)
+        if isinstance(parsed, Refusal):
+            return parsed
+        matched = match_language(
+            declaration=reading.in_force.declaration,
+            team=reading.team,
+            path=path,
+            model=parsed.model,
+            route_name=reading.headers.route,
+            tier_name=reading.headers.tier,
+        )
+        if isinstance(matched, Refusal):
+            return matched
+        call = EngineCall(
+            kind=LANGUAGE,
+            method="POST",
+            path=path,
+            document=parsed.fields,
+            caller_request_id=reading.arrival.response.request_id,
+        )
+        answer = _language_answer(response=reading.arrival.response, parsed=parsed, chat=path == CHAT_PATH)
+        return self._prepared(
+            reading, matched, call, answer, shape=parsed.shape, output_tokens=parsed.output_tokens, target=path
+        )
+
+    def _plain(self, reading):
+        environ = reading.arrival.environ
+        method = environ["REQUEST_METHOD"]
+        matched = match_plain(
+            declaration=reading.in_force.declaration,
+            team=reading.team,
+            method=method,
+            path=environ["PATH_INFO"],
+            route_name=reading.headers.route,
+            tier_name=reading.headers.tier,
+        )
+        if isinstance(matched, Refusal):
+            return matched
+        target = environ["REQUEST_URI"]
+        path, _, query = target.partition("?")
+        call = EngineCall(
+            kind=PLAIN,
+            method=method,
+            path=path,
+            query=query,
+            headers=forwarded_headers(environ),
+            body=reading.body,
+            caller_request_id=reading.arrival.response.request_id,
+        )
+        answer = PlainAnswer(response=reading.arrival.response)
+        return self._prepared(reading, matched, call, answer, shape=NO_PROMPT, output_tokens=0, target=target)
+
+    def _prepared(self, reading, matched, call, answer, *, shape, output_tokens, target):
+        route = matched.route
+        headers = reading.headers
+        allowed_s = deadline_s(headers=headers, default_ms=route.deadline_ms, most_s=self._most_deadline_s)
+        elapsed_s = time.monotonic() - reading.arrival.at
+        request = CallerRequest(
+            request_id=reading.arrival.request_id,
+            service=matched.service.name,
+            team=reading.team.name,
+            route=route.name,
+            tier=matched.tier.rank,
+            repeatable=route.repeatable,
+            at_most_once=route.at_most_once,
+            idempotency_key=headers.idempotency_key,
+            body_digest=body_digest(method=call.method, path=target, body=reading.body),
+            prompt_tokens=shape.tokens,
+            output_tokens=output_tokens,
+            prefix_blocks=shape.prefix_blocks,
+            deadline=self._now() + allowed_s - elapsed_s,
+        )
+        return Prepared(
+            request=request,
+            call=call,
+            answer=answer,
+            body_bytes=len(reading.body),
+            tier_name=matched.tier.name,
+            generation=reading.in_force.generation,
+        )
+
+
+class _Reading:
+    """What is known of a request once it was read."""
+
+    __slots__ = ("arrival", "in_force", "team", "headers", "body")
+
+    def __init__(self, *, arrival, in_force, team, headers, body):
+        self.arrival = arrival
+        self.in_force = in_force
+        self.team = team
+        self.headers = headers
+        self.body = body
+
+
+def closed(reason: Reason) -> Refusal:
+    """The refusal of a router that takes no requests now."""
+    return Refusal(
+        status=503,
+        reason=reason,
+        executed=Executed.NO,
+        detail="This router takes no requests now; send it again and another one will.",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def slow_sender() -> Refusal:
+    """A 408 for a request that takes too long to arrive."""
+    return Refusal(
+        status=408, reason=Reason.BAD_REQUEST, executed=Executed.NO, detail="The request took too long to arrive."
+    )
+
+
+def _no_room():
+    return Refusal(
+        status=503,
+        reason=Reason.ROUTER_FULL,
+        executed=Executed.NO,
+        detail="This router is receiving as many bytes of large requests as it can.",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def _models(*, environ, declaration, team):
+    if environ["REQUEST_METHOD"] != "GET":
+        return wrong_method(["GET"])
+    return ModelList(body=model_list([service.name for service in services_of(declaration=declaration, team=team)]))
+
+
+def _has_highest_tier(*, declaration, team):
+    routes = (route for service in declaration.services_by_name.values() for route in service.routes_by_name.values())
+    return any(declaration.tiers_by_name[r.tier].rank == 0 and may_use(route=r, team=team) for r in routes)
+
+
+def _language_answer(*, response, parsed, chat):
+    if not parsed.stream:
+        return WholeAnswer(response=response, model=parsed.model, chat=chat)
+    events = EventWriter(
+        request_id=response.request_id, model=parsed.model, chat=chat, include_usage=parsed.include_usage
+    )
+    return StreamedAnswer(response=response, events=events, model=parsed.model, chat=chat)
--- a/wagtailtrestle/caller_limits.py
+++ b/wagtailtrestle/caller_limits.py
@@ -6,6 +6,19 @@
 import threading
 from dataclasses import dataclass
 
+DEFAULT_BODY_BYTES = 64 * 1024 * 1024
+DEFAULT_RECEIVE_BYTES = 64 * 1024 * 1024
+MIN_RESERVE_THREADS = 4
+RESERVE_SHARE = 8
+SMALL_BODY_BYTES = 65_536
+LOWER_TIERS_SHARE = 0.75
+
+
+def held_for(threads: int) -> int:
+    """Requests to hold with so many threads: an eighth, and at least four, are kept to read and refuse."""
+    reserve = max(MIN_RESERVE_THREADS, threads // RESERVE_SHARE)
+    return max(1, threads - reserve)
+
 
 @dataclass(slots=True, frozen=True, kw_only=True)
 class Admitted:
@@ -79,12 +92,18 @@
             self._hold(request_id=request_id, tier=tier, body_bytes=body_bytes, repeatable=repeatable)
         return Admitted(displaced=tuple(victim.request_id for victim in victims))
 
-    def mark_running(self, *, request_id):
-        """Note that a run of this request may have begun."""
+    def mark_running(self, *, request_id) -> bool:
+        """Note that a run of this request begins; ``False`` if it was displaced just before.
+
+        Both happen under one lock, so a request that may not be repeated is either displaced
+        and never sent, or sent and never displaced.
+        """
         with self._lock:
             held = self._by_id.get(request_id)
-            if held is not None:
-                held.running = True
+            if held is None:
+                return False
+            held.running = True
+            return True
 
     def mark_waiting(self, *, request_id):
         """Note that the request waits again after a run that ended."""
@@ -146,3 +165,44 @@
     def _drop(self, held):
         del self._by_id[held.request_id]
         self._bytes_used -= held.body_bytes
+
+
+class ReceiveLimit:
+    """Bytes of large bodies being read, before the request's tier is known.
+
+    The tier of a completion stands in its body. Small bodies are bounded by the threads;
+    of the room for large ones, teams without a route of the highest tier may fill three
+    quarters, so that their flood leaves room for the highest.
+
+    Parameters
+    ----------
+    total_bytes : int
+    most_bytes : int
+        Largest single body, counted for one whose length is not declared.
+    """
+
+    __slots__ = ("most_bytes", "_total_bytes", "_used", "_lock")
+
+    def __init__(self, *, total_bytes, most_bytes):
+        self.most_bytes = most_bytes
+        self._total_bytes = max(total_bytes, most_bytes)
+        self._used = 0
+        self._lock = threading.Lock()
+
+    def take(self, *, size, highest) -> bool:
+        """Take room for one body; ``False`` if there is none."""
+        if size <= SMALL_BODY_BYTES:
+            return True
+        allowed = self._total_bytes if highest else max(self.most_bytes, self._total_bytes * LOWER_TIERS_SHARE)
+        with self._lock:
+            if self._used + size > allowed:
+                return False
+            self._used += size
+            return True
+
+    def give_back(self, *, size):
+        """Give back what ``take`` took."""
+        if size <= SMALL_BODY_BYTES:
+            return
+        with self._lock:
+            self._used -= size
--- a/wagtailtrestle/caller_stream.py
+++ b/wagtailtrestle/caller_stream.py
@@ -116,6 +116,21 @@
     return json.dumps(answer).encode()
 
 
+def read_whole_answer(body: bytes) -> tuple:
+    """Text and ``AnswerEnd`` of an answer written by ``whole_answer``."""
+    answer = json.loads(body)
+    choice = answer["choices"][0]
+    text = choice["text"] if "text" in choice else choice["message"]["content"]
+    usage = answer["usage"]
+    end = AnswerEnd(
+        finish_reason=choice["finish_reason"],
+        prompt_tokens=usage["prompt_tokens"],
+        completion_tokens=usage["completion_tokens"],
+        cached_tokens=usage["prompt_tokens_details"]["cached_tokens"],
+    )
+    return text, end
+
+
 def model_list(names: list) -> bytes:
     """Answer of ``/v1/models``."""
     data = [{"id": name, "object": "model", "created": 0, "owned_by": "wagtailtrestle"} for name in names]
--- a/wagtailtrestle/caller_watch.py
+++ b/wagtailtrestle/caller_watch.py
@@ -8,6 +8,9 @@
 
 GONE_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 CHECK_S = 0.25
+# With most threads receiving, a sender is allowed this long: enough for any request from a
+# caller within a few milliseconds, and short enough that the rest come through.
+CROWDED_TIMEOUT_S = 2.0
 
 
 class CallerWatch:
@@ -17,15 +20,33 @@
     caller leave; unwatched, the engine would go on generating for nobody and the slot would
     stay taken until the run's end. The kernel reports a closed peer by an event that costs
     nothing until then. Data that a caller pipelines is not reported.
-    """
 
-    __slots__ = ("_epoll", "_lock", "_callback_by_fd", "_deadline_by_connection", "_closing", "_thread")
+    Parameters
+    ----------
+    timeout_s : float
+        Longest time for the arrival of one whole request.
+    crowd : int
+        Requests being received at once above which only ``CROWDED_TIMEOUT_S`` is allowed.
+    """
 
-    def __init__(self):
+    __slots__ = (
+        "_epoll",
+        "_lock",
+        "_callback_by_fd",
+        "_since_by_connection",
+        "_closing",
+        "_thread",
+        "_timeout_s",
+        "_crowd",
+    )
+
+    def __init__(self, *, timeout_s, crowd):
+        self._timeout_s = timeout_s
+        self._crowd = crowd
         self._epoll = select.epoll()
         self._lock = threading.Lock()
         self._callback_by_fd = {}
-        self._deadline_by_connection = {}
+        self._since_by_connection = {}
         self._closing = threading.Event()
         self._thread = threading.Thread(target=self._run, name="caller-watch", daemon=True)
 
@@ -50,20 +71,20 @@
         with self._lock:
             self._drop(fd)
 
-    def expect(self, *, connection, deadline: float):
-        """Give up reading from ``connection`` at ``deadline`` (``time.monotonic``).
+    def expect(self, *, connection):
+        """Begin to count the time in which a request must arrive on ``connection``.
 
         The timeout of a socket holds for each read: a caller that sends a byte now and then
-        would hold a thread for hours, and a few hundred of them the router. The deadline
-        is for the whole request, however it trickles in.
+        would hold a thread for hours, and a hundred of them the router. This limit is for
+        the whole request, however it trickles in, and tightens while most threads receive.
         """
         with self._lock:
-            self._deadline_by_connection[connection] = deadline
+            self._since_by_connection[connection] = time.monotonic()
 
     def received(self, *, connection):
         """The request of ``connection`` has arrived whole, or its connection ended."""
         with self._lock:
-            self._deadline_by_connection.pop(connection, None)
+            self._since_by_connection.pop(connection, None)
 
     def _run(self):
         while not self._closing.is_set():
@@ -83,9 +104,11 @@
     def _stop_slow_senders(self):
         now = time.monotonic()
         with self._lock:
-            late = [c for c, deadline in self._deadline_by_connection.items() if deadline <= now]
+            crowded = len(self._since_by_connection) > self._crowd
+            allowed_s = min(CROWDED_TIMEOUT_S, self._timeout_s) if crowded else self._timeout_s
+            late = [c for c, since in self._since_by_connection.items() if now - since > allowed_s]
             for connection in late:
-                del self._deadline_by_connection[connection]
+                del self._since_by_connection[connection]
                 connection.too_slow = True
                 _stop_reading(connection.socket)
 
--- a/wagtailtrestle/caller_wsgi.py
+++ b/wagtailtrestle/caller_wsgi.py
@@ -23,6 +23,8 @@
 KEEPALIVE_PROBES = 3
 WRITE_TIMEOUT_MS = 20_000
 STOP_TIMEOUT_S = 5.0
+DISCARD_S = 0.5
+DISCARD_PIECE_BYTES = 262_144
 FULL_RETRY_AFTER_S = 1.0
 REASON_BY_STATUS = {413: Reason.TOO_LARGE, 414: Reason.TOO_LARGE, 431: Reason.TOO_LARGE}
 LOG_LEVELS = (10, 20, 30, 40, 50)
@@ -71,12 +73,12 @@
         self.too_slow = False
         self.has_waited = False
         self.closed = False
+        self.unread = False
         server.connection_opened()
 
     def communicate(self):
         """Read one request and answer it."""
-        deadline = time.monotonic() + self.server.receive_timeout_s
-        self.server.watch.expect(connection=self, deadline=deadline)
+        self.server.watch.expect(connection=self)
         try:
             return super().communicate()
         finally:
@@ -90,18 +92,35 @@
         head = [f"HTTP/1.1 {status_line(refusal.status)}", "Connection: close"]
         head.extend(f"{name}: {value}" for name, value in headers)
         data = "\r\n".join(head).encode("latin-1") + b"\r\n\r\n" + body
+        self.unread = True
         try:
             self.wfile.write(data)
         except OSError:
-            return
+            self.unread = False
 
     def close(self):
         """Close the socket and count the connection out."""
         if not self.closed:
             self.closed = True
             self.server.connection_closed()
+            if self.unread:
+                self._discard_rest()
         super().close()
 
+    def _discard_rest(self):
+        # Closing with bytes unread makes the kernel reset the connection, and the caller reads
+        # "connection reset" in place of the refusal just written. So the rest is taken and
+        # thrown away, for a moment.
+        deadline = time.monotonic() + DISCARD_S
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            while time.monotonic() < deadline:
+                self.socket.settimeout(DISCARD_S)
+                if not self.socket.recv(DISCARD_PIECE_BYTES):
+                    return
+        except OSError:
+            return
+
 
 class CallerThreads(ThreadPool):
     """The worker threads, which never keep the process from ending."""
@@ -134,8 +153,6 @@
     threads : int
     watch : CallerWatch
     max_connections, max_header_bytes, max_body_bytes : int
-    receive_timeout_s : float
-        Longest time for the arrival of one whole request.
     """
 
     ConnectionClass = CallersConnection
@@ -150,7 +167,6 @@
         max_connections,
         max_header_bytes,
         max_body_bytes,
-        receive_timeout_s,
     ):
         super().__init__(address, application, numthreads=threads, server_name="wagtailtrestle")
         self.gateway = CallersGateway
@@ -161,7 +177,6 @@
         self.keep_alive_conn_limit = None
         self.max_request_header_size = max_header_bytes
         self.max_request_body_size = max_body_bytes
-        self.receive_timeout_s = receive_timeout_s
         self.watch = watch
         self.max_connections = max_connections
         self.connections = 0
@@ -216,6 +231,7 @@
             retry_after_s=FULL_RETRY_AFTER_S,
         )
         conn.send_problem(refusal)
+        conn.unread = False  # this is the accepting thread: it waits for nobody
         conn.close()
 
 
--- a/wagtailtrestle/route_match.py
+++ b/wagtailtrestle/route_match.py
@@ -3,7 +3,7 @@
 import re
 from dataclasses import dataclass
 
-from wagtailtrestle.declaration import LANGUAGE, PLAIN, Declaration, Route, Service, Team
+from wagtailtrestle.declaration import LANGUAGE, PLAIN, Declaration, Route, Service, Team, Tier
 from wagtailtrestle.outcomes import Executed, Reason, Refusal
 
 CHAT_PATH = "/v1/chat/completions"
@@ -16,11 +16,11 @@
 
 @dataclass(slots=True, frozen=True, kw_only=True)
 class Matched:
-    """The service and route of a request, and the tier's rank after any lowering."""
+    """The service and route of a request, and its tier after any lowering."""
 
     service: Service
     route: Route
-    tier: int
+    tier: Tier
 
 
 def may_use(*, route: Route, team: Team) -> bool:
@@ -83,7 +83,7 @@
     on_path = [r for r in service.routes_by_name.values() if _has_prefix(rest=rest, prefix=r.path)]
     routes = [r for r in on_path if r.method == method]
     if on_path and not routes:
-        return _wrong_method(on_path)
+        return wrong_method([route.method for route in on_path])
     return _choose(
         declaration=declaration,
         team=team,
@@ -94,6 +94,14 @@
     )
 
 
+def wrong_method(methods: list) -> Refusal:
+    """A 405 that names the methods allowed."""
+    allowed = ", ".join(sorted(set(methods)))
+    return Refusal(
+        status=405, reason=Reason.NO_ROUTE, executed=Executed.NO, detail=f"Allowed methods on this path: {allowed}."
+    )
+
+
 def _has_prefix(*, rest, prefix):
     prefix = prefix.strip("/")
     return prefix == "" or rest == prefix or rest.startswith(prefix + "/")
@@ -109,22 +117,22 @@
     route = default if not route_name else next((r for r in usable if r.name == route_name), None)
     if route is None:
         return _forbidden(f"No route {route_name[:64]!r} on this path for team {team.name!r}.")
-    ceiling = declaration.tiers_by_name[default.tier].rank
-    rank = declaration.tiers_by_name[route.tier].rank
-    if rank < ceiling:
+    ceiling = declaration.tiers_by_name[default.tier]
+    tier = declaration.tiers_by_name[route.tier]
+    if tier.rank < ceiling.rank:
         return _forbidden(f"Route {route.name!r} is of a higher tier than {default.name!r}, the team's own here.")
-    return _lower(declaration=declaration, service=service, route=route, rank=rank, tier_name=tier_name)
+    return _lower(declaration=declaration, service=service, route=route, tier=tier, tier_name=tier_name)
 
 
-def _lower(*, declaration, service, route, rank, tier_name):
+def _lower(*, declaration, service, route, tier, tier_name):
     if not tier_name:
-        return Matched(service=service, route=route, tier=rank)
+        return Matched(service=service, route=route, tier=tier)
     asked = declaration.tiers_by_name.get(tier_name)
     if asked is None:
         return _bad_request(f"No tier is called {tier_name[:64]!r}.")
-    if asked.rank < rank:
+    if asked.rank < tier.rank:
         return _forbidden("A caller may lower its tier, never raise it.")
-    return Matched(service=service, route=route, tier=asked.rank)
+    return Matched(service=service, route=route, tier=asked)
 
 
 def _bad_request(detail):
@@ -137,10 +145,3 @@
 
 def _no_route(detail):
     return Refusal(status=404, reason=Reason.NO_ROUTE, executed=Executed.NO, detail=detail)
-
-
-def _wrong_method(routes):
-    allowed = ", ".join(sorted({route.method for route in routes}))
-    return Refusal(
-        status=405, reason=Reason.NO_ROUTE, executed=Executed.NO, detail=f"Allowed methods on this path: {allowed}."
-    )
