Learn the clean step from the low end of samples, interference apart

Change: the step line follows the low end of a window of samples; pace over step is learned as interference; a step change rescales the line. First measured runs on fakes (wagtailtrestle/measure) come with it.

--- a/wagtailtrestle/engine_model.py
+++ b/wagtailtrestle/engine_model.py
@@ -1,13 +1,20 @@
 """Learned speed of one engine, with its uncertainty, starting from declared values.
 
-The decode step is taken as a line in the number of runs batched together,
-``step = base + slope * concurrency``, fitted by weighted least squares whose old
-evidence fades, so that an engine that turns slow is believed slow within seconds.
+Three things are learned. The *clean* decode step is a line in the number of runs batched
+together, ``base + slope * concurrency``. The *interference* is how much slower than that
+tokens really come, since the engine also prefills other prompts between them. The
+prefill rate is learned from times to first token.
+
+A measured step or pace is never shorter than the clean step, and often much longer, for
+a step that prefills a chunk of a prompt takes tens of ordinary steps. A mean would call
+every engine with long prompts slow, so the line follows the low end of recent samples.
 """
 
+from collections import deque
+
 from wagtailtrestle.fading_line import FadingLine
 
-PRIOR_SLOPE_SHARE = 0.05
+PRIOR_SLOPE_SHARE = 0.03
 """Assumed growth of a step for each further run, as a share of the declared step."""
 
 PRIOR_WEIGHT = 4.0
@@ -16,6 +23,32 @@
 FADE = 0.97
 """Share of the old evidence's weight kept at each new observation."""
 
+WINDOW = 24
+"""Recent samples of which the low end shows the clean step."""
+
+LOW_RANK = 4
+"""Which of the window's samples, from the lowest, counts as its low end."""
+
+CLEAN_RATIO = 1.25
+"""Samples within this factor of the low end are taken as clean steps."""
+
+STEP_CHANGE = 1.8
+"""If a whole window's low end differs by this factor, the engine's speed has changed."""
+
+PRIOR_PREFILL_TOKENS = 2048.0
+"""How many prefilled tokens the declared rate counts for."""
+
+PREFILL_MEMORY_TOKENS = 60_000.0
+"""Tokens over which old evidence on the prefill rate fades."""
+
+PACE_MEMORY_S = 15.0
+"""Seconds of decoding over which old evidence on interference fades."""
+
+MOST_INTERFERENCE = 20.0
+
+CHUNK_TOKENS = 512
+"""Prompt tokens an engine is assumed to prefill between two decode steps."""
+
 GOOD_THROUGHPUT_SHARE = 0.95
 """An engine counts as full at the least concurrency that gives this share of its best."""
 
@@ -38,12 +71,19 @@
         Declared prefill rate.
     """
 
-    __slots__ = ("slots", "_declared_step_s", "_declared_prefill", "_step", "_prefill_s_per_token", "_prefill_weight")
+    __slots__ = (
+        "slots",
+        "_step",
+        "_scale",
+        "_ratios",
+        "_prefill_s_per_token",
+        "_prefill_tokens",
+        "_interference",
+        "_paced_s",
+    )
 
     def __init__(self, *, slots, step_s, prefill_tokens_per_s):
         self.slots = max(1, int(slots))
-        self._declared_step_s = step_s
-        self._declared_prefill = prefill_tokens_per_s
         self._step = FadingLine(
             base=step_s * (1.0 - PRIOR_SLOPE_SHARE),
             slope=step_s * PRIOR_SLOPE_SHARE,
@@ -52,33 +92,55 @@
             low=1.0,
             high=float(self.slots),
         )
+        self._scale = 1.0
+        self._ratios = deque(maxlen=WINDOW)
         self._prefill_s_per_token = 1.0 / prefill_tokens_per_s
-        self._prefill_weight = PRIOR_WEIGHT * 256.0
+        self._prefill_tokens = PRIOR_PREFILL_TOKENS
+        self._interference = 1.0
+        self._paced_s = 1.0
+
+    # What is measured.
+
+    def observe_first_token(self, *, first_token_s, uncached_tokens, concurrency, pending_prefill_tokens=0):
+        """Learn the prefill rate from one run's time to its first token.
 
-    def observe_first_token(self, *, first_token_s, uncached_tokens, concurrency):
-        """Learn the prefill rate from one run's time to its first token."""
+        ``pending_prefill_tokens`` is what the engine still had to prefill for others
+        when the run was dispatched: it is computed first.
+        """
         if uncached_tokens < 1:
             return
-        spent_s = max(MIN_DURATION_S, first_token_s - self.step_s(concurrency))
-        kept = self._prefill_weight * FADE
-        total = kept + uncached_tokens
-        self._prefill_s_per_token = (self._prefill_s_per_token * kept + spent_s) / total
-        self._prefill_weight = total
+        tokens = uncached_tokens + pending_prefill_tokens
+        steps_s = self.step_s(concurrency) * (1 + tokens / CHUNK_TOKENS)
+        spent_s = max(tokens * self._prefill_s_per_token / STEP_CHANGE, first_token_s - steps_s)
+        kept = self._prefill_tokens * max(0.0, 1.0 - tokens / PREFILL_MEMORY_TOKENS)
+        self._prefill_s_per_token = (self._prefill_s_per_token * kept + spent_s) / (kept + tokens)
+        self._prefill_tokens = kept + tokens
 
     def observe_finish(self, *, output_tokens, decode_s, mean_concurrency):
-        """Learn the step time from one run's whole decode."""
-        if output_tokens < 1:
+        """Learn interference, and a bound on the step, from one run's whole decode."""
+        if output_tokens < 1 or decode_s <= 0.0:
             return
-        self._step.observe(x=mean_concurrency, y=decode_s / output_tokens, weight=1.0)
+        pace_s = decode_s / output_tokens
+        self._sample(mean_concurrency, pace_s)
+        ratio = min(MOST_INTERFERENCE, max(1.0, pace_s / self.step_s(mean_concurrency)))
+        kept = self._paced_s * max(0.0, 1.0 - decode_s / PACE_MEMORY_S)
+        self._interference = (self._interference * kept + ratio * decode_s) / (kept + decode_s)
+        self._paced_s = kept + decode_s
 
     def observe_report(self, *, step_s, running):
         """Learn the step time from the engine's own load report."""
         if step_s > 0.0 and running >= 1:
-            self._step.observe(x=running, y=step_s, weight=1.0)
+            self._sample(running, step_s)
+
+    # What is believed.
 
     def step_s(self, concurrency):
-        """Expected seconds of one decode step with ``concurrency`` runs."""
-        return max(MIN_DURATION_S, self._step.at(max(1.0, min(concurrency, self.slots))))
+        """Expected seconds of one decode step that prefills nothing."""
+        return max(MIN_DURATION_S, self._scale * self._step.at(max(1.0, min(concurrency, self.slots))))
+
+    def pace_s(self, concurrency):
+        """Expected seconds from token to token, other prompts' prefill included."""
+        return self.step_s(concurrency) * self._interference
 
     def prefill_s(self, tokens):
         """Expected seconds to compute ``tokens`` uncached prompt tokens."""
@@ -86,7 +148,8 @@
 
     def predict_first_token_s(self, *, uncached_tokens, concurrency, pending_prefill_tokens):
         """Expected seconds from dispatch to the first token."""
-        return self.prefill_s(uncached_tokens + pending_prefill_tokens) + self.step_s(concurrency)
+        tokens = uncached_tokens + pending_prefill_tokens
+        return self.prefill_s(tokens) + self.step_s(concurrency) * (1 + tokens / CHUNK_TOKENS)
 
     def predict_finish_s(self, *, uncached_tokens, output_tokens, concurrency, pending_prefill_tokens):
         """Expected seconds from dispatch to the last token."""
@@ -95,7 +158,7 @@
             concurrency=concurrency,
             pending_prefill_tokens=pending_prefill_tokens,
         )
-        return first_s + max(0, output_tokens - 1) * self.step_s(concurrency)
+        return first_s + max(0, output_tokens - 1) * self.pace_s(concurrency)
 
     def concurrency_limit(self):
         """Least concurrency that keeps the engine just full, within its slots."""
@@ -118,7 +181,21 @@
             "slots": self.slots,
             "step_s_at_1": round(self.step_s(1), 6),
             "step_s_at_slots": round(self.step_s(self.slots), 6),
+            "interference": round(self._interference, 3),
             "prefill_tokens_per_s": round(1.0 / self._prefill_s_per_token, 1),
             "concurrency_limit": self.concurrency_limit(),
             "confidence": round(self.confidence(), 3),
         }
+
+    def _sample(self, concurrency, seconds):
+        """Take in one upper bound on the clean step at ``concurrency``."""
+        self._ratios.append(seconds / self.step_s(concurrency))
+        low = sorted(self._ratios)[min(LOW_RANK, len(self._ratios)) - 1]
+        if len(self._ratios) == WINDOW and (low > STEP_CHANGE or low < 1.0 / STEP_CHANGE):
+            # An engine that turned slow shows it in every sample; the line's shape still
+            # holds, so its scale jumps instead of creeping there over many samples.
+            self._scale *= low
+            self._ratios = deque((ratio / low for ratio in self._ratios), maxlen=WINDOW)
+            low = 1.0
+        if self._ratios[-1] <= CLEAN_RATIO * low and len(self._ratios) >= LOW_RANK:
+            self._step.observe(x=min(concurrency, self.slots), y=seconds / self._scale, weight=1.0)
--- /dev/null
+++ b/wagtailtrestle/measure/cluster.py
@@ -0,0 +1,172 @@
+"""The routers of a measured run: real entries and the real steward, joined by delayed messages."""
+
+from wagtailtrestle.entry import Entry
+from wagtailtrestle.exchange import CallerRequest
+from wagtailtrestle.measure.fake_caller import NETWORK_S, FakeCaller
+from wagtailtrestle.measure.run_parts import LoadReport, NeverBlocked, RetryAllowance, SentBy, SentTo
+from wagtailtrestle.steward import Steward
+
+TICK_S = 0.05
+REPORT_EVERY_S = 0.1
+REPORT_LAG_S = 0.2
+DETECTION_S = 1.0
+"""How long it takes until the others know that a router is dead."""
+
+
+class StewardRouters:
+    """Routers under the product's own decisions.
+
+    Parameters
+    ----------
+    setting : RunSetting
+    engines_by_name : dict of str to FakeEngine
+    make_policy : callable
+        Returns a new ``EnginePolicy``.
+    loop : asyncio.AbstractEventLoop
+    """
+
+    def __init__(self, *, setting, engines_by_name, make_policy, loop):
+        self._setting = setting
+        self._engines_by_name = engines_by_name
+        self._make_policy = make_policy
+        self._loop = loop
+        self._budget = RetryAllowance()
+        self._callers_by_router = {name: {} for name in setting.routers}
+        self._entry_by_name = {name: self._entry(name) for name in setting.routers}
+        self._host = setting.routers[0]
+        self._steward = self._new_steward()
+
+    @property
+    def steward(self):
+        """The present steward."""
+        return self._steward
+
+    def start(self):
+        """Start the periodic work."""
+        self._tick()
+        self._report()
+
+    def live(self):
+        """Names of the routers that take callers."""
+        return list(self._entry_by_name)
+
+    def submit(self, *, router, request, arrival):
+        """Give one caller's request to a router; returns the caller's side."""
+        entry = self._entry_by_name[router]
+        caller = FakeCaller(
+            arrival=arrival,
+            request_id=request.request_id,
+            engines_by_name=self._engines_by_name,
+            loop=self._loop,
+            post_event=entry.post,
+        )
+        self._callers_by_router[router][request.request_id] = caller
+        entry.submit(request, caller)
+        return caller
+
+    def kill(self, router):
+        """End a router's process: its requests are lost, and its steward if it had one."""
+        entry = self._entry_by_name.pop(router)
+        for caller in self._callers_by_router.pop(router).values():
+            caller.die()
+        self._loop.create_task(entry.close())
+        if router == self._host:
+            self._steward.stop_granting()
+            self._steward = None
+        self._loop.call_later(DETECTION_S, self._note_death, router)
+
+    def _send_to_steward(self, router, message):
+        delay_s = 0.0 if router == self._host else NETWORK_S
+        self._loop.call_later(delay_s, self._receive, message)
+
+    def _receive(self, message):
+        if self._steward is not None:
+            self._steward.receive(message)
+
+    def _send_to_entry(self, entry_name, message):
+        if entry_name not in self._entry_by_name:
+            return False
+        delay_s = 0.0 if entry_name == self._host else NETWORK_S
+        self._loop.call_later(delay_s, self._give, entry_name, message)
+        return True
+
+    def _give(self, entry_name, message):
+        entry = self._entry_by_name.get(entry_name)
+        if entry is not None:
+            entry.on_steward_message(message)
+
+    def _note_death(self, router):
+        if router == self._host:
+            self._host = next(iter(self._entry_by_name))
+            self._steward = self._new_steward()
+            for entry in self._entry_by_name.values():
+                self._loop.call_later(NETWORK_S, self._receive, entry.register(self._setting.cell))
+        else:
+            self._steward.set_members(frozenset(self._entry_by_name))
+
+    def _entry(self, name):
+        return Entry(
+            name=name,
+            stewards=SentBy(router=name, send=self._send_to_steward),
+            claims=None,
+            crash_book=NeverBlocked(),
+            budget_by_service=lambda service: self._budget,
+            declaration=lambda: self._setting.declaration,
+            loop=self._loop,
+        )
+
+    def _new_steward(self):
+        setting = self._setting
+        steward = Steward(
+            cell=setting.cell,
+            policy=self._make_policy(),
+            clock=self._loop.time,
+            entries=SentTo(send=self._send_to_entry),
+            prefill_weight=setting.prefill_weight,
+        )
+        steward.set_members(frozenset(self._entry_by_name))
+        steward.set_teams({name: team.share for name, team in setting.declaration.teams_by_name.items()})
+        steward.set_engines({engine.name: engine for engine in setting.declared_engines})
+        return steward
+
+    def _tick(self):
+        if self._steward is not None:
+            self._steward.tick()
+        self._loop.call_later(TICK_S, self._tick)
+
+    def _report(self):
+        for engine in self._engines_by_name.values():
+            load = engine.load()
+            report = LoadReport(
+                engine=engine.name,
+                age_s=REPORT_LAG_S,
+                running=load.running,
+                waiting=load.waiting,
+                step_s=load.step_s,
+                leaving=False,
+            )
+            self._loop.call_later(REPORT_LAG_S, self._take_report, report)
+        self._loop.call_later(REPORT_EVERY_S, self._report)
+
+    def _take_report(self, report):
+        if self._steward is not None:
+            self._steward.on_load_report(report)
+
+
+def caller_request(*, arrival, request_id, service, tier, repeatable, now):
+    """Build the request that a router's HTTP side would hand to its entry."""
+    return CallerRequest(
+        request_id=request_id,
+        service=service,
+        team=arrival.team,
+        route=arrival.kind.route,
+        tier=tier,
+        repeatable=repeatable,
+        at_most_once=False,
+        idempotency_key="",
+        body_digest=request_id,
+        prompt_tokens=arrival.prompt_tokens,
+        output_tokens=arrival.output_cap,
+        prefix_blocks=arrival.prefix_blocks,
+        deadline=now + arrival.kind.deadline_s,
+    )
--- /dev/null
+++ b/wagtailtrestle/measure/fake_caller.py
@@ -0,0 +1,191 @@
+"""A caller's side in a measured run: carries one request's runs to engines and its answer back."""
+
+from wagtailtrestle.exchange import AnswerRefusal, AnswerWhole, RunAdvanced, RunBegan, RunEnded, StartRun
+from wagtailtrestle.outcomes import RunCancelled, RunDone, RunLost, RunSilent
+
+NETWORK_S = 0.0015
+PROGRESS_S = 0.25
+
+
+class FakeCaller:
+    """Implements :class:`wagtailtrestle.exchange.CallerLink` for one arrival.
+
+    Parameters
+    ----------
+    arrival : Arrival
+    request_id : str
+    engines_by_name : dict of str to FakeEngine
+    loop : asyncio.AbstractEventLoop
+    post_event : callable
+        Gives ``(request_id, event)`` to the entry.
+    """
+
+    __slots__ = (
+        "arrival",
+        "request_id",
+        "answered_at",
+        "refusal",
+        "lost",
+        "received_tokens",
+        "_engines_by_name",
+        "_loop",
+        "_post_event",
+        "_carried",
+    )
+
+    def __init__(self, *, arrival, request_id, engines_by_name, loop, post_event):
+        self.arrival = arrival
+        self.request_id = request_id
+        self.answered_at = None
+        self.refusal = None
+        self.lost = False
+        self.received_tokens = 0
+        self._engines_by_name = engines_by_name
+        self._loop = loop
+        self._post_event = post_event
+        self._carried = None
+
+    @property
+    def settled(self):
+        """Whether the caller needs to wait no more."""
+        return self.answered_at is not None or self.refusal is not None or self.lost
+
+    def post(self, command):
+        """Act on a command of the request's task."""
+        match command:
+            case StartRun():
+                self._carried = CarriedRun(caller=self, command=command, engine=self._engines_by_name[command.engine])
+                self._loop.call_later(NETWORK_S, self._carried.send)
+            case AnswerWhole():
+                self.answered_at = self._loop.time()
+            case AnswerRefusal(refusal=refusal):
+                self.refusal = refusal
+
+    def cancel_run(self, *, run_id, engine, address):
+        """Ask the engine to cancel; ``RunEnded`` follows."""
+        self._loop.call_later(NETWORK_S, self._cancel, run_id, engine)
+
+    def die(self):
+        """The router that carried this request is gone, and its connections with it."""
+        self.lost = not self.settled
+        if self._carried is not None:
+            self._carried.drop()
+
+    def tell(self, event):
+        """Give an event to the entry, over the network."""
+        self._loop.call_later(NETWORK_S, self._post_event, self.request_id, event)
+
+    def now(self):
+        """Loop time."""
+        return self._loop.time()
+
+    def call_later(self, delay_s, callback):
+        """Set a timer on the loop."""
+        return self._loop.call_later(delay_s, callback)
+
+    def _cancel(self, run_id, engine):
+        if self._engines_by_name[engine].cancel(run_id):
+            self._carried.end(RunCancelled(output_tokens=self.received_tokens))
+
+
+class CarriedRun:
+    """One run followed over one connection, with its limits on silence.
+
+    Parameters
+    ----------
+    caller : FakeCaller
+    command : StartRun
+    engine : FakeEngine
+    """
+
+    __slots__ = ("_caller", "_command", "_engine", "_began_at", "_first_token_s", "_run", "_ended", "_token_at")
+
+    def __init__(self, *, caller, command, engine):
+        self._caller = caller
+        self._command = command
+        self._engine = engine
+        self._began_at = caller.now()
+        self._first_token_s = 0.0
+        self._token_at = self._began_at
+        self._run = None
+        self._ended = False
+
+    def send(self):
+        """Send the request, or attach again."""
+        if self._ended:
+            return
+        command = self._command
+        if command.attach:
+            known = self._engine.run_by_id.get(command.run_id)
+            if known is None or (not known.active and known.batch_run.last_index < known.batch_run.output_tokens):
+                self.end(RunLost(output_tokens=self._caller.received_tokens))
+                return
+            self._run = known
+            self._engine.attach(command.run_id, self)
+        else:
+            self._run = self._engine.submit(
+                run_id=command.run_id,
+                arrival=self._caller.arrival,
+                request_id=self._caller.request_id,
+                resume_tokens=self._caller.received_tokens,
+                follower=self,
+            )
+        self._caller.call_later(PROGRESS_S, self._watch)
+
+    def on_token(self, run):
+        """The first token came (or the first after attaching)."""
+        if self._ended or self._first_token_s:
+            return
+        now = self._caller.now()
+        self._first_token_s = now - self._began_at
+        self._token_at = now
+        self._caller.received_tokens = run.batch_run.last_index
+        self._caller.tell(RunBegan(run_id=self._command.run_id, first_token_s=self._first_token_s))
+
+    def on_finished(self, run):
+        """The whole answer came."""
+        batch_run = run.batch_run
+        self._caller.received_tokens = batch_run.last_index
+        self.end(
+            RunDone(
+                prompt_tokens=batch_run.prompt_tokens,
+                cached_tokens=batch_run.cached_tokens,
+                output_tokens=batch_run.last_index,
+            )
+        )
+
+    def end(self, outcome):
+        """Tell the end of the run once."""
+        if self._ended:
+            return
+        self._ended = True
+        self._caller.tell(
+            RunEnded(
+                run_id=self._command.run_id,
+                outcome=outcome,
+                duration_s=self._caller.now() - self._began_at,
+                first_token_s=self._first_token_s,
+            )
+        )
+
+    def drop(self):
+        """Close the connection without telling anybody."""
+        if not self._ended and self._run is not None:
+            self._engine.detach(self._command.run_id)
+        self._ended = True
+
+    def _watch(self):
+        if self._ended:
+            return
+        now = self._caller.now()
+        if self._run.token_at > self._token_at:
+            self._token_at = self._run.token_at
+            self._caller.received_tokens = self._run.batch_run.last_index
+            self._caller.tell(RunAdvanced(run_id=self._command.run_id, output_tokens=self._run.batch_run.last_index))
+        command = self._command
+        limit_s = command.progress_deadline_s if self._first_token_s else command.first_token_deadline_s
+        if now - self._token_at > limit_s or now - self._began_at > command.overall_s + PROGRESS_S:
+            self._engine.detach(command.run_id)
+            self.end(RunSilent(output_tokens=self._caller.received_tokens, reached=self._first_token_s > 0.0))
+            return
+        self._caller.call_later(PROGRESS_S, self._watch)
--- /dev/null
+++ b/wagtailtrestle/measure/fleet.py
@@ -0,0 +1,55 @@
+"""True speeds of the engines in a measured run, and the bound on what they can do."""
+
+import random
+
+LEAST_SPEED = 0.8
+MOST_SPEED = 1.2
+STEP_GROWTH = 0.03
+CACHE_TOKENS = 65_536
+PREFILL_CHUNK_TOKENS = 512
+
+
+class TrueSpeed:
+    """What one engine really does; the declaration only comes near it.
+
+    Parameters
+    ----------
+    slots : int
+    base_step_s, per_run_step_s : float
+    prefill_tokens_per_s : float
+    """
+
+    __slots__ = ("slots", "base_step_s", "per_run_step_s", "prefill_tokens_per_s")
+
+    def __init__(self, *, slots, base_step_s, per_run_step_s, prefill_tokens_per_s):
+        self.slots = slots
+        self.base_step_s = base_step_s
+        self.per_run_step_s = per_run_step_s
+        self.prefill_tokens_per_s = prefill_tokens_per_s
+
+    def cost_s(self, arrival):
+        """Seconds of this engine that a request costs in a full batch with an ideal cache."""
+        step_s = self.base_step_s + self.per_run_step_s * self.slots
+        prefill_s = (arrival.prompt_tokens - arrival.reusable_tokens) / self.prefill_tokens_per_s
+        return prefill_s + arrival.output_tokens * step_s / self.slots
+
+
+def true_speeds(declared_engines, *, seed):
+    """Speeds by engine name: the declared ones, each off by up to a fifth."""
+    draw = random.Random(f"speeds {seed}")
+    speed_by_name = {}
+    for engine in declared_engines:
+        slower = 1.0 / draw.uniform(LEAST_SPEED, MOST_SPEED)
+        step_s = engine.step_ms / 1000.0 * slower
+        speed_by_name[engine.name] = TrueSpeed(
+            slots=engine.slots,
+            base_step_s=step_s * (1.0 - STEP_GROWTH),
+            per_run_step_s=step_s * STEP_GROWTH,
+            prefill_tokens_per_s=engine.prefill_tokens_per_s / slower,
+        )
+    return speed_by_name
+
+
+def fleet_cost_s(speed_by_name, arrival):
+    """Seconds of the whole fleet that a request costs; their sum per second is at most 1."""
+    return 1.0 / sum(1.0 / speed.cost_s(arrival) for speed in speed_by_name.values())
--- /dev/null
+++ b/wagtailtrestle/measure/one_run.py
@@ -0,0 +1,169 @@
+"""One measured run: one policy, one service, one load, one scenario, one seed."""
+
+import asyncio
+import random
+import time
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from wagtailtrestle.declaration_check import parse_declaration
+from wagtailtrestle.measure import virtual_time
+from wagtailtrestle.measure.baseline_routers import BaselineRouters
+from wagtailtrestle.measure.cluster import StewardRouters, caller_request
+from wagtailtrestle.measure.fake_engine import FakeEngine
+from wagtailtrestle.measure.fleet import fleet_cost_s, true_speeds
+from wagtailtrestle.measure.run_parts import RunSetting
+from wagtailtrestle.measure.tally import tally
+from wagtailtrestle.measure.workload import Drawing
+from wagtailtrestle.policies import LeastReportedLoad, PredictedFinish, RoundRobin, TwoChoices
+
+ROUTERS = ("r1", "r2", "r3", "r4")
+WARM_S = 10.0
+STRAGGLE_FACTOR = 5.0
+FAULT_AT = 1.0 / 3.0
+DRAIN_S = 60.0
+MEAN_SEED = 0
+
+NO_FAULT = "none"
+STRAGGLER = "straggler"
+KILLED_ENTRY = "killed-entry"
+KILLED_STEWARD = "killed-steward"
+
+OURS = "ours"
+BASELINES = ("round-robin", "least-reported", "two-choices")
+ABLATIONS = ("steward-round-robin", "steward-least-reported", "steward-two-choices")
+
+EXAMPLE_BY_SERVICE = {"asistente": "cometas", "naamkosh": "nagarchinha"}
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class RunSpec:
+    """What one run measures; ``prefill_weight`` below 0 takes the declared one."""
+
+    service: str
+    policy: str
+    load: float
+    scenario: str
+    seed: int
+    duration_s: float
+    prefill_weight: float = -1.0
+
+
+def measure(spec):
+    """Run one spec and return its figures as plain data."""
+    began = time.perf_counter()
+    figures = virtual_time.run(MeasuredRun(spec=spec).run())
+    return {**asdict(spec), **figures, "processor_s": round(time.perf_counter() - began, 2)}
+
+
+class MeasuredRun:
+    """Builds the parts of one run, drives its arrivals and faults, and tallies it.
+
+    Parameters
+    ----------
+    spec : RunSpec
+    """
+
+    def __init__(self, *, spec):
+        self._spec = spec
+        declaration = load_declaration(spec.service)
+        service = declaration.services_by_name[spec.service]
+        weight = service.prefill_weight if spec.prefill_weight < 0 else spec.prefill_weight
+        self._setting = RunSetting(declaration=declaration, service=service, routers=ROUTERS, prefill_weight=weight)
+        self._speed_by_name = true_speeds(self._setting.declared_engines, seed=spec.seed)
+        self._tier_of = {
+            route.name: declaration.tiers_by_name[route.tier].rank for route in service.routes_by_name.values()
+        }
+        self._callers = []
+
+    async def run(self):
+        """Drive the run to its end."""
+        spec = self._spec
+        loop = asyncio.get_running_loop()
+        engines_by_name = {
+            name: FakeEngine(name=name, speed=speed, loop=loop) for name, speed in self._speed_by_name.items()
+        }
+        routers = self._routers(engines_by_name, loop)
+        routers.start()
+        loop.call_later(spec.duration_s * FAULT_AT, self._break, routers, engines_by_name)
+        await self._arrive(routers, loop)
+        await asyncio.sleep(DRAIN_S)
+        return self._figures(engines_by_name)
+
+    def _routers(self, engines_by_name, loop):
+        policy = self._spec.policy
+        seed = self._spec.seed
+        steward = policy == OURS or policy in ABLATIONS
+        name = policy.removeprefix("steward-")
+
+        def make_policy(number=0):
+            match name:
+                case "round-robin":
+                    return RoundRobin()
+                case "least-reported":
+                    return LeastReportedLoad()
+                case "two-choices":
+                    return TwoChoices(seed=seed * 100 + number)
+                case _:
+                    return PredictedFinish(prefill_weight=self._setting.prefill_weight)
+
+        kind = StewardRouters if steward else BaselineRouters
+        return kind(setting=self._setting, engines_by_name=engines_by_name, make_policy=make_policy, loop=loop)
+
+    async def _arrive(self, routers, loop):
+        spec = self._spec
+        pick = random.Random(f"balancer {spec.seed}")
+        for arrival in self._arrivals():
+            await asyncio.sleep(arrival.at_s - loop.time())
+            route = self._setting.service.routes_by_name[arrival.kind.route]
+            router = pick.choice(routers.live())
+            request = caller_request(
+                arrival=arrival,
+                request_id=f"{router}-{arrival.number}",
+                service=spec.service,
+                tier=self._tier_of[route.name],
+                repeatable=route.repeatable,
+                now=loop.time(),
+            )
+            self._callers.append(routers.submit(router=router, request=request, arrival=arrival))
+
+    def _arrivals(self):
+        spec = self._spec
+        teams = self._setting.declaration.teams_by_name
+        service = self._setting.service
+        mean = Drawing(service=service, teams_by_name=teams, seed=MEAN_SEED)
+        cost_s = mean.mean(lambda arrival: fleet_cost_s(self._speed_by_name, arrival))
+        drawing = Drawing(service=service, teams_by_name=teams, seed=spec.seed)
+        return drawing.arrivals(rate=spec.load / cost_s, duration_s=spec.duration_s)
+
+    def _break(self, routers, engines_by_name):
+        match self._spec.scenario:
+            case "straggler":
+                engines_by_name[self._setting.declared_engines[0].name].straggle(STRAGGLE_FACTOR)
+            case "killed-entry":
+                routers.kill(ROUTERS[-1])
+            case "killed-steward":
+                routers.kill(ROUTERS[0])
+
+    def _figures(self, engines_by_name):
+        spec = self._spec
+        declaration = self._setting.declaration
+        routes = self._setting.service.routes_by_name.values()
+        figures = tally(
+            callers=self._callers,
+            engines=list(engines_by_name.values()),
+            speed_by_name=self._speed_by_name,
+            tier_names={tier.rank: tier.name for tier in declaration.tiers_by_name.values()},
+            tier_of=self._tier_of,
+            repeatable_of={route.name: route.repeatable for route in routes},
+            window=(WARM_S, spec.duration_s),
+        )
+        figures["busy_share"] = figures.pop("busy_s") / (spec.duration_s * len(engines_by_name))
+        return figures
+
+
+def load_declaration(service):
+    """Return the example declaration that holds a service."""
+    path = EXAMPLES / f"{EXAMPLE_BY_SERVICE[service]}.yaml"
+    return parse_declaration(path.read_text(), file=path.name)
