--- /dev/null
+++ b/wagtailtrestle/cli/dump.py
@@ -0,0 +1,63 @@
+"""``wagtailtrestle-dump``: prints one running process's whole state."""
+
+import json
+import sys
+
+import yaml
+from fire.decorators import SetParseFn
+
+from wagtailtrestle.argument_types import Flag, Url
+from wagtailtrestle.cli.runner import read_arguments, run_program
+from wagtailtrestle.environment import Environment
+from wagtailtrestle.exit_status import ExitStatus
+
+PROGRAM = "wagtailtrestle-dump"
+STATE_PATH = "/state"
+
+
+def run(environment, arguments):
+    """Run one dump's command line in ``environment``."""
+
+    def make_command(plan):
+        @SetParseFn(str)
+        def dump(url, *, json=False):
+            """Print the whole state of one running process, as YAML.
+
+            Works on routers and stand-ins alike. Keys and prompts are never in it.
+            Exit statuses: 0 done; 4 the process could not be reached.
+
+            Args:
+                url: Admin address of the process, for instance http://10.0.0.7:9090
+                json: Print JSON instead.
+            """
+            plan.note(lambda: print_state(environment, url=url, as_json=json))
+
+        return dump
+
+    return run_program(make_command, environment=environment, arguments=arguments)
+
+
+def print_state(environment, *, url, as_json):
+    """Print the state served at ``url`` and return the exit status."""
+    arguments = read_arguments(
+        environment, url=(url if "://" in url else f"http://{url}", Url()), json=(str(as_json), Flag())
+    )
+    if arguments is None:
+        return ExitStatus.USAGE
+    state_url = arguments["url"].removesuffix(STATE_PATH) + STATE_PATH
+    state = environment.fetch_json(state_url)
+    if not isinstance(state, dict):
+        environment.complain(
+            f"No state from {state_url}: {state}. Check that the process runs and that this is its admin address."
+        )
+        return ExitStatus.NOT_REACHED
+    if arguments["json"]:
+        environment.say(json.dumps(state, indent=2))
+    else:
+        environment.say(yaml.safe_dump(state, sort_keys=False, allow_unicode=True).rstrip())
+    return ExitStatus.DONE
+
+
+def main():
+    """Run this process's command line."""
+    sys.exit(run(Environment.of_process(program=PROGRAM), sys.argv[1:]))
--- /dev/null
+++ b/wagtailtrestle/cli/operate.py
@@ -0,0 +1,281 @@
+"""``wagtailtrestle``: the operators' command line on declarations."""
+
+import asyncio
+import sys
+
+from fire.decorators import SetParseFn
+
+from wagtailtrestle.applying import (
+    NOTHING_ACCEPTED,
+    Applied,
+    ApplyConflict,
+    ApplyNotDone,
+    ApplyUnknown,
+    apply,
+    read_accepted,
+)
+from wagtailtrestle.argument_types import Integer, Url
+from wagtailtrestle.cli.runner import read_arguments, run_program
+from wagtailtrestle.declaration_check import DeclarationFaults, parse_declaration
+from wagtailtrestle.declaration_diff import difference
+from wagtailtrestle.environment import Environment
+from wagtailtrestle.exit_status import ExitStatus
+from wagtailtrestle.outcomes import StoreUnavailable
+from wagtailtrestle.output.text import change_text, faults_text, status_text, summary_text
+from wagtailtrestle.status_report import collect_status
+
+PROGRAM = "wagtailtrestle"
+LARGEST_GENERATION = 10**15
+
+
+class OperatorCommands:
+    """Checks and applies declarations, and shows where they are in force.
+
+    A declaration is one YAML file that holds everything: tiers, teams, services, routes and
+    engines. Applying it replaces the one before, as a whole, on every router.
+
+    Exit statuses: 0 done; 1 a check failed; 2 wrong usage; 3 conflict, somebody else applied first;
+    4 platform unreachable, nothing was applied; 5 unknown whether it was applied.
+    """
+
+    def __init__(self, *, plan, environment):
+        self._plan = plan
+        self._environment = environment
+
+    @SetParseFn(str)
+    def check(self, file):
+        """Check a declaration and print every fault at once, with its line.
+
+        Nothing but the file is read. Exit status 0 if it is sound, 1 if not.
+
+        Args:
+            file: The declaration, YAML.
+        """
+        self._plan.note(lambda: check(self._environment, file=file))
+
+    @SetParseFn(str)
+    def diff(self, file, *, platform=None, against=None):
+        """Show what applying a declaration would change; changes nothing.
+
+        Lines begin with '+' (added), '-' (removed) or '~' (changed). With --platform it
+        prints the accepted generation, to be given to `apply --base`.
+
+        Args:
+            file: The new declaration.
+            platform: URL of the platform; compares with the accepted declaration.
+            against: Another declaration's file to compare with instead.
+        """
+        self._plan.note(lambda: diff(self._environment, file=file, platform=platform, against=against))
+
+    @SetParseFn(str)
+    def apply(self, file, *, platform, base=None):
+        """Check a declaration and make it the accepted one, in a single update.
+
+        Routers put it in force within seconds: see `status`. If a check fails, nothing
+        is applied. An answer lost on the way is settled by reading back.
+
+        Args:
+            file: The declaration.
+            platform: URL of the platform.
+            base: The generation that the file was made from, as printed by `diff` or `status`. If
+                another one is accepted by now, nothing is applied (exit status 3). Without
+                it, whatever is accepted is replaced.
+        """
+        self._plan.note(lambda: apply_file(self._environment, file=file, platform=platform, base=base))
+
+    @SetParseFn(str)
+    def status(self, *, platform):
+        """Show the accepted generation and the one in force on each router.
+
+        Exit status 0 if every router that is to stay has it in force, else 1.
+
+        Args:
+            platform: URL of the platform.
+        """
+        self._plan.note(lambda: status(self._environment, platform=platform))
+
+
+def check(environment, *, file):
+    """Check a file, print what was found and return the exit status."""
+    loaded = _load(environment, file)
+    if isinstance(loaded, ExitStatus):
+        return loaded
+    _, declaration = loaded
+    environment.say(f"{file} is sound. {summary_text(declaration)}")
+    return ExitStatus.DONE
+
+
+def diff(environment, *, file, platform, against):
+    """Print what applying a file would change and return the exit status."""
+    if (platform is None) == (against is None):
+        environment.complain("Give either --platform URL or --against FILE. Nothing was run.")
+        return ExitStatus.USAGE
+    arguments = read_arguments(environment, platform=(platform, Url()))
+    if arguments is None:
+        return ExitStatus.USAGE
+    loaded = _load(environment, file)
+    if isinstance(loaded, ExitStatus):
+        return loaded
+    _, declaration = loaded
+    if against is not None:
+        return _diff_files(environment, declaration, against=against)
+    return _diff_platform(environment, declaration, platform=arguments["platform"])
+
+
+def _diff_files(environment, declaration, *, against):
+    loaded = _load(environment, against)
+    if isinstance(loaded, ExitStatus):
+        return loaded
+    _, other = loaded
+    return _print_difference(environment, other, declaration, base=against)
+
+
+def _diff_platform(environment, declaration, *, platform):
+    accepted = _with_store(environment, platform, lambda store: read_accepted(store=store))
+    if isinstance(accepted, StoreUnavailable):
+        environment.complain(_unreachable(platform, accepted.detail))
+        return ExitStatus.NOT_REACHED
+    if accepted is NOTHING_ACCEPTED:
+        return _print_difference(environment, None, declaration, base="nothing accepted yet")
+    base = f"generation {accepted.generation}"
+    other = parse_declaration(accepted.text, file=base)
+    if isinstance(other, DeclarationFaults):
+        environment.complain(faults_text(other.faults))
+        environment.complain(f"{base} was accepted, but this version of {PROGRAM} can't read it: use the newer one.")
+        return ExitStatus.CHECK_FAILED
+    return _print_difference(environment, other, declaration, base=base)
+
+
+def _print_difference(environment, before, after, *, base):
+    changes = difference(before, after)
+    for change in changes:
+        environment.say(change_text(change))
+    environment.say(f"{len(changes)} changes against {base}" if changes else f"No change against {base}")
+    return ExitStatus.DONE
+
+
+def apply_file(environment, *, file, platform, base):
+    """Check and apply a file, say what came of it and return the exit status."""
+    arguments = read_arguments(
+        environment, platform=(platform, Url()), base=(base, Integer(least=0, most=LARGEST_GENERATION))
+    )
+    if arguments is None:
+        return ExitStatus.USAGE
+    loaded = _load(environment, file)
+    if isinstance(loaded, ExitStatus):
+        environment.complain("Nothing was applied.")
+        return loaded
+    text, _ = loaded
+    apply_id = environment.new_id()
+    try:
+        outcome = _with_store(
+            environment,
+            arguments["platform"],
+            lambda store: apply(
+                store=store,
+                text=text,
+                apply_id=apply_id,
+                clock=environment.unix_time,
+                base_generation=arguments["base"],
+            ),
+        )
+    except KeyboardInterrupt:
+        # The update may be on its way already, so "not applied" would be a guess.
+        outcome = ApplyUnknown(detail="interrupted")
+    return _tell_apply(environment, outcome, file=file, platform=arguments["platform"], apply_id=apply_id)
+
+
+def _tell_apply(environment, outcome, *, file, platform, apply_id):
+    match outcome:
+        case Applied(generation=generation):
+            environment.say(
+                f"Applied: {file} is generation {generation}. Routers put it in force within seconds; "
+                f"see: {PROGRAM} status --platform {platform}"
+            )
+            return ExitStatus.DONE
+        case ApplyConflict(generation=generation, by=by):
+            applied_by = f", applied as {by}," if by else ""
+            environment.complain(
+                f"Conflict, nothing was applied: generation {generation}{applied_by} came first. See what "
+                f"differs with: {PROGRAM} diff {file} --platform {platform}; bring its changes into "
+                f"your file, then apply again with --base {generation}."
+            )
+            return ExitStatus.CONFLICT
+        case ApplyNotDone(detail=detail):
+            environment.complain(f"Nothing was applied. {_unreachable(platform, detail)}")
+            return ExitStatus.NOT_REACHED
+        case ApplyUnknown(detail=detail):
+            environment.complain(
+                f"Unknown whether {file} was applied: {detail}. Don't apply again yet. Once the platform answers, run: "
+                f"{PROGRAM} status --platform {platform}; it was applied if the accepted one is "
+                f"apply {apply_id}; if another one is accepted, see: {PROGRAM} diff {file} --platform {platform}"
+            )
+            return ExitStatus.UNKNOWN
+
+
+def status(environment, *, platform):
+    """Print what is accepted and in force and return the exit status."""
+    arguments = read_arguments(environment, platform=(platform, Url()))
+    if arguments is None:
+        return ExitStatus.USAGE
+    report = _with_store(
+        environment,
+        arguments["platform"],
+        lambda store: collect_status(store=store, fetch=environment.fetch_json),
+    )
+    if isinstance(report, StoreUnavailable):
+        environment.complain(_unreachable(arguments["platform"], report.detail))
+        return ExitStatus.NOT_REACHED
+    environment.say(status_text(report))
+    if report.is_in_force_everywhere:
+        return ExitStatus.DONE
+    environment.complain("Not in force on every router yet: run status again in a few seconds.")
+    return ExitStatus.CHECK_FAILED
+
+
+def _load(environment, file):
+    """Return a file's text and declaration, or the exit status after complaining."""
+    try:
+        with open(file, "rb") as opened:
+            content = opened.read()
+    except (OSError, ValueError) as error:
+        environment.complain(
+            f"{file} can't be read: {getattr(error, 'strerror', None) or error}. Give a readable file."
+        )
+        return ExitStatus.USAGE
+    declaration = parse_declaration(content, file=file)
+    if isinstance(declaration, DeclarationFaults):
+        environment.complain(faults_text(declaration.faults))
+        return ExitStatus.CHECK_FAILED
+    return content.decode(), declaration
+
+
+def _with_store(environment, url, work):
+    async def run():
+        store = environment.open_store(url)
+        store.start()
+        try:
+            return await work(store)
+        finally:
+            store.close()
+
+    return asyncio.run(run())
+
+
+def _unreachable(platform, detail):
+    reason = f" ({detail})" if detail else ""
+    return f"The platform at {platform} can't be used now{reason}. Check the URL, or try again later."
+
+
+def run(environment, arguments):
+    """Run one command line in ``environment``."""
+    return run_program(
+        lambda plan: OperatorCommands(plan=plan, environment=environment),
+        environment=environment,
+        arguments=arguments,
+    )
+
+
+def main():
+    """Run this process's command line."""
+    sys.exit(run(Environment.of_process(program=PROGRAM), sys.argv[1:]))
--- /dev/null
+++ b/wagtailtrestle/cli/router.py
@@ -0,0 +1,53 @@
+"""``wagtailtrestle-router``: the daemon on every entry VM."""
+
+import sys
+
+from fire.decorators import SetParseFn
+
+from wagtailtrestle.cli.runner import run_program
+from wagtailtrestle.environment import Environment
+from wagtailtrestle.exit_status import ExitStatus
+from wagtailtrestle.logs import start_logs
+from wagtailtrestle.output.text import faults_text
+from wagtailtrestle.settings import SettingsFaults, load_router_settings
+
+PROGRAM = "wagtailtrestle-router"
+
+
+def run(environment, arguments):
+    """Run one router's command line in ``environment``."""
+
+    def make_command(plan):
+        @SetParseFn(str)
+        def router(*, settings):
+            """Run one router until SIGTERM, which lets requests in flight finish first.
+
+            Exit statuses: 0 stopped as asked; 2 the settings are faulty, nothing was started.
+
+            Args:
+                settings: The router's own settings file, YAML; see examples/settings/router.yaml.
+            """
+            plan.note(lambda: start_router(environment, settings_file=settings))
+
+        return router
+
+    return run_program(make_command, environment=environment, arguments=arguments)
+
+
+def start_router(environment, *, settings_file):
+    """Run the router that a settings file describes and return its exit status."""
+    settings = load_router_settings(settings_file)
+    if isinstance(settings, SettingsFaults):
+        environment.complain(faults_text(settings.faults))
+        environment.complain(f"The router was not started: correct {settings_file}.")
+        return ExitStatus.USAGE
+    start_logs(stream=environment.stderr, level=settings.log_level, as_json=settings.log_json)
+    # Imported late: a faulty settings file is told at once, without the whole router's libraries.
+    from wagtailtrestle.core import run_router
+
+    return run_router(settings=settings, environment=environment)
+
+
+def main():
+    """Run this process's command line."""
+    sys.exit(run(Environment.of_process(program=PROGRAM), sys.argv[1:]))
--- /dev/null
+++ b/wagtailtrestle/cli/runner.py
@@ -0,0 +1,109 @@
+"""Runs a program's command line with fire, and turns its errors into plain messages."""
+
+import io
+import re
+from contextlib import redirect_stderr, redirect_stdout
+
+import fire
+
+from wagtailtrestle.argument_types import Wrong
+from wagtailtrestle.exit_status import ExitStatus
+
+ANSI = re.compile(r"\x1b\[[0-9;]*m")
+# fire shows its own notes on how arguments are read as if they were commands of ours.
+FIRE_NOISE = re.compile(
+    r"^INFO: .*\n+"
+    r"|^GROUPS\n(.*\n)*?.*FIRE_METADATA\n+"
+    r"|^ +available groups: +FIRE_METADATA\n"
+    r"|^ +Type: Optional\[\]\n"
+    r"|^For detailed information on this command, run:\n.*\n?"
+    r"|(?<= )(GROUP|<group>) \| ",
+    re.MULTILINE,
+)
+FIRE_FLAGS_MARK = "--"
+HELP_FLAGS = ("--help", "-h")
+
+
+class Plan:
+    """The command that the command line chose, noted while fire reads it and run afterwards.
+
+    fire calls a command before it has read the arguments that follow. Run at once, ``apply FILE
+    --platform URL --bsae 7`` would replace the declaration without the check that
+    was asked for, and only then complain of the misspelt flag.
+    """
+
+    __slots__ = ("_command",)
+
+    def __init__(self):
+        self._command = None
+
+    def note(self, command):
+        """Remember what to run."""
+        self._command = command
+
+    @property
+    def command(self):
+        """What to run, or ``None`` if no command was named."""
+        return self._command
+
+
+def run_program(make_commands, *, environment, arguments):
+    """Read a command line, run what it names, and return the exit status.
+
+    Parameters
+    ----------
+    make_commands : callable
+        Takes a ``Plan`` and returns what fire reads: its functions only note commands there.
+    environment : Environment
+    arguments : sequence of str
+        Without the program's name.
+
+    Returns
+    -------
+    ExitStatus
+    """
+    if FIRE_FLAGS_MARK in arguments and arguments[-1] not in HELP_FLAGS:
+        return _end_early(f"Nothing may stand after a bare {FIRE_FLAGS_MARK}.", environment=environment, is_help=False)
+    plan = Plan()
+    told = io.StringIO()
+    try:
+        # fire starts a pager for help on a terminal; here it writes to memory and starts nothing.
+        with redirect_stdout(told), redirect_stderr(told):
+            fire.Fire(make_commands(plan), command=list(arguments), name=environment.program)
+    except fire.core.FireExit as fire_exit:
+        return _end_early(told.getvalue(), environment=environment, is_help=fire_exit.code == 0)
+    if plan.command is None:
+        return _end_early(told.getvalue(), environment=environment, is_help=False)
+    return plan.command()
+
+
+def _end_early(told, *, environment, is_help):
+    text = FIRE_NOISE.sub("", ANSI.sub("", told)).strip()
+    if is_help:
+        environment.say(text)
+        return ExitStatus.DONE
+    environment.complain(f"{text}\n\nNothing was run. See: {environment.program} --help")
+    return ExitStatus.USAGE
+
+
+def read_arguments(environment, **typed):
+    """Check arguments, each given as ``name=(text, ValueType)``.
+
+    Returns
+    -------
+    dict or None
+        Values by name; ``None`` after complaining of each faulty one. An absent
+        optional argument, whose text is ``None``, stays ``None``.
+    """
+    values = {}
+    faulty = False
+    for name, (text, value_type) in typed.items():
+        value = None if text is None else value_type.read(text)
+        if isinstance(value, Wrong):
+            faulty = True
+            environment.complain(f"{name} {value.problem}; allowed: {value_type.allowed}")
+        values[name] = value
+    if faulty:
+        environment.complain(f"Nothing was run. See: {environment.program} --help")
+        return None
+    return values
--- /dev/null
+++ b/wagtailtrestle/output/__init__.py
@@ -0,0 +1,1 @@
+"""Text that the command line prints."""
