Peer codec: ledger, crash report, relay and registration messages

Cause: the ledger's asks, crash reports and asks to register must travel between routers. Change: their messages join the one table; enumerations follow the dataclasses' type hints, so equal field names of different types no longer clash. Conclusion: the wiring of ledger and crash reports can use real peers.

--- /dev/null
+++ b/wagtailtrestle/member.py
@@ -0,0 +1,117 @@
+"""What one router believes of another, and the order in which statements outweigh each other."""
+
+from wagtailtrestle.peer_messages import MemberState, ViewEvent
+
+HOLD_FIRST_S = 1.0
+HOLD_MAX_S = 30.0
+STEADY_S = 300.0
+
+RANKS_BY_STATE = {MemberState.ALIVE: 0, MemberState.SUSPECT: 1, MemberState.DEAD: 2, MemberState.LEFT: 3}
+PRESENT = (MemberState.ALIVE, MemberState.SUSPECT)
+
+
+class Member:
+    """One router as seen from another.
+
+    Only the router itself raises its ``version``; so at one version a worse state
+    outweighs a better one until the router itself refutes it with a higher version.
+    """
+
+    __slots__ = (
+        "address",
+        "claimed_dead",
+        "draining",
+        "flaps",
+        "generation",
+        "held_until",
+        "incarnation",
+        "listed_leaving",
+        "name",
+        "own_suspicion",
+        "state",
+        "state_since",
+        "suspect_again_at",
+        "suspect_backoff_s",
+        "version",
+        "zone",
+    )
+
+    def __init__(self, *, name, now):
+        self.name = name
+        self.zone = ""
+        self.address = ""
+        self.incarnation = 0
+        self.version = 0
+        self.state = MemberState.DEAD
+        self.state_since = now
+        self.draining = False
+        self.listed_leaving = False
+        self.claimed_dead = False
+        self.own_suspicion = False
+        self.suspect_again_at = now
+        self.suspect_backoff_s = 0.0
+        self.flaps = 0
+        self.held_until = now
+        self.generation = 0
+
+    @property
+    def present(self):
+        """Whether it belongs to the view: alive, or suspected and given time to refute."""
+        return self.state in PRESENT
+
+    def key(self):
+        """Order of statements about this router."""
+        return (self.incarnation, self.version, RANKS_BY_STATE[self.state])
+
+    def eligible(self, now):
+        """Whether it may be steward or shard owner."""
+        return self.present and not self.draining and not self.listed_leaving and now >= self.held_until
+
+    def set_state(self, state, now):
+        """Change the state; note suspicion's time and count returns from the dead."""
+        if state == self.state:
+            return
+        was_dead, self.state = self.state is MemberState.DEAD, state
+        if state is MemberState.ALIVE:
+            self.own_suspicion = False
+            self.claimed_dead = False
+            if was_dead:
+                self._hold(now)
+        self.state_since = now
+
+    def _hold(self, now):
+        # A router behind a bad link would go in and out of the view, and each time the cells it is steward
+        # of move twice and every entry re-registers. Who comes back is alive at once but eligible only after
+        # it stayed for a while, longer each time.
+        if now - self.state_since > STEADY_S:
+            self.flaps = 0
+        self.flaps += 1
+        self.held_until = now + min(HOLD_MAX_S, HOLD_FIRST_S * 2 ** (self.flaps - 1))
+
+    def restart(self, incarnation, now):
+        """Take a new process of that name; it owes nothing for what its predecessor did."""
+        self.incarnation = incarnation
+        self.version = 0
+        self.state = MemberState.ALIVE
+        self.state_since = now
+        self.own_suspicion = self.claimed_dead = self.draining = False
+        self.suspect_again_at = now
+        self.suspect_backoff_s = 0.0
+        self.held_until = now
+
+    def event(self):
+        """Statement of what is believed now."""
+        return ViewEvent(
+            name=self.name,
+            zone=self.zone,
+            address=self.address,
+            incarnation=self.incarnation,
+            version=self.version,
+            state=self.state,
+            draining=self.draining,
+        )
+
+
+def event_key(event):
+    """Order of statements, as ``Member.key``."""
+    return (event.incarnation, event.version, RANKS_BY_STATE[event.state])
--- a/wagtailtrestle/peer_codec.py
+++ b/wagtailtrestle/peer_codec.py
@@ -5,8 +5,10 @@
 """
 
 from dataclasses import fields
+from enum import Enum
+from typing import get_type_hints
 
-from wagtailtrestle import messages, peer_messages
+from wagtailtrestle import ledger_messages, messages, peer_messages, poison
 from wagtailtrestle.generated import peers_pb2 as pb
 from wagtailtrestle.outcomes import Reason
 from wagtailtrestle.peer_messages import MemberState
@@ -21,6 +23,8 @@
     peer_messages.ViewEvent: ("view_event", pb.ViewEvent),
     peer_messages.ViewAsk: ("view_ask", pb.ViewAsk),
     peer_messages.ViewText: ("view_text", pb.ViewText),
+    peer_messages.Relayed: ("relayed", pb.Relayed),
+    peer_messages.RegisterAsk: ("register_ask", pb.RegisterAsk),
     peer_messages.ConfigurationAsk: ("configuration_ask", pb.ConfigurationAsk),
     peer_messages.ConfigurationText: ("configuration_text", pb.ConfigurationText),
     messages.GrantRequest: ("grant_request", pb.GrantRequest),
@@ -32,14 +36,21 @@
     messages.Granted: ("granted", pb.Granted),
     messages.Refused: ("refused", pb.Refused),
     messages.Preempt: ("preempt", pb.Preempt),
+    ledger_messages.ClaimAsk: ("claim_ask", pb.ClaimAsk),
+    ledger_messages.ClaimAnswer: ("claim_answer", pb.ClaimAnswer),
+    ledger_messages.SettleAsk: ("settle_ask", pb.SettleAsk),
+    ledger_messages.SettleAnswer: ("settle_answer", pb.SettleAnswer),
+    ledger_messages.NonceAsk: ("nonce_ask", pb.NonceAsk),
+    ledger_messages.NonceAnswer: ("nonce_answer", pb.NonceAnswer),
+    poison.CrashReport: ("crash_report", pb.CrashReport),
 }
 
 # Types that appear only inside others.
 PARTS = {messages.RunningRecord: pb.RunningRecord}
 
-# Enumerations, with the value an unknown member from a newer peer is read as. A refusal for a reason this
-# router doesn't know is still a refusal: dropping it would leave its request waiting for ever.
-ENUMS = {"reason": (Reason, Reason.OVERLOADED), "state": (MemberState, MemberState.ALIVE)}
+# What an enumeration's unknown value from a newer peer is read as. A refusal for a reason this router
+# doesn't know is still a refusal: dropping it would leave its request waiting for ever.
+UNKNOWN_BY_ENUM = {Reason: Reason.OVERLOADED, MemberState: MemberState.ALIVE}
 
 
 class _Converter:
@@ -50,19 +61,22 @@
     def __init__(self, *, cls, pb_class):
         self.cls = cls
         self.pb_class = pb_class
-        self._plain, self._tuples, self._parts, self._part_tuples, self._enums = [], [], [], [], []
+        self._plain, self._tuples, self._parts, self._part_tuples = [], [], [], []
+        self._enums = {}
         names = [field.name for field in fields(cls)]
         by_name = pb_class.DESCRIPTOR.fields_by_name
         if set(names) != set(by_name):
             raise AssertionError(f"{cls.__name__}: fields differ from peers.proto: {set(names) ^ set(by_name)}")
+        hints = get_type_hints(cls)
         for name in names:
-            self._group(by_name[name]).append(name)
+            if isinstance(hints[name], type) and issubclass(hints[name], Enum):
+                self._enums[name] = hints[name]
+            else:
+                self._group(by_name[name]).append(name)
 
     def _group(self, descriptor):
         if descriptor.message_type is not None:
             return self._part_tuples if descriptor.is_repeated else self._parts
-        if descriptor.name in ENUMS:
-            return self._enums
         return self._tuples if descriptor.is_repeated else self._plain
 
     def to_pb(self, message):
@@ -83,8 +97,8 @@
         values = {name: getattr(body, name) for name in self._plain}
         for name in self._tuples:
             values[name] = tuple(getattr(body, name))
-        for name in self._enums:
-            values[name] = _enum_from_text(name, getattr(body, name))
+        for name, enum in self._enums.items():
+            values[name] = _enum_from_text(enum, getattr(body, name))
         for name in self._parts:
             values[name] = _part_from_pb(getattr(body, name))
         for name in self._part_tuples:
@@ -92,12 +106,11 @@
         return self.cls(**values)
 
 
-def _enum_from_text(name, text):
-    enum, unknown = ENUMS[name]
+def _enum_from_text(enum, text):
     try:
         return enum(text)
     except ValueError:
-        return unknown
+        return UNKNOWN_BY_ENUM[enum]
 
 
 def _part_to_pb(part):
--- a/wagtailtrestle/peer_messages.py
+++ b/wagtailtrestle/peer_messages.py
@@ -10,6 +10,7 @@
     ALIVE = "alive"
     SUSPECT = "suspect"
     DEAD = "dead"
+    LEFT = "left"
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
@@ -91,9 +92,31 @@
     events: tuple = ()
 
 
+@dataclass(slots=True, frozen=True, kw_only=True)
+class RegisterAsk:
+    """A steward that starts or woke from a pause asks an entry to register for the cell of the item."""
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Relayed:
+    """An item for ``target``, passed through a third router because the direct way is cut.
+
+    Parameters
+    ----------
+    item : bytes
+        Encoded item, as it would have gone directly.
+    """
+
+    source: str
+    target: str
+    item: bytes
+
+
 @dataclass(slots=True, frozen=True, kw_only=True)
 class ConfigurationAsk:
-    """Asks a peer for the configuration it has in force."""
+    """Asks a peer for the configuration it has in force, if it is at least ``generation``."""
+
+    generation: int = 0
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
