--- /dev/null
+++ b/tests/test_applying.py
@@ -0,0 +1,162 @@
+"""Applying a declaration: lost answers, races between operators, outages."""
+
+import asyncio
+import unittest
+
+from tests.utils.memory_store import MemoryStore
+from tests.utils.paused_clock import on_paused_clock
+from wagtailtrestle.applying import (
+    DECLARATION_KIND,
+    DECLARATION_NAME,
+    HISTORY_LENGTH,
+    Applied,
+    ApplyConflict,
+    ApplyNotDone,
+    ApplyUnknown,
+    apply,
+    read_accepted,
+)
+
+
+async def apply_text(store, text, *, base=None):
+    return await apply(store=store, text=text, apply_id=f"id-{text}", clock=lambda: 1.0, base_generation=base)
+
+
+class ApplyTests(unittest.TestCase):
+    @on_paused_clock
+    async def test_generations_go_up_by_one(self):
+        store = MemoryStore()
+        self.assertEqual(await apply_text(store, "a"), Applied(generation=1))
+        self.assertEqual(await apply_text(store, "b", base=1), Applied(generation=2))
+        self.assertEqual((await read_accepted(store=store)).text, "b")
+
+    @on_paused_clock
+    async def test_base_that_is_no_longer_accepted_is_a_conflict(self):
+        store = MemoryStore()
+        await apply_text(store, "a")
+        await apply_text(store, "b")
+        self.assertEqual(await apply_text(store, "c", base=1), ApplyConflict(generation=2, by="id-b"))
+        self.assertEqual((await read_accepted(store=store)).text, "b")
+
+    @on_paused_clock
+    async def test_two_operators_at_once(self):
+        # Two operators read the same generation and send their updates at nearly the
+        # same moment. One is told its generation, the other a conflict that names the
+        # first. Without the condition both are told "applied" and one file is lost.
+        store = MemoryStore()
+        await apply_text(store, "a")
+        store.slow_s = 0.01
+        outcomes = await asyncio.gather(apply_text(store, "b"), apply_text(store, "c"))
+        self.assertEqual(outcomes, [Applied(generation=2), ApplyConflict(generation=2, by="id-b")])
+
+    @on_paused_clock
+    async def test_answer_lost_after_the_write(self):
+        # The update takes effect, its answer is lost. The operator must be told
+        # "applied" with the true generation, not "unknown" and not "conflict" (with
+        # itself), and the platform must hold one generation more, not two.
+        store = MemoryStore()
+        for number, text in enumerate(("a", "b"), start=1):
+            store.lose_answers = 1
+            self.assertEqual(await apply_text(store, text), Applied(generation=number))
+        self.assertEqual((await read_accepted(store=store)).generation, 2)
+
+    @on_paused_clock
+    async def test_answer_lost_and_another_operator_applies_over_it(self):
+        # Our update takes effect, its answer is lost, and before we read back another
+        # operator applies the next generation. What we read no longer holds our id as
+        # the newest; only the history shows that ours was accepted first.
+        store = MemoryStore()
+        await apply_text(store, "a")
+        store.lose_answers = 1
+        ours = asyncio.create_task(apply_text(store, "b"))
+        await asyncio.sleep(0.1)
+        self.assertEqual(await apply_text(store, "c"), Applied(generation=3))
+        self.assertEqual(await ours, Applied(generation=2))
+
+    @on_paused_clock
+    async def test_request_lost_before_the_write(self):
+        # Nothing took effect and no answer came. Reading back finds nothing of ours,
+        # which proves nothing; sending the same update again settles it.
+        store = MemoryStore()
+        await apply_text(store, "a")
+        store.lose_requests = 1
+        self.assertEqual(await apply_text(store, "b"), Applied(generation=2))
+
+    @on_paused_clock
+    async def test_request_lost_and_another_operator_applies(self):
+        # Nothing of ours took effect, another operator got our generation meanwhile:
+        # certainly a conflict, and the platform keeps the other's file.
+        store = MemoryStore()
+        await apply_text(store, "a")
+        store.lose_requests = 1
+        ours = asyncio.create_task(apply_text(store, "b"))
+        await asyncio.sleep(0.1)
+        await apply_text(store, "c")
+        self.assertEqual(await ours, ApplyConflict(generation=2, by="id-c"))
+        self.assertEqual((await read_accepted(store=store)).text, "c")
+
+    @on_paused_clock
+    async def test_late_update_takes_effect_while_it_is_sent_again(self):
+        # The first update is held up on its way and arrives between our reading back
+        # and our second sending, which is then refused. The refusal is by ourselves:
+        # the operator must be told "applied", once.
+        store = MemoryStore()
+        await apply_text(store, "a")
+        base = store.table.get(kind=DECLARATION_KIND, name=DECLARATION_NAME)
+        store.lose_requests = 1
+        ours = asyncio.create_task(apply_text(store, "b"))
+        await asyncio.sleep(0.1)
+        late = {**base.value, "generation": 2, "apply_id": "id-b", "text": "b"}
+        late["recent"] = [*late["recent"], {"generation": 2, "apply_id": "id-b"}]
+        store.before_write = lambda: store.table.update(
+            kind=DECLARATION_KIND, name=DECLARATION_NAME, value=late, if_version=base.version
+        )
+        self.assertEqual(await ours, Applied(generation=2))
+        self.assertEqual((await read_accepted(store=store)).generation, 2)
+
+    @on_paused_clock
+    async def test_outage_before_the_update_is_certainly_not_applied(self):
+        store = MemoryStore()
+        store.down = True
+        self.assertIsInstance(await apply_text(store, "a"), ApplyNotDone)
+
+    @on_paused_clock
+    async def test_no_answer_at_all_is_unknown(self):
+        store = MemoryStore()
+        store.lose_requests = 1000
+        self.assertIsInstance(await apply_text(store, "a"), ApplyUnknown)
+
+    @on_paused_clock
+    async def test_history_that_no_longer_reaches_back_is_unknown(self):
+        # Our answer is lost and so many applies follow before we read back that our
+        # generation has left the history: "unknown" is the only truth left.
+        store = MemoryStore()
+        store.lose_answers = 1
+        ours = asyncio.create_task(apply_text(store, "ours"))
+        await asyncio.sleep(0.1)
+        for number in range(HISTORY_LENGTH + 1):
+            await apply_text(store, f"other-{number}")
+        self.assertIsInstance(await ours, ApplyUnknown)
+
+    @on_paused_clock
+    async def test_stale_read_of_the_base_never_overwrites(self):
+        # The read shows the generation before the accepted one. The update is refused,
+        # and the conflict names the accepted generation once the reads are fresh.
+        store = MemoryStore()
+        await apply_text(store, "a")
+        await apply_text(store, "b")
+        store.stale_versions = 1
+        ours = asyncio.create_task(apply_text(store, "c"))
+        await asyncio.sleep(0.2)
+        store.stale_versions = 0
+        self.assertEqual(await ours, ApplyConflict(generation=2, by="id-b"))
+
+    @on_paused_clock
+    async def test_lost_object_goes_on_above_the_operators_base(self):
+        # The platform lost the object. Routers only go up, so starting again at 1 would
+        # be accepted and never in force; --base says where to go on.
+        self.assertEqual(await apply_text(MemoryStore(), "a", base=7), Applied(generation=8))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,279 @@
+"""The declaration in force on a router: silent watches, stale reads, outages, restarts."""
+
+import asyncio
+import random
+import unittest
+
+from tests.utils.memory_store import MemoryStore
+from tests.utils.paused_clock import now, on_paused_clock
+from wagtailtrestle.applying import Applied, apply
+from wagtailtrestle.configuration import Configuration, PeersAnswer
+from wagtailtrestle.declaration import Declaration
+from wagtailtrestle.declaration_check import DeclarationFaults
+
+POLL_S = 2.0
+WITHIN_S = 5.0
+
+
+def parse(text):
+    if text.startswith("bad"):
+        return DeclarationFaults(faults=("line 1: bad",))
+    return Declaration(
+        organisation=text,
+        zones_by_region={},
+        tiers_by_name={},
+        teams_by_name={},
+        services_by_name={},
+        engines_by_name={},
+    )
+
+
+class Router:
+    """One configuration over a store of its own, with the history of what was in force."""
+
+    def __init__(self, *, table, peers=()):
+        self.store = MemoryStore(table=table)
+        self.peers = list(peers)
+        self.generations = []
+        self.times = []
+        self.configuration = Configuration(
+            store=self.store,
+            parse=parse,
+            on_change=self._note,
+            ask_peers=self._ask_peers,
+            poll_interval_s=POLL_S,
+            jitter=random.Random(1),
+        )
+
+    def _note(self, in_force):
+        self.generations.append(in_force.generation)
+        self.times.append(now())
+
+    async def _ask_peers(self, generation):
+        await asyncio.sleep(0.005)
+        held = [peer.configuration.in_force for peer in self.peers]
+        held = [in_force for in_force in held if in_force is not None and in_force.generation >= generation]
+        if not held:
+            return PeersAnswer()
+        best = max(held, key=lambda in_force: in_force.generation)
+        return PeersAnswer(answered=len(held), generation=best.generation, text=best.text)
+
+
+class ConfigurationTests(unittest.TestCase):
+    def setUp(self):
+        self.operator = MemoryStore()
+        self.routers = []
+
+    def router(self, *, start=True, peers=()):
+        router = Router(table=self.operator.table, peers=peers)
+        self.routers.append(router)
+        if start:
+            router.configuration.start()
+        return router
+
+    async def apply(self, text):
+        outcome = await apply(store=self.operator, text=text, apply_id=text, clock=lambda: 0.0)
+        self.assertIsInstance(outcome, Applied)
+        return outcome.generation
+
+    @on_paused_clock
+    async def test_watch_puts_in_force_at_once(self):
+        router = self.router()
+        await asyncio.sleep(1)
+        self.assertIsNone(router.configuration.in_force)
+        for text in ("a", "b"):
+            await self.apply(text)
+            await asyncio.sleep(0.1)
+        self.assertEqual(router.generations, [1, 2])
+        self.assertEqual(router.configuration.in_force.declaration.organisation, "b")
+
+    @on_paused_clock
+    async def test_silent_watch(self):
+        # The watch's connection has gone silent: no event and no error ever comes. The
+        # next generation must be in force within seconds all the same, by polling.
+        await self.apply("a")
+        router = self.router(start=False)
+        router.store.silent_watch = True
+        router.configuration.start()
+        await asyncio.sleep(1)
+        await self.apply("b")
+        await asyncio.sleep(WITHIN_S)
+        self.assertEqual(router.generations, [1, 2])
+        self.assertLessEqual(router.times[1] - 1, 1.25 * POLL_S)
+
+    @on_paused_clock
+    async def test_dropped_watch_event(self):
+        # The watch works but the platform never tells of one write. The router must
+        # not stay on the old generation until the next apply.
+        await self.apply("a")
+        router = self.router()
+        await asyncio.sleep(1)
+        self.operator.drop_events = True
+        await self.apply("b")
+        await asyncio.sleep(WITHIN_S)
+        self.assertEqual(router.generations, [1, 2])
+
+    @on_paused_clock
+    async def test_stale_read_after_restart(self):
+        # Generation 2 was in force on a router that is replaced. The new process reads
+        # the platform through a stale cache and sees generation 1; no peer answers. It
+        # must stay unready until the read is proved new, and never serve generation 1.
+        await self.apply("a")
+        await self.apply("b")
+        router = self.router(start=False)
+        router.store.stale_versions = 1
+        router.store.silent_watch = True
+        router.configuration.start()
+        await asyncio.sleep(2)
+        self.assertEqual(router.generations, [])
+        router.store.stale_versions = 0
+        await asyncio.sleep(WITHIN_S)
+        self.assertEqual(router.generations, [2])
+        self.assertTrue(router.configuration.dump()["is_confirmed"])
+
+    @on_paused_clock
+    async def test_stale_read_after_restart_while_the_platform_takes_no_writes(self):
+        # As above, but the platform refuses every write, so no read can be proved new.
+        # A peer has generation 2: the higher one is what the router begins with.
+        await self.apply("a")
+        await self.apply("b")
+        peer = self.router()
+        await asyncio.sleep(1)
+        router = self.router(start=False, peers=[peer])
+        router.store.stale_versions = 1
+        router.store.silent_watch = True
+        router.store.refuse_writes = True
+        router.configuration.start()
+        await asyncio.sleep(WITHIN_S)
+        self.assertEqual(router.generations, [2])
+        self.assertFalse(router.configuration.dump()["is_confirmed"])
+
+    @on_paused_clock
+    async def test_unproved_read_without_peers_is_used_late_and_said_so(self):
+        # No write is taken and no peer answers: better to serve by what can be read
+        # than never to serve, but only after the wait, and the dump says it.
+        await self.apply("a")
+        router = self.router(start=False)
+        router.store.refuse_writes = True
+        router.configuration.start()
+        await asyncio.sleep(4.9)
+        self.assertEqual(router.generations, [])
+        await asyncio.sleep(0.5)
+        self.assertEqual(router.generations, [1])
+        self.assertFalse(router.configuration.dump()["is_confirmed"])
+
+    @on_paused_clock
+    async def test_outage_at_start_with_peers(self):
+        # The platform is out when a router is replaced. Its peers hold generations 1
+        # and 2; it must be ready within seconds, on 2, and stay there.
+        await self.apply("a")
+        behind = self.router()
+        await asyncio.sleep(1)
+        behind.store.down = True
+        behind.store.silent_watch = True
+        ahead = self.router()
+        await self.apply("b")
+        await asyncio.sleep(1)
+        router = self.router(start=False, peers=[behind, ahead])
+        router.store.down = True
+        router.configuration.start()
+        await asyncio.sleep(2)
+        self.assertEqual(router.generations, [2])
+        router.store.down = False
+        await asyncio.sleep(10)
+        self.assertEqual(router.generations, [2])
+        self.assertTrue(router.configuration.dump()["is_confirmed"])
+
+    @on_paused_clock
+    async def test_outage_at_start_without_peers(self):
+        # Nothing can be learnt: not ready, until the platform is back.
+        await self.apply("a")
+        router = self.router(start=False)
+        router.store.down = True
+        router.configuration.start()
+        await asyncio.sleep(30)
+        self.assertIsNone(router.configuration.in_force)
+        router.store.down = False
+        await asyncio.sleep(WITHIN_S)
+        self.assertEqual(router.generations, [1])
+
+    @on_paused_clock
+    async def test_heartbeat_tells_of_a_higher_generation(self):
+        # This router alone can't reach the platform. A peer's heartbeat carries the new
+        # generation, and the text comes from the peer.
+        await self.apply("a")
+        peer = self.router()
+        router = self.router(peers=[peer])
+        await asyncio.sleep(1)
+        router.store.down = True
+        router.store.silent_watch = True
+        await asyncio.sleep(31)
+        await self.apply("b")
+        await asyncio.sleep(0.1)
+        router.configuration.heard(peer.configuration.generation)
+        await asyncio.sleep(1)
+        self.assertEqual(router.generations, [1, 2])
+
+    @on_paused_clock
+    async def test_running_router_never_goes_back(self):
+        # A running router polls a stale platform, hears lower generations from peers,
+        # and lives through an outage: nothing changes what is in force.
+        for text in ("a", "b"):
+            await self.apply(text)
+        router = self.router()
+        await asyncio.sleep(1)
+        router.store.stale_versions = 1
+        router.configuration.offer(1, "a", "peer")
+        router.configuration.heard(1)
+        await asyncio.sleep(10)
+        router.store.down = True
+        await asyncio.sleep(600)
+        self.assertEqual(router.generations, [2])
+
+    @on_paused_clock
+    async def test_faulty_declaration_is_not_put_in_force(self):
+        # A declaration that this router's version can't read: the one before stays in
+        # force, the dump gives the faults, and the next good one goes in force.
+        await self.apply("a")
+        router = self.router()
+        await asyncio.sleep(1)
+        await self.apply("bad")
+        await asyncio.sleep(WITHIN_S)
+        self.assertEqual(router.generations, [1])
+        self.assertEqual(router.configuration.dump()["faults_by_generation"], {2: ["line 1: bad"]})
+        await self.apply("c")
+        await asyncio.sleep(1)
+        self.assertEqual(router.generations, [1, 3])
+
+    @on_paused_clock
+    async def test_restart_on_a_faulty_declaration_takes_the_peers(self):
+        # The accepted generation 2 is faulty for this version, and all peers are still on
+        # 1. A restarted router would never be ready if it only counted the highest.
+        await self.apply("a")
+        peer = self.router()
+        await asyncio.sleep(1)
+        await self.apply("bad")
+        await asyncio.sleep(1)
+        router = self.router(peers=[peer])
+        await asyncio.sleep(1)
+        router.configuration.heard(1)
+        await asyncio.sleep(1)
+        self.assertEqual(router.generations, [1])
+
+    @on_paused_clock
+    async def test_polls_stay_within_the_platforms_budget(self):
+        await self.apply("a")
+        router = self.router()
+        await asyncio.sleep(1000)
+        calls = router.store.calls
+        self.assertLessEqual(calls["reads"], 1.05 * 1000 / POLL_S)
+        self.assertLessEqual(calls["watches"], 40)
+        self.assertLessEqual(calls["writes"], 1)
+
+    def tearDown(self):
+        for router in self.routers:
+            self.assertEqual(router.generations, sorted(set(router.generations)), "went back")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/utils/memory_store.py
+++ b/tests/utils/memory_store.py
@@ -20,6 +20,8 @@
     ----------
     down : bool
         Every call comes to ``StoreUnavailable``.
+    refuse_writes : bool
+        Writes come to ``StoreUnavailable``.
     slow_s : float
         Every call takes this long before it takes effect.
     lose_answers : int
@@ -43,6 +45,7 @@
     def __init__(self, *, table=None):
         self.table = table if table is not None else ObjectTable()
         self.down = False
+        self.refuse_writes = False
         self.slow_s = 0.0
         self.lose_answers = 0
         self.lose_requests = 0
@@ -82,15 +85,20 @@
         self.calls["watches"] += 1
         if self.down:
             return StoreUnavailable(detail="down")
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + timeout_s
         if self.silent_watch:
             await asyncio.sleep(SILENT_S)
-        while True:
-            changes = self.table.changes(kind=kind, from_version=from_version)
-            if changes.value or loop.time() >= deadline:
-                return changes
-            await asyncio.sleep(min(0.01, deadline - loop.time()))
+        written = asyncio.Event()
+        self.table.listeners.add(written.set)
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not (changes := self.table.changes(kind=kind, from_version=from_version)).value:
+                    written.clear()
+                    await written.wait()
+        except TimeoutError:
+            pass
+        finally:
+            self.table.listeners.discard(written.set)
+        return changes
 
     async def vms(self):
         now = asyncio.get_running_loop().time()
@@ -112,7 +120,7 @@
 
     async def _write(self, write):
         self.calls["writes"] += 1
-        if self.down:
+        if self.down or self.refuse_writes:
             return StoreUnavailable(detail="down")
         await asyncio.sleep(self.slow_s)
         if self.lose_requests:
--- a/wagtailtrestle/configuration.py
+++ b/wagtailtrestle/configuration.py
@@ -89,7 +89,7 @@
     ----------
     store : ObjectStore
     parse : callable
-        ``parse(text)`` gives a ``Declaration`` or a tuple of faults.
+        ``parse(text)`` gives a ``Declaration`` or a ``DeclarationFaults``.
     on_change : callable
         ``on_change(in_force)``, called on the loop after each change.
     ask_peers : callable
@@ -222,8 +222,8 @@
             self._candidate = None
         log = logger.bind(generation=candidate.generation, source=candidate.source)
         if not isinstance(parsed, Declaration):
-            self._reject(candidate, tuple(parsed))
-            log.error("declaration not put in force, it has {} faults", len(parsed))
+            self._reject(candidate, tuple(parsed.faults))
+            log.error("declaration not put in force, it has {} faults", len(parsed.faults))
             return
         self.in_force = InForce(generation=candidate.generation, declaration=parsed, text=candidate.text)
         self._since = asyncio.get_running_loop().time()
--- a/wagtailtrestle/standins/object_table.py
+++ b/wagtailtrestle/standins/object_table.py
@@ -14,12 +14,20 @@
     """Every object by kind and name; versions are one count over the whole table.
 
     A deleted object stays as a version with value ``None`` so that watches tell of it.
+
+    Attributes
+    ----------
+    revision : int
+        Version of the newest write.
+    listeners : set of callable
+        Called without arguments after each write.
     """
 
-    __slots__ = ("revision", "_versions_by_kind", "_hidden", "_vm_lists")
+    __slots__ = ("revision", "listeners", "_versions_by_kind", "_hidden", "_vm_lists")
 
     def __init__(self):
         self.revision = 0
+        self.listeners = set()
         # kind -> name -> [(version, value), ...], oldest first
         self._versions_by_kind = {}
         # versions whose watch event was dropped
@@ -108,4 +116,6 @@
         for version, _ in versions[:-KEPT_VERSIONS]:
             self._hidden.discard(version)
         del versions[:-KEPT_VERSIONS]
+        for listener in tuple(self.listeners):
+            listener()
         return StoreDone(version=self.revision, value=value)
