The whole path as separate processes, with one test of it

Cause: a served request comes first. Change: Router and core join the parts; a local deployment, the load tool and the demo start them as processes.

--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,86 @@
+"""The whole path as separate processes: declared, applied, asked, answered, recorded."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+import urllib3
+import yaml
+
+from wagtailtrestle.demo.deployment import Deployment
+from wagtailtrestle.load.records import read_records
+from wagtailtrestle.standins.prompts import whole_answer
+
+EXAMPLES = Path(__file__).resolve().parents[1] / "examples"
+KEY = {"Authorization": "Bearer example-key-socios", "Content-Type": "application/json"}
+PROMPT = "Can I fly at Playa de San Lorenzo tomorrow?"
+
+
+def small_document():
+    """The Cometas example with two language engines and one booking engine."""
+    document = yaml.safe_load((EXAMPLES / "cometas.yaml").read_text())
+    kept = ("asistente-1", "asistente-3", "reservas-1")
+    document["engines"] = [engine for engine in document["engines"] if engine["name"] in kept]
+    return document
+
+
+class WholePathTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.directory = tempfile.TemporaryDirectory()
+        cls.deployment = Deployment(directory=Path(cls.directory.name), document=small_document(), routers=2)
+        try:
+            cls.deployment.start()
+            cls.deployment.apply()
+            cls.deployment.wait_routers_ready()
+        except BaseException:
+            cls.deployment.close()
+            raise
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.deployment.close()
+        cls.directory.cleanup()
+
+    def ask(self, router, path, document, **headers):
+        url = self.deployment.callers_urls()[router] + path
+        return urllib3.request("POST", url, json=document, headers={**KEY, **headers}, retries=False, timeout=15)
+
+    def chat(self, **fields):
+        return {"model": "asistente", "max_tokens": 6, "messages": [{"role": "user", "content": PROMPT}], **fields}
+
+    def test_whole_chat_answer(self):
+        answer = self.ask(0, "/v1/chat/completions", self.chat())
+        self.assertEqual(answer.status, 200, answer.data)
+        document = answer.json()
+        self.assertEqual(document["choices"][0]["message"]["content"], whole_answer(PROMPT, 6))
+        self.assertEqual(document["usage"]["completion_tokens"], 6)
+
+    def test_streamed_chat_answer(self):
+        answer = self.ask(1, "/v1/chat/completions", self.chat(stream=True, temperature=0.2, user="a", stop=None))
+        self.assertEqual(answer.status, 200, answer.data)
+        events = [line[6:] for line in answer.data.decode().splitlines() if line.startswith("data: ")]
+        self.assertEqual(events[-1], "[DONE]")
+        self.assertEqual(sum("content" in event for event in events), 6)
+
+    def test_booking_sent_again_through_another_router_runs_once(self):
+        # The caller sees the same answer from both routers. The first router claimed the key
+        # in the platform's store before it dispatched; the second finds the claim and gives
+        # the recorded answer, so the booking engine ran it once.
+        answers = [
+            self.ask(router, "/reservas/bookings", {"slot": 4}, **{"Idempotency-Key": "family-4"}) for router in (0, 1)
+        ]
+        self.assertEqual([answer.status for answer in answers], [200, 200], answers[1].data)
+        self.assertEqual(answers[0].data, answers[1].data)
+        runs = read_records([self.deployment.engine_url("reservas-1")])[0].values()
+        self.assertEqual(sum(run.starts for each in runs for run in each), 1)
+
+    def test_unknown_key_is_refused_and_nothing_runs(self):
+        answer = self.ask(0, "/v1/chat/completions", self.chat(), Authorization="Bearer nobody")
+        self.assertEqual(answer.status, 401)
+        self.assertEqual(answer.json()["executed"], "no")
+        self.assertEqual(answer.headers["Wagtailtrestle-Executed"], "no")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wagtailtrestle/cli/dump.py
+++ b/wagtailtrestle/cli/dump.py
@@ -61,3 +61,7 @@
 def main():
     """Run this process's command line."""
     sys.exit(run(Environment.of_process(program=PROGRAM), sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wagtailtrestle/cli/load.py
@@ -0,0 +1,79 @@
+"""``wagtailtrestle-load``: open-loop load against running routers."""
+
+import json
+import sys
+from pathlib import Path
+
+import fire
+
+from wagtailtrestle.exit_status import ExitStatus
+from wagtailtrestle.load.mix import MixFault, read_mix
+from wagtailtrestle.load.plan import make_plan
+from wagtailtrestle.load.records import check_truth, read_records
+from wagtailtrestle.load.report import rows_by_tier, table, truth_lines
+from wagtailtrestle.load.run import run_load
+
+MAX_DURATION_S = 600
+MAX_RATE = 2_000
+
+
+def load(*, url, mix, rate=20.0, duration_s=10.0, seed=1, engines="", json_output=False):
+    """Send a mix of requests open-loop and print goodput by tier.
+
+    Parameters
+    ----------
+    url : str
+        Callers' address of a router, or several separated by commas.
+    mix : str
+        YAML file with the request kinds.
+    rate : float
+        Requests a second, over all kinds.
+    duration_s : float
+        How long new requests are sent.
+    seed : int
+        The same seed sends the same requests at the same times.
+    engines : str
+        Engines' addresses separated by commas; their own records are checked
+        against what callers were told.
+    json_output : bool
+        Print one JSON document instead of the table.
+    """
+    if not 0 < rate <= MAX_RATE or not 0 < duration_s <= MAX_DURATION_S:
+        print(f"rate must be in (0, {MAX_RATE}] and duration_s in (0, {MAX_DURATION_S}]", file=sys.stderr)
+        return ExitStatus.USAGE
+    try:
+        kinds = read_mix(Path(mix).read_text())
+    except (OSError, MixFault) as error:
+        print(f"{mix}: {error}", file=sys.stderr)
+        return ExitStatus.USAGE
+    results = run_load(urls=_addresses(url), plan=make_plan(kinds=kinds, rate=rate, duration_s=duration_s, seed=seed))
+    rows = rows_by_tier(results, dict.fromkeys(kind.tier for kind in kinds))
+    truth = check_truth(results, *read_records(_addresses(engines)))
+    _print(rows, truth, json_output)
+    return ExitStatus.CHECK_FAILED if truth.false_refusals or truth.doubled else ExitStatus.DONE
+
+
+def _print(rows, truth, json_output):
+    if json_output:
+        document = {"tiers": [row.as_dict() for row in rows.values()], "wasted_share": truth.wasted_share()}
+        document["false_refusals"] = truth.false_refusals
+        document["doubled"] = truth.doubled
+        print(json.dumps(document))
+        return
+    print(table(rows))
+    print(truth_lines(truth))
+
+
+def _addresses(text):
+    words = text if isinstance(text, list | tuple) else str(text).split(",")
+    return [word if "://" in word else f"http://{word}" for word in words if word]
+
+
+def main():
+    """Console script."""
+    outcome = fire.Fire(load, serialize=lambda _: None)
+    sys.exit(outcome if isinstance(outcome, int) else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/wagtailtrestle/cli/operate.py
+++ b/wagtailtrestle/cli/operate.py
@@ -279,3 +279,7 @@
 def main():
     """Run this process's command line."""
     sys.exit(run(Environment.of_process(program=PROGRAM), sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
--- a/wagtailtrestle/cli/router.py
+++ b/wagtailtrestle/cli/router.py
@@ -22,7 +22,7 @@
         def router(*, settings):
             """Run one router until SIGTERM, which lets requests in flight finish first.
 
-            Exit statuses: 0 stopped as asked; 2 the settings are faulty, nothing was started.
+            Exit statuses: 0 stopped as asked; 1 an address could not be listened on; 2 the settings are faulty.
 
             Args:
                 settings: The router's own settings file, YAML; see examples/settings/router.yaml.
@@ -51,3 +51,7 @@
 def main():
     """Run this process's command line."""
     sys.exit(run(Environment.of_process(program=PROGRAM), sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wagtailtrestle/demo/__main__.py
@@ -0,0 +1,85 @@
+"""``make demo``: a small Cometas deployment, a declaration applied, a mixed load, a table."""
+
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import yaml
+
+from wagtailtrestle.demo.deployment import Deployment
+from wagtailtrestle.load.mix import read_mix
+from wagtailtrestle.load.plan import make_plan
+from wagtailtrestle.load.records import check_truth, read_records
+from wagtailtrestle.load.report import rows_by_tier, table, truth_lines
+from wagtailtrestle.load.run import run_load
+
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
+ROUTERS = 3
+TIME_SCALE = 6.0
+OVERLOAD = 1.5
+DURATION_S = 25.0
+SEED = 7
+
+
+def main():
+    """Run the demo; exit status 0 if everything was served and no promise was broken."""
+    document = yaml.safe_load((EXAMPLES / "cometas.yaml").read_text())
+    kinds = read_mix((EXAMPLES / "load" / "cometas.yaml").read_text())
+    with tempfile.TemporaryDirectory(prefix="wagtailtrestle-demo-") as directory:
+        deployment = Deployment(directory=Path(directory), document=document, routers=ROUTERS, time_scale=TIME_SCALE)
+        try:
+            good = _run(deployment, kinds)
+        finally:
+            statuses = deployment.close()
+    print(f"stopped {len(statuses)} processes, exit statuses {sorted(set(statuses.values()))}")
+    sys.exit(0 if good and not any(statuses.values()) else 1)
+
+
+def _run(deployment, kinds):
+    print(f"starting {ROUTERS} routers, {len(deployment.document['engines'])} engines and a platform")
+    deployment.start()
+    began = time.monotonic()
+    deployment.apply()
+    deployment.wait_routers_ready()
+    print(f"declaration applied and in force on every router after {time.monotonic() - began:.1f} s")
+    rate = OVERLOAD * capacity(deployment.document, kinds, TIME_SCALE)
+    print(f"sending {rate:.0f} requests a second, {OVERLOAD} times capacity, for {DURATION_S:.0f} s")
+    plan = make_plan(kinds=kinds, rate=rate, duration_s=DURATION_S, seed=SEED)
+    results = run_load(urls=deployment.callers_urls(), plan=plan)
+    rows = rows_by_tier(results, deployment.document["tiers"])
+    truth = check_truth(results, *read_records(deployment.engine_urls()))
+    print(table(rows))
+    print(truth_lines(truth))
+    served = any(row.in_deadline for row in rows.values())
+    return served and not truth.false_refusals and not truth.doubled and not truth.unreadable
+
+
+def capacity(document, kinds, time_scale):
+    """Requests a second of this mix that the language engines can finish.
+
+    An engine's second goes to decode steps at a full batch and to prefill; the mix sets how
+    much of each one request needs.
+    """
+    language = [kind for kind in kinds if kind.prompt_tokens]
+    share = sum(kind.share for kind in language) / sum(kind.share for kind in kinds)
+    total = sum(kind.share for kind in language)
+    prompt = sum(kind.share * _mean(kind.prompt_tokens, kind.spread) for kind in language) / total
+    output = sum(kind.share * _mean(kind.output_tokens, kind.spread / 2) for kind in language) / total
+    rate = 0.0
+    for engine in document["engines"]:
+        if "prefill_tokens_per_s" not in engine:
+            continue
+        step_s = engine["step_ms"] / 1000 * (1 + engine["slots"] / 40)
+        seconds = prompt / engine["prefill_tokens_per_s"] + output * step_s / engine["slots"]
+        rate += 1 / seconds
+    return rate / share / time_scale
+
+
+def _mean(median, spread):
+    """Mean of a log-normal draw."""
+    return median * 2.718281828 ** (spread * spread / 2)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wagtailtrestle/demo/deployment.py
@@ -0,0 +1,237 @@
+"""A whole local deployment: stand-in platform, engines and services, and routers."""
+
+import json
+import socket
+from pathlib import Path
+
+import urllib3
+import yaml
+
+from wagtailtrestle.declaration import LANGUAGE
+from wagtailtrestle.demo.processes import LocalProcess
+
+HOST = "127.0.0.1"
+ROUTER_MODULE = "wagtailtrestle.cli.router"
+STANDIN_MODULE = "wagtailtrestle.cli.standin"
+OPERATE_MODULE = "wagtailtrestle.cli.operate"
+CALL_TIMEOUT_S = 5.0
+
+
+def free_ports(count):
+    """Ports that are free at this moment, all different."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for each in sockets:
+            each.bind((HOST, 0))
+        return [each.getsockname()[1] for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
+
+
+class Deployment:
+    """Processes of one deployment in one directory.
+
+    Parameters
+    ----------
+    directory : pathlib.Path
+        For settings files and logs.
+    document : dict
+        The declaration as read from YAML; engines get free local addresses.
+    routers : int
+    time_scale : float
+        Engines are so many times slower than declared.
+    engine_settings : dict
+        Further settings of every language engine.
+    router_settings : dict
+        Further settings of every router.
+    """
+
+    def __init__(self, *, directory, document, routers=3, time_scale=1.0, engine_settings=None, router_settings=None):
+        self.directory = Path(directory)
+        self.document = document
+        self.time_scale = time_scale
+        self.platform = None
+        self.engines_by_name = {}
+        self.routers_by_name = {}
+        self.callers_url_by_router = {}
+        self.admin_url_by_router = {}
+        self.peers_address_by_router = {}
+        self._engine_settings = engine_settings or {}
+        self._router_settings = router_settings or {}
+        self._router_count = routers
+        self.platform_url = ""
+
+    # Building.
+
+    def start(self):
+        """Start everything and wait until every process answers; nothing is applied yet."""
+        self.directory.mkdir(parents=True, exist_ok=True)
+        self._place_engines()
+        self._place_routers()
+        self._start_platform()
+        for process in self.engines_by_name.values():
+            process.start()
+        for process in self.engines_by_name.values():
+            process.wait_ready()
+        for process in self.routers_by_name.values():
+            process.start()
+
+    def wait_routers_ready(self):
+        """Wait until every router has a configuration in force."""
+        for process in self.routers_by_name.values():
+            process.wait_ready()
+
+    def close(self):
+        """Stop every process that was started; return exit statuses by name."""
+        everything = {**self.routers_by_name, **self.engines_by_name}
+        if self.platform is not None:
+            everything["platform"] = self.platform
+        running = [process for process in everything.values() if process.is_running()]
+        for process in running:
+            process.resume()
+            process.terminate()
+        return {process.name: process.stop() for process in running}
+
+    # Operating.
+
+    def declaration_path(self):
+        """Write the present document and return its path."""
+        path = self.directory / "declaration.yaml"
+        path.write_text(yaml.safe_dump(self.document, sort_keys=False))
+        return path
+
+    def apply(self):
+        """Apply the present document by the operators' command line."""
+        process = LocalProcess(
+            name="apply",
+            module=OPERATE_MODULE,
+            arguments=("apply", str(self.declaration_path()), f"--platform={self.platform_url}"),
+            ready_url="",
+            log_path=self.directory / "apply.log",
+        )
+        process.start()
+        process._process.wait()
+        if process._process.returncode != 0:
+            raise RuntimeError(f"apply failed with {process._process.returncode}:\n{process.log_tail()}")
+
+    def engine_urls(self):
+        """Addresses of all engines, for reading their records."""
+        return [f"http://{engine['address']}" for engine in self.document["engines"]]
+
+    def engine_url(self, name):
+        """Address of one engine."""
+        return next(f"http://{each['address']}" for each in self.document["engines"] if each["name"] == name)
+
+    def callers_urls(self):
+        """Addresses of all routers, as the balancer would know them."""
+        return list(self.callers_url_by_router.values())
+
+    def post(self, url, document):
+        """POST a JSON document (faults, VM lists) and return the status."""
+        return urllib3.request("POST", url, json=document, timeout=CALL_TIMEOUT_S, retries=False).status
+
+    def get(self, url):
+        """GET a JSON document."""
+        return json.loads(urllib3.request("GET", url, timeout=CALL_TIMEOUT_S, retries=False).data)
+
+    def publish_vms(self, leaving=()):
+        """Tell the platform's list of VMs; names in ``leaving`` are marked so."""
+        return self.post(f"{self.platform_url}/vms", self._vms(leaving))
+
+    # Internals.
+
+    def _place_engines(self):
+        kinds = {service["name"]: service["kind"] for service in self.document["services"]}
+        engines = self.document["engines"]
+        for engine, port in zip(engines, free_ports(len(engines)), strict=True):
+            engine["address"] = f"{HOST}:{port}"
+            language = kinds[engine["service"]] == LANGUAGE
+            settings = self._engine_file(engine, port) if language else self._service_file(engine, port)
+            self.engines_by_name[engine["name"]] = self._standin(
+                "engine" if language else "service", engine["name"], settings, f"http://{engine['address']}/healthz"
+            )
+
+    def _engine_file(self, engine, port):
+        step_ms = engine["step_ms"] * self.time_scale
+        return {
+            "name": engine["name"],
+            "host": HOST,
+            "port": port,
+            "slots": engine["slots"],
+            "base_step_ms": step_ms,
+            "per_run_step_ms": step_ms / 40,
+            "prefill_tokens_per_s": engine["prefill_tokens_per_s"] / self.time_scale,
+            "checks_fencing": engine.get("checks_fencing", False),
+            **self._engine_settings,
+        }
+
+    def _service_file(self, engine, port):
+        return {
+            "name": engine["name"],
+            "host": HOST,
+            "port": port,
+            "service_ms": engine["step_ms"] * self.time_scale,
+            "concurrency": engine["slots"],
+        }
+
+    def _standin(self, kind, name, settings, ready_url):
+        path = self.directory / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        return LocalProcess(
+            name=name,
+            module=STANDIN_MODULE,
+            arguments=(kind, f"--settings={path}"),
+            ready_url=ready_url,
+            log_path=self.directory / f"{name}.log",
+        )
+
+    def _place_routers(self):
+        zones = [zone for zones in self.document["regions"].values() for zone in zones]
+        platform_port, *ports = free_ports(1 + 3 * self._router_count)
+        self.platform_url = f"http://{HOST}:{platform_port}"
+        for number in range(self._router_count):
+            callers, peers, admin = ports[3 * number : 3 * number + 3]
+            name = f"router-{number + 1}"
+            self.callers_url_by_router[name] = f"http://{HOST}:{callers}"
+            self.admin_url_by_router[name] = f"http://{HOST}:{admin}"
+            self.peers_address_by_router[name] = f"{HOST}:{peers}"
+            self.routers_by_name[name] = self._router(name, zones[number % len(zones)], callers, admin)
+
+    def _router(self, name, zone, callers, admin):
+        path = self.directory / f"{name}.yaml"
+        settings = {
+            "name": name,
+            "zone": zone,
+            "callers_address": f"{HOST}:{callers}",
+            "peers_address": self.peers_address_by_router[name],
+            "admin_address": f"{HOST}:{admin}",
+            "platform_url": self.platform_url,
+            **self._router_settings,
+        }
+        path.write_text(yaml.safe_dump(settings))
+        return LocalProcess(
+            name=name,
+            module=ROUTER_MODULE,
+            arguments=(f"--settings={path}",),
+            ready_url=f"http://{HOST}:{admin}/readyz",
+            log_path=self.directory / f"{name}.log",
+        )
+
+    def _start_platform(self):
+        address = self.platform_url.removeprefix("http://")
+        settings = {"listen": address, "vm_list_lag_s": 0.5, "vms": self._vms()}
+        self.platform = self._standin("platform", "platform", settings, f"{self.platform_url}/healthz")
+        self.platform.start()
+        self.platform.wait_ready()
+
+    def _vms(self, leaving=()):
+        routers = [
+            {"id": name, "role": "router", "address": address, "admin": self.admin_url_by_router[name]}
+            for name, address in self.peers_address_by_router.items()
+        ]
+        engines = [
+            {"id": engine["name"], "role": "engine", "zone": engine["zone"], "address": engine["address"]}
+            for engine in self.document["engines"]
+        ]
+        return [{**vm, "state": "leaving" if vm["id"] in leaving else "live"} for vm in routers + engines]
--- /dev/null
+++ b/wagtailtrestle/load/plan.py
@@ -0,0 +1,75 @@
+"""The arrivals of a load, drawn ahead from a fixed seed."""
+
+import math
+import random
+
+MIN_TOKENS = 4
+MAX_PROMPT_TOKENS = 20_000
+MAX_OUTPUT_TOKENS = 1_000
+SHARED_PREFIX_TOKENS = 128
+BYTES_PER_TOKEN = 4
+
+
+class PlannedRequest:
+    """One request of the plan: when it is sent, and what it asks.
+
+    Parameters
+    ----------
+    number : int
+    at_s : float
+        Seconds after the load's start.
+    kind : RequestKind
+    caller_request_id : str
+        Unique over the load; engines record it.
+    prompt : str
+    output_tokens : int
+    """
+
+    __slots__ = ("number", "at_s", "kind", "caller_request_id", "prompt", "output_tokens")
+
+    def __init__(self, *, number, at_s, kind, caller_request_id, prompt, output_tokens):
+        self.number = number
+        self.at_s = at_s
+        self.kind = kind
+        self.caller_request_id = caller_request_id
+        self.prompt = prompt
+        self.output_tokens = output_tokens
+
+
+def make_plan(*, kinds, rate, duration_s, seed):
+    """Draw Poisson arrivals of ``rate`` a second over ``duration_s``."""
+    draw = random.Random(seed)
+    weights = [kind.share for kind in kinds]
+    planned = []
+    at_s = draw.expovariate(rate)
+    while at_s < duration_s:
+        kind = draw.choices(kinds, weights)[0]
+        planned.append(_request(draw, len(planned), at_s, kind, seed))
+        at_s += draw.expovariate(rate)
+    return planned
+
+
+def _request(draw, number, at_s, kind, seed):
+    prompt_tokens = _length(draw, kind.prompt_tokens, kind.spread, MAX_PROMPT_TOKENS)
+    return PlannedRequest(
+        number=number,
+        at_s=at_s,
+        kind=kind,
+        caller_request_id=f"load-{seed}-{number}",
+        prompt=_prompt(draw, kind, prompt_tokens),
+        output_tokens=_length(draw, kind.output_tokens, kind.spread / 2, MAX_OUTPUT_TOKENS),
+    )
+
+
+def _length(draw, median, spread, limit):
+    if not median:
+        return 0
+    length = median * math.exp(draw.gauss(0, spread))
+    return int(min(max(length, MIN_TOKENS), limit))
+
+
+def _prompt(draw, kind, tokens):
+    """Text of about ``tokens`` tokens whose head is shared by all of its kind."""
+    head = (f"{kind.name} instructions " * SHARED_PREFIX_TOKENS)[: SHARED_PREFIX_TOKENS * BYTES_PER_TOKEN]
+    body_bytes = tokens * BYTES_PER_TOKEN
+    return head[: body_bytes // 2] + draw.randbytes(body_bytes // 2 // 2 + 1).hex()[: body_bytes - body_bytes // 2]
--- /dev/null
+++ b/wagtailtrestle/load/report.py
@@ -0,0 +1,85 @@
+"""The table a load ends in, per tier, and its machine-readable form."""
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US, HIGHEST_US, DIGITS = 1, 600_000_000, 3
+COLUMNS = ("tier", "sent", "in deadline", "late", "refused", "unknown", "broken", "p50 ms", "p99 ms", "first p50 ms")
+
+
+class TierRow:
+    """Counts and latencies of one tier; latencies are of whole answers, in ms."""
+
+    __slots__ = ("tier", "sent", "in_deadline", "late", "refused", "unknown", "broken", "total", "first")
+
+    def __init__(self, *, tier):
+        self.tier = tier
+        self.sent = 0
+        self.in_deadline = 0
+        self.late = 0
+        self.refused = 0
+        self.unknown = 0
+        self.broken = 0
+        self.total = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        self.first = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+
+    def add(self, result):
+        """Count one result."""
+        self.sent += 1
+        if result.whole:
+            self.in_deadline += result.in_deadline()
+            self.late += not result.in_deadline()
+            self.total.record_value(max(int(result.total_s * 1e6), 1))
+            self.first.record_value(max(int(result.first_s * 1e6), 1))
+        elif result.executed == "no":
+            self.refused += 1
+        elif result.executed == "unknown":
+            self.unknown += 1
+        else:
+            self.broken += 1
+
+    def as_dict(self):
+        """Plain data for JSON and for the table."""
+        return {
+            "tier": self.tier,
+            "sent": self.sent,
+            "in_deadline": self.in_deadline,
+            "late": self.late,
+            "refused": self.refused,
+            "unknown": self.unknown,
+            "broken": self.broken,
+            "p50_ms": _milliseconds(self.total, 50),
+            "p99_ms": _milliseconds(self.total, 99),
+            "first_p50_ms": _milliseconds(self.first, 50),
+        }
+
+
+def rows_by_tier(results, tiers):
+    """One row for each tier, in the order given."""
+    rows = {tier: TierRow(tier=tier) for tier in tiers}
+    for result in results:
+        rows.setdefault(result.planned.kind.tier, TierRow(tier=result.planned.kind.tier)).add(result)
+    return rows
+
+
+def table(rows):
+    """Text table of the rows."""
+    lines = [COLUMNS, *[tuple(str(cell) for cell in row.as_dict().values()) for row in rows.values()]]
+    widths = [max(len(line[column]) for line in lines) for column in range(len(COLUMNS))]
+    return "\n".join("  ".join(cell.rjust(width) for cell, width in zip(line, widths, strict=True)) for line in lines)
+
+
+def truth_lines(truth):
+    """What the engines' own record says of the promises."""
+    return "\n".join(
+        (
+            f"wasted prefill (engines' record): {truth.wasted_prefill_tokens} of {truth.prefill_tokens} tokens "
+            f"({truth.wasted_share():.2%})",
+            f"told 'not run' but ran: {len(truth.false_refusals)}",
+            f"not to be repeated but started twice: {len(truth.doubled)}",
+            *(f"record not readable: {url}" for url in truth.unreadable),
+        )
+    )
+
+
+def _milliseconds(histogram, percentile):
+    return round(histogram.get_value_at_percentile(percentile) / 1000, 1)
--- /dev/null
+++ b/wagtailtrestle/router.py
@@ -0,0 +1,332 @@
+"""One router: its parts, how they are joined, and the order they start and stop in."""
+
+import asyncio
+import contextlib
+import time
+
+from loguru import logger
+
+from wagtailtrestle.admin_http import AdminServer
+from wagtailtrestle.caller_limits import DEFAULT_BODY_BYTES, CallerLimits, held_for
+from wagtailtrestle.callers_http import CallersServer
+from wagtailtrestle.cells import cells_of
+from wagtailtrestle.configuration import Configuration
+from wagtailtrestle.crash_watch import CrashWatch
+from wagtailtrestle.declaration_check import parse_declaration
+from wagtailtrestle.directory import Directory
+from wagtailtrestle.engine_http import EngineClient
+from wagtailtrestle.engine_reports import EngineReports, LoadReport, LoadUnreachable
+from wagtailtrestle.entry import Entry
+from wagtailtrestle.ledger import Ledger
+from wagtailtrestle.ledger_messages import ClaimAsk, NonceAsk, SettleAsk
+from wagtailtrestle.membership import Membership
+from wagtailtrestle.metrics import Metrics
+from wagtailtrestle.object_store_http import HttpObjectStore
+from wagtailtrestle.outcomes import Reason
+from wagtailtrestle.peer_configuration import PeerConfiguration
+from wagtailtrestle.peer_messages import PeerUnreachable
+from wagtailtrestle.peers_grpc import Peers
+from wagtailtrestle.poison import CrashBook, CrashDetector, CrashReport
+from wagtailtrestle.rendezvous import Rendezvous
+from wagtailtrestle.retry_budget import RetryBudget
+from wagtailtrestle.steward_set import StewardSet
+from wagtailtrestle.vm_list import VMList
+
+TICK_S = 0.05
+REPORT_INTERVAL_S = 0.5
+CONNECT_TIMEOUT_S = 1.0
+BALANCER_GRACE_S = 1.0
+ENGINE_ROLE = "engine"
+
+
+class Router:
+    """The daemon on one entry VM.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+    loop : asyncio.AbstractEventLoop
+    """
+
+    def __init__(self, *, settings, loop):
+        self._settings = settings
+        self._loop = loop
+        self._incarnation = time.time_ns() // 1_000_000
+        self._ticking = None
+        self._started = contextlib.AsyncExitStack()
+        self._ledger_starting = None
+        self._draining = False
+        self._budget_by_service = {}
+        self._rendezvous = Rendezvous()
+        self._metrics = Metrics()
+        self._store = HttpObjectStore(url=settings.platform_url)
+        self._engine_client = EngineClient(connect_timeout_s=CONNECT_TIMEOUT_S)
+        self._make_peers()
+        self._make_configuration()
+        self._make_decisions()
+        self._make_servers()
+
+    # Making the parts.
+
+    def _make_peers(self):
+        settings = self._settings
+        self._peers = Peers(
+            name=settings.name,
+            incarnation=self._incarnation,
+            listen_address=settings.peers_address,
+            loop=self._loop,
+            zone=settings.zone,
+        )
+        self._membership = Membership(
+            name=settings.name,
+            zone=settings.zone,
+            incarnation=self._incarnation,
+            peers=self._peers,
+            loop=self._loop,
+            seeds=dict(settings.peers),
+        )
+
+    def _make_configuration(self):
+        self._peer_configuration = PeerConfiguration(
+            peers=self._peers, members=self._other_members, in_force=lambda: self._configuration.in_force
+        )
+        self._configuration = Configuration(
+            store=self._store,
+            parse=parse_declaration,
+            on_change=self._put_in_force,
+            ask_peers=self._peer_configuration.ask,
+        )
+        self._vm_list = VMList(store=self._store, on_change=self._take_vms)
+        self._membership.on_generation(lambda peer, generation: self._configuration.heard(generation))
+
+    def _make_decisions(self):
+        name = self._settings.name
+        self._directory = Directory(
+            name=name,
+            membership=self._membership,
+            peers=self._peers,
+            loop=self._loop,
+            deliver_to_steward=lambda cell, message: self._stewards.deliver(cell, message),
+            deliver_to_entry=lambda message: self._entry.on_steward_message(message),
+            register=lambda cell: self._entry.register(cell),
+            cells=self._cells,
+            set_members=lambda names: self._stewards.set_members(names),
+        )
+        self._stewards = StewardSet(clock=self._loop.time, entries=self._directory.entry_link)
+        self._stewards.set_members(self._membership.view.everyone)
+        self._crashes = CrashWatch(
+            book=CrashBook(clock=self._loop.time, reporter=name),
+            detector=CrashDetector(clock=self._loop.time),
+            broadcast=self._broadcast,
+        )
+        self._peers.on(CrashReport, lambda peer, report, cell: self._crashes.merge(report))
+        self._make_ledger()
+        self._entry = Entry(
+            name=name,
+            stewards=self._directory.steward_link,
+            claims=self._ledger,
+            crashes=self._crashes,
+            budget_by_service=self._budget_of,
+            declaration=self._declaration,
+            loop=self._loop,
+        )
+        self._reports = EngineReports(interval_s=REPORT_INTERVAL_S, loop=self._loop, on_report=self._take_report)
+
+    def _make_ledger(self):
+        self._ledger = Ledger(
+            name=self._settings.name,
+            incarnation=str(self._incarnation),
+            store=self._store,
+            owner_of=lambda shard: self._rendezvous.choose(key=shard, members=self._membership.view.members) or "",
+            ask=self._ask,
+            shards=lambda: self._declaration().ledger_shards,
+            retention_s=lambda: self._declaration().ledger_retention_s,
+            live_routers=lambda: len(self._membership.view.everyone),
+        )
+        for question in (ClaimAsk, SettleAsk, NonceAsk):
+            self._peers.on(question, lambda peer, message, cell: self._ledger.handle(message))
+
+    def _make_servers(self):
+        settings = self._settings
+        limits = CallerLimits(held=held_for(settings.caller_threads), body_bytes=DEFAULT_BODY_BYTES)
+        self._callers = CallersServer(
+            name=f"{settings.name}-{self._incarnation}",
+            address=_address(settings.callers_address),
+            directory=lambda: self._configuration.in_force,
+            submit=lambda request, caller: self._entry.submit(request, caller),
+            post=lambda request_id, event: self._entry.post(request_id, event),
+            engine_client=self._engine_client,
+            loop=self._loop,
+            limits=limits,
+            metrics=self._metrics,
+            ready=self.not_ready,
+            threads=settings.caller_threads,
+            max_body_bytes=settings.max_body_bytes,
+            max_header_bytes=settings.max_header_bytes,
+        )
+        self._admin = AdminServer(
+            address=_address(settings.admin_address),
+            ready=self.not_ready,
+            state=self.state,
+            metrics=self._metrics,
+            loop=self._loop,
+        )
+
+    # Life.
+
+    async def start(self):
+        """Start every part; the router is ready once a configuration is in force.
+
+        If one cannot start (an address in use), those before it are stopped again.
+        """
+        try:
+            await self._start_parts()
+        except BaseException:
+            await self._started.aclose()
+            raise
+        logger.bind(name=self._settings.name, zone=self._settings.zone).info("router started")
+
+    async def _start_parts(self):
+        self._store.start()
+        self._started.callback(self._store.close)
+        self._engine_client.start()
+        self._started.callback(self._engine_client.close)
+        self._admin.start()
+        self._started.push_async_callback(self._in_thread, self._admin.close)
+        await self._peers.start()
+        self._started.push_async_callback(self._peers.close)
+        await self._membership.start()
+        self._started.push_async_callback(self._membership.close)
+        self._vm_list.start()
+        self._started.push_async_callback(self._vm_list.close)
+        self._configuration.start()
+        self._started.push_async_callback(self._configuration.close)
+        self._started.push_async_callback(self._ledger.close)
+        self._reports.start()
+        self._started.push_async_callback(self._in_thread, self._reports.close)
+        self._ticking = self._loop.create_task(self._tick())
+        self._started.push_async_callback(_stopped, self._ticking)
+        self._started.push_async_callback(self._entry.close)
+        self._callers.start()
+        self._started.push_async_callback(self._in_thread, self._callers.close)
+
+    async def drain(self):
+        """Leave: take no new work, hand the cells over, finish what is in flight."""
+        self._draining = True
+        self._membership.set_draining()
+        self._stewards.stop_granting()
+        try:
+            async with asyncio.timeout(self._settings.drain_timeout_s):
+                await self._callers.drain(grace_s=BALANCER_GRACE_S)
+                await self._entry.drained()
+        except TimeoutError:
+            logger.error("requests were still in flight after {} s", self._settings.drain_timeout_s)
+
+    async def close(self):
+        """Stop every part, in the opposite order of the start."""
+        await self._started.aclose()
+
+    async def _in_thread(self, close):
+        await self._loop.run_in_executor(None, close)
+
+    def not_ready(self):
+        """Why the balancer may not send work now, or ``None``."""
+        if self._draining:
+            return Reason.DRAINING
+        if self._configuration.in_force is None:
+            return Reason.NOT_READY
+        return None
+
+    def state(self):
+        """The whole state, for the dump."""
+        return {
+            "name": self._settings.name,
+            "zone": self._settings.zone,
+            "incarnation": self._incarnation,
+            "draining": self._draining,
+            "configuration": self._configuration.dump(),
+            "membership": self._membership.dump(),
+            "vm_list": self._vm_list.dump(),
+            "peers": self._peers.dump(),
+            "stewards_by_cell": self._directory.dump(),
+            "stewards": self._stewards.dump(),
+            "entry": self._entry.dump(),
+            "callers": self._callers.dump(),
+            "ledger": self._ledger.dump(),
+            "crashes": self._crashes.dump(),
+            "retry_budgets": {name: budget.dump() for name, budget in self._budget_by_service.items()},
+        }
+
+    # What the parts tell each other.
+
+    def _declaration(self):
+        return self._configuration.in_force.declaration
+
+    def _cells(self):
+        if self._configuration.in_force is None:
+            return ()
+        declaration = self._declaration()
+        return {cell for service in declaration.services_by_name for cell in cells_of(declaration, service)}
+
+    def _put_in_force(self, in_force):
+        self._membership.set_generation(in_force.generation)
+        self._stewards.set_declaration(in_force.declaration)
+        self._directory.refresh()
+        self._watch_engines()
+        if self._ledger_starting is None:
+            # The ledger's layout needs the declared number of shards.
+            self._ledger_starting = self._loop.create_task(self._ledger.start())
+
+    def _take_vms(self, by_id):
+        vms = tuple(by_id.values())
+        self._membership.observe_vms(vms)
+        self._stewards.set_leaving(frozenset(vm.id for vm in vms if vm.role == ENGINE_ROLE and vm.leaving))
+
+    def _watch_engines(self):
+        """Poll the engines of the cells that this router is steward of."""
+        mine = {cell for cell in self._cells() if self._directory.steward_of(cell) == self._settings.name}
+        engines = self._declaration().engines_by_name.values() if mine else ()
+        self._reports.set_engines({engine.name: engine.address for engine in engines if engine.cell in mine})
+
+    def _take_report(self, report):
+        match report:
+            case LoadReport():
+                self._stewards.on_load_report(report)
+            case LoadUnreachable(engine=engine):
+                self._stewards.on_unreachable(engine)
+
+    def _budget_of(self, service):
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            budget = self._budget_by_service[service] = RetryBudget(clock=self._loop.time)
+        return budget
+
+    def _other_members(self):
+        return [name for name in self._membership.view.everyone if name != self._settings.name]
+
+    def _broadcast(self, report):
+        for name in self._other_members():
+            self._peers.send(name, report)
+
+    async def _ask(self, peer, message, timeout_s):
+        if peer == self._settings.name:
+            return await self._ledger.handle(message)
+        answer = await self._peers.ask(peer, message, timeout_s)
+        return None if isinstance(answer, PeerUnreachable) else answer
+
+    async def _tick(self):
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._stewards.tick()
+            if self._configuration.in_force is not None:
+                self._watch_engines()
+
+
+def _address(text):
+    host, _, port = text.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+async def _stopped(task):
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
