Split the configuration keeper from its sources

Change: PlatformSource and PeerSource bring declarations, Configuration decides; no behaviour changed but that a heartbeat, not a loop, repeats a peer fetch that failed.

--- /dev/null
+++ b/wagtailtrestle/configuration_sources.py
@@ -0,0 +1,219 @@
+"""Where declarations come from: the platform by watch and by polling, and peers."""
+
+import asyncio
+from dataclasses import dataclass
+from enum import StrEnum
+
+from loguru import logger
+
+from wagtailtrestle.applying import DECLARATION_KIND, DECLARATION_NAME, NO_GENERATION, accepted_from_value
+from wagtailtrestle.outcomes import StoreAbsent, StoreConflict, StoreDone
+
+POLL_JITTER = 0.25
+START_RETRY_S = 0.2
+START_RETRY_MAX_S = 5.0
+WATCH_RETRY_S = 0.5
+WATCH_RETRY_MAX_S = 5.0
+# Longer than any store needs to give up on a silent watch by itself.
+WATCH_MARGIN_S = 5.0
+# A peer's generation is mostly on its way to us by the watch as well.
+PEER_DELAY_S = 0.2
+PEER_TIMEOUT_S = 2.0
+# No object is ever at this version, so an update that asks for it never takes effect.
+NEVER_A_VERSION = 0
+
+
+class Source(StrEnum):
+    """Where a declaration came from."""
+
+    WATCH = "watch"
+    POLL = "poll"
+    PEER = "peer"
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class PeersAnswer:
+    """What reachable peers have in force.
+
+    Parameters
+    ----------
+    answered : int
+        Peers that answered and have a declaration in force.
+    generation : int
+        The highest of theirs, 0 if none.
+    text : str
+        Its text.
+    """
+
+    answered: int = 0
+    generation: int = NO_GENERATION
+    text: str = ""
+
+
+class PlatformSource:
+    """Reads the declaration from the platform.
+
+    Parameters
+    ----------
+    store : ObjectStore
+    offer : callable
+        ``offer(generation, text, source)``.
+    poll_interval_s, watch_timeout_s : float
+    jitter : random.Random
+    """
+
+    __slots__ = (
+        "known_version",
+        "last_read",
+        "_watched_version",
+        "_store",
+        "_offer",
+        "_poll_interval_s",
+        "_watch_timeout_s",
+        "_jitter",
+    )
+
+    def __init__(self, *, store, offer, poll_interval_s, watch_timeout_s, jitter):
+        self.known_version = NEVER_A_VERSION
+        self.last_read = None
+        self._watched_version = NEVER_A_VERSION
+        self._store = store
+        self._offer = offer
+        self._poll_interval_s = poll_interval_s
+        self._watch_timeout_s = watch_timeout_s
+        self._jitter = jitter
+
+    async def watch(self):
+        """Wait for changes; a silent watch is given up, and polling covers the gap."""
+        retry_s = WATCH_RETRY_S
+        while True:
+            outcome = await self._watch_once()
+            if not isinstance(outcome, StoreDone):
+                await asyncio.sleep(self._jitter.uniform(0.5, 1.0) * retry_s)
+                retry_s = min(retry_s * 2, WATCH_RETRY_MAX_S)
+                continue
+            retry_s = WATCH_RETRY_S
+            self._watched_version = max(self._watched_version, outcome.version)
+            for name, version, value in outcome.value:
+                if name == DECLARATION_NAME:
+                    self._take(version, value, Source.WATCH)
+
+    async def _watch_once(self):
+        try:
+            async with asyncio.timeout(self._watch_timeout_s + WATCH_MARGIN_S):
+                return await self._store.watch(
+                    kind=DECLARATION_KIND,
+                    from_version=max(self._watched_version, self.known_version),
+                    timeout_s=self._watch_timeout_s,
+                )
+        except TimeoutError:
+            return None
+
+    async def poll(self):
+        """Read at a bounded interval: finds what a silent watch or a dropped event hid."""
+        while True:
+            await asyncio.sleep(self._poll_interval_s * self._jitter.uniform(1 - POLL_JITTER, 1 + POLL_JITTER))
+            await self._read(Source.POLL)
+
+    async def _read(self, source):
+        """Read the declaration; its version (``NEVER_A_VERSION`` if absent), or ``None`` if it can't be read."""
+        known = self.known_version or None
+        outcome = await self._store.get(kind=DECLARATION_KIND, name=DECLARATION_NAME, unless_version=known)
+        if isinstance(outcome, StoreAbsent):
+            return NEVER_A_VERSION
+        if not isinstance(outcome, StoreDone):
+            return None
+        self.last_read = asyncio.get_running_loop().time()
+        if outcome.value is not None:
+            self._take(outcome.version, outcome.value, source)
+        return outcome.version
+
+    def _take(self, version, value, source):
+        accepted = accepted_from_value(version=version, value=value)
+        if accepted is None:
+            logger.error("the object {}/{} is not a declaration", DECLARATION_KIND, DECLARATION_NAME)
+            return
+        # Only upwards: a stale read must not make the watch tell everything again.
+        self.known_version = max(self.known_version, version)
+        self._offer(accepted.generation, accepted.text, source)
+
+    async def confirm(self):
+        """Return once one read is proved to be the newest."""
+        retry_s = START_RETRY_S
+        while not await self._read_confirmed():
+            await asyncio.sleep(retry_s * self._jitter.uniform(0.5, 1.0))
+            retry_s = min(retry_s * 2, START_RETRY_MAX_S)
+
+    async def _read_confirmed(self):
+        """Read the declaration; ``True`` if the read is proved not to be stale.
+
+        The proof is an update that asks for a version no object ever has: it is refused
+        with the object's true version and changes nothing.
+        """
+        read_version = await self._read(Source.POLL)
+        if read_version is None:
+            return False
+        outcome = await self._store.update(
+            kind=DECLARATION_KIND, name=DECLARATION_NAME, value=None, if_version=NEVER_A_VERSION
+        )
+        if isinstance(outcome, StoreAbsent):
+            return read_version == NEVER_A_VERSION
+        return isinstance(outcome, StoreConflict) and outcome.version == read_version
+
+
+class PeerSource:
+    """Fetches declarations from peers, told by their heartbeats or asked at the start.
+
+    Parameters
+    ----------
+    ask_peers : callable
+        ``await ask_peers(generation)`` gives a :class:`PeersAnswer`.
+    offer : callable
+        ``offer(generation, text, source)``.
+    is_known : callable
+        ``is_known(generation)`` tells whether there is nothing to gain from it.
+    jitter : random.Random
+    """
+
+    __slots__ = ("highest_heard", "_ask_peers", "_offer", "_is_known", "_jitter", "_has_heard")
+
+    def __init__(self, *, ask_peers, offer, is_known, jitter):
+        self.highest_heard = NO_GENERATION
+        self._ask_peers = ask_peers
+        self._offer = offer
+        self._is_known = is_known
+        self._jitter = jitter
+        self._has_heard = asyncio.Event()
+
+    def heard(self, generation):
+        """Note the generation that a peer's heartbeat carries."""
+        if generation > self.highest_heard or not self._is_known(generation):
+            self.highest_heard = max(generation, self.highest_heard)
+            self._has_heard.set()
+
+    async def ask_first(self):
+        """Return once at least one peer that has a declaration in force has answered."""
+        while not await self._ask(NO_GENERATION + 1):
+            await asyncio.sleep(START_RETRY_S)
+
+    async def follow(self):
+        """Fetch what heartbeats tell of, unless it comes by itself."""
+        while True:
+            await self._has_heard.wait()
+            self._has_heard.clear()
+            await asyncio.sleep(PEER_DELAY_S * self._jitter.uniform(0.5, 1.5))
+            if not self._is_known(self.highest_heard):
+                # When no peer gives it, the next heartbeat asks again.
+                await self._ask(self.highest_heard)
+
+    async def _ask(self, generation):
+        """Ask for a declaration of at least ``generation``; whether one came."""
+        try:
+            async with asyncio.timeout(PEER_TIMEOUT_S):
+                answer = await self._ask_peers(generation)
+        except TimeoutError:
+            return False
+        if not answer.answered:
+            return False
+        self._offer(answer.generation, answer.text, Source.PEER)
+        return True
