--- /dev/null
+++ b/tests/test_declaration.py
@@ -0,0 +1,241 @@
+"""Declarations: what is refused, where the fault is shown, and what hostile text does."""
+
+import hashlib
+import random
+import unittest
+from pathlib import Path
+
+from wagtailtrestle.declaration import Declaration
+from wagtailtrestle.declaration_check import DeclarationFaults, parse_declaration
+from wagtailtrestle.declaration_diff import Added, Changed, Removed, difference
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+KEY = hashlib.sha256(b"k").hexdigest()
+OTHER_KEY = hashlib.sha256(b"l").hexdigest()
+SOUND = f"""\
+format: 1
+organisation: club
+regions: {{north: [a, b]}}
+tiers: [high, low]
+teams:
+  - {{name: office, key_sha256: [{KEY}], share: 2}}
+  - {{name: members, key_sha256: [{OTHER_KEY}]}}
+services:
+  - name: helper
+    kind: language
+    routes:
+      - {{name: ask, method: POST, path: /v1/completions, tier: high, deadline_ms: 9, repeatable: false,
+         teams: [office]}}
+  - name: desk
+    kind: plain
+    routes:
+      - {{name: book, method: POST, path: /book, tier: low, deadline_ms: 9, repeatable: false, at_most_once: true}}
+      - {{name: rest, method: POST, path: /, tier: low, deadline_ms: 9, repeatable: true}}
+engines:
+  - {{name: h1, service: helper, zone: a, hardware: g1, address: "10.0.0.1:80", slots: 8, step_ms: 4,
+     prefill_tokens_per_s: 9}}
+  - {{name: d1, service: desk, cell: desks, zone: b, hardware: g1, address: "10.0.0.2:80", slots: 8}}
+ledger: {{shards: 4, retention_s: 60}}
+"""
+
+# Each: what is replaced in the sound file, by what, and the line, field and problem then told.
+REFUSED = (
+    ("format: 1", "format: 2", 1, "format", "out of range"),
+    ("organisation: club\n", "", 1, "organisation", "is missing"),
+    ("organisation: club", "organisation: no", 2, "organisation", "put it in quotes"),
+    ("organisation: club", "organisation: club\nspeed: 9", 3, "speed", "unknown field"),
+    ("organisation: club", "organisation: club\norganisation: other", 3, "organisation", "stands here twice"),
+    ("{north: [a, b]}", "{north: [a, b], south: [a]}", 3, "regions.south", "is the zone a again"),
+    ("{north: [a, b]}", "{}", 3, "regions", "declares no region"),
+    ("{north: [a, b]}", "[a, b]", 3, "regions", "is not a mapping"),
+    ("tiers: [high, low]", "tiers: []", 4, "tiers", "is empty"),
+    ("tiers: [high, low]", "tiers:", 4, "tiers", "is not a list"),
+    ("tiers: [high, low]", "tiers: [high, low, low]", 4, "tiers", "is the tier low again, as on line 4"),
+    ("name: members", "name: office", 7, "teams[office].name", "is the team office again, as on line 6"),
+    ("name: members", "name: 'a/b'", 7, "teams[a/b].name", "is not a name"),
+    (OTHER_KEY, KEY, 7, "teams[members].key_sha256", "has a key that stands on line 6"),
+    (f"[{KEY}]", "[]", 6, "teams[office].key_sha256", "is empty"),
+    (KEY, "my-real-key", 6, "teams[office].key_sha256", "not a SHA-256 digest (11 characters"),
+    ("share: 2", "share: 0", 6, "teams[office].share", "out of range"),
+    ("share: 2", 'share: "2"', 6, "teams[office].share", "is quoted text"),
+    ("share: 2", "share: .nan", 6, "teams[office].share", "is not a number"),
+    ("name: desk\n", "name: helper\n", 14, "services[helper].name", "is the service helper again"),
+    ("name: desk\n", "name: v1\n", 14, "services[v1].name", "paths of language services"),
+    ("kind: language", "kind: verbal", 10, "services[helper].kind", "is not known"),
+    ("kind: plain", "kind: plain\n    prefill_weight: 2", 16, "services[desk].prefill_weight", "out of range"),
+    ("tier: high", "tier: top", 12, "services[helper].routes[ask].tier", "is top, which is not declared"),
+    ("teams: [office]", "teams: [offices]", 13, "services[helper].routes[ask].teams", "is offices, which is not"),
+    (
+        "deadline_ms: 9, repeatable: false,\n",
+        "deadline_ms: 1.5, repeatable: false,\n",
+        12,
+        "deadline_ms",
+        "whole",
+    ),
+    (
+        "repeatable: false,\n",
+        "repeatable: no,\n",
+        12,
+        "services[helper].routes[ask].repeatable",
+        "neither true",
+    ),
+    ("path: /v1/completions", "path: /v1/chat", 12, "services[helper].routes[ask].path", "on a language service"),
+    ("POST, path: /v1", "GET, path: /v1", 12, "services[helper].routes[ask].method", "on a language service"),
+    (
+        "method: POST, path: /book",
+        "method: CALL, path: /book",
+        17,
+        "services[desk].routes[book].method",
+        "is not known",
+    ),
+    ("path: /book", "path: /../book", 17, "services[desk].routes[book].path", "is not a path"),
+    ("path: /book", "path: /desk/book", 17, "services[desk].routes[book].path", "names the service again"),
+    ("name: rest", "name: book", 18, "services[desk].routes[book].name", "is the route book again"),
+    ("repeatable: true}", "repeatable: true, at_most_once: true}", 18, "rest].at_most_once", "on a repeatable route"),
+    ("name: h1", "name: d1", 22, "engines[d1].name", "is the engine d1 again"),
+    ("service: desk", "service: desks", 22, "engines[d1].service", "is desks, which is not declared"),
+    ("service: desk", "service: helper", 14, "services[desk]", "has no engine"),
+    ("zone: b", "zone: c", 22, "engines[d1].zone", "is c, which is not declared"),
+    ("cell: desks", "cell: helper", 22, "engines[d1].cell", "is helper, which holds engines of helper"),
+    ("10.0.0.2:80", "10.0.0.1:80", 22, "engines[d1].address", "is the address 10.0.0.1:80 again, as on line 20"),
+    ("10.0.0.2:80", "10.0.0.2", 22, "engines[d1].address", "has no port"),
+    ("10.0.0.2:80", "10.0.0.2:0", 22, "engines[d1].address", "port is not from 1"),
+    ("10.0.0.2:80", "desk.example:80", 22, "engines[d1].address", "host is not an IP number"),
+    ("slots: 8}", "slots: 0}", 22, "engines[d1].slots", "out of range"),
+    ("slots: 8, step_ms: 4", "slots: 8", 20, "engines[h1].step_ms", "is missing"),
+    ("shards: 4", "shards: many", 23, "ledger.shards", "is not a whole number"),
+    ("organisation: club", "organisation: &c club", 2, "", "has an anchor"),
+    ("organisation: club", "organisation: !!python/name:os.system club", 2, "", "has a tag"),
+    ("ledger:", "---\nledger:", 23, "", "second document"),
+    ("ledger:", "ledger: [", 24, "", "in what begins on line 23"),
+)
+
+
+def faults_of(text):
+    parsed = parse_declaration(text, file="d.yaml")
+    return parsed.faults if isinstance(parsed, DeclarationFaults) else ()
+
+
+class RefusedTests(unittest.TestCase):
+    def test_sound_file_is_accepted(self):
+        declaration = parse_declaration(SOUND)
+        self.assertIsInstance(declaration, Declaration)
+        self.assertEqual([tier.rank for tier in declaration.tiers_by_name.values()], [0, 1])
+        self.assertEqual(declaration.engines_by_name["h1"].cell, "helper")
+        self.assertEqual(declaration.engines_by_name["d1"].cell, "desks")
+        self.assertTrue(declaration.services_by_name["desk"].routes_by_name["book"].at_most_once)
+
+    def test_each_fault_is_told_with_its_line_and_field(self):
+        for old, new, line, field, problem in REFUSED:
+            with self.subTest(new=new, problem=problem):
+                self.assertIn(old, SOUND)
+                found = faults_of(SOUND.replace(old, new, 1))
+                matching = [f for f in found if f.line == line and f.field.endswith(field) and problem in f.problem]
+                self.assertTrue(matching, [str(fault) for fault in found])
+                self.assertTrue(all(fault.allowed for fault in found))
+
+    def test_every_fault_is_told_at_once(self):
+        text = SOUND.replace("tier: high", "tier: top").replace("zone: b", "zone: c").replace("share: 2", "share: x")
+        self.assertEqual([fault.line for fault in faults_of(text)], [6, 12, 22])
+
+    def test_key_written_by_mistake_is_not_shown(self):
+        # An operator writes the key itself where its digest belongs. The faults go to a
+        # terminal and a CI log that others read: the key must not be in them.
+        found = faults_of(SOUND.replace(KEY, "my-real-key"))
+        self.assertNotIn("my-real-key", " ".join(str(fault) for fault in found))
+
+    def test_charge_hidden_by_a_repeatable_route(self):
+        # The first declared route that fits a call is its default. Were "/" (repeatable) declared
+        # before "/book" (at most once), a booking cut on the way would be sent again and
+        # the member charged twice. Such an order is refused.
+        lines = SOUND.splitlines()
+        lines[16], lines[17] = lines[17], lines[16]
+        self.assertIn("hidden by route rest above it", " ".join(str(fault) for fault in faults_of("\n".join(lines))))
+
+    def test_two_promises_on_one_path(self):
+        found = faults_of(SOUND.replace("path: /,", "path: /book/,"))
+        self.assertIn("promises something else about repeats", found[0].problem)
+
+
+class HostileTextTests(unittest.TestCase):
+    def test_text_that_is_no_declaration(self):
+        hostile = ("", "\0", "\ud800", b"\xff\xfe", None, 7, "- a", "~", "a", "? [x]\n: y", "{[1]: 2, a: {b: [c}}")
+        for text in hostile:
+            with self.subTest(text=ascii(text)):
+                self.assertTrue(faults_of(text))
+
+    def test_alias_bomb(self):
+        # Twenty lines of nested aliases stand for 10^19 nodes: whoever walks them hangs.
+        text = "a0: &a0 [x, x]\n" + "".join(f"a{n}: &a{n} [{f'*a{n - 1},' * 9}]\n" for n in range(1, 20))
+        self.assertIn("anchor", faults_of(text)[0].problem)
+
+    def test_depth_and_size_are_bounded(self):
+        # Composing 400,000 nested lists overruns the C stack: the process would die.
+        for text in ("[" * 400_000, "{a: " * 200_000, "- " * 400_000, "? " * 400_000, "#" * 1_000_001):
+            with self.subTest(text=text[:4]):
+                self.assertEqual(len(faults_of(text)), 1)
+
+    def test_damaged_files_never_raise(self):
+        source = random.Random(20261202)
+        pieces = (
+            "",
+            "[",
+            "]",
+            "{",
+            "}",
+            ":",
+            "- ",
+            "\n",
+            "'",
+            "null",
+            "&a",
+            "*a",
+            "!t ",
+            "\t",
+            "1e999",
+            "é",
+            "\0",
+            "9" * 400,
+        )
+        for _ in range(600):
+            text = SOUND
+            for _ in range(source.randint(1, 4)):
+                start = source.randrange(len(text))
+                text = text[:start] + source.choice(pieces) + text[start + source.randint(0, 30) :]
+            self.assertIsInstance(parse_declaration(text), (Declaration, DeclarationFaults))
+
+
+class ExampleTests(unittest.TestCase):
+    def test_both_deployments_are_whole(self):
+        sizes = {
+            "cometas": ({"gijon", "santander", "zarautz"}, {"asistente": 9, "reservas": 3}),
+            "nagarchinha": ({"salt-lake", "howrah", "barasat", "behala"}, {"naamkosh": 6, "thikana": 4}),
+        }
+        for name, (zones, engines_by_service) in sizes.items():
+            declaration = parse_declaration((EXAMPLES / f"{name}.yaml").read_bytes())
+            self.assertIsInstance(declaration, Declaration)
+            found = {}
+            for engine in declaration.engines_by_name.values():
+                found[engine.service] = found.get(engine.service, 0) + 1
+            self.assertEqual(found, engines_by_service)
+            self.assertEqual({engine.zone for engine in declaration.engines_by_name.values()}, zones)
+            for team in declaration.teams_by_name.values():
+                digest = hashlib.sha256(f"example-key-{team.name}".encode()).hexdigest()
+                self.assertEqual(team.key_sha256, (digest,))
+
+
+class DifferenceTests(unittest.TestCase):
+    def test_changes_by_section_and_name(self):
+        before = parse_declaration(SOUND)
+        text = SOUND.replace("share: 2", "share: 3").replace("name: h1", "name: h2").replace("shards: 4", "shards: 8")
+        self.assertEqual(
+            difference(before, parse_declaration(text)),
+            (
+                Changed(section="declaration", name="", field="ledger.shards", before="4", after="8"),
+                Changed(section="teams", name="office", field="share", before="2", after="3"),
+                Removed(section="engines", name="h1"),
+                Added(section="engines", name="h2"),
+            ),
+        )
+        self.assertEqual(difference(before, parse_declaration(SOUND)), ())
+        self.assertIn(Added(section="routes", name="desk/book"), difference(None, before))
--- a/wagtailtrestle/yaml_source.py
+++ b/wagtailtrestle/yaml_source.py
@@ -143,20 +143,23 @@
     try:
         node = _build(text, faults=faults)
     except yaml.YAMLError as error:
-        mark = getattr(error, "problem_mark", None)
-        reason = getattr(error, "problem", None) or getattr(error, "reason", None) or "unreadable"
-        faults.add(
-            line=mark.line + 1 if mark else 0,
-            field="",
-            problem=f"is not YAML: {str(reason)[:LARGEST_REASON]}",
-            allowed="one YAML document",
-        )
+        _add_yaml_error(error, faults=faults)
         return None
     if node is None and not faults.faults:
         faults.add(line=0, field="", problem="is empty", allowed="a mapping of fields")
     return node
 
 
+def _add_yaml_error(error, *, faults):
+    mark = getattr(error, "problem_mark", None)
+    began = getattr(error, "context_mark", None)
+    reason = getattr(error, "problem", None) or getattr(error, "reason", None) or "unreadable"
+    problem = f"is not YAML: {str(reason)[:LARGEST_REASON]}"
+    if began is not None and began.line != mark.line:
+        problem += f", in what begins on line {began.line + 1}"
+    faults.add(line=mark.line + 1 if mark else 0, field="", problem=problem, allowed="one YAML document")
+
+
 def _decoded(text, *, faults):
     if isinstance(text, str):
         # A lone surrogate can't be sent to the platform; it turns into the fault below.
