Membership by heartbeats, suspicion and refutation

Cause: the thin view held every listed router for alive, so a killed or frozen steward kept its cells. Change: heartbeats to partners on a ring (all, up to nine routers); a silent connection is replaced before the router is suspected; suspicions are told to all and refuted with a higher version; who returns is held back a while; a router that was paused asks peers before it acts; two sides that lost each other merge by comparing digests.

--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,110 @@
+import asyncio
+import unittest
+
+import looptime
+
+from tests.utils.fake_routers import FakeNet
+
+
+def on_fast_loop(test):
+    """Run an async test on a loop whose clock jumps from timer to timer."""
+
+    def run(self):
+        with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+            runner.run(self.run_with(runner.get_loop(), test))
+
+    return run
+
+
+class MembershipTest(unittest.TestCase):
+    async def run_with(self, loop, test):
+        self.net = FakeNet(loop)
+        await test(self)
+
+    def assert_views(self, members, but=(), draining=()):
+        for name, view in self.net.views(but).items():
+            self.assertEqual((name, view.members, view.draining), (name, tuple(members), tuple(draining)))
+
+    @on_fast_loop
+    async def test_all_find_each_other(self):
+        names = await self.net.add_all(6)
+        self.assert_views(names)
+        self.assertTrue(all(membership.trusted for membership in self.net.by_name.values()))
+
+    @on_fast_loop
+    async def test_killed_router(self):
+        # A steward is killed. Its peers see their connections end and new ones refused; within half a second
+        # all have it out of their views, so that its cells move and callers wait no longer than that.
+        names = await self.net.add_all(6)
+        self.net.kill("r002")
+        await asyncio.sleep(0.5)
+        self.assert_views([name for name in names if name != "r002"], but=["r002"])
+
+    @on_fast_loop
+    async def test_frozen_router(self):
+        # A steward freezes: connections stay open, nothing comes. Peers open new connections, get no answer,
+        # and drop it within about 1.2 s. When it wakes it must not believe that all others died.
+        names = await self.net.add_all(6)
+        others = [name for name in names if name != "r002"]
+        self.net.freeze("r002")
+        await asyncio.sleep(1.3)
+        self.assert_views(others, but=["r002"])
+        await asyncio.sleep(5)
+        self.net.changes.clear()
+        self.net.thaw("r002")
+        self.assertFalse(self.net.by_name["r002"].trusted)
+        await asyncio.sleep(3)
+        self.assert_views(names)
+        woken = [view for _, name, view in self.net.changes if name == "r002"]
+        self.assertTrue(all(set(others) <= set(view.everyone) for view in woken))
+
+    @on_fast_loop
+    async def test_restarted_router(self):
+        # A router is killed and started again under its name: it is back in every view within a second.
+        names = await self.net.add_all(6)
+        self.net.kill("r002")
+        await asyncio.sleep(2)
+        await self.net.add("r002", incarnation=2, seeds=["r000"])
+        await asyncio.sleep(1)
+        self.assert_views(names)
+        self.assertEqual(self.net.by_name["r005"].view.incarnations_by_name["r002"], 2)
+
+    @on_fast_loop
+    async def test_draining_and_leaving(self):
+        names = await self.net.add_all(4)
+        self.net.by_name["r001"].set_draining()
+        await asyncio.sleep(0.1)
+        rest = [name for name in names if name != "r001"]
+        self.assert_views(rest, draining=["r001"])
+        await self.net.by_name["r001"].close()
+        await asyncio.sleep(0.1)
+        self.assert_views(rest, but=["r001"])
+
+    @on_fast_loop
+    async def test_cut_off_from_a_few(self):
+        # Two of six routers can't reach a third, the other three can. The third stays in every view: each
+        # suspicion is refuted through the others; and suspicions become rarer, so nobody flaps.
+        await self.net.add_all(6)
+        self.net.cut = lambda one, other: one == "r000" and other in ("r001", "r002")
+        self.net.changes.clear()
+        await asyncio.sleep(60)
+        self.assertEqual(self.net.changes, [])
+        version = self.net.by_name["r005"]._table.by_name["r000"].version
+        self.assertLess(version, 20)
+
+    @on_fast_loop
+    async def test_two_regions_lose_each_other(self):
+        # Each side goes on with its own view; when the link is back, both come to one view without any
+        # router losing sight of its own side.
+        names = await self.net.add_all(8)
+        left, right = names[:4], names[4:]
+        self.net.cut = lambda one, other: (one in left) != (other in left)
+        await asyncio.sleep(60)
+        for name, view in self.net.views().items():
+            self.assertEqual(view.members, tuple(left if name in left else right))
+        self.net.cut = lambda one, other: False
+        self.net.changes.clear()
+        await asyncio.sleep(15)
+        self.assert_views(names)
+        for _, name, view in self.net.changes:
+            self.assertLessEqual(set(left if name in left else right), set(view.everyone))
--- a/wagtailtrestle/member.py
+++ b/wagtailtrestle/member.py
@@ -61,7 +61,8 @@
 
     def key(self):
         """Order of statements about this router."""
-        return (self.incarnation, self.version, RANKS_BY_STATE[self.state])
+        state = MemberState.DEAD if self.claimed_dead else self.state
+        return (self.incarnation, self.version, RANKS_BY_STATE[state])
 
     def eligible(self, now):
         """Whether it may be steward or shard owner."""
@@ -71,12 +72,13 @@
         """Change the state; note suspicion's time and count returns from the dead."""
         if state == self.state:
             return
-        was_dead, self.state = self.state is MemberState.DEAD, state
-        if state is MemberState.ALIVE:
+        was_dead = self.state is MemberState.DEAD
+        if state is not MemberState.SUSPECT:
             self.own_suspicion = False
             self.claimed_dead = False
-            if was_dead:
-                self._hold(now)
+        if was_dead and state is MemberState.ALIVE:
+            self._hold(now)
+        self.state = state
         self.state_since = now
 
     def _hold(self, now):
@@ -111,6 +113,22 @@
             draining=self.draining,
         )
 
+    def dump(self, now):
+        """State for the dump; ages in seconds."""
+        return {
+            "state": self.state.value,
+            "state_age_s": round(now - self.state_since, 3),
+            "zone": self.zone,
+            "address": self.address,
+            "incarnation": self.incarnation,
+            "version": self.version,
+            "generation": self.generation,
+            "draining": self.draining,
+            "listed_leaving": self.listed_leaving,
+            "held_s": round(max(0.0, self.held_until - now), 3),
+            "flaps": self.flaps,
+        }
+
 
 def event_key(event):
     """Order of statements, as ``Member.key``."""
--- a/wagtailtrestle/membership.py
+++ b/wagtailtrestle/membership.py
@@ -1,13 +1,45 @@
 """Which routers are alive: the platform's list says who exists, heartbeats who is suspected.
 
-Thin version: everybody listed is in the view.
+Each router exchanges heartbeats with its partners (``partners``). A partner that goes
+silent gets a new connection first; only when that fails too is it suspected, and the
+suspicion told to all. A suspect that lives refutes with a higher version of itself; one
+that doesn't within ``REFUTE_S`` is dead. See ``docs/design/membership.md``.
 """
 
-from wagtailtrestle.peer_messages import Hello
-from wagtailtrestle.view import View
+import asyncio
+import random
+
+from loguru import logger
+
+from wagtailtrestle.member_table import MemberTable
+from wagtailtrestle.partners import Ring
+from wagtailtrestle.peer_messages import (
+    Heartbeat,
+    Hello,
+    MemberState,
+    PeerUnreachable,
+    Ping,
+    ViewAsk,
+    ViewEvent,
+    ViewText,
+)
+from wagtailtrestle.suspicion import Suspicions
 
 ROUTER_ROLE = "router"
-LEAVING = "leaving"
+
+HEARTBEAT_S = 0.3
+SILENT_HEARTBEATS = 2.2
+TICK_S = 0.1
+LATE_TICK_S = 0.25
+FROZEN_GAP_S = 0.8
+TRUST_WITHIN_S = 1.0
+SYNC_TIMEOUT_S = 0.5
+SYNC_AFTER_MISMATCHES = 2
+SYNC_PAUSE_S = 1.0
+SYNC_PAUSE_MAX_S = 60.0
+CONTACT_INTERVAL_S = 1.0
+FIRST_CONTACTS = 8
+FORGET_AFTER_S = 600.0
 
 
 class Membership:
@@ -22,36 +54,95 @@
     loop : asyncio event loop
     seeds : dict of str to str
         Names and addresses from settings, for when the platform is out at start.
+    heartbeat_s : float
+        Time between heartbeats to one partner.
+    jitter : random.Random, optional
+
+    Attributes
+    ----------
+    view : View
+    trusted : bool
+        Whether the view may be acted on: false for a moment at start and after a pause of
+        this process, until a peer told what happened meanwhile.
     """
 
-    def __init__(self, *, name, zone, incarnation, peers, loop, seeds=None):
+    def __init__(self, *, name, zone, incarnation, peers, loop, seeds=None, heartbeat_s=HEARTBEAT_S, jitter=None):
         self.name = name
         self.zone = zone
-        self.incarnation = incarnation
         self.generation = 0
-        self.draining = False
+        self.trusted = False
         self._peers = peers
         self._loop = loop
-        self._seeds = dict(seeds or {})
-        self._known = {}
+        self._heartbeat_s = heartbeat_s
+        self._jitter = jitter or random.Random()
+        self._addresses_by_name = {seed: address for seed, address in (seeds or {}).items() if seed != name}
+        self._listed = None
+        self._table = MemberTable(name=name, zone=zone, incarnation=incarnation, now=loop.time())
+        self._suspicions = Suspicions(table=self._table, loop=loop, gossip=self._gossip, on_change=self._refresh)
+        self._partners = set()
+        self._fingers = set()
+        self._ring_names = ()
+        self._mismatches_by_peer = {}
+        self._sync_pause_by_peer = {}
+        self._next_sync_by_peer = {}
+        self._doubted = set()
         self._view_callbacks = []
         self._generation_callbacks = []
-        self.view = View(members=(name,))
-        peers.on(Hello, self._on_hello)
+        self._tasks = set()
+        self._timer = None
+        self._tick_at = loop.time()
+        self._heartbeat_at = loop.time()
+        self._contact_at = loop.time()
+        self._silence_from = loop.time()
+        self._doubt_since = loop.time()
+        self._recheck_at = None
+        self._digest = self._table.digest()
+        self.view = self._table.view(loop.time())
+        self._listen()
+
+    def _listen(self):
+        self._peers.on(Hello, self._on_hello)
+        self._peers.on(Heartbeat, self._on_heartbeat)
+        self._peers.on(ViewEvent, self._on_view_event)
+        self._peers.on(ViewAsk, self._on_view_ask)
+        self._peers.on_reconnect(self._on_connected)
+        self._peers.on_unreachable(self._on_unreachable)
+
+    # What the rest of the router uses.
+
+    @property
+    def draining(self):
+        """Whether this router leaves."""
+        return self._table.own.draining
 
     async def start(self):
-        """Begin to talk to the seeds."""
-        self._learn(self._seeds)
+        """Contact the seeds and begin to exchange heartbeats."""
+        now = self._loop.time()
+        self._table.own.address = self._peers.address
+        self._tick_at = self._heartbeat_at = self._contact_at = self._doubt_since = now
+        self._peers.set_addresses(self._addresses_by_name)
+        self._contact_absent(FIRST_CONTACTS)
+        self._timer = self._loop.call_later(TICK_S, self._on_tick)
 
     async def close(self):
-        """Stop."""
+        """Tell the partners that this router ends, and stop."""
+        own = self._table.own
+        own.version += 1
+        own.set_state(MemberState.LEFT, self._loop.time())
+        self._gossip(own.event())
+        self._suspicions.close()
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def on_view_change(self, callback):
-        """Have ``callback(view)`` called after each change of the view."""
+        """Have ``callback(view)`` called after each change of the view, and when it is trusted again."""
         self._view_callbacks.append(callback)
 
     def on_generation(self, callback):
-        """Have ``callback(peer, generation)`` called when a peer tells the generation it has in force."""
+        """Have ``callback(peer, generation)`` called when a peer tells a generation new for it."""
         self._generation_callbacks.append(callback)
 
     def set_generation(self, generation):
@@ -59,31 +150,322 @@
         self.generation = generation
 
     def set_draining(self):
-        """Leave the set of routers that may be steward; tell peers."""
-        self.draining = True
+        """Leave the set of routers that may be steward, and tell everybody."""
+        own = self._table.own
+        own.draining = True
+        own.version += 1
+        self._gossip(own.event())
         self._refresh()
 
     def observe_vms(self, vms):
-        """Take the platform's list: who exists, and where it listens."""
-        self._learn({vm.id: vm.address for vm in vms if vm.role == ROUTER_ROLE and vm.id != self.name})
+        """Take the platform's list of VMs: who exists, where it listens, who leaves.
+
+        The list lags, so it takes nobody out of the view who still sends heartbeats.
+        """
+        routers = [vm for vm in vms if vm.role == ROUTER_ROLE and vm.id != self.name]
+        is_first = self._listed is None
+        self._listed = {vm.id for vm in routers}
+        addresses = {vm.id: vm.address for vm in routers}
+        new = {name for name in addresses if name not in self._addresses_by_name}
+        self._addresses_by_name.update(addresses)
+        self._peers.set_addresses({name: addresses[name] for name in addresses if self._is_absent(name)})
+        for vm in routers:
+            if vm.id in self._table.by_name:
+                self._table.by_name[vm.id].listed_leaving = vm.leaving
+        if is_first:
+            self._contact_absent(FIRST_CONTACTS)
+        for name in sorted(new)[:FIRST_CONTACTS]:
+            self._greet(name)
+        self._refresh()
+
+    def broadcast_targets(self):
+        """Routers to which news for everybody is passed on."""
+        return self._partners | self._fingers
 
     def dump(self):
-        """State for the dump."""
-        return {"members": list(self.view.members), "draining": list(self.view.draining)}
+        """State for the dump; ages in seconds."""
+        now = self._loop.time()
+        return {
+            "members": list(self.view.members),
+            "draining": list(self.view.draining),
+            "digest": f"{self._digest:016x}",
+            "trusted": self.trusted,
+            "partners": sorted(self._partners),
+            "fingers": sorted(self._fingers),
+            "listed": None if self._listed is None else sorted(self._listed),
+            "by_name": {name: member.dump(now) for name, member in sorted(self._table.by_name.items())},
+        }
+
+    # Signs of life.
 
     def _on_hello(self, peer, hello, cell):
-        self._learn({peer: hello.address})
+        now = self._loop.time()
+        member = self._table.get_or_add(peer, now)
+        if hello.incarnation > member.incarnation:
+            member.restart(hello.incarnation, now)
+            member.zone, member.address = hello.zone, hello.address
+            self._addresses_by_name[peer] = hello.address
+            self._gossip(member.event(), but=peer)
+            self._refresh()
+        elif hello.incarnation == member.incarnation:
+            self._heard_directly(member)
+
+    def _on_connected(self, peer):
+        self._peers.send(peer, self._table.own.event())
+        self._send_heartbeat(peer)
+        if not self.trusted:
+            self._spawn(self._sync(peer))
+
+    def _on_heartbeat(self, peer, heartbeat, cell):
+        member = self._table.by_name.get(peer)
+        if member is None or heartbeat.incarnation != member.incarnation:
+            return
+        if heartbeat.version > member.version:
+            event = ViewEvent(
+                name=peer,
+                zone=member.zone,
+                address=member.address,
+                incarnation=heartbeat.incarnation,
+                version=heartbeat.version,
+                state=MemberState.ALIVE,
+                draining=heartbeat.draining,
+            )
+            self._on_view_event(peer, event, "")
+        else:
+            self._heard_directly(member)
+        self._note_generation(member, heartbeat.generation)
+        self._compare_digest(peer, heartbeat.view_digest)
+
+    def _heard_directly(self, member):
+        if not member.present:
+            # It lives but can't know that it is held for dead: without being told it would stay out for ever.
+            self._peers.send(member.name, member.event())
+        elif member.state is MemberState.SUSPECT:
+            self._suspicions.heard(member)
+
+    def _note_generation(self, member, generation):
+        if generation != member.generation:
+            member.generation = generation
+            for callback in self._generation_callbacks:
+                callback(member.name, generation)
+
+    def _on_unreachable(self, peer, detail):
+        member = self._table.by_name.get(peer)
+        if member is None or not self._is_awake() or not self.trusted:
+            return
+        self._suspicions.suspect(member, detail)
+
+    # Statements about members.
+
+    def _on_view_event(self, peer, event, cell):
+        if event.name == self.name:
+            self._about_self(event)
+        elif self._table.apply(event, self._loop.time()):
+            self._learn_address(event)
+            self._suspicions.watch(self._table.by_name[event.name])
+            self._gossip(event, but=peer)
+            self._refresh()
+
+    def _about_self(self, event):
+        own = self._table.own
+        if event.incarnation > own.incarnation and not own.draining:
+            # A later process of the same name runs. This one was paused or forgotten; were it to go on as
+            # steward, two processes would answer to one name.
+            logger.error("another process took the name {}; this one gives up its cells", self.name)
+            own.draining = True
+            self._refresh()
+        elif own.present and self._table.refute(event, self._loop.time()):
+            self._gossip(own.event())
+            self._refresh()
+
+    def _learn_address(self, event):
+        if event.address:
+            self._addresses_by_name[event.name] = event.address
+            self._peers.set_addresses({event.name: event.address})
+
+    def _gossip(self, event, but=None):
+        for name in self.broadcast_targets():
+            if name != but:
+                self._peers.send(name, event)
 
-    def _learn(self, addresses):
-        self._known.update(addresses)
-        self._peers.set_addresses(addresses)
-        self._peers.keep(set(self._known))
+    # Agreement on the whole.
+
+    def _compare_digest(self, peer, digest):
+        if digest == self._digest:
+            self._mismatches_by_peer.pop(peer, None)
+            self._sync_pause_by_peer.pop(peer, None)
+            return
+        mismatches = self._mismatches_by_peer[peer] = self._mismatches_by_peer.get(peer, 0) + 1
+        now = self._loop.time()
+        if mismatches >= SYNC_AFTER_MISMATCHES and now >= self._next_sync_by_peer.get(peer, now):
+            # Repeated pulls that settle nothing must not fill the link: each waits longer.
+            pause_s = min(SYNC_PAUSE_MAX_S, 2 * self._sync_pause_by_peer.get(peer, SYNC_PAUSE_S / 2))
+            self._sync_pause_by_peer[peer] = pause_s
+            self._next_sync_by_peer[peer] = now + pause_s
+            self._spawn(self._sync(peer))
+
+    async def _sync(self, peer):
+        answer = await self._peers.ask(peer, ViewAsk(), SYNC_TIMEOUT_S)
+        if type(answer) is not ViewText:
+            return
+        now = self._loop.time()
+        for event in answer.events:
+            if event.name == self.name:
+                self._about_self(event)
+        news, doubted = self._table.merge(answer.events, now, believe=not self.trusted)
+        self._doubted.update(doubted)
+        for event in news:
+            self._learn_address(event)
+            self._suspicions.watch(self._table.by_name[event.name])
+            if self.trusted:
+                self._gossip(event, but=peer)
+        self._trust()
         self._refresh()
 
-    def _refresh(self):
-        own = () if self.draining else (self.name,)
-        view = View(members=(*self._known, *own), draining=(self.name,) if self.draining else ())
-        if view.digest != self.view.digest:
-            self.view = view
-            for callback in self._view_callbacks:
-                callback(view)
+    def _on_view_ask(self, peer, message, cell):
+        if not self.trusted:
+            return None
+        members = self._table.by_name.values()
+        return ViewText(events=tuple(member.event() for member in members if member.incarnation))
+
+    async def _check_doubted(self):
+        """Find out about one router that a peer calls dead and this one alive."""
+        name = self._doubted.pop()
+        member = self._table.by_name.get(name)
+        if member is None or not member.present:
+            return
+        answer = await self._peers.ask(name, Ping(), SYNC_TIMEOUT_S)
+        if isinstance(answer, PeerUnreachable):
+            self._suspicions.suspect(member, "called dead by a peer, and does not answer")
+
+    # Trust in the own view.
+
+    def _is_awake(self):
+        """Whether this process ran lately; if not, its view is taken as stale first.
+
+        A process that was stopped wakes with timers that all seem due and with everybody
+        silent. Without this it would declare all others dead and make itself steward of
+        every cell, although it is the one that was away.
+        """
+        now = self._loop.time()
+        if now - self._tick_at <= FROZEN_GAP_S:
+            return True
+        logger.warning("this process was paused for {:.1f} s; asking peers what happened", now - self._tick_at)
+        self._tick_at = self._silence_from = now
+        self._doubt_since = now
+        self.trusted = False
+        self._suspicions.restart()
+        for peer in sorted(self._partners):
+            if self._peers.connected(peer):
+                self._spawn(self._sync(peer))
+        return False
+
+    def _trust(self):
+        if self.trusted:
+            return
+        self.trusted = True
+        self._refresh(is_forced=True)
+
+    # Time.
+
+    def _on_tick(self):
+        self._timer = self._loop.call_later(TICK_S, self._on_tick)
+        if self._is_awake():
+            self._tick(self._loop.time())
+
+    def _tick(self, now):
+        if now - self._tick_at > LATE_TICK_S:
+            # A pause too short to doubt the view: what arrived meanwhile may not be read yet.
+            self._silence_from = now
+        self._tick_at = now
+        if not self.trusted and now - self._doubt_since > TRUST_WITHIN_S:
+            # Nobody to ask: this router is alone or cut off, and goes on with what it has.
+            self._trust()
+        if now >= self._heartbeat_at:
+            self._heartbeat_at = now + self._heartbeat_s * self._jitter.uniform(0.9, 1.0)
+            for peer in self._partners:
+                self._send_heartbeat(peer)
+        if self.trusted:
+            self._replace_silent()
+        if now >= self._contact_at:
+            self._contact_at = now + CONTACT_INTERVAL_S * self._jitter.uniform(0.5, 1.0)
+            self._contact_absent(1)
+            self._forget_old(now)
+            if self._doubted:
+                self._spawn(self._check_doubted())
+        if self._recheck_at is not None and now >= self._recheck_at:
+            self._refresh()
+
+    def _send_heartbeat(self, peer):
+        if not self._peers.connected(peer):
+            return
+        own = self._table.own
+        heartbeat = Heartbeat(
+            incarnation=own.incarnation,
+            version=own.version,
+            generation=self.generation,
+            draining=own.draining,
+            view_digest=self._digest,
+        )
+        self._peers.send(peer, heartbeat)
+
+    def _replace_silent(self):
+        for peer in self._partners:
+            silent_s = self._peers.silent_s(peer)
+            if silent_s is None:
+                continue
+            silent_s = min(silent_s, self._loop.time() - self._silence_from)
+            if silent_s > SILENT_HEARTBEATS * self._heartbeat_s:
+                # The connection may be dead while the router lives: a new one tells them apart.
+                self._peers.replace(peer)
+
+    # Routers out of the view.
+
+    def _is_absent(self, name):
+        member = self._table.by_name.get(name)
+        return member is None or not member.present
+
+    def _contact_absent(self, count):
+        """Greet a few routers that exist but are not in the view: they may be back, or on the other side."""
+        absent = [name for name in sorted(self._addresses_by_name) if self._is_absent(name)]
+        for name in self._jitter.sample(absent, min(count, len(absent))):
+            self._greet(name)
+
+    def _greet(self, name):
+        self._peers.send(name, self._table.own.event())
+
+    def _forget_old(self, now):
+        for name, member in list(self._table.by_name.items()):
+            is_listed = self._listed is not None and name in self._listed
+            if not member.present and not is_listed and now - member.state_since > FORGET_AFTER_S:
+                del self._table.by_name[name]
+                self._addresses_by_name.pop(name, None)
+                self._peers.forget(name)
+
+    # The view and the partners.
+
+    def _refresh(self, is_forced=False):
+        now = self._loop.time()
+        self._recheck_at = self._table.next_hold_end(now)
+        self._digest = self._table.digest()
+        view = self._table.view(now)
+        if view.everyone != self._ring_names:
+            self._rewire(view)
+        if view.digest == self.view.digest and not is_forced:
+            return
+        self.view = view
+        for callback in self._view_callbacks:
+            callback(view)
+
+    def _rewire(self, view):
+        self._ring_names = view.everyone
+        ring = Ring(zones_by_name={name: self._table.by_name[name].zone for name in view.everyone})
+        if self.name in view.everyone:
+            self._partners = ring.partners(self.name)
+            self._fingers = ring.fingers(self.name)
+        self._peers.keep(self._partners)
+
+    def _spawn(self, coroutine):
+        task = self._loop.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/wagtailtrestle/peer_link.py
+++ b/wagtailtrestle/peer_link.py
@@ -93,6 +93,12 @@
         if self._writer is not None:
             self._writer.cancel()
 
+    def forgive(self, now):
+        """Count silence anew from now: this process itself was paused."""
+        self.last_received = now
+        if self.awaiting_since is not None:
+            self.awaiting_since = now
+
     async def _read(self):
         while (batch := await self._stream.recv_message()) is not None:
             self.last_received = self._loop.time()
--- a/wagtailtrestle/peers_grpc.py
+++ b/wagtailtrestle/peers_grpc.py
@@ -35,6 +35,7 @@
 PING_AFTER_S = 0.35
 SILENT_AFTER_S = 0.7
 SIMULTANEOUS_S = 1.0
+PAUSED_AFTER_S = 0.5
 IDLE_CLOSE_S = 60.0
 QUEUE_HOLD_S = 5.0
 
@@ -277,9 +278,11 @@
         deadline = self._loop.time() + timeout_s
         while self._loop.time() < deadline:
             states = self._states_by_name.values()
-            if not any(state.link is not None and len(state.outbox) for state in states):
-                return
+            is_empty = not any(state.link is not None and len(state.outbox) for state in states)
+            # Once more, since the last batch taken may still be on its way into the socket.
             await asyncio.sleep(0.005)
+            if is_empty:
+                return
 
     # Opening connections.
 
@@ -460,7 +463,7 @@
             self._deliver_answer(peer, item.answer_to, message)
             return
         if type(message) is Ping:
-            state.outbox.put(encode(Pong()))
+            state.outbox.put(encode(Pong(), answer_to=item.question))
             return
         if type(message) is Pong:
             return
@@ -509,11 +512,17 @@
     # Watching the links.
 
     async def _maintain(self):
+        checked_at = self._loop.time()
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             now = self._loop.time()
+            # After a pause of this process what peers sent still waits unread: it is this end that was silent.
+            paused = now - checked_at > PAUSED_AFTER_S
+            checked_at = now
             for state in list(self._states_by_name.values()):
-                if state.link is not None:
+                if state.link is not None and paused:
+                    state.link.forgive(now)
+                elif state.link is not None:
                     self._check_link(state, now)
 
     def _check_link(self, state, now):
--- a/wagtailtrestle/view.py
+++ b/wagtailtrestle/view.py
@@ -8,27 +8,29 @@
 
     Parameters
     ----------
-    members : tuple of str
-        Routers that may be steward or shard owner, sorted.
-    draining : tuple of str
-        Routers that are alive and only finish what they have, sorted.
+    members : iterable of str
+        Routers that may be steward or shard owner.
+    draining : iterable of str
+        Routers that are alive but may not be: they leave, or came back too lately.
+    incarnations_by_name : dict of str to int, optional
+        Of all these routers.
+
+    Attributes
+    ----------
     digest : int
         Equal for views of equal content, on whichever router.
     """
 
-    __slots__ = ("digest", "draining", "members")
+    __slots__ = ("digest", "draining", "everyone", "incarnations_by_name", "members")
 
-    def __init__(self, *, members, draining=(), digest=None):
+    def __init__(self, *, members, draining=(), incarnations_by_name=None):
         self.members = tuple(sorted(members))
         self.draining = tuple(sorted(draining))
-        self.digest = view_digest(self.members, self.draining) if digest is None else digest
-
-    @property
-    def everyone(self):
-        """All routers alive, draining or not, sorted."""
-        return tuple(sorted(self.members + self.draining))
+        self.everyone = tuple(sorted(self.members + self.draining))
+        self.incarnations_by_name = dict(incarnations_by_name or {})
+        self.digest = digest_of(self.members, self.draining, sorted(self.incarnations_by_name.items()))
 
 
-def view_digest(*parts):
-    """64-bit digest of nested tuples of text and numbers."""
+def digest_of(*parts):
+    """64-bit digest of nested tuples and lists of text and numbers."""
     return int.from_bytes(blake2b(repr(parts).encode(), digest_size=8).digest(), "big")
