Test the callers' side by its failures, and mend three

Cause: first failure tests: a caller who left got an empty status line that the HTTP library logged as an error, a refusal 'caller_gone' was kept from a caller still there, percentiles were of all time.

--- /dev/null
+++ b/tests/test_caller_limits.py
@@ -0,0 +1,91 @@
+import unittest
+
+from wagtailtrestle.caller_limits import Admitted, CallerLimits, Full, ReceiveLimit, held_for
+
+HIGH, MIDDLE, LOW = 0, 1, 2
+
+
+def limits(held=4, body_bytes=1000):
+    return CallerLimits(held=held, body_bytes=body_bytes)
+
+
+def admit(limits, request_id, tier, *, body_bytes=10, repeatable=True):
+    return limits.admit(request_id=request_id, tier=tier, body_bytes=body_bytes, repeatable=repeatable)
+
+
+class TestHolding(unittest.TestCase):
+    def test_room_is_given_and_taken_back(self):
+        router = limits(held=1)
+        self.assertEqual(admit(router, "a", LOW), Admitted())
+        self.assertIsInstance(admit(router, "b", LOW), Full)
+        router.release(request_id="a")
+        self.assertEqual(admit(router, "b", LOW), Admitted())
+
+    def test_some_threads_are_always_left_to_refuse(self):
+        self.assertEqual([held_for(threads) for threads in (1, 8, 16, 128)], [1, 4, 12, 112])
+
+
+class TestDisplacing(unittest.TestCase):
+    def test_a_flood_of_the_lowest_tier_makes_room_for_every_higher_arrival(self):
+        # The caller of a booking would see router_full while tagging holds every thread.
+        # Tagging fills the router, then bookings come: each must be held, one tagging
+        # request given up for it, and only tagging beyond the limit is refused.
+        router = limits(held=4)
+        for number in range(4):
+            admit(router, f"tag-{number}", LOW)
+        self.assertIsInstance(admit(router, "tag-4", LOW), Full)
+        displaced = [admit(router, f"book-{number}", HIGH).displaced for number in range(4)]
+        self.assertEqual(displaced, [("tag-3",), ("tag-2",), ("tag-1",), ("tag-0",)])
+        self.assertIsInstance(admit(router, "book-4", HIGH), Full)
+
+    def test_the_lowest_tier_goes_first_and_waiting_before_running(self):
+        router = limits(held=3)
+        admit(router, "middle", MIDDLE)
+        admit(router, "low-running", LOW)
+        admit(router, "low-waiting", LOW)
+        router.mark_running(request_id="low-running")
+        order = [admit(router, f"high-{number}", HIGH).displaced[0] for number in range(3)]
+        self.assertEqual(order, ["low-waiting", "low-running", "middle"])
+
+    def test_a_run_that_may_not_be_repeated_is_never_displaced(self):
+        # Given up in its run, a charge would be told "unknown" to a family for the sake of
+        # this router's memory. Its thread says that the run begins, then the router fills.
+        router = limits(held=1)
+        admit(router, "charge", LOW, repeatable=False)
+        self.assertTrue(router.mark_running(request_id="charge"))
+        self.assertIsInstance(admit(router, "book", HIGH), Full)
+
+    def test_a_displaced_request_is_not_sent_any_more(self):
+        # Its caller is told that it was not run. The grant arrives at its thread a moment
+        # after it was displaced: the thread asks here, and must be told not to send.
+        router = limits(held=1)
+        admit(router, "charge", LOW, repeatable=False)
+        self.assertEqual(admit(router, "book", HIGH).displaced, ("charge",))
+        self.assertFalse(router.mark_running(request_id="charge"))
+
+    def test_enough_is_displaced_for_a_large_body_and_nothing_if_it_can_not_fit(self):
+        router = limits(held=10, body_bytes=100)
+        for number in range(4):
+            admit(router, f"tag-{number}", LOW, body_bytes=25)
+        self.assertIsInstance(admit(router, "report", HIGH, body_bytes=101), Full)
+        self.assertEqual(router.usage()["held"], 4)
+        self.assertEqual(admit(router, "plan", HIGH, body_bytes=50).displaced, ("tag-3", "tag-2"))
+        self.assertEqual(router.usage()["body_bytes"], 100)
+
+
+class TestReceiving(unittest.TestCase):
+    def test_lower_tiers_leave_room_for_large_bodies_of_the_highest(self):
+        # A flood of long reports for tagging is being received; a council's plan, as long,
+        # comes. The flood stops at three quarters of the room, so the plan is still read.
+        limit = ReceiveLimit(total_bytes=400_000, most_bytes=100_000)
+        taken = [limit.take(size=100_000, highest=False) for _ in range(4)]
+        self.assertEqual(taken, [True, True, True, False])
+        self.assertTrue(limit.take(size=100_000, highest=True))
+        self.assertFalse(limit.take(size=100_000, highest=True))
+        limit.give_back(size=100_000)
+        self.assertTrue(limit.take(size=100_000, highest=True))
+
+    def test_small_bodies_are_always_read(self):
+        limit = ReceiveLimit(total_bytes=100_000, most_bytes=100_000)
+        limit.take(size=100_000, highest=True)
+        self.assertTrue(limit.take(size=1000, highest=False))
--- a/wagtailtrestle/caller_answer.py
+++ b/wagtailtrestle/caller_answer.py
@@ -13,7 +13,7 @@
     whole_answer,
 )
 from wagtailtrestle.exchange import AnswerRecorded
-from wagtailtrestle.outcomes import Executed, Reason, Refusal
+from wagtailtrestle.outcomes import Executed, Refusal
 from wagtailtrestle.problem import EXECUTED_HEADER, REQUEST_ID_HEADER, problem_bytes, problem_headers, status_line
 
 BODYLESS_STATUSES = frozenset({204, 304})
@@ -127,7 +127,7 @@
     def recorded(self, command: AnswerRecorded) -> None:
         """Give the recorded answer of an earlier request."""
 
-    def refuse(self, refusal: Refusal, received: ReceivedAnswer) -> None:
+    def refuse(self, refusal: Refusal) -> None:
         """End without a whole answer."""
 
 
@@ -164,7 +164,7 @@
         """Give an earlier answer."""
         self._response.send(status=command.status, content_type=command.content_type, body=command.body)
 
-    def refuse(self, refusal, received):
+    def refuse(self, refusal):
         """Send a problem."""
         self._response.send_refusal(refusal)
 
@@ -194,7 +194,7 @@
         self.token(text)
         self._end(end)
 
-    def refuse(self, refusal, received):
+    def refuse(self, refusal):
         """A problem if nothing was sent yet, else an error event and no ``[DONE]``."""
         if self._response.begun:
             self._response.write(self._events.error(refusal=refusal))
@@ -228,8 +228,9 @@
         """Plain services send no tokens."""
 
     def whole(self, received):
-        """Pass on the service's status, headers and body."""
-        self._pass_on(received, executed=Executed.YES)
+        """Pass on the service's status, headers and body; its own refusal is a whole answer too."""
+        headers = [(name, value) for name, value in received.headers.items() if name.lower() not in NOT_PASSED_ON]
+        self._response.send(status=received.status, content_type="", body=received.body, extra_headers=headers)
 
     def recordable(self, received):
         """Type and body; the status is recorded beside them."""
@@ -239,18 +240,9 @@
         """Give an earlier answer."""
         self._response.send(status=command.status, content_type=command.content_type, body=command.body)
 
-    def refuse(self, refusal, received):
-        """Send a problem, or the service's own refusal, which tells its caller more."""
-        if refusal.reason is Reason.ENGINE_ERROR and received.status == refusal.status:
-            self._pass_on(received, executed=refusal.executed)
-        else:
-            self._response.send_refusal(refusal)
-
-    def _pass_on(self, received, *, executed):
-        headers = [(name, value) for name, value in received.headers.items() if name.lower() not in NOT_PASSED_ON]
-        self._response.send(
-            status=received.status, content_type="", body=received.body, executed=executed, extra_headers=headers
-        )
+    def refuse(self, refusal):
+        """Send a problem."""
+        self._response.send_refusal(refusal)
 
 
 def answer_end(received: ReceivedAnswer) -> AnswerEnd:
--- a/wagtailtrestle/caller_carriage.py
+++ b/wagtailtrestle/caller_carriage.py
@@ -11,7 +11,7 @@
 from wagtailtrestle.caller_limits import CallerLimits
 from wagtailtrestle.exchange import AnswerRecorded, AnswerRefusal, AnswerWhole, RunEnded
 from wagtailtrestle.metrics import Metrics
-from wagtailtrestle.outcomes import Reason, Refusal, RunDone, RunNotSent
+from wagtailtrestle.outcomes import Reason, Refusal, RunDone, RunNotSent, RunRejected
 
 ANSWERED = "answered"
 RECORDED = "recorded"
@@ -96,7 +96,7 @@
         """Add the whole answer to the run's end where the ledger will ask for it."""
         request = self._prepared.request
         kept = request.at_most_once and request.idempotency_key
-        if not kept or not isinstance(ended.outcome, RunDone):
+        if not kept or not isinstance(ended.outcome, RunDone | RunRejected):
             return ended
         answer = self._prepared.answer.recordable(self._received)
         return dataclasses.replace(ended, content_type=answer.content_type, body=answer.body)
@@ -112,8 +112,8 @@
                 return RECORDED
             case AnswerRefusal(refusal=refusal):
                 refusal = self._true_reason(refusal)
-                if refusal.reason is not Reason.CALLER_GONE:
-                    answer.refuse(refusal, self._received)
+                if self._exchange.displaced or not self._exchange.gone:
+                    answer.refuse(refusal)
                 return refusal.reason.value
 
     def _true_reason(self, refusal):
--- a/wagtailtrestle/caller_exchange.py
+++ b/wagtailtrestle/caller_exchange.py
@@ -36,7 +36,7 @@
         ``cancel(run_id=…, address=…)``, which must not block.
     """
 
-    __slots__ = ("request_id", "displaced", "runs", "post_event", "_cancel", "_commands", "_gone", "_lock")
+    __slots__ = ("request_id", "displaced", "runs", "post_event", "_cancel", "_commands", "gone", "_lock")
 
     def __init__(self, *, request_id, post_event: Callable[[CallerEvent], None], cancel):
         self.request_id = request_id
@@ -45,7 +45,7 @@
         self.post_event = post_event
         self._cancel = cancel
         self._commands = queue.SimpleQueue()
-        self._gone = False
+        self.gone = False
         self._lock = threading.Lock()
 
     # CallerLink, called by the task.
@@ -63,9 +63,9 @@
     def caller_gone(self):
         """Tell the task, once, that nobody waits for the answer any more."""
         with self._lock:
-            if self._gone:
+            if self.gone:
                 return
-            self._gone = True
+            self.gone = True
         self.post_event(CallerGone())
 
     def displace(self):
--- a/wagtailtrestle/callers_http.py
+++ b/wagtailtrestle/callers_http.py
@@ -178,8 +178,11 @@
         finally:
             with self._lock:
                 self._in_work -= 1
-        if response.gone:
-            environ[REQUEST_ENVIRON].close_connection = True
+        request = environ[REQUEST_ENVIRON]
+        if response.gone or not response.begun:
+            request.close_connection = True
+        if not response.begun:
+            request.sent_headers = True  # the caller left before its answer: nothing is to be written
         return ()
 
     def _serve_one(self, environ, start_response, at):
--- a/wagtailtrestle/metrics.py
+++ b/wagtailtrestle/metrics.py
@@ -4,6 +4,7 @@
 """
 
 import threading
+import time
 
 from hdrh.histogram import HdrHistogram
 
@@ -11,12 +12,54 @@
 MAX_UNITS = 3600 * UNITS_PER_S
 SIGNIFICANT_DIGITS = 2
 PERCENTILES = (50.0, 95.0, 99.0)
+WINDOW_S = 60.0
 # A label value comes from a declaration that may change 2,500 times a day, so the
-# series of one metric are bounded: each histogram takes some 18 KB.
+# series of one metric are bounded: each latency takes some 40 KB.
 MAX_SERIES = 200
 OTHER = "other"
 
 
+class Latency:
+    """Latencies of one series: count and sum since the beginning, percentiles of the last one to two windows."""
+
+    __slots__ = ("count", "sum_s", "_current", "_previous", "_window")
+
+    def __init__(self, *, now):
+        self.count = 0
+        self.sum_s = 0.0
+        self._current = HdrHistogram(1, MAX_UNITS, SIGNIFICANT_DIGITS)
+        self._previous = HdrHistogram(1, MAX_UNITS, SIGNIFICANT_DIGITS)
+        self._window = _window(now)
+
+    def record(self, *, seconds, now):
+        """Add one latency."""
+        self._turn(now)
+        self.count += 1
+        self.sum_s += seconds
+        units = min(MAX_UNITS, max(0, round(seconds * UNITS_PER_S)))
+        self._current.record_value(units)
+
+    def percentiles(self, *, now) -> dict:
+        """Seconds by percentile."""
+        self._turn(now)
+        recent = HdrHistogram(1, MAX_UNITS, SIGNIFICANT_DIGITS)
+        recent.add(self._previous)
+        recent.add(self._current)
+        units_by_percentile = recent.get_percentile_to_value_dict(list(PERCENTILES))
+        return {percentile: units / UNITS_PER_S for percentile, units in units_by_percentile.items()}
+
+    def _turn(self, now):
+        window = _window(now)
+        if window == self._window:
+            return
+        # A slow hour long ago must not hide in, nor spoil, what an operator reads now.
+        self._previous, self._current = self._current, self._previous
+        self._current.reset()
+        if window > self._window + 1:
+            self._previous.reset()
+        self._window = window
+
+
 class Metrics:
     """All series of one process.
 
@@ -24,16 +67,19 @@
     ----------
     prefix : str
         Put before each metric's name.
+    now : callable
+        Clock in seconds.
     """
 
-    __slots__ = ("_counts_by_series", "_gauges_by_series", "_histograms_by_series", "_lock", "_prefix")
+    __slots__ = ("_counts_by_series", "_gauges_by_series", "_latencies_by_series", "_lock", "_prefix", "_now")
 
-    def __init__(self, *, prefix="wagtailtrestle"):
+    def __init__(self, *, prefix="wagtailtrestle", now=time.monotonic):
         self._prefix = prefix
+        self._now = now
         self._lock = threading.Lock()
         self._counts_by_series = {}
         self._gauges_by_series = {}
-        self._histograms_by_series = {}
+        self._latencies_by_series = {}
 
     def count(self, name, *, by=1, **labels):
         """Add to a counter."""
@@ -49,16 +95,15 @@
             self._gauges_by_series[name][series] = value
 
     def observe(self, name, *, seconds, **labels):
-        """Record one latency; exposed with its percentiles since the process began."""
-        units = min(MAX_UNITS, max(0, round(seconds * UNITS_PER_S)))
+        """Record one latency."""
+        now = self._now()
         with self._lock:
-            histograms = self._histograms_by_series.setdefault(name, {})
-            series = _bounded(histograms, labels)
-            histogram = histograms.get(series)
-            if histogram is None:
-                histogram = HdrHistogram(1, MAX_UNITS, SIGNIFICANT_DIGITS)
-                histograms[series] = histogram
-            histogram.record_value(units)
+            latencies = self._latencies_by_series.setdefault(name, {})
+            series = _bounded(latencies, labels)
+            latency = latencies.get(series)
+            if latency is None:
+                latency = latencies[series] = Latency(now=now)
+            latency.record(seconds=seconds, now=now)
 
     def exposition(self) -> str:
         """Text exposition of every series."""
@@ -66,8 +111,8 @@
         with self._lock:
             self._write_simple(lines, kind="counter", by_name=self._counts_by_series)
             self._write_simple(lines, kind="gauge", by_name=self._gauges_by_series)
-            for name, histograms in sorted(self._histograms_by_series.items()):
-                self._write_summary(lines, name=name, histograms=histograms)
+            for name, latencies in sorted(self._latencies_by_series.items()):
+                self._write_summary(lines, name=name, latencies=latencies)
         return "\n".join(lines) + "\n"
 
     def _write_simple(self, lines, *, kind, by_name):
@@ -76,18 +121,20 @@
             for series, value in sorted(values.items()):
                 lines.append(f"{self._prefix}_{name}{_labels(series)} {value}")
 
-    def _write_summary(self, lines, *, name, histograms):
+    def _write_summary(self, lines, *, name, latencies):
         full = f"{self._prefix}_{name}_seconds"
+        now = self._now()
         lines.append(f"# TYPE {full} summary")
-        for series, histogram in sorted(histograms.items()):
-            value_by_percentile = histogram.get_percentile_to_value_dict(list(PERCENTILES))
-            for percentile, units in value_by_percentile.items():
+        for series, latency in sorted(latencies.items()):
+            for percentile, seconds in latency.percentiles(now=now).items():
                 quantile = (("quantile", f"{percentile / 100:g}"),)
-                lines.append(f"{full}{_labels(series + quantile)} {units / UNITS_PER_S:g}")
-            total = histogram.get_total_count()
-            mean = histogram.get_mean_value() if total else 0.0
-            lines.append(f"{full}_sum{_labels(series)} {mean * total / UNITS_PER_S:g}")
-            lines.append(f"{full}_count{_labels(series)} {total}")
+                lines.append(f"{full}{_labels(series + quantile)} {seconds:g}")
+            lines.append(f"{full}_sum{_labels(series)} {latency.sum_s:g}")
+            lines.append(f"{full}_count{_labels(series)} {latency.count}")
+
+
+def _window(now):
+    return int(now // WINDOW_S)
 
 
 def _bounded(existing, labels):
