Bound reading of files; refuse routes a team can never use and doubled keys on one line

Cause: reviewing the checks: a file was read whole before its size was checked (a trial on an endless device file was killed for memory); one key twice on one line passed, since lines were compared; a higher tier declared after a team's default passed though it can never be used; 010 was read as ten where YAML 1.1 says eight.

--- a/tests/test_declaration.py
+++ b/tests/test_declaration.py
@@ -58,6 +58,7 @@
     (KEY, "my-real-key", 6, "teams[office].key_sha256", "not a SHA-256 digest (11 characters"),
     ("share: 2", "share: 0", 6, "teams[office].share", "out of range"),
     ("share: 2", 'share: "2"', 6, "teams[office].share", "is quoted text"),
+    ("share: 2", "share: 02", 6, "teams[office].share", "is not a number"),
     ("share: 2", "share: .nan", 6, "teams[office].share", "is not a number"),
     ("name: desk\n", "name: helper\n", 14, "services[helper].name", "is the service helper again"),
     ("name: desk\n", "name: v1\n", 14, "services[v1].name", "paths of language services"),
@@ -152,6 +153,20 @@
         lines[16], lines[17] = lines[17], lines[16]
         self.assertIn("hidden by route rest above it", " ".join(str(fault) for fault in faults_of("\n".join(lines))))
 
+    def test_higher_tier_declared_after_the_default_of_a_team(self):
+        # "office" may use "ask" (high) and "tell" (low) on one path; the first declared is its default
+        # and the highest it can name. With "tell" first, its questions would all wait in the
+        # low tier and naming "ask" would be refused. Another team's order does not matter.
+        tell = "{name: tell, method: POST, path: /v1/completions, tier: low, deadline_ms: 9, repeatable: true"
+        for teams, fault_count in (("", 1), (", teams: [office]", 1), (", teams: [members]", 0)):
+            text = SOUND.replace("      - {name: ask", f"      - {tell}{teams}}}\n      - {{name: ask")
+            found = faults_of(text)
+            self.assertEqual(len(found), fault_count, found)
+            self.assertTrue(all("above that of team office's default" in fault.problem for fault in found))
+
+    def test_one_key_twice_on_one_line(self):
+        self.assertIn("stands on line 6 already", faults_of(SOUND.replace(f"[{KEY}]", f"[{KEY}, {KEY}]"))[0].problem)
+
     def test_two_promises_on_one_path(self):
         found = faults_of(SOUND.replace("path: /,", "path: /book/,"))
         self.assertIn("promises something else about repeats", found[0].problem)
--- a/wagtailtrestle/argument_types.py
+++ b/wagtailtrestle/argument_types.py
@@ -12,8 +12,9 @@
 from urllib.parse import urlsplit
 
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
-INTEGER_PATTERN = re.compile(r"[-+]?[0-9]{1,18}")
-NUMBER_PATTERN = re.compile(r"[-+]?[0-9]{1,18}(\.[0-9]{0,18})?([eE][-+]?[0-9]{1,2})?")
+# Without leading zeros: YAML 1.1 reads 010 as eight.
+INTEGER_PATTERN = re.compile(r"[-+]?(0|[1-9][0-9]{0,17})")
+NUMBER_PATTERN = re.compile(r"[-+]?(0|[1-9][0-9]{0,17})(\.[0-9]{0,18})?([eE][-+]?[0-9]{1,2})?")
 SHA256_PATTERN = re.compile(r"[0-9a-f]{64}")
 PATH_PATTERN = re.compile(r"(/[A-Za-z0-9._~!$&'()*+,;=:@-]+)*/?")
 LARGEST_PATH = 512
--- a/wagtailtrestle/cli/operate.py
+++ b/wagtailtrestle/cli/operate.py
@@ -23,6 +23,7 @@
 from wagtailtrestle.outcomes import StoreUnavailable
 from wagtailtrestle.output.text import change_text, faults_text, status_text, summary_text
 from wagtailtrestle.status_report import collect_status
+from wagtailtrestle.yaml_source import read_file
 
 PROGRAM = "wagtailtrestle"
 LARGEST_GENERATION = 10**15
@@ -235,13 +236,9 @@
 
 def _load(environment, file):
     """Return a file's text and declaration, or the exit status after complaining."""
-    try:
-        with open(file, "rb") as opened:
-            content = opened.read()
-    except (OSError, ValueError) as error:
-        environment.complain(
-            f"{file} can't be read: {getattr(error, 'strerror', None) or error}. Give a readable file."
-        )
+    content = read_file(file)
+    if isinstance(content, str):
+        environment.complain(f"{file} {content}. Give a readable file.")
         return ExitStatus.USAGE
     declaration = parse_declaration(content, file=file)
     if isinstance(declaration, DeclarationFaults):
--- a/wagtailtrestle/declaration_check.py
+++ b/wagtailtrestle/declaration_check.py
@@ -124,9 +124,10 @@
     """
     digests = reader.values("key_sha256", Sha256())
     for digest, node in digests:
-        first_line = names.keys.lines_by_name.setdefault(digest, node.line)
-        if first_line != node.line:
-            problem = f"has a key that stands on line {first_line} too"
+        first_line = names.keys.lines_by_name.get(digest)
+        names.keys.lines_by_name.setdefault(digest, node.line)
+        if first_line is not None:
+            problem = f"has a key that stands on line {first_line} already"
             reader.fault("key_sha256", problem, "each key once, for one team", node=node)
     return tuple(digest for digest, _ in digests)
 
--- a/wagtailtrestle/service_check.py
+++ b/wagtailtrestle/service_check.py
@@ -44,6 +44,7 @@
 
 def _read_routes(service_reader, names, *, service, kind):
     table = NameTable(kind="route")
+    ceilings = _TeamCeilings(names=names)
     routes = []
     for reader in service_reader.mappings("routes"):
         route = _read_route(reader, names, table=table)
@@ -51,11 +52,39 @@
             _check_language_route(reader, route)
         if kind == PLAIN and route.path is not None:
             _check_plain_route(reader, route, service=service, earlier=routes)
+        ceilings.check(reader, route)
         routes.append(route)
         reader.close()
     return {route.name: route for route in routes}
 
 
+class _TeamCeilings:
+    """The tier of each team's default route on one method and path, which it can't go above.
+
+    A route of a higher tier that comes later could never be used by that team: its calls
+    would wait behind work they were meant to go before, and naming the route is refused.
+    """
+
+    __slots__ = ("_names", "_ranks_by_tier", "_ranks_by_call")
+
+    def __init__(self, *, names):
+        self._names = names
+        self._ranks_by_tier = {name: rank for rank, name in enumerate(names.tiers.lines_by_name)}
+        self._ranks_by_call = {}
+
+    def check(self, reader, route):
+        """Record a fault if a team of the route can never use it."""
+        rank = self._ranks_by_tier.get(route.tier)
+        if rank is None:
+            return
+        ranks_by_team = self._ranks_by_call.setdefault((route.method, route.path), {})
+        teams = route.teams or self._names.teams.lines_by_name
+        barred = [team for team in teams if ranks_by_team.setdefault(team, rank) > rank]
+        if barred:
+            problem = f"is above that of team {barred[0]}'s default, an earlier route on the same path"
+            reader.fault("tier", problem, "routes on one path with the highest tier first, for each team")
+
+
 def _read_route(reader, names, *, table):
     name = reader.value("name", Name())
     table.declare(reader, "name", name)
--- a/wagtailtrestle/settings.py
+++ b/wagtailtrestle/settings.py
@@ -4,7 +4,7 @@
 
 from wagtailtrestle.argument_types import Flag, HostPort, Integer, Name, Number, OneOf, Peer, Url
 from wagtailtrestle.field_reader import open_mapping
-from wagtailtrestle.yaml_source import Fault, FaultList, compose
+from wagtailtrestle.yaml_source import Fault, FaultList, compose, read_file
 
 DEFAULT_CALLER_THREADS = 128
 DEFAULT_MAX_BODY_BYTES = 4_194_304
@@ -109,14 +109,11 @@
     -------
     RouterSettings or SettingsFaults
     """
-    try:
-        with open(path, "rb") as file:
-            text = file.read()
-    except (OSError, ValueError) as error:
-        problem = f"cannot be read: {getattr(error, 'strerror', None) or error}"
-        fault = Fault(file=str(path), line=0, field="", problem=problem, allowed="a readable settings file")
+    content = read_file(path)
+    if isinstance(content, str):
+        fault = Fault(file=str(path), line=0, field="", problem=content, allowed="a readable settings file")
         return SettingsFaults(faults=(fault,))
-    return parse_router_settings(text, file=str(path))
+    return parse_router_settings(content, file=str(path))
 
 
 def parse_router_settings(text, *, file="settings"):
--- a/wagtailtrestle/yaml_source.py
+++ b/wagtailtrestle/yaml_source.py
@@ -150,6 +150,21 @@
     return node
 
 
+def read_file(path):
+    """Return a file's bytes, no more of them than tell that it is too long.
+
+    Returns
+    -------
+    bytes or str
+        Text that says why the file can't be read.
+    """
+    try:
+        with open(path, "rb") as file:
+            return file.read(LARGEST_TEXT_BYTES + 1)
+    except (OSError, ValueError) as error:
+        return f"can't be read: {getattr(error, 'strerror', None) or error}"
+
+
 def _add_yaml_error(error, *, faults):
     mark = getattr(error, "problem_mark", None)
     began = getattr(error, "context_mark", None)
@@ -169,7 +184,7 @@
         return None
     if len(text) > LARGEST_TEXT_BYTES:
         allowed = f"at most {LARGEST_TEXT_BYTES} bytes"
-        faults.add(line=0, field="", problem=f"is {len(text)} bytes long", allowed=allowed)
+        faults.add(line=0, field="", problem="is too long", allowed=allowed)
         return None
     try:
         return text.decode()
