Take the completion paths from route matching

Cause: the two completion paths were written in the checks and in route matching. Change: service_check imports them from route_match.

--- a/wagtailtrestle/service_check.py
+++ b/wagtailtrestle/service_check.py
@@ -3,8 +3,9 @@
 from wagtailtrestle.argument_types import Flag, Integer, Name, Number, OneOf, UrlPath
 from wagtailtrestle.declaration import LANGUAGE, PLAIN, Route, Service
 from wagtailtrestle.declared_names import NameTable
+from wagtailtrestle.route_match import CHAT_PATH, TEXT_PATH
 
-LANGUAGE_PATHS = ("/v1/chat/completions", "/v1/completions")
+LANGUAGE_PATHS = (CHAT_PATH, TEXT_PATH)
 LANGUAGE_METHOD = "POST"
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
 # A plain service of this name would be reached by the paths of the language services.
