Directory waits for a trusted view, detours round a cut way, recovers lost messages

Cause: a message lost with a connection that nobody used again left its request waiting to its deadline (test of the silent connection showed it: no reconnect, hence no registration); a paused router acted on its old view; a router that only one peer can't reach left that peer's requests stuck. Change: a lately used link that ends is dialed again so that both ends register; nothing is sent to stewards until the view is trusted; one-hop detour with registration each second; restarted entries are let go; draining routers pass on. Conclusion: each way of losing a message ends in a registration.

--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -3,13 +3,18 @@
 
 from tests.test_peers import grant_request
 from wagtailtrestle.directory import Directory
-from wagtailtrestle.messages import Register, Withdraw
+from wagtailtrestle.messages import Granted, Register, Withdraw
+from wagtailtrestle.peer_messages import RegisterAsk, Relayed
 from wagtailtrestle.view import View
 
+HELD = Register(entry="a", cell="c1", waiting=(grant_request(),))
+NOTHING = Register(entry="a", cell="c1")
+
 
 class FakePeers:
     def __init__(self):
         self.sent, self.handlers_by_type, self.reconnect = [], {}, None
+        self.unreachable_s_by_peer = {}
 
     def on(self, message_type, handler):
         self.handlers_by_type[message_type] = handler
@@ -17,50 +22,141 @@
     def on_reconnect(self, callback):
         self.reconnect = callback
 
+    def on_unreachable(self, callback):
+        self.unreachable = callback
+
+    def connected(self, peer):
+        return peer not in self.unreachable_s_by_peer
+
+    def unreachable_s(self, peer):
+        return self.unreachable_s_by_peer.get(peer)
+
     def send(self, peer, message, *, cell=""):
         self.sent.append((peer, cell, message))
         return True
 
+    def receive(self, peer, message, cell="c1"):
+        self.handlers_by_type[type(message)](peer, message, cell)
+
 
 class FakeMembership:
     def __init__(self, *members):
-        self.view, self.callback = View(members=members), None
+        self.view, self.trusted, self.draining = View(members=members), True, False
 
     def on_view_change(self, callback):
-        self.callback = callback
+        self.view_changed = callback
 
-    def change(self, *members):
-        self.view = View(members=members)
-        self.callback(self.view)
+    def on_trusted(self, callback):
+        self.trusted_again = callback
+
+    def change(self, *members, **more):
+        self.view = View(members=members, **more)
+        self.view_changed(self.view)
 
 
 class DirectoryTest(unittest.IsolatedAsyncioTestCase):
     def make(self, *members):
         self.peers, self.membership = FakePeers(), FakeMembership(*members)
-        self.to_steward, self.to_entry = [], []
-        return Directory(
+        self.to_steward, self.members_told = [], []
+        self.directory = Directory(
             name="a",
             membership=self.membership,
             peers=self.peers,
             loop=asyncio.get_running_loop(),
             deliver_to_steward=lambda cell, message: self.to_steward.append((cell, message)),
-            deliver_to_entry=self.to_entry.append,
-            register=lambda cell: Register(entry="a", cell=cell, waiting=(grant_request(),)),
+            deliver_to_entry=lambda message: None,
+            register=lambda cell: HELD,
             cells=lambda: ["c1"],
+            set_members=self.members_told.append,
         )
 
-    async def test_steward_dies(self):
+    def send(self):
+        return self.directory.steward_link.send(cell="c1", message=Withdraw(request_id="x"))
+
+    async def test_steward_goes(self):
         # The steward of a cell goes out of the view. The entry's waiting requests must be known to the next
         # steward without any request being sent again by hand, or they would wait for ever.
-        directory = self.make("b")
-        directory.send_to_steward(cell="c1", message=Withdraw(request_id="x"))
+        self.make("b")
+        self.send()
         self.membership.change("c")
-        self.assertIn(("c", "c1", Register(entry="a", cell="c1", waiting=(grant_request(),))), self.peers.sent)
-        self.assertIn(("b", "c1", Register(entry="a", cell="c1")), self.peers.sent)
+        self.assertEqual(self.peers.sent[2:], [("c", "c1", HELD)])
+
+    async def test_steward_changes_but_lives(self):
+        # Another router joins and becomes steward. The former one must let this entry's places go.
+        self.make("b")
+        self.send()
+        self.membership.change("c", draining=["b"])
+        self.assertEqual(self.peers.sent[2:], [("b", "c1", NOTHING), ("c", "c1", HELD)])
 
     async def test_own_cell_needs_no_peer(self):
-        directory = self.make("a")
-        directory.steward_link.send(cell="c1", message=Withdraw(request_id="x"))
+        self.make("a")
+        self.send()
         await asyncio.sleep(0)
-        self.assertEqual(self.to_steward[-1], ("c1", Withdraw(request_id="x")))
+        self.assertEqual(self.to_steward, [("c1", HELD), ("c1", Withdraw(request_id="x"))])
+        self.assertEqual(self.peers.sent, [])
+
+    async def test_reconnect(self):
+        # The connection to the steward broke and came back; grants on it may be lost, so the entry tells all.
+        self.make("b")
+        self.send()
+        self.peers.sent.clear()
+        self.peers.reconnect("b")
+        self.assertEqual(self.peers.sent, [("b", "c1", HELD)])
+
+    async def test_views_differ(self):
+        # A peer takes this router for the steward, this router takes another. It serves the request all the
+        # same: bounced or passed on, it could go round until its deadline.
+        self.make("b")
+        self.peers.receive("c", grant_request())
+        self.assertEqual(self.to_steward, [("c1", grant_request())])
         self.assertEqual(self.peers.sent, [])
+
+    async def test_draining_router_passes_on(self):
+        # The router leaves and grants nothing more; a peer that doesn't know yet still asks it.
+        self.make("b")
+        self.membership.draining = True
+        self.peers.receive("c", grant_request())
+        self.assertEqual(self.peers.sent, [("b", "c1", grant_request())])
+        self.assertEqual(self.to_steward, [])
+
+    async def test_paused_router_waits_for_the_present_view(self):
+        # The process was stopped for long. What it sends by its old view would reach a former steward, so it
+        # sends nothing until a peer told the view, and then registers everything.
+        self.make("b")
+        self.membership.trusted = False
+        self.assertTrue(self.send())
+        self.membership.change("c")
+        self.assertEqual(self.peers.sent, [])
+        self.membership.trusted = True
+        self.membership.trusted_again()
+        self.assertIn(("c", "c1", HELD), self.peers.sent)
+
+    async def test_entry_restarts_unnoticed(self):
+        # A router restarts so fast that it never left the view. What its former process held is let go.
+        self.make("a", "b")
+        self.membership.change("a", "b", incarnations_by_name={"a": 1, "b": 1})
+        self.members_told.clear()
+        self.membership.change("a", "b", incarnations_by_name={"a": 1, "b": 2})
+        self.assertEqual(self.members_told, [("a",), ("a", "b")])
+
+    async def test_asked_to_register_by_another_than_the_steward(self):
+        self.make("b")
+        self.peers.receive("b", RegisterAsk())
+        self.peers.receive("c", RegisterAsk())
+        self.assertEqual(self.peers.sent, [("b", "c1", HELD), ("c", "c1", NOTHING)])
+
+    async def test_direct_way_is_cut(self):
+        # Only this router can't reach the steward. Its messages go through a third one, and so do answers.
+        self.make("b")
+        self.membership.view.everyone = ("a", "b", "c")
+        self.peers.unreachable_s_by_peer["b"] = 2.0
+        self.send()
+        helpers = {(peer, type(message), message.target) for peer, _, message in self.peers.sent}
+        self.assertEqual(helpers, {("c", Relayed, "b")})
+        self.peers.sent.clear()
+        granted = Granted(request_id="b/1", attempt=1, engine="e", progress_deadline_s=1, first_token_deadline_s=1)
+        relayed = Relayed(source="b", target="c", item=b"")
+        self.peers.receive("b", relayed)
+        self.assertEqual(self.peers.sent, [("c", "", relayed)])
+        self.assertTrue(self.directory.entry_link.send(entry="b", message=granted))
+        self.assertEqual(self.peers.sent[1][0], "c")
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,9 +1,18 @@
 import asyncio
+import json
+import signal
+import sys
+import typing
 import unittest
+from enum import Enum
 
+from tests.utils.tcp_forwarder import TcpForwarder
+from wagtailtrestle.generated import peers_pb2 as pb
 from wagtailtrestle.messages import GrantRequest, Register, RunningRecord, Withdraw
+from wagtailtrestle.outcomes import Reason
 from wagtailtrestle.peer_codec import BODIES, decode, encode
 from wagtailtrestle.peer_messages import ConfigurationAsk, ConfigurationText, PeerUnreachable
+from wagtailtrestle.peer_outbox import Outbox
 from wagtailtrestle.peers_grpc import Peers
 
 
@@ -25,11 +34,16 @@
     )
 
 
+async def until(condition, timeout_s=5):
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
 class PeersTest(unittest.IsolatedAsyncioTestCase):
-    async def make(self, name, incarnation=1, address="127.0.0.1:0"):
-        peers = Peers(
-            name=name, incarnation=incarnation, listen_address=address, loop=asyncio.get_running_loop(), seed=1
-        )
+    async def make(self, name, incarnation=1, address="127.0.0.1:0", **more):
+        loop = asyncio.get_running_loop()
+        peers = Peers(name=name, incarnation=incarnation, listen_address=address, loop=loop, seed=1, **more)
         await peers.start()
         self.addAsyncCleanup(peers.close)
         return peers
@@ -40,23 +54,21 @@
         b.set_addresses({"a": a.address})
         return a, b
 
-    async def until(self, condition, timeout_s=5):
-        async with asyncio.timeout(timeout_s):
-            while not condition():
-                await asyncio.sleep(0.005)
+    def received_by(self, peers):
+        got = []
+        peers.on(Withdraw, lambda peer, message, cell: got.append(message.request_id))
+        return got
 
-    async def test_messages_sent_by_both_at_once_arrive_once_and_in_order(self):
+    async def test_both_dial_at_once(self):
         # Both routers dial at the same moment, so two connections come up and one is given up.
         # Neither end may lose or repeat what was already written to the one that goes.
         a, b = await self.pair()
-        got_by_a, got_by_b = [], []
-        a.on(Withdraw, lambda peer, message, cell: got_by_a.append(message.request_id))
-        b.on(Withdraw, lambda peer, message, cell: got_by_b.append(message.request_id))
+        got_by_a, got_by_b = self.received_by(a), self.received_by(b)
         numbers = [str(number) for number in range(300)]
         for number in numbers:
             self.assertTrue(a.send("b", Withdraw(request_id=number), cell="c"))
             self.assertTrue(b.send("a", Withdraw(request_id=number)))
-        await self.until(lambda: len(got_by_a) >= 300 and len(got_by_b) >= 300)
+        await until(lambda: len(got_by_a) >= 300 and len(got_by_b) >= 300)
         self.assertEqual((got_by_a, got_by_b), (numbers, numbers))
 
     async def test_ask(self):
@@ -65,11 +77,159 @@
         self.assertEqual(await a.ask("b", ConfigurationAsk(), 1), ConfigurationText(generation=3, text="x"))
         self.assertIsInstance(await b.ask("a", ConfigurationAsk(), 1), PeerUnreachable)
 
+    async def test_connection_goes_silent(self):
+        # Something between the ends loses track of an open connection: it stays open and carries nothing.
+        # The sender hears nothing back, asks for a sign of life, and opens a new connection, which works.
+        a, b = await self.make("a"), await self.make("b")
+        forwarder = TcpForwarder(target=b.address)
+        await forwarder.start()
+        self.addAsyncCleanup(forwarder.close)
+        b.address = forwarder.address
+        got = self.received_by(b)
+        reconnected, unreachable = [], []
+        a.set_addresses({"b": forwarder.address})
+        a.on_reconnect(reconnected.append)
+        a.on_unreachable(lambda peer, detail: unreachable.append(peer))
+        a.send("b", Withdraw(request_id="before"))
+        await until(lambda: got == ["before"])
+        forwarder.lose_track()
+        a.send("b", Withdraw(request_id="lost"))
+        await until(lambda: len(reconnected) == 2)
+        a.send("b", Withdraw(request_id="after"))
+        await until(lambda: "after" in got)
+        self.assertEqual((forwarder.connections, unreachable), (2, []))
+
+    async def test_question_in_flight_when_the_connection_is_lost(self):
+        # The peer dies after it got the question. The asker must not wait out its timeout.
+        a, b = await self.pair()
+        asked = asyncio.Event()
+        b.on(ConfigurationAsk, lambda peer, message, cell: asked.set() or asyncio.sleep(60))
+        answer = asyncio.create_task(a.ask("b", ConfigurationAsk(), 60))
+        await asked.wait()
+        await b.close()
+        self.assertIsInstance(await asyncio.wait_for(answer, 5), PeerUnreachable)
+
+    async def test_queue_overflows(self):
+        # A peer takes nothing. The queue for it is bounded; when full, all of it goes and the peer is reported,
+        # so that both ends know to register anew, rather than some messages going unnoticed.
+        a = await self.make("a")
+        a.set_addresses({"b": "127.0.0.1:1"})
+        suspects = []
+        a.on_unreachable(lambda peer, detail: suspects.append(detail))
+        big = Withdraw(request_id="x" * 1_000_000)
+        accepted = [a.send("b", big) for _ in range(6)]
+        self.assertEqual(accepted, [True, True, True, True, False, True])
+        self.assertIn("queue overflow", suspects)
+
+    async def test_restarted_peer_and_its_late_predecessor(self):
+        # A router restarts; then a connection of the process before it turns up. What that one says is old.
+        a = await self.make("a")
+        got = self.received_by(a)
+        new = await self.make("b", incarnation=2)
+        old = await self.make("b", incarnation=1)
+        for peers in (new, old):
+            peers.set_addresses({"a": a.address})
+        new.send("a", Withdraw(request_id="new"))
+        await until(lambda: got == ["new"])
+        old.send("a", Withdraw(request_id="old"))
+        await until(lambda: a.dump()["b"]["stale_dropped"] > 0)
+        new.send("a", Withdraw(request_id="new again"))
+        await until(lambda: "new again" in got)
+        self.assertNotIn("old", got)
+
+
+class ProcessesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.views_by_name, self.process_by_name, self.readers = {}, {}, []
+
+    async def launch(self, name, *seeds, incarnation=1, address="127.0.0.1:0"):
+        arguments = ["-m", "tests.utils.member_process", name, str(incarnation), address, *seeds]
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, *arguments, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL
+        )
+        self.process_by_name[name] = process
+        self.views_by_name[name] = []
+        self.readers.append(asyncio.create_task(self.read(name, process)))
+        self.addAsyncCleanup(self.stop, process)
+
+    async def read(self, name, process):
+        async for line in process.stdout:
+            self.views_by_name[name].append(json.loads(line)["members"])
+
+    async def stop(self, process):
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+    def all_see(self, members, by):
+        return all(self.views_by_name[name][-1:] == [members] for name in by)
+
+    async def test_kill_freeze_wake(self):
+        # Three processes. One is stopped: the others drop it, and when it runs again it is taken back and never
+        # believes that the others died. Then one is killed and dropped. Times are held by the fast-loop tests.
+        seed = await free_address()
+        await self.launch("a", address=seed)
+        await self.launch("b", f"a={seed}")
+        await self.launch("c", f"a={seed}")
+        await until(lambda: self.all_see(["a", "b", "c"], by="abc"), 20)
+        self.process_by_name["b"].send_signal(signal.SIGSTOP)
+        await until(lambda: self.all_see(["a", "c"], by="ac"), 20)
+        seen_before = len(self.views_by_name["b"])
+        self.process_by_name["b"].send_signal(signal.SIGCONT)
+        await until(lambda: self.all_see(["a", "b", "c"], by="ac"), 20)
+        self.assertTrue(all(view == ["a", "b", "c"] for view in self.views_by_name["b"][seen_before:]))
+        self.process_by_name["c"].kill()
+        await until(lambda: self.all_see(["a", "b"], by="ab"), 20)
+
+
+async def free_address():
+    server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    server.close()
+    await server.wait_closed()
+    return f"127.0.0.1:{port}"
+
+
+def example(cls):
+    """An instance of a message class with a telling value in each field."""
+    values = {}
+    for name, hint in typing.get_type_hints(cls).items():
+        if isinstance(hint, type) and issubclass(hint, Enum):
+            values[name] = list(hint)[-1]
+        elif hint is tuple:
+            values[name] = ()
+        else:
+            values[name] = {str: "é", int: 7, float: 0.1, bool: True, bytes: b"\xff"}[hint]
+    return cls(**values)
+
 
 class CodecTest(unittest.TestCase):
+    def test_every_message_comes_back_equal(self):
+        for cls in BODIES:
+            with self.subTest(cls.__name__):
+                message = example(cls)
+                item = pb.Item.FromString(encode(message, cell="c", question=3).SerializeToString())
+                self.assertEqual((decode(item), item.cell, item.question), (message, "c", 3))
+
     def test_nested_message_comes_back_equal(self):
         request = grant_request()
         running = RunningRecord(request=request, engine="e2", elapsed_s=0.25, output_tokens=3)
         register = Register(entry="a", cell="c1", waiting=(request,), running=(running,))
         self.assertEqual(decode(encode(register, cell="c1")), register)
-        self.assertIn(Register, BODIES)
+
+    def test_newer_peer(self):
+        # A newer router sends an item unknown here: it is skipped. A refusal for an unknown reason still refuses.
+        self.assertIsNone(decode(pb.Item(cell="c")))
+        refused = pb.Item(refused=pb.Refused(request_id="a/1", attempt=1, reason="of_tomorrow"))
+        self.assertEqual(decode(refused).reason, Reason.OVERLOADED)
+
+
+class OutboxTest(unittest.IsolatedAsyncioTestCase):
+    async def test_batches_are_bounded_and_in_order(self):
+        outbox = Outbox()
+        items = [encode(Withdraw(request_id=f"{number}" + "x" * 30_000)) for number in range(5)]
+        for item in items:
+            outbox.put(item)
+        batches = [outbox.take(), outbox.take(), outbox.take()]
+        self.assertEqual([len(batch) for batch in batches], [2, 2, 1])
+        self.assertEqual(sum(batches, []), items)
--- a/wagtailtrestle/directory.py
+++ b/wagtailtrestle/directory.py
@@ -1,19 +1,21 @@
 """Finds the steward of a cell and the entry of a request, and carries messages to them.
 
 Implements ``ports.StewardLink`` and ``ports.EntryLink`` over membership and peers, with a
-local short cut. On a change of steward, and after each reconnect, the entry's side of each
-cell is registered anew, so nothing depends on a single message getting through.
+local short cut. Nothing depends on a single message getting through: all that an entry
+holds for a cell is registered anew when the cell's steward changes, after each reconnect,
+after a pause of this process, and each second while messages take a detour.
 
 A message for a cell whose steward is, in this router's own view, someone else
 -------------------------------------------------------------------------------
 Views may differ for a moment. Ways weighed: (1) bounce it: the sender, whose view still
 names this router, would send it here again, and the request hangs until views agree;
 (2) pass it on: two routers that each believe the other to be steward would pass it in
-circles, so it needs a hop limit and then again a way out; (3) act as steward anyway. We
-do (3): a grant is capacity, not identity, so two stewards may overfill an engine for the
-second or so that views differ, but only the entry dispatches, once per request. When the
-sender's view changes, it registers with the new steward and sends the old one an empty
-registration, which frees what was held here.
+circles; (3) act as steward anyway. We do (3): a grant is capacity, not identity, so two
+stewards may overfill an engine for the second or so that views differ, but only the entry
+dispatches, once per request. When the sender's view changes, it registers with the new
+steward and sends the old one an empty registration, which frees what was held here. A
+draining router alone does (2), since it grants nothing more: it passes the message to the
+steward in its own view, which is never itself.
 """
 
 from wagtailtrestle.messages import (
@@ -27,11 +29,20 @@
     RunStarted,
     Withdraw,
 )
+from wagtailtrestle.peer_messages import RegisterAsk
+from wagtailtrestle.peer_routes import PeerRoutes
 from wagtailtrestle.rendezvous import Rendezvous
 
 ENTRY_MESSAGES = (GrantRequest, Withdraw, RunStarted, RunProgress, RunFinished, Register)
 STEWARD_MESSAGES = (Granted, Refused, Preempt)
 
+# Up to so many routers each entry registers also for the cells it holds nothing for, so that a new steward
+# soon knows it has heard everybody. Beyond, that would be a connection from every router to every steward;
+# a steward there waits out its bounded time of caution.
+ANNOUNCE_LIMIT = 32
+DETOUR_REGISTER_S = 1.0
+ASK_PAUSE_S = 0.3
+
 
 class Directory:
     """Routes messages between entries and stewards.
@@ -71,22 +82,29 @@
         self.name = name
         self._membership = membership
         self._peers = peers
+        self._routes = PeerRoutes(name=name, peers=peers, members=lambda: membership.view.everyone, loop=loop)
         self._loop = loop
         self._deliver_to_steward = deliver_to_steward
         self._deliver_to_entry = deliver_to_entry
         self._register = register
         self._cells = cells
-        self._set_members = set_members
+        self._set_members = set_members or (lambda members: None)
         self._rendezvous = Rendezvous()
         self._steward_by_cell = {}
+        self._incarnations_by_name = dict(membership.view.incarnations_by_name)
+        self._detours = set()
+        self._asked_at = {}
         self.steward_link = _StewardSide(directory=self)
         self.entry_link = _EntrySide(directory=self)
         for message_type in ENTRY_MESSAGES:
             peers.on(message_type, self._from_entry)
         for message_type in STEWARD_MESSAGES:
             peers.on(message_type, self._from_steward)
+        peers.on(RegisterAsk, self._on_register_ask)
         peers.on_reconnect(self._reconnected)
+        peers.on_unreachable(self._unreachable)
         membership.on_view_change(self._view_changed)
+        membership.on_trusted(self._trusted_again)
 
     def steward_of(self, cell):
         """Name of the router that is steward of a cell in the present view, or ``None``."""
@@ -94,15 +112,36 @@
 
     def refresh(self):
         """Register the cells whose steward changed; also call it when the configuration changed."""
-        for cell in self._cells():
+        if not self._membership.trusted:
+            return
+        cells = set(self._cells())
+        for cell in set(self._steward_by_cell) - cells:
+            del self._steward_by_cell[cell]
+        for cell in cells:
             self._check_steward(cell)
 
+    def ask_to_register(self, *, cell, entries):
+        """Ask entries that a local steward waits for to register, at a bounded rate."""
+        now = self._loop.time()
+        for entry in entries:
+            if now < self._asked_at.get((cell, entry), 0.0):
+                continue
+            self._asked_at[cell, entry] = now + ASK_PAUSE_S
+            if entry == self.name:
+                self._loop.call_soon(self._deliver_to_steward, cell, self._registration(cell, self.name))
+            else:
+                self._routes.send(entry, RegisterAsk(), cell=cell)
+
     def dump(self):
         """State for the dump: the steward of each cell."""
         return {cell: self.steward_of(cell) for cell in sorted(self._cells())}
 
     def send_to_steward(self, *, cell, message):
         """Carry an entry's message; ``False`` if there is no steward now."""
+        if not self._membership.trusted:
+            # This process starts or was paused, so its view may name a steward of long ago. What is not sent
+            # now is in the registration that follows as soon as a peer has told the present view.
+            return True
         steward = self._check_steward(cell)
         if steward is None:
             return False
@@ -113,13 +152,9 @@
         if entry == self.name:
             self._loop.call_soon(self._deliver_to_entry, message)
             return True
-        return self._peers.send(entry, message)
+        return self._routes.send(entry, message)
 
-    def _send(self, steward, cell, message):
-        if steward == self.name:
-            self._loop.call_soon(self._deliver_to_steward, cell, message)
-            return True
-        return self._peers.send(steward, message, cell=cell)
+    # Registration.
 
     def _check_steward(self, cell):
         steward = self.steward_of(cell)
@@ -130,29 +165,98 @@
 
     def _change_steward(self, cell, before, steward):
         self._steward_by_cell[cell] = steward
-        if before is not None:
+        if before in self._membership.view.everyone:
             # Without this a former steward that lives would hold this entry's places until told otherwise.
             self._send(before, cell, Register(entry=self.name, cell=cell))
         if steward is not None:
+            self._announce(steward, cell)
+
+    def _announce(self, steward, cell):
+        registration = self._register(cell)
+        is_empty = not registration.waiting and not registration.running
+        is_stranger = steward != self.name and not self._peers.connected(steward)
+        if is_empty and is_stranger and len(self._membership.view.everyone) > ANNOUNCE_LIMIT:
+            return
+        self._send(steward, cell, registration)
+
+    def _registration(self, cell, asker):
+        """What this entry holds at ``asker``: nothing, if it has another steward for the cell."""
+        if self.steward_of(cell) == asker:
+            return self._register(cell)
+        return Register(entry=self.name, cell=cell)
+
+    def _send(self, steward, cell, message):
+        if steward == self.name:
+            self._loop.call_soon(self._deliver_to_steward, cell, message)
+            return True
+        if self._routes.is_cut(steward):
+            self._register_during_detour(cell)
+        return self._routes.send(steward, message, cell=cell)
+
+    def _register_during_detour(self, cell):
+        if cell not in self._detours:
+            self._detours.add(cell)
+            self._loop.call_later(DETOUR_REGISTER_S, self._register_again, cell)
+
+    def _register_again(self, cell):
+        self._detours.discard(cell)
+        steward = self._steward_by_cell.get(cell)
+        if steward not in (None, self.name) and self._routes.is_cut(steward):
             self._send(steward, cell, self._register(cell))
 
+    # Changes.
+
     def _view_changed(self, view):
-        if self._set_members is not None:
-            self._set_members(view.everyone)
+        if not self._membership.trusted:
+            return
+        restarted = self._note_incarnations(view)
+        if restarted:
+            # A new process of that name knows nothing of what its predecessor held: let that go first.
+            self._set_members(tuple(name for name in view.everyone if name not in restarted))
+        self._set_members(view.everyone)
         self.refresh()
 
+    def _note_incarnations(self, view):
+        before, self._incarnations_by_name = self._incarnations_by_name, view.incarnations_by_name
+        return {name for name, number in view.incarnations_by_name.items() if before.get(name, number) != number}
+
+    def _trusted_again(self):
+        self._view_changed(self._membership.view)
+        for cell, steward in self._steward_by_cell.items():
+            if steward is not None:
+                self._announce(steward, cell)
+
     def _reconnected(self, peer):
         # What was written to the old connection may be lost, in both directions.
+        if not self._membership.trusted:
+            return
+        for cell, steward in self._steward_by_cell.items():
+            if steward == peer:
+                self._announce(peer, cell)
+
+    def _unreachable(self, peer, detail):
+        # If the peer stays in the view all the same, the way to it is cut: what it didn't get goes round.
         for cell, steward in self._steward_by_cell.items():
             if steward == peer:
-                self._send(peer, cell, self._register(cell))
+                self._register_during_detour(cell)
+
+    # Receiving.
 
     def _from_entry(self, peer, message, cell):
+        if self._membership.draining:
+            steward = self.steward_of(cell)
+            if steward not in (None, self.name):
+                self._routes.send(steward, message, cell=cell)
+                return
         self._deliver_to_steward(cell, message)
 
     def _from_steward(self, peer, message, cell):
         self._deliver_to_entry(message)
 
+    def _on_register_ask(self, peer, message, cell):
+        if self._membership.trusted:
+            self._routes.send(peer, self._registration(cell, peer), cell=cell)
+
 
 class _StewardSide:
     """``ports.StewardLink``."""
--- a/wagtailtrestle/membership.py
+++ b/wagtailtrestle/membership.py
@@ -87,6 +87,7 @@
         self._next_sync_by_peer = {}
         self._doubted = set()
         self._view_callbacks = []
+        self._trusted_callbacks = []
         self._generation_callbacks = []
         self._tasks = set()
         self._timer = None
@@ -138,9 +139,13 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def on_view_change(self, callback):
-        """Have ``callback(view)`` called after each change of the view, and when it is trusted again."""
+        """Have ``callback(view)`` called after each change of the view."""
         self._view_callbacks.append(callback)
 
+    def on_trusted(self, callback):
+        """Have ``callback()`` called when the view may be acted on again, after start or a pause."""
+        self._trusted_callbacks.append(callback)
+
     def on_generation(self, callback):
         """Have ``callback(peer, generation)`` called when a peer tells a generation new for it."""
         self._generation_callbacks.append(callback)
@@ -364,7 +369,9 @@
         if self.trusted:
             return
         self.trusted = True
-        self._refresh(is_forced=True)
+        self._refresh()
+        for callback in self._trusted_callbacks:
+            callback()
 
     # Time.
 
@@ -444,14 +451,14 @@
 
     # The view and the partners.
 
-    def _refresh(self, is_forced=False):
+    def _refresh(self):
         now = self._loop.time()
         self._recheck_at = self._table.next_hold_end(now)
         self._digest = self._table.digest()
         view = self._table.view(now)
         if view.everyone != self._ring_names:
             self._rewire(view)
-        if view.digest == self.view.digest and not is_forced:
+        if view.digest == self.view.digest:
             return
         self.view = view
         for callback in self._view_callbacks:
--- /dev/null
+++ b/wagtailtrestle/peer_routes.py
@@ -0,0 +1,68 @@
+"""Sends to a peer directly, or through a third router while only the direct way is cut.
+
+The failure: one router can't reach another that all others reach (a lost route, a firewall's
+state). It stays in every view, so it stays steward of its cells, and this router's requests
+for them would wait until their deadlines. Choosing another steward for this router alone
+would give the cell two accounts for as long as the cut lasts, so the messages take a detour
+of one hop instead. The detour promises nothing; who uses it repeats itself (``Directory``
+registers again each second).
+"""
+
+from wagtailtrestle.peer_codec import encode
+from wagtailtrestle.peer_messages import Relayed
+
+DETOUR_AFTER_S = 0.5
+DETOUR_CHANGES_S = 1.0
+
+
+class PeerRoutes:
+    """Ways to the peers.
+
+    Parameters
+    ----------
+    name : str
+        This router.
+    peers : Peers
+    members : callable
+        ``() -> tuple of str``: routers in the view.
+    loop : asyncio event loop
+    """
+
+    def __init__(self, *, name, peers, members, loop):
+        self._name = name
+        self._peers = peers
+        self._members = members
+        self._loop = loop
+        self.relayed = 0
+        peers.on(Relayed, self._on_relayed)
+
+    def is_cut(self, peer):
+        """Whether the direct way to a router that lives has been broken for a while."""
+        unreachable_s = self._peers.unreachable_s(peer)
+        return unreachable_s is not None and unreachable_s > DETOUR_AFTER_S and peer in self._members()
+
+    def send(self, peer, message, *, cell=""):
+        """Queue a message; ``False`` if there is no way now."""
+        if not self.is_cut(peer):
+            return self._peers.send(peer, message, cell=cell)
+        helper = self._helper(peer)
+        if helper is None:
+            return False
+        item = encode(message, cell=cell).SerializeToString()
+        return self._peers.send(helper, Relayed(source=self._name, target=peer, item=item))
+
+    def _helper(self, target):
+        """A connected router, another one each second, as any one may be cut off from the target too."""
+        others = (name for name in self._members() if name not in (self._name, target))
+        connected = [name for name in others if self._peers.connected(name)]
+        if not connected:
+            return None
+        return connected[int(self._loop.time() / DETOUR_CHANGES_S) % len(connected)]
+
+    def _on_relayed(self, peer, message, cell):
+        if message.target == self._name:
+            self._peers.deliver_relayed(message.source, message.item)
+        elif peer == message.source and self._peers.connected(message.target):
+            # One hop only: routers that can't reach the target must not pass the item around.
+            self.relayed += 1
+            self._peers.send(message.target, message)
--- a/wagtailtrestle/peers_grpc.py
+++ b/wagtailtrestle/peers_grpc.py
@@ -37,7 +37,9 @@
 SIMULTANEOUS_S = 1.0
 PAUSED_AFTER_S = 0.5
 IDLE_CLOSE_S = 60.0
-QUEUE_HOLD_S = 5.0
+USED_LATELY_S = 30.0
+RECOVER_FOR_S = 3.0
+QUEUE_HOLD_S = 1.0
 
 CONNECTION_ERRORS = (OSError, GRPCError, StreamTerminatedError, TimeoutError)
 
@@ -58,6 +60,7 @@
         "outbox",
         "overflows",
         "reconnects",
+        "recover_until",
         "stale_dropped",
         "unreachable_since",
         "used_at",
@@ -78,8 +81,13 @@
         self.stale_dropped = 0
         self.last_error = ""
         self.unreachable_since = None
+        self.recover_until = used_at
         self.used_at = used_at
 
+    def wants_link(self, now):
+        """Whether a connection is to be opened while there is none."""
+        return self.kept or bool(len(self.outbox)) or now < self.recover_until
+
 
 class _Service(PeersBase):
     """Adapter from the generated server base to :class:`Peers`."""
@@ -119,6 +127,7 @@
         self._random = random.Random(seed)
         self._server = None
         self._maintenance = None
+        self._closed = False
         self._states_by_name = {}
         self._handlers_by_type = {}
         self._reconnect_callbacks = []
@@ -126,7 +135,6 @@
         self._questions_by_id = {}
         self._next_question = 1
         self._tasks = set()
-        self._closed = False
         self.unknown_items = 0
 
     async def start(self):
@@ -231,12 +239,25 @@
             return None
         return self._loop.time() - state.link.last_received
 
+    def unreachable_s(self, peer):
+        """Seconds since connections to the peer began to fail, or ``None`` if they don't."""
+        state = self._states_by_name.get(peer)
+        if state is None or state.link is not None or state.unreachable_since is None:
+            return None
+        return self._loop.time() - state.unreachable_since
+
+    def deliver_relayed(self, source, data):
+        """Take an encoded item that another router passed on for ``source``."""
+        item = pb.Item.FromString(data)
+        message = decode(item)
+        if message is not None and not item.question and not item.answer_to:
+            self._deliver_message(source, message, item)
+
     def replace(self, peer):
         """Give up the present link, which seems silent, and open a new one."""
         state = self._state(peer)
         if state.link is not None:
             self._drop_link(state, "silent")
-        self._dial_if_needed(state)
 
     def dump(self):
         """State for the dump, by peer."""
@@ -272,7 +293,6 @@
             self._drop_link(state, "queue overflow")
         for callback in self._unreachable_callbacks:
             callback(state.name, "queue overflow")
-        self._dial_if_needed(state)
 
     async def _flush(self, *, timeout_s):
         deadline = self._loop.time() + timeout_s
@@ -293,7 +313,7 @@
 
     async def _dial_until_linked(self, state):
         try:
-            while state.link is None and (state.kept or len(state.outbox)):
+            while state.link is None and state.wants_link(self._loop.time()):
                 if await self._dial(state):
                     return
                 if state.link is None:
@@ -434,14 +454,22 @@
         link, state.link = state.link, None
         state.last_error = detail
         link.reset()
-        self._fail_questions(state.name, detail)
+        self._recover(state, detail)
 
     def _link_ended(self, state, link):
         if state.link is not link:
             return
         state.link = None
-        self._fail_questions(state.name, "connection lost")
-        if state.kept or len(state.outbox):
+        self._recover(state, "connection lost")
+
+    def _recover(self, state, detail):
+        self._fail_questions(state.name, detail)
+        now = self._loop.time()
+        if now - state.used_at < USED_LATELY_S:
+            # A message may have been lost, and there may be no other to send: a request would wait for its
+            # grant until its deadline. A new connection makes both ends register; none at all is evidence.
+            state.recover_until = now + RECOVER_FOR_S
+        if state.wants_link(now):
             self._dial_if_needed(state)
 
     def _fail_questions(self, peer, detail):
