Keep the learned step line steady: shape from the prior, level from the evidence

Cause: a line that chose its own evidence ran away (slope at its cap, steps of 1e71 s on one engine at load 2.5); two seconds of one long prompt's prefill were taken for a slow engine; a prior lower than the evidence was read as a steeper slope. Errors in loop callbacks went unnoticed in measured runs. Change: the prior gives the shape and the evidence its height, the slope's share is bounded, samples are sorted out through the declared shape over a window of 64, whole decodes teach interference only; a measured run with an error fails; python -m wagtailtrestle.measure runs a plan in parallel and prints tables and targets.

--- a/wagtailtrestle/engine_model.py
+++ b/wagtailtrestle/engine_model.py
@@ -17,23 +17,27 @@
 PRIOR_SLOPE_SHARE = 0.03
 """Assumed growth of a step for each further run, as a share of the declared step."""
 
-PRIOR_WEIGHT = 4.0
+PRIOR_WEIGHT = 12.0
 """How many observations the declared values count for."""
 
 FADE = 0.97
 """Share of the old evidence's weight kept at each new observation."""
 
-WINDOW = 24
-"""Recent samples of which the low end shows the clean step."""
+WINDOW = 64
+"""Recent samples of which the low end shows the clean step. All of them must be slow before
+the engine is believed to have turned slow: one long prompt keeps every step slow for seconds."""
+
+SHORT_WINDOW = 8
+"""Samples that are enough to see that an engine is faster than believed."""
 
 LOW_RANK = 4
 """Which of the window's samples, from the lowest, counts as its low end."""
 
-CLEAN_RATIO = 1.25
+CLEAN_RATIO = 1.15
 """Samples within this factor of the low end are taken as clean steps."""
 
 STEP_CHANGE = 1.8
-"""If a whole window's low end differs by this factor, the engine's speed has changed."""
+"""If the low end of a whole window differs by this factor, the engine's speed has changed."""
 
 PRIOR_PREFILL_TOKENS = 2048.0
 """How many prefilled tokens the declared rate counts for."""
@@ -74,8 +78,7 @@
     __slots__ = (
         "slots",
         "_step",
-        "_scale",
-        "_ratios",
+        "_levels",
         "_prefill_s_per_token",
         "_prefill_tokens",
         "_interference",
@@ -92,8 +95,7 @@
             low=1.0,
             high=float(self.slots),
         )
-        self._scale = 1.0
-        self._ratios = deque(maxlen=WINDOW)
+        self._levels = deque(maxlen=WINDOW)
         self._prefill_s_per_token = 1.0 / prefill_tokens_per_s
         self._prefill_tokens = PRIOR_PREFILL_TOKENS
         self._interference = 1.0
@@ -117,26 +119,29 @@
         self._prefill_tokens = kept + tokens
 
     def observe_finish(self, *, output_tokens, decode_s, mean_concurrency):
-        """Learn interference, and a bound on the step, from one run's whole decode."""
+        """Learn interference from one run's whole decode."""
         if output_tokens < 1 or decode_s <= 0.0:
             return
         pace_s = decode_s / output_tokens
-        self._sample(mean_concurrency, pace_s)
         ratio = min(MOST_INTERFERENCE, max(1.0, pace_s / self.step_s(mean_concurrency)))
         kept = self._paced_s * max(0.0, 1.0 - decode_s / PACE_MEMORY_S)
         self._interference = (self._interference * kept + ratio * decode_s) / (kept + decode_s)
         self._paced_s = kept + decode_s
 
     def observe_report(self, *, step_s, running):
-        """Learn the step time from the engine's own load report."""
+        """Learn the clean step from the engine's own load report.
+
+        Whole decodes are left out: the fuller an engine, the more prefill lies between
+        its tokens, and the line would take that for growth with the batch.
+        """
         if step_s > 0.0 and running >= 1:
-            self._sample(running, step_s)
+            self._sample(min(running, self.slots), step_s)
 
     # What is believed.
 
     def step_s(self, concurrency):
         """Expected seconds of one decode step that prefills nothing."""
-        return max(MIN_DURATION_S, self._scale * self._step.at(max(1.0, min(concurrency, self.slots))))
+        return max(MIN_DURATION_S, self._step.at(max(1.0, min(concurrency, self.slots))))
 
     def pace_s(self, concurrency):
         """Expected seconds from token to token, other prompts' prefill included."""
@@ -188,14 +193,29 @@
         }
 
     def _sample(self, concurrency, seconds):
-        """Take in one upper bound on the clean step at ``concurrency``."""
-        self._ratios.append(seconds / self.step_s(concurrency))
-        low = sorted(self._ratios)[min(LOW_RANK, len(self._ratios)) - 1]
-        if len(self._ratios) == WINDOW and (low > STEP_CHANGE or low < 1.0 / STEP_CHANGE):
-            # An engine that turned slow shows it in every sample; the line's shape still
-            # holds, so its scale jumps instead of creeping there over many samples.
-            self._scale *= low
-            self._ratios = deque((ratio / low for ratio in self._ratios), maxlen=WINDOW)
-            low = 1.0
-        if self._ratios[-1] <= CLEAN_RATIO * low and len(self._ratios) >= LOW_RANK:
-            self._step.observe(x=min(concurrency, self.slots), y=seconds / self._scale, weight=1.0)
+        """Take in one upper bound on the clean step at ``concurrency``.
+
+        Samples are compared through the declared shape and not the learned line: a line
+        that chose its own evidence would reject all that contradicts it.
+        """
+        shape = 1.0 + PRIOR_SLOPE_SHARE * (concurrency - 1)
+        believed = self.step_s(concurrency) / shape
+        self._levels.append(seconds / shape)
+        low = _low_end(self._levels)
+        # An engine whose speed changed shows it in every sample; the line's shape still
+        # holds, so the whole line jumps instead of creeping there over many samples.
+        slower = len(self._levels) == WINDOW and low > STEP_CHANGE * believed
+        faster = len(self._levels) >= SHORT_WINDOW and low * STEP_CHANGE < believed
+        if slower or faster:
+            self._rescale(low / believed)
+        elif len(self._levels) >= LOW_RANK and self._levels[-1] <= CLEAN_RATIO * low:
+            self._step.observe(x=concurrency, y=seconds, weight=1.0)
+
+    def _rescale(self, factor):
+        self._step.rescale(factor)
+        self._interference = max(1.0, self._interference / factor)
+
+
+def _low_end(levels):
+    """Low end of a window of samples."""
+    return sorted(levels)[min(LOW_RANK, len(levels)) - 1]
--- a/wagtailtrestle/fading_line.py
+++ b/wagtailtrestle/fading_line.py
@@ -2,6 +2,10 @@
 
 RIDGE = 1e-9
 
+MOST_SLOPE_SHARE = 0.75
+"""Largest part of the mean that the slope may explain: extrapolating a steeper line below
+the range of its points would soon give negative values."""
+
 
 class FadingLine:
     """Fit ``y = base + slope * x`` with forgetting; the prior never fades.
@@ -40,6 +44,14 @@
         self._sums = [old * self._fade + weight * new for old, new in zip(self._sums, point, strict=True)]
         self._fit = self._solve()
 
+    def rescale(self, factor):
+        """Multiply the whole line, prior and evidence, by ``factor``."""
+        n, sx, sy, sxx, sxy = self._sums
+        self._sums = [n, sx, sy * factor, sxx, sxy * factor]
+        self._prior_base *= factor
+        self._prior_slope *= factor
+        self._fit = self._solve()
+
     def at(self, x):
         """Value of the line at ``x``."""
         base, slope = self._fit
@@ -47,10 +59,23 @@
 
     def _solve(self):
         n, sx, sy, sxx, sxy = self._sums
+        level = self._level()
         half = self._prior_weight / 2.0
         for x in self._ends:
-            y = self._prior_base + self._prior_slope * x
+            y = level * (self._prior_base + self._prior_slope * x)
             n, sx, sy, sxx, sxy = n + half, sx + half * x, sy + half * y, sxx + half * x * x, sxy + half * x * y
         spread = n * sxx - sx * sx
-        slope = max(0.0, (n * sxy - sx * sy) / max(spread, RIDGE))
+        slope = (n * sxy - sx * sy) / max(spread, RIDGE)
+        slope = max(0.0, min(slope, MOST_SLOPE_SHARE * sy / sx))
         return (sy - slope * sx) / n, slope
+
+    def _level(self):
+        """How much higher the evidence lies than the prior.
+
+        The prior's shape is worth more than its height: evidence on one side of the range
+        that lies above it would else be taken for a steeper slope.
+        """
+        n, sx, sy, _, _ = self._sums
+        expected = self._prior_base * n + self._prior_slope * sx
+        middle = self._prior_base + self._prior_slope * sum(self._ends) / 2.0
+        return (sy + middle) / (expected + middle)
--- /dev/null
+++ b/wagtailtrestle/measure/__main__.py
@@ -0,0 +1,63 @@
+"""``python -m wagtailtrestle.measure``: run the plan in parallel, write results, print tables."""
+
+import json
+import os
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from pathlib import Path
+
+import fire
+
+from wagtailtrestle.measure.one_run import measure
+from wagtailtrestle.measure.plan_of_runs import full_plan, quick_plan
+from wagtailtrestle.measure.report import rows_of, table, targets
+
+MOST_WORKERS = 8
+
+
+def run(quick=False, output="var/measure.jsonl", workers=0, only=""):
+    """Measure the policies and print their tables.
+
+    Parameters
+    ----------
+    quick : bool
+        Only a few short runs.
+    output : str
+        Where the results go, one JSON object a line.
+    workers : int
+        Processes at a time; 0 takes as many as there are cores, at most 8.
+    only : str
+        ``FIELD=VALUE,…``: only runs whose fields hold these values.
+    """
+    began = time.monotonic()
+    specs = [spec for spec in (quick_plan() if quick else full_plan()) if _wanted(spec, only)]
+    path = Path(output)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    results = []
+    with path.open("w") as lines, ProcessPoolExecutor(workers or min(MOST_WORKERS, os.cpu_count() or 1)) as pool:
+        for future in as_completed([pool.submit(measure, spec) for spec in specs]):
+            results.append(future.result())
+            lines.write(json.dumps(results[-1]) + "\n")
+            lines.flush()
+            print(f"\r{len(results)}/{len(specs)} runs", end="", file=sys.stderr, flush=True)
+    print(file=sys.stderr)
+    rows = rows_of(results)
+    print(table(rows))
+    print()
+    print("\n".join(targets(rows)))
+    print(f"\n{len(results)} runs in {time.monotonic() - began:.0f} s; results in {output}")
+
+
+def _wanted(spec, only):
+    wanted = dict(part.split("=", 1) for part in only.split(",") if part)
+    return all(str(getattr(spec, field)) == value for field, value in wanted.items())
+
+
+def main():
+    """Run the command line."""
+    fire.Fire(run)
+
+
+if __name__ == "__main__":
+    main()
--- a/wagtailtrestle/measure/cluster.py
+++ b/wagtailtrestle/measure/cluster.py
@@ -1,9 +1,13 @@
 """The routers of a measured run: real entries and the real steward, joined by delayed messages."""
 
+from wagtailtrestle.crash_watch import CrashWatch
 from wagtailtrestle.entry import Entry
 from wagtailtrestle.exchange import CallerRequest
 from wagtailtrestle.measure.fake_caller import NETWORK_S, FakeCaller
-from wagtailtrestle.measure.run_parts import LoadReport, NeverBlocked, RetryAllowance, SentBy, SentTo
+from wagtailtrestle.measure.run_parts import SentBy, SentTo
+from wagtailtrestle.poison import CrashBook, CrashDetector
+from wagtailtrestle.report_messages import LoadReport
+from wagtailtrestle.retry_budget import RetryBudget
 from wagtailtrestle.steward import Steward
 
 TICK_S = 0.05
@@ -30,7 +34,6 @@
         self._engines_by_name = engines_by_name
         self._make_policy = make_policy
         self._loop = loop
-        self._budget = RetryAllowance()
         self._callers_by_router = {name: {} for name in setting.routers}
         self._entry_by_name = {name: self._entry(name) for name in setting.routers}
         self._host = setting.routers[0]
@@ -105,12 +108,19 @@
             self._steward.set_members(frozenset(self._entry_by_name))
 
     def _entry(self, name):
+        clock = self._loop.time
+        budget = RetryBudget(clock=clock)
+        crashes = CrashWatch(
+            book=CrashBook(clock=clock, reporter=name),
+            detector=CrashDetector(clock=clock),
+            broadcast=lambda report: None,
+        )
         return Entry(
             name=name,
             stewards=SentBy(router=name, send=self._send_to_steward),
             claims=None,
-            crash_book=NeverBlocked(),
-            budget_by_service=lambda service: self._budget,
+            crashes=crashes,
+            budget_by_service=lambda service: budget,
             declaration=lambda: self._setting.declaration,
             loop=self._loop,
         )
--- a/wagtailtrestle/measure/virtual_time.py
+++ b/wagtailtrestle/measure/virtual_time.py
@@ -38,6 +38,14 @@
 
 
 def run(main):
-    """Run the coroutine ``main`` to its end under a fresh clock and return its result."""
+    """Run the coroutine ``main`` to its end under a fresh clock and return its result.
+
+    An error in any callback or task makes the run worthless, so it is raised at the end.
+    """
+    errors = []
     with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
-        return runner.run(main)
+        runner.get_loop().set_exception_handler(lambda loop, context: errors.append(context))
+        result = runner.run(main)
+    if errors:
+        raise RuntimeError(f"{len(errors)} errors, the first: {errors[0]}") from errors[0].get("exception")
+    return result
