Split peers and membership into modules with one job

Change: connection set-up, per-peer state, questions, link watch and view comparison are modules of their own; a handler that fails no longer ends its link; an address that is none no longer ends the dialing task.

--- a/wagtailtrestle/membership.py
+++ b/wagtailtrestle/membership.py
@@ -6,7 +6,6 @@
 that doesn't within ``REFUTE_S`` is dead. See ``docs/design/membership.md``.
 """
 
-import asyncio
 import random
 
 from loguru import logger
@@ -17,13 +16,10 @@
     Heartbeat,
     Hello,
     MemberState,
-    PeerUnreachable,
-    Ping,
-    ViewAsk,
     ViewEvent,
-    ViewText,
 )
 from wagtailtrestle.suspicion import Suspicions
+from wagtailtrestle.view_sync import ViewSync
 
 ROUTER_ROLE = "router"
 
@@ -33,10 +29,6 @@
 LATE_TICK_S = 0.25
 FROZEN_GAP_S = 0.8
 TRUST_WITHIN_S = 1.0
-SYNC_TIMEOUT_S = 0.5
-SYNC_AFTER_MISMATCHES = 2
-SYNC_PAUSE_S = 1.0
-SYNC_PAUSE_MAX_S = 60.0
 CONTACT_INTERVAL_S = 1.0
 FIRST_CONTACTS = 8
 FORGET_AFTER_S = 600.0
@@ -79,17 +71,20 @@
         self._listed = None
         self._table = MemberTable(name=name, zone=zone, incarnation=incarnation, now=loop.time())
         self._suspicions = Suspicions(table=self._table, loop=loop, gossip=self._gossip, on_change=self._refresh)
+        self._sync = ViewSync(
+            table=self._table,
+            peers=peers,
+            loop=loop,
+            is_trusted=lambda: self.trusted,
+            on_events=self._take_pulled,
+            on_lost=lambda member: self._suspicions.suspect(member, "called dead by a peer, and does not answer"),
+        )
         self._partners = set()
         self._fingers = set()
         self._ring_names = ()
-        self._mismatches_by_peer = {}
-        self._sync_pause_by_peer = {}
-        self._next_sync_by_peer = {}
-        self._doubted = set()
         self._view_callbacks = []
         self._trusted_callbacks = []
         self._generation_callbacks = []
-        self._tasks = set()
         self._timer = None
         self._tick_at = loop.time()
         self._heartbeat_at = loop.time()
@@ -105,7 +100,6 @@
         self._peers.on(Hello, self._on_hello)
         self._peers.on(Heartbeat, self._on_heartbeat)
         self._peers.on(ViewEvent, self._on_view_event)
-        self._peers.on(ViewAsk, self._on_view_ask)
         self._peers.on_reconnect(self._on_connected)
         self._peers.on_unreachable(self._on_unreachable)
 
@@ -134,9 +128,7 @@
         self._suspicions.close()
         if self._timer is not None:
             self._timer.cancel()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._sync.close()
 
     def on_view_change(self, callback):
         """Have ``callback(view)`` called after each change of the view."""
@@ -219,7 +211,7 @@
         self._peers.send(peer, self._table.own.event())
         self._send_heartbeat(peer)
         if not self.trusted:
-            self._spawn(self._sync(peer))
+            self._sync.pull(peer)
 
     def _on_heartbeat(self, peer, heartbeat, cell):
         member = self._table.by_name.get(peer)
@@ -239,7 +231,7 @@
         else:
             self._heard_directly(member)
         self._note_generation(member, heartbeat.generation)
-        self._compare_digest(peer, heartbeat.view_digest)
+        self._sync.compare(peer, own=self._digest, other=heartbeat.view_digest)
 
     def _heard_directly(self, member):
         if not member.present:
@@ -283,42 +275,11 @@
             self._gossip(own.event())
             self._refresh()
 
-    def _learn_address(self, event):
-        if event.address:
-            self._addresses_by_name[event.name] = event.address
-            self._peers.set_addresses({event.name: event.address})
-
-    def _gossip(self, event, but=None):
-        for name in self.broadcast_targets():
-            if name != but:
-                self._peers.send(name, event)
-
-    # Agreement on the whole.
-
-    def _compare_digest(self, peer, digest):
-        if digest == self._digest:
-            self._mismatches_by_peer.pop(peer, None)
-            self._sync_pause_by_peer.pop(peer, None)
-            return
-        mismatches = self._mismatches_by_peer[peer] = self._mismatches_by_peer.get(peer, 0) + 1
-        now = self._loop.time()
-        if mismatches >= SYNC_AFTER_MISMATCHES and now >= self._next_sync_by_peer.get(peer, now):
-            # Repeated pulls that settle nothing must not fill the link: each waits longer.
-            pause_s = min(SYNC_PAUSE_MAX_S, 2 * self._sync_pause_by_peer.get(peer, SYNC_PAUSE_S / 2))
-            self._sync_pause_by_peer[peer] = pause_s
-            self._next_sync_by_peer[peer] = now + pause_s
-            self._spawn(self._sync(peer))
-
-    async def _sync(self, peer):
-        answer = await self._peers.ask(peer, ViewAsk(), SYNC_TIMEOUT_S)
-        if type(answer) is not ViewText:
-            return
-        now = self._loop.time()
-        for event in answer.events:
+    def _take_pulled(self, peer, events, news):
+        """Go on from what a peer told of all members; ``news`` is what was not known here."""
+        for event in events:
             if event.name == self.name:
                 self._about_self(event)
-        news, doubted = self._table.merge(answer.events, now, believe=not self.trusted)
-        self._doubted.update(doubted)
         for event in news:
             self._learn_address(event)
             self._suspicions.watch(self._table.by_name[event.name])
@@ -327,21 +288,15 @@
         self._trust()
         self._refresh()
 
-    def _on_view_ask(self, peer, message, cell):
-        if not self.trusted:
-            return None
-        members = self._table.by_name.values()
-        return ViewText(events=tuple(member.event() for member in members if member.incarnation))
+    def _learn_address(self, event):
+        if event.address:
+            self._addresses_by_name[event.name] = event.address
+            self._peers.set_addresses({event.name: event.address})
 
-    async def _check_doubted(self):
-        """Find out about one router that a peer calls dead and this one alive."""
-        name = self._doubted.pop()
-        member = self._table.by_name.get(name)
-        if member is None or not member.present:
-            return
-        answer = await self._peers.ask(name, Ping(), SYNC_TIMEOUT_S)
-        if isinstance(answer, PeerUnreachable):
-            self._suspicions.suspect(member, "called dead by a peer, and does not answer")
+    def _gossip(self, event, but=None):
+        for name in self.broadcast_targets():
+            if name != but:
+                self._peers.send(name, event)
 
     # Trust in the own view.
 
@@ -362,7 +317,7 @@
         self._suspicions.restart()
         for peer in sorted(self._partners):
             if self._peers.connected(peer):
-                self._spawn(self._sync(peer))
+                self._sync.pull(peer)
         return False
 
     def _trust(self):
@@ -398,8 +353,7 @@
             self._contact_at = now + CONTACT_INTERVAL_S * self._jitter.uniform(0.5, 1.0)
             self._contact_absent(1)
             self._forget_old(now)
-            if self._doubted:
-                self._spawn(self._check_doubted())
+            self._sync.check_doubted()
         if self._recheck_at is not None and now >= self._recheck_at:
             self._refresh()
 
@@ -471,8 +425,3 @@
             self._partners = ring.partners(self.name)
             self._fingers = ring.fingers(self.name)
         self._peers.keep(self._partners)
-
-    def _spawn(self, coroutine):
-        task = self._loop.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/wagtailtrestle/peer_connection.py
@@ -0,0 +1,154 @@
+"""Opens and takes grpclib connections between routers, up to the exchange of ``Hello``."""
+
+import asyncio
+import socket
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server
+
+from wagtailtrestle.generated import peers_pb2 as pb
+from wagtailtrestle.generated.peers_grpc import PeersBase, PeersStub
+from wagtailtrestle.peer_codec import decode, encode
+from wagtailtrestle.peer_messages import Hello
+
+HELLO_TIMEOUT_S = 0.25
+KEEPALIVE_IDLE_S = 15
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_TRIES = 3
+
+CONNECTION_ERRORS = (OSError, GRPCError, StreamTerminatedError, TimeoutError)
+
+
+class Connection:
+    """A connection this router opened.
+
+    Parameters
+    ----------
+    channel : grpclib.client.Channel
+    context : grpclib.client.Stream
+        Its one stream, before and after it was entered.
+    """
+
+    __slots__ = ("_channel", "_context", "hello", "stream")
+
+    def __init__(self, *, channel, context):
+        self._channel = channel
+        self._context = context
+        self.stream = None
+        self.hello = None
+
+    async def greet(self, own_hello):
+        """Send this router's ``Hello`` and wait for the peer's, ``None`` if it is none."""
+        self.stream = await self._context.__aenter__()
+        await self.stream.send_message(pb.Batch(items=[encode(own_hello)]))
+        self.hello = hello_in(await self.stream.recv_message())
+
+    def close(self):
+        """End the connection at once."""
+        self._channel.close()
+
+
+async def connect(*, address, name, own_hello):
+    """Open a connection to the router ``name``.
+
+    Returns
+    -------
+    Connection or str
+        What went wrong, if it is a text.
+    """
+    host, _, port = address.rpartition(":")
+    if not port.isdigit():
+        return f"not an address: {address!r}"
+    channel = Channel(host.strip("[]"), int(port))
+    connection = Connection(channel=channel, context=PeersStub(channel).Link.open())
+    try:
+        async with asyncio.timeout(HELLO_TIMEOUT_S):
+            await connection.greet(own_hello)
+    except CONNECTION_ERRORS as error:
+        connection.close()
+        return str(error) or type(error).__name__
+    except asyncio.CancelledError:
+        connection.close()
+        raise
+    if connection.hello is None or connection.hello.name != name:
+        connection.close()
+        return f"another router answers there: {connection.hello.name if connection.hello else 'not a router'}"
+    return connection
+
+
+async def receive_hello(stream, *, own_hello):
+    """Take the ``Hello`` of a router that connected and answer it; ``None`` if it gave none."""
+    try:
+        async with asyncio.timeout(HELLO_TIMEOUT_S):
+            hello = hello_in(await stream.recv_message())
+            if hello is not None and hello.name != own_hello.name:
+                await stream.send_message(pb.Batch(items=[encode(own_hello)]))
+                return hello
+    except CONNECTION_ERRORS:
+        pass
+    return None
+
+
+def hello_in(batch):
+    """The ``Hello`` that a first batch holds, or ``None``."""
+    if batch is None or not batch.items:
+        return None
+    message = decode(batch.items[0])
+    return message if type(message) is Hello else None
+
+
+class _Service(PeersBase):
+    """Adapter from the generated server base to a callable."""
+
+    def __init__(self, *, accept):
+        self._accept = accept
+
+    async def Link(self, stream):  # noqa: N802 - name fixed by peers.proto
+        await self._accept(stream)
+
+
+class Listener:
+    """Takes connections from other routers.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``; port 0 picks one.
+    accept : coroutine function
+        Called with the stream of each connection.
+    """
+
+    __slots__ = ("_accept", "_server", "address")
+
+    def __init__(self, *, address, accept):
+        self.address = address
+        self._accept = accept
+        self._server = None
+
+    async def start(self):
+        """Listen; ``address`` then holds the true port."""
+        host, _, port = self.address.rpartition(":")
+        listener = _listening_socket(host=host, port=int(port))
+        self._server = Server([_Service(accept=self._accept)])
+        await self._server.start(sock=listener)
+        self.address = f"{host}:{listener.getsockname()[1]}"
+
+    async def close(self):
+        """Stop listening and end the connections taken."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+
+def _listening_socket(*, host, port):
+    listener = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted sockets inherit these. The router that opened a connection replaces it when it goes silent; the
+    # other end would keep the dead socket for ever, as grpclib gives a server no way to close one.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_TRIES)
+    listener.bind((host.strip("[]"), port))
+    return listener
--- /dev/null
+++ b/wagtailtrestle/peer_state.py
@@ -0,0 +1,102 @@
+"""What this router holds about one peer."""
+
+from wagtailtrestle.peer_outbox import Outbox
+
+BACKOFF_FIRST_S = 0.05
+BACKOFF_MAX_S = 0.5
+
+
+class PeerState:
+    """Address, queue, current link and dialing.
+
+    Attributes
+    ----------
+    kept : bool
+        Whether its link stays open while nothing is sent.
+    recover_until : float
+        Loop time until which a lost connection is replaced even if nothing is queued.
+    unreachable_since : float or None
+        When connections to it began to fail.
+    used_at : float
+        When something else than a sign of life was last sent or received.
+    """
+
+    __slots__ = (
+        "address",
+        "backoff_s",
+        "dialing",
+        "failures",
+        "incarnation",
+        "kept",
+        "last_error",
+        "link",
+        "name",
+        "outbox",
+        "overflows",
+        "reconnects",
+        "recover_until",
+        "stale_dropped",
+        "unreachable_since",
+        "used_at",
+    )
+
+    def __init__(self, *, name, used_at):
+        self.name = name
+        self.address = None
+        self.incarnation = 0
+        self.outbox = Outbox()
+        self.link = None
+        self.dialing = None
+        self.kept = False
+        self.backoff_s = BACKOFF_FIRST_S
+        self.failures = 0
+        self.overflows = 0
+        self.reconnects = 0
+        self.stale_dropped = 0
+        self.last_error = ""
+        self.unreachable_since = None
+        self.recover_until = used_at
+        self.used_at = used_at
+
+    def linked(self, link):
+        """Take a new link."""
+        self.link = link
+        self.incarnation = link.hello.incarnation
+        self.address = link.hello.address or self.address
+        self.backoff_s = BACKOFF_FIRST_S
+        self.unreachable_since = None
+        self.last_error = ""
+        self.reconnects += 1
+
+    def failed(self, error, now):
+        """Note a connection that could not be opened."""
+        self.failures += 1
+        self.last_error = error
+        if self.unreachable_since is None:
+            self.unreachable_since = now
+
+    def next_backoff_s(self):
+        """Longest wait before the next try; doubles each time."""
+        backoff_s = self.backoff_s
+        self.backoff_s = min(BACKOFF_MAX_S, backoff_s * 2)
+        return backoff_s
+
+    def wants_link(self, now):
+        """Whether a connection is to be opened while there is none."""
+        return self.kept or bool(len(self.outbox)) or now < self.recover_until
+
+    def dump(self):
+        """State for the dump."""
+        return {
+            "address": self.address,
+            "incarnation": self.incarnation,
+            "kept": self.kept,
+            "queued_items": len(self.outbox),
+            "queued_bytes": self.outbox.queued_bytes,
+            "connections": self.reconnects,
+            "failures": self.failures,
+            "overflows": self.overflows,
+            "stale_dropped": self.stale_dropped,
+            "last_error": self.last_error,
+            "link": self.link.dump() if self.link is not None else None,
+        }
--- a/wagtailtrestle/peers_grpc.py
+++ b/wagtailtrestle/peers_grpc.py
@@ -15,89 +15,21 @@
 import asyncio
 import inspect
 import random
-import socket
-
-from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
-from grpclib.server import Server
 
 from wagtailtrestle.generated import peers_pb2 as pb
-from wagtailtrestle.generated.peers_grpc import PeersBase, PeersStub
 from wagtailtrestle.peer_codec import decode, encode
+from wagtailtrestle.peer_connection import Listener, connect, receive_hello
 from wagtailtrestle.peer_link import Link
 from wagtailtrestle.peer_messages import Hello, NoAnswer, PeerUnreachable, Ping, Pong
-from wagtailtrestle.peer_outbox import Outbox
-
-HELLO_TIMEOUT_S = 0.25
-BACKOFF_FIRST_S = 0.05
-BACKOFF_MAX_S = 0.5
-MAINTENANCE_INTERVAL_S = 0.1
-PING_AFTER_S = 0.35
-SILENT_AFTER_S = 0.7
+from wagtailtrestle.peer_questions import Questions
+from wagtailtrestle.peer_state import PeerState
+from wagtailtrestle.peer_watch import LinkWatch
+
 SIMULTANEOUS_S = 1.0
-PAUSED_AFTER_S = 0.5
-IDLE_CLOSE_S = 60.0
 USED_LATELY_S = 30.0
 RECOVER_FOR_S = 3.0
 QUEUE_HOLD_S = 1.0
 
-CONNECTION_ERRORS = (OSError, GRPCError, StreamTerminatedError, TimeoutError)
-
-
-class PeerState:
-    """What this router holds about one peer: address, queue, current link, dialing."""
-
-    __slots__ = (
-        "address",
-        "backoff_s",
-        "dialing",
-        "failures",
-        "incarnation",
-        "kept",
-        "last_error",
-        "link",
-        "name",
-        "outbox",
-        "overflows",
-        "reconnects",
-        "recover_until",
-        "stale_dropped",
-        "unreachable_since",
-        "used_at",
-    )
-
-    def __init__(self, *, name, used_at):
-        self.name = name
-        self.address = None
-        self.incarnation = 0
-        self.outbox = Outbox()
-        self.link = None
-        self.dialing = None
-        self.kept = False
-        self.backoff_s = BACKOFF_FIRST_S
-        self.failures = 0
-        self.overflows = 0
-        self.reconnects = 0
-        self.stale_dropped = 0
-        self.last_error = ""
-        self.unreachable_since = None
-        self.recover_until = used_at
-        self.used_at = used_at
-
-    def wants_link(self, now):
-        """Whether a connection is to be opened while there is none."""
-        return self.kept or bool(len(self.outbox)) or now < self.recover_until
-
-
-class _Service(PeersBase):
-    """Adapter from the generated server base to :class:`Peers`."""
-
-    def __init__(self, *, accept):
-        self._accept = accept
-
-    async def Link(self, stream):  # noqa: N802 - name fixed by peers.proto
-        await self._accept(stream)
-
 
 class Peers:
     """Connections to every router this one talks to.
@@ -122,37 +54,39 @@
         self.zone = zone
         self.address = advertised_address or listen_address
         self._advertised = bool(advertised_address)
-        self._listen_address = listen_address
+        self._listener = Listener(address=listen_address, accept=self._accept)
         self._loop = loop
         self._random = random.Random(seed)
-        self._server = None
-        self._maintenance = None
+        self._watching = None
+        self._watch = LinkWatch(
+            states=lambda: list(self._states_by_name.values()),
+            on_silent=lambda state: self._drop_link(state, "silent"),
+            on_idle=lambda state: self._drop_link(state, "idle"),
+            name=name,
+            loop=loop,
+        )
         self._closed = False
         self._states_by_name = {}
         self._handlers_by_type = {}
         self._reconnect_callbacks = []
         self._unreachable_callbacks = []
-        self._questions_by_id = {}
-        self._next_question = 1
+        self._questions = Questions(loop=loop)
         self._tasks = set()
         self.unknown_items = 0
 
     async def start(self):
         """Listen and begin to watch the links."""
-        host, _, port = self._listen_address.rpartition(":")
-        listener = _listening_socket(host=host, port=int(port))
-        self._server = Server([_Service(accept=self._accept)])
-        await self._server.start(sock=listener)
+        await self._listener.start()
         if not self._advertised:
-            self.address = f"{host}:{listener.getsockname()[1]}"
-        self._maintenance = self._loop.create_task(self._maintain())
+            self.address = self._listener.address
+        self._watching = self._loop.create_task(self._watch.run())
 
     async def close(self):
         """Send what is queued on open links, then end every connection."""
         await self._flush(timeout_s=0.5)
         self._closed = True
-        if self._maintenance is not None:
-            self._maintenance.cancel()
+        if self._watching is not None:
+            self._watching.cancel()
         for state in self._states_by_name.values():
             if state.link is not None:
                 state.link.reset()
@@ -161,9 +95,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        if self._server is not None:
-            self._server.close()
-            await self._server.wait_closed()
+        await self._listener.close()
 
     # What the rest of the router uses.
 
@@ -213,19 +145,16 @@
 
     async def ask(self, peer, message, timeout_s, *, cell=""):
         """Ask a peer and wait for its answer, or ``PeerUnreachable``."""
-        question = self._next_question
-        self._next_question += 1
-        answer = self._loop.create_future()
-        self._questions_by_id[question] = (peer, answer)
+        number, answer = self._questions.begin(peer)
         try:
-            if not self._enqueue(peer, encode(message, cell=cell, question=question)):
+            if not self._enqueue(peer, encode(message, cell=cell, question=number)):
                 return PeerUnreachable(peer=peer, detail="no connection")
             async with asyncio.timeout(timeout_s):
                 return await answer
         except TimeoutError:
             return PeerUnreachable(peer=peer, detail=f"no answer in {timeout_s} s")
         finally:
-            del self._questions_by_id[question]
+            self._questions.end(number)
 
     def connected(self, peer):
         """Whether a link to the peer is up."""
@@ -261,7 +190,7 @@
 
     def dump(self):
         """State for the dump, by peer."""
-        return {name: self._dump_one(state) for name, state in sorted(self._states_by_name.items())}
+        return {name: state.dump() for name, state in sorted(self._states_by_name.items())}
 
     # Sending.
 
@@ -322,8 +251,7 @@
             state.dialing = None
 
     async def _back_off(self, state):
-        delay_s = state.backoff_s * self._random.uniform(0.5, 1.0)
-        state.backoff_s = min(BACKOFF_MAX_S, state.backoff_s * 2)
+        delay_s = state.next_backoff_s() * self._random.uniform(0.5, 1.0)
         # Items for a peer that stays away are of no use later: everything is re-registered on reconnect.
         if state.unreachable_since is not None and self._loop.time() - state.unreachable_since > QUEUE_HOLD_S:
             state.outbox.clear()
@@ -331,44 +259,26 @@
 
     async def _dial(self, state):
         """Try once; ``True`` when a link is up."""
-        host, _, port = state.address.rpartition(":")
-        channel = Channel(host, int(port))
-        stream_context = PeersStub(channel).Link.open()
-        try:
-            async with asyncio.timeout(HELLO_TIMEOUT_S):
-                stream = await stream_context.__aenter__()
-                await stream.send_message(self._hello_batch())
-                hello = _hello_in(await stream.recv_message())
-        except CONNECTION_ERRORS as error:
-            channel.close()
-            self._dial_failed(state, error)
+        connection = await connect(address=state.address, name=state.name, own_hello=self._hello())
+        if isinstance(connection, str):
+            self._dial_failed(state, connection)
             return False
-        except asyncio.CancelledError:
-            channel.close()
-            raise
-        if hello is None or hello.name != state.name:
-            channel.close()
-            self._dial_failed(state, f"another router answers there: {hello.name if hello else 'not a router'}")
-            return False
-        link = self._make_link(state, stream=stream, hello=hello, dialed_by=self.name)
+        link = self._make_link(state, stream=connection.stream, hello=connection.hello, dialed_by=self.name)
         if not self._adopt(state, link):
-            channel.close()
+            connection.close()
             return False
-        self._spawn(self._run_dialed(state, link, channel, stream_context))
+        self._spawn(self._run_dialed(state, link, connection))
         return True
 
-    async def _run_dialed(self, state, link, channel, stream_context):
+    async def _run_dialed(self, state, link, connection):
         try:
             await link.run()
         finally:
-            channel.close()
+            connection.close()
             self._link_ended(state, link)
 
     def _dial_failed(self, state, error):
-        state.failures += 1
-        state.last_error = str(error) or type(error).__name__
-        if state.unreachable_since is None:
-            state.unreachable_since = self._loop.time()
+        state.failed(error, self._loop.time())
         if state.link is None:
             for callback in self._unreachable_callbacks:
                 callback(state.name, state.last_error)
@@ -376,15 +286,10 @@
     # Taking connections.
 
     async def _accept(self, stream):
-        try:
-            async with asyncio.timeout(HELLO_TIMEOUT_S):
-                hello = _hello_in(await stream.recv_message())
-        except CONNECTION_ERRORS:
-            return
-        if hello is None or hello.name == self.name or self._closed:
+        hello = await receive_hello(stream, own_hello=self._hello())
+        if hello is None or self._closed:
             return
         state = self._state(hello.name)
-        await stream.send_message(self._hello_batch())
         link = self._make_link(state, stream=stream, hello=hello, dialed_by=hello.name)
         if not self._adopt(state, link):
             return
@@ -393,9 +298,8 @@
         finally:
             self._link_ended(state, link)
 
-    def _hello_batch(self):
-        hello = Hello(name=self.name, incarnation=self.incarnation, zone=self.zone, address=self.address)
-        return pb.Batch(items=[encode(hello)])
+    def _hello(self):
+        return Hello(name=self.name, incarnation=self.incarnation, zone=self.zone, address=self.address)
 
     def _make_link(self, state, *, stream, hello, dialed_by):
         return Link(
@@ -418,15 +322,9 @@
         if old is not None and self._keeps_old(old, link):
             link.retire()
             return True
-        state.incarnation = link.hello.incarnation
-        state.address = link.hello.address or state.address
-        state.backoff_s = BACKOFF_FIRST_S
-        state.unreachable_since = None
-        state.last_error = ""
-        state.link = link
+        state.linked(link)
         if old is not None:
             self._retire(state, old)
-        state.reconnects += 1
         self._call_hello_handler(link)
         for callback in self._reconnect_callbacks:
             callback(state.name)
@@ -463,7 +361,7 @@
         self._recover(state, "connection lost")
 
     def _recover(self, state, detail):
-        self._fail_questions(state.name, detail)
+        self._questions.fail(state.name, detail)
         now = self._loop.time()
         if now - state.used_at < USED_LATELY_S:
             # A message may have been lost, and there may be no other to send: a request would wait for its
@@ -472,11 +370,6 @@
         if state.wants_link(now):
             self._dial_if_needed(state)
 
-    def _fail_questions(self, peer, detail):
-        for asked, answer in self._questions_by_id.values():
-            if asked == peer and not answer.done():
-                answer.set_result(PeerUnreachable(peer=peer, detail=detail))
-
     # Receiving.
 
     def _deliver(self, link, item):
@@ -488,7 +381,7 @@
             return
         message = decode(item)
         if item.answer_to:
-            self._deliver_answer(peer, item.answer_to, message)
+            self._questions.answered(peer, item.answer_to, message)
             return
         if type(message) is Ping:
             state.outbox.put(encode(Pong(), answer_to=item.question))
@@ -498,14 +391,6 @@
         state.used_at = self._loop.time()
         self._deliver_message(peer, message, item)
 
-    def _deliver_answer(self, peer, question, message):
-        asked, answer = self._questions_by_id.get(question, (None, None))
-        if asked != peer or answer.done():
-            return
-        if message is None or type(message) is NoAnswer:
-            message = PeerUnreachable(peer=peer, detail="the peer does not know this question")
-        answer.set_result(message)
-
     def _deliver_message(self, peer, message, item):
         handler = self._handlers_by_type.get(type(message))
         if handler is None:
@@ -513,17 +398,34 @@
             self.unknown_items += 1
             result = NoAnswer()
         else:
-            result = handler(peer, message, item.cell)
+            result = self._handle(handler, peer, message, item.cell)
         if inspect.isawaitable(result):
             self._spawn(self._answer_later(peer, result, item.question))
         elif item.question:
             self._answer(peer, result, item.question)
 
+    def _handle(self, handler, peer, message, cell):
+        # A defect in one handler must not end the link: the same message would come again after each
+        # reconnect. The loop's exception handler decides whether the process goes on.
+        try:
+            return handler(peer, message, cell)
+        except Exception as error:
+            self._report(error, message)
+            return NoAnswer()
+
     async def _answer_later(self, peer, result, question):
-        message = await result
+        try:
+            message = await result
+        except Exception as error:
+            self._report(error, result)
+            message = NoAnswer()
         if question:
             self._answer(peer, message, question)
 
+    def _report(self, error, about):
+        what = f"handling {type(about).__name__} from a peer failed"
+        self._loop.call_exception_handler({"message": what, "exception": error})
+
     def _answer(self, peer, message, question):
         self._enqueue(peer, encode(message if message is not None else NoAnswer(), answer_to=question))
 
@@ -536,68 +438,3 @@
         task = self._loop.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-    # Watching the links.
-
-    async def _maintain(self):
-        checked_at = self._loop.time()
-        while True:
-            await asyncio.sleep(MAINTENANCE_INTERVAL_S)
-            now = self._loop.time()
-            # After a pause of this process what peers sent still waits unread: it is this end that was silent.
-            paused = now - checked_at > PAUSED_AFTER_S
-            checked_at = now
-            for state in list(self._states_by_name.values()):
-                if state.link is not None and paused:
-                    state.link.forgive(now)
-                elif state.link is not None:
-                    self._check_link(state, now)
-
-    def _check_link(self, state, now):
-        link = state.link
-        if link.awaiting_since is not None:
-            # A connection that something between the ends has lost track of stays open and carries nothing.
-            # Without this the peer looks alive and every message to it vanishes; a new connection works.
-            waited_s = now - link.awaiting_since
-            if waited_s > SILENT_AFTER_S:
-                self.replace(state.name)
-            elif waited_s > PING_AFTER_S and not link.pinged:
-                link.pinged = True
-                state.outbox.put(encode(Ping()))
-        elif not state.kept and now - state.used_at > IDLE_CLOSE_S and link.dialed_by == self.name:
-            self._drop_link(state, "idle")
-
-    def _dump_one(self, state):
-        return {
-            "address": state.address,
-            "incarnation": state.incarnation,
-            "kept": state.kept,
-            "queued_items": len(state.outbox),
-            "queued_bytes": state.outbox.queued_bytes,
-            "connections": state.reconnects,
-            "failures": state.failures,
-            "overflows": state.overflows,
-            "stale_dropped": state.stale_dropped,
-            "last_error": state.last_error,
-            "link": state.link.dump() if state.link is not None else None,
-        }
-
-
-def _hello_in(batch):
-    if batch is None or not batch.items:
-        return None
-    message = decode(batch.items[0])
-    return message if type(message) is Hello else None
-
-
-def _listening_socket(*, host, port):
-    listener = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    # Accepted sockets inherit these. The router that opened a connection replaces it when it goes silent; the
-    # other end would keep the dead socket for ever, as grpclib gives a server no way to close one.
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 15)
-    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 5)
-    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
-    listener.bind((host.strip("[]"), port))
-    return listener
--- /dev/null
+++ b/wagtailtrestle/view_sync.py
@@ -0,0 +1,109 @@
+"""Brings views that differ back together: routers compare digests and pull what a peer knows."""
+
+import asyncio
+
+from wagtailtrestle.peer_messages import PeerUnreachable, Ping, ViewAsk, ViewText
+
+TIMEOUT_S = 0.5
+MISMATCHES = 2
+PAUSE_S = 1.0
+PAUSE_MAX_S = 60.0
+
+
+class _Disagreement:
+    """How long a peer's digest has differed, and when to pull from it next."""
+
+    __slots__ = ("count", "next_pull_at", "pause_s")
+
+    def __init__(self, *, now):
+        self.count = 0
+        self.next_pull_at = now
+        self.pause_s = PAUSE_S
+
+
+class ViewSync:
+    """Pulls and answers whole views.
+
+    Parameters
+    ----------
+    table : MemberTable
+    peers : Peers
+    loop : asyncio event loop
+    is_trusted : callable
+        ``() -> bool``: whether this router's own view may be acted on, and told.
+    on_events : callable
+        ``(peer, events, news)``: called after the table took in a peer's view.
+    on_lost : callable
+        ``(Member)``: a peer calls it dead, and it gives no sign of life.
+    """
+
+    __slots__ = ("_by_peer", "_doubted", "_is_trusted", "_loop", "_on_events", "_on_lost", "_peers", "_table", "_tasks")
+
+    def __init__(self, *, table, peers, loop, is_trusted, on_events, on_lost):
+        self._table = table
+        self._peers = peers
+        self._loop = loop
+        self._is_trusted = is_trusted
+        self._on_events = on_events
+        self._on_lost = on_lost
+        self._by_peer = {}
+        self._doubted = set()
+        self._tasks = set()
+        peers.on(ViewAsk, self._answer)
+
+    async def close(self):
+        """End what is under way."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def compare(self, peer, *, own, other):
+        """Take the digest a heartbeat carried; pull the peer's view if it goes on to differ."""
+        if own == other:
+            self._by_peer.pop(peer, None)
+            return
+        now = self._loop.time()
+        disagreement = self._by_peer.setdefault(peer, _Disagreement(now=now))
+        disagreement.count += 1
+        if disagreement.count >= MISMATCHES and now >= disagreement.next_pull_at:
+            # Pulls that settle nothing must not fill the link: each waits longer than the last.
+            disagreement.next_pull_at = now + disagreement.pause_s
+            disagreement.pause_s = min(PAUSE_MAX_S, 2 * disagreement.pause_s)
+            self.pull(peer)
+
+    def pull(self, peer):
+        """Ask a peer for all it knows."""
+        self._spawn(self._pull(peer))
+
+    def check_doubted(self):
+        """Find out about one of the routers that a peer calls dead and this one alive."""
+        if self._doubted:
+            self._spawn(self._check(self._doubted.pop()))
+
+    async def _pull(self, peer):
+        answer = await self._peers.ask(peer, ViewAsk(), TIMEOUT_S)
+        if type(answer) is not ViewText:
+            return
+        believe = not self._is_trusted()
+        news, doubted = self._table.merge(answer.events, self._loop.time(), believe=believe)
+        self._doubted.update(doubted)
+        self._on_events(peer, answer.events, news)
+
+    def _answer(self, peer, message, cell):
+        if not self._is_trusted():
+            return None
+        members = self._table.by_name.values()
+        return ViewText(events=tuple(member.event() for member in members if member.incarnation))
+
+    async def _check(self, name):
+        member = self._table.by_name.get(name)
+        if member is None or not member.present:
+            return
+        answer = await self._peers.ask(name, Ping(), TIMEOUT_S)
+        if isinstance(answer, PeerUnreachable):
+            self._on_lost(member)
+
+    def _spawn(self, coroutine):
+        task = self._loop.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
