--- a/wagtailtrestle/standins/platform.py
+++ b/wagtailtrestle/standins/platform.py
@@ -5,10 +5,7 @@
 """
 
 import errno
-import gzip
 import json
-import signal
-import socket
 import sys
 import threading
 import time
@@ -18,8 +15,10 @@
 
 from cheroot import wsgi
 
-from wagtailtrestle.outcomes import StoreAbsent, StoreConflict, StoreDone, StoreUnavailable
+from wagtailtrestle.outcomes import StoreDone
+from wagtailtrestle.standins.http_serving import CONNECTION, connection_closed, read_body, run_until_signal
 from wagtailtrestle.standins.object_table import ObjectTable
+from wagtailtrestle.standins.platform_answers import Answer, answer_outcome, bad_request, entity_tag, send
 from wagtailtrestle.standins.platform_faults import (
     DOWN_CUT,
     DOWN_UNAVAILABLE,
@@ -29,17 +28,16 @@
     RateLimit,
     parse_faults,
 )
-from wagtailtrestle.standins.platform_settings import check_vms, load_platform_settings
+from wagtailtrestle.standins.platform_settings import USAGE_STATUS, check_vms, load_platform_settings
 
 MAX_VALUE_BYTES = 1024 * 1024
 # Larger bodies are read whole, so that the client gets its 413 and not a reset.
 MAX_BODY_BYTES = 16 * MAX_VALUE_BYTES
 MAX_WATCH_S = 60.0
-COMPRESS_ABOVE_BYTES = 1400
 KEEP_ALIVE_CONNECTIONS = 2048
 IDLE_CONNECTION_S = 60
 SILENT_CHECK_S = 0.2
-CONNECTION_KEY = "wagtailtrestle.connection"
+STOP_CHECK_S = 0.1
 
 
 class CallCounts:
@@ -58,17 +56,6 @@
         return {name: getattr(self, name) for name in self.__slots__}
 
 
-class Answer:
-    """One HTTP answer: a status, a JSON body and an entity tag if it has a version."""
-
-    __slots__ = ("status", "body", "version")
-
-    def __init__(self, *, status, body=None, version=None):
-        self.status = status
-        self.body = body
-        self.version = version
-
-
 class ConnectionLost(ConnectionResetError):
     """Raised to have the server close this connection without an answer."""
 
@@ -78,7 +65,7 @@
 
     def get_environ(self):
         environ = super().get_environ()
-        environ[CONNECTION_KEY] = self.req.conn
+        environ[CONNECTION] = self.req.conn
         return environ
 
 
@@ -111,6 +98,10 @@
         host, port = self._server.bind_addr[:2]
         return f"{host}:{port}"
 
+    def addresses(self):
+        """Return where the process listens, for its announcement."""
+        return {"process": "platform", "name": self.settings.name, "address": self.address}
+
     def start(self):
         """Listen and serve on threads of its own."""
         self._server = wsgi.Server(
@@ -124,6 +115,7 @@
         self._server.gateway = _Gateway
         self._server.max_request_body_size = MAX_BODY_BYTES
         self._server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
+        self._server.expiration_interval = STOP_CHECK_S
         self._server.prepare()
         self._thread = threading.Thread(target=self._server.serve, name="platform", daemon=True)
         self._thread.start()
@@ -140,36 +132,38 @@
     # HTTP
 
     def _application(self, environ, start_response):
-        connection = environ[CONNECTION_KEY]
+        connection = environ[CONNECTION]
         self._connections.add(connection)
         answer = self._answer(environ, connection)
-        return _send(answer, environ, start_response)
+        return send(answer, environ, start_response)
 
     def _answer(self, environ, connection):
         target = urlsplit(environ["REQUEST_URI"])
         path = tuple(unquote(part) for part in target.path.strip("/").split("/"))
         query = {name: values[-1] for name, values in parse_qs(target.query).items()}
-        body = environ["wsgi.input"].read(int(environ.get("CONTENT_LENGTH") or 0))
+        body = read_body(environ)
         method = environ["REQUEST_METHOD"]
         if path[0] not in ("objects", "watch", "vms") or (path == ("vms",) and method == "POST"):
             return self._answer_admin(method, path, body)
         self._show_faults(connection)
-        refusal = self._refuse()
-        if refusal is not None:
-            return refusal
-        return self._answer_object(method, path, query, body, environ)
+        answer = self._refuse() or self._answer_object(method, path, query, body, environ)
+        # The connection of a waiting watch may have gone silent meanwhile.
+        self._stay_silent(connection)
+        return answer
 
     def _show_faults(self, connection):
-        """Be silent, cut or slow, as the faults say."""
-        while self._is_silent(connection):
-            if _is_closed_by_client(connection):
-                raise _connection_lost()
-            self._faults_set.wait(SILENT_CHECK_S)
+        self._stay_silent(connection)
         if self._closing.is_set() or self.faults.down == DOWN_CUT:
             raise _connection_lost()
         if self.faults.slow_s:
             self._closing.wait(self.faults.slow_s)
 
+    def _stay_silent(self, connection):
+        while self._is_silent(connection):
+            if connection_closed(connection):
+                raise _connection_lost()
+            self._faults_set.wait(SILENT_CHECK_S)
+
     def _is_silent(self, connection):
         if self._closing.is_set():
             return False
@@ -207,9 +201,9 @@
         with self._changed:
             self.counts.reads += 1
             outcome = self.table.get(kind=kind, name=name, stale_versions=self.faults.stale_versions)
-        if isinstance(outcome, StoreDone) and known_tag == _entity_tag(outcome.version):
+        if isinstance(outcome, StoreDone) and known_tag == entity_tag(outcome.version):
             return Answer(status=HTTPStatus.NOT_MODIFIED, version=outcome.version)
-        return _answer_outcome(outcome)
+        return answer_outcome(outcome)
 
     def _list(self, kind):
         with self._changed:
@@ -229,16 +223,18 @@
             from_version = int(query.get("from_version", "0"))
             timeout_s = min(float(query.get("timeout_s", "30")), MAX_WATCH_S)
         except ValueError:
-            return _bad_request("from_version and timeout_s must be numbers")
+            return bad_request("from_version and timeout_s must be numbers")
         deadline = time.monotonic() + timeout_s
         with self._changed:
             self.counts.watches += 1
             while True:
                 outcome = self.table.changes(kind=kind, from_version=from_version)
                 left_s = deadline - time.monotonic()
-                if outcome.value or left_s <= 0 or self._closing.is_set():
+                if outcome.value or left_s <= 0 or self._closing.is_set() or self.faults.down:
                     break
                 self._changed.wait(left_s)
+        if self.faults.down:
+            return self._refused(HTTPStatus.SERVICE_UNAVAILABLE, "down")
         events = [{"name": name, "version": version, "value": value} for name, version, value in outcome.value]
         return Answer(status=HTTPStatus.OK, body={"version": outcome.version, "value": events})
 
@@ -251,7 +247,7 @@
             value = json.loads(body)["value"] if method != "DELETE" else None
             if_version = int(query["if_version"]) if method != "POST" else None
         except (ValueError, KeyError, TypeError):
-            return _bad_request('needs {"value": …} and, but for POST, ?if_version=V')
+            return bad_request('needs {"value": …} and, but for POST, ?if_version=V')
         with self._changed:
             self.counts.writes += 1
             outcome = self._write_table(method, kind, name, value, if_version)
@@ -260,7 +256,7 @@
         if is_lost:
             raise _connection_lost()
         # The writer knows its value: only the version goes back.
-        return _answer_outcome(outcome, with_value=False)
+        return answer_outcome(outcome, with_value=False)
 
     def _write_table(self, method, kind, name, value, if_version):
         hide = self.faults.drop_watch_events
@@ -306,12 +302,14 @@
     def _set_faults(self, fields):
         faults = parse_faults(fields)
         if isinstance(faults, list):
-            return _bad_request(*faults)
+            return bad_request(*faults)
         with self._changed:
             self.faults = faults
             self._silent_connections.clear()
             if faults.silent == SILENT_OPEN:
                 self._silent_connections.update(self._connections)
+            # An outage ends waiting watches too.
+            self._changed.notify_all()
         # Wakes threads that were silent, so that a cleared fault holds no thread.
         self._faults_set.set()
         self._faults_set.clear()
@@ -320,30 +318,12 @@
     def _set_vms(self, vms):
         problems = check_vms(vms)
         if problems:
-            return _bad_request(*problems)
+            return bad_request(*problems)
         with self._changed:
             self.table.set_vms(vms=vms, now=time.monotonic())
         return Answer(status=HTTPStatus.OK, body={"vms": len(vms)})
 
 
-def _answer_outcome(outcome, with_value=True):
-    match outcome:
-        case StoreDone(version=version, value=value):
-            body = {"version": version, "value": value} if with_value else {"version": version}
-            return Answer(status=HTTPStatus.OK, body=body, version=version)
-        case StoreConflict(version=version):
-            return Answer(status=HTTPStatus.CONFLICT, body={"version": version, "applied": False})
-        case StoreAbsent():
-            return Answer(status=HTTPStatus.NOT_FOUND, body={"applied": False, "error": "no such object"})
-        case StoreUnavailable(detail=detail):
-            return Answer(status=HTTPStatus.SERVICE_UNAVAILABLE, body={"applied": False, "error": detail})
-    raise AssertionError(f"not an outcome of the table: {outcome}")
-
-
-def _bad_request(*problems):
-    return Answer(status=HTTPStatus.BAD_REQUEST, body={"applied": False, "error": "; ".join(problems)})
-
-
 def _parse_json(body):
     try:
         return json.loads(body)
@@ -356,49 +336,11 @@
     return ConnectionLost(errno.ECONNRESET, "closed without an answer")
 
 
-def _is_closed_by_client(connection):
-    """Tell whether a silent connection may give its thread back."""
-    try:
-        return connection.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-
-
-def _entity_tag(version):
-    return f'"{version}"'
-
-
-def _send(answer, environ, start_response):
-    headers = []
-    body = b""
-    if answer.version is not None:
-        headers.append(("ETag", _entity_tag(answer.version)))
-    if answer.body is not None:
-        body = json.dumps(answer.body).encode()
-        headers.append(("Content-Type", "application/json"))
-        if len(body) > COMPRESS_ABOVE_BYTES and "gzip" in environ.get("HTTP_ACCEPT_ENCODING", ""):
-            body = gzip.compress(body, compresslevel=5)
-            headers.append(("Content-Encoding", "gzip"))
-        headers.append(("Content-Length", str(len(body))))
-    start_response(f"{answer.status.value} {answer.status.phrase}", headers)
-    return [body]
-
-
 def main(settings_path):
-    """Run one platform stand-in until SIGTERM or SIGINT; returns the exit status."""
+    """Run one platform stand-in until SIGTERM or SIGINT."""
     settings = load_platform_settings(settings_path)
     if isinstance(settings, list):
         for problem in settings:
             print(f"{settings_path}: {problem}", file=sys.stderr)
-        return 2
-    stopped = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopped.set())
-    stand_in = PlatformStandIn(settings=settings)
-    stand_in.start()
-    print(json.dumps({"event": "listening", "process": "platform", "address": stand_in.address}), flush=True)
-    stopped.wait()
-    stand_in.close()
-    return 0
+        raise SystemExit(USAGE_STATUS)
+    run_until_signal(PlatformStandIn(settings=settings))
--- a/wagtailtrestle/standins/platform_settings.py
+++ b/wagtailtrestle/standins/platform_settings.py
@@ -4,6 +4,7 @@
 
 DEFAULT_THREADS = 128
 DEFAULT_VM_LIST_LAG_S = 1.0
+USAGE_STATUS = 2
 VM_FIELDS = ("id", "role", "zone", "address", "admin", "state")
 VM_ROLES = ("router", "engine")
 VM_STATES = ("live", "leaving")
