Stand-ins crash, go silent and drain as processes do; failure tests of a run

Cause: the stand-in's crash left no record of the prefill lost, answered 500 in place of a broken connection and could not take its port again; the end of a cancelled run leaked into the next. Change: connections are broken without a byte, lost work is recorded, ports are bound again, idle polling connections are kept, a draining stand-in answers until it closes; an answer's end is reset for each run. Tests bring about each way a run can end, against the record of what ran.

--- /dev/null
+++ b/tests/utils/engines.py
@@ -0,0 +1,86 @@
+"""Stand-in engines and services in this process, and runs sent to them."""
+
+import threading
+
+from wagtailtrestle.answer_check import ReceivedAnswer
+from wagtailtrestle.engine_http import EngineCall, EngineClient
+from wagtailtrestle.exchange import StartRun
+from wagtailtrestle.standins.engine import EngineStandin
+from wagtailtrestle.standins.service import ServiceStandin
+from wagtailtrestle.standins.standin_settings import ENGINE_DEFAULTS, SERVICE_DEFAULTS, StandinSettings
+
+PROMPT = "When may we fly at the beach of Gijon?"
+
+
+def start_engine(test, **settings):
+    """Start a stand-in engine that the test stops."""
+    quick = {"base_step_ms": 1.0, "threads": 24, "drain_linger_ms": 0.0}
+    standin = EngineStandin(settings=StandinSettings(by_name={**ENGINE_DEFAULTS, **quick, **settings}))
+    standin.start()
+    test.addCleanup(standin.close)
+    return standin
+
+
+def start_service(test, **settings):
+    """Start a stand-in plain service that the test stops."""
+    quick = {"service_ms": 1.0, "threads": 12, "drain_linger_ms": 0.0}
+    standin = ServiceStandin(settings=StandinSettings(by_name={**SERVICE_DEFAULTS, **quick, **settings}))
+    standin.start()
+    test.addCleanup(standin.close)
+    return standin
+
+
+def address_of(standin):
+    return standin.addresses()["address"]
+
+
+def chat_call(*, prompt=PROMPT, output_tokens=20):
+    document = {"model": "asistente", "messages": [{"role": "user", "content": prompt}], "max_tokens": output_tokens}
+    return EngineCall(
+        kind="language", method="POST", path="/v1/chat/completions", document=document, caller_request_id="caller-1"
+    )
+
+
+def plain_call(*, method="POST", path="/reservas/charge", **fields):
+    return EngineCall(kind="plain", method=method, path=path, caller_request_id="caller-1", **fields)
+
+
+class RunSender:
+    """Sends runs of one request one after the other, and keeps what came of them."""
+
+    def __init__(self, *, call):
+        self.call = call
+        self.client = EngineClient(connect_timeout_s=0.5)
+        self.received = ReceivedAnswer()
+        self.events = []
+        self.tokens = []
+        self.ended = None
+        self.first_token = threading.Event()
+
+    def send(self, address, *, run_id="r.1", attach=False, first_s=1.0, progress_s=0.2, overall_s=5.0):
+        command = StartRun(
+            run_id=run_id,
+            engine="engine",
+            address=address,
+            attach=attach,
+            first_token_deadline_s=first_s,
+            progress_deadline_s=progress_s,
+            overall_s=overall_s,
+        )
+        self.ended = self.client.run(
+            command=command,
+            request=self.call,
+            received=self.received,
+            on_event=self.events.append,
+            on_token=self._take_token,
+        )
+        return self.ended.outcome
+
+    def send_in_thread(self, address, **options):
+        thread = threading.Thread(target=self.send, args=(address,), kwargs=options, daemon=True)
+        thread.start()
+        return thread
+
+    def _take_token(self, index, text):
+        self.tokens.append((index, text))
+        self.first_token.set()
--- a/wagtailtrestle/answer_check.py
+++ b/wagtailtrestle/answer_check.py
@@ -82,6 +82,10 @@
     __slots__ = ("_run_id", "_received", "_on_token", "_rest", "_head", "_tail")
 
     def __init__(self, *, run_id, received, on_token):
+        # The end of an earlier run (cancelled, or whole but for its count) says nothing of this one.
+        received.finish_reason = ""
+        received.completion_tokens = 0
+        received.done = False
         self._run_id = run_id
         self._received = received
         self._on_token = on_token
--- a/wagtailtrestle/run_exchange.py
+++ b/wagtailtrestle/run_exchange.py
@@ -289,8 +289,9 @@
         self._reached = True
         # A late or misrouted answer on this connection would be read as this caller's; the
         # service repeats the run's id, so an answer without it is nobody's.
-        if response.headers.get(RUN_ID_HEADER) != self._command.run_id:
-            return self._cut("crossed: the answer carries another run's id")
+        answer_id = response.headers.get(RUN_ID_HEADER)
+        if answer_id != self._command.run_id:
+            return self._cut(f"crossed: the answer carries {'another' if answer_id else 'no'} run's id")
         length = self._plain_length()
         if length is None:
             return self._cut("the answer tells no length, so nobody can tell whether it is whole")
--- a/wagtailtrestle/standins/engine.py
+++ b/wagtailtrestle/standins/engine.py
@@ -3,6 +3,7 @@
 import json
 import os
 import threading
+import time
 import uuid
 import weakref
 from urllib.parse import parse_qs
@@ -11,6 +12,7 @@
 from wagtailtrestle.standins.faults import Faults
 from wagtailtrestle.standins.http_serving import (
     CONNECTION,
+    STOPPING,
     HttpServing,
     bytes_answer,
     hold_silent,
@@ -24,7 +26,7 @@
 from wagtailtrestle.standins.record import Record
 from wagtailtrestle.standins.runs import EngineRuns, LiveRun
 from wagtailtrestle.standins.standin_settings import ENGINE_DEFAULTS, load_settings
-from wagtailtrestle.standins.streaming import StreamFault, follow, stream, whole_body
+from wagtailtrestle.standins.streaming import Following, StreamFault, whole_body
 
 CHAT_PATH = "/v1/chat/completions"
 COMPLETION_PATH = "/v1/completions"
@@ -57,7 +59,7 @@
                 prefill_chunk_tokens=settings["prefill_chunk_tokens"],
             ),
             record=self.record,
-            on_poison=self._crash,
+            on_poison=self.crash,
             on_cache_change=self._cache_events.add,
             orphan_grace_s=settings["orphan_grace_ms"] / 1000,
         )
@@ -84,12 +86,24 @@
         """Finish every run in work, refuse new ones, then stop."""
         self._orders.leaving = True
         self._runs.wait_idle(DRAIN_LIMIT_S)
+        # A request on its way is answered that it was refused. Were the port closed at once,
+        # its connection would be reset, and nobody could say whether it had run.
+        time.sleep(self._settings["drain_linger_ms"] / 1000)
         self._serving.close()
         if self._control is not None:
             self._control.close()
         self._load.close()
         self._runs.close()
 
+    def leave(self):
+        """Mark the engine as leaving: it finishes what it has and refuses new runs."""
+        self._orders.leaving = True
+
+    def silence_open(self, *, spared=None):
+        """Let every open connection but one carry nothing more; new ones work."""
+        self._silent_connections.update(other for other in self._connections if other is not spared)
+        self._runs.silence_open()
+
     def addresses(self) -> dict:
         """Return where the process listens."""
         control = {} if self._control is None else {"control": f"{self._control.host}:{self._control.port}"}
@@ -105,7 +119,7 @@
     def _serve(self, environ, start_response):
         connection = environ[CONNECTION]
         if connection in self._silent_connections:
-            hold_silent(connection)
+            hold_silent(connection, environ[STOPPING])
         self._connections.add(connection)
         path = environ["PATH_INFO"]
         method = environ["REQUEST_METHOD"]
@@ -179,10 +193,16 @@
         fault = None
         if kind:
             fault = StreamFault(kind=kind, after_tokens=self.faults.stream_after_tokens, late_s=self.faults.late_s)
-        return self._detaching(
-            run,
-            reader,
-            stream(run=run, reader=reader, from_token=from_token, connection=environ[CONNECTION], fault=fault),
+        following = self._following(environ, run, reader, from_token)
+        return self._detaching(run, reader, following.stream(fault))
+
+    def _following(self, environ, run, reader, from_token):
+        return Following(
+            run=run,
+            reader=reader,
+            from_token=from_token,
+            connection=environ[CONNECTION],
+            stopping=environ[STOPPING],
         )
 
     def _detaching(self, run, reader, chunks):
@@ -193,8 +213,7 @@
 
     def _whole(self, environ, start_response, run, reader):
         try:
-            for _ in follow(run=run, reader=reader, from_token=0, connection=environ[CONNECTION]):
-                pass
+            self._following(environ, run, reader, 0).wait_end()
         finally:
             self._runs.detach(run, reader)
         headers = [("Content-Type", "application/json"), ("X-Request-Id", run.run_id)]
@@ -266,26 +285,25 @@
         if "straggle" in values:
             self._runs.straggle(self.faults.straggle)
         if self.faults.silent_open:
-            self._silence_open(environ[CONNECTION])
+            self.faults.silent_open = False
+            self.silence_open(spared=environ[CONNECTION])
         if self.faults.crash_now:
-            self._crash()
+            self.crash()
         if self.faults.refuse_connects_s:
             down_s, self.faults.refuse_connects_s = self.faults.refuse_connects_s, 0.0
+            self._runs.cut_open()
             self._go_down(down_s)
         return json_answer(start_response, 200, self.faults.as_dict())
 
-    def _silence_open(self, present):
-        self.faults.silent_open = False
-        self._silent_connections.update(other for other in self._connections if other is not present)
-        self._runs.silence_open()
-
     # Crashes.
 
-    def _crash(self):
+    def crash(self):
+        """Crash in the way of the fault ``crash_mode``."""
         self.faults.crash_now = False
         if self.faults.crash_mode == "exit":
             os._exit(CRASH_STATUS)
         self._runs.forget_all()
+        self._cache_events.restart()
         self._go_down(self.faults.down_s)
 
     def _go_down(self, down_s):
--- a/wagtailtrestle/standins/http_serving.py
+++ b/wagtailtrestle/standins/http_serving.py
@@ -15,14 +15,27 @@
 BACKLOG = 1024
 ANNOUNCEMENT = "listening"
 CONNECTION = "standin.connection"
+STOPPING = "standin.stopping"
 POLL_S = 0.05
 SILENT_LIMIT_S = 120.0
+REBIND_LIMIT_S = 10.0
+# The library's own limit of ten would close connections that routers keep for their polls.
+MOST_IDLE_CONNECTIONS = 512
 
 
 class StreamCutError(Exception):
     """Breaks the connection in the middle of an answer; cheroot then closes it."""
 
 
+def break_connection(connection):
+    """End a connection without another byte, as a process that died would."""
+    try:
+        connection.socket.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass  # The other end was first.
+    raise StreamCutError
+
+
 def connection_closed(connection) -> bool:
     """Tell whether the other end closed the connection."""
     readable, _, _ = select.select([connection.socket], [], [], 0)
@@ -34,12 +47,13 @@
         return True
 
 
-def hold_silent(connection):
-    """Keep a connection open and say nothing until the other end gives up."""
+def hold_silent(connection, stopping):
+    """Keep a connection open and say nothing until the other end gives up, or this one stops."""
     until = time.monotonic() + SILENT_LIMIT_S
     while time.monotonic() < until and not connection_closed(connection):
-        time.sleep(POLL_S)
-    raise StreamCutError
+        if stopping.wait(POLL_S):
+            break
+    break_connection(connection)
 
 
 def read_body(environ) -> bytes:
@@ -75,6 +89,7 @@
         """Return the WSGI environment with the connection added."""
         environ = super().get_environ()
         environ[CONNECTION] = self.req.conn
+        environ[STOPPING] = self.req.server.stopping
         return environ
 
 
@@ -92,7 +107,7 @@
         Connections served at once.
     """
 
-    __slots__ = ("host", "port", "_application", "_threads", "_server", "_thread")
+    __slots__ = ("host", "port", "_application", "_threads", "_server", "_thread", "_closed", "_lock")
 
     def __init__(self, *, host, port, application, threads):
         self.host = host
@@ -101,33 +116,72 @@
         self._threads = threads
         self._server = None
         self._thread = None
+        self._closed = threading.Event()
+        self._lock = threading.Lock()
 
     def start(self):
         """Bind and serve."""
-        self._server = wsgi.Server(
+        # The library lets only a port given by number be bound again while old connections
+        # to it linger, and :meth:`go_down` does just that.
+        self.port = self.port or _free_port(self.host)
+        with self._lock:
+            self._listen()
+
+    def close(self):
+        """Stop accepting, let the requests in work end, and release the port."""
+        self._closed.set()
+        with self._lock:
+            self._stop()
+
+    def go_down(self, down_s):
+        """Drop every connection, refuse new ones for so long, then listen on the same port again."""
+        with self._lock:
+            self._stop()
+            if not self._closed.wait(down_s):
+                self._listen_again()
+
+    def _listen(self):
+        server = wsgi.Server(
             (self.host, self.port),
             self._application,
             numthreads=self._threads,
             request_queue_size=BACKLOG,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
-        self._server.gateway = _Gateway
-        self._server.error_log = _discard
-        self._server.prepare()
-        self.port = self._server.bind_addr[1]
-        self._thread = threading.Thread(target=self._server.serve, name=f"http-{self.port}", daemon=True)
+        server.gateway = _Gateway
+        server.stopping = threading.Event()
+        server.error_log = _discard
+        server.expiration_interval = POLL_S
+        server.keep_alive_conn_limit = MOST_IDLE_CONNECTIONS
+        server.prepare()
+        self._server = server
+        self._thread = threading.Thread(target=server.serve, name=f"http-{self.port}", daemon=True)
         self._thread.start()
 
-    def close(self):
-        """Stop accepting, let the requests in work end, and release the port."""
+    def _listen_again(self):
+        # The port was free to others while this was down, and may serve one of their
+        # connections for a moment.
+        until = time.monotonic() + REBIND_LIMIT_S
+        while True:
+            try:
+                return self._listen()
+            except OSError:
+                if time.monotonic() > until or self._closed.wait(POLL_S):
+                    raise
+
+    def _stop(self):
+        if self._server is None:
+            return
+        self._server.stopping.set()
         self._server.stop()
         self._thread.join()
+        self._server = None
 
-    def go_down(self, down_s):
-        """Drop every connection, refuse new ones for so long, then listen on the same port again."""
-        self.close()
-        time.sleep(down_s)
-        self.start()
+
+def _free_port(host) -> int:
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
 
 
 def _discard(msg="", level=20, traceback=False):
--- a/wagtailtrestle/standins/record.py
+++ b/wagtailtrestle/standins/record.py
@@ -4,7 +4,16 @@
 
 
 class RunRecord:
-    """What one run came to on this engine."""
+    """What one run came to on this engine.
+
+    Attributes
+    ----------
+    starts, finished, cancelled : int
+        A run that is neither finished nor cancelled is active, or was lost in a crash.
+    resends : int
+        Times the run's id was sent again and refused, since it was known.
+    prefill_tokens, cached_tokens, output_tokens : int
+    """
 
     __slots__ = (
         "caller_request_id",
@@ -14,6 +23,7 @@
         "prefill_tokens",
         "cached_tokens",
         "output_tokens",
+        "resends",
     )
 
     def __init__(self, *, caller_request_id):
@@ -24,6 +34,7 @@
         self.prefill_tokens = 0
         self.cached_tokens = 0
         self.output_tokens = 0
+        self.resends = 0
 
     def as_dict(self) -> dict:
         """Return the record as JSON holds it."""
@@ -50,6 +61,11 @@
                 record = self._by_run_id[run_id] = RunRecord(caller_request_id=caller_request_id)
             record.starts += 1
 
+    def sent_again(self, *, run_id):
+        """Count a dispatch that was refused because its run is known."""
+        with self._lock:
+            self._by_run_id[run_id].resends += 1
+
     def finished(self, *, run_id):
         """Count an end with a whole answer."""
         with self._lock:
--- a/wagtailtrestle/standins/runs.py
+++ b/wagtailtrestle/standins/runs.py
@@ -31,6 +31,11 @@
     poisoned : bool
         Whether its first token crashes the engine.
     batch_run : BatchRun
+
+    Attributes
+    ----------
+    last_index : int
+        Index of the last token that was given out; the model is a step ahead.
     """
 
     __slots__ = (
@@ -41,6 +46,7 @@
         "poisoned",
         "batch_run",
         "state",
+        "last_index",
         "readers",
         "changed_at",
     )
@@ -53,6 +59,7 @@
         self.poisoned = poisoned
         self.batch_run = batch_run
         self.state = ACTIVE
+        self.last_index = batch_run.resume_tokens
         self.readers = []
         self.changed_at = time.monotonic()
 
@@ -60,17 +67,18 @@
         """Why the answer ended, in the word chat clients know."""
         if self.state == CANCELLED:
             return CANCELLED
-        return "length" if self.batch_run.last_index >= self.most_output_tokens else "stop"
+        return "length" if self.last_index >= self.most_output_tokens else "stop"
 
 
 class Reader:
     """One connection that follows a run: the queue holds the newest index after each step."""
 
-    __slots__ = ("indices", "silent")
+    __slots__ = ("indices", "silent", "cut")
 
     def __init__(self):
         self.indices = queue.SimpleQueue()
         self.silent = threading.Event()
+        self.cut = threading.Event()
 
 
 class EngineRuns:
@@ -126,6 +134,7 @@
         reader = Reader()
         with self._lock:
             if run.run_id in self._run_by_id:
+                self._record.sent_again(run_id=run.run_id)
                 return None
             self._record.started(run_id=run.run_id, caller_request_id=caller_request_id)
             self._run_by_id[run.run_id] = run
@@ -142,8 +151,8 @@
                 return None, None
             reader = Reader()
             run.readers.append(reader)
-            if run.batch_run.last_index:
-                reader.indices.put(run.batch_run.last_index)
+            if run.last_index:
+                reader.indices.put(run.last_index)
             if run.state != ACTIVE:
                 reader.indices.put(None)
             return run, reader
@@ -165,16 +174,17 @@
                 self._engine.cancel(run_id)
                 self._record.cancelled(run_id=run_id)
                 self._end(run, CANCELLED)
-            return run.state, run.batch_run.generated_tokens
+            return run.state, run.last_index - run.batch_run.resume_tokens
 
     def forget_all(self):
         """Lose every run, as a crash does; whoever follows one is cut off."""
         with self._lock:
             self._engine.clear()
             for run in self._run_by_id.values():
+                if run.state == ACTIVE:
+                    self._record_work(run)
                 run.state = LOST
-                for reader in run.readers:
-                    reader.indices.put(None)
+                self._cut_readers(run)
             self._run_by_id.clear()
             self._ended.clear()
             self._idle.notify_all()
@@ -186,10 +196,16 @@
                 for reader in run.readers:
                     reader.silent.set()
 
+    def cut_open(self):
+        """Break every connection that follows a run now; the runs go on."""
+        with self._lock:
+            for run in self._run_by_id.values():
+                self._cut_readers(run)
+
     def wait_idle(self, timeout_s) -> bool:
         """Wait until no run is active."""
         with self._lock:
-            return self._idle.wait_for(lambda: self._closing or not self._active(), timeout_s)
+            return self._idle.wait_for(lambda: self._closing or not self._unended(), timeout_s)
 
     def load(self):
         """Return the load of this moment."""
@@ -218,12 +234,21 @@
             return {
                 run.run_id: {
                     "state": run.state,
-                    "last_index": run.batch_run.last_index,
+                    "last_index": run.last_index,
                     "readers": len(run.readers),
                 }
                 for run in self._run_by_id.values()
             }
 
+    def _unended(self) -> bool:
+        # The model drops a run when its last step begins; its last token is given out later.
+        return any(run.state == ACTIVE for run in self._run_by_id.values())
+
+    def _cut_readers(self, run):
+        for reader in run.readers:
+            reader.cut.set()
+            reader.indices.put(None)
+
     def _active(self) -> bool:
         load = self._engine.load()
         return load.running + load.waiting > 0
@@ -252,6 +277,7 @@
                 if run is None or run.state != ACTIVE:
                     continue
                 poisoned = poisoned or run.poisoned
+                run.last_index = index
                 self._record_work(run)
                 for reader in run.readers:
                     reader.indices.put(index)
@@ -270,7 +296,7 @@
             run_id=run.run_id,
             prefill_tokens=run.batch_run.prefill_tokens,
             cached_tokens=run.batch_run.cached_tokens,
-            output_tokens=run.batch_run.generated_tokens,
+            output_tokens=run.last_index - run.batch_run.resume_tokens,
         )
 
     def _tell_cache_changes(self):
@@ -287,8 +313,7 @@
         self._ended.append(run)
         while self._ended and self._ended[0].changed_at < run.changed_at - RETAIN_ENDED_S:
             self._run_by_id.pop(self._ended.popleft().run_id, None)
-        if not self._active():
-            self._idle.notify_all()
+        self._idle.notify_all()
 
     def _cancel_orphans_forever(self):
         # A router that died leaves its runs behind; unless somebody attaches in time they
--- a/wagtailtrestle/standins/service.py
+++ b/wagtailtrestle/standins/service.py
@@ -11,8 +11,9 @@
 from wagtailtrestle.standins.faults import Faults
 from wagtailtrestle.standins.http_serving import (
     CONNECTION,
+    STOPPING,
     HttpServing,
-    StreamCutError,
+    break_connection,
     hold_silent,
     json_answer,
     read_body,
@@ -41,6 +42,7 @@
         self._places = threading.BoundedSemaphore(settings["concurrency"])
         self._counts_lock = threading.Lock()
         self._running = 0
+        self._crashes = 0
         self._waiting = 0
         self._leaving = False
         self._connections = weakref.WeakSet()
@@ -61,6 +63,8 @@
     def close(self):
         """Let the requests in work end, then stop."""
         self._leaving = True
+        # As the engine does: whoever still sends is answered, rather than cut off.
+        time.sleep(self._settings["drain_linger_ms"] / 1000)
         self._serving.close()
         if self._control is not None:
             self._control.close()
@@ -87,7 +91,7 @@
     def _serve(self, environ, start_response):
         connection = environ[CONNECTION]
         if connection in self._silent_connections:
-            hold_silent(connection)
+            hold_silent(connection, environ[STOPPING])
         self._connections.add(connection)
         handler = self._handlers().get((environ["REQUEST_METHOD"], environ["PATH_INFO"]), self._run)
         return handler(environ, start_response)
@@ -121,10 +125,13 @@
         run_id = environ.get("HTTP_X_REQUEST_ID") or uuid.uuid4().hex
         if status:
             return json_answer(start_response, status, {"error": "refused by the service"}, request_id=run_id)
-        self._work(run_id, environ.get("HTTP_X_CALLER_REQUEST_ID", ""), body)
+        if not self._work(run_id, environ.get("HTTP_X_CALLER_REQUEST_ID", ""), body):
+            break_connection(environ[CONNECTION])
         return self._answer(environ, start_response, run_id, body)
 
-    def _work(self, run_id, caller_request_id, body):
+    def _work(self, run_id, caller_request_id, body) -> bool:
+        """Do the work of one request; ``False`` if a crash came in between."""
+        crashes = self._crashes
         with self._counts_lock:
             self._waiting += 1
         with self._places:
@@ -136,14 +143,17 @@
             if marker and marker in body:
                 self._crash()
             time.sleep(self._settings["service_ms"] / 1000 * self.faults.straggle)
-            self.record.finished(run_id=run_id)
+            whole = self._crashes == crashes
+            if whole:
+                self.record.finished(run_id=run_id)
             with self._counts_lock:
                 self._running -= 1
+        return whole
 
     def _answer(self, environ, start_response, run_id, body):
         kind = self.faults.take_stream_kind()
         if kind == "silent":
-            hold_silent(environ[CONNECTION])
+            hold_silent(environ[CONNECTION], environ[STOPPING])
         if kind == "late":
             time.sleep(self.faults.late_s)
         answer = {
@@ -154,7 +164,7 @@
             "body_sha256": hashlib.sha256(body).hexdigest(),
         }
         if kind == "cut":
-            return _cut_answer(start_response, run_id, answer)
+            return _cut_answer(start_response, run_id, answer, environ[CONNECTION])
         return json_answer(start_response, 200, answer, request_id=OTHER_RUN if kind == "cross" else run_id)
 
     def _post_faults(self, environ, start_response):
@@ -176,19 +186,19 @@
     def _crash(self):
         if self.faults.crash_mode == "exit":
             os._exit(CRASH_STATUS)
+        self._crashes += 1
         self._go_down(self.faults.down_s)
-        raise StreamCutError
 
     def _go_down(self, down_s):
         threading.Thread(target=self._serving.go_down, args=(down_s,), name="down", daemon=True).start()
 
 
-def _cut_answer(start_response, run_id, answer):
+def _cut_answer(start_response, run_id, answer, connection):
     body = json.dumps(answer).encode()
     headers = [("Content-Type", "application/json"), ("X-Request-Id", run_id), ("Content-Length", str(len(body)))]
     start_response("200 OK", headers)
     yield body[: len(body) // 2]
-    raise StreamCutError
+    break_connection(connection)
 
 
 def main(settings_path):
--- a/wagtailtrestle/standins/standin_settings.py
+++ b/wagtailtrestle/standins/standin_settings.py
@@ -22,6 +22,7 @@
     "checks_fencing": True,
     "default_output_tokens": 64,
     "orphan_grace_ms": 5000.0,
+    "drain_linger_ms": 500.0,
     "threads": 160,
 }
 SERVICE_DEFAULTS = {
@@ -31,6 +32,7 @@
     "control_port": -1,
     "service_ms": 5.0,
     "concurrency": 8,
+    "drain_linger_ms": 500.0,
     "threads": 64,
 }
 
--- a/wagtailtrestle/standins/streaming.py
+++ b/wagtailtrestle/standins/streaming.py
@@ -2,11 +2,9 @@
 
 import json
 import queue
-import time
 
-from wagtailtrestle.standins.http_serving import StreamCutError, connection_closed, hold_silent
+from wagtailtrestle.standins.http_serving import break_connection, connection_closed, hold_silent
 from wagtailtrestle.standins.prompts import token_text
-from wagtailtrestle.standins.runs import LOST
 
 ACCEPTED = b": accepted\n\n"
 DONE = b"data: [DONE]\n\n"
@@ -51,46 +49,97 @@
     batch = run.batch_run
     return {
         "prompt_tokens": batch.prompt_tokens,
-        "completion_tokens": batch.last_index,
-        "total_tokens": batch.prompt_tokens + batch.last_index,
+        "completion_tokens": run.last_index,
+        "total_tokens": batch.prompt_tokens + run.last_index,
         "cached_tokens": batch.cached_tokens,
     }
 
 
-def follow(*, run, reader, from_token, connection):
-    """Yield ``(first, last)`` ranges of new tokens until the run ends."""
-    sent = from_token
-    while True:
-        try:
-            newest = reader.indices.get(timeout=POLL_S)
-        except queue.Empty:
-            if connection_closed(connection):
-                raise StreamCutError from None
-            continue
-        if reader.silent.is_set():
-            hold_silent(connection)
-        if newest is None:
-            break
-        if newest > sent:
-            yield sent + 1, newest
-            sent = newest
-    if run.state == LOST:
-        raise StreamCutError
-
-
-def stream(*, run, reader, from_token, connection, fault):
-    """Yield the bytes of a streamed answer."""
-    text = EventText(run=run)
-    yield ACCEPTED
-    ranges = follow(run=run, reader=reader, from_token=from_token, connection=connection)
-    if fault is not None:
-        ranges = _one_by_one(ranges)
-    for first, last in ranges:
-        if fault is not None and first > fault.after_tokens:
-            yield from _faulty(fault, run, text, first, connection)
+class Following:
+    """One connection that follows one run.
+
+    Parameters
+    ----------
+    run : LiveRun
+    reader : Reader
+    from_token : int
+        Index of the last token the other end has.
+    connection
+        The server's connection.
+    stopping : threading.Event
+        Set when the server stops.
+    """
+
+    __slots__ = ("run", "_reader", "_sent", "_connection", "_stopping")
+
+    def __init__(self, *, run, reader, from_token, connection, stopping):
+        self.run = run
+        self._reader = reader
+        self._sent = from_token
+        self._connection = connection
+        self._stopping = stopping
+
+    def ranges(self):
+        """Yield ``(first, last)`` of the new tokens after each step until the run ends."""
+        while (newest := self._newest()) is not None:
+            if newest > self._sent:
+                first, self._sent = self._sent + 1, newest
+                yield first, newest
+
+    def wait_end(self):
+        """Follow the run and keep its tokens to itself."""
+        for _ in self.ranges():
+            pass
+
+    def stream(self, fault):
+        """Yield the bytes of a streamed answer, with the fault if there is one."""
+        text = EventText(run=self.run)
+        yield ACCEPTED
+        if fault is None:
+            for first, last in self.ranges():
+                yield text.tokens(first, last)
         else:
-            yield text.tokens(first, last)
-    yield text.end()
+            for index in self._indices():
+                yield from self._token_with(fault, text, index)
+        yield text.end()
+
+    def _newest(self):
+        while True:
+            try:
+                newest = self._reader.indices.get(timeout=POLL_S)
+            except queue.Empty:
+                if connection_closed(self._connection):
+                    break_connection(self._connection)
+                continue
+            if self._reader.cut.is_set():
+                break_connection(self._connection)
+            if self._reader.silent.is_set():
+                hold_silent(self._connection, self._stopping)
+            return newest
+
+    def _indices(self):
+        for first, last in self.ranges():
+            yield from range(first, last + 1)
+
+    def _token_with(self, fault, text, index):
+        if index <= fault.after_tokens:
+            yield text.token(index)
+            return
+        first_faulty = index == fault.after_tokens + 1
+        if fault.kind == "cut":
+            break_connection(self._connection)
+        if fault.kind == "silent":
+            hold_silent(self._connection, self._stopping)
+        if fault.kind == "cross":
+            yield EventText(run=self.run, answer_id=OTHER_RUN).token(index)
+            return
+        if fault.kind == "gap" and first_faulty:
+            return
+        if fault.kind == "late" and first_faulty:
+            self._stopping.wait(fault.late_s)
+        yield text.token(index)
+        if fault.kind == "duplicate":
+            yield text.token(index)
 
 
 class StreamFault:
@@ -104,33 +153,9 @@
         self.late_s = late_s
 
 
-def _one_by_one(ranges):
-    for first, last in ranges:
-        for index in range(first, last + 1):
-            yield index, index
-
-
-def _faulty(fault, run, text, index, connection):
-    first_faulty = index == fault.after_tokens + 1
-    if fault.kind == "cut":
-        raise StreamCutError
-    if fault.kind == "silent":
-        hold_silent(connection)
-    if fault.kind == "cross":
-        yield EventText(run=run, answer_id=OTHER_RUN).token(index)
-        return
-    if fault.kind == "gap" and first_faulty:
-        return
-    if fault.kind == "late" and first_faulty:
-        time.sleep(fault.late_s)
-    yield text.token(index)
-    if fault.kind == "duplicate":
-        yield text.token(index)
-
-
 def whole_body(run) -> bytes:
     """Write the whole answer of a run as one JSON body."""
-    answer = "".join(token_text(run.answer_key, index) for index in range(1, run.batch_run.last_index + 1))
+    answer = "".join(token_text(run.answer_key, index) for index in range(1, run.last_index + 1))
     choice = {"index": 0, "finish_reason": run.finish_reason()}
     if run.chat:
         choice["message"] = {"role": "assistant", "content": answer}
