Trust a model by clean steps and finishes; early all-prefill samples teach nothing

Cause: confidence counted the prior's weight and stopped at 0.73, so admission's tolerance for cold models stayed at 1.5 and runs were granted that could not finish; the first samples of an engine started under load were all prefill and gave a step of 189 ms for a true 11 ms. Change: confidence is n/(n+1) over clean steps and finished runs; until the window is full a sample 1.6 times above the believed step teaches nothing.

--- a/wagtailtrestle/engine_model.py
+++ b/wagtailtrestle/engine_model.py
@@ -39,6 +39,12 @@
 STEP_CHANGE = 1.8
 """If the low end of a whole window differs by this factor, the engine's speed has changed."""
 
+TRUST_SAMPLES = 1.0
+"""Clean steps, and finished runs, after which a model is half trusted."""
+
+EARLY_RATIO = 1.6
+"""Until the window is full, samples so far above the believed step teach nothing."""
+
 PRIOR_PREFILL_TOKENS = 2048.0
 """How many prefilled tokens the declared rate counts for."""
 
@@ -83,6 +89,7 @@
         "_prefill_tokens",
         "_interference",
         "_paced_s",
+        "_finishes",
     )
 
     def __init__(self, *, slots, step_s, prefill_tokens_per_s):
@@ -100,6 +107,7 @@
         self._prefill_tokens = PRIOR_PREFILL_TOKENS
         self._interference = 1.0
         self._paced_s = 1.0
+        self._finishes = 0
 
     # What is measured.
 
@@ -127,6 +135,7 @@
         kept = self._paced_s * max(0.0, 1.0 - decode_s / PACE_MEMORY_S)
         self._interference = (self._interference * kept + ratio * decode_s) / (kept + decode_s)
         self._paced_s = kept + decode_s
+        self._finishes += 1
 
     def observe_report(self, *, step_s, running):
         """Learn the clean step from the engine's own load report.
@@ -177,8 +186,9 @@
         return self.slots
 
     def confidence(self):
-        """Share, from 0 to 1, of what is believed that was measured and not declared."""
-        return self._step.weight / (self._step.weight + PRIOR_WEIGHT)
+        """How far, from 0 to 1, predictions rest on measurements and not on the declaration."""
+        measured = min(self._step.weight, self._finishes)
+        return measured / (measured + TRUST_SAMPLES)
 
     def dump(self):
         """Return the believed figures for a state dump."""
@@ -208,9 +218,15 @@
         faster = len(self._levels) >= SHORT_WINDOW and low * STEP_CHANGE < believed
         if slower or faster:
             self._rescale(low / believed)
-        elif len(self._levels) >= LOW_RANK and self._levels[-1] <= CLEAN_RATIO * low:
+        elif self._levels[-1] <= CLEAN_RATIO * low and self._may_teach(believed):
             self._step.observe(x=concurrency, y=seconds, weight=1.0)
 
+    def _may_teach(self, believed):
+        # The first samples of an engine that starts under load may all be prefill: taken
+        # for its step they would make it look too slow for any request.
+        full = len(self._levels) == WINDOW
+        return full or (len(self._levels) >= LOW_RANK and self._levels[-1] <= EARLY_RATIO * believed)
+
     def _rescale(self, factor):
         self._step.rescale(factor)
         self._interference = max(1.0, self._interference / factor)
