Sharpen the test of connections gone silent

Change: the calls take 0.1 s, so that they need two. Figures: mutant without the safeguard: 21 tests passed before, 1 of 21 fails now (a read comes to a timeout on the second silent connection).

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -143,7 +143,7 @@
         # several idle connections had gone silent at once.
         self.set_faults(slow_s=0.1)
         await asyncio.gather(self.create(), self.get(), self.get())
-        self.set_faults(silent="open")
+        self.set_faults(silent="open", slow_s=0.1)
         self.assertIsInstance(await self.update(1), StoreUnknown)
         after = await asyncio.gather(self.update(1), self.get(name="none"))
         self.assertEqual(after, [StoreDone(version=2), StoreAbsent()])
