Router: no load reports asked of plain services, parsing off the loop, stop order

Cause: a poll of GET /cache/events reached plain services, whose stand-in recorded it as a run (tests.test_whole_path showed 2 runs for one booking, the second with no caller's id); a 434 KB declaration parsed 0.37 s on the loop. Change: only language engines are polled; the check runs in a thread of its own; a router that cannot start stops what it had started; the local deployment sends one SIGTERM each and waits. Conclusion: a plain service gets only callers' requests.

--- a/wagtailtrestle/demo/deployment.py
+++ b/wagtailtrestle/demo/deployment.py
@@ -91,7 +91,7 @@
         for process in running:
             process.resume()
             process.terminate()
-        return {process.name: process.stop() for process in running}
+        return {process.name: process.wait_stopped() for process in running}
 
     # Operating.
 
@@ -111,9 +111,9 @@
             log_path=self.directory / "apply.log",
         )
         process.start()
-        process._process.wait()
-        if process._process.returncode != 0:
-            raise RuntimeError(f"apply failed with {process._process.returncode}:\n{process.log_tail()}")
+        status = process.wait_stopped()
+        if status != 0:
+            raise RuntimeError(f"apply failed with {status}:\n{process.log_tail()}")
 
     def engine_urls(self):
         """Addresses of all engines, for reading their records."""
--- a/wagtailtrestle/demo/processes.py
+++ b/wagtailtrestle/demo/processes.py
@@ -83,19 +83,23 @@
         """Ask it to stop gracefully, then kill it; return its exit status."""
         if self._process is None:
             return None
-        if self._process.poll() is None:
-            self._process.send_signal(signal.SIGCONT)
-            self._process.terminate()
-            try:
-                self._process.wait(timeout_s)
-            except subprocess.TimeoutExpired:
-                self.kill()
-        return self._process.returncode
+        if self.is_running():
+            self.resume()
+            self.terminate()
+        return self.wait_stopped(timeout_s)
 
     def terminate(self):
         """Ask it to stop gracefully without waiting."""
         self._process.terminate()
 
+    def wait_stopped(self, timeout_s=STOP_TIMEOUT_S):
+        """Wait for it to end by itself, then kill it; return its exit status."""
+        try:
+            self._process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            self.kill()
+        return self._process.returncode
+
     def kill(self):
         """End it at once."""
         self._process.kill()
--- /dev/null
+++ b/wagtailtrestle/load/latency.py
@@ -0,0 +1,84 @@
+"""Latency that a router adds: the same requests through it and straight to its engine.
+
+Run as ``python -m wagtailtrestle.load.latency``; it starts its own small deployment. Both
+ways are sent alternately in one run, so that the machine's noise meets both.
+"""
+
+import json
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+import urllib3
+import yaml
+from hdrh.histogram import HdrHistogram
+
+from wagtailtrestle.demo.deployment import Deployment
+
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
+RATE = 100.0
+DURATION_S = 20.0
+WARM_UP_S = 3.0
+OUTPUT_TOKENS = 2
+STEP_MS = 2.0
+PERCENTILES = (50, 95, 99)
+HEADERS = {"Authorization": "Bearer example-key-oficina", "Content-Type": "application/json"}
+
+
+def measure():
+    """Run it and return percentiles in ms by way, and what the router adds."""
+    document = yaml.safe_load((EXAMPLES / "cometas.yaml").read_text())
+    document["engines"] = [engine for engine in document["engines"] if engine["name"] == "asistente-1"]
+    document["engines"][0].update(slots=32, step_ms=STEP_MS)
+    document["services"] = [service for service in document["services"] if service["name"] == "asistente"]
+    with tempfile.TemporaryDirectory(prefix="wagtailtrestle-latency-") as directory:
+        deployment = Deployment(directory=Path(directory), document=document, routers=1)
+        try:
+            deployment.start()
+            deployment.apply()
+            deployment.wait_routers_ready()
+            return _compare(deployment.callers_urls()[0], deployment.engine_url("asistente-1"))
+        finally:
+            deployment.close()
+
+
+def _compare(router, engine):
+    _send_all({"router": router, "straight": engine}, WARM_UP_S)
+    histograms = _send_all({"router": router, "straight": engine}, DURATION_S)
+    ways = {way: _percentiles(histogram) for way, histogram in histograms.items()}
+    added = {key: round(ways["router"][key] - ways["straight"][key], 2) for key in ways["router"]}
+    return {"rate": RATE, "sent": {way: each.total_count for way, each in histograms.items()}, **ways, "added": added}
+
+
+def _send_all(url_by_way, duration_s):
+    histograms = {way: HdrHistogram(1, 60_000_000, 3) for way in url_by_way}
+    pool = urllib3.PoolManager(maxsize=64, retries=False)
+    threads = []
+    began = time.monotonic()
+    for number in range(int(RATE * duration_s)):
+        due = began + number / RATE
+        time.sleep(max(due - time.monotonic(), 0))
+        for way, url in url_by_way.items():
+            thread = threading.Thread(target=_send, args=(pool, url, histograms[way]))
+            thread.start()
+            threads.append(thread)
+    for thread in threads:
+        thread.join()
+    return histograms
+
+
+def _send(pool, url, histogram):
+    body = {"model": "asistente", "max_tokens": OUTPUT_TOKENS, "messages": [{"role": "user", "content": "hello"}]}
+    began = time.monotonic()
+    response = pool.request("POST", f"{url}/v1/chat/completions", json=body, headers=HEADERS, timeout=10)
+    if response.status == 200:
+        histogram.record_value(int((time.monotonic() - began) * 1e6))
+
+
+def _percentiles(histogram):
+    return {f"p{each}_ms": round(histogram.get_value_at_percentile(each) / 1000, 2) for each in PERCENTILES}
+
+
+if __name__ == "__main__":
+    print(json.dumps(measure()))
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 from loguru import logger
 
@@ -12,6 +13,7 @@
 from wagtailtrestle.cells import cells_of
 from wagtailtrestle.configuration import Configuration
 from wagtailtrestle.crash_watch import CrashWatch
+from wagtailtrestle.declaration import LANGUAGE
 from wagtailtrestle.declaration_check import parse_declaration
 from wagtailtrestle.directory import Directory
 from wagtailtrestle.engine_http import EngineClient
@@ -58,6 +60,8 @@
         self._draining = False
         self._budget_by_service = {}
         self._rendezvous = Rendezvous()
+        # A declaration of full size takes a third of a second to check, too long for the loop.
+        self._parsing = ThreadPoolExecutor(max_workers=1, thread_name_prefix="parse")
         self._metrics = Metrics()
         self._store = HttpObjectStore(url=settings.platform_url)
         self._engine_client = EngineClient(connect_timeout_s=CONNECT_TIMEOUT_S)
@@ -95,6 +99,7 @@
             parse=parse_declaration,
             on_change=self._put_in_force,
             ask_peers=self._peer_configuration.ask,
+            executor=self._parsing,
         )
         self._vm_list = VMList(store=self._store, on_change=self._take_vms)
         self._membership.on_generation(lambda peer, generation: self._configuration.heard(generation))
@@ -187,6 +192,7 @@
         logger.bind(name=self._settings.name, zone=self._settings.zone).info("router started")
 
     async def _start_parts(self):
+        self._started.callback(self._parsing.shutdown, wait=False)
         self._store.start()
         self._started.callback(self._store.close)
         self._engine_client.start()
@@ -283,10 +289,18 @@
         self._stewards.set_leaving(frozenset(vm.id for vm in vms if vm.role == ENGINE_ROLE and vm.leaving))
 
     def _watch_engines(self):
-        """Poll the engines of the cells that this router is steward of."""
+        """Poll the language engines of the cells that this router is steward of.
+
+        A plain service has no load report: a call to it could be taken for work.
+        """
         mine = {cell for cell in self._cells() if self._directory.steward_of(cell) == self._settings.name}
-        engines = self._declaration().engines_by_name.values() if mine else ()
-        self._reports.set_engines({engine.name: engine.address for engine in engines if engine.cell in mine})
+        declaration = self._declaration()
+        polled = {
+            engine.name: engine.address
+            for engine in declaration.engines_by_name.values()
+            if engine.cell in mine and declaration.services_by_name[engine.service].kind == LANGUAGE
+        }
+        self._reports.set_engines(polled)
 
     def _take_report(self, report):
         match report:
