--- a/wagtailtrestle/run_exchange.py
+++ b/wagtailtrestle/run_exchange.py
@@ -226,9 +226,10 @@
             return self._rejected()
         self._reached = True
         check = AnswerCheck(run_id=self._command.run_id, received=self._received, on_token=self._on_token)
+        chunks = self._chunks()
         while not self._received.done:
             self._wait_for_token()
-            data = self._response.read1(READ_BYTES, decode_content=False)
+            data = next(chunks, b"")
             if not data:
                 break
             fault = check.feed(data)
@@ -242,6 +243,12 @@
             return self._cut(fault.detail)
         return self._done()
 
+    def _chunks(self):
+        # Of the library's ways to read a chunked body this one does the least for each chunk.
+        if self._response.chunked:
+            return self._response.read_chunked(decode_content=False)
+        return iter(lambda: self._response.read1(READ_BYTES, decode_content=False), b"")
+
     def _wait_for_token(self):
         # Progress is a new token, not bytes: an engine that only repeats itself or sends
         # comments to keep the connection open is as silent to the caller as a dead one.
--- a/wagtailtrestle/standins/service.py
+++ b/wagtailtrestle/standins/service.py
@@ -69,6 +69,10 @@
         if self._control is not None:
             self._control.close()
 
+    def silence_open(self, *, spared=None):
+        """Let every open connection but one carry nothing more; new ones work."""
+        self._silent_connections.update(other for other in self._connections if other is not spared)
+
     def addresses(self) -> dict:
         """Return where the process listens."""
         control = {} if self._control is None else {"control": f"{self._control.host}:{self._control.port}"}
@@ -141,7 +145,7 @@
             self.record.started(run_id=run_id, caller_request_id=caller_request_id)
             marker = self.faults.poison_marker.encode()
             if marker and marker in body:
-                self._crash()
+                self.crash()
             time.sleep(self._settings["service_ms"] / 1000 * self.faults.straggle)
             whole = self._crashes == crashes
             if whole:
@@ -174,16 +178,17 @@
             return json_answer(start_response, 400, {"problems": problems})
         if self.faults.silent_open:
             self.faults.silent_open = False
-            self._silent_connections.update(other for other in self._connections if other is not environ[CONNECTION])
+            self.silence_open(spared=environ[CONNECTION])
         if self.faults.crash_now:
             self.faults.crash_now = False
-            self._crash()
+            self.crash()
         if self.faults.refuse_connects_s:
             down_s, self.faults.refuse_connects_s = self.faults.refuse_connects_s, 0.0
             self._go_down(down_s)
         return json_answer(start_response, 200, self.faults.as_dict())
 
-    def _crash(self):
+    def crash(self):
+        """Crash in the way of the fault ``crash_mode``."""
         if self.faults.crash_mode == "exit":
             os._exit(CRASH_STATUS)
         self._crashes += 1
