Average interference over ten seconds of an engine's decoding, not one

Cause: 15 s of decoding summed over 14 runs at once is one second of the engine's time, so predicted pace swung between 1.3 and 2.6 and runs were granted that missed their deadlines. Change: the memory is 150 s of decoding.

--- a/wagtailtrestle/engine_model.py
+++ b/wagtailtrestle/engine_model.py
@@ -51,7 +51,7 @@
 PREFILL_MEMORY_TOKENS = 60_000.0
 """Tokens over which old evidence on the prefill rate fades."""
 
-PACE_MEMORY_S = 15.0
+PACE_MEMORY_S = 150.0
 """Seconds of decoding over which old evidence on interference fades."""
 
 MOST_INTERFERENCE = 20.0
