--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,10 @@
 	$(BIN)/ruff check --fix wagtailtrestle tests
 	$(BIN)/ruff format wagtailtrestle tests
 
+slopes: $(VENV)/.installed
+	mkdir -p var
+	$(BIN)/python -m wagtailtrestle.slopes | tee var/slopes.jsonl
+
 demo: $(VENV)/.installed
 	$(BIN)/python -m wagtailtrestle.demo
 
--- /dev/null
+++ b/wagtailtrestle/slopes/entry.py
@@ -0,0 +1,186 @@
+"""Cost of the entry's decisions: processor time and memory of the requests it holds."""
+
+import asyncio
+import time
+import tracemalloc
+
+from wagtailtrestle.crash_watch import CrashWatch
+from wagtailtrestle.declaration import LANGUAGE, Declaration, DeclaredEngine, Service
+from wagtailtrestle.entry import Entry
+from wagtailtrestle.exchange import CallerRequest, RunAdvanced, RunBegan, RunEnded, StartRun
+from wagtailtrestle.messages import Granted, GrantRequest
+from wagtailtrestle.outcomes import RunDone
+from wagtailtrestle.poison import CrashBook, CrashDetector
+from wagtailtrestle.retry_budget import RetryBudget
+from wagtailtrestle.slopes.line import Slope
+
+HELD_COUNTS = (0, 200, 1_000, 3_000)
+CYCLES = 2_000
+ADVANCES = 4
+
+
+class InstantSteward:
+    """Grants every ask at once, unless told to hold; the link's other end."""
+
+    __slots__ = ("entry", "granting", "loop")
+
+    def __init__(self, *, loop):
+        self.loop = loop
+        self.granting = True
+        self.entry = None
+
+    def send(self, *, cell, message):
+        """Take one message of the entry."""
+        if self.granting and isinstance(message, GrantRequest):
+            granted = Granted(
+                request_id=message.request_id,
+                attempt=message.attempt,
+                engine="engine-1",
+                progress_deadline_s=1.0,
+                first_token_deadline_s=2.0,
+            )
+            self.loop.call_soon(self.entry.on_steward_message, granted)
+        return True
+
+
+class InstantCaller:
+    """Runs what it is told at once and reports a whole answer."""
+
+    __slots__ = ("entry", "loop", "request_id")
+
+    def __init__(self, *, entry, loop, request_id):
+        self.entry = entry
+        self.loop = loop
+        self.request_id = request_id
+
+    def post(self, command):
+        """Take one command of the request's task."""
+        if isinstance(command, StartRun):
+            self._run(command.run_id)
+
+    def cancel_run(self, *, run_id, engine, address):
+        """Nothing is ever cancelled here."""
+
+    def _run(self, run_id):
+        events = [RunBegan(run_id=run_id, first_token_s=0.05, prompt_tokens=500)]
+        events += [RunAdvanced(run_id=run_id, output_tokens=25 * (number + 1)) for number in range(ADVANCES)]
+        events.append(RunEnded(run_id=run_id, outcome=RunDone(output_tokens=100), duration_s=0.9, first_token_s=0.05))
+        for event in events:
+            self.loop.call_soon(self.entry.post, self.request_id, event)
+
+
+def make_entry(loop):
+    """Build an entry whose steward grants at once."""
+    steward = InstantSteward(loop=loop)
+    declaration = _declaration()
+    budget = RetryBudget(clock=loop.time)
+    entry = Entry(
+        name="router-1",
+        stewards=steward,
+        claims=None,
+        crashes=CrashWatch(
+            book=CrashBook(clock=loop.time),
+            detector=CrashDetector(clock=loop.time),
+            broadcast=lambda report: None,
+        ),
+        budget_by_service=lambda service: budget,
+        declaration=lambda: declaration,
+        loop=loop,
+    )
+    steward.entry = entry
+    return entry, steward
+
+
+async def _cycle_us(held):
+    loop = asyncio.get_running_loop()
+    entry, steward = make_entry(loop)
+    await _hold(entry, steward, loop, held)
+    began = time.process_time()
+    for number in range(CYCLES):
+        _submit(entry, loop, f"cycle-{number}")
+        while f"cycle-{number}" in entry.tasks_by_id:
+            await asyncio.sleep(0)
+    spent = time.process_time() - began
+    await entry.close()
+    return spent / CYCLES * 1e6
+
+
+async def _memory_bytes(held):
+    loop = asyncio.get_running_loop()
+    entry, steward = make_entry(loop)
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    await _hold(entry, steward, loop, held)
+    bytes_held = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    await entry.close()
+    return bytes_held
+
+
+async def _hold(entry, steward, loop, held):
+    steward.granting = False
+    for number in range(held):
+        _submit(entry, loop, f"held-{number}")
+    await asyncio.sleep(0.05)
+    steward.granting = True
+
+
+def _submit(entry, loop, request_id):
+    request = CallerRequest(
+        request_id=request_id,
+        service="service",
+        team="team-1",
+        route="route",
+        tier=1,
+        repeatable=True,
+        at_most_once=False,
+        idempotency_key="",
+        body_digest=request_id,
+        prompt_tokens=500,
+        output_tokens=100,
+        prefix_blocks=tuple(range(8)),
+        deadline=loop.time() + 3600,
+    )
+    entry.submit(request, InstantCaller(entry=entry, loop=loop, request_id=request_id))
+
+
+def _declaration():
+    engine = DeclaredEngine(
+        name="engine-1",
+        service="service",
+        cell="cell",
+        zone="zone",
+        hardware="gen1",
+        address="127.0.0.1:9",
+        slots=16,
+        step_ms=5.0,
+        prefill_tokens_per_s=5000.0,
+    )
+    return Declaration(
+        organisation="slopes",
+        zones_by_region={"region": ("zone",)},
+        tiers_by_name={},
+        teams_by_name={},
+        services_by_name={"service": Service(name="service", kind=LANGUAGE, routes_by_name={})},
+        engines_by_name={"engine-1": engine},
+    )
+
+
+def main():
+    """Print the entry's slopes."""
+    Slope(
+        role="entry",
+        quantity="processor time of one request's decisions, µs",
+        against="requests held",
+        points=[(held, asyncio.run(_cycle_us(held))) for held in HELD_COUNTS],
+    ).print()
+    Slope(
+        role="entry",
+        quantity="memory, bytes",
+        against="requests held",
+        points=[(held, asyncio.run(_memory_bytes(held))) for held in HELD_COUNTS],
+    ).print()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wagtailtrestle/slopes/steward.py
@@ -0,0 +1,178 @@
+"""Cost of the steward: processor time of one request's messages, memory of what it holds."""
+
+import time
+import tracemalloc
+
+from wagtailtrestle.declaration import DeclaredEngine
+from wagtailtrestle.messages import Granted, GrantRequest, Register, RunFinished, RunProgress, RunStarted
+from wagtailtrestle.policies import PredictedFinish
+from wagtailtrestle.slopes.line import Slope
+from wagtailtrestle.steward import Steward
+
+CYCLES = 3_000
+ENGINE_COUNTS = (2, 4, 9, 18)
+WAITING_COUNTS = (0, 200, 1_000, 3_000)
+PROGRESS_MESSAGES = 4
+ENTRY = "router-1"
+
+
+class ManualClock:
+    """A clock that moves only when told."""
+
+    __slots__ = ("now",)
+
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        """Seconds."""
+        return self.now
+
+
+class Inbox:
+    """Collects what a steward sends."""
+
+    __slots__ = ("messages",)
+
+    def __init__(self):
+        self.messages = []
+
+    def send(self, *, entry, message):
+        """Take one message."""
+        self.messages.append(message)
+        return True
+
+
+def make_steward(*, engines, slots=16):
+    """Build a steward of a cell with ``engines`` engines, registered and ready to grant."""
+    clock, inbox = ManualClock(), Inbox()
+    steward = Steward(cell="cell", policy=PredictedFinish(prefill_weight=0.5), clock=clock, entries=inbox)
+    steward.set_teams({f"team-{number}": 1.0 for number in range(5)})
+    steward.set_engines({f"engine-{number}": _engine(number, slots) for number in range(engines)})
+    steward.set_members({ENTRY})
+    steward.receive(Register(entry=ENTRY, cell="cell"))
+    clock.now += 5.0
+    steward.tick()
+    return steward, clock, inbox
+
+
+def make_request(number, *, tier=1, repeatable=False, remaining_s=3600.0):
+    """Build one ask for a place, with a prefix of eight blocks."""
+    return GrantRequest(
+        request_id=f"{ENTRY}-{number}",
+        attempt=1,
+        entry=ENTRY,
+        service="service",
+        cell="cell",
+        team=f"team-{number % 5}",
+        tier=tier,
+        repeatable=repeatable,
+        prompt_tokens=500,
+        output_tokens=100,
+        remaining_s=remaining_s,
+        prefix_blocks=tuple(range(number % 7, number % 7 + 8)),
+    )
+
+
+def cycle_us(*, engines, waiting=0):
+    """Processor time, µs, of one whole request: ask, grant, start, progress, end."""
+    steward, clock, inbox = make_steward(engines=engines)
+    if waiting:
+        _fill(steward, engines, waiting)
+    inbox.messages.clear()
+    began = time.process_time()
+    for number in range(CYCLES):
+        clock.now += 0.01
+        steward.receive(make_request(1_000_000 + number, tier=0))
+        _run_granted(steward, inbox)
+    return (time.process_time() - began) / CYCLES * 1e6
+
+
+def memory_bytes(waiting):
+    """Bytes a steward holds for so many waiting requests."""
+    steward, _, _ = make_steward(engines=2)
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    _fill(steward, 2, waiting)
+    held = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    return held
+
+
+def tick_us(waiting):
+    """Processor time, µs, of one tick with so many waiting requests."""
+    steward, clock, _ = make_steward(engines=4)
+    _fill(steward, 4, waiting)
+    began = time.process_time()
+    for _ in range(200):
+        clock.now += 0.05
+        steward.tick()
+    return (time.process_time() - began) / 200 * 1e6
+
+
+def _fill(steward, engines, waiting):
+    # Every place is taken by runs that may not be cancelled, so the rest waits.
+    for number in range(engines * 16 + waiting):
+        steward.receive(make_request(number, tier=1 if number < engines * 16 else 3))
+
+
+def _run_granted(steward, inbox):
+    messages, inbox.messages = inbox.messages, []
+    for granted in messages:
+        if not isinstance(granted, Granted):
+            continue
+        request_id, engine = granted.request_id, granted.engine
+        steward.receive(RunStarted(request_id=request_id, engine=engine, first_token_s=0.05, prompt_tokens=500))
+        for tokens in range(PROGRESS_MESSAGES):
+            steward.receive(RunProgress(request_id=request_id, output_tokens=25 * (tokens + 1)))
+        steward.receive(
+            RunFinished(
+                request_id=request_id,
+                engine=engine,
+                result="RunDone",
+                duration_s=0.9,
+                first_token_s=0.05,
+                prompt_tokens=500,
+                output_tokens=100,
+            )
+        )
+
+
+def _engine(number, slots):
+    return DeclaredEngine(
+        name=f"engine-{number}",
+        service="service",
+        cell="cell",
+        zone="zone",
+        hardware="gen1",
+        address=f"127.0.0.1:{9000 + number}",
+        slots=slots,
+        step_ms=5.0 + number % 3,
+        prefill_tokens_per_s=5000.0,
+    )
+
+
+def main():
+    """Print the steward's slopes."""
+    Slope(
+        role="steward",
+        quantity="processor time of one request's messages, µs",
+        against="engines in the cell",
+        points=[(engines, cycle_us(engines=engines)) for engines in ENGINE_COUNTS],
+    ).print()
+    Slope(
+        role="steward",
+        quantity="processor time of one tick, µs",
+        against="requests waiting",
+        points=[(waiting, tick_us(waiting)) for waiting in WAITING_COUNTS],
+    ).print()
+    Slope(
+        role="steward",
+        quantity="memory, bytes",
+        against="requests waiting",
+        points=[(waiting, memory_bytes(waiting)) for waiting in WAITING_COUNTS],
+    ).print()
+
+
+if __name__ == "__main__":
+    main()
