Steward: no preemption that its own promise refuses; expected lengths; no harm to runs

Cause: in the measurement harness at 1.5 times capacity one tight question cancelled a run every 50 ms: the planner counted a freed place as enough where the grant, with its margin, did not, so the place went to a plan and the next round took another victim. Long plans were also cut by their deadline when later prefills slowed them. Change: planner and grant use one promise; two victims at most for one request; a grant that would make a run there late is not made; answers' lengths are learned from caps; short prompts go without the margin.

--- a/wagtailtrestle/admission.py
+++ b/wagtailtrestle/admission.py
@@ -9,10 +9,17 @@
 
 from wagtailtrestle.grants import WaitingRequest
 from wagtailtrestle.outcomes import Reason
+from wagtailtrestle.output_lengths import OutputLengths
 
 FINISH_MARGIN = 1.1
 """A finish is promised only if it would still hold this much later than predicted."""
 
+LENGTH_CAUTION = 0.7
+"""Part of the gap between the expected and the greatest output that a promise allows for."""
+
+CHEAP_PROMPT_TOKENS = 512
+"""Prompts up to this length are started without a margin."""
+
 COLD_TOLERANCE = 3.0
 """How many times too late a prediction without any measurement may be and still be tried."""
 
@@ -66,11 +73,16 @@
     ----------
     clock : callable
     queue : TierQueue
+
+    Attributes
+    ----------
+    lengths : OutputLengths
     """
 
-    __slots__ = ("_clock", "_queue", "_rates", "_engines")
+    __slots__ = ("lengths", "_clock", "_queue", "_rates", "_engines")
 
     def __init__(self, *, clock, queue):
+        self.lengths = OutputLengths()
         self._clock = clock
         self._queue = queue
         self._rates = ArrivalRates(clock=clock)
@@ -80,12 +92,14 @@
         """Judge by these engines from now on."""
         self._engines = tuple(engines)
 
-    def waiting(self, request, *, arrived_at=None):
-        """Build the queue's view of a request, with its predicted work."""
+    def waiting(self, asked):
+        """Build the queue's view of a request, with its expected output and predicted work."""
         now = self._clock()
+        request = self.lengths.expect(asked)
         return WaitingRequest(
             request=request,
-            arrived_at=now if arrived_at is None else arrived_at,
+            asked_tokens=asked.output_tokens,
+            arrived_at=now,
             deadline=now + request.remaining_s,
             work_s=self._work_s(request),
             shortest_run_s=min((run_s(request, engine, 1, 0) for engine in self._engines), default=0.0),
@@ -126,10 +140,13 @@
         return predicted_s <= tolerance(engine) * (waiting.deadline - self._clock())
 
     def can_finish_now(self, waiting: WaitingRequest, engine):
-        """Whether the engine would finish it in time if it were granted there now."""
+        """Whether the engine would finish it in time if it were granted there now, and those there too."""
+        prefill_s = engine.model.prefill_s(uncached_tokens(waiting.request, engine))
+        if engine.would_delay(prefill_s=prefill_s, tier=waiting.request.tier):
+            return False
         concurrency = min(max(1, engine.limit), engine.running + 1 + len(self._queue))
-        predicted_s = run_s(waiting.request, engine, concurrency, engine.pending_prefill_tokens)
-        return FINISH_MARGIN * predicted_s <= tolerance(engine) * (waiting.deadline - self._clock())
+        predicted_s = promised_s(waiting, engine, concurrency, engine.pending_prefill_tokens)
+        return predicted_s <= tolerance(engine) * (waiting.deadline - self._clock())
 
     def wait_s(self, waiting: WaitingRequest):
         """Predicted wait: the work ahead over what the tiers above leave of the cell."""
@@ -184,6 +201,20 @@
     )
 
 
+def promised_s(waiting, engine, concurrency, pending_prefill_tokens):
+    """Time to the last token that is promised with some margin.
+
+    A long prompt cut short by its deadline wastes its prefill, so it is started only if
+    it would finish with a longer answer than expected too. A short one may be tried.
+    """
+    request = waiting.request
+    predicted_s = run_s(request, engine, concurrency, pending_prefill_tokens)
+    if uncached_tokens(request, engine) <= CHEAP_PROMPT_TOKENS:
+        return predicted_s
+    unexpected_tokens = LENGTH_CAUTION * (waiting.asked_tokens - request.output_tokens)
+    return FINISH_MARGIN * (predicted_s + unexpected_tokens * engine.model.pace_s(concurrency))
+
+
 def tolerance(engine):
     """Factor on the time left: above 1 while the engine's model has few measurements.
 
--- a/wagtailtrestle/engine_state.py
+++ b/wagtailtrestle/engine_state.py
@@ -13,6 +13,9 @@
 PHANTOM_KEPT_S = 5.0
 """How long load that only a report showed is believed without a newer report."""
 
+DELAY_FACTOR = 1.0
+"""Seconds by which a run is taken to be delayed for each second of another's prefill."""
+
 CACHE_BLOCKS = 4096
 """Prefix blocks an engine is assumed to hold until its cache events say otherwise."""
 
@@ -28,14 +31,12 @@
 
     Attributes
     ----------
-    declared_leaving, marked_leaving : bool
-        Whether the declaration, or the platform's list or a peer, says it is leaving.
+    limit : int
+        Runs that keep it just full; fewer while its health is in doubt, none if it leaves.
+    phantom : int
+        Runs the engine reported that this steward granted to nobody it knows.
     health_share : float
         Share of its concurrency that its health allows.
-    unreachable : bool
-        Whether it did not answer when it was last asked for its load.
-    trusted_after : float
-        Reports from before this time show nothing; see :meth:`distrust`.
     """
 
     __slots__ = (
@@ -46,19 +47,20 @@
         "zone",
         "hardware",
         "grants_by_request_id",
-        "declared_leaving",
-        "marked_leaving",
+        "limit",
+        "phantom",
         "health_share",
-        "unreachable",
-        "trusted_after",
+        "_declared_leaving",
+        "_marked_leaving",
+        "_unreachable",
+        "_trusted_after",
         "_clock",
-        "_concurrency_limit",
         "_finishes",
         "_report",
         "_report_at",
-        "_phantom",
         "_unstarted_tokens",
         "_prefill_until",
+        "_slacks",
     )
 
     def __init__(self, *, declared, clock):
@@ -73,32 +75,27 @@
         self.zone = declared.zone
         self.hardware = declared.hardware
         self.grants_by_request_id = {}
-        self.declared_leaving = declared.leaving
-        self.marked_leaving = False
+        self.limit = 0
+        self.phantom = 0
         self.health_share = 1.0
-        self.unreachable = False
-        self.trusted_after = -math.inf
+        self._declared_leaving = declared.leaving
+        self._marked_leaving = False
+        self._unreachable = False
+        self._trusted_after = -math.inf
         self._clock = clock
-        self._concurrency_limit = self.model.concurrency_limit()
         self._finishes = deque()
         self._report = None
         self._report_at = -math.inf
-        self._phantom = 0
         self._unstarted_tokens = 0
         self._prefill_until = clock()
+        self._slacks = []
+        self._refresh_limit()
 
     @property
     def running(self):
         """Runs believed to be on the engine: the grants, and the phantom load."""
         return len(self.grants_by_request_id) + self.phantom
 
-    @property
-    def phantom(self):
-        """Runs the engine reported that this steward granted to nobody it knows."""
-        if self._clock() - self._report_at > PHANTOM_KEPT_S:
-            return 0
-        return self._phantom
-
     @property
     def pending_prefill_tokens(self):
         """Prompt tokens the engine has still to compute for what was granted there."""
@@ -120,19 +117,13 @@
     @property
     def reported(self):
         """Whether a report shows the engine as it was since it was last distrusted."""
-        return self._report_at >= self.trusted_after
+        return self._report_at >= self._trusted_after
 
     @property
     def leaving(self):
         """Whether anyone said so: the declaration, the list, or the engine itself."""
-        return self.declared_leaving or self.marked_leaving or (self._report is not None and self._report.leaving)
-
-    @property
-    def limit(self):
-        """Runs that keep it just full; fewer while its health is in doubt, none if it leaves."""
-        if self.leaving or self.unreachable:
-            return 0
-        return math.ceil(self._concurrency_limit * self.health_share)
+        reported = self._report is not None and self._report.leaving
+        return self._declared_leaving or self._marked_leaving or reported
 
     @property
     def room(self):
@@ -144,6 +135,21 @@
         """Whether the policy may choose it."""
         return self.room > 0
 
+    def declare(self, declared):
+        """Put what a newer declaration says of it in force."""
+        self._declared_leaving = declared.leaving
+        self._refresh_limit()
+
+    def mark_leaving(self, leaving):
+        """Note what the platform's list or a peer says."""
+        self._marked_leaving = leaving
+        self._refresh_limit()
+
+    def mark_unreachable(self):
+        """Grant nothing until the engine reports again."""
+        self._unreachable = True
+        self._refresh_limit()
+
     def add(self, grant: Grant):
         """Count a grant against this engine."""
         self.grants_by_request_id[grant.request_id] = grant
@@ -155,7 +161,7 @@
     def add_registered(self, grant: Grant):
         """Count a run an entry registered; a report that showed it no longer shows a phantom."""
         if grant.granted_at <= self._report_at:
-            self._phantom = max(0, self._phantom - 1)
+            self.phantom = max(0, self.phantom - 1)
         self.add(grant)
 
     def start(self, grant: Grant):
@@ -175,7 +181,7 @@
 
     def distrust(self):
         """Believe no report from before now: this process may have been paused."""
-        self.trusted_after = self._clock()
+        self._trusted_after = self._clock()
 
     def report(self, report):
         """Correct the account by a load report, which shows the past.
@@ -194,28 +200,44 @@
             return []
         self._report = report
         self._report_at = report_at
-        self.unreachable = False
+        self._unreachable = False
+        self._refresh_limit()
         if report.step_s and report.running:
             self.model.observe_report(step_s=report.step_s, running=report.running)
         unexplained = report.running + report.waiting - self._known_at(report_at)
         orphans = [grant for grant in self.grants_by_request_id.values() if _is_orphan_at(grant, report_at)]
         gone = orphans[: max(0, len(orphans) - max(0, unexplained))]
-        self._phantom = max(0, unexplained - len(orphans))
+        self.phantom = max(0, unexplained - len(orphans))
         return gone
 
-    def tick(self):
+    def tick(self, *, health_share):
         """Refresh what is computed seldom, and forget what no report can still speak of."""
-        self._concurrency_limit = self.model.concurrency_limit()
+        self.health_share = health_share
+        self._refresh_limit()
+        if self.report_age_s > PHANTOM_KEPT_S:
+            self.phantom = 0
         horizon = self._clock() - FINISHES_KEPT_S
         while self._finishes and self._finishes[0][0] < horizon:
             self._finishes.popleft()
         running = self.running
+        self._slacks.clear()
         for grant in self.grants_by_request_id.values():
             grant.sample_concurrency(running)
+            slack_s = grant.deadline - self._clock() - self.remaining_s(grant)
+            if slack_s > 0.0:
+                self._slacks.append((grant.request.tier, slack_s))
+
+    def would_delay(self, *, prefill_s, tier):
+        """Whether a prefill this long would make a run of this tier or above late.
+
+        While the engine prefills, every run on it slows down. Runs that are late
+        already don't count, nor do lower tiers. The slacks are those of the last tick.
+        """
+        return any(slack_s < DELAY_FACTOR * prefill_s for other, slack_s in self._slacks if other <= tier)
 
     def remaining_s(self, grant: Grant):
         """Predicted seconds until the grant's run ends by itself."""
-        step_s = self.model.step_s(self.running)
+        step_s = self.model.pace_s(self.running)
         since_progress_s = self._clock() - grant.progress_at
         decode_s = grant.remaining_tokens * step_s
         if not grant.started:
@@ -232,11 +254,15 @@
             "reported_running": self.reported_running,
             "report_age_s": round(self.report_age_s, 3) if self._report else None,
             "leaving": self.leaving,
-            "unreachable": self.unreachable,
+            "unreachable": self._unreachable,
             "health_share": self.health_share,
             "model": self.model.dump(),
         }
 
+    def _refresh_limit(self):
+        usable = not self.leaving and not self._unreachable
+        self.limit = math.ceil(self.model.concurrency_limit() * self.health_share) if usable else 0
+
     def _known_at(self, at):
         """Runs of live entries that the engine held at that time, by this account."""
         known = sum(
--- a/wagtailtrestle/grants.py
+++ b/wagtailtrestle/grants.py
@@ -14,23 +14,44 @@
     Parameters
     ----------
     request : GrantRequest
+        With the output that is expected rather than its upper limit.
+    asked_tokens : int
+        Upper limit of the output as the entry asked.
     arrived_at, deadline : float
         Times on the steward's clock.
     work_s : float
         Predicted engine-seconds: the share of one full engine that the run uses up.
     shortest_run_s : float
         Time the run would take on the best engine with nothing else on it.
+
+    Attributes
+    ----------
+    tried_engines : frozenset of str
+        While it is parked, the engines with room that did not suit it.
+    victims : int
+        Runs preempted for it so far.
     """
 
-    __slots__ = ("request", "arrived_at", "deadline", "work_s", "shortest_run_s", "tried_engines")
+    __slots__ = (
+        "request",
+        "asked_tokens",
+        "arrived_at",
+        "deadline",
+        "work_s",
+        "shortest_run_s",
+        "tried_engines",
+        "victims",
+    )
 
-    def __init__(self, *, request: GrantRequest, arrived_at, deadline, work_s, shortest_run_s):
+    def __init__(self, *, request: GrantRequest, asked_tokens, arrived_at, deadline, work_s, shortest_run_s):
         self.request = request
+        self.asked_tokens = asked_tokens
         self.arrived_at = arrived_at
         self.deadline = deadline
         self.work_s = work_s
         self.shortest_run_s = shortest_run_s
         self.tried_engines = frozenset()
+        self.victims = 0
 
     @property
     def request_id(self):
@@ -49,6 +70,9 @@
     Parameters
     ----------
     request : GrantRequest
+        With the output that is expected rather than its upper limit.
+    asked_tokens : int
+        Upper limit of the output as the entry asked.
     engine : str
     granted_at, deadline : float
         Times on the steward's clock.
@@ -69,6 +93,7 @@
 
     __slots__ = (
         "request",
+        "asked_tokens",
         "engine",
         "granted_at",
         "deadline",
@@ -82,8 +107,9 @@
         "_concurrency_samples",
     )
 
-    def __init__(self, *, request: GrantRequest, engine, granted_at, deadline, prefill_tokens):
+    def __init__(self, *, request: GrantRequest, asked_tokens, engine, granted_at, deadline, prefill_tokens):
         self.request = request
+        self.asked_tokens = asked_tokens
         self.engine = engine
         self.granted_at = granted_at
         self.deadline = deadline
--- a/wagtailtrestle/preemption.py
+++ b/wagtailtrestle/preemption.py
@@ -10,7 +10,7 @@
 import itertools
 from dataclasses import dataclass
 
-from wagtailtrestle.admission import MAX_ASKS, run_s, uncached_tokens
+from wagtailtrestle.admission import MAX_ASKS, promised_s, run_s, tolerance, uncached_tokens
 from wagtailtrestle.grants import Grant, WaitingRequest
 
 LOOK_AHEAD = 32
@@ -34,6 +34,9 @@
 LOST_FACTOR = 3.0
 """How many times dearer a victim is that could not be resumed in time."""
 
+MAX_VICTIMS = 2
+"""Runs cancelled for one request. If their places did not help it, no further one will."""
+
 SHORT_S = 0.05
 
 
@@ -166,18 +169,30 @@
 
     def _take_victim(self, waiting, run_s_by_engine):
         free_at = self._now + CANCEL_S
-        suited = []
-        for grant in self._candidates:
-            duration_s = run_s_by_engine[grant.engine]
-            if grant.request.tier > waiting.request.tier and free_at + duration_s <= waiting.deadline:
-                suited.append((self._order(grant, duration_s), grant))
+        if waiting.victims >= MAX_VICTIMS:
+            return None
+        saved = {name for name, engine in self._engine_by_name.items() if self._would_save(waiting, engine, free_at)}
+        suited = [
+            (self._order(grant, run_s_by_engine[grant.engine]), grant)
+            for grant in self._candidates
+            if grant.request.tier > waiting.request.tier and grant.engine in saved
+        ]
         if not suited:
             return None
         victim = min(suited, key=lambda entry: entry[0])[1]
         self._candidates = [grant for grant in self._candidates if grant is not victim]
         self.victims.append(victim)
+        waiting.victims += 1
         return _Place(free_at=free_at, engine=self._engine_by_name[victim.engine])
 
+    def _would_save(self, waiting, engine, free_at):
+        # The same promise as at the grant: a place that the request would then not be
+        # given goes to another, and the next round would cancel another run for it.
+        if engine.name in waiting.request.excluded_engines:
+            return False
+        duration_s = promised_s(waiting, engine, engine.limit, engine.pending_prefill_tokens)
+        return free_at + duration_s <= self._now + tolerance(engine) * (waiting.deadline - self._now)
+
     def _order(self, grant, needed_s):
         """Lowest tier first, then those not preempted too often, then least price per second freed."""
         engine = self._engine_by_name[grant.engine]
--- a/wagtailtrestle/steward.py
+++ b/wagtailtrestle/steward.py
@@ -135,7 +135,7 @@
                 state = EngineState(declared=declared, clock=self._clock)
                 if self._registration.cautious:
                     state.distrust()
-            state.declared_leaving = declared.leaving
+            state.declare(declared)
             kept[name] = state
         self._engines_by_name = kept
         self._health.set_engines(kept)
@@ -175,13 +175,13 @@
         """Grant nothing on an engine that does not answer, until it reports again."""
         state = self._engines_by_name.get(engine)
         if state is not None:
-            state.unreachable = True
+            state.mark_unreachable()
 
     def mark_leaving(self, engine, leaving=True):
         """Grant nothing more on this engine, or again if the platform's list takes it back."""
         state = self._engines_by_name.get(engine)
         if state is not None:
-            state.marked_leaving = leaving
+            state.mark_leaving(leaving)
 
     def stop_granting(self):
         """Grant nothing more: the router is draining and another will be steward."""
@@ -193,15 +193,15 @@
         """Act on one message of an entry."""
         self._notice_pause()
         self._handlers_by_type[type(message)](message)
-        self._grant_ready()
+        if not isinstance(message, RunStarted | RunProgress):
+            self._grant_ready()
 
     def tick(self):
         """Sweep deadlines, preempt, and grant what has become possible; about every 50 ms."""
         self._notice_pause()
         now = self._clock()
         for engine in self._engines_by_name.values():
-            engine.health_share = self._health.share(engine.name, now)
-            engine.tick()
+            engine.tick(health_share=self._health.share(engine.name, now))
         for waiting in self._queue.pop_expired(now):
             self._refuse(waiting.request, Reason.OVERLOADED)
         self._sweep_grants(now)
@@ -298,8 +298,11 @@
         tokens = message.output_tokens or grant.request.output_tokens
         decode_s = message.duration_s - (message.first_token_s if message.output_tokens else 0.0)
         concurrency = grant.mean_concurrency
-        expected_s = tokens * engine.model.step_s(concurrency)
+        expected_s = tokens * engine.model.pace_s(concurrency)
         self._health.on_progress_rate(engine.name, decode_s / expected_s, self._clock())
+        self._admission.lengths.observe(
+            request=grant.request, asked_tokens=grant.asked_tokens, output_tokens=message.output_tokens
+        )
         engine.model.observe_finish(output_tokens=tokens, decode_s=decode_s, mean_concurrency=concurrency)
 
     def _on_register(self, message):
@@ -333,7 +336,8 @@
         self._queue.remove(request.request_id)
         grant = self._grants_by_request_id.get(request.request_id)
         if grant is None:
-            grant = self._new_grant(request, record.engine, elapsed_s=record.elapsed_s)
+            expected = self._admission.lengths.expect(request)
+            grant = self._new_grant(expected, request.output_tokens, record.engine, elapsed_s=record.elapsed_s)
             grant.started = record.output_tokens > 0
             engine = self._engines_by_name.get(record.engine)
             if engine is not None:
@@ -356,7 +360,7 @@
         self._queue.push(waiting)
 
     def _grant_ready(self):
-        if not self._granting:
+        if not self._granting or not len(self._queue):
             return
         open_engines = self._open_engines()
         self._queue.unpark({engine.name for engine in open_engines})
@@ -388,19 +392,20 @@
             self._refuse(waiting.request, Reason.DEADLINE_UNREACHABLE)
 
     def _grant(self, waiting, engine):
-        grant = self._new_grant(waiting.request, engine.name)
+        grant = self._new_grant(waiting.request, waiting.asked_tokens, engine.name)
         grant.deadline = waiting.deadline
         engine.add(grant)
         engine.cache.stored(waiting.request.prefix_blocks)
         self._tell_granted(grant)
 
-    def _new_grant(self, request, engine_name, elapsed_s=0.0):
+    def _new_grant(self, request, asked_tokens, engine_name, elapsed_s=0.0):
         now = self._clock()
         engine = self._engines_by_name.get(engine_name)
         prompt_tokens = request.prompt_tokens + request.done_tokens
         cached = engine.cache.cached_tokens(request.prefix_blocks) if engine else 0
         grant = Grant(
             request=request,
+            asked_tokens=asked_tokens,
             engine=engine_name,
             granted_at=now - elapsed_s,
             deadline=now + request.remaining_s,
--- a/wagtailtrestle/tier_queue.py
+++ b/wagtailtrestle/tier_queue.py
@@ -51,7 +51,7 @@
         Sequence of the team's valid entry in its tier's heap of teams.
     """
 
-    __slots__ = ("name", "heap", "virtual_start", "ticket", "waiting", "work_by_slot")
+    __slots__ = ("name", "heap", "virtual_start", "ticket", "waiting", "work_s", "work_by_slot")
 
     def __init__(self, *, name):
         self.name = name
@@ -59,30 +59,31 @@
         self.virtual_start = 0.0
         self.ticket = None
         self.waiting = 0
+        self.work_s = 0.0
         self.work_by_slot = {}
 
     def count(self, waiting):
         """Add a request to the sums."""
         self.waiting += 1
+        self.work_s += waiting.work_s
         slot = _slot(waiting)
         self.work_by_slot[slot] = self.work_by_slot.get(slot, 0.0) + waiting.work_s
 
     def discount(self, waiting):
         """Take a request out of the sums."""
         self.waiting -= 1
+        self.work_s -= waiting.work_s
         slot = _slot(waiting)
         left = self.work_by_slot[slot] - waiting.work_s
         if not self.waiting:
+            # What rounding left over would otherwise add up for ever.
+            self.work_s = 0.0
             self.work_by_slot.clear()
         elif left <= 0.0:
             self.work_by_slot.pop(slot)
         else:
             self.work_by_slot[slot] = left
 
-    def work_s(self):
-        """Engine-seconds that wait."""
-        return sum(self.work_by_slot.values())
-
     def work_ahead_s(self, waiting):
         """Engine-seconds of the team's requests that are due before this one."""
         slot = _slot(waiting)
@@ -103,7 +104,7 @@
         return sum(team.waiting for team in self.teams_by_name.values())
 
     def work_s(self):
-        return sum(team.work_s() for team in self.teams_by_name.values())
+        return sum(team.work_s for team in self.teams_by_name.values())
 
 
 class TierQueue:
@@ -230,7 +231,7 @@
             return above
         share = self._share(waiting.request.team)
         others = [other for other in tier.teams_by_name.values() if other.waiting and other is not team]
-        fair = sum(min(other.work_s(), own * self._share(other.name) / share) for other in others)
+        fair = sum(min(other.work_s, own * self._share(other.name) / share) for other in others)
         return above + own + fair
 
     def waiting_by_tier(self):
