A stopping engine says what it did not begin; starts on a leaving one are counted

Cause: a leaving stand-in refused new runs with 503 at once, which a router can't tell from a failed run: whatever it sent in the moment before it heard of the leaving became a caller's error. Change: a leaving engine goes on admitting for a grace, counts starts after the mark in its record, then refuses with X-Run-Started: no and the run's id; the client takes just that for a run that was not sent.

--- a/tests/test_engine_http.py
+++ b/tests/test_engine_http.py
@@ -251,6 +251,21 @@
         self.assertEqual(self.send(plain_call()), RunRejected(status=409))
         self.assertIn(b"refused", self.sender.received.body)
 
+    def test_refusal_counts_as_unsent_only_with_the_run_s_own_id(self):
+        # A stopping service promises that it did not begin the request. A promise that names
+        # another run is a late answer that says nothing of this one.
+        for answer_id, kind in (("r.1", RunNotSent), ("r.7", RunCut)):
+            with self.subTest(answer_id), socket.create_server(("127.0.0.1", 0)) as server:
+                sender = RunSender(call=plain_call())
+                thread = sender.send_in_thread(f"127.0.0.1:{server.getsockname()[1]}")
+                connection, _ = server.accept()
+                connection.recv(65536)
+                head = f"HTTP/1.1 503 x\r\nX-Run-Started: no\r\nX-Request-Id: {answer_id}\r\nContent-Length: 0\r\n\r\n"
+                connection.sendall(head.encode())
+                thread.join(3)
+                connection.close()
+                self.assertIsInstance(sender.ended.outcome, kind)
+
     def test_head_that_cannot_be_written_was_not_sent(self):
         call = plain_call(headers={"X-Note": "a\r\nX-Request-Id: forged"})
         self.assertIsInstance(self.send(call), RunNotSent)
@@ -305,6 +320,14 @@
             self.assertIsNone(self.check.feed(token_event(index, text=text)))
         self.assertEqual(self.received.tokens, ["content", "r.1", '"},{"', "id", "content", "ñ", "finish_reason"])
 
+    def test_text_that_stands_twice_in_its_event(self):
+        # The first text is also the name of its field. Were the event learnt around the wrong
+        # one of the two, the name of another field would be read as the next token's text.
+        self.check.feed(token_event(1, text="content"))
+        other = token_event(2, text="content").replace(b'"content":', b'"role":')
+        self.assertIn("no text", self.check.feed(other).detail)
+        self.assertEqual(self.received.tokens, ["content"])
+
     def test_alike_event_with_a_text_that_is_no_string(self):
         self.check.feed(token_event(1))
         broken = token_event(2).replace(b'"word2 "', b'"word2 ","role":"x"')
--- a/wagtailtrestle/run_exchange.py
+++ b/wagtailtrestle/run_exchange.py
@@ -35,6 +35,9 @@
 NOT_MODIFIED = 304
 FIRST_ERROR_STATUS = 400
 NOT_FOUND = 404
+UNAVAILABLE = 503
+STARTED_HEADER = "X-Run-Started"
+NOT_STARTED = "no"
 RUN_ID_HEADER = "X-Request-Id"
 CALLER_ID_HEADER = "X-Caller-Request-Id"
 # The run's own id and length are set here; the others concern one connection only, and the
@@ -190,10 +193,23 @@
         except BrokenPipeError:
             pass  # The engine stopped reading; it may have answered why before it did.
         self._response = self._connection.getresponse()
+        if self._refused_unstarted():
+            return RunNotSent(detail="the engine refused the run before it began")
         if self._request.kind == LANGUAGE:
             return self._read_stream()
         return self._read_plain()
 
+    def _refused_unstarted(self) -> bool:
+        # An engine about to stop promises that it did not begin the run it refuses. The
+        # promise counts only with the run's own id: a late answer to another run says nothing.
+        headers = self._response.headers
+        return (
+            self._response.status == UNAVAILABLE
+            and headers.get(STARTED_HEADER) == NOT_STARTED
+            and headers.get(RUN_ID_HEADER) == self._command.run_id
+            and not self._command.attach
+        )
+
     def _request_parts(self):
         command = self._command
         request = self._request
--- a/wagtailtrestle/standins/http_serving.py
+++ b/wagtailtrestle/standins/http_serving.py
@@ -11,6 +11,7 @@
 from cheroot import wsgi
 
 JSON_TYPE = "application/json"
+STARTED_HEADER = "X-Run-Started"
 SHUTDOWN_TIMEOUT_S = 5
 BACKLOG = 1024
 ANNOUNCEMENT = "listening"
@@ -75,6 +76,13 @@
     return bytes_answer(start_response, status, body, headers)
 
 
+def refuse_unstarted(start_response, run_id):
+    """Refuse a request, and say that it was not begun: whoever sent it may send it elsewhere."""
+    body = json.dumps({"error": {"message": "leaving: not started"}}).encode()
+    headers = [("Content-Type", JSON_TYPE), ("X-Request-Id", run_id), (STARTED_HEADER, "no")]
+    return bytes_answer(start_response, HTTPStatus.SERVICE_UNAVAILABLE, body, headers)
+
+
 def bytes_answer(start_response, status, body, headers):
     """Answer with a whole body of known length."""
     status = HTTPStatus(status)
--- a/wagtailtrestle/standins/record.py
+++ b/wagtailtrestle/standins/record.py
@@ -1,6 +1,7 @@
 """The engine's own record of what truly ran, kept through an emulated crash."""
 
 import threading
+import time
 
 
 class RunRecord:
@@ -47,10 +48,13 @@
 class Record:
     """Records of runs by run id, shared by the threads of a stand-in."""
 
-    __slots__ = ("_by_run_id", "_lock")
+    __slots__ = ("_by_run_id", "_leaving_at", "_starts_after_leaving", "_last_start_after_s", "_lock")
 
     def __init__(self):
         self._by_run_id = {}
+        self._leaving_at = None
+        self._starts_after_leaving = 0
+        self._last_start_after_s = 0.0
         self._lock = threading.Lock()
 
     def started(self, *, run_id, caller_request_id):
@@ -60,6 +64,15 @@
             if record is None:
                 record = self._by_run_id[run_id] = RunRecord(caller_request_id=caller_request_id)
             record.starts += 1
+            if self._leaving_at is not None:
+                self._starts_after_leaving += 1
+                self._last_start_after_s = time.monotonic() - self._leaving_at
+
+    def note_leaving(self):
+        """Count starts from now on as starts on a leaving engine."""
+        with self._lock:
+            if self._leaving_at is None:
+                self._leaving_at = time.monotonic()
 
     def sent_again(self, *, run_id):
         """Count a dispatch that was refused because its run is known."""
@@ -94,4 +107,10 @@
             key = run["caller_request_id"]
             if key:
                 starts_by_caller_request_id[key] = starts_by_caller_request_id.get(key, 0) + run["starts"]
-        return {"runs": runs, "totals": totals, "starts_by_caller_request_id": starts_by_caller_request_id}
+        return {
+            "runs": runs,
+            "totals": totals,
+            "starts_by_caller_request_id": starts_by_caller_request_id,
+            "starts_after_leaving": self._starts_after_leaving,
+            "last_start_after_leaving_s": self._last_start_after_s,
+        }
--- a/wagtailtrestle/standins/service.py
+++ b/wagtailtrestle/standins/service.py
@@ -17,6 +17,7 @@
     hold_silent,
     json_answer,
     read_body,
+    refuse_unstarted,
     run_until_signal,
 )
 from wagtailtrestle.standins.record import Record
@@ -45,6 +46,7 @@
         self._crashes = 0
         self._waiting = 0
         self._leaving = False
+        self._refusing = False
         self._connections = weakref.WeakSet()
         self._silent_connections = weakref.WeakSet()
         self._serving = self._make_serving(settings["port"])
@@ -63,6 +65,9 @@
     def close(self):
         """Let the requests in work end, then stop."""
         self._leaving = True
+        self.record.note_leaving()
+        time.sleep(self._settings["drain_grace_ms"] / 1000)
+        self._refusing = True
         # As the engine does: whoever still sends is answered, rather than cut off.
         time.sleep(self._settings["drain_linger_ms"] / 1000)
         self._serving.close()
@@ -129,6 +134,8 @@
         run_id = environ.get("HTTP_X_REQUEST_ID") or uuid.uuid4().hex
         if status:
             return json_answer(start_response, status, {"error": "refused by the service"}, request_id=run_id)
+        if self._refusing:
+            return refuse_unstarted(start_response, run_id)
         if not self._work(run_id, environ.get("HTTP_X_CALLER_REQUEST_ID", ""), body):
             break_connection(environ[CONNECTION])
         return self._answer(environ, start_response, run_id, body)
