--- /dev/null
+++ b/tests/test_kill_and_freeze.py
@@ -0,0 +1,75 @@
+"""The steward is killed or paused under load: the others go on, and nothing runs twice."""
+
+import time
+import unittest
+
+from tests.utils.running import PLAN, QUESTION, TAGGING, PromiseChecks, Running, longest_gap_s, wait_until
+
+RATE = 20.0
+BEFORE_S = 1.0
+FROZEN_S = 6.0
+AFTER_S = 4.0
+SETTLED_S = 1.5
+PROMISED_GAP_S = 2.0
+NOISY_MACHINE_S = 2.0
+
+
+class StewardLostTest(PromiseChecks, unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.running = Running(routers=3).start()
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.running.close()
+
+    def check_gap(self, seen, lost_at, what):
+        gap_s = longest_gap_s(seen, since=lost_at, until=lost_at + AFTER_S)
+        print(f"{what}: longest time without a first token {gap_s:.2f} s (promised {PROMISED_GAP_S:.0f} s)")
+        self.assertLess(gap_s, PROMISED_GAP_S + NOISY_MACHINE_S)
+
+    def test_killed_steward(self):
+        # Callers of the other routers see a short wait and then their answers. The steward dies
+        # with its queue; the others miss its heartbeats, choose a new steward, and register with
+        # it what they hold. Only what the dead process had taken itself is lost.
+        steward = self.running.steward_of()
+        load = self.running.load(kinds=(QUESTION, PLAN, TAGGING), rate=RATE).start()
+        time.sleep(BEFORE_S)
+        killed_at = time.monotonic()
+        self.running.router(steward).kill()
+        time.sleep(AFTER_S)
+        seen = load.stop()
+        others = [each for each in seen if each.router != steward]
+        self.check_gap(others, killed_at, "steward killed")
+        self.assertNotEqual(self.running.steward_of(), steward)
+        self.assert_promises(self.running, seen)
+        self.assert_all_whole(others)
+        self.assert_all_whole([each for each in seen if each.ended_at < killed_at])
+        self.running.restart(steward)
+
+    def test_paused_steward(self):
+        # As above, but the steward is stopped like a paused VM and wakes after the others have
+        # replaced it. It then still holds its old queue and view: it must find out that it was
+        # away before it grants or dispatches anything by them.
+        steward = self.running.steward_of()
+        others = [name for name in self.running.routers if name != steward]
+        load = self.running.load(kinds=(QUESTION, PLAN, TAGGING), rate=RATE).start()
+        time.sleep(BEFORE_S)
+        frozen_at = time.monotonic()
+        self.running.router(steward).freeze()
+        time.sleep(FROZEN_S)
+        self.assertNotEqual(self.running.steward_of(asked=others[0]), steward)
+        self.running.router(steward).resume()
+        woken_at = time.monotonic()
+        time.sleep(SETTLED_S)
+        seen = load.stop()
+        of_others = [each for each in seen if each.router != steward]
+        self.check_gap(of_others, frozen_at, "steward paused")
+        self.assert_promises(self.running, seen)
+        self.assert_all_whole(of_others)
+        self.assert_all_whole([each for each in seen if each.sent_at > woken_at])
+        wait_until(self.running.agree, "all routers to agree on one steward again")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wagtailtrestle/load/client.py
+++ b/wagtailtrestle/load/client.py
@@ -29,6 +29,7 @@
     first_s, total_s : float
         From the planned time to the first token and to the end.
     text : str
+        Text of a completion; the body of a plain service's answer.
     retry_after_s : float
     """
 
@@ -168,4 +169,10 @@
         result.retry_after_s = float(response.headers.get("Retry-After", 0))
         return
     result.whole = response.status < 400
+    result.text = _whole_text(body) if result.whole and result.planned.kind.prompt_tokens else body.decode()
     result.reason = "" if result.whole else f"status_{response.status}"
+
+
+def _whole_text(body):
+    choice = json.loads(body)["choices"][0]
+    return choice["message"]["content"] if "message" in choice else choice["text"]
