--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,66 @@
+"""Routers and engines stopped gracefully under load: no request is cut."""
+
+import time
+import unittest
+
+from tests.utils.running import BOOKING, PLAN, QUESTION, TAGGING, PromiseChecks, Running, wait_until
+
+RATE = 15.0
+BEFORE_S = 1.0
+AFTER_S = 1.0
+
+
+class RollingRestartTest(PromiseChecks, unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.running = Running(routers=2).start()
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.running.close()
+
+    def test_every_router_restarted_in_turn(self):
+        # Callers notice nothing. Each router in turn gets SIGTERM: it says it is not ready, hands
+        # its cells over, serves for a second what the balancer still sends, ends its requests in
+        # flight, and ends; then it starts again under its name, and the next one follows.
+        running = self.running
+        load = running.load(kinds=(QUESTION, PLAN, TAGGING, BOOKING), rate=RATE).start()
+        time.sleep(BEFORE_S)
+        for name in running.routers:
+            self.assertEqual(running.router(name).stop(), 0, running.router(name).log_tail())
+            running.restart(name)
+            wait_until(running.agree, "routers to agree after a restart")
+        time.sleep(AFTER_S)
+        seen = load.stop()
+        print(f"rolling restart: {len(seen)} requests, {sum(not each.result.whole for each in seen)} refused")
+        self.assert_promises(running, seen)
+        self.assert_none_cut(seen)
+        self.assertEqual([each for each in seen if not each.result.whole and each.result.reason != "draining"], [])
+
+
+class EngineStoppedTest(PromiseChecks, unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.running = Running(routers=2).start()
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.running.close()
+
+    def test_engine_stopped_gracefully(self):
+        # Callers notice nothing. The engine gets SIGTERM: it finishes the runs it has and refuses
+        # new ones. Until the steward has read that it leaves, a grant may still send a request
+        # there; the engine refuses it without running it, and it runs elsewhere.
+        running = self.running
+        load = running.load(kinds=(QUESTION, PLAN, TAGGING), rate=RATE).start()
+        time.sleep(BEFORE_S)
+        self.assertEqual(running.engine("asistente-1").stop(), 0)
+        time.sleep(AFTER_S)
+        seen = load.stop()
+        print(f"engine stopped: {len(seen)} requests, {sum(not each.result.whole for each in seen)} refused")
+        self.assert_promises(running, seen)
+        self.assert_none_cut(seen)
+
+
+if __name__ == "__main__":
+    unittest.main()
