--- /dev/null
+++ b/tests/test_poison.py
@@ -0,0 +1,147 @@
+"""Requests that crash engines are told from those that die beside them."""
+
+import unittest
+
+from tests.utils.steward_fakes import Clock
+from wagtailtrestle.poison import (
+    CRASH_LIMIT,
+    CRASH_WINDOW_S,
+    CUT_WINDOW_S,
+    RESTART_WINDOW_S,
+    SAME_CRASH_S,
+    CrashBook,
+    CrashDetector,
+    CrashReport,
+    fingerprint_of,
+)
+
+
+class BlameTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.book = CrashBook(clock=self.clock, reporter="r1")
+
+    def crash(self, engine, *running):
+        self.clock.now += SAME_CRASH_S + 1.0
+        return self.book.note_crash(engine, dict.fromkeys(running, 1))
+
+    def test_what_crashes_alone_is_refused_after_the_limit(self):
+        for number in range(CRASH_LIMIT):
+            self.assertFalse(self.book.blocked("poison"))
+            self.crash(f"e{number}", "poison")
+        self.assertTrue(self.book.blocked("poison"))
+
+    def test_those_that_died_beside_it_are_not_blamed(self):
+        # The poisoned request crashes three engines; other requests die each time, one of
+        # them twice. Only the one present every time is to blame.
+        self.crash("e1", "poison", "a", "unlucky")
+        self.crash("e2", "poison", "b", "unlucky")
+        self.crash("e3", "poison", "c")
+        self.assertTrue(self.book.blocked("poison"))
+        for innocent in ("a", "b", "c", "unlucky"):
+            self.assertFalse(self.book.blocked(innocent), innocent)
+
+    def test_two_that_always_died_together_are_told_apart_by_running_alone(self):
+        for number in range(CRASH_LIMIT):
+            self.crash(f"e{number}", "poison", "innocent")
+        self.assertFalse(self.book.blocked("poison") or self.book.blocked("innocent"))
+        self.assertTrue(self.book.is_suspect("poison") and self.book.is_suspect("innocent"))
+        self.crash("e9", "poison")
+        self.assertTrue(self.book.blocked("poison"))
+        self.assertFalse(self.book.blocked("innocent"))
+
+    def test_a_whole_answer_clears(self):
+        self.crash("e1", "poison", "innocent")
+        self.book.note_success("innocent")
+        self.assertFalse(self.book.is_suspect("innocent"))
+        self.assertTrue(self.book.is_suspect("poison"))
+
+    def test_crashes_are_forgotten(self):
+        for number in range(CRASH_LIMIT):
+            self.crash(f"e{number}", "poison")
+        self.clock.now += CRASH_WINDOW_S + 1.0
+        self.assertFalse(self.book.blocked("poison") or self.book.is_suspect("poison"))
+
+
+class SharedTest(unittest.TestCase):
+    def test_routers_that_each_saw_one_crash_refuse_together(self):
+        # The caller sends it again through another router each time, so no router sees
+        # more than one crash. Told of the others', each refuses the fourth.
+        clock = Clock()
+        books = [CrashBook(clock=clock, reporter=f"r{number}") for number in range(CRASH_LIMIT)]
+        for number, book in enumerate(books):
+            clock.now += SAME_CRASH_S + 1.0
+            told = book.note_crash(f"e{number}", {"poison": 1})
+            for other in books:
+                other.merge(told)
+        self.assertTrue(all(book.blocked("poison") for book in books))
+
+    def test_one_crash_told_by_three_routers_is_one(self):
+        clock = Clock()
+        book = CrashBook(clock=clock, reporter="r1")
+        book.note_crash("e1", {"a": 1})
+        for number in range(2, 2 + CRASH_LIMIT):
+            clock.now += 0.1
+            book.merge(CrashReport(engine="e1", incident=f"r{number}/x/1", suspects=("a",)))
+        self.assertFalse(book.blocked("a"))
+
+    def test_one_crash_told_again_by_its_router_is_one(self):
+        # A cut, then two attempts to attach that find the engine down: one crash.
+        clock = Clock()
+        book = CrashBook(clock=clock)
+        for _ in range(CRASH_LIMIT):
+            clock.now += 0.5
+            book.note_crash("e1", {"a": 1})
+        self.assertFalse(book.blocked("a"))
+
+    def test_merging_again_changes_nothing_and_does_not_undo_a_clearance(self):
+        clock = Clock()
+        book = CrashBook(clock=clock)
+        told = book.note_crash("e1", {"a": 1, "b": 1})
+        book.note_success("a")
+        for _ in range(CRASH_LIMIT):
+            clock.now += 2 * SAME_CRASH_S
+            book.merge(told)
+        self.assertFalse(book.is_suspect("a") or book.blocked("b"))
+        other = CrashBook(clock=clock)
+        for known in book.reports():
+            other.merge(known)
+        self.assertEqual(other.dump(), book.dump())
+
+    def test_fingerprint_hides_the_digest(self):
+        self.assertNotIn("digest", fingerprint_of("digest"))
+        self.assertEqual(len(fingerprint_of("digest")), 64)
+
+
+class DetectorTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.detector = CrashDetector(clock=self.clock)
+
+    def test_one_cut_is_a_broken_connection(self):
+        self.assertEqual(self.detector.on_cut("e1", "a"), set())
+        self.clock.now += CUT_WINDOW_S + 0.1
+        self.assertEqual(self.detector.on_cut("e1", "b"), set())
+        self.assertEqual(self.detector.on_cut("e2", "c"), set())
+
+    def test_cuts_together_are_a_crash(self):
+        self.detector.on_cut("e1", "a")
+        self.assertEqual(self.detector.on_cut("e1", "b"), {"a", "b"})
+
+    def test_a_cut_and_then_a_refused_connection_is_a_crash(self):
+        self.detector.on_cut("e1", "a")
+        self.clock.now += 1.0
+        self.assertEqual(self.detector.on_gone("e1"), {"a"})
+
+    def test_a_refused_connection_alone_blames_nobody(self):
+        self.assertEqual(self.detector.on_gone("e1"), set())
+        self.detector.on_cut("e1", "a")
+        self.clock.now += RESTART_WINDOW_S + 0.1
+        self.assertEqual(self.detector.on_gone("e1"), set())
+
+    def test_a_run_the_engine_forgot_is_a_crash(self):
+        self.assertEqual(self.detector.on_gone("e1", "a"), {"a"})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_preemption.py
@@ -0,0 +1,139 @@
+"""Lower-tier runs cancelled for a higher tier: when, which, and how many."""
+
+import unittest
+
+from tests.utils.steward_fakes import Cell, ask, finished
+from wagtailtrestle.admission import MAX_ASKS
+from wagtailtrestle.messages import Granted, Preempt, Refused, RunProgress, RunStarted
+from wagtailtrestle.outcomes import Reason
+from wagtailtrestle.preemption import PREEMPT_TIMEOUT_S
+
+
+def started(request_id, *, on="e1", prompt_tokens=100):
+    return RunStarted(request_id=request_id, engine=on, first_token_s=0.1, prompt_tokens=prompt_tokens)
+
+
+def draft(request_id, **changes):
+    """A lower-tier run of about 20 s."""
+    fields = {"tier": 3, "output_tokens": 2000, "remaining_s": 300.0} | changes
+    return ask(request_id, **fields)
+
+
+def high(request_id, **changes):
+    """A top-tier request of 1.1 s that must begin soon."""
+    return ask(request_id, **({"tier": 0, "remaining_s": 3.0, "repeatable": False} | changes))
+
+
+class WhenTest(unittest.TestCase):
+    def test_the_higher_tier_gets_the_place(self):
+        # Drafts hold every place for 20 s when a question with 3 s arrives. One draft is
+        # cancelled, its place goes to the question and not to the draft that waits.
+        cell = Cell()
+        cell.receive(draft("d0"), draft("d1"), draft("d2", tier=2), high("q"))
+        cell.advance(0.1)
+        victim = cell.entries.ids(Preempt)
+        self.assertEqual(len(victim), 1)
+        cell.receive(finished(victim[0], result="RunCancelled"))
+        self.assertEqual(cell.entries.ids(Granted), ["d0", "d1", "q"])
+
+    def test_nothing_is_cancelled_if_a_place_frees_in_time(self):
+        cell = Cell()
+        cell.receive(draft("d0"), ask("soon", tier=1), started("d0"), started("soon"))
+        cell.receive(RunProgress(request_id="soon", output_tokens=80))
+        cell.receive(high("q"))
+        cell.advance(0.15)
+        self.assertEqual(cell.entries.ids(Preempt), [])
+
+    def test_no_more_than_needed(self):
+        # One question, many drafts, many rounds: one place is enough.
+        cell = Cell(engines=("e1", "e2", "e3"), slots=4)
+        cell.receive(*[draft(f"d{number}") for number in range(12)], high("q"))
+        cell.advance(PREEMPT_TIMEOUT_S - 0.1)
+        self.assertEqual(len(cell.entries.of(Preempt)), 1)
+
+    def test_nothing_is_cancelled_for_what_it_would_not_save(self):
+        cell = Cell()
+        cell.measure()
+        cell.receive(draft("d0"), draft("d1"))
+        cell.receive(high("q", output_tokens=250, remaining_s=2.7))
+        cell.advance(0.5)
+        self.assertEqual(cell.entries.ids(Preempt), [])
+
+    def test_what_its_places_did_not_help_takes_no_third_victim(self):
+        # Every freed place is gone before the request could take it. Cancelling one run
+        # after another for it would throw away their prefill for nothing.
+        cell = Cell(engines=("e1",), slots=6)
+        cell.receive(*[draft(f"d{number}") for number in range(6)])
+        cell.receive(high("q", remaining_s=9.0, output_tokens=300))
+        for _ in range(12):
+            cell.advance(PREEMPT_TIMEOUT_S / 2)
+        self.assertLessEqual(len(cell.entries.of(Preempt)), 2)
+
+    def test_a_silent_victim_is_not_waited_for(self):
+        # The victim's entry or engine does not answer. After the time-out another run is
+        # taken, or the question would miss its deadline beside a full engine.
+        cell = Cell()
+        cell.receive(draft("d0"), draft("d1"), high("q", remaining_s=6.0))
+        cell.advance(PREEMPT_TIMEOUT_S + 0.3)
+        self.assertEqual(sorted(cell.entries.ids(Preempt)), ["d0", "d1"])
+
+
+class WhichTest(unittest.TestCase):
+    def test_not_repeatable_or_same_tier_is_never_cancelled(self):
+        cell = Cell()
+        cell.receive(draft("booking", repeatable=False), draft("peer", tier=0), high("q"))
+        cell.advance(1.0)
+        self.assertEqual(cell.entries.ids(Preempt), [])
+
+    def test_a_middle_tier_takes_only_from_below(self):
+        # Two plans need places; one is held by a question, one by a draft.
+        cell = Cell()
+        cell.receive(draft("question", tier=0), draft("tagging", tier=3))
+        cell.receive(high("plan0", tier=2), high("plan1", tier=2))
+        cell.advance(1.0)
+        self.assertEqual(cell.entries.ids(Preempt), ["tagging"])
+
+    def test_lowest_tier_first_even_if_dearer(self):
+        cell = Cell()
+        cell.receive(draft("plan", tier=2), draft("tagging", tier=3, prompt_tokens=5000))
+        cell.receive(started("plan"), started("tagging", prompt_tokens=5000), high("q"))
+        cell.advance(0.1)
+        self.assertEqual(cell.entries.ids(Preempt), ["tagging"])
+
+    def test_least_discarded_prefill_within_a_tier(self):
+        cell = Cell(slots=3)
+        for request_id, tokens in (("long", 8000), ("short", 100), ("middle", 2000)):
+            cell.receive(draft(request_id, prompt_tokens=tokens), started(request_id, prompt_tokens=tokens))
+        cell.receive(high("q"))
+        cell.advance(0.1)
+        self.assertEqual(cell.entries.ids(Preempt), ["short"])
+
+    def test_a_run_not_yet_prefilled_costs_least(self):
+        cell = Cell()
+        cell.receive(draft("begun"), started("begun"))
+        cell.advance(1.0)
+        cell.receive(draft("fresh", prompt_tokens=4000), high("q"))
+        cell.advance(0.1)
+        self.assertEqual(cell.entries.ids(Preempt), ["fresh"])
+
+    def test_one_that_could_still_finish_goes_before_one_that_could_not(self):
+        cell = Cell()
+        cell.receive(draft("a-tight", output_tokens=1000, remaining_s=10.4), draft("b-easy", output_tokens=1000))
+        cell.receive(started("a-tight"), started("b-easy"), high("q"))
+        cell.advance(0.1)
+        self.assertEqual(cell.entries.ids(Preempt), ["b-easy"])
+
+
+class BoundTest(unittest.TestCase):
+    def test_preempted_again_and_again_is_refused_for_good(self):
+        # A draft that was cancelled many times asks once more while the cell is full. A
+        # run that is only ever begun wastes prefill each time; its caller hears so now.
+        cell = Cell()
+        cell.receive(ask("a", tier=0), ask("b", tier=0))
+        cell.receive(draft("d", attempt=MAX_ASKS + 1, done_tokens=50))
+        refused = cell.entries.of(Refused)
+        self.assertEqual([(message.request_id, message.reason) for message in refused], [("d", Reason.PREEMPTED)])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -1,92 +1,297 @@
-"""Grants, order of tiers and the account of one cell."""
+"""One cell's steward: grants, its account of engines, refusals, registration, pauses."""
 
 import unittest
 
-from wagtailtrestle.declaration import DeclaredEngine
-from wagtailtrestle.messages import Granted, GrantRequest, RunFinished
-from wagtailtrestle.policies import PredictedFinish
-from wagtailtrestle.steward import Steward
+from tests.utils.steward_fakes import Cell, ask, engine, finished, register, report, running
+from wagtailtrestle.messages import Granted, Preempt, Refused, RunProgress, Withdraw
+from wagtailtrestle.outcomes import Reason
+from wagtailtrestle.registration import CAUTION_S
 
 
-class FakeEntries:
-    """Keeps what the steward sent."""
+class GrantTest(unittest.TestCase):
+    def test_higher_tier_takes_the_next_free_place(self):
+        cell = Cell()
+        cell.receive(ask("run0"), ask("run1"), ask("low", tier=2), ask("high", tier=0), finished("run0"))
+        self.assertEqual(cell.entries.ids(Granted), ["run0", "run1", "high"])
 
-    def __init__(self):
-        self.sent = []
-        self.reachable = True
+    def test_engines_are_kept_just_full(self):
+        cell = Cell(engines=("e1", "e2"), slots=3)
+        cell.receive(*[ask(f"r{number}") for number in range(10)])
+        self.assertEqual(len(cell.entries.of(Granted)), 6)
+        self.assertEqual(cell.steward.digest().waiting_by_tier, {1: 4})
 
-    def send(self, *, entry, message):
-        if self.reachable:
-            self.sent.append(message)
-        return self.reachable
+    def test_granted_carries_limits_on_silence(self):
+        # A limit below the engine's normal pace would take a slow run for a dead one.
+        cell = Cell()
+        cell.receive(ask("long", prompt_tokens=4000, remaining_s=60.0))
+        granted = cell.entries.of(Granted)[0]
+        self.assertGreaterEqual(granted.progress_deadline_s, 1.0)
+        self.assertGreater(granted.first_token_deadline_s, 2 * 4000 / 1000.0)
 
-    def of(self, kind):
-        return [message for message in self.sent if isinstance(message, kind)]
+    def test_excluded_and_leaving_engines_get_nothing(self):
+        cell = Cell(engines=("e1", "e2", "e3"))
+        cell.steward.mark_leaving("e2")
+        cell.receive(ask("r", excluded_engines=("e1",)))
+        self.assertEqual(cell.entries.of(Granted)[0].engine, "e3")
+        cell.receive(ask("s", excluded_engines=("e1", "e3")))
+        self.assertEqual(cell.entries.of(Refused)[0].reason, Reason.NO_ENGINE)
 
+    def test_a_new_declaration_does_not_bring_a_leaving_engine_back(self):
+        # The platform's list marks an engine; then a declaration that says nothing of it
+        # is applied. New work on it would be cut when its VM goes.
+        cell = Cell()
+        cell.steward.mark_leaving("e1")
+        cell.steward.set_engines({"e1": engine("e1"), "e2": engine("e2")})
+        cell.receive(ask("r0"), ask("r1"), ask("r2"))
+        self.assertEqual({granted.engine for granted in cell.entries.of(Granted)}, {"e2"})
 
-class Clock:
-    """Time that only the test moves."""
+    def test_an_engine_that_says_it_is_leaving_gets_nothing(self):
+        cell = Cell()
+        cell.steward.on_load_report(report(leaving=True))
+        cell.receive(ask("r"))
+        self.assertEqual(cell.entries.ids(Granted), [])
 
-    def __init__(self):
-        self.now = 100.0
+    def test_draining_steward_grants_nothing(self):
+        cell = Cell()
+        cell.steward.stop_granting()
+        cell.receive(ask("r"))
+        self.assertEqual(cell.entries.sent, [])
 
-    def __call__(self):
-        return self.now
+    def test_unreachable_engine_gets_nothing_until_it_reports(self):
+        cell = Cell()
+        cell.steward.on_unreachable("e1")
+        cell.receive(ask("r"))
+        self.assertEqual(cell.entries.ids(Granted), [])
+        cell.steward.on_load_report(report())
+        self.assertEqual(cell.entries.ids(Granted), ["r"])
 
 
-def engine(name, *, slots=2):
-    return DeclaredEngine(
-        name=name,
-        service="asistente",
-        cell="asistente",
-        zone="gijon",
-        hardware="a",
-        address="127.0.0.1:1",
-        slots=slots,
-        step_ms=4.0,
-        prefill_tokens_per_s=8000.0,
-    )
+class MessagesTest(unittest.TestCase):
+    def test_the_same_ask_twice_is_one_place(self):
+        # The entry asks again as it saw no answer. The second ask must repeat the answer
+        # and take no second place.
+        cell = Cell(slots=1)
+        cell.receive(ask("r"), ask("w", tier=0, repeatable=False), ask("r"))
+        self.assertEqual(cell.entries.ids(Granted), ["r", "r"])
+        self.assertEqual(cell.steward.digest().waiting_by_tier, {0: 1})
 
+    def test_a_late_copy_of_a_settled_ask_takes_no_place(self):
+        # A copy arrives after its run ended. Granted, it would hold a place for ever,
+        # for no entry would ever finish it.
+        cell = Cell()
+        cell.receive(ask("r"), finished("r"), ask("r"))
+        self.assertEqual(cell.steward.digest().free, 2)
+        cell.receive(ask("w", attempt=2), Withdraw(request_id="w"), ask("w", attempt=1))
+        self.assertEqual(cell.steward.digest().free, 2)
 
-def ask(request_id, *, tier=1, attempt=1, team="socios", entry="r1", repeatable=True, **changes):
-    fields = {"prompt_tokens": 100, "output_tokens": 20, "remaining_s": 10.0} | changes
-    return GrantRequest(
-        request_id=request_id,
-        attempt=attempt,
-        entry=entry,
-        service="asistente",
-        cell="asistente",
-        team=team,
-        tier=tier,
-        repeatable=repeatable,
-        **fields,
-    )
+    def test_a_newer_ask_replaces_the_older(self):
+        cell = Cell()
+        cell.receive(ask("r"), ask("r", attempt=2))
+        self.assertEqual([granted.attempt for granted in cell.entries.of(Granted)], [1, 2])
+        self.assertEqual(cell.steward.digest().free, 1)
 
+    def test_a_finish_of_an_unknown_run_is_ignored(self):
+        cell = Cell()
+        cell.receive(ask("r"), finished("other"), finished("r", on="e9"))
+        self.assertEqual(cell.steward.digest().free, 1)
 
-def finished(request_id, *, on="e1", result="RunDone", **changes):
-    return RunFinished(request_id=request_id, engine=on, result=result, duration_s=0.1, **changes)
+    def test_a_place_given_back_unused_says_nothing_about_the_engine(self):
+        # Two stewards for a moment: every grant of one comes back unused. Counted as
+        # failures, they would eject a healthy engine.
+        cell = Cell(engines=("e1", "e2", "e3"))
+        for number in range(20):
+            request = ask(f"r{number}", excluded_engines=("e2", "e3"))
+            cell.receive(request, finished(f"r{number}", result="RunNotSent", duration_s=0.0))
+        cell.advance(0.1)
+        self.assertEqual(cell.steward.digest().free, 6)
 
 
-def make_steward(*, engines=("e1",), slots=2, entries=None, clock=None):
-    steward = Steward(
-        cell="asistente", policy=PredictedFinish(prefill_weight=0.5), clock=clock or Clock(), entries=entries
-    )
-    steward.set_engines({name: engine(name, slots=slots) for name in engines})
-    return steward
+class LoadReportTest(unittest.TestCase):
+    def test_a_late_report_does_not_count_what_ended_since(self):
+        # The report shows two runs, but it is 0.5 s old and both ended 0.2 s ago. Read as
+        # the present, it would leave both places empty until the next report.
+        cell = Cell()
+        cell.receive(ask("a"), ask("b"))
+        cell.advance(1.0)
+        cell.receive(finished("a"), finished("b"))
+        cell.advance(0.2)
+        cell.steward.on_load_report(report(age_s=0.5, running=2))
+        self.assertEqual(cell.steward.digest().free, 2)
 
+    def test_a_late_report_does_not_hide_what_was_granted_since(self):
+        cell = Cell()
+        cell.receive(ask("a"), ask("b"))
+        cell.steward.on_load_report(report(age_s=0.5, running=0))
+        self.assertEqual(cell.steward.digest().free, 0)
 
-class GrantOrderTest(unittest.TestCase):
-    def test_higher_tier_takes_the_next_free_place(self):
-        # All places are taken, a low-tier request waits, then a high-tier one arrives.
-        # The next place must go to the high tier although it came later.
-        entries = FakeEntries()
-        steward = make_steward(entries=entries)
-        for number in range(2):
-            steward.receive(ask(f"run{number}"))
-        steward.receive(ask("low", tier=2))
-        steward.receive(ask("high", tier=0))
-        steward.receive(finished("run0"))
-        self.assertEqual([granted.request_id for granted in entries.of(Granted)], ["run0", "run1", "high"])
+    def test_load_of_unknown_entries_counts(self):
+        # Another steward granted two runs here while the view was split. Places that look
+        # free to us are not.
+        cell = Cell()
+        cell.steward.on_load_report(report(running=1, waiting=1))
+        cell.receive(ask("r"))
+        self.assertEqual(cell.entries.ids(Granted), [])
+        cell.steward.on_load_report(report(running=1))
+        self.assertEqual(cell.entries.ids(Granted), ["r"])
+
+
+class RefusalTest(unittest.TestCase):
+    def test_what_cannot_finish_is_refused_at_once(self):
+        cell = Cell()
+        cell.measure()
+        cell.receive(ask("r", output_tokens=1000, remaining_s=5.0))
+        refused = cell.entries.of(Refused)[0]
+        self.assertEqual((refused.request_id, refused.reason), ("r", Reason.DEADLINE_UNREACHABLE))
+        self.assertGreaterEqual(refused.retry_after_s, 1.0)
+
+    def test_what_cannot_finish_is_refused_while_all_places_are_taken(self):
+        cell = Cell()
+        cell.measure()
+        cell.receive(ask("a"), ask("b"), ask("r", output_tokens=1000, remaining_s=5.0))
+        self.assertEqual([message.reason for message in cell.entries.of(Refused)], [Reason.DEADLINE_UNREACHABLE])
+
+    def test_a_cold_model_refuses_nothing_it_might_finish(self):
+        # Declared figures that are too pessimistic: if they refused, no run would ever
+        # correct them.
+        cell = Cell()
+        cell.receive(ask("r", output_tokens=1000, remaining_s=5.0))
+        self.assertEqual(cell.entries.ids(Granted), ["r"])
+
+    def test_overload_refuses_what_would_wait_too_long(self):
+        # About 1.1 s each, two at a time: of thirty with 5 s only some can be served. The
+        # others hear so now and not when their deadline has passed.
+        cell = Cell()
+        cell.measure()
+        cell.receive(*[ask(f"r{number}", remaining_s=5.0) for number in range(30)])
+        refused = cell.entries.of(Refused)
+        self.assertEqual({message.reason for message in refused}, {Reason.OVERLOADED})
+        self.assertGreater(len(refused), 15)
+        self.assertGreater(cell.steward.digest().waiting_by_tier[1], 3)
+
+    def test_no_higher_tier_is_refused_while_a_lower_waits(self):
+        # The queue of the higher tier is too long for its deadline, but a lower tier
+        # waits too. The lower one is to be refused first, so the higher ones stay.
+        cell = Cell()
+        cell.measure()
+        cell.receive(ask("run0", tier=0, repeatable=False), ask("run1", tier=0, repeatable=False))
+        cell.receive(ask("low", tier=2, remaining_s=600.0))
+        cell.receive(*[ask(f"r{number}", remaining_s=5.0) for number in range(30)])
+        self.assertEqual(cell.entries.ids(Refused), [])
+
+    def test_waiting_past_its_latest_start_is_refused_before_its_deadline(self):
+        cell = Cell()
+        cell.receive(ask("a", repeatable=False), ask("b", repeatable=False), ask("r", remaining_s=3.0))
+        cell.advance(2.2)
+        self.assertEqual(cell.entries.ids(Refused), ["r"])
+
+    def test_a_grant_that_would_make_a_running_one_late_is_not_made(self):
+        # A run has 1 s to spare. A prompt of 4 s of prefill on the same engine would slow
+        # its tokens for as long, and its own prefill would be wasted.
+        cell = Cell()
+        cell.measure()
+        cell.receive(ask("tight", remaining_s=2.5))
+        cell.advance(0.1)
+        cell.receive(ask("report", prompt_tokens=4000, remaining_s=60.0))
+        self.assertEqual(cell.entries.ids(Granted), ["tight"])
+        cell.receive(finished("tight"))
+        cell.advance(0.1)
+        self.assertEqual(cell.entries.ids(Granted), ["tight", "report"])
+
+
+class RegistrationTest(unittest.TestCase):
+    def test_a_new_steward_waits_for_every_member(self):
+        # A steward takes over: what the others run is not known yet. Granting at once
+        # would fill engines twice over.
+        cell = Cell(members=("r1", "r2"))
+        cell.receive(register("r1", waiting=[ask("r")]))
+        self.assertEqual(cell.entries.ids(Granted), [])
+        cell.receive(register("r2", running=[running(ask("x", entry="r2")), running(ask("y", entry="r2"))]))
+        self.assertEqual(cell.entries.ids(Granted), [])
+        cell.receive(finished("x"))
+        self.assertEqual(cell.entries.ids(Granted), ["r"])
+
+    def test_the_wait_is_bounded(self):
+        cell = Cell(members=("r1", "silent"))
+        cell.receive(register("r1", waiting=[ask("r")]))
+        cell.advance(CAUTION_S + 0.1)
+        self.assertEqual(cell.entries.ids(Granted), ["r"])
+
+    def test_meanwhile_it_grants_what_the_engines_report_free(self):
+        cell = Cell(engines=("e1", "e2"), members=("r1", "silent"))
+        cell.receive(register("r1", waiting=[ask(f"r{number}") for number in range(4)]))
+        cell.steward.on_load_report(report(on="e1", running=1))
+        self.assertEqual([granted.engine for granted in cell.entries.of(Granted)], ["e1"])
+
+    def test_a_registered_run_is_not_counted_twice(self):
+        # The engine's report shows a run before its entry has registered it.
+        cell = Cell(members=("r1", "r2"))
+        cell.steward.on_load_report(report(running=1))
+        cell.receive(register("r2", running=[running(ask("x", entry="r2"))]))
+        self.assertEqual(cell.steward.digest().free, 1)
+
+    def test_registering_replaces_what_was_known(self):
+        cell = Cell()
+        cell.receive(ask("gone"), ask("kept"), ask("waits"), ask("dropped"))
+        cell.receive(register("r1", waiting=[ask("waits")], running=[running(ask("kept"))]))
+        self.assertEqual(cell.entries.ids(Granted), ["gone", "kept", "waits"])
+        self.assertEqual(cell.steward.digest().waiting_by_tier, {})
+
+    def test_a_grant_that_crossed_the_registration_is_sent_again(self):
+        # The entry registered before our grant reached it. A second place for the same
+        # request would be lost; no answer would leave it waiting for ever.
+        cell = Cell(slots=1)
+        cell.receive(ask("r"), ask("w", tier=0, entry="r2"), register("r1", waiting=[ask("r")]))
+        self.assertEqual(cell.entries.ids(Granted), ["r", "r"])
+        self.assertEqual(cell.steward.digest().waiting_by_tier, {0: 1})
+
+    def test_an_entry_that_died_frees_its_places_only_when_the_engine_shows_it(self):
+        # Router r2 dies. Its waiting requests are gone with it, but the engine still runs
+        # what it sent. Granting into those places at once would overfill the engine.
+        cell = Cell(members=("r1", "r2"))
+        cell.receive(register("r1"), register("r2"))
+        cell.receive(ask("x", entry="r2"), ask("y", entry="r2"), ask("z", entry="r2"), ask("r"))
+        cell.steward.set_members(frozenset({"r1"}))
+        cell.advance(0.5)
+        self.assertEqual(cell.entries.ids(Granted), ["x", "y"])
+        cell.steward.on_load_report(report(running=1))
+        self.assertEqual(cell.entries.ids(Granted), ["x", "y", "r"])
+
+    def test_a_place_whose_end_nobody_tells_comes_back_after_its_deadline(self):
+        cell = Cell(members=("r1", "r2"))
+        cell.receive(register("r1"), register("r2"), ask("x", entry="r2"))
+        cell.steward.set_members(frozenset({"r1"}))
+        cell.advance(14.0)
+        self.assertEqual(cell.steward.digest().free, 1)
+        cell.advance(2.0)
+        self.assertEqual(cell.steward.digest().free, 2)
+
+    def test_a_steward_that_wakes_trusts_nothing_it_knew(self):
+        # The process is stopped for 30 s; others served the cell meanwhile and filled the
+        # engine. On waking, its own account shows both places free.
+        cell = Cell(members=("r1",))
+        cell.receive(register("r1"))
+        cell.steward.on_load_report(report())
+        cell.clock.now += 30.0
+        cell.receive(ask("r"))
+        self.assertEqual(cell.entries.ids(Granted), [])
+        self.assertEqual(cell.steward.awaited_entries, {"r1"})
+        cell.steward.on_load_report(report(running=2))
+        self.assertEqual(cell.entries.ids(Granted), [])
+        cell.receive(register("r1", waiting=[ask("r")]))
+        cell.steward.on_load_report(report(running=1))
+        self.assertEqual(cell.entries.ids(Granted), ["r"])
+
+    def test_a_lost_preemption_is_told_again_on_registering(self):
+        cell = Cell(slots=1)
+        cell.receive(
+            ask("low", tier=3, remaining_s=60.0, output_tokens=2000), RunProgress(request_id="low", output_tokens=9)
+        )
+        cell.receive(ask("high", tier=0, remaining_s=3.0))
+        cell.advance(1.0)
+        cell.receive(
+            register("r1", waiting=[ask("high", tier=0, remaining_s=2.0)], running=[running(ask("low", tier=3))])
+        )
+        self.assertEqual(cell.entries.ids(Preempt), ["low", "low"])
 
 
 if __name__ == "__main__":
--- a/wagtailtrestle/admission.py
+++ b/wagtailtrestle/admission.py
@@ -9,7 +9,6 @@
 
 from wagtailtrestle.grants import WaitingRequest
 from wagtailtrestle.outcomes import Reason
-from wagtailtrestle.output_lengths import OutputLengths
 
 FINISH_MARGIN = 1.1
 """A finish is promised only if it would still hold this much later than predicted."""
@@ -73,16 +72,13 @@
     ----------
     clock : callable
     queue : TierQueue
-
-    Attributes
-    ----------
     lengths : OutputLengths
     """
 
-    __slots__ = ("lengths", "_clock", "_queue", "_rates", "_engines")
+    __slots__ = ("_clock", "_queue", "_lengths", "_rates", "_engines")
 
-    def __init__(self, *, clock, queue):
-        self.lengths = OutputLengths()
+    def __init__(self, *, clock, queue, lengths):
+        self._lengths = lengths
         self._clock = clock
         self._queue = queue
         self._rates = ArrivalRates(clock=clock)
@@ -95,7 +91,7 @@
     def waiting(self, asked):
         """Build the queue's view of a request, with its expected output and predicted work."""
         now = self._clock()
-        request = self.lengths.expect(asked)
+        request = self._lengths.expect(asked)
         return WaitingRequest(
             request=request,
             asked_tokens=asked.output_tokens,
--- a/wagtailtrestle/grants.py
+++ b/wagtailtrestle/grants.py
@@ -78,6 +78,8 @@
         Times on the steward's clock.
     prefill_tokens : int
         Tokens the engine is expected to prefill for it (not in its cache).
+    ahead_tokens : int
+        Tokens the engine had still to prefill for others when it was granted.
 
     Attributes
     ----------
@@ -98,6 +100,7 @@
         "granted_at",
         "deadline",
         "prefill_tokens",
+        "ahead_tokens",
         "started",
         "output_tokens",
         "progress_at",
@@ -107,13 +110,16 @@
         "_concurrency_samples",
     )
 
-    def __init__(self, *, request: GrantRequest, asked_tokens, engine, granted_at, deadline, prefill_tokens):
+    def __init__(
+        self, *, request: GrantRequest, asked_tokens, engine, granted_at, deadline, prefill_tokens, ahead_tokens=0
+    ):
         self.request = request
         self.asked_tokens = asked_tokens
         self.engine = engine
         self.granted_at = granted_at
         self.deadline = deadline
         self.prefill_tokens = prefill_tokens
+        self.ahead_tokens = ahead_tokens
         self.started = False
         self.output_tokens = 0
         self.progress_at = granted_at
--- a/wagtailtrestle/poison.py
+++ b/wagtailtrestle/poison.py
@@ -9,8 +9,9 @@
 """
 
 import hashlib
+import itertools
 import secrets
-from collections import OrderedDict
+from collections import Counter
 from dataclasses import dataclass
 
 CRASH_LIMIT = 3
@@ -19,8 +20,8 @@
 CRASH_WINDOW_S = 600.0
 """How long a crash is held against what ran there."""
 
-SAME_CRASH_S = 2.0
-"""Reports of one engine by different routers within this time speak of one crash."""
+SAME_CRASH_S = 5.0
+"""Reports on one engine within this time speak of one crash, whoever makes them."""
 
 CUTS_OF_A_CRASH = 2
 """Runs of one engine cut within the window that make a crash rather than a broken connection."""
@@ -57,15 +58,20 @@
 
 
 class _Incident:
-    """One crash: when, of which engine, as told by whom, and who ran there."""
+    """One crash: when, of which engine, who ran there by which report, and who was cleared."""
 
-    __slots__ = ("engine", "at", "ids", "suspects")
+    __slots__ = ("engine", "at", "suspects_by_report", "cleared")
 
     def __init__(self, *, engine, at):
         self.engine = engine
         self.at = at
-        self.ids = {}
-        self.suspects = set()
+        self.suspects_by_report = {}
+        self.cleared = set()
+
+    @property
+    def suspects(self):
+        """Everything that ran there and did not run whole since."""
+        return set().union(*self.suspects_by_report.values()) - self.cleared
 
 
 class CrashBook:
@@ -109,18 +115,17 @@
         """Take in a crash seen by any router; twice the same incident is one."""
         self._forget_old()
         incident = self._incident_of(report)
-        known = incident.ids.setdefault(report.incident, set())
-        incident.suspects |= set(report.suspects) - known
-        known |= set(report.suspects)
+        known = incident.suspects_by_report.setdefault(report.incident, set())
+        known.update(report.suspects)
         self._assign_blame()
 
     def note_success(self, fingerprint):
         """Clear a request that ran whole: it does not crash what runs it."""
-        suspected = [incident for incident in self._incidents if fingerprint in incident.suspects]
-        for incident in suspected:
-            incident.suspects.discard(fingerprint)
-        if suspected:
-            self._assign_blame()
+        if fingerprint not in self._blame_by_fingerprint:
+            return
+        for incident in self._incidents:
+            incident.cleared.add(fingerprint)
+        self._assign_blame()
 
     def is_suspect(self, fingerprint) -> bool:
         """Whether it ran in a crash that is not explained; it is to run beside no other."""
@@ -139,11 +144,11 @@
             CrashReport(
                 engine=incident.engine,
                 incident=incident_id,
-                suspects=tuple(sorted(suspects & incident.suspects)),
+                suspects=tuple(sorted(suspects - incident.cleared)),
                 age_s=now - incident.at,
             )
             for incident in self._incidents
-            for incident_id, suspects in incident.ids.items()
+            for incident_id, suspects in incident.suspects_by_report.items()
         )
 
     def dump(self):
@@ -153,31 +158,25 @@
     def _incident_of(self, report):
         at = self._clock() - report.age_s
         for incident in self._incidents:
-            if report.incident in incident.ids:
+            if report.incident in incident.suspects_by_report:
                 return incident
         for incident in self._incidents:
-            if self._is_same_crash(incident, report, at):
+            # Each router reports a crash by itself, and one router as often as its runs
+            # or its attempts to attach fail. Counted apart, a single crash would look
+            # like several and block a request that ran once.
+            if incident.engine == report.engine and abs(incident.at - at) <= SAME_CRASH_S:
                 return incident
         incident = _Incident(engine=report.engine, at=at)
         self._incidents.append(incident)
         return incident
 
-    def _is_same_crash(self, incident, report, at):
-        # Each router reports a crash by itself. Counted apart, one crash seen by three
-        # routers would look like three, and block a request that ran once.
-        reporter = report.incident.rpartition("/")[0]
-        told = any(known.rpartition("/")[0] == reporter for known in incident.ids)
-        return incident.engine == report.engine and abs(incident.at - at) <= SAME_CRASH_S and not told
-
     def _assign_blame(self):
-        count_by_fingerprint = {}
-        for incident in self._incidents:
-            for fingerprint in incident.suspects:
-                count_by_fingerprint[fingerprint] = count_by_fingerprint.get(fingerprint, 0) + 1
-        blame = dict.fromkeys(count_by_fingerprint, 0.0)
-        for incident in self._incidents:
-            most = max((count_by_fingerprint[fingerprint] for fingerprint in incident.suspects), default=0)
-            guilty = [name for name in incident.suspects if count_by_fingerprint[name] == most]
+        suspects_by_incident = [incident.suspects for incident in self._incidents]
+        counts = Counter(itertools.chain.from_iterable(suspects_by_incident))
+        blame = dict.fromkeys(counts, 0.0)
+        for suspects in suspects_by_incident:
+            most = max((counts[fingerprint] for fingerprint in suspects), default=0)
+            guilty = [fingerprint for fingerprint in suspects if counts[fingerprint] == most]
             for fingerprint in guilty:
                 blame[fingerprint] += 1.0 / len(guilty)
         self._blame_by_fingerprint = blame
@@ -198,12 +197,11 @@
     clock : callable
     """
 
-    __slots__ = ("_clock", "_cuts_by_engine", "_crashed_at_by_engine")
+    __slots__ = ("_clock", "_cuts_by_engine")
 
     def __init__(self, *, clock):
         self._clock = clock
         self._cuts_by_engine = {}
-        self._crashed_at_by_engine = {}
 
     def on_cut(self, engine, fingerprint):
         """Note a run that ended without its whole answer; see :meth:`on_gone`.
@@ -213,7 +211,7 @@
         set of str
             Fingerprints to report as one crash; empty if it may be a broken connection.
         """
-        self._cuts(engine)[fingerprint] = self._clock()
+        self._note(engine, fingerprint)
         recent = self._since(engine, CUT_WINDOW_S)
         return self._crash(engine, recent) if len(recent) >= CUTS_OF_A_CRASH else set()
 
@@ -224,15 +222,18 @@
         about what ran there.
         """
         if fingerprint is not None:
-            self._cuts(engine)[fingerprint] = self._clock()
+            self._note(engine, fingerprint)
         return self._crash(engine, self._since(engine, RESTART_WINDOW_S))
 
-    def _cuts(self, engine):
-        return self._cuts_by_engine.setdefault(engine, OrderedDict())
+    def _note(self, engine, fingerprint):
+        recent = self._since(engine, RESTART_WINDOW_S)
+        cuts = self._cuts_by_engine.get(engine, {})
+        kept = {name: at for name, at in cuts.items() if name in recent}
+        self._cuts_by_engine[engine] = kept | {fingerprint: self._clock()}
 
     def _since(self, engine, window_s):
         horizon = self._clock() - window_s
-        return {fingerprint for fingerprint, at in self._cuts(engine).items() if at >= horizon}
+        return {name for name, at in self._cuts_by_engine.get(engine, {}).items() if at >= horizon}
 
     def _crash(self, engine, suspects):
         if suspects:
--- /dev/null
+++ b/wagtailtrestle/run_book.py
@@ -0,0 +1,181 @@
+"""Every run that holds a place in one cell, and what its course teaches about the engines."""
+
+from wagtailtrestle.engine_health import EngineHealth
+from wagtailtrestle.engine_state import EngineState
+from wagtailtrestle.grants import EndedAsks, Grant
+from wagtailtrestle.outcomes import RunDone, RunLost
+from wagtailtrestle.output_lengths import OutputLengths
+
+GRANT_GRACE_S = 5.0
+"""Time after a run's deadline at which its place is free even if nobody said so."""
+
+
+class RunBook:
+    """The grants of a cell, counted against its engines.
+
+    Parameters
+    ----------
+    clock : callable
+
+    Attributes
+    ----------
+    engines_by_name : dict of str to EngineState
+    grants_by_request_id : dict of str to Grant
+    ended : EndedAsks
+    lengths : OutputLengths
+    """
+
+    __slots__ = ("engines_by_name", "grants_by_request_id", "ended", "lengths", "_clock", "_health")
+
+    def __init__(self, *, clock):
+        self.engines_by_name = {}
+        self.grants_by_request_id = {}
+        self.ended = EndedAsks()
+        self.lengths = OutputLengths()
+        self._clock = clock
+        self._health = EngineHealth()
+
+    @property
+    def engines(self):
+        """The cell's engines."""
+        return self.engines_by_name.values()
+
+    def declare(self, by_name):
+        """Put the declared engines in force; what is known of those kept stays."""
+        states = {}
+        for name, declared in by_name.items():
+            states[name] = self.engines_by_name.get(name) or EngineState(declared=declared, clock=self._clock)
+            states[name].declare(declared)
+        self.engines_by_name = states
+        self._health.set_engines(states)
+
+    def hold(self, request, *, asked_tokens, engine_name, deadline):
+        """Give a place to a request and count it as not yet begun."""
+        grant = self._new_grant(request, asked_tokens, engine_name, elapsed_s=0.0)
+        grant.deadline = deadline
+        engine = self.engines_by_name[engine_name]
+        engine.add(grant)
+        engine.cache.stored(request.prefix_blocks)
+        return grant
+
+    def hold_registered(self, record):
+        """Count a run that an entry registered; one that is known already is brought up to date."""
+        grant = self.grants_by_request_id.get(record.request.request_id)
+        if grant is None:
+            expected = self.lengths.expect(record.request)
+            grant = self._new_grant(expected, record.request.output_tokens, record.engine, elapsed_s=record.elapsed_s)
+            grant.started = record.output_tokens > 0
+            engine = self.engines_by_name.get(record.engine)
+            if engine is not None:
+                engine.add_registered(grant)
+        grant.orphaned_at = None
+        grant.output_tokens = max(grant.output_tokens, record.output_tokens)
+        grant.progress_at = self._clock()
+        return grant
+
+    def end(self, grant):
+        """Free a grant's place."""
+        self.grants_by_request_id.pop(grant.request_id, None)
+        self.ended.note(grant.request)
+        engine = self.engines_by_name.get(grant.engine)
+        if engine is not None:
+            engine.end(grant)
+
+    def of_entry(self, entry):
+        """Grants of one entry."""
+        return [grant for grant in self.grants_by_request_id.values() if grant.request.entry == entry]
+
+    def orphan(self, entry):
+        """Keep what a dead entry's runs hold until a report shows them gone.
+
+        The engines may still run what the entry dispatched; freeing those places at once
+        would overfill them.
+        """
+        for grant in self.of_entry(entry):
+            grant.orphaned_at = self._clock()
+
+    def on_load_report(self, report):
+        """Correct an engine's account by its own report."""
+        engine = self.engines_by_name.get(report.engine)
+        if engine is not None:
+            for grant in engine.report(report):
+                self.end(grant)
+
+    def distrust(self):
+        """Believe no engine's report from before now."""
+        for engine in self.engines:
+            engine.distrust()
+
+    def tick(self):
+        """Refresh the engines, and free places whose end nobody told."""
+        now = self._clock()
+        for engine in self.engines:
+            engine.tick(health_share=self._health.share(engine.name, now))
+        for grant in list(self.grants_by_request_id.values()):
+            if now > grant.deadline + GRANT_GRACE_S:
+                self.end(grant)
+
+    def on_started(self, message):
+        """Take in a run's first token."""
+        grant = self.grants_by_request_id.get(message.request_id)
+        engine = self.engines_by_name.get(message.engine)
+        if grant is None or engine is None or grant.engine != message.engine or grant.started:
+            return
+        engine.start(grant)
+        grant.progress_at = self._clock()
+        engine.model.observe_first_token(
+            first_token_s=message.first_token_s,
+            uncached_tokens=message.prompt_tokens - message.cached_tokens,
+            concurrency=engine.running,
+            pending_prefill_tokens=grant.ahead_tokens,
+        )
+
+    def on_progress(self, message):
+        """Take in how far a run has come."""
+        grant = self.grants_by_request_id.get(message.request_id)
+        if grant is not None and message.output_tokens > grant.output_tokens:
+            grant.output_tokens = message.output_tokens
+            grant.progress_at = self._clock()
+
+    def on_finished(self, message):
+        """Free the run's place; the end of a run that is not known is ignored."""
+        grant = self.grants_by_request_id.get(message.request_id)
+        if grant is None or grant.engine != message.engine:
+            return
+        engine = self.engines_by_name.get(grant.engine)
+        # A place given back unused, told by no duration, says nothing about the engine.
+        if message.duration_s > 0.0 and engine is not None:
+            self._health.on_outcome(message.engine, message.result, self._clock())
+            self._learn(message, grant, engine)
+        self.end(grant)
+
+    def _learn(self, message, grant, engine):
+        if message.result == RunLost.__name__:
+            engine.cache.clear()
+        if message.result != RunDone.__name__:
+            return
+        tokens = message.output_tokens or grant.request.output_tokens
+        decode_s = message.duration_s - (message.first_token_s if message.output_tokens else 0.0)
+        concurrency = grant.mean_concurrency
+        expected_s = tokens * engine.model.pace_s(concurrency)
+        self._health.on_progress_rate(engine.name, decode_s / expected_s, self._clock())
+        self.lengths.observe(
+            request=grant.request, asked_tokens=grant.asked_tokens, output_tokens=message.output_tokens
+        )
+        engine.model.observe_finish(output_tokens=tokens, decode_s=decode_s, mean_concurrency=concurrency)
+
+    def _new_grant(self, request, asked_tokens, engine_name, *, elapsed_s):
+        now = self._clock()
+        engine = self.engines_by_name.get(engine_name)
+        cached = engine.cache.cached_tokens(request.prefix_blocks) if engine else 0
+        grant = Grant(
+            request=request,
+            asked_tokens=asked_tokens,
+            engine=engine_name,
+            granted_at=now - elapsed_s,
+            deadline=now + request.remaining_s,
+            prefill_tokens=max(1, request.prompt_tokens + request.done_tokens - cached),
+            ahead_tokens=engine.pending_prefill_tokens if engine else 0,
+        )
+        self.grants_by_request_id[request.request_id] = grant
+        return grant
--- a/wagtailtrestle/steward.py
+++ b/wagtailtrestle/steward.py
@@ -8,9 +8,6 @@
 from dataclasses import dataclass
 
 from wagtailtrestle.admission import Admission
-from wagtailtrestle.engine_health import EngineHealth
-from wagtailtrestle.engine_state import EngineState
-from wagtailtrestle.grants import EndedAsks, Grant
 from wagtailtrestle.messages import (
     Granted,
     GrantRequest,
@@ -22,9 +19,10 @@
     RunStarted,
     Withdraw,
 )
-from wagtailtrestle.outcomes import Reason, RunDone, RunLost
+from wagtailtrestle.outcomes import Reason
 from wagtailtrestle.preemption import LOOK_AHEAD, PreemptionPlanner
 from wagtailtrestle.registration import Registration
+from wagtailtrestle.run_book import RunBook
 from wagtailtrestle.tier_queue import TierQueue
 
 PROGRESS_FLOOR_S = 1.0
@@ -45,9 +43,6 @@
 UNPARK_IN_A_ROW = 32
 """Parked requests tried again at each tick, as predictions change with time."""
 
-GRANT_GRACE_S = 5.0
-"""Time after a run's deadline at which its place is free even if nobody said so."""
-
 
 @dataclass(slots=True, frozen=True, kw_only=True)
 class CellDigest:
@@ -87,14 +82,11 @@
         "_policy",
         "_clock",
         "_entries",
-        "_engines_by_name",
-        "_health",
+        "_runs",
         "_queue",
         "_admission",
         "_planner",
         "_registration",
-        "_grants_by_request_id",
-        "_ended",
         "_members",
         "_granting",
         "_handlers_by_type",
@@ -105,22 +97,19 @@
         self._policy = policy
         self._clock = clock
         self._entries = entries
-        self._engines_by_name = {}
-        self._health = EngineHealth()
+        self._runs = RunBook(clock=clock)
         self._queue = TierQueue()
-        self._admission = Admission(clock=clock, queue=self._queue)
+        self._admission = Admission(clock=clock, queue=self._queue, lengths=self._runs.lengths)
         self._planner = PreemptionPlanner(clock=clock, prefill_weight=prefill_weight)
         self._registration = Registration(clock=clock)
-        self._grants_by_request_id = {}
-        self._ended = EndedAsks()
         self._members = frozenset()
         self._granting = True
         self._handlers_by_type = {
             GrantRequest: self._on_grant_request,
             Withdraw: self._on_withdraw,
-            RunStarted: self._on_run_started,
-            RunProgress: self._on_run_progress,
-            RunFinished: self._on_run_finished,
+            RunStarted: self._runs.on_started,
+            RunProgress: self._runs.on_progress,
+            RunFinished: self._runs.on_finished,
             Register: self._on_register,
         }
 
@@ -128,18 +117,10 @@
 
     def set_engines(self, by_name):
         """Put the declared engines of this cell in force; what is known of kept ones stays."""
-        kept = {}
-        for name, declared in by_name.items():
-            state = self._engines_by_name.get(name)
-            if state is None:
-                state = EngineState(declared=declared, clock=self._clock)
-                if self._registration.cautious:
-                    state.distrust()
-            state.declare(declared)
-            kept[name] = state
-        self._engines_by_name = kept
-        self._health.set_engines(kept)
-        self._admission.set_engines(kept.values())
+        self._runs.declare(by_name)
+        self._admission.set_engines(self._runs.engines)
+        if self._registration.cautious:
+            self._runs.distrust()
         self._grant_ready()
 
     def set_teams(self, share_by_name):
@@ -152,7 +133,7 @@
         self._members = frozenset(entries)
         self._registration.set_members(self._members)
         if self._registration.cautious:
-            self._distrust_engines()
+            self._runs.distrust()
         for entry in gone:
             self._drop_entry(entry)
         self._grant_ready()
@@ -164,22 +145,18 @@
 
     def on_load_report(self, report):
         """Correct an engine's account by its own report."""
-        engine = self._engines_by_name.get(report.engine)
-        if engine is None:
-            return
-        for grant in engine.report(report):
-            self._end(grant)
+        self._runs.on_load_report(report)
         self._grant_ready()
 
     def on_unreachable(self, engine):
         """Grant nothing on an engine that does not answer, until it reports again."""
-        state = self._engines_by_name.get(engine)
+        state = self._runs.engines_by_name.get(engine)
         if state is not None:
             state.mark_unreachable()
 
     def mark_leaving(self, engine, leaving=True):
         """Grant nothing more on this engine, or again if the platform's list takes it back."""
-        state = self._engines_by_name.get(engine)
+        state = self._runs.engines_by_name.get(engine)
         if state is not None:
             state.mark_leaving(leaving)
 
@@ -199,12 +176,9 @@
     def tick(self):
         """Sweep deadlines, preempt, and grant what has become possible; about every 50 ms."""
         self._notice_pause()
-        now = self._clock()
-        for engine in self._engines_by_name.values():
-            engine.tick(health_share=self._health.share(engine.name, now))
-        for waiting in self._queue.pop_expired(now):
+        self._runs.tick()
+        for waiting in self._queue.pop_expired(self._clock()):
             self._refuse(waiting.request, Reason.OVERLOADED)
-        self._sweep_grants(now)
         self._queue.unpark_some(UNPARK_IN_A_ROW)
         self._grant_ready()
         self._preempt()
@@ -214,9 +188,9 @@
     def digest(self):
         """Summary by which entries choose between cells."""
         waiting_by_tier = self._queue.waiting_by_tier()
-        tiers = [grant.request.tier for grant in self._grants_by_request_id.values()] + list(waiting_by_tier)
+        tiers = [grant.request.tier for grant in self._runs.grants_by_request_id.values()] + list(waiting_by_tier)
         return CellDigest(
-            free=sum(engine.room for engine in self._engines_by_name.values()),
+            free=sum(engine.room for engine in self._runs.engines),
             waiting_by_tier=waiting_by_tier,
             lowest_tier=max(tiers, default=None),
         )
@@ -230,92 +204,46 @@
             "awaited": sorted(self.awaited_entries),
             "waiting_by_tier": self._queue.waiting_by_tier(),
             "work_by_tier": {tier: round(work, 3) for tier, work in self._queue.work_by_tier().items()},
-            "running": {request_id: grant.engine for request_id, grant in self._grants_by_request_id.items()},
-            "engines": {name: engine.dump() for name, engine in self._engines_by_name.items()},
+            "running": {request_id: grant.engine for request_id, grant in self._runs.grants_by_request_id.items()},
+            "engines": {name: engine.dump() for name, engine in self._runs.engines_by_name.items()},
         }
 
     # Messages of entries.
 
     def _on_grant_request(self, request):
-        grant = self._grants_by_request_id.get(request.request_id)
+        grant = self._runs.grants_by_request_id.get(request.request_id)
         if grant is not None and request.attempt == grant.request.attempt:
             self._tell_granted(grant)
             return
         waiting = self._queue.waiting_by_request_id.get(request.request_id)
         if waiting is not None and request.attempt <= waiting.request.attempt:
             return
-        if self._ended.holds(request) or (grant is not None and request.attempt < grant.request.attempt):
+        if self._runs.ended.holds(request) or (grant is not None and request.attempt < grant.request.attempt):
             return
         if grant is not None:
-            self._end(grant)
+            self._runs.end(grant)
         self._queue.remove(request.request_id)
         self._consider(request)
 
     def _on_withdraw(self, message):
         waiting = self._queue.remove(message.request_id)
         if waiting is not None:
-            self._ended.note(waiting.request)
-        grant = self._grants_by_request_id.get(message.request_id)
+            self._runs.ended.note(waiting.request)
+        grant = self._runs.grants_by_request_id.get(message.request_id)
         if grant is not None:
-            self._end(grant)
-
-    def _on_run_started(self, message):
-        grant = self._grants_by_request_id.get(message.request_id)
-        engine = self._engines_by_name.get(message.engine)
-        if grant is None or engine is None or grant.engine != message.engine:
-            return
-        if not grant.started:
-            engine.start(grant)
-            grant.progress_at = self._clock()
-            engine.model.observe_first_token(
-                first_token_s=message.first_token_s,
-                uncached_tokens=message.prompt_tokens - message.cached_tokens,
-                concurrency=engine.running,
-            )
-
-    def _on_run_progress(self, message):
-        grant = self._grants_by_request_id.get(message.request_id)
-        if grant is not None and message.output_tokens > grant.output_tokens:
-            grant.output_tokens = message.output_tokens
-            grant.progress_at = self._clock()
-
-    def _on_run_finished(self, message):
-        grant = self._grants_by_request_id.get(message.request_id)
-        if grant is None or grant.engine != message.engine:
-            return
-        engine = self._engines_by_name.get(grant.engine)
-        # A place given back unused, told by no duration, says nothing about the engine.
-        if message.duration_s > 0.0 and engine is not None:
-            self._health.on_outcome(message.engine, message.result, self._clock())
-            self._learn(message, grant, engine)
-        self._end(grant)
-
-    def _learn(self, message, grant, engine):
-        if message.result == RunLost.__name__:
-            engine.cache.clear()
-        if message.result != RunDone.__name__:
-            return
-        tokens = message.output_tokens or grant.request.output_tokens
-        decode_s = message.duration_s - (message.first_token_s if message.output_tokens else 0.0)
-        concurrency = grant.mean_concurrency
-        expected_s = tokens * engine.model.pace_s(concurrency)
-        self._health.on_progress_rate(engine.name, decode_s / expected_s, self._clock())
-        self._admission.lengths.observe(
-            request=grant.request, asked_tokens=grant.asked_tokens, output_tokens=message.output_tokens
-        )
-        engine.model.observe_finish(output_tokens=tokens, decode_s=decode_s, mean_concurrency=concurrency)
+            self._runs.end(grant)
 
     def _on_register(self, message):
         self._registration.registered(message.entry)
         running_by_id = {record.request.request_id: record for record in message.running}
         asked_by_id = {request.request_id: request for request in message.waiting}
-        for grant in self._grants_of(message.entry):
+        for grant in self._runs.of_entry(message.entry):
             asked = asked_by_id.get(grant.request_id)
             in_flight = asked is not None and asked.attempt == grant.request.attempt
             record = running_by_id.get(grant.request_id)
             held = record is not None and record.engine == grant.engine
             if not in_flight and not held:
-                self._end(grant)
+                self._runs.end(grant)
         for waiting in self._waiting_of(message.entry):
             if waiting.request_id not in asked_by_id:
                 self._queue.remove(waiting.request_id)
@@ -326,25 +254,14 @@
 
     def _on_registered_ask(self, request):
         # The entry says it still waits, so an answer to this ask was lost on the way.
-        if self._ended.holds(request):
+        if self._runs.ended.holds(request):
             self._consider(request)
         else:
             self._on_grant_request(request)
 
     def _hold_registered(self, record):
-        request = record.request
-        self._queue.remove(request.request_id)
-        grant = self._grants_by_request_id.get(request.request_id)
-        if grant is None:
-            expected = self._admission.lengths.expect(request)
-            grant = self._new_grant(expected, request.output_tokens, record.engine, elapsed_s=record.elapsed_s)
-            grant.started = record.output_tokens > 0
-            engine = self._engines_by_name.get(record.engine)
-            if engine is not None:
-                engine.add_registered(grant)
-        grant.orphaned_at = None
-        grant.output_tokens = max(grant.output_tokens, record.output_tokens)
-        grant.progress_at = self._clock()
+        self._queue.remove(record.request.request_id)
+        grant = self._runs.hold_registered(record)
         if grant.preempted_at is not None:
             self._tell_preempt(grant)
 
@@ -375,7 +292,7 @@
 
     def _open_engines(self):
         cautious = self._registration.cautious
-        engines = self._engines_by_name.values()
+        engines = self._runs.engines
         return [engine for engine in engines if engine.available and (engine.reported or not cautious)]
 
     def _try(self, waiting, open_engines):
@@ -385,37 +302,23 @@
         if engine is not None:
             self._grant(waiting, engine)
             return
-        others = [engine for engine in self._engines_by_name.values() if not engine.leaving]
+        others = [engine for engine in self._runs.engines if not engine.leaving]
         if any(self._admission.could_finish(waiting, engine) for engine in others):
             self._queue.park(waiting, tried_engines=frozenset(engine.name for engine in open_engines))
         else:
             self._refuse(waiting.request, Reason.DEADLINE_UNREACHABLE)
 
     def _grant(self, waiting, engine):
-        grant = self._new_grant(waiting.request, waiting.asked_tokens, engine.name)
-        grant.deadline = waiting.deadline
-        engine.add(grant)
-        engine.cache.stored(waiting.request.prefix_blocks)
-        self._tell_granted(grant)
-
-    def _new_grant(self, request, asked_tokens, engine_name, elapsed_s=0.0):
-        now = self._clock()
-        engine = self._engines_by_name.get(engine_name)
-        prompt_tokens = request.prompt_tokens + request.done_tokens
-        cached = engine.cache.cached_tokens(request.prefix_blocks) if engine else 0
-        grant = Grant(
-            request=request,
-            asked_tokens=asked_tokens,
-            engine=engine_name,
-            granted_at=now - elapsed_s,
-            deadline=now + request.remaining_s,
-            prefill_tokens=max(1, prompt_tokens - cached),
+        grant = self._runs.hold(
+            waiting.request,
+            asked_tokens=waiting.asked_tokens,
+            engine_name=engine.name,
+            deadline=waiting.deadline,
         )
-        self._grants_by_request_id[request.request_id] = grant
-        return grant
+        self._tell_granted(grant)
 
     def _tell_granted(self, grant):
-        engine = self._engines_by_name.get(grant.engine)
+        engine = self._runs.engines_by_name.get(grant.engine)
         if engine is None:
             return
         model = engine.model
@@ -433,17 +336,10 @@
             first_token_deadline_s=max(FIRST_TOKEN_FLOOR_S, SILENCE_FACTOR * first_token_s),
         )
         if not self._entries.send(entry=grant.request.entry, message=granted):
-            self._end(grant)
-
-    def _end(self, grant):
-        self._grants_by_request_id.pop(grant.request_id, None)
-        self._ended.note(grant.request)
-        engine = self._engines_by_name.get(grant.engine)
-        if engine is not None:
-            engine.end(grant)
+            self._runs.end(grant)
 
     def _refuse(self, request, reason):
-        self._ended.note(request)
+        self._runs.ended.note(request)
         refused = Refused(
             request_id=request.request_id,
             attempt=request.attempt,
@@ -458,7 +354,7 @@
         if not self._granting or self._registration.cautious or not len(self._queue):
             return
         first = self._queue.first(LOOK_AHEAD)
-        for grant in self._planner.victims(waiting=first, engines=self._engines_by_name.values()):
+        for grant in self._planner.victims(waiting=first, engines=self._runs.engines):
             if self._tell_preempt(grant):
                 grant.preempted_at = self._clock()
 
@@ -466,30 +362,15 @@
         message = Preempt(request_id=grant.request_id, engine=grant.engine)
         return self._entries.send(entry=grant.request.entry, message=message)
 
-    def _grants_of(self, entry):
-        return [grant for grant in self._grants_by_request_id.values() if grant.request.entry == entry]
-
     def _waiting_of(self, entry):
         return [waiting for waiting in self._queue.waiting_by_request_id.values() if waiting.request.entry == entry]
 
     def _drop_entry(self, entry):
-        # The engines may still run what the dead entry dispatched. Freeing those places
-        # at once would overfill them; they count until a report shows them gone.
         for waiting in self._waiting_of(entry):
             self._queue.remove(waiting.request_id)
-        for grant in self._grants_of(entry):
-            grant.orphaned_at = self._clock()
-
-    def _sweep_grants(self, now):
-        for grant in list(self._grants_by_request_id.values()):
-            if now > grant.deadline + GRANT_GRACE_S:
-                self._end(grant)
+        self._runs.orphan(entry)
 
     def _notice_pause(self):
         if self._registration.woke():
             self._registration.begin()
-            self._distrust_engines()
-
-    def _distrust_engines(self):
-        for engine in self._engines_by_name.values():
-            engine.distrust()
+            self._runs.distrust()
--- a/wagtailtrestle/tier_queue.py
+++ b/wagtailtrestle/tier_queue.py
@@ -25,7 +25,7 @@
 COMPACT_ABOVE = 64
 """Entries of removed requests that a heap may hold beyond as many as wait."""
 
-SLOT_S = 1.0
+SLOT_S = 0.25
 """Width of the slots of due time over which waiting work is summed."""
 
 
@@ -85,9 +85,9 @@
             self.work_by_slot[slot] = left
 
     def work_ahead_s(self, waiting):
-        """Engine-seconds of the team's requests that are due before this one."""
+        """Engine-seconds of the team's requests that are due before this one, or with it."""
         slot = _slot(waiting)
-        return sum(work for other, work in self.work_by_slot.items() if other < slot)
+        return sum(work for other, work in self.work_by_slot.items() if other <= slot)
 
 
 class _Tier:
