Entry: wait for messages under a timeout, without a task for each

Cause: asyncio.wait_for makes a task for every message waited for; it was most of the entry's 472 us a request. Change: the inbox is read at once if it holds something, else awaited under asyncio.timeout_at.

--- a/wagtailtrestle/request_task.py
+++ b/wagtailtrestle/request_task.py
@@ -574,13 +574,11 @@
 
     async def _next_message(self, *, until):
         """Next message, or ``None`` once ``until`` (loop time) has passed."""
-        if until is None:
-            return await self._inbox.get()
-        timeout = until - self.context.now()
-        if timeout <= 0 and self._inbox.empty():
-            return None
+        if not self._inbox.empty():
+            return self._inbox.get_nowait()
         try:
-            return await asyncio.wait_for(self._inbox.get(), timeout=max(timeout, 0))
+            async with asyncio.timeout_at(until):
+                return await self._inbox.get()
         except TimeoutError:
             return None
 
