--- a/wagtailtrestle/demo/deployment.py
+++ b/wagtailtrestle/demo/deployment.py
@@ -188,16 +188,19 @@
 
     def _place_routers(self):
         zones = [zone for zones in self.document["regions"].values() for zone in zones]
-        platform_port, *ports = free_ports(1 + 3 * self._router_count)
+        names = [f"router-{number + 1}" for number in range(self._router_count)]
+        platform_port, *ports = free_ports(1 + 3 * len(names))
         self.platform_url = f"http://{HOST}:{platform_port}"
-        for number in range(self._router_count):
-            callers, peers, admin = ports[3 * number : 3 * number + 3]
-            name = f"router-{number + 1}"
+        self.peers_address_by_router = {name: f"{HOST}:{port}" for name, port in zip(names, ports[::3], strict=True)}
+        for number, name in enumerate(names):
+            callers, admin = ports[3 * number + 1 : 3 * number + 3]
             self.callers_url_by_router[name] = f"http://{HOST}:{callers}"
             self.admin_url_by_router[name] = f"http://{HOST}:{admin}"
-            self.peers_address_by_router[name] = f"{HOST}:{peers}"
             self.routers_by_name[name] = self._router(name, zones[number % len(zones)], callers, admin)
 
+    def _peers_but(self, name):
+        return [(peer, address) for peer, address in self.peers_address_by_router.items() if peer != name]
+
     def _router(self, name, zone, callers, admin):
         path = self.directory / f"{name}.yaml"
         settings = {
@@ -207,6 +210,7 @@
             "peers_address": self.peers_address_by_router[name],
             "admin_address": f"{HOST}:{admin}",
             "platform_url": self.platform_url,
+            "peers": [f"{peer}={address}" for peer, address in self._peers_but(name)],
             **self._router_settings,
         }
         path.write_text(yaml.safe_dump(settings))
