Take back the entry's own reading of a leaving engine's 503

Change: that rule is removed; the test of the graceful stop stays as it was. Conclusion: one rule, the stricter one.

--- a/wagtailtrestle/request_task.py
+++ b/wagtailtrestle/request_task.py
@@ -51,7 +51,6 @@
 MAX_ATTACHES = 2
 ATTACH_ROOM_S = 0.05
 CANCEL_GRACE_S = 2.0
-ENGINE_TAKES_NONE = 503
 DEFAULT_RETRY_AFTER_S = 1.0
 
 STATUS_BY_REASON = {
@@ -406,8 +405,6 @@
         match outcome:
             case RunNotSent():
                 return
-            case RunRejected(status=status) if self._not_begun(status):
-                return
             case RunCut(reached=False) | RunSilent(reached=False) | RunLost() | RunRejected():
                 self._maybe_reached = True
             case _:
@@ -432,8 +429,6 @@
             case RunRejected() if not self.context.can_cancel(self.request.service):
                 # A plain service's own refusal (a slot taken) is its whole answer.
                 return self._answer_whole(ended)
-            case RunRejected(status=status) if self._not_begun(status):
-                return self._after_engine_refusal()
             case RunRejected(status=status):
                 return self._refuse(Reason.ENGINE_ERROR, status=_rejected_status(status))
             case RunCancelled() if self._preempted:
@@ -451,21 +446,6 @@
             return self._refuse(Reason.NO_ENGINE)
         return False
 
-    def _not_begun(self, status):
-        """Whether a language engine answered that it takes no runs, so that this one was not begun."""
-        return status == ENGINE_TAKES_NONE and self.context.can_cancel(self.request.service)
-
-    def _after_engine_refusal(self):
-        # An engine that leaves refuses what was granted before its steward learned of it.
-        # Were that passed on as an error, each graceful stop would fail the callers of some
-        # tenths of a second. What may be repeated goes elsewhere; the rest keeps to its one
-        # dispatch, and its caller is told truthfully that it did not run.
-        self._not_sent += 1
-        self._excluded.add(self.engine)
-        if not self.request.repeatable or self._not_sent >= MAX_NOT_SENT:
-            return self._refuse(Reason.ENGINE_ERROR, status=ENGINE_TAKES_NONE)
-        return False
-
     def _after_loss(self, outcome):
         self._keep_tokens(outcome)
         # One byte sent may have started the run. A second dispatch of a request that
