--- a/wagtailtrestle/standins/service.py
+++ b/wagtailtrestle/standins/service.py
@@ -167,8 +167,9 @@
             hold_silent(environ[CONNECTION], environ[STOPPING])
         if kind == "late":
             time.sleep(self.faults.late_s)
+        answer_id = OTHER_RUN if kind == "cross" else run_id
         answer = {
-            "request_id": run_id,
+            "request_id": answer_id,
             "method": environ["REQUEST_METHOD"],
             "path": environ["PATH_INFO"],
             "query": environ.get("QUERY_STRING", ""),
@@ -176,7 +177,7 @@
         }
         if kind == "cut":
             return _cut_answer(start_response, run_id, answer, environ[CONNECTION])
-        return json_answer(start_response, 200, answer, request_id=OTHER_RUN if kind == "cross" else run_id)
+        return json_answer(start_response, 200, answer, request_id=answer_id)
 
     def _post_faults(self, environ, start_response):
         values = json.loads(read_body(environ))
--- a/wagtailtrestle/standins/streaming.py
+++ b/wagtailtrestle/standins/streaming.py
@@ -10,22 +10,24 @@
 DONE = b"data: [DONE]\n\n"
 POLL_S = 0.5
 OTHER_RUN = "another-run"
+OTHER_ANSWER = "foreign"
 
 
 class EventText:
     """Writes the events of one run."""
 
-    __slots__ = ("_run", "_head", "_tail")
+    __slots__ = ("_run", "_answer_key", "_head", "_tail")
 
-    def __init__(self, *, run, answer_id=None):
+    def __init__(self, *, run, answer_id=None, answer_key=None):
         self._run = run
+        self._answer_key = answer_key or run.answer_key
         kind = "chat.completion.chunk" if run.chat else "text_completion"
         self._head = f'data: {{"id":{json.dumps(answer_id or run.run_id)},"object":"{kind}","choices":[{{"index":0,'
         self._tail = ',"finish_reason":null}]'
 
     def token(self, index) -> bytes:
         """Write one token's event; the first one tells the use of the cache."""
-        text = json.dumps(token_text(self._run.answer_key, index))
+        text = json.dumps(token_text(self._answer_key, index))
         part = f'"delta":{{"content":{text}}}' if self._run.chat else f'"text":{text}'
         batch = self._run.batch_run
         usage = f',"usage":{json.dumps(usage_of(self._run))}' if index == batch.resume_tokens + 1 else ""
@@ -70,12 +72,13 @@
         Set when the server stops.
     """
 
-    __slots__ = ("run", "_reader", "_sent", "_connection", "_stopping")
+    __slots__ = ("run", "_reader", "_sent", "_ended", "_connection", "_stopping")
 
     def __init__(self, *, run, reader, from_token, connection, stopping):
         self.run = run
         self._reader = reader
         self._sent = from_token
+        self._ended = False
         self._connection = connection
         self._stopping = stopping
 
@@ -104,18 +107,28 @@
         yield text.end()
 
     def _newest(self):
-        while True:
-            try:
-                newest = self._reader.indices.get(timeout=POLL_S)
-            except queue.Empty:
-                if connection_closed(self._connection):
-                    break_connection(self._connection)
-                continue
-            if self._reader.cut.is_set():
+        """Wait for a step; return the newest index, or ``None`` once the run has ended."""
+        newest = None
+        while newest is None and not self._ended:
+            newest = self._next_index()
+        # Whatever came in the meantime goes out in the same write.
+        while not self._ended and not self._reader.indices.empty():
+            newest = self._next_index() or newest
+        return newest
+
+    def _next_index(self):
+        try:
+            index = self._reader.indices.get(timeout=POLL_S)
+        except queue.Empty:
+            if connection_closed(self._connection):
                 break_connection(self._connection)
-            if self._reader.silent.is_set():
-                hold_silent(self._connection, self._stopping)
-            return newest
+            return None
+        if self._reader.cut.is_set():
+            break_connection(self._connection)
+        if self._reader.silent.is_set():
+            hold_silent(self._connection, self._stopping)
+        self._ended = index is None
+        return index
 
     def _indices(self):
         for first, last in self.ranges():
@@ -131,7 +144,7 @@
         if fault.kind == "silent":
             hold_silent(self._connection, self._stopping)
         if fault.kind == "cross":
-            yield EventText(run=self.run, answer_id=OTHER_RUN).token(index)
+            yield EventText(run=self.run, answer_id=OTHER_RUN, answer_key=OTHER_ANSWER).token(index)
             return
         if fault.kind == "gap" and first_faulty:
             return
