Specify claims and dispatch and check them with z3

Cause: at-most-once rests on rules that tests of single cases cannot cover in all orders. Change: a small specification language over z3, bounded search, induction, and the specification of claims with eleven safeguards.

--- /dev/null
+++ b/wagtailtrestle/spec/checker.py
@@ -0,0 +1,256 @@
+"""Searches a specification for traces to a bad state, and proves that there are none.
+
+Two ways, both on z3: *bounded* search unrolls the steps and gives the shortest trace;
+*induction* shows that the properties with their lemmas survive every single step, from
+any state at all, so no trace of whatever length breaks them.
+"""
+
+import re
+import time
+
+import z3
+
+from wagtailtrestle.spec.language import any_of
+
+
+class Step:
+    """One step of a trace: the action taken and the state after it.
+
+    Parameters
+    ----------
+    action : str
+        ``name(key=value, …)``; empty for the initial state.
+    state : dict of str to str or bool
+    """
+
+    __slots__ = ("action", "state")
+
+    def __init__(self, *, action, state):
+        self.action = action
+        self.state = state
+
+    @property
+    def verb(self):
+        """Name of the action without its parameters."""
+        return self.action.partition("(")[0]
+
+    @property
+    def parameters(self):
+        """Parameters of the action, numbers as ``int``."""
+        pairs = re.findall(r"(\w+)=(\w+)", self.action)
+        return {key: int(value) if value.isdigit() else value for key, value in pairs}
+
+
+class Trace:
+    """States and actions from an initial state on."""
+
+    __slots__ = ("steps",)
+
+    def __init__(self, *, steps):
+        self.steps = steps
+
+    @property
+    def actions(self):
+        """The actions taken, in order."""
+        return [step.action for step in self.steps[1:]]
+
+    def text(self):
+        """Print one line for each step: the action and what it changed."""
+        lines = []
+        before = self.steps[0].state
+        for number, step in enumerate(self.steps[1:], start=1):
+            changed = [f"{name} = {value}" for name, value in step.state.items() if before[name] != value]
+            lines.append(f"  {number:2}. {step.action:<44} {', '.join(changed)}")
+            before = step.state
+        return "\n".join(lines)
+
+
+class Bounded:
+    """The steps of a specification, unrolled one by one.
+
+    Parameters
+    ----------
+    specification : Specification
+    opening : tuple of str
+        Actions that the first steps take.
+    """
+
+    def __init__(self, specification, *, opening=()):
+        self._specification = specification
+        self._opening = opening
+        self._solver = z3.SolverFor("QF_FD")
+        self._states = []
+        self._choices = []
+        self._choice_sort = z3.BitVecSort(len(specification.actions).bit_length())
+        self._variables = {name: domain.variable(name) for name, domain in specification.domains_by_variable.items()}
+        self._states.append(self._new_state())
+        self._solver.add(self._at(specification.initial, 0))
+
+    @property
+    def depth(self):
+        """Steps unrolled so far."""
+        return len(self._choices)
+
+    @property
+    def effort(self):
+        """Conflicts the solver met so far."""
+        statistics = self._solver.statistics()
+        return next((statistics.get_key_value(key) for key in statistics.keys() if key == "sat conflicts"), 0)
+
+    def deepen(self):
+        """Unroll one more step."""
+        actions = self._specification.actions
+        state, after = self._states[-1], self._new_state()
+        choice = z3.Const(f"choice@{self.depth}", self._choice_sort)
+        taken = [choice == index for index in range(len(actions))]
+        self._solver.add(z3.ULE(choice, len(actions)))
+        if self.depth < len(self._opening):
+            self._solver.add(
+                any_of(t for t, a in zip(taken, actions, strict=True) if a.name == self._opening[self.depth])
+            )
+        for one, action in zip(taken, actions, strict=True):
+            self._solver.add(z3.Implies(one, self._at(action.guard, self.depth)))
+        for name, term in after.items():
+            value = state[name]
+            for one, action in zip(taken, actions, strict=True):
+                if name in action.changes:
+                    value = z3.If(one, self._at(action.changes[name], self.depth), value)
+            self._solver.add(term == value)
+        self._choices.append(choice)
+        self._states.append(after)
+
+    def search(self, bad):
+        """Look for a trace whose last state is ``bad``; ``None`` if there is none within the depth.
+
+        A step may change nothing, so this covers every shorter trace too.
+        """
+        self._solver.push()
+        self._solver.add(self._at(bad, self.depth))
+        found = self._solver.check()
+        trace = self._trace(self._solver.model()) if found == z3.sat else None
+        self._solver.pop()
+        if found == z3.unknown:
+            raise RuntimeError(f"the solver gave up: {self._solver.reason_unknown()}")
+        return trace
+
+    def _new_state(self):
+        number = len(self._states)
+        domains = self._specification.domains_by_variable
+        return {name: domain.variable(f"{name}@{number}") for name, domain in domains.items()}
+
+    def _at(self, term, number):
+        state = self._states[number]
+        return z3.substitute(term, [(self._variables[name], state[name]) for name in state])
+
+    def _trace(self, model):
+        steps = [Step(action="", state=self._read(model, 0))]
+        for number, choice in enumerate(self._choices):
+            index = model.eval(choice, model_completion=True).as_long()
+            if index < len(self._specification.actions):
+                action = self._specification.actions[index].name
+                steps.append(Step(action=action, state=self._read(model, number + 1)))
+        return Trace(steps=steps)
+
+    def _read(self, model, number):
+        return {
+            name: domain.read(model.eval(self._states[number][name], model_completion=True))
+            for name, domain in self._specification.domains_by_variable.items()
+        }
+
+
+def shortest_trace(specification, bad, *, most_steps, opening=()):
+    """Shortest trace to a ``bad`` state, or ``None`` within ``most_steps``."""
+    bounded = Bounded(specification, opening=opening)
+    for _ in range(most_steps):
+        bounded.deepen()
+        trace = bounded.search(bad)
+        if trace is not None:
+            return trace
+    return None
+
+
+class Gap:
+    """Where an induction fails: ``step`` leads from an allowed state to one that is not."""
+
+    __slots__ = ("action", "broken", "trace")
+
+    def __init__(self, *, action, broken, trace):
+        self.action = action
+        self.broken = broken
+        self.trace = trace
+
+
+class Inductive:
+    """Proof by induction that a specification's properties hold for ever.
+
+    Parameters
+    ----------
+    specification : Specification
+    """
+
+    __slots__ = ("_specification", "_facts_by_name", "_variables")
+
+    def __init__(self, specification):
+        self._specification = specification
+        domains = specification.domains_by_variable
+        self._variables = {name: domain.variable(name) for name, domain in domains.items()}
+        within = z3.And([domain.within(self._variables[name]) for name, domain in domains.items()])
+        self._facts_by_name = {"domains": within, **specification.properties_by_name}
+        self._facts_by_name |= {f"lemma {number}": lemma for number, lemma in enumerate(specification.lemmas)}
+
+    def gap(self):
+        """First gap of the proof, or ``None`` when it is whole."""
+        fact = z3.And(list(self._facts_by_name.values()))
+        solver = z3.SolverFor("QF_FD")
+        solver.add(self._specification.initial, z3.Not(fact))
+        if solver.check() != z3.unsat:
+            return Gap(action="initial", broken=self._broken(solver.model(), {}), trace=None)
+        for action in self._specification.actions:
+            found = self._survives(action, fact)
+            if found is not None:
+                return found
+        return None
+
+    def _survives(self, action, fact):
+        changes = [(self._variables[name], term) for name, term in action.changes.items()]
+        after = z3.substitute(fact, changes) if changes else fact
+        solver = z3.SolverFor("QF_FD")
+        solver.add(fact, action.guard, z3.Not(after))
+        if solver.check() == z3.unsat:
+            return None
+        model = solver.model()
+        return Gap(action=action.name, broken=self._broken(model, action.changes), trace=self._pair(model, action))
+
+    def _broken(self, model, changes):
+        pairs = [(self._variables[name], term) for name, term in changes.items()]
+        return [
+            name
+            for name, fact in self._facts_by_name.items()
+            if not z3.is_true(model.eval(z3.substitute(fact, pairs) if pairs else fact, model_completion=True))
+        ]
+
+    def _pair(self, model, action):
+        domains = self._specification.domains_by_variable
+        before = {name: model.eval(term, model_completion=True) for name, term in self._variables.items()}
+        after = {
+            name: model.eval(action.changes.get(name, self._variables[name]), model_completion=True) for name in before
+        }
+
+        def read(state):
+            return {name: domain.read(state[name]) for name, domain in domains.items()}
+
+        return Trace(steps=[Step(action="", state=read(before)), Step(action=action.name, state=read(after))])
+
+
+class Stopwatch:
+    """Seconds since it was made."""
+
+    __slots__ = ("_began",)
+
+    def __init__(self):
+        self._began = time.perf_counter()
+
+    @property
+    def seconds(self):
+        """Time passed."""
+        return time.perf_counter() - self._began
--- /dev/null
+++ b/wagtailtrestle/spec/claims.py
@@ -0,0 +1,410 @@
+"""Claims and dispatch: sends of one idempotency key at two routers, over a faulty store.
+
+Each router takes sends and can write the shard, so there are always two writers ("two
+owners"). Any step may be late for as long as it likes, which covers paused processes; a
+write's answer may be lost, its write may land later; reads may be stale; a router may die
+between any two steps. See ``docs/design/model-checking.md``.
+"""
+
+import z3
+
+from wagtailtrestle.spec.language import (
+    FALSE,
+    TRUE,
+    TRUTH,
+    Builder,
+    Domain,
+    Safeguard,
+    Specification,
+    all_of,
+    any_of,
+    at_most_one,
+    variable_name,
+)
+
+ROUTERS = 2
+NOBODY = "nobody"
+UNREAD = "unread"
+
+# queued, dispatched, finished, refused, unknown as in RequestState; claiming and running as in
+# NonceState; gone: its router died.
+REQUEST = Domain("queued", "claiming", "running", "dispatched", "finished", "refused", "unknown", "gone")
+TOLD = Domain("nothing", "no", "unknown", "answer")
+RUNS = Domain("none", "one", "more")
+
+ONCE = "at most once"
+TRUTH_TOLD = "told not run means not run"
+# The first send's claim is in the store, and its request was refused.
+CLAIMED_AND_REFUSED = (
+    "ask(send=0, writer=0)",
+    "read(writer=0)",
+    "write_claim(writer=0, send=0)",
+    "write_done(writer=0)",
+    "give_up(send=0)",
+)
+
+SAFEGUARDS = {
+    "conditional_update": Safeguard(rule="a write takes effect only on the version it was made from", breaks=ONCE),
+    "read_back": Safeguard(rule="a write without an answer is read back, not taken for done", breaks=ONCE),
+    "proof": Safeguard(rule="a request runs only once its nonce was seen in the store", breaks=ONCE),
+    "refused_is_final": Safeguard(
+        rule="a refused nonce is never dispatched, whatever answer comes late", breaks=TRUTH_TOLD
+    ),
+    "takeover_of_refused_only": Safeguard(
+        rule="a claim is taken over only when its router says that it was refused", breaks=ONCE
+    ),
+    "gone_is_not_refused": Safeguard(
+        rule="a restarted router does not call a nonce of its earlier life refused", breaks=ONCE
+    ),
+    "claiming_is_not_refused": Safeguard(rule="a claim under way is not called refused", breaks=ONCE),
+    "takeover_names_nonce": Safeguard(
+        rule="a takeover replaces exactly the nonce that was refused",
+        breaks=ONCE,
+        opening=CLAIMED_AND_REFUSED,
+        size={"sends": 3},
+    ),
+    "one_dispatch": Safeguard(rule="a dispatch that may have reached an engine is never repeated", breaks=ONCE),
+    "truth_after_dispatch": Safeguard(
+        rule="after a dispatch that may have reached an engine nobody is told that it did not run", breaks=TRUTH_TOLD
+    ),
+    "release_of_refused_only": Safeguard(
+        rule="a claim is given back only for a request that was never dispatched", breaks=ONCE
+    ),
+}
+
+
+def specification(*, sends=2, without=""):
+    """Build the specification, for a mutant ``without`` one safeguard."""
+    return _Claims(sends=sends, without=without).specification()
+
+
+class _Claims(Builder):
+    """Builder of one specification."""
+
+    def __init__(self, *, sends, without):
+        super().__init__(safeguards=SAFEGUARDS, without=without)
+        self.sends = range(sends)
+        self.routers = range(ROUTERS)
+        self.nonce = Domain(NOBODY, *(f"n{send}" for send in self.sends))
+        self.snapshot = Domain(NOBODY, *(f"n{send}" for send in self.sends), UNREAD)
+        self._declare()
+
+    def n(self, send):
+        return self.nonce[f"n{send}"]
+
+    def s(self, send):
+        return self.snapshot[f"n{send}"]
+
+    def router_of(self, send):
+        return send % ROUTERS
+
+    def _declare(self):
+        self.declare(self.snapshot, "holder", initial=self.snapshot[NOBODY])
+        self.declare(self.snapshot, "past", initial=self.snapshot[NOBODY])
+        for send in self.sends:
+            self.declare(REQUEST, "request", send, initial=REQUEST["queued"])
+            self.declare(RUNS, "runs", send, initial=RUNS["none"])
+            self.declare(TOLD, "told", send, initial=TOLD["nothing"])
+            self.declare(self.nonce, "knows", send, initial=self.nonce[NOBODY])
+            self.declare(self.nonce, "replaces", send, initial=self.nonce[NOBODY])
+            self.declare(TRUTH, "won", send, initial=FALSE)
+            self.declare(TRUTH, "release", send, initial=FALSE)
+            for writer in self.routers:
+                self.declare(TRUTH, "asked", send, writer, initial=FALSE)
+        for writer in self.routers:
+            self.declare(self.snapshot, "snapshot", writer, initial=self.snapshot[UNREAD])
+            self.declare(TRUTH, "fresh", writer, initial=FALSE)
+            self.declare(TRUTH, "writing", writer, initial=FALSE)
+            self.declare(self.snapshot, "value", writer, initial=self.snapshot[NOBODY])
+            self.declare(TRUTH, "late", writer, initial=FALSE)
+            self.declare(self.snapshot, "late_value", writer, initial=self.snapshot[NOBODY])
+            self.declare(TRUTH, "late_fresh", writer, initial=FALSE)
+
+    def specification(self):
+        for send in self.sends:
+            self._entry_actions(send)
+            for writer in self.routers:
+                self._ask(send, writer)
+            for other in self.sends:
+                if other != send:
+                    self._inquire(send, other)
+        for writer in self.routers:
+            self._writer_actions(writer)
+            self._crash(writer)
+        return Specification(
+            name="claims and dispatch",
+            domains_by_variable=self.domains_by_variable,
+            actions=self.actions,
+            initial=self.initial,
+            properties_by_name=self._properties(),
+            lemmas=self._lemmas(),
+            witnesses_by_name=self._witnesses(),
+            limits_by_name=self._limits(),
+        )
+
+    # The entry of one send.
+
+    def _entry_actions(self, send):
+        v = self.v
+        request, runs = variable_name("request", send), variable_name("runs", send)
+        told, release = variable_name("told", send), variable_name("release", send)
+        is_in = {name: v("request", send) == REQUEST[name] for name in REQUEST.names}
+        # Only a claim that still waits for its answer may win by it.
+        may_win = is_in["claiming"]
+        if not self.keeps("refused_is_final"):
+            may_win = z3.Or(may_win, is_in["refused"])
+        self.act("win", [may_win, v("won", send)], {request: REQUEST["running"]}, send=send)
+        knows_nobody = v("knows", send) == self.nonce[NOBODY]
+        refuse = {request: REQUEST["refused"], told: TOLD["no"], release: TRUE}
+        if self.keeps("proof"):
+            self.act("give_up", [is_in["claiming"], knows_nobody], refuse, send=send)
+        else:
+            # Without proof: no answer in time, so it is taken for granted that the claim is in.
+            self.act("give_up", [is_in["claiming"], knows_nobody], {request: REQUEST["running"]}, send=send)
+        self.act(
+            "stop_waiting",
+            [is_in["claiming"], z3.Not(knows_nobody)],
+            {request: REQUEST["refused"], told: TOLD["unknown"]},
+            send=send,
+        )
+        self.act("refuse", [is_in["running"]], refuse, send=send)
+        more = z3.If(v("runs", send) == RUNS["none"], RUNS["one"], RUNS["more"])
+        self.act("dispatch", [is_in["running"]], {request: REQUEST["dispatched"], runs: more}, send=send)
+        self.act("dispatch_unheard", [is_in["running"]], {request: REQUEST["dispatched"]}, send=send)
+        ran = v("runs", send) != RUNS["none"]
+        self.act("finish", [is_in["dispatched"], ran], {request: REQUEST["finished"], told: TOLD["answer"]}, send=send)
+        cut = {request: REQUEST["unknown"], told: TOLD["unknown"]}
+        if not self.keeps("one_dispatch"):
+            cut = {request: REQUEST["running"]}
+        elif not self.keeps("truth_after_dispatch"):
+            cut = {request: REQUEST["unknown"], told: TOLD["no"]}
+        elif not self.keeps("release_of_refused_only"):
+            cut = {request: REQUEST["unknown"], told: TOLD["unknown"], release: TRUE}
+        self.act("cut", [is_in["dispatched"]], cut, send=send)
+
+    def _ask(self, send, writer):
+        v = self.v
+        asked, request = variable_name("asked", send, writer), variable_name("request", send)
+        may_ask = z3.Or(v("request", send) == REQUEST["queued"], v("request", send) == REQUEST["claiming"])
+        self.act(
+            "ask",
+            [may_ask, z3.Not(v("asked", send, writer))],
+            {asked: TRUE, request: REQUEST["claiming"]},
+            send=send,
+            writer=writer,
+        )
+
+    def _inquire(self, send, other):
+        """The re-send asks the router of the send that holds the key what became of it."""
+        v = self.v
+        request, told = variable_name("request", send), variable_name("told", send)
+        waits = [v("request", send) == REQUEST["claiming"], v("knows", send) == self.n(other)]
+        state = v("request", other)
+        may_replace = [state == REQUEST["refused"]]
+        if not self.keeps("gone_is_not_refused"):
+            may_replace.append(state == REQUEST["gone"])
+        if not self.keeps("claiming_is_not_refused"):
+            may_replace.append(state == REQUEST["claiming"])
+        if not self.keeps("takeover_of_refused_only"):
+            may_replace.append(TRUE)
+        learned = {variable_name("replaces", send): self.n(other), variable_name("knows", send): self.nonce[NOBODY]}
+        self.act("hear_refused", [*waits, any_of(may_replace)], learned, send=send, other=other)
+        given = {request: REQUEST["refused"], told: TOLD["answer"]}
+        self.act("hear_finished", [*waits, state == REQUEST["finished"]], given, send=send, other=other)
+        lost = z3.Or(state == REQUEST["unknown"], state == REQUEST["gone"])
+        given = {request: REQUEST["refused"], told: TOLD["unknown"]}
+        self.act("hear_unknown", [*waits, lost], given, send=send, other=other)
+
+    # One writer of the shard.
+
+    def _writer_actions(self, writer):
+        v = self.v
+        snapshot, fresh = variable_name("snapshot", writer), variable_name("fresh", writer)
+        idle = z3.Not(v("writing", writer))
+        read = {snapshot: v("holder"), fresh: TRUE}
+        self.act("read", [idle], read, writer=writer)
+        self.act("read_stale", [idle], {snapshot: v("past"), fresh: FALSE}, writer=writer)
+        for send in self.sends:
+            self._writer_on_send(writer, send)
+        self._store_actions(writer)
+
+    def _writer_on_send(self, writer, send):
+        v = self.v
+        asked, snapshot = v("asked", send, writer), v("snapshot", writer)
+        idle = z3.Not(v("writing", writer))
+        writing, value = variable_name("writing", writer), variable_name("value", writer)
+        free = snapshot == self.snapshot[NOBODY]
+        replaced = [z3.And(snapshot == self.s(other), v("replaces", send) == self.n(other)) for other in self.sends]
+        if not self.keeps("takeover_names_nonce"):
+            replaces_any = v("replaces", send) != self.nonce[NOBODY]
+            replaced = [z3.And(replaces_any, snapshot != self.snapshot[UNREAD], snapshot != self.s(send))]
+        put = {writing: TRUE, value: self.s(send)}
+        self.act("write_claim", [idle, asked, z3.Or(free, *replaced)], put, writer=writer, send=send)
+        remove = {writing: TRUE, value: self.snapshot[NOBODY]}
+        self.act(
+            "write_release", [idle, v("release", send), snapshot == self.s(send)], remove, writer=writer, send=send
+        )
+        mine = [idle, asked, snapshot == self.s(send)]
+        self.act("answer_won", mine, {variable_name("won", send): TRUE}, writer=writer, send=send)
+        for other in self.sends:
+            if other == send:
+                continue
+            held = [idle, asked, snapshot == self.s(other), v("request", send) == REQUEST["claiming"]]
+            held.append(v("replaces", send) != self.n(other))
+            learned = {variable_name("knows", send): self.n(other)}
+            self.act("answer_held", held, learned, writer=writer, send=send, other=other)
+
+    def _store_actions(self, writer):
+        """The store settles the write that is under way; its answer comes or is lost."""
+        v = self.v
+        snapshot, fresh = variable_name("snapshot", writer), variable_name("fresh", writer)
+        writing, late = variable_name("writing", writer), variable_name("late", writer)
+        in_time = v("fresh", writer) if self.keeps("conditional_update") else TRUE
+        applied = {"past": v("holder"), "holder": v("value", writer), **self._new_version()}
+        idle = {writing: FALSE}
+        known = {**idle, snapshot: v("value", writer), fresh: TRUE}
+        unknown = {**idle, snapshot: self.snapshot[UNREAD], fresh: FALSE}
+        unheard = unknown if self.keeps("read_back") else {**idle, snapshot: v("value", writer)}
+        self.act("write_done", [v("writing", writer), in_time], {**applied, **known}, writer=writer)
+        self.act("write_done_unheard", [v("writing", writer), in_time], {**applied, **unheard}, writer=writer)
+        self.act("write_conflict", [v("writing", writer), z3.Not(in_time)], unknown, writer=writer)
+        delayed = {
+            late: TRUE,
+            variable_name("late_value", writer): v("value", writer),
+            variable_name("late_fresh", writer): v("fresh", writer),
+        }
+        free = [v("writing", writer), z3.Not(v("late", writer))]
+        self.act("write_delayed", free, {**unheard, **delayed}, writer=writer)
+        in_time = v("late_fresh", writer) if self.keeps("conditional_update") else TRUE
+        landed = {"past": v("holder"), "holder": v("late_value", writer), **self._new_version()}
+        self.act("late_write_lands", [v("late", writer), in_time], {**landed, late: FALSE}, writer=writer)
+        self.act("late_write_refused", [v("late", writer), z3.Not(in_time)], {late: FALSE}, writer=writer)
+
+    def _new_version(self):
+        """Whatever was made from the version before is stale now."""
+        stale = {variable_name("fresh", one): FALSE for one in self.routers}
+        return stale | {variable_name("late_fresh", one): FALSE for one in self.routers}
+
+    def _crash(self, router):
+        """The router dies with all that it held and starts again, knowing nothing."""
+        v = self.v
+        changes = {
+            variable_name("snapshot", router): self.snapshot[UNREAD],
+            variable_name("fresh", router): FALSE,
+            variable_name("writing", router): FALSE,
+            variable_name("late", router): z3.Or(v("late", router), v("writing", router)),
+        }
+        in_flight = z3.And(v("writing", router), z3.Not(v("late", router)))
+        changes[variable_name("late_value", router)] = z3.If(in_flight, v("value", router), v("late_value", router))
+        changes[variable_name("late_fresh", router)] = z3.If(in_flight, v("fresh", router), v("late_fresh", router))
+        for send in self.sends:
+            if self.router_of(send) == router:
+                state = v("request", send)
+                stays = z3.Or(state == REQUEST["queued"], state == REQUEST["gone"])
+                changes[variable_name("request", send)] = z3.If(stays, state, REQUEST["gone"])
+        self.act("crash", [], changes, router=router)
+
+    # What must hold.
+
+    def _properties(self):
+        v = self.v
+        ran = [v("runs", send) != RUNS["none"] for send in self.sends]
+        once = [v("runs", send) != RUNS["more"] for send in self.sends]
+        truth = [z3.Implies(v("told", send) == TOLD["no"], v("runs", send) == RUNS["none"]) for send in self.sends]
+        return {
+            ONCE: z3.And(at_most_one(ran), *once),
+            TRUTH_TOLD: all_of(truth),
+        }
+
+    def _lemmas(self):
+        v = self.v
+        holds = [self._stands(v("holder"), send) for send in self.sends]
+        lemmas = []
+        for send in self.sends:
+            state = v("request", send)
+            refused = state == REQUEST["refused"]
+            ran = v("runs", send) != RUNS["none"]
+            may_run = any_of(state == REQUEST[name] for name in ("running", "dispatched", "finished", "unknown"))
+            lemmas += [
+                z3.Implies(may_run, holds[send]),
+                z3.Implies(ran, z3.And(holds[send], z3.Or(may_run, state == REQUEST["gone"]))),
+                z3.Implies(z3.Or(state == REQUEST["running"], state == REQUEST["claiming"]), z3.Not(ran)),
+                z3.Implies(v("release", send), z3.Or(refused, z3.And(state == REQUEST["gone"], z3.Not(ran)))),
+                z3.Implies(v("told", send) == TOLD["no"], z3.Or(refused, state == REQUEST["gone"])),
+                z3.Implies(state == REQUEST["queued"], self._unheard(send)),
+                # Once in the store a nonce stays there until it is refused.
+                z3.Implies(z3.Or(v("won", send), *self._seen(send)), z3.Or(holds[send], self._idle_for_ever(send))),
+            ]
+            for other in self.sends:
+                lemmas.append(z3.Implies(v("replaces", send) == self.n(other), self._idle_for_ever(other)))
+                lemmas.append(z3.Implies(v("replaces", send) == self.n(send), FALSE))
+        for writer in self.routers:
+            lemmas += self._writer_lemmas(writer)
+        return lemmas
+
+    def _writer_lemmas(self, writer):
+        v = self.v
+        snapshot = v("snapshot", writer)
+        harmless = self._replaceable(v("holder"))
+        return [
+            z3.Implies(v("fresh", writer), snapshot == v("holder")),
+            z3.Implies(z3.And(v("fresh", writer), v("writing", writer)), harmless),
+            z3.Implies(z3.And(v("late", writer), v("late_fresh", writer)), harmless),
+            v("holder") != self.snapshot[UNREAD],
+            v("past") != self.snapshot[UNREAD],
+            v("value", writer) != self.snapshot[UNREAD],
+            v("late_value", writer) != self.snapshot[UNREAD],
+        ]
+
+    def _stands(self, place, send):
+        return place == self.s(send)
+
+    def _seen(self, send):
+        """Places that hold the nonce because it was in the store."""
+        v = self.v
+        seen = [self._stands(v("past"), send)]
+        for writer in self.routers:
+            seen.append(self._stands(v("snapshot", writer), send))
+        return seen
+
+    def _idle_for_ever(self, send):
+        """The send never ran and never will: it was refused, also if its router died later."""
+        state = self.v("request", send)
+        never_ran = self.v("runs", send) == RUNS["none"]
+        return z3.And(never_ran, z3.Or(state == REQUEST["refused"], state == REQUEST["gone"]))
+
+    def _replaceable(self, place):
+        free = place == self.snapshot[NOBODY]
+        return z3.Or(free, *(z3.And(self._stands(place, send), self._idle_for_ever(send)) for send in self.sends))
+
+    def _unheard(self, send):
+        v = self.v
+        nowhere = [z3.Not(v("asked", send, writer)) for writer in self.routers]
+        return z3.And(z3.Not(v("won", send)), v("runs", send) == RUNS["none"], *nowhere)
+
+    def _witnesses(self):
+        v = self.v
+        taken_over = z3.And(v("replaces", 1) == self.n(0), v("request", 1) == REQUEST["finished"])
+        waited = z3.And(
+            v("request", 0) == REQUEST["finished"], v("told", 1) == TOLD["answer"], v("runs", 1) == RUNS["none"]
+        )
+        crashed = z3.And(
+            v("request", 0) == REQUEST["gone"], v("runs", 0) == RUNS["one"], v("told", 1) == TOLD["unknown"]
+        )
+        lost = z3.And(v("late", 0), v("told", 0) == TOLD["no"])
+        return {
+            "a refused claim is taken over and run": taken_over,
+            "a re-send gets the first one's answer": waited,
+            "the first one's router died, the re-send is told unknown": crashed,
+            "a write is still under way when its send is told no": lost,
+        }
+
+    def _limits(self):
+        v = self.v
+        ran_elsewhere = [
+            z3.And(v("told", send) == TOLD["no"], v("runs", other) != RUNS["none"])
+            for send in self.sends
+            for other in self.sends
+            if other != send
+        ]
+        return {"told not run speaks for every send of the key": z3.Not(any_of(ran_elsewhere))}
