Measure configuration with whole router processes

Cause: the figures so far were of keepers without peers, in one process. Change: a measurement with 9 router processes, the stand-in platform and one engine of each service.

--- /dev/null
+++ b/wagtailtrestle/measure/configuration_whole.py
@@ -0,0 +1,143 @@
+"""Time from accepted to in force, and of restarts, with whole router processes.
+
+Run with ``python -m wagtailtrestle.measure.configuration_whole``; prints JSON. Routers
+help each other here; :mod:`wagtailtrestle.measure.configuration_delay` has them alone.
+"""
+
+import asyncio
+import json
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+
+import yaml
+
+from wagtailtrestle.applying import apply
+from wagtailtrestle.demo.deployment import Deployment
+from wagtailtrestle.object_store_http import HttpObjectStore
+
+DOCUMENT = "examples/cometas.yaml"
+ROUTERS = 9
+RESTARTED = "router-1"
+APPLIES_WATCHED = 10
+APPLIES_SILENT = 8
+WAIT_S = 12.0
+LOOK_S = 0.02
+SETTLE_S = 2.0
+IDLE_S = 20.0
+OUTAGES = ({"down": "unavailable"}, {"down": "cut"}, {"silent": "all"})
+
+
+class Measured:
+    """A running deployment whose document is applied again and again.
+
+    Parameters
+    ----------
+    deployment : Deployment
+    """
+
+    def __init__(self, *, deployment):
+        self._deployment = deployment
+        self._text = yaml.safe_dump(deployment.document, sort_keys=False)
+        self._applies = 0
+
+    def set_faults(self, **faults):
+        """Set the platform's faults; those left out are off."""
+        self._deployment.post(f"{self._deployment.platform_url}/faults", faults)
+
+    def apply(self):
+        """Apply the document once more; its generation."""
+        self._applies += 1
+        outcome = asyncio.run(self._apply(f"{self._text}\n# {self._applies}\n", f"apply-{self._applies}"))
+        return outcome.generation
+
+    async def _apply(self, text, apply_id):
+        store = HttpObjectStore(url=self._deployment.platform_url)
+        store.start()
+        try:
+            return await apply(store=store, text=text, apply_id=apply_id, clock=time.time)
+        finally:
+            store.close()
+
+    def delays(self, *, applies, **faults):
+        """Milliseconds until the last router had each apply in force, and what brought it."""
+        most_ms, sources = [], Counter()
+        for _ in range(applies):
+            time.sleep(SETTLE_S)
+            self.set_faults(**faults)
+            by_router = self._delay_by_router(self.apply(), time.monotonic())
+            self.set_faults()
+            sources.update(source for _, source in by_router.values())
+            in_force_everywhere = len(by_router) == ROUTERS
+            most_ms.append(max(delay_ms for delay_ms, _ in by_router.values()) if in_force_everywhere else None)
+        return {"most_ms": most_ms, "sources": dict(sources)}
+
+    def _delay_by_router(self, generation, accepted):
+        by_router = {}
+        while len(by_router) < ROUTERS and time.monotonic() - accepted < WAIT_S:
+            for name in self._deployment.admin_url_by_router.keys() - by_router.keys():
+                state = self.configuration_of(name)
+                if state["generation"] >= generation:
+                    delay_s = time.monotonic() - state["age_s"] - accepted
+                    by_router[name] = (round(delay_s * 1000), state["source"])
+            time.sleep(LOOK_S)
+        return by_router
+
+    def configuration_of(self, name):
+        """The configuration's part of a router's state."""
+        return self._deployment.get(f"{self._deployment.admin_url_by_router[name]}/state")["configuration"]
+
+    def restart_s(self, **faults):
+        """Seconds from starting a router's process anew until it is ready."""
+        process = self._deployment.routers_by_name[RESTARTED]
+        process.stop()
+        self.set_faults(**faults)
+        began = time.monotonic()
+        process.start()
+        process.wait_ready()
+        ready_s = round(time.monotonic() - began, 2)
+        state = self.configuration_of(RESTARTED)
+        self.set_faults()
+        time.sleep(SETTLE_S)
+        return {"faults": faults, "ready_s": ready_s, "is_confirmed": state["is_confirmed"], "source": state["source"]}
+
+    def idle_calls(self):
+        """Calls on the platform while nothing happens."""
+        before = self._deployment.get(f"{self._deployment.platform_url}/counts")
+        time.sleep(IDLE_S)
+        after = self._deployment.get(f"{self._deployment.platform_url}/counts")
+        return {"seconds": IDLE_S, **{name: after[name] - before[name] for name in after}}
+
+
+def main():
+    """Start the deployment, measure, stop it, print."""
+    with tempfile.TemporaryDirectory() as directory:
+        deployment = Deployment(directory=directory, document=_small_document(), routers=ROUTERS)
+        try:
+            deployment.start()
+            measured = Measured(deployment=deployment)
+            measured.apply()
+            deployment.wait_routers_ready()
+            results = {
+                "routers": ROUTERS,
+                "watch": measured.delays(applies=APPLIES_WATCHED),
+                "silent": measured.delays(applies=APPLIES_SILENT, silent="open"),
+                "restarts": [measured.restart_s(**faults) for faults in ({}, *OUTAGES)],
+                "idle": measured.idle_calls(),
+            }
+            print(json.dumps(results, indent=2))
+        finally:
+            deployment.close()
+
+
+def _small_document():
+    """The example with one engine of each service: engines play no part here."""
+    document = yaml.safe_load(Path(DOCUMENT).read_text())
+    by_service = {engine["service"]: engine for engine in reversed(document["engines"])}
+    document["engines"] = list(by_service.values())
+    return document
+
+
+if __name__ == "__main__":
+    main()
