--- a/wagtailtrestle/run_exchange.py
+++ b/wagtailtrestle/run_exchange.py
@@ -4,7 +4,6 @@
 import json
 import socket
 import threading
-import time
 from urllib.parse import quote
 
 from urllib3.connection import HTTPConnection
@@ -13,7 +12,7 @@
 
 from wagtailtrestle.answer_check import AnswerCheck
 from wagtailtrestle.declaration import LANGUAGE
-from wagtailtrestle.exchange import RunAdvanced, RunBegan, RunEnded
+from wagtailtrestle.exchange import RunEnded
 from wagtailtrestle.outcomes import (
     RunCancelled,
     RunCut,
@@ -23,8 +22,8 @@
     RunRejected,
     RunSilent,
 )
+from wagtailtrestle.run_progress import RunProgress
 
-ADVANCE_INTERVAL_S = 0.25
 READ_BYTES = 65536
 MOST_ERROR_BYTES = 65536
 MOST_PLAIN_BYTES = 32 * 1024 * 1024
@@ -85,15 +84,9 @@
         "_command",
         "_request",
         "_received",
-        "_on_event",
         "_on_token",
         "_connect_timeout_s",
-        "_began_at",
-        "_ends_at",
-        "_first_token_s",
-        "_advanced_at",
-        "_progress_at",
-        "_tokens_noted",
+        "_progress",
         "_reached",
         "_aborted",
         "_connection",
@@ -106,15 +99,9 @@
         self._command = command
         self._request = request
         self._received = received
-        self._on_event = on_event
         self._on_token = on_token
         self._connect_timeout_s = connect_timeout_s
-        self._began_at = time.monotonic()
-        self._ends_at = self._began_at + command.overall_s
-        self._first_token_s = 0.0
-        self._advanced_at = 0.0
-        self._progress_at = self._began_at
-        self._tokens_noted = len(received.tokens)
+        self._progress = RunProgress(command=command, received=received, on_event=on_event)
         self._reached = command.attach
         self._aborted = False
         self._connection = None
@@ -178,7 +165,7 @@
         return outcome
 
     def _exchange(self):
-        self._wait_at_most(self._command.first_token_deadline_s)
+        self._wait_at_most(self._progress.left_s(self._command.first_token_deadline_s))
         # Neither retries nor redirects exist at this level of urllib3, on purpose: a hidden
         # second sending would be a second dispatch.
         method, path, body, headers = self._request_parts()
@@ -244,12 +231,12 @@
         check = AnswerCheck(run_id=self._command.run_id, received=self._received, on_token=self._on_token)
         chunks = self._chunks()
         while not self._received.done:
-            self._wait_for_token()
+            self._wait_at_most(self._progress.left_for_token_s())
             data = next(chunks, b"")
             if not data:
                 break
             fault = check.feed(data)
-            self._note_progress()
+            self._progress.note()
             if fault is not None:
                 return self._cut(fault.detail)
         if check.cancelled:
@@ -265,45 +252,12 @@
             return self._response.read_chunked(decode_content=False)
         return iter(lambda: self._response.read1(READ_BYTES, decode_content=False), b"")
 
-    def _wait_for_token(self):
-        # Progress is a new token, not bytes: an engine that only repeats itself or sends
-        # comments to keep the connection open is as silent to the caller as a dead one.
-        command = self._command
-        limit = command.progress_deadline_s if self._first_token_s else command.first_token_deadline_s
-        self._wait_at_most(self._progress_at + limit - time.monotonic())
-
     def _wait_at_most(self, seconds):
-        left = min(seconds, self._ends_at - time.monotonic())
-        if left <= 0:
+        if seconds <= 0:
             raise TimeoutError
         # ``getresponse`` sets the socket's timeout from the connection's.
-        self._connection.timeout = left
-        self._socket.settimeout(left)
-
-    def _note_progress(self):
-        count = self._output_tokens
-        if count == self._tokens_noted:
-            return
-        now = time.monotonic()
-        self._tokens_noted = count
-        self._progress_at = now
-        if not self._first_token_s:
-            self._begin(now)
-        elif now - self._advanced_at >= ADVANCE_INTERVAL_S:
-            self._advanced_at = now
-            self._on_event(RunAdvanced(run_id=self._command.run_id, output_tokens=count))
-
-    def _begin(self, now):
-        self._first_token_s = now - self._began_at
-        self._advanced_at = now
-        self._on_event(
-            RunBegan(
-                run_id=self._command.run_id,
-                first_token_s=self._first_token_s,
-                prompt_tokens=self._received.prompt_tokens,
-                cached_tokens=self._received.cached_tokens,
-            )
-        )
+        self._connection.timeout = seconds
+        self._socket.settimeout(seconds)
 
     # Plain services.
 
@@ -320,7 +274,7 @@
             return self._cut("the answer tells no length, so nobody can tell whether it is whole")
         if length > MOST_PLAIN_BYTES:
             return self._cut(f"the answer is longer than {MOST_PLAIN_BYTES} bytes")
-        self._begin(time.monotonic())
+        self._progress.begin()
         self._keep(self._read_body(length))
         if response.status >= FIRST_ERROR_STATUS:
             return RunRejected(status=response.status)
@@ -337,7 +291,7 @@
         parts = []
         left = length
         while left > 0:
-            self._wait_at_most(self._command.progress_deadline_s)
+            self._wait_at_most(self._progress.left_s(self._command.progress_deadline_s))
             data = self._response.read1(min(left, READ_BYTES), decode_content=False)
             if not data:
                 raise ConnectionError("the body ended early")
@@ -352,7 +306,7 @@
         return len(self._received.tokens)
 
     def _rejected(self):
-        self._wait_at_most(self._command.first_token_deadline_s)
+        self._wait_at_most(self._progress.left_s(self._command.first_token_deadline_s))
         self._keep(self._response.read(MOST_ERROR_BYTES, decode_content=False))
         return RunRejected(status=self._response.status)
 
@@ -384,8 +338,8 @@
         ended = {
             "run_id": self._command.run_id,
             "outcome": outcome,
-            "duration_s": time.monotonic() - self._began_at,
-            "first_token_s": self._first_token_s,
+            "duration_s": self._progress.duration_s,
+            "first_token_s": self._progress.first_token_s,
         }
         whole_plain = isinstance(outcome, RunDone) and self._request.kind != LANGUAGE
         if not whole_plain and not isinstance(outcome, RunRejected):
--- /dev/null
+++ b/wagtailtrestle/run_progress.py
@@ -0,0 +1,92 @@
+"""How far one run has come, and how long its reader may still wait."""
+
+import time
+
+from wagtailtrestle.exchange import RunAdvanced, RunBegan
+
+ADVANCE_INTERVAL_S = 0.25
+
+
+class RunProgress:
+    """Deadlines of one run, and the events that tell of its progress.
+
+    Progress is a new token, not bytes: an engine that only repeats itself, or sends
+    comments to keep the connection open, is as silent to the caller as a dead one.
+
+    Parameters
+    ----------
+    command : StartRun
+    received : ReceivedAnswer
+    on_event : callable
+        Takes ``RunBegan`` and ``RunAdvanced``.
+
+    Attributes
+    ----------
+    first_token_s : float
+        From the start to the first token, or to a plain answer's head; 0 before it.
+    """
+
+    __slots__ = (
+        "first_token_s",
+        "_command",
+        "_received",
+        "_on_event",
+        "_began_at",
+        "_ends_at",
+        "_progress_at",
+        "_advanced_at",
+        "_tokens_noted",
+    )
+
+    def __init__(self, *, command, received, on_event):
+        self.first_token_s = 0.0
+        self._command = command
+        self._received = received
+        self._on_event = on_event
+        self._began_at = time.monotonic()
+        self._ends_at = self._began_at + command.overall_s
+        self._progress_at = self._began_at
+        self._advanced_at = 0.0
+        self._tokens_noted = len(received.tokens)
+
+    @property
+    def duration_s(self) -> float:
+        """Time since the start."""
+        return time.monotonic() - self._began_at
+
+    def left_for_token_s(self) -> float:
+        """Time left for the next token; not positive once it is overdue."""
+        command = self._command
+        limit_s = command.progress_deadline_s if self.first_token_s else command.first_token_deadline_s
+        now = time.monotonic()
+        return min(self._progress_at + limit_s, self._ends_at) - now
+
+    def left_s(self, limit_s) -> float:
+        """Time left for one step of at most ``limit_s``, within the whole run's limit."""
+        return min(limit_s, self._ends_at - time.monotonic())
+
+    def note(self):
+        """Look whether tokens were added to what was received, and tell of them."""
+        count = len(self._received.tokens)
+        if count == self._tokens_noted:
+            return
+        self._tokens_noted = count
+        now = self._progress_at = time.monotonic()
+        if not self.first_token_s:
+            self.begin()
+        elif now - self._advanced_at >= ADVANCE_INTERVAL_S:
+            self._advanced_at = now
+            self._on_event(RunAdvanced(run_id=self._command.run_id, output_tokens=count))
+
+    def begin(self):
+        """Tell that the answer began."""
+        self._advanced_at = time.monotonic()
+        self.first_token_s = self._advanced_at - self._began_at
+        self._on_event(
+            RunBegan(
+                run_id=self._command.run_id,
+                first_token_s=self.first_token_s,
+                prompt_tokens=self._received.prompt_tokens,
+                cached_tokens=self._received.cached_tokens,
+            )
+        )
