One new view for a batch of news; partners found near on the ring

Cause: at 370 members each piece of news rebuilt the whole view and looked through the whole ring. Change: news within 5 ms shares one rebuild; who follows a router is sought among its eight predecessors; the tests' fake delivers nothing after the end of a connection, as TCP does (it made a killed router look alive).

--- a/tests/utils/fake_routers.py
+++ b/tests/utils/fake_routers.py
@@ -160,8 +160,9 @@
         peers.loop.run(self.receive, peers, source, message)
 
     def receive(self, peers, source, message):
-        if source in peers.heard_at_by_peer:
-            peers.heard_at_by_peer[source] = self.loop.time()
+        if source not in peers.heard_at_by_peer:
+            return  # as on TCP, nothing comes after the end of the connection
+        peers.heard_at_by_peer[source] = self.loop.time()
         handler = peers.handlers_by_type.get(type(message))
         if handler is not None and type(message) is not Ping:
             handler(source, message, "")
--- a/wagtailtrestle/membership.py
+++ b/wagtailtrestle/membership.py
@@ -26,6 +26,7 @@
 HEARTBEAT_S = 0.3
 SILENT_HEARTBEATS = 2.2
 TICK_S = 0.1
+REFRESH_DELAY_S = 0.005
 LATE_TICK_S = 0.25
 FROZEN_GAP_S = 0.8
 TRUST_WITHIN_S = 1.0
@@ -70,7 +71,7 @@
         self._addresses_by_name = {seed: address for seed, address in (seeds or {}).items() if seed != name}
         self._listed = None
         self._table = MemberTable(name=name, zone=zone, incarnation=incarnation, now=loop.time())
-        self._suspicions = Suspicions(table=self._table, loop=loop, gossip=self._gossip, on_change=self._refresh)
+        self._suspicions = Suspicions(table=self._table, loop=loop, gossip=self._gossip, on_change=self._refresh_soon)
         self._sync = ViewSync(
             table=self._table,
             peers=peers,
@@ -86,6 +87,7 @@
         self._trusted_callbacks = []
         self._generation_callbacks = []
         self._timer = None
+        self._refreshing = None
         self._tick_at = loop.time()
         self._heartbeat_at = loop.time()
         self._contact_at = loop.time()
@@ -126,8 +128,9 @@
         own.set_state(MemberState.LEFT, self._loop.time())
         self._gossip(own.event())
         self._suspicions.close()
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._refreshing):
+            if timer is not None:
+                timer.cancel()
         await self._sync.close()
 
     def on_view_change(self, callback):
@@ -203,7 +206,7 @@
             member.zone, member.address = hello.zone, hello.address
             self._addresses_by_name[peer] = hello.address
             self._gossip(member.event(), but=peer)
-            self._refresh()
+            self._refresh_soon()
         elif hello.incarnation == member.incarnation:
             self._heard_directly(member)
 
@@ -261,7 +264,7 @@
             self._learn_address(event)
             self._suspicions.watch(self._table.by_name[event.name])
             self._gossip(event, but=peer)
-            self._refresh()
+            self._refresh_soon()
 
     def _about_self(self, event):
         own = self._table.own
@@ -270,10 +273,10 @@
             # steward, two processes would answer to one name.
             logger.error("another process took the name {}; this one gives up its cells", self.name)
             own.draining = True
-            self._refresh()
+            self._refresh_soon()
         elif own.present and self._table.refute(event, self._loop.time()):
             self._gossip(own.event())
-            self._refresh()
+            self._refresh_soon()
 
     def _take_pulled(self, peer, events, news):
         """Go on from what a peer told of all members; ``news`` is what was not known here."""
@@ -286,7 +289,7 @@
             if self.trusted:
                 self._gossip(event, but=peer)
         self._trust()
-        self._refresh()
+        self._refresh_soon()
 
     def _learn_address(self, event):
         if event.address:
@@ -405,7 +408,15 @@
 
     # The view and the partners.
 
+    def _refresh_soon(self):
+        # When a zone fails, or a fleet starts, news comes by the dozen: one new view for all of a batch.
+        if self._refreshing is None:
+            self._refreshing = self._loop.call_later(REFRESH_DELAY_S, self._refresh)
+
     def _refresh(self):
+        if self._refreshing is not None:
+            self._refreshing.cancel()
+            self._refreshing = None
         now = self._loop.time()
         self._recheck_at = self._table.next_hold_end(now)
         self._digest = self._table.digest()
--- a/wagtailtrestle/partners.py
+++ b/wagtailtrestle/partners.py
@@ -11,6 +11,7 @@
 
 MESH_LIMIT = 9
 SUCCESSORS = 2
+REACH = 8
 FIRST_FINGER = 4
 
 
@@ -33,9 +34,8 @@
         """Set of the routers that ``name`` exchanges heartbeats with; the relation is symmetric."""
         if len(self._order) <= MESH_LIMIT:
             return set(self._order) - {name}
-        own = self._successors(name)
-        followed_by = {other for other in self._order if other != name and name in self._successors(other)}
-        return own | followed_by
+        followed_by = {other for other in self._near(name, -1) if name in self._successors(other)}
+        return self._successors(name) | followed_by
 
     def fingers(self, name):
         """Set of the routers half, a quarter, … of the ring away."""
@@ -50,9 +50,7 @@
 
     def _successors(self, name):
         """The next routers on the ring, each in a zone not yet met if one is near."""
-        size = len(self._order)
-        place = self._place_by_name[name]
-        following = [self._order[(place + step) % size] for step in range(1, min(size, 4 * SUCCESSORS + 1))]
+        following = self._near(name, 1)
         chosen = []
         zones = {self._zones_by_name[name]}
         for other in following:
@@ -64,6 +62,12 @@
                 chosen.append(other)
         return set(chosen)
 
+    def _near(self, name, direction):
+        """The routers among which successors (1) or predecessors (-1) are found, nearest first."""
+        size = len(self._order)
+        place = self._place_by_name[name]
+        return [self._order[(place + direction * step) % size] for step in range(1, min(size, REACH + 1))]
+
 
 def _position(name):
     return blake2b(name.encode(), digest_size=8).digest()
