Load report: say why requests got no whole answer

Cause: the table showed unfinished requests but not the reason, and 'broken' read as a broken promise. Change: one line for each reason, tier and executed value; the column is called unfinished.

--- a/wagtailtrestle/cli/load.py
+++ b/wagtailtrestle/cli/load.py
@@ -10,7 +10,7 @@
 from wagtailtrestle.load.mix import MixFault, read_mix
 from wagtailtrestle.load.plan import make_plan
 from wagtailtrestle.load.records import check_truth, read_records
-from wagtailtrestle.load.report import rows_by_tier, table, truth_lines
+from wagtailtrestle.load.report import reason_lines, rows_by_tier, table, truth_lines
 from wagtailtrestle.load.run import run_load
 
 MAX_DURATION_S = 600
@@ -49,11 +49,11 @@
     results = run_load(urls=_addresses(url), plan=make_plan(kinds=kinds, rate=rate, duration_s=duration_s, seed=seed))
     rows = rows_by_tier(results, dict.fromkeys(kind.tier for kind in kinds))
     truth = check_truth(results, *read_records(_addresses(engines)))
-    _print(rows, truth, json_output)
+    _print(results, rows, truth, json_output)
     return ExitStatus.CHECK_FAILED if truth.false_refusals or truth.doubled else ExitStatus.DONE
 
 
-def _print(rows, truth, json_output):
+def _print(results, rows, truth, json_output):
     if json_output:
         document = {"tiers": [row.as_dict() for row in rows.values()], "wasted_share": truth.wasted_share()}
         document["false_refusals"] = truth.false_refusals
@@ -61,6 +61,7 @@
         print(json.dumps(document))
         return
     print(table(rows))
+    print(reason_lines(results))
     print(truth_lines(truth))
 
 
--- a/wagtailtrestle/load/report.py
+++ b/wagtailtrestle/load/report.py
@@ -1,15 +1,28 @@
 """The table a load ends in, per tier, and its machine-readable form."""
 
+from collections import Counter
+
 from hdrh.histogram import HdrHistogram
 
 LOWEST_US, HIGHEST_US, DIGITS = 1, 600_000_000, 3
-COLUMNS = ("tier", "sent", "in deadline", "late", "refused", "unknown", "broken", "p50 ms", "p99 ms", "first p50 ms")
+COLUMNS = (
+    "tier",
+    "sent",
+    "in deadline",
+    "late",
+    "refused",
+    "unknown",
+    "unfinished",
+    "p50 ms",
+    "p99 ms",
+    "first p50 ms",
+)
 
 
 class TierRow:
     """Counts and latencies of one tier; latencies are of whole answers, in ms."""
 
-    __slots__ = ("tier", "sent", "in_deadline", "late", "refused", "unknown", "broken", "total", "first")
+    __slots__ = ("tier", "sent", "in_deadline", "late", "refused", "unknown", "unfinished", "total", "first")
 
     def __init__(self, *, tier):
         self.tier = tier
@@ -18,7 +31,7 @@
         self.late = 0
         self.refused = 0
         self.unknown = 0
-        self.broken = 0
+        self.unfinished = 0
         self.total = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
         self.first = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
 
@@ -35,7 +48,7 @@
         elif result.executed == "unknown":
             self.unknown += 1
         else:
-            self.broken += 1
+            self.unfinished += 1
 
     def as_dict(self):
         """Plain data for JSON and for the table."""
@@ -46,7 +59,7 @@
             "late": self.late,
             "refused": self.refused,
             "unknown": self.unknown,
-            "broken": self.broken,
+            "unfinished": self.unfinished,
             "p50_ms": _milliseconds(self.total, 50),
             "p99_ms": _milliseconds(self.total, 99),
             "first_p50_ms": _milliseconds(self.first, 50),
@@ -68,6 +81,16 @@
     return "\n".join("  ".join(cell.rjust(width) for cell, width in zip(line, widths, strict=True)) for line in lines)
 
 
+def reason_lines(results):
+    """How often each reason was given, by tier, for requests without a whole answer."""
+    counts = Counter(
+        (result.planned.kind.tier, result.reason, result.executed) for result in results if not result.whole
+    )
+    return "\n".join(
+        f"{tier}: {reason} (executed {executed}): {count}" for (tier, reason, executed), count in counts.most_common()
+    )
+
+
 def truth_lines(truth):
     """What the engines' own record says of the promises."""
     return "\n".join(
