Measure against the work offered and the capacity left; make measure

Change: the bound is the lesser of the offered work and the capacity that the straggler leaves; the engine model takes reports known to be clean (prefilling=False) with a window of 5, for a steward that can tell; make measure.

--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,7 @@
 generate: $(VENV)/.installed
 	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc -Iwagtailtrestle/generated=proto \
 		--python_out=. --grpclib_python_out=. wagtailtrestle/generated/peers.proto
+
+# Decisions on fakes under the advanced clock; results under var/. QUICK=1 makes a few short runs.
+measure: $(VENV)/.installed
+	$(BIN)/python -m wagtailtrestle.measure $(if $(QUICK),--quick)
--- a/wagtailtrestle/engine_model.py
+++ b/wagtailtrestle/engine_model.py
@@ -33,6 +33,9 @@
 LOW_RANK = 4
 """Which of the window's samples, from the lowest, counts as its low end."""
 
+CLEAN_WINDOW = 5
+"""Steps known to be clean whose median shows a change of speed."""
+
 CLEAN_RATIO = 1.15
 """Samples within this factor of the low end are taken as clean steps."""
 
@@ -85,6 +88,7 @@
         "slots",
         "_step",
         "_levels",
+        "_clean_ratios",
         "_prefill_s_per_token",
         "_prefill_tokens",
         "_interference",
@@ -103,6 +107,7 @@
             high=float(self.slots),
         )
         self._levels = deque(maxlen=WINDOW)
+        self._clean_ratios = deque(maxlen=CLEAN_WINDOW)
         self._prefill_s_per_token = 1.0 / prefill_tokens_per_s
         self._prefill_tokens = PRIOR_PREFILL_TOKENS
         self._interference = 1.0
@@ -137,14 +142,22 @@
         self._paced_s = kept + decode_s
         self._finishes += 1
 
-    def observe_report(self, *, step_s, running):
+    def observe_report(self, *, step_s, running, prefilling=None):
         """Learn the clean step from the engine's own load report.
 
+        ``prefilling`` tells whether a prompt was being prefilled at the report's time;
+        ``None`` when nobody knows. Known clean steps show a change of speed much sooner.
+
         Whole decodes are left out: the fuller an engine, the more prefill lies between
         its tokens, and the line would take that for growth with the batch.
         """
-        if step_s > 0.0 and running >= 1:
-            self._sample(min(running, self.slots), step_s)
+        if step_s <= 0.0 or running < 1 or prefilling:
+            return
+        concurrency = min(running, self.slots)
+        if prefilling is None:
+            self._sample(concurrency, step_s)
+        else:
+            self._clean_sample(concurrency, step_s)
 
     # What is believed.
 
@@ -221,6 +234,17 @@
         elif self._levels[-1] <= CLEAN_RATIO * low and self._may_teach(believed):
             self._step.observe(x=concurrency, y=seconds, weight=1.0)
 
+    def _clean_sample(self, concurrency, seconds):
+        """Take in one step that is known to have prefilled nothing."""
+        self._clean_ratios.append(seconds / self.step_s(concurrency))
+        middle = sorted(self._clean_ratios)[len(self._clean_ratios) // 2]
+        changed = middle > STEP_CHANGE or middle * STEP_CHANGE < 1.0
+        if changed and len(self._clean_ratios) == CLEAN_WINDOW:
+            self._rescale(middle)
+            self._clean_ratios.clear()
+        else:
+            self._step.observe(x=concurrency, y=seconds, weight=1.0)
+
     def _may_teach(self, believed):
         # The first samples of an engine that starts under load may all be prefill: taken
         # for its step they would make it look too slow for any request.
--- a/wagtailtrestle/measure/fleet.py
+++ b/wagtailtrestle/measure/fleet.py
@@ -53,3 +53,13 @@
 def fleet_cost_s(speed_by_name, arrival):
     """Seconds of the whole fleet that a request costs; their sum per second is at most 1."""
     return 1.0 / sum(1.0 / speed.cost_s(arrival) for speed in speed_by_name.values())
+
+
+def capacity_left(speed_by_name, name, factor, cost_of):
+    """Share of the fleet's capacity left while one engine is ``factor`` times slower.
+
+    ``cost_of`` maps an engine's speed to the mean seconds that a request costs it.
+    """
+    rate_by_name = {engine: 1.0 / cost_of(speed) for engine, speed in speed_by_name.items()}
+    lost = rate_by_name[name] * (1.0 - 1.0 / factor)
+    return 1.0 - lost / sum(rate_by_name.values())
--- a/wagtailtrestle/measure/one_run.py
+++ b/wagtailtrestle/measure/one_run.py
@@ -11,7 +11,7 @@
 from wagtailtrestle.measure.baseline_routers import BaselineRouters
 from wagtailtrestle.measure.cluster import StewardRouters, caller_request
 from wagtailtrestle.measure.fake_engine import FakeEngine
-from wagtailtrestle.measure.fleet import fleet_cost_s, true_speeds
+from wagtailtrestle.measure.fleet import capacity_left, fleet_cost_s, true_speeds
 from wagtailtrestle.measure.run_parts import RunSetting
 from wagtailtrestle.measure.tally import tally
 from wagtailtrestle.measure.workload import Drawing
@@ -130,12 +130,12 @@
 
     def _arrivals(self):
         spec = self._spec
+        cost_s = self._drawing(MEAN_SEED).mean(lambda arrival: fleet_cost_s(self._speed_by_name, arrival))
+        return self._drawing(spec.seed).arrivals(rate=spec.load / cost_s, duration_s=spec.duration_s)
+
+    def _drawing(self, seed):
         teams = self._setting.declaration.teams_by_name
-        service = self._setting.service
-        mean = Drawing(service=service, teams_by_name=teams, seed=MEAN_SEED)
-        cost_s = mean.mean(lambda arrival: fleet_cost_s(self._speed_by_name, arrival))
-        drawing = Drawing(service=service, teams_by_name=teams, seed=spec.seed)
-        return drawing.arrivals(rate=spec.load / cost_s, duration_s=spec.duration_s)
+        return Drawing(service=self._setting.service, teams_by_name=teams, seed=seed)
 
     def _break(self, routers, engines_by_name):
         match self._spec.scenario:
@@ -159,9 +159,24 @@
             repeatable_of={route.name: route.repeatable for route in routes},
             window=(WARM_S, spec.duration_s),
         )
+        figures["bound"] = min(figures["offered_of_fleet"], self._capacity())
         figures["busy_share"] = figures.pop("busy_s") / (spec.duration_s * len(engines_by_name))
         return figures
 
+    def _capacity(self):
+        """Capacity over the measured time, as a share of the fleet's with every engine sound."""
+        spec = self._spec
+        if spec.scenario != STRAGGLER:
+            return 1.0
+        left = capacity_left(
+            self._speed_by_name,
+            self._setting.declared_engines[0].name,
+            STRAGGLE_FACTOR,
+            lambda speed: self._drawing(MEAN_SEED).mean(speed.cost_s),
+        )
+        slow_share = (spec.duration_s * (1.0 - FAULT_AT)) / (spec.duration_s - WARM_S)
+        return 1.0 - min(1.0, slow_share) * (1.0 - left)
+
 
 def load_declaration(service):
     """Return the example declaration that holds a service."""
--- a/wagtailtrestle/measure/report.py
+++ b/wagtailtrestle/measure/report.py
@@ -15,7 +15,7 @@
 
     def __init__(self, *, key, results):
         self.key = key
-        bounded = [result["goodput_of_fleet"] / min(1.0, result["load"]) for result in results]
+        bounded = [result["goodput_of_fleet"] / result["bound"] for result in results]
         self.goodput = sum(bounded) / len(bounded)
         self.least_goodput = min(bounded)
         self.wasted = sum(result["wasted_prefill"] for result in results) / len(results)
--- a/wagtailtrestle/measure/tally.py
+++ b/wagtailtrestle/measure/tally.py
@@ -42,7 +42,7 @@
     start_s, end_s = window
     prefill = wasted = duplicates = lies = 0
     tally_by_tier = {name: TierTally() for name in tier_names.values()}
-    done_s = 0.0
+    done_s = offered_s = 0.0
     reasons = {}
     for caller in callers:
         arrival = caller.arrival
@@ -57,6 +57,7 @@
         if in_time and start_s <= caller.answered_at < end_s:
             done_s += fleet_cost_s(speed_by_name, arrival)
         if start_s <= arrival.at_s < end_s:
+            offered_s += fleet_cost_s(speed_by_name, arrival)
             count(tally_by_tier[tier_names[tier_of[arrival.kind.route]]], caller, in_time)
             if caller.refusal:
                 name = f"{arrival.kind.route}:{caller.refusal.reason}:{caller.refusal.executed}"
@@ -65,6 +66,7 @@
     return {
         "by_tier": {name: tier.as_dict() for name, tier in tally_by_tier.items() if tier.asked},
         "goodput_of_fleet": done_s / (end_s - start_s),
+        "offered_of_fleet": offered_s / (end_s - start_s),
         "prefill_tokens": prefill,
         "wasted_prefill": wasted / prefill if prefill else 0.0,
         "duplicates": duplicates,
