Random faults against apply and the configuration in force

Cause: the tests so far each bring about one failure; races of several were only argued. Change: two tests under the paused clock with fixed seeds: operators over ways that lose, delay and repeat; routers through outages, stale reads, silent watches, dropped events, refused writes and restarts.

--- a/tests/test_applying.py
+++ b/tests/test_applying.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from random import Random
 
 from tests.utils.memory_store import MemoryStore
 from tests.utils.paused_clock import on_paused_clock
@@ -16,6 +17,47 @@
     apply,
     read_accepted,
 )
+from wagtailtrestle.outcomes import StoreUnknown
+from wagtailtrestle.standins.object_table import ObjectTable
+
+SEEDS = 60
+OPERATORS = 4
+APPLIES_EACH = 5
+LATEST_S = 4.0
+
+
+class UnreliableStore(MemoryStore):
+    """One operator's way to the platform: writes are lost, unanswered or late at random."""
+
+    def __init__(self, *, table, random):
+        super().__init__(table=table)
+        self._random = random
+
+    async def get(self, **options):
+        await asyncio.sleep(self._random.uniform(0, 0.05))
+        self.stale_versions = self._random.choice((0, 0, 0, 1))
+        self.down = self._random.random() < 0.1
+        return await super().get(**options)
+
+    async def create(self, **options):
+        return await self._send(super().create(**options))
+
+    async def update(self, **options):
+        return await self._send(super().update(**options))
+
+    async def _send(self, write):
+        await asyncio.sleep(self._random.uniform(0, 0.05))
+        self.down = self._random.random() < 0.1
+        self.lose_answers = int(self._random.random() < 0.3)
+        self.lose_requests = int(self._random.random() < 0.2)
+        if self._random.random() < 0.2:
+            asyncio.get_running_loop().create_task(self._send_late(write))
+            return StoreUnknown(detail="late")
+        return await write
+
+    async def _send_late(self, write):
+        await asyncio.sleep(self._random.uniform(0, LATEST_S))
+        await write
 
 
 async def apply_text(store, text, *, base=None):
@@ -157,6 +199,48 @@
         # be accepted and never in force; --base says where to go on.
         self.assertEqual(await apply_text(MemoryStore(), "a", base=7), Applied(generation=8))
 
+    @on_paused_clock
+    async def test_what_operators_are_told_is_true_under_random_faults(self):
+        # Operators apply at the same time over ways that lose requests, lose answers,
+        # give stale reads and deliver updates seconds late. Afterwards every "applied"
+        # is in the platform's history under just that generation, nothing told as a
+        # conflict or not applied ever is, and no generation has two owners.
+        told = []
+        for seed in range(SEEDS):
+            table, accepted = ObjectTable(), []
+            table.listeners.add(lambda table=table, accepted=accepted: accepted.append(_newest(table)))
+            operators = (self._operator(table, Random(f"{seed}-{number}"), number) for number in range(OPERATORS))
+            outcomes = dict(pair for pairs in await asyncio.gather(*operators) for pair in pairs)
+            await asyncio.sleep(LATEST_S)
+            self._check_truth(seed, accepted, outcomes)
+            told.extend(type(outcome) for outcome in outcomes.values())
+        for kind in (Applied, ApplyConflict, ApplyNotDone):
+            self.assertGreater(told.count(kind), SEEDS // 10, kind)
+        self.assertLess(told.count(ApplyUnknown), len(told) // 20)
+
+    async def _operator(self, table, random, number):
+        store, outcomes = UnreliableStore(table=table, random=random), []
+        for count in range(APPLIES_EACH):
+            await asyncio.sleep(random.uniform(0, 1))
+            text = f"{number}-{count}"
+            outcomes.append((f"id-{text}", await apply_text(store, text)))
+        return outcomes
+
+    def _check_truth(self, seed, accepted, outcomes):
+        id_by_generation = dict(accepted)
+        self.assertEqual([generation for generation, _ in accepted], list(range(1, len(accepted) + 1)), seed)
+        self.assertEqual(len(set(id_by_generation.values())), len(accepted), seed)
+        for apply_id, outcome in outcomes.items():
+            if isinstance(outcome, Applied):
+                self.assertEqual(id_by_generation.get(outcome.generation), apply_id, seed)
+            elif isinstance(outcome, ApplyConflict | ApplyNotDone):
+                self.assertNotIn(apply_id, id_by_generation.values(), seed)
+
+
+def _newest(table):
+    value = table.get(kind=DECLARATION_KIND, name=DECLARATION_NAME).value
+    return value["generation"], value["apply_id"]
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -6,7 +6,7 @@
 
 from tests.utils.memory_store import MemoryStore
 from tests.utils.paused_clock import now, on_paused_clock
-from wagtailtrestle.applying import Applied, apply
+from wagtailtrestle.applying import Applied, apply, read_accepted
 from wagtailtrestle.configuration import Configuration, PeersAnswer
 from wagtailtrestle.declaration import Declaration
 from wagtailtrestle.declaration_check import DeclarationFaults
@@ -14,6 +14,8 @@
 
 POLL_S = 2.0
 WITHIN_S = 5.0
+SEEDS = 40
+STEPS = 12
 
 
 def parse(text):
@@ -300,6 +302,66 @@
         self.assertLessEqual(calls["watches"], 40)
         self.assertLessEqual(calls["writes"], 1)
 
+    @on_paused_clock
+    async def test_random_faults_and_restarts(self):
+        # Three routers live through random outages, stale reads, silent watches, dropped
+        # events, refused writes and restarts while operators apply. A process never
+        # goes back; a restarted one that says its start was confirmed begins no lower
+        # than it ended; and seconds after the faults end all have the newest in force.
+        restarts = 0
+        for seed in range(SEEDS):
+            jitter = random.Random(seed)
+            self.operator = MemoryStore()
+            members = [self.router(jitter=jitter) for _ in range(3)]
+            for router in members:
+                router.peers = members
+            for step in range(STEPS):
+                if jitter.random() < 0.4:
+                    await self.apply(f"{seed}-{step}")
+                self.operator.drop_events = jitter.random() < 0.3
+                for router in members:
+                    self._set_random_faults(router.store, jitter)
+                    router.configuration.heard(max(peer.configuration.generation for peer in members))
+                if jitter.random() < 0.3:
+                    restarts += await self._restart_one(members, jitter)
+                await asyncio.sleep(jitter.uniform(0, 3))
+            await self._assert_converged(members, seed)
+        self.assertGreater(restarts, SEEDS // 2)
+
+    def _set_random_faults(self, store, jitter):
+        store.down = jitter.random() < 0.2
+        store.silent_watch = jitter.random() < 0.3
+        store.refuse_writes = jitter.random() < 0.2
+        store.stale_versions = jitter.choice((0, 0, 1, 2))
+
+    async def _restart_one(self, members, jitter):
+        """Replace one router's process; whether its start was confirmed."""
+        place = jitter.randrange(len(members))
+        before = members[place].configuration
+        await before.close()
+        router = self.router(jitter=jitter, start=False)
+        members[place] = router
+        router.peers = members
+        self._set_random_faults(router.store, jitter)
+        router.configuration.start()
+        await asyncio.sleep(jitter.uniform(0, 3))
+        if not router.generations or not router.configuration.dump()["is_confirmed"]:
+            return False
+        self.assertGreaterEqual(router.generations[0], before.generation)
+        return True
+
+    async def _assert_converged(self, members, seed):
+        accepted = await read_accepted(store=self.operator)
+        for router in members:
+            for name in ("down", "silent_watch", "refuse_writes"):
+                setattr(router.store, name, False)
+            router.store.stale_versions = 0
+        # A start that was refused its proof tries again within 5 s.
+        await asyncio.sleep(2 * WITHIN_S)
+        self.assertEqual([router.configuration.generation for router in members], [accepted.generation] * 3, seed)
+        for router in members:
+            await router.configuration.close()
+
     def tearDown(self):
         for router in self.routers:
             self.assertEqual(router.generations, sorted(set(router.generations)), "went back")
