Refuse by predicted wait only beyond one and a half times the time left

Cause: the predicted wait of a lower tier supposes that higher tiers go on arriving at the rate of the last seconds; at 2.5 times capacity many plans and petitions were refused that could have been served. Change: WAIT_TOLERANCE = 1.5.

--- a/wagtailtrestle/admission.py
+++ b/wagtailtrestle/admission.py
@@ -25,6 +25,10 @@
 TRUSTED_CONFIDENCE = 0.5
 """Mean confidence of the engines' models above which a predicted wait refuses."""
 
+WAIT_TOLERANCE = 1.5
+"""How many times too long a predicted wait may be and still be tried: it supposes that higher
+tiers go on arriving as they do now, and a burst that ends leaves room."""
+
 RATE_WINDOW_S = 5.0
 """Time over which the arrival of work is averaged."""
 
@@ -125,7 +129,8 @@
         if self._holds_lower(request.tier) or not self._models_trusted():
             return None
         full_s = min(run_s(request, engine, max(1, engine.limit), 0) for engine in possible)
-        if self.wait_s(waiting) + full_s > waiting.deadline - self._clock():
+        slack_s = waiting.deadline - self._clock() - full_s
+        if self.wait_s(waiting) > WAIT_TOLERANCE * slack_s:
             return Reason.OVERLOADED
         return None
 
