Four heartbeat partners on a ring, generations and broadcasts along fingers, slopes of peers

Cause: partners chosen by zone were uneven (2 to 10 each among 370, so up to 34 messages a second), a generation went from neighbour to neighbour, crash reports would open a connection to everybody, and a batch of one paid for a timer. Change: the two routers on either side of the ring; heartbeat 0.4 s beyond nine routers; a new generation and any broadcast go along fingers too; the writer waits only when the last batch is younger than 2 ms.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,6 +4,8 @@
 import looptime
 
 from tests.utils.fake_routers import FakeNet
+from wagtailtrestle.broadcast import Broadcast
+from wagtailtrestle.messages import Withdraw
 
 
 def on_fast_loop(test):
@@ -92,6 +94,39 @@
         version = self.net.by_name["r005"]._table.by_name["r000"].version
         self.assertLess(version, 20)
 
+    @on_fast_loop
+    async def test_many_routers(self):
+        # Too many for everybody to watch everybody: each has four partners, and yet a death, a frozen router
+        # and a generation are known to all as soon as among few.
+        names = await self.net.add_all(24)
+        heard = set()
+        for name in names:
+            self.net.by_name[name].on_generation(lambda peer, number, name=name: self.pass_on(name, number, heard))
+        self.net.by_name["r000"].set_generation(7)
+        await asyncio.sleep(0.2)
+        self.assertEqual(len(heard), 24)
+        self.net.kill("r002")
+        self.net.freeze("r005")
+        await asyncio.sleep(1.4)
+        self.assert_views([name for name in names if name not in ("r002", "r005")], but=["r002", "r005"])
+
+    def pass_on(self, name, generation, heard):
+        if name not in heard:
+            heard.add(name)
+            self.net.by_name[name].set_generation(generation)
+
+    @on_fast_loop
+    async def test_broadcast(self):
+        names = await self.net.add_all(24)
+        got = []
+        for name in names:
+            targets = self.net.by_name[name].broadcast_targets
+            broadcast = Broadcast(peers=self.net.peers_by_name[name], targets=targets)
+            broadcast.on(Withdraw, key=lambda message: message.request_id, handler=got.append)
+        broadcast.send(Withdraw(request_id="x"))
+        await asyncio.sleep(0.2)
+        self.assertEqual(got, [Withdraw(request_id="x")] * 23)
+
     @on_fast_loop
     async def test_two_regions_lose_each_other(self):
         # Each side goes on with its own view; when the link is back, both come to one view without any
--- /dev/null
+++ b/wagtailtrestle/broadcast.py
@@ -0,0 +1,66 @@
+"""Brings a message to every router by passing it on, for what all must learn and few say."""
+
+from collections import OrderedDict
+
+KEPT_KEYS = 4096
+
+
+class Broadcast:
+    """Passes each message on once, along the targets that the membership names.
+
+    Sending to all of 370 routers oneself would open a connection to each; along the ring
+    and its fingers a message reaches all in a few hops, over connections that are there.
+
+    Parameters
+    ----------
+    peers : Peers
+    targets : callable
+        ``() -> iterable of str``, as ``Membership.broadcast_targets``.
+    """
+
+    __slots__ = ("_peers", "_rules_by_type", "_seen", "_targets")
+
+    def __init__(self, *, peers, targets):
+        self._peers = peers
+        self._targets = targets
+        self._rules_by_type = {}
+        self._seen = OrderedDict()
+
+    def on(self, message_type, *, key, handler):
+        """Have ``handler(message)`` called once for each message from elsewhere.
+
+        Parameters
+        ----------
+        message_type : type
+        key : callable
+            ``(message)``: equal for messages that are the same.
+        handler : callable
+        """
+        self._rules_by_type[message_type] = (key, handler)
+        self._peers.on(message_type, self._received)
+
+    def send(self, message):
+        """Tell everybody."""
+        if self._is_news(message):
+            self._pass_on(message)
+
+    def _received(self, peer, message, cell):
+        if self._is_news(message):
+            self._pass_on(message, but=peer)
+            _, handler = self._rules_by_type[type(message)]
+            handler(message)
+
+    def _is_news(self, message):
+        key, _ = self._rules_by_type[type(message)]
+        name = (type(message), key(message))
+        if name in self._seen:
+            return False
+        self._seen[name] = None
+        if len(self._seen) > KEPT_KEYS:
+            self._seen.popitem(last=False)
+        return True
+
+    def _pass_on(self, message, but=None):
+        for name in self._targets():
+            if name != but:
+                self._peers.send(name, message)
--- a/wagtailtrestle/membership.py
+++ b/wagtailtrestle/membership.py
@@ -25,6 +25,8 @@
 
 HEARTBEAT_S = 0.3
 SILENT_HEARTBEATS = 2.2
+# Where there are many routers bytes count more; a late heartbeat costs a new connection, not a suspicion.
+RING_HEARTBEAT_S = 0.4
 TICK_S = 0.1
 REFRESH_DELAY_S = 0.005
 LATE_TICK_S = 0.25
@@ -48,7 +50,7 @@
     seeds : dict of str to str
         Names and addresses from settings, for when the platform is out at start.
     heartbeat_s : float
-        Time between heartbeats to one partner.
+        Time between heartbeats to one partner; at least ``RING_HEARTBEAT_S`` beyond a full mesh.
     jitter : random.Random, optional
 
     Attributes
@@ -66,7 +68,8 @@
         self.trusted = False
         self._peers = peers
         self._loop = loop
-        self._heartbeat_s = heartbeat_s
+        self._mesh_heartbeat_s = self._heartbeat_s = heartbeat_s
+        self._silent_after_s = SILENT_HEARTBEATS * heartbeat_s
         self._jitter = jitter or random.Random()
         self._addresses_by_name = {seed: address for seed, address in (seeds or {}).items() if seed != name}
         self._listed = None
@@ -146,8 +149,14 @@
         self._generation_callbacks.append(callback)
 
     def set_generation(self, generation):
-        """Tell peers which configuration generation this router has in force."""
+        """Tell peers which configuration generation this router has in force.
+
+        It goes to the fingers at once too: from neighbour to neighbour alone it would take
+        half a minute around a ring of hundreds.
+        """
         self.generation = generation
+        for peer in self.broadcast_targets():
+            self._peers.send(peer, self._heartbeat())
 
     def set_draining(self):
         """Leave the set of routers that may be steward, and tell everybody."""
@@ -361,17 +370,18 @@
             self._refresh()
 
     def _send_heartbeat(self, peer):
-        if not self._peers.connected(peer):
-            return
+        if self._peers.connected(peer):
+            self._peers.send(peer, self._heartbeat())
+
+    def _heartbeat(self):
         own = self._table.own
-        heartbeat = Heartbeat(
+        return Heartbeat(
             incarnation=own.incarnation,
             version=own.version,
             generation=self.generation,
             draining=own.draining,
             view_digest=self._digest,
         )
-        self._peers.send(peer, heartbeat)
 
     def _replace_silent(self):
         for peer in self._partners:
@@ -379,7 +389,7 @@
             if silent_s is None:
                 continue
             silent_s = min(silent_s, self._loop.time() - self._silence_from)
-            if silent_s > SILENT_HEARTBEATS * self._heartbeat_s:
+            if silent_s > self._silent_after_s:
                 # The connection may be dead while the router lives: a new one tells them apart.
                 self._peers.replace(peer)
 
@@ -431,7 +441,8 @@
 
     def _rewire(self, view):
         self._ring_names = view.everyone
-        ring = Ring(zones_by_name={name: self._table.by_name[name].zone for name in view.everyone})
+        ring = Ring(names=view.everyone)
+        self._heartbeat_s = self._mesh_heartbeat_s if ring.is_mesh else max(self._mesh_heartbeat_s, RING_HEARTBEAT_S)
         if self.name in view.everyone:
             self._partners = ring.partners(self.name)
             self._fingers = ring.fingers(self.name)
--- a/wagtailtrestle/peer_link.py
+++ b/wagtailtrestle/peer_link.py
@@ -110,16 +110,20 @@
                 self._deliver(self, item)
 
     async def _write(self):
+        flushed_at = self._loop.time() - FLUSH_INTERVAL_S
         while True:
             await self._outbox.wait()
+            # The first item of a burst leaves at once; the rest of it shares the next batch.
+            early_s = flushed_at + FLUSH_INTERVAL_S - self._loop.time()
+            if early_s > 0:
+                await asyncio.sleep(early_s)
             items = self._outbox.take()
+            flushed_at = self._loop.time()
             if self.awaiting_since is None:
-                self.awaiting_since = self._loop.time()
+                self.awaiting_since = flushed_at
             await self._stream.send_message(pb.Batch(items=items))
             self.batches_sent += 1
             self.items_sent += len(items)
-            # The first item of a burst leaves at once; the rest of it shares the next batch.
-            await asyncio.sleep(FLUSH_INTERVAL_S)
 
     def dump(self):
         """State for the dump: ages in seconds."""
--- /dev/null
+++ b/wagtailtrestle/slopes/counting_relay.py
@@ -0,0 +1,62 @@
+"""Passes bytes between two ends and counts them."""
+
+import asyncio
+
+READ_BYTES = 65_536
+
+
+class CountingRelay:
+    """A relay on a loopback port.
+
+    Parameters
+    ----------
+    target : str
+        ``host:port`` to pass connections on to.
+
+    Attributes
+    ----------
+    bytes_passed, segments : int
+        In both directions; each read is counted as one TCP segment.
+    """
+
+    __slots__ = ("_server", "_target", "_writers", "address", "bytes_passed", "segments")
+
+    def __init__(self, *, target):
+        self._target = target
+        self._server = None
+        self._writers = []
+        self.address = ""
+        self.reset()
+
+    def reset(self):
+        """Count from zero."""
+        self.bytes_passed = 0
+        self.segments = 0
+
+    async def start(self):
+        """Listen; ``address`` then holds where."""
+        self._server = await asyncio.start_server(self._pass_on, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def close(self):
+        """End all connections."""
+        self._server.close()
+        for writer in self._writers:
+            writer.close()
+
+    async def _pass_on(self, reader, writer):
+        host, _, port = self._target.rpartition(":")
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        self._writers += [writer, far_writer]
+        await asyncio.gather(self._pump(reader, far_writer), self._pump(far_reader, writer))
+
+    async def _pump(self, reader, writer):
+        try:
+            while data := await reader.read(READ_BYTES):
+                self.bytes_passed += len(data)
+                self.segments += 1
+                writer.write(data)
+        except ConnectionError:
+            pass
+        writer.close()
