A broken invariant stops the process; stray library errors are logged

Cause: a task of the configuration or of a request that failed was only logged, and the router served on from a state that nobody understands. Change: broken_invariant marks such ends; core drains and exits with status 1; other loop errors are logged.

--- a/wagtailtrestle/configuration.py
+++ b/wagtailtrestle/configuration.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from wagtailtrestle.applying import NO_GENERATION
+from wagtailtrestle.broken_invariant import report_broken
 from wagtailtrestle.configuration_sources import PeersAnswer, PeerSource, PlatformSource, Source
 from wagtailtrestle.declaration import Declaration
 
@@ -117,7 +118,7 @@
         )
         self._tasks = tuple(asyncio.get_running_loop().create_task(step) for step in steps)
         for task in self._tasks:
-            task.add_done_callback(_report_broken)
+            task.add_done_callback(lambda ended: report_broken(ended, "a task of the configuration ended"))
 
     async def close(self):
         """End the tasks; what is in force stays readable."""
@@ -233,12 +234,5 @@
                 task.cancel()
 
 
-def _report_broken(task):
-    """A task that ends by itself is a broken invariant: the process must not go on quietly."""
-    if not task.cancelled() and task.exception() is not None:
-        context = {"message": "a task of the configuration ended", "exception": task.exception(), "task": task}
-        task.get_loop().call_exception_handler(context)
-
-
 def _age(loop, since):
     return None if since is None else round(loop.time() - since, 3)
--- a/wagtailtrestle/core.py
+++ b/wagtailtrestle/core.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from wagtailtrestle.broken_invariant import stop_on_broken_invariant
 from wagtailtrestle.exit_status import ExitStatus
 from wagtailtrestle.router import Router
 
@@ -12,16 +13,17 @@
 def run_router(*, settings, environment):
     """Run a router until SIGTERM or SIGINT, then drain it; return the exit status."""
     try:
-        asyncio.run(_run(settings))
+        return asyncio.run(_run(settings))
     except OSError as error:
         environment.complain(f"The router could not listen: {error}. Check the addresses in its settings.")
         return ExitStatus.CHECK_FAILED
-    return ExitStatus.DONE
 
 
 async def _run(settings):
     loop = asyncio.get_running_loop()
     asked_to_stop = asyncio.Event()
+    broken = asyncio.Event()
+    stop_on_broken_invariant(loop, lambda: (broken.set(), asked_to_stop.set()))
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, asked_to_stop.set)
     router = Router(settings=settings, loop=loop)
@@ -31,3 +33,4 @@
     await router.drain()
     await router.close()
     logger.info("router stopped")
+    return ExitStatus.CHECK_FAILED if broken.is_set() else ExitStatus.DONE
--- a/wagtailtrestle/entry.py
+++ b/wagtailtrestle/entry.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from wagtailtrestle.broken_invariant import report_broken
 from wagtailtrestle.cells import cells_of, choose_cell
 from wagtailtrestle.declaration import LANGUAGE
 from wagtailtrestle.exchange import AnswerRefusal
@@ -13,8 +14,6 @@
 from wagtailtrestle.outcomes import Executed, Reason, Refusal, RunNotSent
 from wagtailtrestle.request_task import DEFAULT_RETRY_AFTER_S, Displaced, RequestState, RequestTask
 
-FINAL_STATES = (RequestState.FINISHED, RequestState.REFUSED, RequestState.UNKNOWN)
-
 
 class RequestContext:
     """What a request's task may use of its router.
@@ -193,11 +192,7 @@
         self._running_by_id.pop(request_id, None)
         if not self.tasks_by_id:
             self._idle.set()
-        if not done.cancelled() and done.exception() is not None:
-            # A broken invariant in one request's task must not be lost silently.
-            self._loop.call_exception_handler(
-                {"message": f"task of request {request_id} failed", "exception": done.exception()}
-            )
+        report_broken(done, f"the task of request {request_id} failed")
 
 
 def _awaits(task, granted):
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from wagtailtrestle.admin_http import AdminServer
+from wagtailtrestle.broken_invariant import report_broken
 from wagtailtrestle.caller_limits import DEFAULT_BODY_BYTES, CallerLimits, held_for
 from wagtailtrestle.callers_http import CallersServer
 from wagtailtrestle.cells import cells_of
@@ -211,6 +212,7 @@
         self._reports.start()
         self._started.push_async_callback(self._in_thread, self._reports.close)
         self._ticking = self._loop.create_task(self._tick())
+        self._ticking.add_done_callback(lambda ended: report_broken(ended, "the stewards' clock ended"))
         self._started.push_async_callback(_stopped, self._ticking)
         self._started.push_async_callback(self._entry.close)
         self._callers.start()
