Contacts and links are modules of their own; a paused router declares nobody dead

Change: suspicion's timers look first whether the process was awake; marks of leaving are kept by name; addresses and greeting in contacts.py, opening and choosing of links in peer_links.py. Conclusion: every module of peers and membership has one job.

--- a/wagtailtrestle/membership.py
+++ b/wagtailtrestle/membership.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from wagtailtrestle.contacts import Contacts
 from wagtailtrestle.member_table import MemberTable
 from wagtailtrestle.partners import Ring
 from wagtailtrestle.peer_messages import (
@@ -21,8 +22,6 @@
 from wagtailtrestle.suspicion import Suspicions
 from wagtailtrestle.view_sync import ViewSync
 
-ROUTER_ROLE = "router"
-
 HEARTBEAT_S = 0.3
 SILENT_HEARTBEATS = 2.2
 # Where there are many routers bytes count more; a late heartbeat costs a new connection, not a suspicion.
@@ -33,8 +32,6 @@
 FROZEN_GAP_S = 0.8
 TRUST_WITHIN_S = 1.0
 CONTACT_INTERVAL_S = 1.0
-FIRST_CONTACTS = 8
-FORGET_AFTER_S = 600.0
 
 
 class Membership:
@@ -71,10 +68,10 @@
         self._mesh_heartbeat_s = self._heartbeat_s = heartbeat_s
         self._silent_after_s = SILENT_HEARTBEATS * heartbeat_s
         self._jitter = jitter or random.Random()
-        self._addresses_by_name = {seed: address for seed, address in (seeds or {}).items() if seed != name}
-        self._listed = None
         self._table = MemberTable(name=name, zone=zone, incarnation=incarnation, now=loop.time())
-        self._suspicions = Suspicions(table=self._table, loop=loop, gossip=self._gossip, on_change=self._refresh_soon)
+        self._suspicions = Suspicions(
+            table=self._table, loop=loop, gossip=self._gossip, on_change=self._refresh_soon, is_awake=self._is_awake
+        )
         self._sync = ViewSync(
             table=self._table,
             peers=peers,
@@ -83,6 +80,7 @@
             on_events=self._take_pulled,
             on_lost=lambda member: self._suspicions.suspect(member, "called dead by a peer, and does not answer"),
         )
+        self._contacts = Contacts(table=self._table, peers=peers, loop=loop, jitter=self._jitter, seeds=seeds or {})
         self._partners = set()
         self._fingers = set()
         self._ring_names = ()
@@ -120,8 +118,7 @@
         now = self._loop.time()
         self._table.own.address = self._peers.address
         self._tick_at = self._heartbeat_at = self._contact_at = self._doubt_since = now
-        self._peers.set_addresses(self._addresses_by_name)
-        self._contact_absent(FIRST_CONTACTS)
+        self._contacts.start()
         self._timer = self._loop.call_later(TICK_S, self._on_tick)
 
     async def close(self):
@@ -171,20 +168,7 @@
 
         The list lags, so it takes nobody out of the view who still sends heartbeats.
         """
-        routers = [vm for vm in vms if vm.role == ROUTER_ROLE and vm.id != self.name]
-        is_first = self._listed is None
-        self._listed = {vm.id for vm in routers}
-        addresses = {vm.id: vm.address for vm in routers}
-        new = {name for name in addresses if name not in self._addresses_by_name}
-        self._addresses_by_name.update(addresses)
-        self._peers.set_addresses({name: addresses[name] for name in addresses if self._is_absent(name)})
-        for vm in routers:
-            if vm.id in self._table.by_name:
-                self._table.by_name[vm.id].listed_leaving = vm.leaving
-        if is_first:
-            self._contact_absent(FIRST_CONTACTS)
-        for name in sorted(new)[:FIRST_CONTACTS]:
-            self._greet(name)
+        self._contacts.observe(vms)
         self._refresh()
 
     def broadcast_targets(self):
@@ -201,7 +185,7 @@
             "trusted": self.trusted,
             "partners": sorted(self._partners),
             "fingers": sorted(self._fingers),
-            "listed": None if self._listed is None else sorted(self._listed),
+            "contacts": self._contacts.dump(),
             "by_name": {name: member.dump(now) for name, member in sorted(self._table.by_name.items())},
         }
 
@@ -213,7 +197,7 @@
         if hello.incarnation > member.incarnation:
             member.restart(hello.incarnation, now)
             member.zone, member.address = hello.zone, hello.address
-            self._addresses_by_name[peer] = hello.address
+            self._contacts.learn(peer, hello.address)
             self._gossip(member.event(), but=peer)
             self._refresh_soon()
         elif hello.incarnation == member.incarnation:
@@ -270,7 +254,7 @@
         if event.name == self.name:
             self._about_self(event)
         elif self._table.apply(event, self._loop.time()):
-            self._learn_address(event)
+            self._contacts.learn(event.name, event.address)
             self._suspicions.watch(self._table.by_name[event.name])
             self._gossip(event, but=peer)
             self._refresh_soon()
@@ -293,18 +277,13 @@
             if event.name == self.name:
                 self._about_self(event)
         for event in news:
-            self._learn_address(event)
+            self._contacts.learn(event.name, event.address)
             self._suspicions.watch(self._table.by_name[event.name])
             if self.trusted:
                 self._gossip(event, but=peer)
         self._trust()
         self._refresh_soon()
 
-    def _learn_address(self, event):
-        if event.address:
-            self._addresses_by_name[event.name] = event.address
-            self._peers.set_addresses({event.name: event.address})
-
     def _gossip(self, event, but=None):
         for name in self.broadcast_targets():
             if name != but:
@@ -363,8 +342,8 @@
             self._replace_silent()
         if now >= self._contact_at:
             self._contact_at = now + CONTACT_INTERVAL_S * self._jitter.uniform(0.5, 1.0)
-            self._contact_absent(1)
-            self._forget_old(now)
+            self._contacts.greet_absent(1)
+            self._contacts.forget_old()
             self._sync.check_doubted()
         if self._recheck_at is not None and now >= self._recheck_at:
             self._refresh()
@@ -393,29 +372,6 @@
                 # The connection may be dead while the router lives: a new one tells them apart.
                 self._peers.replace(peer)
 
-    # Routers out of the view.
-
-    def _is_absent(self, name):
-        member = self._table.by_name.get(name)
-        return member is None or not member.present
-
-    def _contact_absent(self, count):
-        """Greet a few routers that exist but are not in the view: they may be back, or on the other side."""
-        absent = [name for name in sorted(self._addresses_by_name) if self._is_absent(name)]
-        for name in self._jitter.sample(absent, min(count, len(absent))):
-            self._greet(name)
-
-    def _greet(self, name):
-        self._peers.send(name, self._table.own.event())
-
-    def _forget_old(self, now):
-        for name, member in list(self._table.by_name.items()):
-            is_listed = self._listed is not None and name in self._listed
-            if not member.present and not is_listed and now - member.state_since > FORGET_AFTER_S:
-                del self._table.by_name[name]
-                self._addresses_by_name.pop(name, None)
-                self._peers.forget(name)
-
     # The view and the partners.
 
     def _refresh_soon(self):
@@ -428,6 +384,7 @@
             self._refreshing.cancel()
             self._refreshing = None
         now = self._loop.time()
+        self._contacts.mark_leaving()
         self._recheck_at = self._table.next_hold_end(now)
         self._digest = self._table.digest()
         view = self._table.view(now)
--- /dev/null
+++ b/wagtailtrestle/peer_links.py
@@ -0,0 +1,233 @@
+"""Opens, takes, chooses and ends the links to peers."""
+
+import asyncio
+import random
+
+from wagtailtrestle.peer_connection import Listener, connect, receive_hello
+from wagtailtrestle.peer_link import Link
+from wagtailtrestle.peer_messages import Hello
+
+SIMULTANEOUS_S = 1.0
+USED_LATELY_S = 30.0
+RECOVER_FOR_S = 3.0
+QUEUE_HOLD_S = 1.0
+
+
+class PeerLinks:
+    """Keeps each peer's link as ``PeerState`` wants it.
+
+    Parameters
+    ----------
+    name, zone : str
+    incarnation : int
+    listen_address : str
+    advertised_address : str
+        Told to peers; empty for the one listened on.
+    loop : asyncio event loop
+    state_of : callable
+        ``(name) -> PeerState``, made if it is new.
+    deliver : callable
+        ``(Link, pb.Item)``.
+    on_linked : callable
+        ``(PeerState)``: it has a new link.
+    on_lost : callable
+        ``(PeerState, detail)``: what was under way on its link is lost.
+    on_failed : callable
+        ``(PeerState, detail)``: no connection could be opened.
+    seed : int, optional
+    """
+
+    def __init__(
+        self,
+        *,
+        name,
+        zone,
+        incarnation,
+        listen_address,
+        advertised_address,
+        loop,
+        state_of,
+        deliver,
+        on_linked,
+        on_lost,
+        on_failed,
+        seed=None,
+    ):
+        self._name = name
+        self._zone = zone
+        self._incarnation = incarnation
+        self._advertised_address = advertised_address
+        self._listener = Listener(address=listen_address, accept=self._accept)
+        self._loop = loop
+        self._state_of = state_of
+        self._deliver = deliver
+        self._on_linked = on_linked
+        self._on_lost = on_lost
+        self._on_failed = on_failed
+        self._random = random.Random(seed)
+        self._tasks = set()
+        self._closed = False
+
+    @property
+    def address(self):
+        """Where peers reach this router."""
+        return self._advertised_address or self._listener.address
+
+    @address.setter
+    def address(self, address):
+        self._advertised_address = address
+
+    async def start(self):
+        """Listen."""
+        await self._listener.start()
+
+    async def close(self, states):
+        """End every link and connection under way."""
+        self._closed = True
+        for state in states:
+            if state.link is not None:
+                state.link.reset()
+        tasks = [state.dialing for state in states if state.dialing is not None] + list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._listener.close()
+
+    def dial_if_needed(self, state):
+        """Begin to open a connection, unless there is one or one is being opened."""
+        if self._closed or state.link is not None or state.dialing is not None or state.address is None:
+            return
+        state.dialing = self._loop.create_task(self._dial_until_linked(state))
+
+    def drop(self, state, detail):
+        """End a peer's link at once, and open another if it is wanted."""
+        link, state.link = state.link, None
+        state.last_error = detail
+        link.reset()
+        self._recover(state, detail)
+
+    # Opening connections.
+
+    async def _dial_until_linked(self, state):
+        try:
+            while state.link is None and state.wants_link(self._loop.time()):
+                if await self._dial(state):
+                    return
+                if state.link is None:
+                    await self._back_off(state)
+        finally:
+            state.dialing = None
+
+    async def _back_off(self, state):
+        delay_s = state.next_backoff_s() * self._random.uniform(0.5, 1.0)
+        # Items for a peer that stays away are of no use later: everything is re-registered on reconnect.
+        if state.unreachable_since is not None and self._loop.time() - state.unreachable_since > QUEUE_HOLD_S:
+            state.outbox.clear()
+        await asyncio.sleep(delay_s)
+
+    async def _dial(self, state):
+        """Try once; ``True`` when a link is up."""
+        connection = await connect(address=state.address, name=state.name, own_hello=self._hello())
+        if isinstance(connection, str):
+            self._dial_failed(state, connection)
+            return False
+        link = self._make_link(state, stream=connection.stream, hello=connection.hello, dialed_by=self._name)
+        if not self._adopt(state, link):
+            connection.close()
+            return False
+        task = self._loop.create_task(self._run_dialed(state, link, connection))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return True
+
+    async def _run_dialed(self, state, link, connection):
+        try:
+            await link.run()
+        finally:
+            connection.close()
+            self._link_ended(state, link)
+
+    def _dial_failed(self, state, error):
+        state.failed(error, self._loop.time())
+        if state.link is None:
+            self._on_failed(state, error)
+
+    # Taking connections.
+
+    async def _accept(self, stream):
+        hello = await receive_hello(stream, own_hello=self._hello())
+        if hello is None or self._closed:
+            return
+        state = self._state_of(hello.name)
+        link = self._make_link(state, stream=stream, hello=hello, dialed_by=hello.name)
+        if not self._adopt(state, link):
+            return
+        try:
+            await link.run()
+        finally:
+            self._link_ended(state, link)
+
+    def _hello(self):
+        return Hello(name=self._name, incarnation=self._incarnation, zone=self._zone, address=self.address)
+
+    def _make_link(self, state, *, stream, hello, dialed_by):
+        return Link(
+            stream=stream,
+            hello=hello,
+            dialed_by=dialed_by,
+            outbox=state.outbox,
+            deliver=self._deliver,
+            loop=self._loop,
+        )
+
+    # Choosing.
+
+    def _adopt(self, state, link):
+        """Make a new link the peer's, or only read it if it lost a tie; ``False`` to refuse it."""
+        if link.hello.incarnation < state.incarnation:
+            # A connection of a process that was replaced (delayed in the network, or frozen and woken):
+            # its messages would undo what its successor said.
+            state.stale_dropped += 1
+            return False
+        old = state.link
+        if old is not None and self._keeps_old(old, link):
+            link.retire()
+            return True
+        state.linked(link)
+        if old is not None:
+            self._retire(state, old)
+        self._on_linked(state)
+        return True
+
+    def _keeps_old(self, old, new):
+        # Both ends dialed at the same moment: each would otherwise drop the connection that the other
+        # kept, and go on dialing. Both keep the one that the router with the lower name opened.
+        return (
+            old.hello.incarnation == new.hello.incarnation
+            and old.dialed_by != new.dialed_by
+            and self._loop.time() - old.up_since < SIMULTANEOUS_S
+            and old.dialed_by < new.dialed_by
+        )
+
+    def _retire(self, state, link):
+        if link.hello.incarnation != state.incarnation:
+            link.reset()
+        else:
+            link.retire()
+
+    # Links that end.
+
+    def _link_ended(self, state, link):
+        if state.link is link:
+            state.link = None
+            self._recover(state, "connection lost")
+
+    def _recover(self, state, detail):
+        self._on_lost(state, detail)
+        now = self._loop.time()
+        if now - state.used_at < USED_LATELY_S:
+            # A message may have been lost, and there may be no other to send: a request would wait for its
+            # grant until its deadline. A new connection makes both ends register; none at all is evidence.
+            state.recover_until = now + RECOVER_FOR_S
+        if state.wants_link(now):
+            self.dial_if_needed(state)
--- a/wagtailtrestle/peers_grpc.py
+++ b/wagtailtrestle/peers_grpc.py
@@ -14,21 +14,17 @@
 
 import asyncio
 import inspect
-import random
 
 from wagtailtrestle.generated import peers_pb2 as pb
 from wagtailtrestle.peer_codec import decode, encode
-from wagtailtrestle.peer_connection import Listener, connect, receive_hello
-from wagtailtrestle.peer_link import Link
+from wagtailtrestle.peer_links import PeerLinks
 from wagtailtrestle.peer_messages import Hello, NoAnswer, PeerUnreachable, Ping, Pong
 from wagtailtrestle.peer_questions import Questions
 from wagtailtrestle.peer_state import PeerState
 from wagtailtrestle.peer_watch import LinkWatch
 
-SIMULTANEOUS_S = 1.0
-USED_LATELY_S = 30.0
-RECOVER_FOR_S = 3.0
-QUEUE_HOLD_S = 1.0
+FLUSH_TIMEOUT_S = 0.5
+FLUSH_LOOK_S = 0.005
 
 
 class Peers:
@@ -50,52 +46,63 @@
 
     def __init__(self, *, name, incarnation, listen_address, loop, zone="", advertised_address="", seed=None):
         self.name = name
-        self.incarnation = incarnation
-        self.zone = zone
-        self.address = advertised_address or listen_address
-        self._advertised = bool(advertised_address)
-        self._listener = Listener(address=listen_address, accept=self._accept)
         self._loop = loop
-        self._random = random.Random(seed)
-        self._watching = None
-        self._watch = LinkWatch(
-            states=lambda: list(self._states_by_name.values()),
-            on_silent=lambda state: self._drop_link(state, "silent"),
-            on_idle=lambda state: self._drop_link(state, "idle"),
-            name=name,
-            loop=loop,
-        )
-        self._closed = False
         self._states_by_name = {}
         self._handlers_by_type = {}
         self._reconnect_callbacks = []
         self._unreachable_callbacks = []
         self._questions = Questions(loop=loop)
         self._tasks = set()
+        self._closed = False
+        self._watching = None
         self.unknown_items = 0
+        self._links = PeerLinks(
+            name=name,
+            zone=zone,
+            incarnation=incarnation,
+            listen_address=listen_address,
+            advertised_address=advertised_address,
+            loop=loop,
+            state_of=self._state,
+            deliver=self._deliver,
+            on_linked=self._linked,
+            on_lost=lambda state, detail: self._questions.fail(state.name, detail),
+            on_failed=self._failed,
+            seed=seed,
+        )
+        self._watch = LinkWatch(
+            states=lambda: list(self._states_by_name.values()),
+            on_silent=lambda state: self._links.drop(state, "silent"),
+            on_idle=lambda state: self._links.drop(state, "idle"),
+            name=name,
+            loop=loop,
+        )
+
+    @property
+    def address(self):
+        """``host:port`` told to peers."""
+        return self._links.address
+
+    @address.setter
+    def address(self, address):
+        self._links.address = address
 
     async def start(self):
         """Listen and begin to watch the links."""
-        await self._listener.start()
-        if not self._advertised:
-            self.address = self._listener.address
+        await self._links.start()
         self._watching = self._loop.create_task(self._watch.run())
 
     async def close(self):
         """Send what is queued on open links, then end every connection."""
-        await self._flush(timeout_s=0.5)
+        await self._flush(timeout_s=FLUSH_TIMEOUT_S)
         self._closed = True
+        tasks = list(self._tasks)
         if self._watching is not None:
-            self._watching.cancel()
-        for state in self._states_by_name.values():
-            if state.link is not None:
-                state.link.reset()
-        tasks = [state.dialing for state in self._states_by_name.values() if state.dialing is not None]
-        tasks.extend(self._tasks)
+            tasks.append(self._watching)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        await self._listener.close()
+        await self._links.close(list(self._states_by_name.values()))
 
     # What the rest of the router uses.
 
@@ -127,7 +134,7 @@
         for name in names:
             state = self._state(name)
             state.kept = True
-            self._dial_if_needed(state)
+            self._links.dial_if_needed(state)
 
     def forget(self, name):
         """Drop all state of a peer that no longer exists."""
@@ -186,13 +193,13 @@
         """Give up the present link, which seems silent, and open a new one."""
         state = self._state(peer)
         if state.link is not None:
-            self._drop_link(state, "silent")
+            self._links.drop(state, "silent")
 
     def dump(self):
         """State for the dump, by peer."""
         return {name: state.dump() for name, state in sorted(self._states_by_name.items())}
 
-    # Sending.
+    # Links and sending.
 
     def _state(self, name):
         state = self._states_by_name.get(name)
@@ -208,7 +215,7 @@
         if not state.outbox.put(item):
             self._overflow(state)
             return False
-        self._dial_if_needed(state)
+        self._links.dial_if_needed(state)
         return True
 
     def _overflow(self, state):
@@ -219,9 +226,19 @@
         state.overflows += 1
         state.outbox.clear()
         if state.link is not None:
-            self._drop_link(state, "queue overflow")
+            self._links.drop(state, "queue overflow")
+        self._failed(state, "queue overflow")
+
+    def _linked(self, state):
+        handler = self._handlers_by_type.get(Hello)
+        if handler is not None:
+            handler(state.name, state.link.hello, "")
+        for callback in self._reconnect_callbacks:
+            callback(state.name)
+
+    def _failed(self, state, detail):
         for callback in self._unreachable_callbacks:
-            callback(state.name, "queue overflow")
+            callback(state.name, detail)
 
     async def _flush(self, *, timeout_s):
         deadline = self._loop.time() + timeout_s
@@ -229,147 +246,10 @@
             states = self._states_by_name.values()
             is_empty = not any(state.link is not None and len(state.outbox) for state in states)
             # Once more, since the last batch taken may still be on its way into the socket.
-            await asyncio.sleep(0.005)
+            await asyncio.sleep(FLUSH_LOOK_S)
             if is_empty:
                 return
 
-    # Opening connections.
-
-    def _dial_if_needed(self, state):
-        if self._closed or state.link is not None or state.dialing is not None or state.address is None:
-            return
-        state.dialing = self._loop.create_task(self._dial_until_linked(state))
-
-    async def _dial_until_linked(self, state):
-        try:
-            while state.link is None and state.wants_link(self._loop.time()):
-                if await self._dial(state):
-                    return
-                if state.link is None:
-                    await self._back_off(state)
-        finally:
-            state.dialing = None
-
-    async def _back_off(self, state):
-        delay_s = state.next_backoff_s() * self._random.uniform(0.5, 1.0)
-        # Items for a peer that stays away are of no use later: everything is re-registered on reconnect.
-        if state.unreachable_since is not None and self._loop.time() - state.unreachable_since > QUEUE_HOLD_S:
-            state.outbox.clear()
-        await asyncio.sleep(delay_s)
-
-    async def _dial(self, state):
-        """Try once; ``True`` when a link is up."""
-        connection = await connect(address=state.address, name=state.name, own_hello=self._hello())
-        if isinstance(connection, str):
-            self._dial_failed(state, connection)
-            return False
-        link = self._make_link(state, stream=connection.stream, hello=connection.hello, dialed_by=self.name)
-        if not self._adopt(state, link):
-            connection.close()
-            return False
-        self._spawn(self._run_dialed(state, link, connection))
-        return True
-
-    async def _run_dialed(self, state, link, connection):
-        try:
-            await link.run()
-        finally:
-            connection.close()
-            self._link_ended(state, link)
-
-    def _dial_failed(self, state, error):
-        state.failed(error, self._loop.time())
-        if state.link is None:
-            for callback in self._unreachable_callbacks:
-                callback(state.name, state.last_error)
-
-    # Taking connections.
-
-    async def _accept(self, stream):
-        hello = await receive_hello(stream, own_hello=self._hello())
-        if hello is None or self._closed:
-            return
-        state = self._state(hello.name)
-        link = self._make_link(state, stream=stream, hello=hello, dialed_by=hello.name)
-        if not self._adopt(state, link):
-            return
-        try:
-            await link.run()
-        finally:
-            self._link_ended(state, link)
-
-    def _hello(self):
-        return Hello(name=self.name, incarnation=self.incarnation, zone=self.zone, address=self.address)
-
-    def _make_link(self, state, *, stream, hello, dialed_by):
-        return Link(
-            stream=stream,
-            hello=hello,
-            dialed_by=dialed_by,
-            outbox=state.outbox,
-            deliver=self._deliver,
-            loop=self._loop,
-        )
-
-    def _adopt(self, state, link):
-        """Make a new link the peer's, or only read it if it lost a tie; ``False`` to refuse it."""
-        if link.hello.incarnation < state.incarnation:
-            # A connection of a process that was replaced (delayed in the network, or frozen and woken):
-            # its messages would undo what its successor said.
-            state.stale_dropped += 1
-            return False
-        old = state.link
-        if old is not None and self._keeps_old(old, link):
-            link.retire()
-            return True
-        state.linked(link)
-        if old is not None:
-            self._retire(state, old)
-        self._call_hello_handler(link)
-        for callback in self._reconnect_callbacks:
-            callback(state.name)
-        return True
-
-    def _keeps_old(self, old, new):
-        # Both ends dialed at the same moment: each would otherwise drop the connection that the other
-        # kept, and go on dialing. Both keep the one that the router with the lower name opened.
-        return (
-            old.hello.incarnation == new.hello.incarnation
-            and old.dialed_by != new.dialed_by
-            and self._loop.time() - old.up_since < SIMULTANEOUS_S
-            and old.dialed_by < new.dialed_by
-        )
-
-    def _retire(self, state, link):
-        if link.hello.incarnation != state.incarnation:
-            link.reset()
-        else:
-            link.retire()
-
-    # Links that end.
-
-    def _drop_link(self, state, detail):
-        link, state.link = state.link, None
-        state.last_error = detail
-        link.reset()
-        self._recover(state, detail)
-
-    def _link_ended(self, state, link):
-        if state.link is not link:
-            return
-        state.link = None
-        self._recover(state, "connection lost")
-
-    def _recover(self, state, detail):
-        self._questions.fail(state.name, detail)
-        now = self._loop.time()
-        if now - state.used_at < USED_LATELY_S:
-            # A message may have been lost, and there may be no other to send: a request would wait for its
-            # grant until its deadline. A new connection makes both ends register; none at all is evidence.
-            state.recover_until = now + RECOVER_FOR_S
-        if state.wants_link(now):
-            self._dial_if_needed(state)
-
     # Receiving.
 
     def _deliver(self, link, item):
@@ -429,11 +309,6 @@
     def _answer(self, peer, message, question):
         self._enqueue(peer, encode(message if message is not None else NoAnswer(), answer_to=question))
 
-    def _call_hello_handler(self, link):
-        handler = self._handlers_by_type.get(Hello)
-        if handler is not None:
-            handler(link.hello.name, link.hello, "")
-
     def _spawn(self, coroutine):
         task = self._loop.create_task(coroutine)
         self._tasks.add(task)
--- a/wagtailtrestle/suspicion.py
+++ b/wagtailtrestle/suspicion.py
@@ -23,15 +23,18 @@
         ``(event)``: tells everybody.
     on_change : callable
         ``()``: called after a death.
+    is_awake : callable
+        ``() -> bool``: false if this process was paused; then ``restart`` has been called.
     """
 
-    __slots__ = ("_gossip", "_loop", "_on_change", "_table", "_timers_by_name")
+    __slots__ = ("_gossip", "_is_awake", "_loop", "_on_change", "_table", "_timers_by_name")
 
-    def __init__(self, *, table, loop, gossip, on_change):
+    def __init__(self, *, table, loop, gossip, on_change, is_awake):
         self._table = table
         self._loop = loop
         self._gossip = gossip
         self._on_change = on_change
+        self._is_awake = is_awake
         self._timers_by_name = {}
 
     def suspect(self, member, detail):
@@ -70,10 +73,9 @@
 
     def restart(self):
         """Give every suspect its whole time anew: this process was paused meanwhile."""
-        for name in list(self._timers_by_name):
-            self._timers_by_name.pop(name).cancel()
-            member = self._table.by_name.get(name)
-            if member is not None and member.state is MemberState.SUSPECT:
+        self.close()
+        for member in self._table.by_name.values():
+            if member.state is MemberState.SUSPECT:
                 member.own_suspicion = member.claimed_dead = False
                 member.state_since = self._loop.time()
                 self.watch(member)
@@ -92,6 +94,10 @@
         self._timers_by_name.pop(member.name, None)
         if member.state is not MemberState.SUSPECT or self._table.by_name.get(member.name) is not member:
             return
+        if not self._is_awake():
+            # The time to refute passed while this process was stopped and could hear nothing.
+            self.watch(member)
+            return
         now = self._loop.time()
         if (member.incarnation, member.version) != suspected:
             self.watch(member)
