Model checks of stewardship, configuration and drain; make model, make check-deep

Cause: only claims were specified; the other promises had tests of single cases. Change: three more specifications, each with its safeguards, witnesses and limits; one substitution per step in place of one per term. The ledger's own shard is no longer read again for each claim.

--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,9 @@
 # Decisions on fakes under the advanced clock; results under var/. QUICK=1 makes a few short runs.
 measure: $(VENV)/.installed
 	$(BIN)/python -m wagtailtrestle.measure $(if $(QUICK),--quick)
+
+model: $(VENV)/.installed
+	$(BIN)/python -m wagtailtrestle.spec
+
+check-deep: $(VENV)/.installed
+	$(BIN)/python -m wagtailtrestle.spec --deep
--- a/wagtailtrestle/ledger.py
+++ b/wagtailtrestle/ledger.py
@@ -60,8 +60,8 @@
     owner_of : Callable
         Maps a shard's name to the router that batches its writes; empty if none is known.
     ask : Callable
-        Coroutine function ``ask(peer, message, timeout_s)``: the peer's answer, ``None`` if
-        none came in time.
+        Coroutine function ``ask(peer, message, timeout_s)``: the peer's answer, or anything
+        else if none came in time.
     shards : Callable
         Declared number of shards; counts only until the ledger's layout exists.
     retention_s : Callable
@@ -208,16 +208,18 @@
         """Have the claim written by the shard's owner, else write it here."""
         owner = self._owner_of(ask.shard)
         timeout_s = min(WRITE_S, deadline - _now())
-        if owner and owner != self.name:
+        writer = self._writer(ask.shard)
+        if owner == self.name:
+            return await writer.claim(ask, timeout_s=timeout_s)
+        if owner:
             answer = await self._ask(owner, ask, timeout_s)
-            if answer is not None and answer.result != ClaimResult.UNAVAILABLE:
+            if isinstance(answer, ClaimAnswer) and answer.result != ClaimResult.UNAVAILABLE:
                 return answer
         # The owner may be dead, paused, or cut off, before or after its write. Reading the
         # shard tells: with this nonce in it the claim is won, else it is written here.
         timeout_s = min(WRITE_S, deadline - _now())
         if timeout_s <= 0:
             return ClaimAnswer(result=str(ClaimResult.UNAVAILABLE), detail="no answer from the ledger in time")
-        writer = self._writer(ask.shard)
         writer.forget()
         return await writer.claim(ask, timeout_s=timeout_s)
 
@@ -251,7 +253,7 @@
                 told = await self.handle(ask)
             else:
                 told = await self._ask(held.entry, ask, wait_s + HOLDER_ROOM_S)
-            if told is None:
+            if not isinstance(told, NonceAnswer):
                 silences += 1
             elif told.state not in (NonceState.CLAIMING, NonceState.RUNNING) or _now() >= last_end:
                 return told
@@ -293,7 +295,7 @@
         owner = self._owner_of(ask.shard)
         if owner and owner != self.name:
             answer = await self._ask(owner, ask, SETTLE_S)
-            if answer is not None and answer.stored:
+            if isinstance(answer, SettleAnswer) and answer.stored:
                 return True
         return await self._writer(ask.shard).settle(ask)
 
--- a/wagtailtrestle/spec/checker.py
+++ b/wagtailtrestle/spec/checker.py
@@ -6,12 +6,9 @@
 """
 
 import re
-import time
 
 import z3
 
-from wagtailtrestle.spec.language import any_of
-
 
 class Step:
     """One step of a trace: the action taken and the state after it.
@@ -81,9 +78,12 @@
         self._solver = z3.SolverFor("QF_FD")
         self._states = []
         self._choices = []
-        self._choice_sort = z3.BitVecSort(len(specification.actions).bit_length())
-        self._variables = {name: domain.variable(name) for name, domain in specification.domains_by_variable.items()}
-        self._states.append(self._new_state())
+        self._choice = z3.Const("choice", z3.BitVecSort(len(specification.actions).bit_length()))
+        self._now = _variables(specification, "")
+        self._next = _variables(specification, "'")
+        # Built once: substituting in one term is much cheaper than building it at each step.
+        self._relation = self._step_relation()
+        self._states.append(_variables(specification, "@0"))
         self._solver.add(self._at(specification.initial, 0))
 
     @property
@@ -99,23 +99,14 @@
 
     def deepen(self):
         """Unroll one more step."""
-        actions = self._specification.actions
-        state, after = self._states[-1], self._new_state()
-        choice = z3.Const(f"choice@{self.depth}", self._choice_sort)
-        taken = [choice == index for index in range(len(actions))]
-        self._solver.add(z3.ULE(choice, len(actions)))
+        choice = z3.Const(f"choice@{self.depth}", self._choice.sort())
         if self.depth < len(self._opening):
-            self._solver.add(
-                any_of(t for t, a in zip(taken, actions, strict=True) if a.name == self._opening[self.depth])
-            )
-        for one, action in zip(taken, actions, strict=True):
-            self._solver.add(z3.Implies(one, self._at(action.guard, self.depth)))
-        for name, term in after.items():
-            value = state[name]
-            for one, action in zip(taken, actions, strict=True):
-                if name in action.changes:
-                    value = z3.If(one, self._at(action.changes[name], self.depth), value)
-            self._solver.add(term == value)
+            self._solver.add(self._takes(choice, self._opening[self.depth]))
+        state, after = self._states[-1], _variables(self._specification, f"@{self.depth + 1}")
+        pairs = [(self._choice, choice)]
+        pairs += [(self._now[name], state[name]) for name in state]
+        pairs += [(self._next[name], after[name]) for name in state]
+        self._solver.add(z3.substitute(self._relation, pairs))
         self._choices.append(choice)
         self._states.append(after)
 
@@ -133,14 +124,27 @@
             raise RuntimeError(f"the solver gave up: {self._solver.reason_unknown()}")
         return trace
 
-    def _new_state(self):
-        number = len(self._states)
-        domains = self._specification.domains_by_variable
-        return {name: domain.variable(f"{name}@{number}") for name, domain in domains.items()}
+    def _step_relation(self):
+        """One step: the chosen action's guard holds and it alone changes the state, or nothing does."""
+        actions = self._specification.actions
+        taken = [self._choice == index for index in range(len(actions))]
+        parts = [z3.ULE(self._choice, len(actions))]
+        parts += [z3.Implies(one, action.guard) for one, action in zip(taken, actions, strict=True)]
+        for name, term in self._next.items():
+            value = self._now[name]
+            for one, action in zip(taken, actions, strict=True):
+                if name in action.changes:
+                    value = z3.If(one, action.changes[name], value)
+            parts.append(term == value)
+        return z3.And(parts)
+
+    def _takes(self, choice, name):
+        names = [action.name for action in self._specification.actions]
+        return choice == names.index(name)
 
     def _at(self, term, number):
         state = self._states[number]
-        return z3.substitute(term, [(self._variables[name], state[name]) for name in state])
+        return z3.substitute(term, [(self._now[name], state[name]) for name in state])
 
     def _trace(self, model):
         steps = [Step(action="", state=self._read(model, 0))]
@@ -158,6 +162,10 @@
         }
 
 
+def _variables(specification, suffix):
+    return {name: domain.variable(name + suffix) for name, domain in specification.domains_by_variable.items()}
+
+
 def shortest_trace(specification, bad, *, most_steps, opening=()):
     """Shortest trace to a ``bad`` state, or ``None`` within ``most_steps``."""
     bounded = Bounded(specification, opening=opening)
@@ -240,17 +248,3 @@
             return {name: domain.read(state[name]) for name, domain in domains.items()}
 
         return Trace(steps=[Step(action="", state=read(before)), Step(action=action.name, state=read(after))])
-
-
-class Stopwatch:
-    """Seconds since it was made."""
-
-    __slots__ = ("_began",)
-
-    def __init__(self):
-        self._began = time.perf_counter()
-
-    @property
-    def seconds(self):
-        """Time passed."""
-        return time.perf_counter() - self._began
--- /dev/null
+++ b/wagtailtrestle/spec/checks.py
@@ -0,0 +1,127 @@
+"""Every check of every specification: proofs, mutants, witnesses, limits."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+import z3
+
+from wagtailtrestle.spec import claims, configuring, draining, stewardship
+from wagtailtrestle.spec.checker import Bounded, Inductive, Trace, shortest_trace
+
+MODULES = (claims, stewardship, configuring, draining)
+SIZES_BY_MODULE = {claims: {"sends": 4}, configuring: {"generations": 6}, draining: {"requests": 5}}
+"""Larger instances of the deep run."""
+
+MOST_STEPS = 24
+"""Steps within which every mutant must be refuted and every witness reached."""
+
+BOUNDED_STEPS = 8
+DEEP_BOUNDED_STEPS = 18
+"""Steps searched in the whole specification, as a second way beside the induction."""
+
+
+class Kind(StrEnum):
+    """What a check asks."""
+
+    PROOF = "proof"
+    SEARCH = "search"
+    MUTANT = "mutant"
+    WITNESS = "witness"
+    LIMIT = "limit"
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Finding:
+    """What came of one check.
+
+    Parameters
+    ----------
+    passed : bool
+        For a mutant or a limit: that it was refuted.
+    trace : Trace or None
+        The counterexample or the way to the witness.
+    """
+
+    specification: str
+    kind: Kind
+    name: str
+    passed: bool
+    detail: str
+    trace: Trace | None = None
+
+
+def findings_of(module, *, deep=False):
+    """Run the checks of one specification, one finding after the other."""
+    whole = module.specification()
+    yield _proof(whole)
+    yield _search(whole, DEEP_BOUNDED_STEPS if deep else BOUNDED_STEPS)
+    for name in module.SAFEGUARDS:
+        yield mutant(module, name)
+    for name, wanted in whole.witnesses_by_name.items():
+        trace = shortest_trace(whole, wanted, most_steps=MOST_STEPS)
+        yield _found(whole, Kind.WITNESS, name, trace)
+    for name, expected in whole.limits_by_name.items():
+        trace = shortest_trace(whole, z3.Not(expected), most_steps=MOST_STEPS)
+        yield _found(whole, Kind.LIMIT, name, trace)
+    if deep and module in SIZES_BY_MODULE:
+        yield _proof(module.specification(**SIZES_BY_MODULE[module]))
+
+
+def mutant(module, name):
+    """Refute the specification without one safeguard, both ways."""
+    safeguard = module.SAFEGUARDS[name]
+    mutated = module.specification(without=name, **safeguard.size)
+    bad = z3.Not(mutated.properties_by_name[safeguard.breaks])
+    trace = shortest_trace(mutated, bad, most_steps=MOST_STEPS, opening=safeguard.opening)
+    detail = f"without: {safeguard.rule}; breaks: {safeguard.breaks}"
+    gap = Inductive(mutated).gap()
+    return Finding(
+        specification=mutated.name,
+        kind=Kind.MUTANT,
+        name=name,
+        passed=trace is not None and gap is not None,
+        detail=detail if gap is not None else f"{detail}; yet the induction passes",
+        trace=trace,
+    )
+
+
+def _proof(whole):
+    gap = Inductive(whole).gap()
+    detail = f"{len(whole.actions)} actions, {state_bits(whole)} bits of state, traces of any length"
+    if gap is not None:
+        detail = f"{gap.action} breaks {gap.broken}"
+    return Finding(
+        specification=whole.name,
+        kind=Kind.PROOF,
+        name="induction",
+        passed=gap is None,
+        detail=detail,
+        trace=gap.trace if gap else None,
+    )
+
+
+def _search(whole, steps):
+    bounded = Bounded(whole)
+    for _ in range(steps):
+        bounded.deepen()
+    trace = bounded.search(z3.Not(z3.And(list(whole.properties_by_name.values()))))
+    detail = f"every trace of up to {steps} steps, {bounded.effort} conflicts in the solver"
+    return Finding(
+        specification=whole.name,
+        kind=Kind.SEARCH,
+        name="bounded",
+        passed=trace is None,
+        detail=detail,
+        trace=trace,
+    )
+
+
+def _found(whole, kind, name, trace):
+    detail = "not reached" if trace is None else f"reached in {len(trace.actions)} steps"
+    return Finding(specification=whole.name, kind=kind, name=name, passed=trace is not None, detail=detail, trace=trace)
+
+
+def state_bits(specification):
+    """Bits of one state."""
+    sorts = [term.sort() for term in (domain.variable("x") for domain in specification.domains_by_variable.values())]
+    return sum(sort.size() if z3.is_bv_sort(sort) else 1 for sort in sorts)
--- /dev/null
+++ b/wagtailtrestle/spec/configuring.py
@@ -0,0 +1,314 @@
+"""Configuration: two operators apply at once, two routers follow, the store reads stale.
+
+A generation is made by one conditional update. Answers and requests may be lost or late;
+reads may give any older generation; routers restart and begin from the platform or peers.
+"""
+
+import z3
+
+from wagtailtrestle.spec.language import (
+    FALSE,
+    TRUE,
+    TRUTH,
+    Builder,
+    Domain,
+    Safeguard,
+    Specification,
+    all_of,
+    any_of,
+    variable_name,
+)
+
+OPERATORS = range(2)
+ROUTERS = range(2)
+NOBODY = "nobody"
+OWNER = Domain(NOBODY, "o0", "o1")
+APPLY = Domain("idle", "read", "sent", "unsettled", "ended")
+TOLD = Domain("nothing", "applied", "conflict", "not_done", "unknown")
+
+TRUE_ANSWER = "an operator is told the truth"
+ONLY_UP = "the accepted generation never goes down"
+NO_REVERT = "a router never goes back within its life"
+NO_REVERT_OVER_RESTART = "a confirmed start is never behind an earlier life"
+ACCEPTED_ONLY = "only an accepted generation is in force"
+
+SAFEGUARDS = {
+    "conditional_update": Safeguard(rule="an update takes effect only on the version it was made from", breaks=ONLY_UP),
+    "lost_answer_is_not_done": Safeguard(
+        rule="an update without an answer is not taken for refused", breaks=TRUE_ANSWER
+    ),
+    "lost_answer_is_not_success": Safeguard(
+        rule="an update without an answer is not taken for done", breaks=TRUE_ANSWER
+    ),
+    "sent_again": Safeguard(
+        rule="not finding one's id proves nothing; sending the same update again does", breaks=TRUE_ANSWER
+    ),
+    "own_id": Safeguard(rule="a conflict is judged by whose id stands under the generation", breaks=TRUE_ANSWER),
+    "higher_only": Safeguard(rule="a router puts in force only a higher generation", breaks=NO_REVERT),
+    "confirmed_start": Safeguard(
+        rule="a restarted router proves that its read is the newest", breaks=NO_REVERT_OVER_RESTART
+    ),
+}
+
+
+def specification(*, generations=3, without=""):
+    """Build the specification, for a mutant ``without`` one safeguard."""
+    return _Configuring(generations=generations, without=without).specification()
+
+
+class _Configuring(Builder):
+    """Builder of one specification."""
+
+    def __init__(self, *, generations, without):
+        super().__init__(safeguards=SAFEGUARDS, without=without)
+        self.generation = Domain(*(f"g{number}" for number in range(generations + 1)))
+        self.numbers = range(generations + 1)
+        self.declare(self.generation, "accepted", initial=self.g(0))
+        self.declare(self.generation, "highest_accepted", initial=self.g(0))
+        for number in self.numbers[1:]:
+            self.declare(OWNER, "owner", number, initial=OWNER[NOBODY])
+        for operator in OPERATORS:
+            self.declare(APPLY, "apply", operator, initial=APPLY["idle"])
+            self.declare(self.generation, "base", operator, initial=self.g(0))
+            self.declare(TOLD, "told", operator, initial=TOLD["nothing"])
+            self.declare(TRUTH, "late", operator, initial=FALSE)
+        for router in ROUTERS:
+            self.declare(self.generation, "in_force", router, initial=self.g(0))
+            self.declare(self.generation, "reached", router, initial=self.g(0))
+            self.declare(TRUTH, "reverted", router, initial=FALSE)
+            self.declare(TRUTH, "behind", router, initial=FALSE)
+
+    def g(self, number):
+        return self.generation[f"g{number}"]
+
+    def specification(self):
+        for operator in OPERATORS:
+            self._operator_actions(operator)
+        for router in ROUTERS:
+            self._router_actions(router)
+        return Specification(
+            name="configuration",
+            domains_by_variable=self.domains_by_variable,
+            actions=self.actions,
+            initial=self.initial,
+            properties_by_name=self._properties(),
+            lemmas=self._lemmas(),
+            witnesses_by_name=self._witnesses(),
+            limits_by_name=self._limits(),
+        )
+
+    # One operator's apply.
+
+    def _operator_actions(self, operator):
+        v = self.v
+        apply, told = variable_name("apply", operator), variable_name("told", operator)
+        late = variable_name("late", operator)
+        is_in = {name: v("apply", operator) == APPLY[name] for name in APPLY.names}
+        room = v("accepted") != self.g(self.numbers[-1])
+        read = {apply: APPLY["read"], variable_name("base", operator): v("accepted")}
+        self.act("read_base", [is_in["idle"], room], read, operator=operator)
+        for number in self.numbers[:-1]:
+            stale = {apply: APPLY["read"], variable_name("base", operator): self.g(number)}
+            older = [is_in["idle"], z3.ULT(self.g(number), v("accepted"))]
+            self.act("read_base_stale", older, stale, operator=operator, generation=number)
+        self.act("send", [is_in["read"]], {apply: APPLY["sent"]}, operator=operator)
+        in_time = self._in_time(operator)
+        put = self._put(operator)
+        applied = {apply: APPLY["ended"], told: TOLD["applied"]}
+        unsettled = {apply: APPLY["unsettled"]}
+        if not self.keeps("lost_answer_is_not_done"):
+            unsettled = {apply: APPLY["ended"], told: TOLD["not_done"]}
+        if not self.keeps("lost_answer_is_not_success"):
+            unsettled = applied
+        self.act("applied", [is_in["sent"], in_time], {**put, **applied}, operator=operator)
+        self.act("applied_unheard", [is_in["sent"], in_time], {**put, **unsettled}, operator=operator)
+        conflict = {apply: APPLY["ended"], told: TOLD["conflict"]}
+        self.act("conflict", [is_in["sent"], z3.Not(in_time)], conflict, operator=operator)
+        self.act("delayed", [is_in["sent"]], {**unsettled, late: TRUE}, operator=operator)
+        not_done = {apply: APPLY["ended"], told: TOLD["not_done"]}
+        self.act("unavailable", [is_in["sent"]], not_done, operator=operator)
+        self.act("late_lands", [v("late", operator), in_time], {**put, late: FALSE}, operator=operator)
+        self.act("late_refused", [v("late", operator), z3.Not(in_time)], {late: FALSE}, operator=operator)
+        self._settle(operator, is_in["unsettled"], in_time, put)
+
+    def _settle(self, operator, unsettled, in_time, put):
+        """The answer was lost: read back whose id stands there, and send the same update again."""
+        apply, told = variable_name("apply", operator), variable_name("told", operator)
+        mine, others = self._mine(operator), self._others(operator)
+        applied = {apply: APPLY["ended"], told: TOLD["applied"]}
+        conflict = {apply: APPLY["ended"], told: TOLD["conflict"]}
+        self.act("read_back_own", [unsettled, mine], applied, operator=operator)
+        self.act("read_back_other", [unsettled, others], conflict, operator=operator)
+        if not self.keeps("sent_again"):
+            not_done = {apply: APPLY["ended"], told: TOLD["not_done"]}
+            self.act("read_back_none", [unsettled, z3.Not(mine), z3.Not(others)], not_done, operator=operator)
+        self.act("sent_again_applied", [unsettled, in_time], {**put, **applied}, operator=operator)
+        self.act("sent_again_unheard", [unsettled, in_time], put, operator=operator)
+        if self.keeps("own_id"):
+            self.act("sent_again_own", [unsettled, z3.Not(in_time), mine], applied, operator=operator)
+            self.act("sent_again_conflict", [unsettled, z3.Not(in_time), others], conflict, operator=operator)
+        else:
+            self.act("sent_again_conflict", [unsettled, z3.Not(in_time)], conflict, operator=operator)
+        unknown = {apply: APPLY["ended"], told: TOLD["unknown"]}
+        self.act("give_up", [unsettled], unknown, operator=operator)
+
+    def _in_time(self, operator):
+        if not self.keeps("conditional_update"):
+            return self.v("base", operator) != self.g(self.numbers[-1])
+        same = self.v("base", operator) == self.v("accepted")
+        return z3.And(same, self.v("accepted") != self.g(self.numbers[-1]))
+
+    def _put(self, operator):
+        """The update takes effect: the generation after the base becomes this operator's."""
+        v = self.v
+        changes = {"accepted": v("base", operator) + 1}
+        raised = z3.ULT(v("highest_accepted"), v("base", operator) + 1)
+        changes["highest_accepted"] = z3.If(raised, v("base", operator) + 1, v("highest_accepted"))
+        for number in self.numbers[1:]:
+            made = v("base", operator) == self.g(number - 1)
+            changes[variable_name("owner", number)] = z3.If(made, OWNER[f"o{operator}"], v("owner", number))
+        return changes
+
+    def _mine(self, operator):
+        return self._owned_by(operator, lambda owner: owner == OWNER[f"o{operator}"])
+
+    def _others(self, operator):
+        return self._owned_by(operator, lambda owner: z3.And(owner != OWNER[f"o{operator}"], owner != OWNER[NOBODY]))
+
+    def _owned_by(self, operator, wanted):
+        v = self.v
+        return any_of(
+            z3.And(v("base", operator) == self.g(number - 1), wanted(v("owner", number))) for number in self.numbers[1:]
+        )
+
+    # One router.
+
+    def _router_actions(self, router):
+        v = self.v
+        in_force = v("in_force", router)
+        began = in_force != self.g(0)
+        newest = v("accepted") != self.g(0)
+        for number in self.numbers[1:]:
+            # A read, a watch event or a peer's text may be of any generation there ever was.
+            seen = [z3.ULE(self.g(number), v("accepted"))]
+            higher = z3.ULT(in_force, self.g(number)) if self.keeps("higher_only") else TRUE
+            self.act(
+                "offer", [began, *seen, higher], self._adopt(router, self.g(number)), router=router, generation=number
+            )
+            self.act(
+                "begin_unconfirmed",
+                [z3.Not(began), *seen],
+                self._adopt(router, self.g(number)),
+                router=router,
+                generation=number,
+            )
+            if not self.keeps("confirmed_start"):
+                start = self._begin_confirmed(router, self.g(number))
+                self.act("begin_confirmed", [z3.Not(began), *seen], start, router=router, generation=number)
+        if self.keeps("confirmed_start"):
+            start = self._begin_confirmed(router, v("accepted"))
+            self.act("begin_confirmed", [z3.Not(began), newest], start, router=router)
+        for peer in ROUTERS:
+            if peer != router:
+                heard = [z3.Not(began), v("in_force", peer) != self.g(0)]
+                self.act("begin_by_peer", heard, self._adopt(router, v("in_force", peer)), router=router, peer=peer)
+        self.act("restart", [began], {variable_name("in_force", router): self.g(0)}, router=router)
+
+    def _adopt(self, router, generation):
+        v = self.v
+        lowered = z3.ULT(generation, v("in_force", router))
+        raised = z3.ULT(v("reached", router), generation)
+        return {
+            variable_name("in_force", router): generation,
+            variable_name("reached", router): z3.If(raised, generation, v("reached", router)),
+            variable_name("reverted", router): z3.Or(v("reverted", router), lowered),
+        }
+
+    def _begin_confirmed(self, router, generation):
+        v = self.v
+        behind = z3.ULT(generation, v("reached", router))
+        return {
+            **self._adopt(router, generation),
+            variable_name("behind", router): z3.Or(v("behind", router), behind),
+        }
+
+    # What must hold.
+
+    def _properties(self):
+        v = self.v
+        truths = []
+        for operator in OPERATORS:
+            told = v("told", operator)
+            never = z3.And(self._never_made(operator), z3.Not(z3.And(v("late", operator), self._in_time(operator))))
+            not_applied = z3.Or(told == TOLD["conflict"], told == TOLD["not_done"])
+            truths += [
+                z3.Implies(told == TOLD["applied"], self._mine(operator)),
+                z3.Implies(not_applied, never),
+            ]
+        accepted = [
+            z3.Implies(v("in_force", router) == self.g(number), v("owner", number) != OWNER[NOBODY])
+            for router in ROUTERS
+            for number in self.numbers[1:]
+        ]
+        return {
+            TRUE_ANSWER: all_of(truths),
+            ONLY_UP: v("accepted") == v("highest_accepted"),
+            NO_REVERT: all_of(z3.Not(v("reverted", router)) for router in ROUTERS),
+            NO_REVERT_OVER_RESTART: all_of(z3.Not(v("behind", router)) for router in ROUTERS),
+            ACCEPTED_ONLY: all_of(accepted),
+        }
+
+    def _never_made(self, operator):
+        return all_of(self.v("owner", number) != OWNER[f"o{operator}"] for number in self.numbers[1:])
+
+    def _lemmas(self):
+        v = self.v
+        lemmas = []
+        for number in self.numbers[1:]:
+            reached = z3.ULE(self.g(number), v("accepted"))
+            lemmas.append(reached == (v("owner", number) != OWNER[NOBODY]))
+        for router in ROUTERS:
+            lemmas.append(z3.ULE(v("in_force", router), v("reached", router)))
+            lemmas.append(z3.ULE(v("reached", router), v("accepted")))
+        for operator in OPERATORS:
+            lemmas += self._operator_lemmas(operator)
+        return lemmas
+
+    def _operator_lemmas(self, operator):
+        v = self.v
+        state = v("apply", operator)
+        begun = z3.Or(state == APPLY["idle"], state == APPLY["read"], state == APPLY["sent"])
+        unmade = self._never_made(operator)
+        told = v("told", operator)
+        elsewhere = all_of(
+            z3.Implies(v("owner", number) == OWNER[f"o{operator}"], v("base", operator) == self.g(number - 1))
+            for number in self.numbers[1:]
+        )
+        return [
+            z3.Implies(begun, z3.And(unmade, z3.Not(v("late", operator)), told == TOLD["nothing"])),
+            z3.Implies(state == APPLY["unsettled"], told == TOLD["nothing"]),
+            z3.Implies(told != TOLD["nothing"], state == APPLY["ended"]),
+            z3.Implies(state != APPLY["idle"], elsewhere),
+            z3.Implies(state != APPLY["idle"], z3.ULE(v("base", operator), v("accepted"))),
+            v("base", operator) != self.g(self.numbers[-1]),
+        ]
+
+    def _witnesses(self):
+        v = self.v
+        both = z3.And(v("told", 0) == TOLD["applied"], v("told", 1) == TOLD["applied"])
+        settled = z3.And(v("late", 0), v("told", 0) == TOLD["conflict"], v("told", 1) == TOLD["applied"])
+        forced = z3.And(v("in_force", 0) == self.g(2), v("in_force", 1) == self.g(1))
+        return {
+            "two operators apply one after the other": both,
+            "a delayed update is settled as a conflict": settled,
+            "routers differ for a moment": forced,
+        }
+
+    def _limits(self):
+        """What a start during an outage of the platform can't promise."""
+        v = self.v
+        kept = all_of(
+            z3.Or(v("in_force", router) == self.g(0), z3.ULE(v("reached", router), v("in_force", router)))
+            for router in ROUTERS
+        )
+        return {"an unconfirmed start is never behind an earlier life": kept}
--- /dev/null
+++ b/wagtailtrestle/spec/draining.py
@@ -0,0 +1,206 @@
+"""Drain and leaving: no new work after the mark, nothing in flight cut.
+
+One router drains; another lives on. Each entered one request. One engine is marked leaving
+by tellers that disagree for a while: the declaration and the platform's lagging list.
+"""
+
+import z3
+
+from wagtailtrestle.spec.language import (
+    FALSE,
+    TRUE,
+    TRUTH,
+    Builder,
+    Domain,
+    Safeguard,
+    Specification,
+    all_of,
+    any_of,
+    variable_name,
+)
+
+LEAVER, STAYER = "leaver", "stayer"
+ENGINES = (LEAVER, STAYER)
+# serving, then draining while the balancer may still send, closing once intake is shut,
+# drained once nothing was seen in flight, ended.
+ROUTER = Domain("serving", "draining", "closing", "drained", "ended")
+REQUEST = Domain("absent", "queued", "dispatched", "finished", "refused", "cut")
+PLACE = Domain("nowhere", *ENGINES)
+
+NO_NEW_WORK = "no grant on an engine that any teller marks as leaving"
+NOTHING_CUT = "nothing in flight is cut"
+NO_GRANT_AFTER_HANDOVER = "a draining router grants nothing"
+TOLD_TRULY = "what a closing router refuses was not run"
+
+SAFEGUARDS = {
+    "leaving_checked": Safeguard(rule="a grant goes only to an engine that is not leaving", breaks=NO_NEW_WORK),
+    "any_teller": Safeguard(rule="one teller's mark stands until that teller takes it back", breaks=NO_NEW_WORK),
+    "waits_for_flight": Safeguard(rule="a router ends only after its last request", breaks=NOTHING_CUT),
+    "intake_closed_first": Safeguard(
+        rule="intake is shut before the router looks whether it is empty", breaks=NOTHING_CUT
+    ),
+    "stops_granting": Safeguard(rule="a draining router's steward stops granting", breaks=NO_GRANT_AFTER_HANDOVER),
+    "refused_unrun": Safeguard(rule="a closing router refuses only what it has not taken in", breaks=TOLD_TRULY),
+}
+
+
+def specification(*, requests=2, without=""):
+    """Build the specification, for a mutant ``without`` one safeguard."""
+    return _Draining(requests=requests, without=without).specification()
+
+
+class _Draining(Builder):
+    """Builder of one specification."""
+
+    def __init__(self, *, requests, without):
+        super().__init__(safeguards=SAFEGUARDS, without=without)
+        self.requests = range(requests)
+        self.declare(ROUTER, "router", initial=ROUTER["serving"])
+        self.declare(TRUTH, "steward_here", initial=TRUE)
+        self.declare(TRUTH, "declared_leaving", initial=FALSE)
+        self.declare(TRUTH, "listed_leaving", initial=FALSE)
+        self.declare(TRUTH, "believed_leaving", initial=FALSE)
+        self.declare(TRUTH, "granted_to_leaver", initial=FALSE)
+        self.declare(TRUTH, "granted_after_handover", initial=FALSE)
+        for request in self.requests:
+            self.declare(REQUEST, "request", request, initial=REQUEST["absent"])
+            self.declare(PLACE, "engine", request, initial=PLACE["nowhere"])
+            self.declare(TRUTH, "ran", request, initial=FALSE)
+
+    def entered_here(self, request):
+        """Even requests are the draining router's."""
+        return request % 2 == 0
+
+    def specification(self):
+        self._tellers()
+        self._router_actions()
+        for request in self.requests:
+            self._request_actions(request)
+        return Specification(
+            name="drain and leaving",
+            domains_by_variable=self.domains_by_variable,
+            actions=self.actions,
+            initial=self.initial,
+            properties_by_name=self._properties(),
+            lemmas=self._lemmas(),
+            witnesses_by_name=self._witnesses(),
+        )
+
+    def _tellers(self):
+        v = self.v
+        for teller in ("declared_leaving", "listed_leaving"):
+            other = "listed_leaving" if teller == "declared_leaving" else "declared_leaving"
+            # Without the safeguard whoever spoke last is believed.
+            unmarked = v(other) if self.keeps("any_teller") else FALSE
+            name = teller.partition("_")[0]
+            self.act(f"{name}_mark", [z3.Not(v(teller))], {teller: TRUE, "believed_leaving": TRUE})
+            self.act(f"{name}_unmark", [v(teller)], {teller: FALSE, "believed_leaving": unmarked})
+
+    def _router_actions(self):
+        v = self.v
+        is_in = {name: v("router") == ROUTER[name] for name in ROUTER.names}
+        self.act("drain", [is_in["serving"]], {"router": ROUTER["draining"]})
+        self.act("shut_intake", [is_in["draining"]], {"router": ROUTER["closing"]})
+        # The others learn of the drain a little later and take the cell over.
+        self.act("hand_over", [z3.Not(is_in["serving"]), v("steward_here")], {"steward_here": FALSE})
+        empty = all_of(z3.Not(self._in_flight(request)) for request in self.requests if self.entered_here(request))
+        when = is_in["closing"] if self.keeps("intake_closed_first") else z3.Or(is_in["closing"], is_in["draining"])
+        seen_empty = empty if self.keeps("waits_for_flight") else TRUE
+        self.act("seen_empty", [when, seen_empty], {"router": ROUTER["drained"]})
+        changes = {"router": ROUTER["ended"]}
+        for request in self.requests:
+            if self.entered_here(request):
+                cut = z3.If(self._in_flight(request), REQUEST["cut"], v("request", request))
+                changes[variable_name("request", request)] = cut
+        self.act("end", [is_in["drained"]], changes)
+
+    def _request_actions(self, request):
+        v = self.v
+        name, engine = variable_name("request", request), variable_name("engine", request)
+        state = v("request", request)
+        takes, refuses = self._intake(request)
+        self.act("arrive", [state == REQUEST["absent"], takes], {name: REQUEST["queued"]}, request=request)
+        arriving = state == REQUEST["absent"]
+        if not self.keeps("refused_unrun"):
+            arriving = z3.Or(arriving, state == REQUEST["dispatched"])
+        self.act("refuse", [arriving, refuses], {name: REQUEST["refused"]}, request=request)
+        for place in ENGINES:
+            self._grant(request, place)
+        running = state == REQUEST["dispatched"]
+        finished = {name: REQUEST["finished"], engine: PLACE["nowhere"]}
+        self.act("finish", [running], finished, request=request)
+
+    def _intake(self, request):
+        if not self.entered_here(request):
+            return TRUE, FALSE
+        router = self.v("router")
+        open_ = z3.Or(router == ROUTER["serving"], router == ROUTER["draining"])
+        closing = z3.Or(router == ROUTER["closing"], router == ROUTER["drained"])
+        if self.keeps("intake_closed_first"):
+            return open_, closing
+        return z3.Or(open_, router == ROUTER["drained"]), closing
+
+    def _grant(self, request, place):
+        """The steward grants and the entry dispatches; a draining entry's request is granted by others."""
+        v = self.v
+        state = v("request", request)
+        on_leaver = place == LEAVER
+        guards = [state == REQUEST["queued"]]
+        if on_leaver and self.keeps("leaving_checked"):
+            guards.append(z3.Not(v("believed_leaving")))
+        drains = v("router") != ROUTER["serving"]
+        here = z3.And(v("steward_here"), drains)
+        if self.keeps("stops_granting"):
+            guards.append(z3.Not(here))
+        marked = z3.Or(v("declared_leaving"), v("listed_leaving")) if on_leaver else FALSE
+        changes = {
+            variable_name("request", request): REQUEST["dispatched"],
+            variable_name("engine", request): PLACE[place],
+            variable_name("ran", request): TRUE,
+            "granted_to_leaver": z3.Or(v("granted_to_leaver"), marked),
+            "granted_after_handover": z3.Or(v("granted_after_handover"), here),
+        }
+        self.act("grant", guards, changes, request=request, engine=place)
+
+    def _in_flight(self, request):
+        state = self.v("request", request)
+        return z3.Or(state == REQUEST["queued"], state == REQUEST["dispatched"])
+
+    def _properties(self):
+        v = self.v
+        return {
+            NO_NEW_WORK: z3.Not(v("granted_to_leaver")),
+            NOTHING_CUT: all_of(v("request", request) != REQUEST["cut"] for request in self.requests),
+            NO_GRANT_AFTER_HANDOVER: z3.Not(v("granted_after_handover")),
+            TOLD_TRULY: all_of(
+                z3.Implies(v("request", request) == REQUEST["refused"], z3.Not(v("ran", request)))
+                for request in self.requests
+            ),
+        }
+
+    def _lemmas(self):
+        v = self.v
+        empty = [z3.Not(self._in_flight(request)) for request in self.requests if self.entered_here(request)]
+        past = z3.Or(v("router") == ROUTER["drained"], v("router") == ROUTER["ended"])
+        lemmas = [
+            z3.Implies(past, all_of(empty)),
+            v("believed_leaving") == z3.Or(v("declared_leaving"), v("listed_leaving")),
+        ]
+        for request in self.requests:
+            state = v("request", request)
+            unrun = any_of([state == REQUEST["absent"], state == REQUEST["queued"]])
+            lemmas.append(z3.Implies(unrun, z3.Not(v("ran", request))))
+        return lemmas
+
+    def _witnesses(self):
+        v = self.v
+        late = z3.And(v("router") == ROUTER["draining"], v("request", 0) == REQUEST["dispatched"])
+        moved = z3.And(v("router") == ROUTER["ended"], v("request", 0) == REQUEST["finished"])
+        spared = z3.And(v("believed_leaving"), v("engine", 0) == PLACE[STAYER], v("engine", 1) == PLACE[LEAVER])
+        refused = v("request", 0) == REQUEST["refused"]
+        return {
+            "a request that came during the grace runs": late,
+            "a drained router ends after its request": moved,
+            "a run goes on on a leaving engine while new work goes elsewhere": spared,
+            "a closing router refuses": refused,
+        }
