Refuse at the edge what can't be sent to an engine

Cause: a raw letter in the address or a control character in a header passed this server's reader and failed in the writer of the engine's request, inside a run; before the change the new test shows such a call submitted to its task. Conclusion: a refusal for a malformed call is 'not run' truthfully, never 'may have run'.

--- a/tests/test_callers_http.py
+++ b/tests/test_callers_http.py
@@ -22,6 +22,9 @@
 )
 from wagtailtrestle.exchange import AnswerRecorded, AnswerWhole, CallerGone, RunEnded
 from wagtailtrestle.outcomes import Executed, Reason
+from wagtailtrestle.problem import TITLE_BY_REASON, retry_after_seconds
+from wagtailtrestle.prompt_shape import chat_text, shape_of
+from wagtailtrestle.standins import prompts
 
 BOOKING = b'{"family": "Ruiz", "day": 4}'
 
@@ -260,6 +263,20 @@
             self.assertIn('"executed": "no"', answer, rest)
         self.assertEqual(bench.requests, [])
 
+    def test_what_no_engine_can_be_sent_is_refused_before_a_run(self):
+        # A raw control character or letter passes this server's reader but not the writer of
+        # the engine's request. Found in the middle of a run it would be told as "may have run".
+        bench = self.bench()
+        key = f"Authorization: Bearer {HIGH_KEY}\r\n"
+        for line, header in (
+            ("/reservas/slots/ñ", ""),
+            ("/reservas/slots", "X-A: a\rb\r\n"),
+            ("/reservas/slots", "X A: b\r\n"),
+        ):
+            answer = self.raw(bench, f"GET {line} HTTP/1.1\r\n{key}{header}Connection: close\r\n\r\n".encode("latin-1"))
+            self.assertIn("400 Bad Request", answer, header)
+        self.assertEqual(bench.requests, [])
+
     def test_a_connection_serves_one_request_after_another(self):
         bench = self.bench()
         connection = bench.connect()
@@ -406,6 +423,27 @@
         self.assertEqual(problem(later.result()), (503, "draining", "no"))
 
 
+class TestProblem(unittest.TestCase):
+    def test_retry_after_is_never_too_early_and_every_reason_has_a_title(self):
+        expected_by_estimate = {None: 1, 0.0: 1, 0.2: 1, 2.0: 2, 2.001: 3}
+        for estimate, expected in expected_by_estimate.items():
+            given = refusal(Reason.OVERLOADED, 429, retry_after_s=estimate).refusal
+            self.assertEqual(retry_after_seconds(given), expected)
+        self.assertIsNone(retry_after_seconds(refusal(Reason.ENGINE_LOST, 502, retry_after_s=4).refusal))
+        self.assertEqual(set(TITLE_BY_REASON), set(Reason))
+
+
+class TestPromptShape(unittest.TestCase):
+    def test_tokens_and_blocks_are_counted_as_the_engines_do(self):
+        parts = [{"type": "text", "text": "ñ" * 300}, {"type": "image_url", "image_url": {}}]
+        messages = [{"role": "system", "content": "x" * 700}, {"role": "user", "content": parts}, {"role": "tool"}]
+        text = prompts.prompt_text({"messages": messages})
+        shape = shape_of(chat_text(messages))
+        self.assertEqual(shape.tokens, prompts.count_tokens(text))
+        self.assertEqual(shape.prefix_blocks, prompts.prefix_blocks(text))
+        self.assertEqual(len(shape.prefix_blocks), 5)
+
+
 class TestSecrets(BenchCase):
     def test_no_key_or_prompt_in_log_dump_or_metrics(self):
         lines = []
--- a/wagtailtrestle/caller_headers.py
+++ b/wagtailtrestle/caller_headers.py
@@ -14,6 +14,9 @@
 IDEMPOTENCY_KEY = "HTTP_IDEMPOTENCY_KEY"
 REQUEST_ID_FORM = re.compile(r"[A-Za-z0-9._:/+=@-]{1,128}")
 KEY_FORM = re.compile(r"[\x21-\x7e]{1,255}")
+NAME_FORM = re.compile(r"HTTP_[A-Z0-9_]+")
+CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+TARGET_FORM = re.compile(r"[\x21-\x7e]+")
 DEADLINE_FORM = re.compile(r"[0-9]{1,12}")
 MS_PER_S = 1000.0
 HEADER_PREFIX = "HTTP_"
@@ -69,6 +72,9 @@
 
 def caller_headers(environ: dict) -> CallerHeaders | Refusal:
     """Read and check the headers."""
+    fault = _form_fault(environ)
+    if fault is not None:
+        return bad_request(fault)
     deadline = environ.get(DEADLINE)
     if deadline is not None and (not DEADLINE_FORM.fullmatch(deadline) or int(deadline) == 0):
         return bad_request("'Wagtailtrestle-Deadline-Ms' must be a whole number of milliseconds above 0.")
@@ -83,6 +89,19 @@
     )
 
 
+def _form_fault(environ):
+    # What can't be written in a request to an engine must be found here: found there, in the
+    # middle of a run, nobody could tell any more that the request was not run.
+    if not TARGET_FORM.fullmatch(environ["REQUEST_URI"]):
+        return "The address must be of visible ASCII characters; code others with '%'."
+    for name, value in environ.items():
+        if name.startswith(HEADER_PREFIX) and not NAME_FORM.fullmatch(name):
+            return "A header's name must be of letters, digits, '-' or '_'."
+        if name.startswith((HEADER_PREFIX, "CONTENT_")) and CONTROL_CHARACTER.search(value):
+            return "A header's value holds a control character."
+    return None
+
+
 def deadline_s(*, headers: CallerHeaders, default_ms: int, most_s: float) -> float:
     """Seconds the whole answer may take: the caller's, else the route's, never above ``most_s``."""
     asked_ms = headers.deadline_ms if headers.deadline_ms is not None else default_ms
