Compute when to come back to a full router

Cause: router_full told every caller to come back after 1 s, whatever the load; a fixed figure is no estimate. Change: the mean time that requests hold their places, of those held to their end, from 1 to 60 s. Conclusion: Retry-After follows the service times seen at this router.

--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -18,12 +18,27 @@
         router = limits(held=1)
         self.assertEqual(admit(router, "a", LOW), Admitted())
         self.assertIsInstance(admit(router, "b", LOW), Full)
-        router.release(request_id="a")
+        router.release(request_id="a", held_s=0.1)
         self.assertEqual(admit(router, "b", LOW), Admitted())
 
     def test_some_threads_are_always_left_to_refuse(self):
         self.assertEqual([held_for(threads) for threads in (1, 8, 16, 128)], [1, 4, 12, 112])
 
+    def test_a_full_router_tells_when_its_places_will_have_changed_hands(self):
+        router = limits()
+        self.assertEqual(router.retry_after_s(), 1.0)
+        self.hold(router, held_s=8.0)
+        for _ in range(100):
+            router.release(request_id="refused", held_s=0.0)
+        self.assertAlmostEqual(router.retry_after_s(), 8.0, delta=0.1)
+        self.hold(router, held_s=900.0)
+        self.assertEqual(router.retry_after_s(), 60.0)
+
+    def hold(self, router, *, held_s):
+        for number in range(200):
+            admit(router, str(number), LOW)
+            router.release(request_id=str(number), held_s=held_s)
+
 
 class TestDisplacing(unittest.TestCase):
     def test_a_flood_of_the_lowest_tier_makes_room_for_every_higher_arrival(self):
--- a/wagtailtrestle/caller_carriage.py
+++ b/wagtailtrestle/caller_carriage.py
@@ -15,7 +15,6 @@
 
 ANSWERED = "answered"
 RECORDED = "recorded"
-RETRY_AFTER_S = 1.0
 
 
 class CallerCarriage:
@@ -125,7 +124,7 @@
                 reason=Reason.ROUTER_FULL,
                 executed=refusal.executed,
                 detail="This router needed its room for a higher tier.",
-                retry_after_s=RETRY_AFTER_S,
+                retry_after_s=self._limits.retry_after_s(),
             )
         return refusal
 
--- a/wagtailtrestle/caller_limits.py
+++ b/wagtailtrestle/caller_limits.py
@@ -12,6 +12,9 @@
 RESERVE_SHARE = 8
 SMALL_BODY_BYTES = 65_536
 LOWER_TIERS_SHARE = 0.75
+HOLD_TIME_WEIGHT = 0.05
+MIN_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 60.0
 
 
 def held_for(threads: int) -> int:
@@ -65,7 +68,7 @@
         Bytes of the bodies of all requests held.
     """
 
-    __slots__ = ("_held", "_body_bytes", "_lock", "_by_id", "_bytes_used", "_next_order", "displaced_total")
+    __slots__ = ("_held", "_body_bytes", "_lock", "_by_id", "_bytes_used", "_next_order", "_hold_s", "displaced_total")
 
     def __init__(self, *, held, body_bytes):
         self._held = held
@@ -74,6 +77,7 @@
         self._by_id = {}
         self._bytes_used = 0
         self._next_order = 0
+        self._hold_s = 0.0
         self.displaced_total = 0
 
     def admit(self, *, request_id, tier, body_bytes, repeatable) -> Admitted | Full:
@@ -112,12 +116,23 @@
             if held is not None:
                 held.running = False
 
-    def release(self, *, request_id):
-        """Give back what the request held; does nothing once it was displaced."""
+    def release(self, *, request_id, held_s):
+        """Give back what the request held for ``held_s`` seconds."""
         with self._lock:
             held = self._by_id.get(request_id)
-            if held is not None:
-                self._drop(held)
+            if held is None:
+                return  # refused or displaced: its short stay says nothing of the others'
+            self._hold_s += HOLD_TIME_WEIGHT * (held_s - self._hold_s)
+            self._drop(held)
+
+    def retry_after_s(self) -> float:
+        """When a refused caller should come back: by then each place has changed hands about once.
+
+        Places come free all the time, but go first to those who ask in that very moment;
+        after one mean time of holding, none of the present holders is in the way.
+        """
+        with self._lock:
+            return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, self._hold_s))
 
     def usage(self) -> dict:
         """Figures for the state dump."""
@@ -132,6 +147,7 @@
                 "body_bytes": self._bytes_used,
                 "body_bytes_limit": self._body_bytes,
                 "displaced_total": self.displaced_total,
+                "mean_hold_s": round(self._hold_s, 3),
             }
 
     def _victims(self, *, tier, body_bytes):
--- a/wagtailtrestle/callers_http.py
+++ b/wagtailtrestle/callers_http.py
@@ -239,7 +239,7 @@
                 return
             self._carry_held(arrival, prepared, exchange)
         finally:
-            self._limits.release(request_id=request.request_id)
+            self._limits.release(request_id=request.request_id, held_s=time.monotonic() - arrival.at)
             with self._lock:
                 del self._exchanges_by_id[request.request_id]
 
@@ -252,7 +252,7 @@
             repeatable=request.repeatable,
         )
         if isinstance(admitted, Full):
-            return _full(admitted.detail)
+            return _full(admitted.detail, retry_after_s=self._limits.retry_after_s())
         for request_id in admitted.displaced:
             victim = self._exchanges_by_id.get(request_id)
             if victim is not None:
@@ -281,9 +281,9 @@
         self._cancels.submit(self._engine_client.cancel, address=address, run_id=run_id)
 
 
-def _full(detail):
+def _full(detail, *, retry_after_s):
     return Refusal(
-        status=503, reason=Reason.ROUTER_FULL, executed=Executed.NO, detail=detail, retry_after_s=RETRY_AFTER_S
+        status=503, reason=Reason.ROUTER_FULL, executed=Executed.NO, detail=detail, retry_after_s=retry_after_s
     )
 
 
