Two heartbeat partners beyond nine routers; idle fleets of processes among the slopes

Cause: idle daemons with four partners used 14 to 21 ms of processor time a second on the busy machine, which is the whole of what a daemon may spend on control (1.5% of a core). Change: one neighbour on either side; links watched every 0.2 s; the slopes start small fleets of member processes.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -96,7 +96,7 @@
 
     @on_fast_loop
     async def test_many_routers(self):
-        # Too many for everybody to watch everybody: each has four partners, and yet a death, a frozen router
+        # Too many for everybody to watch everybody: each has two partners, and yet a death, a frozen router
         # and a generation are known to all as soon as among few.
         names = await self.net.add_all(24)
         heard = set()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -143,7 +143,7 @@
         self.views_by_name, self.process_by_name, self.readers = {}, {}, []
 
     async def launch(self, name, *seeds, incarnation=1, address="127.0.0.1:0"):
-        arguments = ["-m", "tests.utils.member_process", name, str(incarnation), address, *seeds]
+        arguments = ["-m", "wagtailtrestle.slopes.member", name, str(incarnation), address, *seeds]
         process = await asyncio.create_subprocess_exec(
             sys.executable, *arguments, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL
         )
@@ -154,7 +154,9 @@
 
     async def read(self, name, process):
         async for line in process.stdout:
-            self.views_by_name[name].append(json.loads(line)["members"])
+            told = json.loads(line)
+            if "members" in told:
+                self.views_by_name[name].append(told["members"])
 
     async def stop(self, process):
         if process.returncode is None:
--- a/wagtailtrestle/partners.py
+++ b/wagtailtrestle/partners.py
@@ -1,16 +1,17 @@
 """Who exchanges heartbeats with whom, and who passes view events to whom.
 
 Up to ``MESH_LIMIT`` routers everybody is everybody's partner. Beyond that, heartbeats to
-all would cost more than a router may spend on control, so each router has four partners,
-the two on either side of it on a hash ring, which mixes the availability zones. Events
-also travel along "fingers" that halve the ring, so that they reach everybody in a few hops.
+all would cost more than a router may spend on control, so each router has two partners,
+its neighbours on a hash ring, which mixes the availability zones. When both fail together
+with it, those who become its neighbours find out. Events also travel along "fingers" that
+halve the ring, so that they reach everybody in a few hops.
 """
 
 from hashlib import blake2b
 
 MESH_LIMIT = 9
-NEIGHBOURS = 2
-FIRST_FINGER = 4
+NEIGHBOURS = 1
+FIRST_FINGER = 2
 
 
 class Ring:
--- a/wagtailtrestle/peer_watch.py
+++ b/wagtailtrestle/peer_watch.py
@@ -5,11 +5,11 @@
 from wagtailtrestle.peer_codec import encode
 from wagtailtrestle.peer_messages import Ping
 
-INTERVAL_S = 0.1
+INTERVAL_S = 0.2
 PING_AFTER_S = 0.35
 SILENT_AFTER_S = 0.7
 IDLE_CLOSE_S = 60.0
-PAUSED_AFTER_S = 0.5
+PAUSED_AFTER_S = 0.6
 
 
 class LinkWatch:
--- a/tests/utils/member_process.py
+++ b/wagtailtrestle/slopes/member.py
@@ -1,37 +1,39 @@
 """One router's peers and membership as a process; prints its view at each change.
 
-Arguments: name, incarnation, own address, then ``name=address`` of seeds.
+Arguments: name, incarnation, own address, then ``name=address`` of seeds. Used by the
+slopes and by tests that need true processes to stop and kill.
 """
 
 import asyncio
 import json
 import sys
-import time
 
 from wagtailtrestle.membership import Membership
 from wagtailtrestle.peers_grpc import Peers
 
 
-async def main(name, incarnation, address, *seeds):
+def _tell(**values):
+    print(json.dumps(values), flush=True)
+
+
+async def run(name, incarnation, address, *seeds):
+    """Run until killed."""
     loop = asyncio.get_running_loop()
     peers = Peers(name=name, incarnation=int(incarnation), listen_address=address, loop=loop)
     membership = Membership(
         name=name,
-        zone="z",
+        zone="zone-1",
         incarnation=int(incarnation),
         peers=peers,
         loop=loop,
         seeds=dict(seed.split("=") for seed in seeds),
     )
-    membership.on_view_change(lambda view: tell(view))
+    membership.on_view_change(lambda view: _tell(members=view.everyone))
     await peers.start()
     await membership.start()
+    _tell(address=peers.address)
     await asyncio.Event().wait()
 
 
-def tell(view):
-    print(json.dumps({"at": time.monotonic(), "members": view.everyone}), flush=True)
-
-
 if __name__ == "__main__":
-    asyncio.run(main(*sys.argv[1:]))
+    asyncio.run(run(*sys.argv[1:]))
--- a/wagtailtrestle/slopes/peers.py
+++ b/wagtailtrestle/slopes/peers.py
@@ -15,6 +15,7 @@
 from wagtailtrestle.peer_messages import Heartbeat, MemberState, ViewEvent
 from wagtailtrestle.peers_grpc import Peers
 from wagtailtrestle.slopes.counting_relay import CountingRelay
+from wagtailtrestle.slopes.fleet import idle_cost
 from wagtailtrestle.slopes.line import Slope
 
 ROLE = "peers"
@@ -22,6 +23,9 @@
 BLOCK_COUNTS = (0, 32, 128, 512)
 LINK_COUNTS = (1, 4, 8)
 HELD_LINK_COUNTS = (8, 32, 64)
+# Everybody is everybody's partner up to nine; beyond, each has two.
+MESH_SIZES = (2, 5, 9)
+RING_SIZES = (10, 14, 18)
 MEMBER_COUNTS = (9, 90, 370)
 PAIRS = 2_000
 HEARTBEATS = 400
@@ -215,6 +219,14 @@
     return held / 1024
 
 
+def _measure_fleets(sizes, kind):
+    costs = [(size, *idle_cost(size)) for size in sizes]
+    points = [(size, cpu_ms) for size, cpu_ms, _ in costs]
+    _print(f"processor time of an idle daemon's peers and membership, {kind}, ms a second", "routers", points)
+    points = [(size, resident_mb) for size, _, resident_mb in costs]
+    _print(f"resident memory of an idle daemon's peers and membership, {kind}, MB", "routers", points)
+
+
 def _print(quantity, against, points):
     Slope(role=ROLE, quantity=quantity, against=against, points=points).print()
 
@@ -235,6 +247,8 @@
 def main():
     """Print every slope of peers and membership."""
     asyncio.run(_measure_streams())
+    _measure_fleets(MESH_SIZES, "full mesh")
+    _measure_fleets(RING_SIZES, "two partners each")
     points = [(count, view_change_ms(count)) for count in MEMBER_COUNTS]
     _print("processor time of a change of view, ms", "members", points)
     points = [(count, table_kb(count)) for count in MEMBER_COUNTS]
