Judge stragglers by the low end of seconds of rates; bounded ejection with probes

Change: an engine loses share when even the quicker quarter of its runs over 2 to 4 s was twice slower than the others' and regains it below 1.4; at most a third are ejected on this router's evidence, probed with one run and then with doubled pauses.

--- /dev/null
+++ b/tests/test_engine_health.py
@@ -0,0 +1,90 @@
+import unittest
+
+from wagtailtrestle.engine_health import LEAST_SHARE, EngineHealth
+
+NAMES = tuple(f"engine-{number}" for number in range(9))
+
+
+def steady(health, *, start_s, end_s, slow=None, ratio=5.0):
+    """Every engine finishes twice a second; returns how often ``slow`` changed its share."""
+    changes = 0
+    now = start_s
+    while now < end_s:
+        before = health.share(slow, now) if slow else 1.0
+        for name in NAMES:
+            health.on_progress_rate(name, ratio if name == slow else 1.0, now)
+        changes += bool(slow) and health.share(slow, now) != before
+        now += 0.5
+    return changes
+
+
+class FailureTest(unittest.TestCase):
+    def test_silent_engine_is_ejected_then_probed_with_one_run(self):
+        health = EngineHealth(engines=NAMES)
+        for _ in range(3):
+            health.on_outcome(NAMES[0], "RunSilent", 10.0)
+        self.assertFalse(health.available(NAMES[0], 10.1))
+        self.assertEqual(health.share(NAMES[0], 10.1), 0.0)
+        self.assertTrue(health.available(NAMES[0], 12.1))
+        self.assertGreater(health.share(NAMES[0], 12.1), 0.0)
+        self.assertLess(health.share(NAMES[0], 12.1), 0.05)
+        health.on_outcome(NAMES[0], "RunNotSent", 12.2)
+        self.assertFalse(health.available(NAMES[0], 16.1))
+        self.assertTrue(health.available(NAMES[0], 16.3))
+        health.on_outcome(NAMES[0], "RunDone", 16.4)
+        self.assertEqual(health.share(NAMES[0], 16.5), 1.0)
+
+    def test_runs_lost_in_one_crash_count_as_one_ejection(self):
+        health = EngineHealth(engines=NAMES)
+        for _ in range(14):
+            health.on_outcome(NAMES[0], "RunCut", 10.0)
+        self.assertTrue(health.available(NAMES[0], 12.1))
+
+    def test_cancelled_runs_are_no_failures(self):
+        health = EngineHealth(engines=NAMES)
+        for _ in range(20):
+            health.on_outcome(NAMES[0], "RunCancelled", 10.0)
+        self.assertEqual(health.share(NAMES[0], 10.0), 1.0)
+
+    def test_router_with_a_bad_link_of_its_own_keeps_most_engines(self):
+        # Callers of one router see runs fail on every engine, since its own link drops
+        # them. If it ejected all it would refuse everything; the engines are sound.
+        health = EngineHealth(engines=NAMES)
+        for now in range(60):
+            for name in NAMES:
+                health.on_outcome(name, "RunNotSent", float(now))
+            ejected = [name for name in NAMES if not health.available(name, float(now))]
+            self.assertLessEqual(len(ejected), 3)
+
+    def test_last_engine_is_never_ejected(self):
+        health = EngineHealth(engines=NAMES[:1])
+        for _ in range(10):
+            health.on_outcome(NAMES[0], "RunSilent", 1.0)
+        self.assertTrue(health.available(NAMES[0], 1.0))
+        self.assertEqual(health.share(NAMES[0], 1.0), 1.0)
+
+
+class StragglerTest(unittest.TestCase):
+    def test_straggler_loses_its_share_within_seconds_and_regains_it(self):
+        health = EngineHealth(engines=NAMES)
+        steady(health, start_s=0.0, end_s=10.0)
+        changes = steady(health, start_s=10.0, end_s=14.0, slow=NAMES[0])
+        self.assertLessEqual(health.share(NAMES[0], 14.0), 0.25)
+        changes += steady(health, start_s=14.0, end_s=30.0, slow=NAMES[0])
+        self.assertGreaterEqual(health.share(NAMES[0], 30.0), LEAST_SHARE)
+        self.assertLessEqual(changes, 4)
+        steady(health, start_s=30.0, end_s=50.0)
+        self.assertEqual(health.share(NAMES[0], 50.0), 1.0)
+
+    def test_engine_near_the_border_does_not_swing(self):
+        # Share lost and regained in turn moves work to and fro, and each move costs a
+        # prefill; between the two ratios nothing changes.
+        health = EngineHealth(engines=NAMES)
+        self.assertEqual(steady(health, start_s=0.0, end_s=60.0, slow=NAMES[0], ratio=1.7), 0)
+
+    def test_all_slow_together_is_nobodys_fault(self):
+        health = EngineHealth(engines=NAMES)
+        for now in range(30):
+            for name in NAMES:
+                health.on_progress_rate(name, 4.0, float(now))
+        self.assertEqual({health.share(name, 30.0) for name in NAMES}, {1.0})
--- a/wagtailtrestle/engine_health.py
+++ b/wagtailtrestle/engine_health.py
@@ -1,18 +1,64 @@
-"""One router's evidence on engines: silence, stragglers, and bounded ejection."""
+"""One router's evidence on engines: silence, failed connections, stragglers, bounded ejection.
 
-SOFT_FAILURES = 3
-"""Failures in a row before an engine is ejected."""
+All of it is what this router saw itself, and its own link may be what is broken. So it
+ejects only a bounded part of the engines, tries each again after a while, and judges an
+engine's pace against the other engines' and not against a fixed figure.
+"""
+
+import statistics
+from collections import deque
+
+FAILURES_TO_EJECT = 3
+"""Failures in a row after which an engine is ejected."""
 
 EJECT_S = 2.0
-"""First time out of service; doubled at each failed probe."""
+"""First time out of service; doubled at each probe that fails."""
+
+MOST_EJECT_S = 30.0
 
-MAX_EJECT_S = 30.0
+PROBE_SHARE = 0.01
+"""Share of a probed engine: its concurrency limit rounds this up to one run."""
+
+MOST_EJECTED_SHARE = 0.34
 
 FAILED_RESULTS = frozenset({"RunNotSent", "RunSilent", "RunCut", "RunLost"})
+NEUTRAL_RESULTS = frozenset({"RunCancelled"})
+"""A cancelled run says nothing of the engine: the caller, the deadline or a tier ended it."""
+
+RATES_KEPT = 64
+RATES_NEEDED = 4
+RATE_AGE_S = 4.0
+"""Older rates say nothing of the present."""
+
+LEAST_SPAN_S = 2.0
+"""Time that the rates must span: one long prompt slows every run of its engine for a second
+or two, and a batch of runs that end then would look like a straggler's."""
+
+PACE_QUANTILE = 0.25
+"""Part of the recent rates that lies below an engine's pace: a straggler is slow in every run,
+a sound engine only in those that met a long prompt."""
+
+COMPARED_NEEDED = 2
+"""Other engines whose pace must be known: alone, a pace may be everybody's."""
+
+SLOW_RATIO = 2.0
+"""Pace against the others' from which an engine counts as a straggler."""
+
+SOUND_RATIO = 1.4
+"""Pace below which a straggler gains share again: well under ``SLOW_RATIO``, so that an engine
+near the border does not lose and regain its work in turn."""
+
+SHARE_STEP_S = 1.0
+"""Least time between two changes of an engine's share."""
+
+LEAST_SHARE = 0.1
+"""A straggler keeps this much work, or nobody would see it recover."""
+
+SHARE_STEP = 2.0
 
 
 class EngineHealth:
-    """Which engines one router may use, and at what share.
+    """Which engines one router may use, and at what share of their concurrency.
 
     Parameters
     ----------
@@ -22,56 +68,134 @@
         Largest share of them that this router may eject on its own evidence.
     """
 
-    __slots__ = ("_state_by_name", "_max_ejected_share")
+    __slots__ = ("_judged_by_name", "_max_ejected_share")
 
-    def __init__(self, *, engines=(), max_ejected_share=0.34):
-        self._state_by_name = {}
+    def __init__(self, *, engines=(), max_ejected_share=MOST_EJECTED_SHARE):
+        self._judged_by_name = {}
         self._max_ejected_share = max_ejected_share
         self.set_engines(engines)
 
     def set_engines(self, engines):
         """Judge these engines from now on; what is known of those kept stays."""
-        self._state_by_name = {name: self._state_by_name.get(name) or EngineState() for name in engines}
+        self._judged_by_name = {name: self._judged_by_name.get(name) or JudgedEngine() for name in engines}
 
     def on_outcome(self, engine, result, now):
         """Take in how a run ended; ``result`` is the outcome's class name."""
-        state = self._state_by_name.get(engine)
-        if state is None:
-            return
-        if result not in FAILED_RESULTS:
-            state.failures = 0
-            state.ejected_until = 0.0
+        judged = self._judged_by_name.get(engine)
+        if judged is None or result in NEUTRAL_RESULTS:
             return
-        state.failures += 1
-        if state.failures >= SOFT_FAILURES and now >= state.ejected_until:
-            state.ejected_until = now + min(MAX_EJECT_S, EJECT_S * 2 ** (state.failures - SOFT_FAILURES))
+        if result in FAILED_RESULTS:
+            judged.fail(now)
+        else:
+            judged.succeed()
 
     def on_progress_rate(self, engine, observed_over_expected, now):
-        """Take in how long a step (or a prefill) took against what was expected."""
+        """Take in how long a decode took against what the engine's model expected."""
+        judged = self._judged_by_name.get(engine)
+        if judged is None:
+            return
+        judged.rates.append((now, observed_over_expected))
+        self._judge_pace(judged, now)
 
     def available(self, engine, now):
-        """Whether the engine may take work now."""
-        state = self._state_by_name.get(engine)
-        if state is None or now >= state.ejected_until:
-            return True
+        """Whether the engine may take work now, if only as a probe."""
         return engine not in self._ejected(now)
 
     def share(self, engine, now):
         """Share, from 0 to 1, of its concurrency that the engine may use."""
-        return 1.0 if self.available(engine, now) else 0.0
+        judged = self._judged_by_name.get(engine)
+        if judged is None:
+            return 1.0
+        if engine in self._ejected(now):
+            return 0.0
+        if judged.probing and self._within_bound(engine):
+            return PROBE_SHARE
+        return judged.share
+
+    def dump(self):
+        """Plain data for the state dump."""
+        return {
+            name: {"failures": judged.failures, "ejected_until": judged.ejected_until, "share": judged.share}
+            for name, judged in self._judged_by_name.items()
+        }
 
     def _ejected(self, now):
-        """Names held out now, longest first, never more than the allowed share."""
-        held = [name for name, state in self._state_by_name.items() if now < state.ejected_until]
-        held.sort(key=lambda name: -self._state_by_name[name].failures)
-        return set(held[: int(self._max_ejected_share * len(self._state_by_name))])
+        return {
+            name
+            for name, judged in self._judged_by_name.items()
+            if now < judged.ejected_until and self._within_bound(name)
+        }
+
+    def _within_bound(self, name):
+        # A router whose own link is bad sees every engine fail, and would empty the fleet
+        # while other routers' work on it goes well. Only the few worst are held out; the
+        # rest stay in use, and a run that fails there costs one retry elsewhere.
+        suspects = [other for other, judged in self._judged_by_name.items() if judged.failures >= FAILURES_TO_EJECT]
+        suspects.sort(key=lambda other: (-self._judged_by_name[other].failures, other))
+        return name in suspects[: self._most_ejected()]
+
+    def _most_ejected(self):
+        engines = len(self._judged_by_name)
+        return max(1, int(self._max_ejected_share * engines)) if engines > 1 else 0
+
+    def _judge_pace(self, judged, now):
+        own = judged.pace(now)
+        if own is None or now - judged.share_changed_at < SHARE_STEP_S:
+            return
+        # Compared with the others: when long prompts slow every engine, none is a straggler.
+        others = [other.pace(now) for other in self._judged_by_name.values() if other is not judged]
+        others = [pace for pace in others if pace is not None]
+        if len(others) < min(COMPARED_NEEDED, len(self._judged_by_name) - 1) or not others:
+            return
+        ratio = own / max(1.0, statistics.median(others))
+        if ratio > SLOW_RATIO:
+            judged.set_share(max(LEAST_SHARE, min(judged.share / SHARE_STEP, 1.0 / ratio)), now)
+        elif ratio < SOUND_RATIO and judged.share < 1.0:
+            judged.set_share(min(1.0, judged.share * SHARE_STEP), now)
 
 
-class EngineState:
+class JudgedEngine:
     """What is known of one engine's health."""
 
-    __slots__ = ("failures", "ejected_until")
+    __slots__ = ("failures", "ejected_until", "rates", "share", "share_changed_at")
 
     def __init__(self):
         self.failures = 0
         self.ejected_until = 0.0
+        self.rates = deque(maxlen=RATES_KEPT)
+        self.share = 1.0
+        self.share_changed_at = float("-inf")
+
+    @property
+    def probing(self):
+        """Whether it failed so often that only a probe may go there."""
+        return self.failures >= FAILURES_TO_EJECT
+
+    def fail(self, now):
+        """Count a failure, and eject after several in a row or a failed probe."""
+        if now < self.ejected_until:
+            return
+        self.failures += 1
+        if self.probing:
+            longer = 2.0 ** (self.failures - FAILURES_TO_EJECT)
+            self.ejected_until = now + min(MOST_EJECT_S, EJECT_S * longer)
+
+    def succeed(self):
+        """Believe the engine sound again."""
+        self.failures = 0
+        self.ejected_until = 0.0
+
+    def pace(self, now):
+        """Low end of the recent rates, or ``None`` if they are too few or too close together."""
+        while self.rates and now - self.rates[0][0] > RATE_AGE_S:
+            self.rates.popleft()
+        if len(self.rates) < RATES_NEEDED or self.rates[-1][0] - self.rates[0][0] < LEAST_SPAN_S:
+            return None
+        rates = sorted(rate for _, rate in self.rates)
+        return rates[int(PACE_QUANTILE * len(rates))]
+
+    def set_share(self, share, now):
+        """Change the share; the rates seen before it say nothing of what follows."""
+        self.share = share
+        self.share_changed_at = now
+        self.rates.clear()
