Judge a top tier by the pace it gets once lower tiers stop prefilling beside it

Change: refusals and short prompts are judged by the clean step; the steward keeps to it, since a grant whose prefill would make such a run late is not made; slacks are lowered at each grant. Each safeguard taken out makes a test fail.

--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -38,12 +38,23 @@
 
     def test_nothing_is_cancelled_if_a_place_frees_in_time(self):
         cell = Cell()
+        cell.measure()
         cell.receive(draft("d0"), ask("soon", tier=1), started("d0"), started("soon"))
         cell.receive(RunProgress(request_id="soon", output_tokens=80))
         cell.receive(high("q"))
         cell.advance(0.15)
         self.assertEqual(cell.entries.ids(Preempt), [])
 
+    def test_a_cold_model_is_not_waited_on(self):
+        # The engine is slower than declared and nothing was measured yet. The place that is
+        # predicted to free in time may not, so a draft is cancelled while there is time.
+        cell = Cell()
+        cell.receive(draft("d0"), ask("soon", tier=1), started("d0"), started("soon"))
+        cell.receive(RunProgress(request_id="soon", output_tokens=80))
+        cell.receive(high("q"))
+        cell.advance(0.15)
+        self.assertEqual(cell.entries.ids(Preempt), ["d0"])
+
     def test_no_more_than_needed(self):
         # One question, many drafts, many rounds: one place is enough.
         cell = Cell(engines=("e1", "e2", "e3"), slots=4)
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -150,6 +150,20 @@
         cell.receive(ask("a"), ask("b"), ask("r", output_tokens=1000, remaining_s=5.0))
         self.assertEqual([message.reason for message in cell.entries.of(Refused)], [Reason.DEADLINE_UNREACHABLE])
 
+    def test_slowness_that_lower_tiers_cause_refuses_no_higher_one(self):
+        # Long prompts of a lower tier have slowed every token fourfold lately. A question
+        # would be late at that pace, but not once no more of them is prefilled beside it.
+        cell = Cell()
+        cell.measure()
+        for state in cell.steward._runs.engines:
+            for _ in range(20):
+                state.model.observe_finish(output_tokens=100, decode_s=4.0, mean_concurrency=1)
+        cell.receive(ask("q", tier=0, remaining_s=2.5))
+        self.assertEqual(cell.entries.ids(Granted), ["q"])
+        cell.advance(0.1)
+        cell.receive(ask("report", tier=2, prompt_tokens=4000, remaining_s=60.0))
+        self.assertEqual(cell.entries.ids(Granted), ["q"])
+
     def test_a_cold_model_refuses_nothing_it_might_finish(self):
         # Declared figures that are too pessimistic: if they refused, no run would ever
         # correct them.
--- a/wagtailtrestle/admission.py
+++ b/wagtailtrestle/admission.py
@@ -102,7 +102,7 @@
             arrived_at=now,
             deadline=now + request.remaining_s,
             work_s=self._work_s(request),
-            shortest_run_s=min((run_s(request, engine, 1, 0) for engine in self._engines), default=0.0),
+            shortest_run_s=min((shielded_run_s(request, engine, 1, 0) for engine in self._engines), default=0.0),
         )
 
     def admit(self, waiting: WaitingRequest):
@@ -137,7 +137,7 @@
     def could_finish(self, waiting: WaitingRequest, engine):
         """Whether the engine could finish it if all that may be preempted for it were gone."""
         held = [grant for grant in engine.grants_by_request_id.values() if not _yields(grant, waiting.request.tier)]
-        predicted_s = run_s(waiting.request, engine, len(held) + 1, 0)
+        predicted_s = shielded_run_s(waiting.request, engine, len(held) + 1, 0)
         return predicted_s <= tolerance(engine) * (waiting.deadline - self._clock())
 
     def can_finish_now(self, waiting: WaitingRequest, engine):
@@ -202,6 +202,15 @@
     )
 
 
+def shielded_run_s(request, engine, concurrency, pending_prefill_tokens):
+    """Predicted seconds to the last token if no further prompt is prefilled beside it.
+
+    The steward keeps it so where it must: see :meth:`EngineState.would_delay`.
+    """
+    prefill_s = engine.model.prefill_s(uncached_tokens(request, engine) + pending_prefill_tokens)
+    return prefill_s + request.output_tokens * engine.model.step_s(concurrency)
+
+
 def promised_s(waiting, engine, concurrency, pending_prefill_tokens):
     """Time to the last token that is promised with some margin.
 
@@ -209,9 +218,9 @@
     it would finish with a longer answer than expected too. A short one may be tried.
     """
     request = waiting.request
-    predicted_s = run_s(request, engine, concurrency, pending_prefill_tokens)
     if uncached_tokens(request, engine) <= CHEAP_PROMPT_TOKENS:
-        return predicted_s
+        return shielded_run_s(request, engine, concurrency, pending_prefill_tokens)
+    predicted_s = run_s(request, engine, concurrency, pending_prefill_tokens)
     unexpected_tokens = LENGTH_CAUTION * (waiting.asked_tokens - request.output_tokens)
     return FINISH_MARGIN * (predicted_s + unexpected_tokens * engine.model.pace_s(concurrency))
 
--- a/wagtailtrestle/engine_state.py
+++ b/wagtailtrestle/engine_state.py
@@ -155,8 +155,9 @@
         self.grants_by_request_id[grant.request_id] = grant
         if not grant.started:
             self._unstarted_tokens += grant.prefill_tokens
-            busy_until = max(self._clock(), self._prefill_until)
-            self._prefill_until = busy_until + self.model.prefill_s(grant.prefill_tokens)
+            prefill_s = self.model.prefill_s(grant.prefill_tokens)
+            self._prefill_until = max(self._clock(), self._prefill_until) + prefill_s
+            self._slacks = [(tier, slack_s - prefill_s) for tier, slack_s in self._slacks if slack_s > prefill_s]
 
     def add_registered(self, grant: Grant):
         """Count a run an entry registered; a report that showed it no longer shows a phantom."""
@@ -223,7 +224,7 @@
         self._slacks.clear()
         for grant in self.grants_by_request_id.values():
             grant.sample_concurrency(running)
-            slack_s = grant.deadline - self._clock() - self.remaining_s(grant)
+            slack_s = self._slack_s(grant, running)
             if slack_s > 0.0:
                 self._slacks.append((grant.request.tier, slack_s))
 
@@ -237,7 +238,16 @@
 
     def remaining_s(self, grant: Grant):
         """Predicted seconds until the grant's run ends by itself."""
-        step_s = self.model.pace_s(self.running)
+        return self._remaining_s(grant, self.model.pace_s(self.running))
+
+    def _slack_s(self, grant, running):
+        # A run that would be late at the present pace may still be in time if nothing
+        # more is prefilled beside it: then that much is its slack.
+        left_s = grant.deadline - self._clock()
+        slack_s = left_s - self._remaining_s(grant, self.model.pace_s(running))
+        return slack_s if slack_s > 0.0 else left_s - self._remaining_s(grant, self.model.step_s(running))
+
+    def _remaining_s(self, grant, step_s):
         since_progress_s = self._clock() - grant.progress_at
         decode_s = grant.remaining_tokens * step_s
         if not grant.started:
--- a/wagtailtrestle/preemption.py
+++ b/wagtailtrestle/preemption.py
@@ -28,6 +28,9 @@
 RISK_S = 0.1
 """Time kept in hand before a deadline, whatever is predicted."""
 
+RISK_SHARE = 0.15
+"""Part of the whole time that a request has, kept in hand too: waiting on gains little at its end."""
+
 EAGER_RISK_S = 0.4
 """Further time kept in hand when goodput counts most and thrown-away prefill least."""
 
@@ -147,9 +150,16 @@
             return float("inf")
         return run_s(waiting.request, engine, engine.limit, 0)
 
-    def _in_time(self, waiting, free_at, duration_s):
-        expected = self._now + RISK_FACTOR * (free_at - self._now) + duration_s
-        return expected + self._risk_s <= waiting.deadline
+    def _in_time(self, waiting, place, duration_s):
+        # A cold model may be too optimistic by as much as admission takes it to be too
+        # pessimistic. Waited for to the last moment by such a prediction, a request would
+        # be given its place too late, while what it could have displaced went on running.
+        # A place that was taken back already is as good as another victim's would be.
+        taken_back = place.grant is not None and place.grant.preempted_at is not None
+        caution = 1.0 if taken_back else tolerance(place.engine)
+        expected = self._now + RISK_FACTOR * (place.free_at - self._now) + caution * duration_s
+        risk_s = self._risk_s + RISK_SHARE * (waiting.deadline - waiting.arrived_at)
+        return expected + risk_s <= waiting.deadline
 
     def _take_in_time(self, waiting, run_s_by_engine):
         passed_over = []
@@ -159,7 +169,7 @@
             place = entry[2]
             if place.grant is not None and place.grant in self.victims:
                 continue
-            if self._in_time(waiting, place.free_at, run_s_by_engine[place.engine.name]):
+            if self._in_time(waiting, place, run_s_by_engine[place.engine.name]):
                 found = place
             else:
                 passed_over.append(entry)
