--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -168,6 +168,23 @@
         self.assertEqual(await routers.claim("b", "n1"), ClaimWon(nonce="n1"))
         self.assertEqual(routers.holders(), ["n1"])
 
+    @on_paused_clock
+    async def test_lost_write_request_is_written_again(self, routers):
+        # The owner's write is lost on its way and no answer comes. Taken for done, the key
+        # would stay free and a re-send would run it again; read back, it is seen missing.
+        await routers.claim("a", "seed", key="other")
+        routers.store_by_name["a"].lose_requests = 1
+        self.assertEqual(await routers.claim("b", "n1"), ClaimWon(nonce="n1"))
+        self.assertIn("n1", routers.holders())
+
+    @on_paused_clock
+    async def test_forgotten_nonce_is_not_called_refused(self, routers):
+        # Router b holds a claim that it has forgotten by now. It can't tell whether the request
+        # ran; were it to say "refused", a re-send would take the key over and run again.
+        await routers.claim("b", "n1")
+        routers.ledger_by_name["b"]._book.drop("n1")
+        self.assertIsInstance(await routers.claim("c", "n2"), ClaimTaken)
+
     @on_paused_clock
     async def test_owner_dies_after_its_write(self, routers):
         # The owner writes the claim and dies before it answers. The entry reads the shard
--- a/wagtailtrestle/spec/checker.py
+++ b/wagtailtrestle/spec/checker.py
@@ -248,3 +248,19 @@
             return {name: domain.read(state[name]) for name, domain in domains.items()}
 
         return Trace(steps=[Step(action="", state=read(before)), Step(action=action.name, state=read(after))])
+
+
+def covering_traces(specification, *, most_steps):
+    """Give a short trace to each action that can be taken within ``most_steps``, by the action's name."""
+    bounded = Bounded(specification)
+    traces_by_action = {}
+    for _ in range(most_steps):
+        bounded.deepen()
+        for action in specification.actions:
+            if action.name in traces_by_action:
+                continue
+            trace = bounded.search(action.guard)
+            if trace is not None:
+                end = Step(action=action.name, state=trace.steps[-1].state)
+                traces_by_action[action.name] = Trace(steps=[*trace.steps, end])
+    return traces_by_action
