A sign of life asks for none in return

Cause: answering a ping counted as sending, so the answering end soon pinged back, for ever, on each link that had been used once; seen as the older daemons of an idle fleet costing three times what the last one did. Change: a batch of nothing but a pong is not waited for. Failing first: test_used_link_falls_quiet. Conclusion: a quiet link costs nothing, as meant.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -99,6 +99,16 @@
         await until(lambda: "after" in got)
         self.assertEqual((forwarder.connections, unreachable), (2, []))
 
+    async def test_used_link_falls_quiet(self):
+        # One message is sent and none comes back, so the sender asks once for a sign of life. That sign needs
+        # none in return: otherwise both ends would ask each other for ever on every link once used.
+        a, b = await self.pair()
+        got = self.received_by(b)
+        a.send("b", Withdraw(request_id="x"))
+        await until(lambda: got == ["x"] and a.dump()["b"]["link"]["items_received"] == 1)
+        await asyncio.sleep(1.5)
+        self.assertEqual(a.dump()["b"]["link"]["items_received"], 1)
+
     async def test_question_in_flight_when_the_connection_is_lost(self):
         # The peer dies after it got the question. The asker must not wait out its timeout.
         a, b = await self.pair()
--- a/wagtailtrestle/peer_link.py
+++ b/wagtailtrestle/peer_link.py
@@ -6,6 +6,7 @@
 
 FLUSH_INTERVAL_S = 0.002
 RETIRE_AFTER_S = 1.0
+PONG_BODY = "pong"
 
 
 class Link:
@@ -119,7 +120,7 @@
                 await asyncio.sleep(early_s)
             items = self._outbox.take()
             flushed_at = self._loop.time()
-            if self.awaiting_since is None:
+            if self.awaiting_since is None and _wants_a_sign(items):
                 self.awaiting_since = flushed_at
             await self._stream.send_message(pb.Batch(items=items))
             self.batches_sent += 1
@@ -138,3 +139,8 @@
             "items_sent": self.items_sent,
             "items_received": self.items_received,
         }
+
+
+def _wants_a_sign(items):
+    """Whether something must come back; a sign of life alone asks for none, or both ends would go on for ever."""
+    return len(items) > 1 or items[0].WhichOneof("body") != PONG_BODY
