A re-sent booking whose first router died or sleeps is told unknown, not 'not run'

Cause: with the holder of its key killed or paused, the ledger's questions to it took longer than the booking's deadline of 5 s: each waited out its time for a connection that never came, and the last ones ran past the time given. Change: the entry gives the ledger its time; the ledger ends within it, the last look at the store included; questions to a router that left the view end at once.

--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -290,6 +290,17 @@
         self.assertIsInstance(await routers.claim("c", "n3"), ClaimTaken)
         self.assertIsInstance(await routers.claim("b", "n4"), ClaimTaken)
 
+    @on_paused_clock
+    async def test_silent_holder_is_told_as_unknown_in_time(self, routers):
+        # The holder is paused and answers nothing. Whoever sent again must be told "unknown" within
+        # its own deadline; once that is overrun it would be told that nothing was run.
+        routers.owner = "c"
+        await routers.claim("a", "n1")
+        routers.cut.add("a")
+        began = asyncio.get_running_loop().time()
+        self.assertIsInstance(await routers.claim("b", "n2", wait_s=4.5), ClaimTaken)
+        self.assertLessEqual(asyncio.get_running_loop().time() - began, 4.5)
+
     @on_paused_clock
     async def test_holder_still_claiming_is_not_taken_over(self, routers):
         # Router b's claim is in the store but b has not heard of it yet. A re-send on c must
--- a/wagtailtrestle/ledger.py
+++ b/wagtailtrestle/ledger.py
@@ -38,6 +38,7 @@
 WRITE_S = 2.5
 HOLDER_SLICE_S = 5.0
 HOLDER_ROOM_S = 1.0
+READ_ROOM_S = 0.5
 HOLDER_SILENCES = 2
 MAX_TAKEOVERS = 4
 SETTLE_S = 4.0
@@ -235,7 +236,7 @@
                 return _recorded(told)
             if told.state in (NonceState.CLAIMING, NonceState.RUNNING):
                 return ClaimTaken(detail="the earlier request has not ended yet")
-            held = await self._read_again(held, ask)
+            held = await self._read_again(held, ask, deadline)
         if held.state == ClaimState.FINISHED and held.body_kept:
             return _recorded(held)
         if held.state == ClaimState.FINISHED:
@@ -244,24 +245,28 @@
 
     async def _ask_holder(self, held, deadline):
         """Ask the router that holds the key; waits there, not by polling."""
-        last_end = deadline - HOLDER_ROOM_S
+        # All of it ends before the deadline, the last look at the store included. Overrun, a
+        # key known to be held would be told as "not run" by whoever gave up waiting first.
+        answered_by = deadline - READ_ROOM_S
+        last_end = answered_by - HOLDER_ROOM_S
         silences = 0
-        while silences < HOLDER_SILENCES:
+        while silences < HOLDER_SILENCES and _now() < answered_by:
             wait_s = max(min(last_end - _now(), HOLDER_SLICE_S), 0.0)
             ask = NonceAsk(nonce=held.nonce, incarnation=held.incarnation, wait_s=wait_s)
             if held.entry == self.name:
                 told = await self.handle(ask)
             else:
-                told = await self._ask(held.entry, ask, wait_s + HOLDER_ROOM_S)
+                told = await self._ask(held.entry, ask, min(wait_s + HOLDER_ROOM_S, answered_by - _now()))
             if not isinstance(told, NonceAnswer):
                 silences += 1
             elif told.state not in (NonceState.CLAIMING, NonceState.RUNNING) or _now() >= last_end:
                 return told
         return SILENT
 
-    async def _read_again(self, held, ask):
+    async def _read_again(self, held, ask, deadline):
         """Look once more in the store: the holder may have recorded its end before it went."""
-        outcome = await bounded(self._store.get(kind=LEDGER_KIND, name=ask.shard), timeout_s=HOLDER_ROOM_S)
+        timeout_s = max(deadline - _now(), 0.0)
+        outcome = await bounded(self._store.get(kind=LEDGER_KIND, name=ask.shard), timeout_s=timeout_s)
         if not isinstance(outcome, StoreDone):
             return held
         record = ShardContents.from_value(outcome.value).records_by_key.get(ask.key)
--- a/wagtailtrestle/peers_grpc.py
+++ b/wagtailtrestle/peers_grpc.py
@@ -182,6 +182,10 @@
             return None
         return self._loop.time() - state.unreachable_since
 
+    def end_questions(self, peer):
+        """Answer every open question to a peer that is gone with ``PeerUnreachable``."""
+        self._questions.fail(peer, "not in the view any more")
+
     def deliver_relayed(self, source, data):
         """Take an encoded item that another router passed on for ``source``."""
         item = pb.Item.FromString(data)
--- a/wagtailtrestle/request_task.py
+++ b/wagtailtrestle/request_task.py
@@ -51,6 +51,8 @@
 MAX_ATTACHES = 2
 ATTACH_ROOM_S = 0.05
 CANCEL_GRACE_S = 2.0
+CLAIM_LIMIT_S = 10.0
+CLAIM_ROOM_S = 0.5
 DEFAULT_RETRY_AFTER_S = 1.0
 
 STATUS_BY_REASON = {
@@ -250,11 +252,15 @@
     async def _claim_within_deadline(self):
         request = self.request
         nonce = request.request_id
+        # The ledger must answer within the deadline itself: it alone knows whether an earlier
+        # request holds the key. Cut off here, a re-send would be told that nothing was run
+        # while the first run of its key goes on.
         claim = self.context.claims.claim(
             team=request.team,
             key=request.idempotency_key,
             body_digest=request.body_digest,
             nonce=nonce,
+            wait_s=min(max(self._remaining() - CLAIM_ROOM_S, 0.0), CLAIM_LIMIT_S),
         )
         try:
             return await asyncio.wait_for(claim, timeout=max(self._remaining(), 0.0))
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -59,6 +59,7 @@
         self._started = contextlib.AsyncExitStack()
         self._ledger_starting = None
         self._draining = False
+        self._asked_members = set()
         self._budget_by_service = {}
         self._rendezvous = Rendezvous()
         # A declaration of full size takes a third of a second to check, too long for the loop.
@@ -104,6 +105,7 @@
         )
         self._vm_list = VMList(store=self._store, on_change=self._take_vms)
         self._membership.on_generation(lambda peer, generation: self._configuration.heard(generation))
+        self._membership.on_view_change(self._end_questions)
 
     def _make_decisions(self):
         name = self._settings.name
@@ -327,9 +329,19 @@
     async def _ask(self, peer, message, timeout_s):
         if peer == self._settings.name:
             return await self._ledger.handle(message)
+        if peer not in self._membership.view.everyone:
+            return None
         answer = await self._peers.ask(peer, message, timeout_s)
         return None if isinstance(answer, PeerUnreachable) else answer
 
+    def _end_questions(self, view):
+        # A question queued for a router that was killed would wait out its whole time for a
+        # connection that never comes, and the caller behind it would wait as long.
+        gone = self._asked_members - set(view.everyone)
+        self._asked_members = set(view.everyone)
+        for name in gone:
+            self._peers.end_questions(name)
+
     async def _tick(self):
         while True:
             await asyncio.sleep(TICK_S)
