Tests of a router paused while it suspects, and of rendezvous

Cause: the safeguard in suspicion's timers had no test that fails without it. Change: the fake wakes a process as asyncio does, due timers before unread messages; the new test fails with the safeguard taken out (a living router left the view) and passes with it; rendezvous moves only the cells of a lost router. Conclusion: the pause is covered at the moment that matters.

--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -5,6 +5,7 @@
 from wagtailtrestle.directory import Directory
 from wagtailtrestle.messages import Granted, Register, Withdraw
 from wagtailtrestle.peer_messages import RegisterAsk, Relayed
+from wagtailtrestle.rendezvous import Rendezvous
 from wagtailtrestle.view import View
 
 HELD = Register(entry="a", cell="c1", waiting=(grant_request(),))
@@ -160,3 +161,17 @@
         self.assertEqual(self.peers.sent, [("c", "", relayed)])
         self.assertTrue(self.directory.entry_link.send(entry="b", message=granted))
         self.assertEqual(self.peers.sent[1][0], "c")
+
+
+class RendezvousTest(unittest.TestCase):
+    def test_only_the_cells_of_a_lost_router_move(self):
+        members = tuple(f"r{number}" for number in range(9))
+        cells = [f"c{number}" for number in range(900)]
+        rendezvous = Rendezvous()
+        before = {cell: rendezvous.choose(key=cell, members=members) for cell in cells}
+        after = {cell: rendezvous.choose(key=cell, members=members[1:]) for cell in cells}
+        moved = {cell for cell in cells if before[cell] != after[cell]}
+        self.assertEqual(moved, {cell for cell in cells if before[cell] == "r0"})
+        shares = [list(before.values()).count(member) for member in members]
+        self.assertTrue(all(70 <= share <= 135 for share in shares), shares)
+        self.assertIsNone(rendezvous.choose(key="c1", members=()))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -60,6 +60,24 @@
         woken = [view for _, name, view in self.net.changes if name == "r002"]
         self.assertTrue(all(set(others) <= set(view.everyone) for view in woken))
 
+    @on_fast_loop
+    async def test_paused_while_it_suspects(self):
+        # A router suspects another and is itself stopped just before the time to refute is over. When it wakes
+        # that timer comes first, before any news is read; it must not hold a living router for dead.
+        names = await self.net.add_all(6)
+        watcher = self.net.by_name["r001"]
+        self.net.cut = lambda one, other: one == "r001"
+        watcher._suspicions.suspect(watcher._table.by_name["r002"], "test")
+        await asyncio.sleep(0.24)
+        self.net.freeze("r001")
+        self.net.cut = lambda one, other: False
+        await asyncio.sleep(0.9)
+        self.net.changes.clear()
+        self.net.thaw("r001")
+        await asyncio.sleep(3)
+        self.assert_views(names)
+        self.assertFalse([view for _, name, view in self.net.changes if "r002" not in view.everyone])
+
     @on_fast_loop
     async def test_restarted_router(self):
         # A router is killed and started again under its name: it is back in every view within a second.
--- a/tests/utils/fake_routers.py
+++ b/tests/utils/fake_routers.py
@@ -181,6 +181,8 @@
         loop = self.peers_by_name[name].loop
         loop.frozen = False
         held, loop.held = loop.held, []
+        # Timers that fell due run at once; what came meanwhile is still in the sockets and is read later.
+        held.sort(key=lambda call: call[0] == self.receive)
         for callback, args in held:
             callback(*args)
 
