--- /dev/null
+++ b/tests/utils/stewardship_replay.py
@@ -0,0 +1,340 @@
+"""Runs a real steward, or a real entry, along traces of the stewardship specification."""
+
+import asyncio
+
+from tests.utils.steward_fakes import Cell, ask, engine, finished, register
+from wagtailtrestle.declaration import LANGUAGE, Declaration, Route, Service
+from wagtailtrestle.entry import Entry
+from wagtailtrestle.exchange import AnswerRefusal, AnswerWhole, CallerRequest, RunEnded, StartRun
+from wagtailtrestle.messages import Granted, Preempt, Refused
+from wagtailtrestle.outcomes import Reason, RunCancelled, RunDone
+from wagtailtrestle.retry_budget import RetryBudget
+from wagtailtrestle.spec.monitor import Monitor
+from wagtailtrestle.spec.stewardship import HIGH, REPEATABLE, REQUESTS, TIER_BY_REQUEST
+
+STEWARD = "s0"
+NEVER_SENT = "a0"
+LONG_S = 600.0
+MIDDLE_S = 4.0
+SHORT_S = 1.4
+LONG_TOKENS = 3000
+SHORT_TOKENS = 100
+STEP_S = 0.01
+ENTRY_VERBS = ("ask", "take_grant", "take_refusal", "take_preempt", "stray_preempt", "finish", "change_view")
+
+
+def _attempt(name):
+    return int(name[1:])
+
+
+class StewardReplay:
+    """A real steward as ``s0``; the entries and ``s1`` are the specification's own.
+
+    Parameters
+    ----------
+    specification : Specification
+    trace : Trace
+    """
+
+    def __init__(self, *, specification, trace):
+        self.monitor = Monitor(specification)
+        self._trace = trace
+        self._steps = {f"{step.verb}:{step.parameters.get('request')}" for step in trace.steps[1:]}
+        self._start()
+
+    def _start(self):
+        self.cell = Cell(slots=1)
+        self.cell.measure()
+        self._seen = 0
+
+    def run(self):
+        """Follow the trace as far as the real steward allows."""
+        for step in self._trace.steps[1:]:
+            self._follow(step)
+            self._tell()
+            yield
+
+    def held(self):
+        """What the real steward holds: requests running, and number waiting by tier."""
+        dump = self.cell.steward.dump()
+        return set(dump["running"]), {tier: count for tier, count in dump["waiting_by_tier"].items() if count}
+
+    def expected(self):
+        """What the specification's ``s0`` holds, in the same form."""
+        held = {request: self.monitor.read(f"held[{STEWARD},{request}]") for request in REQUESTS}
+        waiting = {}
+        for request, state in held.items():
+            if state == "waiting":
+                waiting[TIER_BY_REQUEST[request]] = waiting.get(TIER_BY_REQUEST[request], 0) + 1
+        return {request for request, state in held.items() if state == "granted"}, waiting
+
+    def _follow(self, step):
+        steward, request = step.parameters.get("steward"), step.parameters.get("request")
+        if step.verb in ENTRY_VERBS or steward not in (None, STEWARD):
+            if self.monitor.allows(step.action):
+                self.monitor.take(step.action)
+            return
+        match step.verb:
+            case "hold_ask" | "refuse" | "grant_again":
+                self._deliver_ask(request)
+            case "free_place":
+                self._deliver_returned(request)
+            case "preempt":
+                self.cell.advance(MIDDLE_S)
+            case "expire":
+                self.cell.advance(SHORT_S)
+            case "restart":
+                self.monitor.take(step.action)
+                self._start()
+
+    def _deliver_ask(self, request):
+        # One link carries both, in order: what gave a place back comes first.
+        self._deliver_returned(request)
+        self._tell()
+        attempt = self.monitor.read(f"ask[{STEWARD},{request}]")
+        if attempt == NEVER_SENT:
+            return
+        self.cell.receive(
+            ask(
+                request,
+                tier=TIER_BY_REQUEST[request],
+                attempt=_attempt(attempt),
+                entry=request,
+                repeatable=request in REPEATABLE,
+                remaining_s=self._remaining_s(request),
+                output_tokens=SHORT_TOKENS if request == HIGH else LONG_TOKENS,
+            )
+        )
+        hold = f"hold_ask(steward={STEWARD}, request={request})"
+        if self.monitor.allows(hold) and not self._refused_now(request):
+            self.monitor.take(hold)
+
+    def _remaining_s(self, request):
+        """Deadlines that let the real steward come to what the trace shows, if it may."""
+        if f"refuse:{request}" in self._steps or f"expire:{request}" in self._steps:
+            return SHORT_S
+        preempts = any(step.startswith(("preempt:", "stray_preempt:")) for step in self._steps)
+        return MIDDLE_S if request == HIGH and preempts else LONG_S
+
+    def _deliver_returned(self, request):
+        if self.monitor.read(f"returned[{STEWARD},{request}]") == NEVER_SENT:
+            return
+        self.monitor.take(f"free_place(steward={STEWARD}, request={request})")
+        if self.monitor.read(f"view[{request}]") == STEWARD:
+            self.cell.receive(finished(request, result="RunCancelled"))
+        else:
+            self.cell.receive(register(request))
+
+    def _refused_now(self, request):
+        return any(isinstance(new, Refused) and new.request_id == request for new in self._new())
+
+    def _new(self):
+        return self.cell.entries.sent[self._seen :]
+
+    def _tell(self):
+        """Tell the monitor what the real steward sent since the last time."""
+        new = self._new()
+        self._seen += len(new)
+        for message in new:
+            self._tell_one(message)
+
+    def _tell_one(self, message):
+        pair = f"(steward={STEWARD}, request={message.request_id})"
+        match message:
+            case Granted():
+                self.monitor.take_first(f"grant{pair}", f"grant_again{pair}")
+            case Preempt():
+                self.monitor.take(f"preempt{pair}")
+            case Refused(reason=Reason.DEADLINE_UNREACHABLE):
+                # No engine could finish it even alone: not a matter of load.
+                self.monitor.take_first(f"expire{pair}", f"refuse{pair}")
+            case Refused():
+                self.monitor.take_first(f"refuse{pair}", f"expire{pair}")
+
+
+class FakeCaller:
+    """Keeps the commands of one request and cancels runs when asked."""
+
+    def __init__(self):
+        self.commands = []
+        self.cancelled = []
+
+    def post(self, command):
+        self.commands.append(command)
+
+    def cancel_run(self, *, run_id, engine, address):
+        self.cancelled.append(run_id)
+
+    @property
+    def starts(self):
+        return [command for command in self.commands if isinstance(command, StartRun)]
+
+    @property
+    def answer(self):
+        return next((command for command in self.commands if isinstance(command, AnswerWhole | AnswerRefusal)), None)
+
+
+class QuietStewards:
+    """Takes what the entry sends and answers nothing."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, *, cell, message):
+        self.sent.append(message)
+        return True
+
+
+class QuietCrashes:
+    """Blames nobody."""
+
+    def blocked(self, body_digest):
+        return False
+
+    def note(self, **_):
+        return None
+
+
+def small_declaration():
+    """Declare one language service with one engine."""
+    route = Route(name="chat", method="POST", path="/v1/chat/completions", tier="t0", deadline_ms=1, repeatable=True)
+    service = Service(name="asistente", kind=LANGUAGE, routes_by_name={"chat": route})
+    return Declaration(
+        organisation="cometas",
+        zones_by_region={"norte": ("gijon",)},
+        tiers_by_name={},
+        teams_by_name={},
+        services_by_name={"asistente": service},
+        engines_by_name={"e1": engine("e1", slots=1)},
+    )
+
+
+def make_entry(*, loop, claims=None, declaration=None):
+    """Make a real entry whose stewards and callers are fakes."""
+    stewards = QuietStewards()
+    declaration = declaration or small_declaration()
+    entry = Entry(
+        name="r1",
+        stewards=stewards,
+        claims=claims,
+        crashes=QuietCrashes(),
+        budget_by_service=lambda service: RetryBudget(clock=loop.time),
+        declaration=lambda: declaration,
+        loop=loop,
+    )
+    return entry, stewards
+
+
+def caller_request(request_id, *, tier=0, repeatable=True, deadline, **changes):
+    """Build a small request."""
+    fields = {"at_most_once": False, "idempotency_key": "", "body_digest": "d"} | changes
+    return CallerRequest(
+        request_id=request_id,
+        service="asistente",
+        team="socios",
+        route="chat",
+        tier=tier,
+        repeatable=repeatable,
+        prompt_tokens=10,
+        output_tokens=10,
+        prefix_blocks=(),
+        deadline=deadline,
+        **fields,
+    )
+
+
+class EntryReplay:
+    """Real request tasks as the entries; both stewards are the specification's own.
+
+    A message of a trace is delivered also where the specification says that the entry does
+    not take it: then the entry must not change.
+    """
+
+    def __init__(self, *, specification, trace):
+        self.monitor = Monitor(specification)
+        self._trace = trace
+        self._callers = {request: FakeCaller() for request in REQUESTS}
+        self._entry = None
+
+    async def run(self):
+        """Follow the trace, comparing after each step; returns what differed."""
+        loop = asyncio.get_running_loop()
+        self._entry, _ = make_entry(loop=loop)
+        for request, caller in self._callers.items():
+            asked = caller_request(
+                request, tier=TIER_BY_REQUEST[request], repeatable=request in REPEATABLE, deadline=loop.time() + LONG_S
+            )
+            self._entry.submit(asked, caller)
+        differences = []
+        for step in self._trace.steps[1:]:
+            await self._follow(step)
+            await asyncio.sleep(STEP_S)
+            differences += [f"after {step.action}: {text}" for text in self._differences()]
+        await self._entry.close()
+        return differences
+
+    async def _follow(self, step):
+        steward, request = step.parameters.get("steward"), step.parameters.get("request")
+        allowed = self.monitor.allows(step.action)
+        match step.verb:
+            case "take_grant":
+                self._deliver_grant(steward, request)
+            case "take_refusal":
+                self._deliver_refusal(steward, request)
+            case "take_preempt":
+                await self._deliver_preempt(steward, request)
+            case "finish" if allowed:
+                self._end_run(request, RunDone())
+        if allowed:
+            self.monitor.take(step.action)
+
+    def _deliver_grant(self, steward, request):
+        attempt = self.monitor.read(f"granted[{steward},{request}]")
+        if attempt != NEVER_SENT:
+            self._entry.on_steward_message(
+                Granted(
+                    request_id=request,
+                    attempt=_attempt(attempt),
+                    engine="e1",
+                    progress_deadline_s=LONG_S,
+                    first_token_deadline_s=LONG_S,
+                )
+            )
+
+    def _deliver_refusal(self, steward, request):
+        attempt = self.monitor.read(f"refused[{steward},{request}]")
+        if attempt != NEVER_SENT:
+            self._entry.on_steward_message(
+                Refused(request_id=request, attempt=_attempt(attempt), reason=Reason.OVERLOADED, retry_after_s=1.0)
+            )
+
+    async def _deliver_preempt(self, steward, request):
+        if self.monitor.read(f"preempt[{steward},{request}]") == NEVER_SENT:
+            return
+        caller = self._callers[request]
+        before = len(caller.cancelled)
+        self._entry.on_steward_message(Preempt(request_id=request, engine="e1"))
+        await asyncio.sleep(STEP_S)
+        if len(caller.cancelled) > before:
+            self._end_run(request, RunCancelled(output_tokens=1))
+
+    def _end_run(self, request, outcome):
+        caller = self._callers[request]
+        event = RunEnded(run_id=caller.starts[-1].run_id, outcome=outcome, duration_s=0.1)
+        self._entry.post(request, event)
+
+    def _differences(self):
+        for request in REQUESTS:
+            real, told = self._real(request), self._told(request)
+            if real != told:
+                yield f"{request} is {real}, the specification says {told}"
+
+    def _real(self, request):
+        caller, task = self._callers[request], self._entry.tasks_by_id.get(request)
+        count = ("none", "one")[len(caller.starts)] if len(caller.starts) < 2 else "more"
+        if task is None:
+            return ("finished" if isinstance(caller.answer, AnswerWhole) else "refused"), count
+        return str(task.state), count
+
+    def _told(self, request):
+        return self.monitor.read(f"state[{request}]"), self.monitor.read(f"dispatches[{request}]")
--- a/wagtailtrestle/spec/stewardship.py
+++ b/wagtailtrestle/spec/stewardship.py
@@ -38,6 +38,7 @@
 ONE_RUN = "a request has one run at a time, and none once it is refused"
 NOT_REPEATED = "a request that may not be repeated is dispatched once"
 TIER_ORDER = "a higher tier is not refused while the steward knows lower repeatable work"
+EXPIRY = "no wait ends while known lower repeatable work runs that was not told to yield"
 GRANT_ORDER = "a place goes to the highest tier that waits"
 RETURNED = "while views agree no place is kept for a request that is over"
 CAPACITY = "while views agree the place holds one run"
@@ -49,6 +50,9 @@
         rule="a run is taken back only if the request may be repeated", breaks=NOT_REPEATED
     ),
     "lower_first": Safeguard(rule="lower repeatable work goes before a higher tier is refused", breaks=TIER_ORDER),
+    "yield_first": Safeguard(
+        rule="a wait is given up only after lower repeatable runs were told to yield", breaks=EXPIRY
+    ),
     "highest_first": Safeguard(rule="of those that wait the highest tier is granted first", breaks=GRANT_ORDER),
     "exact_account": Safeguard(rule="a steward grants only places that its account shows free", breaks=CAPACITY),
     "place_until_ended": Safeguard(
@@ -72,6 +76,7 @@
         self.declare(TRUTH, "shed", initial=FALSE)
         self.declare(TRUTH, "passed_over", initial=FALSE)
         self.declare(TRUTH, "shed_unseen", initial=FALSE)
+        self.declare(TRUTH, "expired_early", initial=FALSE)
         for request in REQUESTS:
             self.declare(STATE, "state", request, initial=STATE["queued"])
             self.declare(ATTEMPT, "attempt", request, initial=ATTEMPT["a1"])
@@ -225,8 +230,37 @@
             "passed_over": z3.Or(v("passed_over"), higher_waits),
         }
         self.act("grant", guards, grant, steward=steward, request=request)
-        if request in REPEATABLE or not self.keeps("preempt_repeatable_only"):
+        self._expire(steward, request)
+        if request in REPEATABLE:
             self._preempt(steward, request, higher_waits)
+        else:
+            # The steward may hold an older declaration, by which the run could be repeated.
+            stray = {variable_name("preempt", steward, request): v("attempt", request)}
+            dispatched = v("state", request) == STATE["dispatched"]
+            self.act("stray_preempt", [dispatched], {**stray, "views_differed": TRUE}, steward=steward, request=request)
+
+    def _expire(self, steward, request):
+        """The request can no longer be finished in time, so its wait ends."""
+        v = self.v
+        unasked = any_of(
+            z3.And(
+                v("held", steward, other) == HELD["granted"],
+                v("preempt", steward, other) != v("held_attempt", steward, other),
+            )
+            for other in REPEATABLE
+            if TIER_BY_REQUEST[other] > TIER_BY_REQUEST[request]
+        )
+        guards = [v("held", steward, request) == HELD["waiting"]]
+        if self.keeps("yield_first"):
+            guards.append(z3.Not(unasked))
+        attempt = v("held_attempt", steward, request)
+        changes = {
+            variable_name("held", steward, request): HELD["none"],
+            variable_name("refused", steward, request): attempt,
+            variable_name("ended", steward, request): attempt,
+            "expired_early": z3.Or(v("expired_early"), unasked),
+        }
+        self.act("expire", guards, changes, steward=steward, request=request)
 
     def _preempt(self, steward, request, higher_waits):
         v = self.v
@@ -274,6 +308,7 @@
             ONE_RUN: all_of(one_run),
             NOT_REPEATED: v("dispatches", FIXED) != COUNT["more"],
             TIER_ORDER: z3.Not(v("shed")),
+            EXPIRY: z3.Not(v("expired_early")),
             GRANT_ORDER: z3.Not(v("passed_over")),
             CAPACITY: z3.Or(v("views_differed"), at_most_one(running)),
             RETURNED: z3.Or(v("views_differed"), all_of(returned)),
