Tests for hearsay, holding back and revival of members

Change: four tests on the member table; each fails with its safeguard taken out and passes with it. Conclusion: second-hand deaths, returns and heals are held by tests.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,7 +5,9 @@
 
 from tests.utils.fake_routers import FakeNet
 from wagtailtrestle.broadcast import Broadcast
+from wagtailtrestle.member_table import MemberTable
 from wagtailtrestle.messages import Withdraw
+from wagtailtrestle.peer_messages import MemberState, ViewEvent
 
 
 def on_fast_loop(test):
@@ -161,3 +163,50 @@
         self.assert_views(names)
         for _, name, view in self.net.changes:
             self.assertLessEqual(set(left if name in left else right), set(view.everyone))
+
+
+class MemberTableTest(unittest.TestCase):
+    def setUp(self):
+        self.table = MemberTable(name="a", zone="z", incarnation=1, now=0.0)
+        self.table.apply(self.say(MemberState.ALIVE), 0.0)
+
+    def say(self, state, version=0):
+        return ViewEvent(name="b", zone="z", address="h:1", incarnation=1, version=version, state=state)
+
+    def test_dead_by_hearsay(self):
+        # The other side of a partition calls a router dead that is in touch here. It stays in the view until it
+        # had time to refute; else both sides would empty each other's views when the link comes back.
+        self.table.apply(self.say(MemberState.DEAD), 1.0)
+        self.assertEqual(self.table.view(1.0).members, ("a", "b"))
+        self.table.apply(self.say(MemberState.ALIVE, version=1), 1.1)
+        self.assertEqual(self.table.by_name["b"].state, MemberState.ALIVE)
+
+    def test_coming_back_again_and_again(self):
+        # A router behind a bad link is lost and comes back three times. Each time it is alive at once, but
+        # steward only after a longer while, so that its cells do not move to and fro with the link.
+        held_s = []
+        for version in (1, 2, 3):
+            now = 10.0 * version
+            self.table.by_name["b"].set_state(MemberState.DEAD, now)
+            self.table.apply(self.say(MemberState.ALIVE, version=version), now)
+            self.assertEqual(self.table.view(now).draining, ("b",))
+            held_s.append(self.table.next_hold_end(now) - now)
+        self.assertEqual(held_s, [1.0, 2.0, 4.0])
+        self.assertEqual(self.table.view(34.0).members, ("a", "b"))
+
+    def test_alive_on_the_other_side(self):
+        # After a partition a peer tells of a router that this side held for dead. Soon after a death that is
+        # only late news; long after, it is the other side's knowledge and brings the router back.
+        self.table.by_name["b"].set_state(MemberState.DEAD, 100.0)
+        self.table.merge([self.say(MemberState.ALIVE)], 105.0, believe=False)
+        self.assertEqual(self.table.view(105.0).everyone, ("a",))
+        self.table.merge([self.say(MemberState.ALIVE)], 111.0, believe=False)
+        self.assertEqual(self.table.view(111.0).everyone, ("a", "b"))
+
+    def test_called_dead_by_a_peer(self):
+        # A peer's whole view has a router dead that is alive here: checked, not believed, unless this router
+        # was away itself.
+        _, doubted = self.table.merge([self.say(MemberState.DEAD)], 1.0, believe=False)
+        self.assertEqual((doubted, self.table.view(1.0).everyone), (["b"], ("a", "b")))
+        self.table.merge([self.say(MemberState.DEAD)], 1.0, believe=True)
+        self.assertEqual(self.table.view(1.0).everyone, ("a",))
