Lead dispatch and drain along the specifications; two failing tests of the tier order

Cause: the entry's ends of runs and the drain were not held against their specifications. While writing them two faults of the steward came up: a middle tier is refused as preempted while lower repeatable work runs, and a new steward in its cautious time tells no lower run to yield, so that a higher tier expires. Change: 344 sequences of ends of runs and the drain's traces under a monitor; TierOrderTest shows both faults and fails until the steward is mended.

--- a/tests/test_spec_replay.py
+++ b/tests/test_spec_replay.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import functools
+import itertools
 import unittest
 
 import looptime
@@ -14,13 +15,20 @@
 from loguru import logger
 
 from tests.utils.configuring_replay import ApplyReplay, ConfigurationReplay
+from tests.utils.dispatch_replay import OUTCOMES, DispatchReplay
+from tests.utils.draining_replay import DrainReplay
 from tests.utils.ledger_replay import LedgerReplay
+from tests.utils.steward_fakes import Cell, ask, register, running
 from tests.utils.stewardship_replay import EntryReplay, StewardReplay
-from wagtailtrestle.spec import claims, configuring, stewardship
+from wagtailtrestle.admission import MAX_ASKS
+from wagtailtrestle.messages import Preempt, Refused
+from wagtailtrestle.request_task import MAX_NOT_SENT
+from wagtailtrestle.spec import claims, configuring, draining, stewardship
 from wagtailtrestle.spec.checker import covering_traces, shortest_trace
 from wagtailtrestle.spec.checks import MOST_STEPS, mutant
 
 COVER_STEPS = 12
+NOT_SENT = OUTCOMES[0]
 ENTRY_SAFEGUARDS = ("queued_only", "attempt", "preempt_repeatable_only")
 
 
@@ -80,6 +88,20 @@
         self.assertEqual(verbs - followed, {"read_stale"})
 
 
+class DispatchReplayTest(unittest.TestCase):
+    def test_a_request_that_may_not_be_repeated_is_dispatched_as_the_specification_allows(self):
+        answers = set()
+        specification = claims.specification()
+        for outcomes in [*itertools.product(OUTCOMES, repeat=3), (NOT_SENT,) * MAX_NOT_SENT]:
+            with self.subTest(outcomes=outcomes):
+                replay = DispatchReplay(specification=specification, outcomes=outcomes)
+                on_paused_clock(replay.run())
+                self.assertEqual(replay.monitor.violations, [])
+                self.assertEqual(replay.monitor.broken(), [])
+                answers.add(replay.monitor.read("told[0]"))
+        self.assertEqual(answers, {"nothing", "no", "unknown", "answer"})
+
+
 class StewardshipReplayTest(unittest.TestCase):
     def test_a_steward_does_only_what_the_specification_allows(self):
         followed = set()
@@ -137,5 +159,43 @@
         self.assertLessEqual({"begin_confirmed", "begin_unconfirmed", "begin_by_peer", "offer", "restart"}, followed)
 
 
+class DrainingReplayTest(unittest.TestCase):
+    def test_stewards_and_entry_do_only_what_the_specification_allows(self):
+        followed = set()
+        for name, trace, _ in guides(draining):
+            with self.subTest(guide=name):
+                replay = DrainReplay(specification=draining.specification(), trace=trace)
+                on_paused_clock(replay.run())
+                self.assertEqual(replay.monitor.violations, [])
+                self.assertEqual(replay.monitor.broken(), [])
+                self.assertFalse(replay.ended_with_work)
+                followed |= {action.partition("(")[0] for action in replay.monitor.taken}
+        self.assertLessEqual({"grant", "finish", "seen_empty", "end", "hand_over", "listed_unmark"}, followed)
+
+
+class TierOrderTest(unittest.TestCase):
+    """Rules of the stewardship's specification that no trace of three requests shows."""
+
+    def test_a_middle_tier_is_not_refused_while_a_lower_tier_runs(self):
+        # A report that was cancelled several times for questions asks again while tagging runs
+        # and waits. Refusing it ("preempted") sheds a higher tier while lower repeatable work,
+        # which should yield, goes on: `refuse` is not allowed while the steward knows lower work.
+        cell = Cell(slots=1)
+        cell.receive(ask("tag1", tier=2, remaining_s=600.0), ask("tag2", tier=2, remaining_s=600.0))
+        cell.receive(ask("report", tier=1, attempt=MAX_ASKS + 1, done_tokens=50))
+        self.assertEqual(cell.entries.ids(Refused), [])
+
+    def test_a_new_steward_tells_lower_runs_to_yield(self):
+        # A steward takes a cell over; one entry registered a long tagging run, another is still
+        # silent. A question arrives and can only be finished if the tagging yields. It must not wait
+        # in vain until it expires: `expire` is not allowed before the run was told to yield.
+        cell = Cell(slots=1, members=("r1", "r2"))
+        tagging = ask("tag", tier=2, remaining_s=600.0, output_tokens=3000)
+        cell.receive(register("r1", running=[running(tagging)]))
+        cell.receive(ask("question", tier=0, remaining_s=2.0))
+        cell.advance(1.0)
+        self.assertEqual(cell.entries.ids(Preempt), ["tag"])
+
+
 if __name__ == "__main__":
     unittest.main()
