Router: registrations asked for, crash reports passed along the ring, cache events to the stewards, slower clock

Cause: a new steward waited up to 1.5 s for registrations nobody asked for; a crash report opened a link to every router; engines' cache events reached nobody; twenty ticks a second of 384 us were 0.77% of a core. Change: the parts are wired; the stewards' clock ticks every 0.1 s; heartbeats every 0.3 s by default, as settings say.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -37,7 +37,7 @@
             ("http://127.0.0.1:8700", "127.0.0.1:8700"),
             ("router-3=", "router-3:"),
             ('"127.0.0.1:7100"', '"127.0.0.1:8080"'),
-            ("peer_heartbeat_s: 0.5", "peer_heartbeats: 0.5"),
+            ("peer_heartbeat_s: 0.3", "peer_heartbeats: 0.5"),
         ):
             self.assertIn(old, text)
             text = text.replace(old, new)
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from wagtailtrestle.admin_http import AdminServer
+from wagtailtrestle.broadcast import Broadcast
 from wagtailtrestle.broken_invariant import report_broken
 from wagtailtrestle.caller_limits import DEFAULT_BODY_BYTES, CallerLimits, held_for
 from wagtailtrestle.callers_http import CallersServer
@@ -18,7 +19,7 @@
 from wagtailtrestle.declaration_check import parse_declaration
 from wagtailtrestle.directory import Directory
 from wagtailtrestle.engine_http import EngineClient
-from wagtailtrestle.engine_reports import EngineReports, LoadReport, LoadUnreachable
+from wagtailtrestle.engine_reports import EngineReports
 from wagtailtrestle.entry import Entry
 from wagtailtrestle.ledger import Ledger
 from wagtailtrestle.ledger_messages import ClaimAsk, NonceAsk, SettleAsk
@@ -31,11 +32,12 @@
 from wagtailtrestle.peers_grpc import Peers
 from wagtailtrestle.poison import CrashBook, CrashDetector, CrashReport
 from wagtailtrestle.rendezvous import Rendezvous
+from wagtailtrestle.report_messages import CacheEvents, LoadReport, LoadUnreachable
 from wagtailtrestle.retry_budget import RetryBudget
 from wagtailtrestle.steward_set import StewardSet
 from wagtailtrestle.vm_list import VMList
 
-TICK_S = 0.05
+TICK_S = 0.1
 REPORT_INTERVAL_S = 0.5
 CONNECT_TIMEOUT_S = 1.0
 BALANCER_GRACE_S = 1.0
@@ -90,7 +92,9 @@
             peers=self._peers,
             loop=self._loop,
             seeds=dict(settings.peers),
+            heartbeat_s=settings.peer_heartbeat_s,
         )
+        self._broadcast = Broadcast(peers=self._peers, targets=self._membership.broadcast_targets)
 
     def _make_configuration(self):
         self._peer_configuration = PeerConfiguration(
@@ -125,9 +129,9 @@
         self._crashes = CrashWatch(
             book=CrashBook(clock=self._loop.time, reporter=name),
             detector=CrashDetector(clock=self._loop.time),
-            broadcast=self._broadcast,
+            broadcast=self._broadcast.send,
         )
-        self._peers.on(CrashReport, lambda peer, report, cell: self._crashes.merge(report))
+        self._broadcast.on(CrashReport, key=lambda report: report.incident, handler=self._crashes.merge)
         self._make_ledger()
         self._entry = Entry(
             name=name,
@@ -312,6 +316,8 @@
                 self._stewards.on_load_report(report)
             case LoadUnreachable(engine=engine):
                 self._stewards.on_unreachable(engine)
+            case CacheEvents():
+                self._stewards.on_cache_events(report)
 
     def _budget_of(self, service):
         budget = self._budget_by_service.get(service)
@@ -322,10 +328,6 @@
     def _other_members(self):
         return [name for name in self._membership.view.everyone if name != self._settings.name]
 
-    def _broadcast(self, report):
-        for name in self._other_members():
-            self._peers.send(name, report)
-
     async def _ask(self, peer, message, timeout_s):
         if peer == self._settings.name:
             return await self._ledger.handle(message)
@@ -346,6 +348,8 @@
         while True:
             await asyncio.sleep(TICK_S)
             self._stewards.tick()
+            for cell, steward in self._stewards.by_cell.items():
+                self._directory.ask_to_register(cell=cell, entries=steward.awaited_entries)
             if self._configuration.in_force is not None:
                 self._watch_engines()
 
--- a/wagtailtrestle/steward_set.py
+++ b/wagtailtrestle/steward_set.py
@@ -69,6 +69,12 @@
         if steward is not None:
             steward.on_unreachable(engine)
 
+    def on_cache_events(self, events):
+        """Give what an engine stored and removed to the steward that holds it."""
+        steward = self._steward_of(events.engine)
+        if steward is not None:
+            steward.on_cache_events(events)
+
     def tick(self):
         """Let every steward sweep its deadlines."""
         for steward in self.by_cell.values():
