Measure what control traffic of requests costs, by side

Cause: the grant's message pair was measured in one process with many in flight, not as a daemon at full size sees it: about thirty stewards, half a request a second for each, runs of 12 s (1.9 million tokens over 5,800 requests, 37 ms each).

Change: wagtailtrestle.slopes.control, two processes (entry with fake callers, thirty stewards), relays between them count bytes; the view is fixed, so no heartbeats.

--- /dev/null
+++ b/wagtailtrestle/slopes/control.py
@@ -0,0 +1,145 @@
+"""Cost of the control traffic of requests: an entry and the stewards it asks, as processes.
+
+No data path and no heartbeats: what is measured is asking for a place, getting it, and
+telling of the run. Bytes are counted by relays between the two processes.
+"""
+
+import asyncio
+import json
+import sys
+
+from wagtailtrestle.slopes.counting_relay import CountingRelay
+from wagtailtrestle.slopes.line import Slope
+
+ROLE = "control"
+RATES = (0, 5, 15, 30)
+STEWARDS = 30
+# Letter 1's 1.9 million tokens a second over 5,800 requests a second, 37 ms each.
+RUN_S = 12.0
+SETTLE_S = 3.0
+WATCHED_S = 10.0
+# An IPv4 and a TCP header with timestamps; each segment is answered by a bare acknowledgement.
+SEGMENT_HEADER_BYTES = 52
+
+
+class Cost:
+    """What one rate of requests cost."""
+
+    __slots__ = ("entry_ms", "steward_ms", "bytes_per_s", "segments_per_s", "batches", "items", "wait_ms")
+
+    def __init__(self, *, before, after, requests, taken_s, payload, segments):
+        entry_before, stewards_before = before
+        entry_after, stewards_after = after
+        self.entry_ms = _grown(entry_before, entry_after, "processor_s") / taken_s * 1e3
+        self.steward_ms = _grown(stewards_before, stewards_after, "processor_s") / taken_s * 1e3
+        self.bytes_per_s = payload / taken_s
+        self.segments_per_s = segments / taken_s
+        each = max(requests, 1)
+        self.batches = sum(_grown(one, other, "batches") for one, other in zip(before, after, strict=True)) / each
+        self.items = sum(_grown(one, other, "items") for one, other in zip(before, after, strict=True)) / each
+        self.wait_ms = entry_after["wait_ms"]
+
+
+def _grown(before, after, name):
+    return after[name] - before[name]
+
+
+class ControlNode:
+    """A :mod:`wagtailtrestle.slopes.control_node` process."""
+
+    __slots__ = ("_process",)
+
+    async def start(self, kind, **settings):
+        """Start it and tell its settings."""
+        self._process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "wagtailtrestle.slopes.control_node", kind),
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.tell(settings)
+
+    def tell(self, values):
+        """Send a line."""
+        self._process.stdin.write(json.dumps(values).encode() + b"\n")
+
+    async def hear(self):
+        """Wait for a line."""
+        return json.loads(await self._process.stdout.readline())
+
+    async def figures(self):
+        """Ask for the figures so far."""
+        self.tell({})
+        return await self.hear()
+
+    async def close(self):
+        """Kill it."""
+        self._process.kill()
+        await self._process.wait()
+
+
+async def cost(*, rate, stewards=STEWARDS, run_s=RUN_S, watched_s=WATCHED_S):
+    """Cost of ``rate`` requests a second, each with a run of ``run_s``, over so many stewards."""
+    far, entry = ControlNode(), ControlNode()
+    await far.start("stewards", stewards=stewards)
+    addresses_by_name = await far.hear()
+    relays_by_name = {name: CountingRelay(target=address) for name, address in addresses_by_name.items()}
+    for relay in relays_by_name.values():
+        await relay.start()
+    relayed = {name: relay.address for name, relay in relays_by_name.items()}
+    far.tell(relayed)
+    await entry.start("entry", addresses_by_name=relayed, rate=rate, run_s=run_s)
+    try:
+        await asyncio.sleep(SETTLE_S + run_s)
+        return await _watch(entry, far, relays_by_name.values(), watched_s)
+    finally:
+        for each in (entry, far, *relays_by_name.values()):
+            closing = each.close()
+            if closing is not None:
+                await closing
+
+
+async def _watch(entry, far, relays, watched_s):
+    before = (await entry.figures(), await far.figures())
+    for relay in relays:
+        relay.reset()
+    await asyncio.sleep(watched_s)
+    payload = sum(relay.bytes_passed for relay in relays)
+    segments = sum(relay.segments for relay in relays)
+    after = (await entry.figures(), await far.figures())
+    return Cost(
+        before=before,
+        after=after,
+        requests=_grown(before[0], after[0], "finished"),
+        taken_s=_grown(before[0], after[0], "at"),
+        payload=payload,
+        segments=segments,
+    )
+
+
+def _print(quantity, costs, value):
+    points = [(rate, value(cost)) for rate, cost in costs]
+    Slope(role=ROLE, quantity=quantity, against="requests/s", points=points).print()
+
+
+async def _measure(rates):
+    costs = [(rate, await cost(rate=rate)) for rate in rates]
+    _print("processor time of the entry's side, ms a second", costs, lambda cost: cost.entry_ms)
+    _print("processor time of the stewards' side, ms a second", costs, lambda cost: cost.steward_ms)
+    _print("bytes a second both ways, without TCP/IP headers", costs, lambda cost: cost.bytes_per_s)
+    _print(
+        "bytes a second both ways, TCP/IP headers and acknowledgements added",
+        costs,
+        lambda cost: cost.bytes_per_s + cost.segments_per_s * 2 * SEGMENT_HEADER_BYTES,
+    )
+    _print("batches per request, both sides", costs, lambda cost: cost.batches)
+    _print("messages per request, both sides", costs, lambda cost: cost.items)
+    _print("median wait for a place, ms", costs, lambda cost: cost.wait_ms)
+
+
+def main(*rates):
+    """Print the slopes of control traffic."""
+    asyncio.run(_measure([float(rate) for rate in rates] or RATES))
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
--- /dev/null
+++ b/wagtailtrestle/slopes/control_node.py
@@ -0,0 +1,296 @@
+"""One end of the control traffic as a process: an entry with fake callers, or stewards.
+
+``stewards`` hosts several stewards, each with peers and a directory of its own, as an entry
+at full size talks to about thirty. The view is fixed, so there are no heartbeats. Told by
+lines of JSON on its standard input; each further line asks for the figures so far.
+"""
+
+import asyncio
+import json
+import random
+import sys
+import time
+import uuid
+
+from wagtailtrestle.crash_watch import CrashWatch
+from wagtailtrestle.declaration import LANGUAGE, Declaration, DeclaredEngine, Service
+from wagtailtrestle.directory import Directory
+from wagtailtrestle.entry import Entry
+from wagtailtrestle.exchange import CallerRequest, RunAdvanced, RunBegan, RunEnded, StartRun
+from wagtailtrestle.outcomes import RunDone
+from wagtailtrestle.peers_grpc import Peers
+from wagtailtrestle.poison import CrashBook, CrashDetector
+from wagtailtrestle.prompt_shape import shape_of
+from wagtailtrestle.retry_budget import RetryBudget
+from wagtailtrestle.run_progress import ADVANCE_INTERVAL_S
+from wagtailtrestle.steward_set import StewardSet
+from wagtailtrestle.view import View
+
+ENTRY = "router-entry"
+CELLS_PER_STEWARD = 2
+ENGINES_PER_CELL = 4
+PROMPT_BYTES = 8192
+PROMPTS = 40
+FIRST_TOKEN_S = 0.5
+TICK_S = 1.0
+
+
+class FixedMembership:
+    """A view that never changes: the stewards, and one router that is entry only."""
+
+    __slots__ = ("draining", "trusted", "view")
+
+    def __init__(self, *, stewards):
+        self.view = View(members=stewards, draining=(ENTRY,))
+        self.trusted = True
+        self.draining = False
+
+    def on_view_change(self, callback):
+        """Nothing ever changes."""
+
+    def on_trusted(self, callback):
+        """It is trusted from the start."""
+
+
+class FakeCaller:
+    """Runs what it is told on no engine and tells of it as an engine's reader would."""
+
+    __slots__ = ("_began_at", "_node", "_request_id")
+
+    def __init__(self, *, node, request_id):
+        self._node = node
+        self._request_id = request_id
+        self._began_at = time.monotonic()
+
+    def post(self, command):
+        """Take one command of the request's task."""
+        if isinstance(command, StartRun):
+            self._node.waits_s.append(time.monotonic() - self._began_at)
+            self._run(command.run_id)
+
+    def cancel_run(self, *, run_id, engine, address):
+        """Nothing is cancelled here."""
+
+    def _run(self, run_id):
+        self._later(FIRST_TOKEN_S, RunBegan(run_id=run_id, first_token_s=FIRST_TOKEN_S, prompt_tokens=2048))
+        run_s = self._node.run_s
+        at_s = FIRST_TOKEN_S + ADVANCE_INTERVAL_S
+        while at_s < run_s:
+            self._later(at_s, RunAdvanced(run_id=run_id, output_tokens=int(at_s * 27)))
+            at_s += ADVANCE_INTERVAL_S
+        outcome = RunDone(output_tokens=int(run_s * 27))
+        self._later(run_s, RunEnded(run_id=run_id, outcome=outcome, duration_s=run_s, first_token_s=FIRST_TOKEN_S))
+
+    def _later(self, delay_s, event):
+        self._node.loop.call_later(delay_s, self._tell, event)
+
+    def _tell(self, event):
+        self._node.finished += isinstance(event, RunEnded)
+        self._node.entry.post(self._request_id, event)
+
+
+class Node:
+    """What both kinds of process have in common: declaration and figures."""
+
+    def __init__(self, *, loop, stewards):
+        self.loop = loop
+        self.cells = tuple(f"asistente-cell-{number}" for number in range(stewards * CELLS_PER_STEWARD))
+        self.declaration = _declaration(self.cells)
+        self.peers = []
+        self.waits_s = []
+        self.finished = 0
+
+    def figures(self):
+        """Figures since the start."""
+        links = [link for peers in self.peers for state in peers.dump().values() if (link := state["link"])]
+        waits, self.waits_s = sorted(self.waits_s), []
+        return {
+            "at": time.monotonic(),
+            "processor_s": time.process_time(),
+            "batches": sum(link["batches_sent"] for link in links),
+            "items": sum(link["items_sent"] for link in links),
+            "finished": self.finished,
+            "wait_ms": waits[len(waits) // 2] * 1e3 if waits else 0.0,
+        }
+
+
+class EntryNode(Node):
+    """The entry: submits requests at a rate."""
+
+    def __init__(self, *, loop, addresses_by_name, rate, run_s):
+        super().__init__(loop=loop, stewards=len(addresses_by_name))
+        self.run_s = run_s
+        self._rate = rate
+        self._addresses_by_name = addresses_by_name
+        self._random = random.Random(1)
+        self._shapes = [shape_of(f"{number:04}" * (PROMPT_BYTES // 4)) for number in range(PROMPTS)]
+
+    async def start(self):
+        """Link to the stewards and begin to submit."""
+        peers = Peers(name=ENTRY, incarnation=1, listen_address="127.0.0.1:0", loop=self.loop)
+        self.peers.append(peers)
+        directory = Directory(
+            name=ENTRY,
+            membership=FixedMembership(stewards=self._addresses_by_name),
+            peers=peers,
+            loop=self.loop,
+            deliver_to_steward=lambda cell, message: None,
+            deliver_to_entry=lambda message: self.entry.on_steward_message(message),
+            register=lambda cell: self.entry.register(cell),
+            cells=lambda: self.cells,
+        )
+        self.entry = self._entry(directory.steward_link)
+        await peers.start()
+        peers.set_addresses(self._addresses_by_name)
+        peers.keep(set(self._addresses_by_name))
+        directory.refresh()
+        self._next()
+
+    def _entry(self, stewards):
+        budget = RetryBudget(clock=self.loop.time)
+        crashes = CrashWatch(
+            book=CrashBook(clock=self.loop.time),
+            detector=CrashDetector(clock=self.loop.time),
+            broadcast=lambda report: None,
+        )
+        return Entry(
+            name=ENTRY,
+            stewards=stewards,
+            claims=None,
+            crashes=crashes,
+            budget_by_service=lambda service: budget,
+            declaration=lambda: self.declaration,
+            loop=self.loop,
+        )
+
+    def _next(self):
+        if self._rate:
+            self.loop.call_later(self._random.expovariate(self._rate), self._submit)
+
+    def _submit(self):
+        self._next()
+        shape = self._random.choice(self._shapes)
+        request_id = f"{ENTRY}-{uuid.uuid4().hex}"
+        request = CallerRequest(
+            request_id=request_id,
+            service="asistente",
+            team="team-17",
+            route="chat",
+            tier=1,
+            repeatable=True,
+            at_most_once=False,
+            idempotency_key="",
+            body_digest=request_id,
+            prompt_tokens=shape.tokens,
+            output_tokens=400,
+            prefix_blocks=shape.prefix_blocks,
+            deadline=self.loop.time() + 120,
+        )
+        self.entry.submit(request, FakeCaller(node=self, request_id=request_id))
+
+
+class StewardsNode(Node):
+    """Stewards that the entry asks."""
+
+    def __init__(self, *, loop, stewards):
+        super().__init__(loop=loop, stewards=stewards)
+        self._names = [f"router-{number}" for number in range(stewards)]
+        self._sets = []
+
+    async def start(self):
+        """Listen; the result maps names to addresses."""
+        membership = FixedMembership(stewards=self._names)
+        for name in self._names:
+            peers = Peers(name=name, incarnation=1, listen_address="127.0.0.1:0", loop=self.loop)
+            self._add(peers, membership)
+            await peers.start()
+            self.peers.append(peers)
+        self.loop.call_later(TICK_S, self._tick)
+        return {peers.name: peers.address for peers in self.peers}
+
+    def advertise(self, addresses_by_name):
+        """Tell the entry to come through the relays."""
+        for peers in self.peers:
+            peers.address = addresses_by_name[peers.name]
+
+    def _add(self, peers, membership):
+        directory = Directory(
+            name=peers.name,
+            membership=membership,
+            peers=peers,
+            loop=self.loop,
+            deliver_to_steward=lambda cell, message: stewards.deliver(cell, message),
+            deliver_to_entry=lambda message: None,
+            register=lambda cell: None,
+            cells=lambda: self.cells,
+        )
+        stewards = StewardSet(clock=self.loop.time, entries=directory.entry_link)
+        stewards.set_declaration(self.declaration)
+        stewards.set_members((ENTRY,))
+        self._sets.append(stewards)
+
+    def _tick(self):
+        self.loop.call_later(TICK_S, self._tick)
+        for stewards in self._sets:
+            stewards.tick()
+
+
+def _declaration(cells):
+    engines = [_engine(cell, number) for cell in cells for number in range(ENGINES_PER_CELL)]
+    return Declaration(
+        organisation="slopes",
+        zones_by_region={"region": ("zone",)},
+        tiers_by_name={},
+        teams_by_name={},
+        services_by_name={"asistente": Service(name="asistente", kind=LANGUAGE, routes_by_name={})},
+        engines_by_name={engine.name: engine for engine in engines},
+    )
+
+
+def _engine(cell, number):
+    return DeclaredEngine(
+        name=f"{cell}-{number}",
+        service="asistente",
+        cell=cell,
+        zone="zone",
+        hardware="gen1",
+        address="127.0.0.1:9",
+        slots=64,
+        step_ms=37.0,
+        prefill_tokens_per_s=20000.0,
+    )
+
+
+async def _read(reader):
+    line = await reader.readline()
+    return json.loads(line) if line else None
+
+
+def _tell(values):
+    print(json.dumps(values), flush=True)
+
+
+async def _stdin(loop):
+    reader = asyncio.StreamReader()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    return reader
+
+
+async def run(kind):
+    """Run until the standard input ends."""
+    loop = asyncio.get_running_loop()
+    reader = await _stdin(loop)
+    told = await _read(reader)
+    if kind == "entry":
+        node = EntryNode(loop=loop, **told)
+        await node.start()
+    else:
+        node = StewardsNode(loop=loop, stewards=told["stewards"])
+        _tell(await node.start())
+        node.advertise(await _read(reader))
+    while await _read(reader) is not None:
+        _tell(node.figures())
+
+
+if __name__ == "__main__":
+    asyncio.run(run(sys.argv[1]))
