--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 unit: $(VENV)/.installed
 	$(BIN)/python -m tests
 
-test: lint unit
+test: lint model unit
 
 format: $(VENV)/.installed
 	$(BIN)/ruff check --fix wagtailtrestle tests
