Ask for a sign of life only where a lost message costs something

Cause: on a link used half a request a second, each Granted, RunStarted, RunProgress and RunFinished went 0.35 s without an answer, so each cost a Ping and a Pong.

Change: each type has a patience (peer_delays): asks as before; Granted 0.5 s more (the first token answers it), RunFinished 2 s more (a lost one leaves a place taken that much longer, on a connection gone silent only); RunStarted, RunProgress and heartbeats ask for none (partners watch each other's heartbeats by themselves).

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -22,7 +22,7 @@
 from wagtailtrestle.outcomes import Reason
 from wagtailtrestle.peer_codec import BODIES, decode, encode
 from wagtailtrestle.peer_delays import delay_of
-from wagtailtrestle.peer_messages import ConfigurationAsk, ConfigurationText, PeerUnreachable
+from wagtailtrestle.peer_messages import ConfigurationAsk, ConfigurationText, Heartbeat, PeerUnreachable
 from wagtailtrestle.peer_outbox import Outbox
 from wagtailtrestle.peers_grpc import Peers
 
@@ -110,6 +110,34 @@
         await until(lambda: "after" in got)
         self.assertEqual((forwarder.connections, unreachable), (2, []))
 
+    async def test_end_of_a_run_is_lost_on_a_silent_connection(self):
+        # The steward never hears that a place is free, and nothing else is said on that connection. The end of a
+        # run waits longer than others for a sign, but not for ever: then a new connection makes the entry register.
+        a, b = await self.make("a"), await self.make("b")
+        forwarder = TcpForwarder(target=b.address)
+        await forwarder.start()
+        self.addAsyncCleanup(forwarder.close)
+        b.address = forwarder.address
+        reconnected = []
+        a.set_addresses({"b": forwarder.address})
+        a.on_reconnect(reconnected.append)
+        a.send("b", RunFinished(request_id="before", engine="e", result="RunDone", duration_s=1.0))
+        await until(lambda: b.unknown_items == 1)
+        forwarder.lose_track()
+        a.send("b", RunFinished(request_id="lost", engine="e", result="RunDone", duration_s=1.0))
+        await until(lambda: len(reconnected) == 2)
+
+    async def test_what_only_informs_asks_for_no_sign(self):
+        # A run's progress and heartbeats go one way for a while. Were each answered by a sign of life, there
+        # would be three messages for one.
+        a, b = await self.pair()
+        a.send("b", RunStarted(request_id="x", engine="e", first_token_s=0.1))
+        await until(lambda: a.connected("b"))
+        a.send("b", Heartbeat(incarnation=1, version=1, generation=1, draining=False, view_digest=1))
+        await until(lambda: b.unknown_items == 2)
+        await asyncio.sleep(1.0)
+        self.assertEqual((a.dump()["b"]["link"]["items_received"], a.dump()["b"]["link"]["items_sent"]), (0, 2))
+
     async def test_used_link_falls_quiet(self):
         # One message is sent and none comes back, so the sender asks once for a sign of life. That sign needs
         # none in return: otherwise both ends would ask each other for ever on every link once used.
@@ -330,6 +358,20 @@
 
         self.run_on_fast_loop(test)
 
+    def test_batch_has_the_patience_of_its_most_urgent_item(self):
+        # An ask for a place rides with the end of a run: the peer's silence is noticed as soon as for the ask.
+        async def test(outbox):
+            self.put(outbox, RunStarted(request_id="a", engine="e", first_token_s=0.1))
+            self.put(outbox, RunFinished(request_id="b", engine="e", result="RunDone", duration_s=0.2))
+            self.take(outbox)
+            patience_s = outbox.patience_s
+            self.put(outbox, RunFinished(request_id="c", engine="e", result="RunDone", duration_s=0.2))
+            self.put(outbox, grant_request())
+            self.take(outbox)
+            self.assertEqual((patience_s, outbox.patience_s), (2.0, 0.0))
+
+        self.run_on_fast_loop(test)
+
     def test_clear_drops_what_is_held_too(self):
         # The link is dropped after an overflow; a later progress must not look for one that is gone.
         async def test(outbox):
--- a/wagtailtrestle/peer_delays.py
+++ b/wagtailtrestle/peer_delays.py
@@ -7,7 +7,8 @@
 
 from dataclasses import dataclass
 
-from wagtailtrestle.messages import RunProgress, RunStarted
+from wagtailtrestle.messages import Granted, RunFinished, RunProgress, RunStarted
+from wagtailtrestle.peer_messages import Heartbeat, Pong
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
@@ -36,9 +37,18 @@
 
 DELAY_BY_TYPE = {
     # The steward counts a prompt as still to be prefilled until this comes: soon, not at once.
-    RunStarted: Delay(leave_within_s=0.1),
+    RunStarted: Delay(leave_within_s=0.1, patience_s=None),
     # The steward goes on by the clock from the last one; only preemption's price, tokens thrown away, lags.
-    RunProgress: Delay(ride_after_s=4.0, leave_within_s=8.0, is_replaceable=True),
+    RunProgress: Delay(ride_after_s=4.0, leave_within_s=8.0, is_replaceable=True, patience_s=None),
+    # The first token answers it, mostly before this. An ask just made is watched by the entry itself.
+    Granted: Delay(patience_s=0.5),
+    # Lost on a connection gone silent, it leaves a place taken that is free. Between two routers at full size
+    # something comes back of itself within about a second; a sign asked for each end of a run would double them.
+    RunFinished: Delay(patience_s=2.0),
+    # Partners watch each other's heartbeats, and replace a connection on which they stop.
+    Heartbeat: Delay(patience_s=None),
+    # Were a sign of life to ask for one, both ends would go on for ever.
+    Pong: Delay(patience_s=None),
 }
 
 
--- a/wagtailtrestle/peer_link.py
+++ b/wagtailtrestle/peer_link.py
@@ -6,7 +6,6 @@
 
 FLUSH_INTERVAL_S = 0.002
 RETIRE_AFTER_S = 1.0
-PONG_BODY = "pong"
 
 
 class Link:
@@ -120,12 +119,17 @@
                 await asyncio.sleep(early_s)
             items = self._outbox.take()
             flushed_at = self._loop.time()
-            if self.awaiting_since is None and _wants_a_sign(items):
-                self.awaiting_since = flushed_at
+            self._expect_a_sign(flushed_at)
             await self._stream.send_message(pb.Batch(items=items))
             self.batches_sent += 1
             self.items_sent += len(items)
 
+    def _expect_a_sign(self, now):
+        """Note from when on the peer's silence tells something, if what was just taken asks for a sign."""
+        patience_s = self._outbox.patience_s
+        if patience_s is not None and (self.awaiting_since is None or now + patience_s < self.awaiting_since):
+            self.awaiting_since = now + patience_s
+
     def dump(self):
         """State for the dump: ages in seconds."""
         now = self._loop.time()
@@ -139,8 +143,3 @@
             "items_sent": self.items_sent,
             "items_received": self.items_received,
         }
-
-
-def _wants_a_sign(items):
-    """Whether something must come back; a sign of life alone asks for none, or both ends would go on for ever."""
-    return len(items) > 1 or items[0].WhichOneof("body") != PONG_BODY
--- a/wagtailtrestle/peers_grpc.py
+++ b/wagtailtrestle/peers_grpc.py
@@ -272,7 +272,7 @@
             self._questions.answered(peer, item.answer_to, message)
             return
         if type(message) is Ping:
-            state.outbox.put(encode(Pong(), answer_to=item.question))
+            state.outbox.put(encode(Pong(), answer_to=item.question), delay=delay_of(Pong()))
             return
         if type(message) is Pong:
             return
