Tell every router when a suspect ran whole; suspects of two crashes ask to run alone

Cause: a whole answer cleared a request only on the router that saw it, so another could go on blaming an innocent one; and suspects that always die together were never told apart, as nothing asked for them to run alone. Change: CrashClearance names the crashes a request is cleared of and goes through the broadcast; it is idempotent, may overtake its report, and does not clear a later crash. CrashBook.runs_alone after two unexplained crashes (after one, all neighbours of an engine that failed by itself would be isolated); GrantRequest.alone carries it, the steward honours it in the next change. Each new test failed without its safeguard: early clearances dropped ("True is not false"), ALONE_AFTER 1, and no broadcast of the clearance. Conclusion: clearances are shared; isolation can be built on the field.

--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -3,6 +3,8 @@
 import unittest
 
 from tests.utils.steward_fakes import Clock
+from wagtailtrestle.crash_watch import CrashWatch
+from wagtailtrestle.outcomes import RunCut, RunDone
 from wagtailtrestle.poison import (
     CRASH_LIMIT,
     CRASH_WINDOW_S,
@@ -10,6 +12,7 @@
     RESTART_WINDOW_S,
     SAME_CRASH_S,
     CrashBook,
+    CrashClearance,
     CrashDetector,
     CrashReport,
     fingerprint_of,
@@ -56,6 +59,17 @@
         self.assertFalse(self.book.is_suspect("innocent"))
         self.assertTrue(self.book.is_suspect("poison"))
 
+    def test_suspects_run_alone_only_after_a_second_crash_that_nothing_else_explains(self):
+        # After one crash everything that ran there is suspected. Run alone, each would need an
+        # engine to itself because of a crash that has most often nothing to do with it.
+        self.crash("e1", "poison", "neighbour", "unlucky")
+        self.assertFalse(self.book.runs_alone("poison"))
+        self.crash("e2", "poison", "unlucky")
+        alone = [name for name in ("poison", "neighbour", "unlucky") if self.book.runs_alone(name)]
+        self.assertEqual(alone, ["poison", "unlucky"])
+        self.crash("e3", "poison")
+        self.assertFalse(self.book.runs_alone("unlucky") or self.book.runs_alone("poison"))
+
     def test_crashes_are_forgotten(self):
         for number in range(CRASH_LIMIT):
             self.crash(f"e{number}", "poison")
@@ -108,6 +122,39 @@
             other.merge(known)
         self.assertEqual(other.dump(), book.dump())
 
+    def test_a_clearance_on_one_router_is_one_on_all(self):
+        # An innocent request dies beside the poison twice, then runs whole through r1. Without
+        # the word of r1, r2 would go on suspecting it, and refuse it after the next two crashes
+        # beside which it happens to run. The word may overtake a report, and come twice.
+        clock = Clock()
+        here, there = (CrashBook(clock=clock, reporter=name) for name in ("r1", "r2"))
+        told = []
+        for engine in ("e1", "e2"):
+            clock.now += 2 * SAME_CRASH_S
+            told.append(here.note_crash(engine, {"poison": 1, "innocent": 1}))
+        there.merge(told[0])
+        clearance = here.note_success("innocent")
+        there.merge_clearance(clearance)
+        there.merge(told[1])
+        self.assertFalse(there.is_suspect("innocent"))
+        self.assertTrue(there.runs_alone("poison"))
+        self.assertIsNone(here.note_success("innocent"))
+        clock.now += 2 * SAME_CRASH_S
+        there.note_crash("e3", {"innocent": 1})
+        there.merge_clearance(clearance)
+        self.assertTrue(there.is_suspect("innocent"))
+
+    def test_whole_answers_are_told_to_the_others(self):
+        sent = []
+        book = CrashBook(clock=Clock())
+        watch = CrashWatch(book=book, detector=CrashDetector(clock=Clock()), broadcast=sent.append)
+        for body_digest in ("a", "b"):
+            watch.note(engine="e1", body_digest=body_digest, outcome=RunCut(detail="cut"), was_sent=True)
+        done = RunDone(prompt_tokens=1, cached_tokens=0, output_tokens=1)
+        watch.note(engine="e2", body_digest="a", outcome=done, was_sent=True)
+        watch.note(engine="e2", body_digest="a", outcome=done, was_sent=True)
+        self.assertEqual([type(message) for message in sent], [CrashReport, CrashClearance])
+
     def test_fingerprint_hides_the_digest(self):
         self.assertNotIn("digest", fingerprint_of("digest"))
         self.assertEqual(len(fingerprint_of("digest")), 64)
--- a/tests/utils/stewardship_replay.py
+++ b/tests/utils/stewardship_replay.py
@@ -191,6 +191,9 @@
     def blocked(self, body_digest):
         return False
 
+    def runs_alone(self, body_digest):
+        return False
+
     def note(self, **_):
         return None
 
--- a/wagtailtrestle/crash_watch.py
+++ b/wagtailtrestle/crash_watch.py
@@ -12,7 +12,7 @@
     book : CrashBook
     detector : CrashDetector
     broadcast : Callable
-        Sends a ``CrashReport`` to every other router.
+        Sends a ``CrashReport`` or ``CrashClearance`` to every other router.
     """
 
     __slots__ = ("_book", "_detector", "_broadcast")
@@ -26,6 +26,10 @@
         """Whether a request with this body must not run again."""
         return self._book.blocked(fingerprint_of(body_digest))
 
+    def runs_alone(self, body_digest):
+        """Whether a request with this body must run beside no other."""
+        return self._book.runs_alone(fingerprint_of(body_digest))
+
     def note(self, *, engine, body_digest, outcome, was_sent):
         """Take in the end of one run, or of one try to attach to it.
 
@@ -37,7 +41,7 @@
         fingerprint = fingerprint_of(body_digest)
         match outcome:
             case RunDone():
-                self._book.note_success(fingerprint)
+                self._clear(fingerprint)
             case RunCut():
                 self._report(engine, self._detector.on_cut(engine, fingerprint))
             case RunLost():
@@ -49,6 +53,10 @@
         """Take in another router's report."""
         self._book.merge(report)
 
+    def merge_clearance(self, clearance):
+        """Take in another router's clearance."""
+        self._book.merge_clearance(clearance)
+
     def reports(self):
         """Everything known, for a router that starts."""
         return self._book.reports()
@@ -57,6 +65,11 @@
         """Plain data for the state dump."""
         return self._book.dump()
 
+    def _clear(self, fingerprint):
+        clearance = self._book.note_success(fingerprint)
+        if clearance is not None:
+            self._broadcast(clearance)
+
     def _report(self, engine, suspects):
         if suspects:
             self._broadcast(self._book.note_crash(engine, suspects))
--- a/wagtailtrestle/messages.py
+++ b/wagtailtrestle/messages.py
@@ -37,6 +37,8 @@
         Time left to the caller's deadline.
     excluded_engines : tuple of str
         Engines this request must not go to again.
+    alone : bool
+        Whether it is suspected of crashing engines and must run beside no other.
     """
 
     request_id: str
@@ -53,6 +55,7 @@
     done_tokens: int = 0
     prefix_blocks: tuple = ()
     excluded_engines: tuple = ()
+    alone: bool = False
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
--- a/wagtailtrestle/peer_codec.py
+++ b/wagtailtrestle/peer_codec.py
@@ -43,6 +43,7 @@
     ledger_messages.NonceAsk: ("nonce_ask", pb.NonceAsk),
     ledger_messages.NonceAnswer: ("nonce_answer", pb.NonceAnswer),
     poison.CrashReport: ("crash_report", pb.CrashReport),
+    poison.CrashClearance: ("crash_clearance", pb.CrashClearance),
 }
 
 # Types that appear only inside others.
--- a/wagtailtrestle/poison.py
+++ b/wagtailtrestle/poison.py
@@ -5,18 +5,28 @@
 engine is an incident; whatever ran there is a suspect, and one of them is to blame. Blame
 for an incident goes to the suspects that were in the most incidents, in equal parts: an
 innocent request that died beside the poisoned one once or twice is cleared as soon as
-the poisoned one dies without it. Suspects are to be run alone, which makes that quick.
+the poisoned one dies without it. Suspects of two crashes run alone, which makes that quick.
 """
 
 import hashlib
 import itertools
 import secrets
-from collections import Counter
+from collections import Counter, OrderedDict
 from dataclasses import dataclass
 
 CRASH_LIMIT = 3
 """Blame at which a fingerprint is refused: whole crashes that only it explains."""
 
+ALONE_AFTER = 2
+"""Crashes after which a suspect runs beside no other.
+
+After one crash as many are suspected as ran there, nearly all of them innocent, and an engine
+may fail of itself; they run as ever and most are cleared by their own answers.
+"""
+
+EARLY_CLEARANCES = 1024
+"""Clearances kept for crashes that this router hasn't heard of yet."""
+
 CRASH_WINDOW_S = 600.0
 """How long a crash is held against what ran there."""
 
@@ -57,6 +67,20 @@
     age_s: float = 0.0
 
 
+@dataclass(slots=True, frozen=True, kw_only=True)
+class CrashClearance:
+    """One router's word that a request ran whole, so that it caused none of these crashes.
+
+    Parameters
+    ----------
+    incidents : tuple of str
+        Only these: a crash that comes later is not cleared by a late copy of this message.
+    """
+
+    fingerprint: str
+    incidents: tuple
+
+
 class _Incident:
     """One crash: when, of which engine, who ran there by which report, and who was cleared."""
 
@@ -89,7 +113,17 @@
         Name of this router, part of its incidents' ids; made up if left out.
     """
 
-    __slots__ = ("_clock", "_limit", "_window_s", "_reporter", "_count", "_incidents", "_blame_by_fingerprint")
+    __slots__ = (
+        "_clock",
+        "_limit",
+        "_window_s",
+        "_reporter",
+        "_count",
+        "_incidents",
+        "_blame_by_fingerprint",
+        "_crashes_by_fingerprint",
+        "_early_by_incident",
+    )
 
     def __init__(self, *, clock, limit=CRASH_LIMIT, window_s=CRASH_WINDOW_S, reporter=""):
         self._clock = clock
@@ -99,6 +133,8 @@
         self._count = 0
         self._incidents = []
         self._blame_by_fingerprint = {}
+        self._crashes_by_fingerprint = {}
+        self._early_by_incident = OrderedDict()
 
     def note_crash(self, engine, by_fingerprint_running) -> CrashReport:
         """Count a crash seen here; ``by_fingerprint_running`` holds what this router ran there."""
@@ -117,21 +153,53 @@
         incident = self._incident_of(report)
         known = incident.suspects_by_report.setdefault(report.incident, set())
         known.update(report.suspects)
+        incident.cleared |= self._early_by_incident.pop(report.incident, set())
         self._assign_blame()
 
-    def note_success(self, fingerprint):
-        """Clear a request that ran whole: it does not crash what runs it."""
+    def note_success(self, fingerprint) -> CrashClearance | None:
+        """Clear a request that ran whole: it does not crash what runs it.
+
+        Returns
+        -------
+        CrashClearance or None
+            What the other routers are to be told, if there was anything to clear.
+        """
         if fingerprint not in self._blame_by_fingerprint:
-            return
+            return None
+        suspected = [incident for incident in self._incidents if fingerprint in incident.suspects]
+        incidents = tuple(sorted(name for incident in suspected for name in incident.suspects_by_report))
+        clearance = CrashClearance(fingerprint=fingerprint, incidents=incidents)
+        self.merge_clearance(clearance)
+        return clearance
+
+    def merge_clearance(self, clearance: CrashClearance):
+        """Clear a request of the crashes named, by any router's word; twice is as once."""
+        self._forget_old()
+        unknown = set(clearance.incidents)
         for incident in self._incidents:
-            incident.cleared.add(fingerprint)
+            if unknown & incident.suspects_by_report.keys():
+                incident.cleared.add(clearance.fingerprint)
+                unknown -= incident.suspects_by_report.keys()
+        for name in unknown:
+            # A clearance may overtake the report of its crash on another way through the
+            # routers. Dropped, it would leave an innocent request suspected here alone.
+            self._early_by_incident.setdefault(name, set()).add(clearance.fingerprint)
+        while len(self._early_by_incident) > EARLY_CLEARANCES:
+            self._early_by_incident.popitem(last=False)
         self._assign_blame()
 
     def is_suspect(self, fingerprint) -> bool:
-        """Whether it ran in a crash that is not explained; it is to run beside no other."""
+        """Whether it ran in a crash of which it was not cleared."""
         self._forget_old()
         return fingerprint in self._blame_by_fingerprint and not self.blocked(fingerprint)
 
+    def runs_alone(self, fingerprint) -> bool:
+        """Whether it shares the blame for several crashes, so that it must run beside no other."""
+        if not self.is_suspect(fingerprint):
+            return False
+        blamed = self._blame_by_fingerprint[fingerprint] > 0.0
+        return blamed and self._crashes_by_fingerprint[fingerprint] >= ALONE_AFTER
+
     def blocked(self, fingerprint) -> bool:
         """Whether it is to blame for so many crashes that no engine may run it."""
         self._forget_old()
@@ -180,6 +248,7 @@
             for fingerprint in guilty:
                 blame[fingerprint] += 1.0 / len(guilty)
         self._blame_by_fingerprint = blame
+        self._crashes_by_fingerprint = counts
 
     def _forget_old(self):
         horizon = self._clock() - self._window_s
--- a/wagtailtrestle/request_task.py
+++ b/wagtailtrestle/request_task.py
@@ -144,6 +144,7 @@
         "_nonce",
         "_caller_gone",
         "_address",
+        "_alone",
     )
 
     def __init__(self, *, request, caller, context, cell):
@@ -169,6 +170,7 @@
         self._nonce = ""
         self._caller_gone = False
         self._address = ""
+        self._alone = False
 
     def post(self, message):
         """Queue a message for this task."""
@@ -206,6 +208,7 @@
             done_tokens=self.done_tokens,
             prefix_blocks=request.prefix_blocks,
             excluded_engines=tuple(sorted(self._excluded)),
+            alone=self._alone,
         )
 
     def running_record(self):
@@ -283,6 +286,7 @@
     async def _obtain_place(self):
         self.state = RequestState.QUEUED
         self.attempt += 1
+        self._alone = self.context.crashes.runs_alone(self.request.body_digest)
         self.context.send(self.cell, self.grant_request())
         while True:
             message = await self._next_message(until=self.request.deadline)
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -30,7 +30,7 @@
 from wagtailtrestle.peer_configuration import PeerConfiguration
 from wagtailtrestle.peer_messages import PeerUnreachable
 from wagtailtrestle.peers_grpc import Peers
-from wagtailtrestle.poison import CrashBook, CrashDetector, CrashReport
+from wagtailtrestle.poison import CrashBook, CrashClearance, CrashDetector, CrashReport
 from wagtailtrestle.rendezvous import Rendezvous
 from wagtailtrestle.report_messages import CacheEvents, LoadReport, LoadUnreachable
 from wagtailtrestle.retry_budget import RetryBudget
@@ -132,6 +132,7 @@
             broadcast=self._broadcast.send,
         )
         self._broadcast.on(CrashReport, key=lambda report: report.incident, handler=self._crashes.merge)
+        self._broadcast.on(CrashClearance, key=lambda clearance: clearance, handler=self._crashes.merge_clearance)
         self._make_ledger()
         self._entry = Entry(
             name=name,
