--- a/tests/test_spec_replay.py
+++ b/tests/test_spec_replay.py
@@ -172,6 +172,15 @@
                 followed |= {action.partition("(")[0] for action in replay.monitor.taken}
         self.assertLessEqual({"grant", "finish", "seen_empty", "end", "hand_over", "listed_unmark"}, followed)
 
+    def test_what_is_believed_of_an_engine_follows_every_teller(self):
+        # Declaration and list mark an engine as leaving and take it back, in every order. While one
+        # of them marks it, it gets no work; once neither does, it must get work again.
+        for tellers in itertools.product(("declared", "listed"), repeat=4):
+            with self.subTest(tellers=tellers):
+                replay = DrainReplay(specification=draining.specification(), trace=None)
+                expected, believed = on_paused_clock(replay.toggle(tellers))
+                self.assertEqual(believed, expected)
+
 
 class TierOrderTest(unittest.TestCase):
     """Rules of the stewardship's specification that no trace of three requests shows."""
--- a/tests/utils/draining_replay.py
+++ b/tests/utils/draining_replay.py
@@ -8,6 +8,7 @@
 from wagtailtrestle.exchange import RunEnded
 from wagtailtrestle.messages import Granted
 from wagtailtrestle.outcomes import RunDone
+from wagtailtrestle.spec.checker import Step
 from wagtailtrestle.spec.draining import ENGINES, LEAVER
 from wagtailtrestle.spec.monitor import Monitor
 from wagtailtrestle.steward_set import StewardSet
@@ -69,6 +70,19 @@
             self._tell_drained()
         await self._entry.close()
 
+    async def toggle(self, tellers):
+        """Let tellers mark the engine or take it back in turn; returns what should be and is believed."""
+        self._entry, _ = make_entry(loop=asyncio.get_running_loop(), declaration=self._declaration)
+        self._stewards = self._new_stewards()
+        self._stewards.deliver(CELL, ask("first"))
+        expected, believed = [], []
+        for teller in tellers:
+            verb = "unmark" if self.monitor.read(f"{teller}_leaving") else "mark"
+            self._follow(Step(action=f"{teller}_{verb}()", state={}))
+            expected.append(self.monitor.read("believed_leaving"))
+            believed.append(self._stewards.dump()[CELL]["engines"][LEAVER]["leaving"])
+        return expected, believed
+
     def _new_stewards(self):
         stewards = StewardSet(clock=asyncio.get_running_loop().time, entries=self._entries)
         stewards.set_declaration(self._declaration)
--- a/wagtailtrestle/spec/checks.py
+++ b/wagtailtrestle/spec/checks.py
@@ -16,7 +16,7 @@
 """Steps within which every mutant must be refuted and every witness reached."""
 
 BOUNDED_STEPS = 8
-DEEP_BOUNDED_STEPS = 18
+DEEP_BOUNDED_STEPS = 24
 """Steps searched in the whole specification, as a second way beside the induction."""
 
 
--- a/wagtailtrestle/spec/claims.py
+++ b/wagtailtrestle/spec/claims.py
@@ -8,6 +8,8 @@
 
 import z3
 
+from wagtailtrestle.spec.claims_proof import lemmas
+from wagtailtrestle.spec.claims_terms import NOBODY, REQUEST, ROUTERS, RUNS, TOLD, UNREAD
 from wagtailtrestle.spec.language import (
     FALSE,
     TRUE,
@@ -22,16 +24,6 @@
     variable_name,
 )
 
-ROUTERS = 2
-NOBODY = "nobody"
-UNREAD = "unread"
-
-# queued, dispatched, finished, refused, unknown as in RequestState; claiming and running as in
-# NonceState; gone: its router died.
-REQUEST = Domain("queued", "claiming", "running", "dispatched", "finished", "refused", "unknown", "gone")
-TOLD = Domain("nothing", "no", "unknown", "answer")
-RUNS = Domain("none", "one", "more")
-
 ONCE = "at most once"
 TRUTH_TOLD = "told not run means not run"
 ANSWER_OF_RUN = "an answer is the answer of a run"
@@ -139,7 +131,7 @@
             actions=self.actions,
             initial=self.initial,
             properties_by_name=self._properties(),
-            lemmas=self._lemmas(),
+            lemmas=lemmas(self),
             witnesses_by_name=self._witnesses(),
             limits_by_name=self._limits(),
         )
@@ -327,73 +319,6 @@
             ANSWER_OF_RUN: all_of(z3.Implies(v("told", send) == TOLD["answer"], any_of(ran)) for send in self.sends),
         }
 
-    def _lemmas(self):
-        v = self.v
-        holds = [self._stands(v("holder"), send) for send in self.sends]
-        lemmas = []
-        for send in self.sends:
-            state = v("request", send)
-            refused = state == REQUEST["refused"]
-            ran = v("runs", send) != RUNS["none"]
-            may_run = any_of(state == REQUEST[name] for name in ("running", "dispatched", "finished", "unknown"))
-            lemmas += [
-                z3.Implies(may_run, holds[send]),
-                z3.Implies(z3.Or(v("recorded", send), state == REQUEST["finished"]), ran),
-                z3.Implies(ran, z3.And(holds[send], z3.Or(may_run, state == REQUEST["gone"]))),
-                z3.Implies(z3.Or(state == REQUEST["running"], state == REQUEST["claiming"]), z3.Not(ran)),
-                z3.Implies(v("release", send), z3.Or(refused, z3.And(state == REQUEST["gone"], z3.Not(ran)))),
-                z3.Implies(v("told", send) == TOLD["no"], z3.Or(refused, state == REQUEST["gone"])),
-                z3.Implies(state == REQUEST["queued"], self._unheard(send)),
-                # Once in the store a nonce stays there until it is refused.
-                z3.Implies(z3.Or(v("won", send), *self._seen(send)), z3.Or(holds[send], self._idle_for_ever(send))),
-            ]
-            for other in self.sends:
-                lemmas.append(z3.Implies(v("replaces", send) == self.n(other), self._idle_for_ever(other)))
-                lemmas.append(z3.Implies(v("replaces", send) == self.n(send), FALSE))
-        for writer in self.routers:
-            lemmas += self._writer_lemmas(writer)
-        return lemmas
-
-    def _writer_lemmas(self, writer):
-        v = self.v
-        snapshot = v("snapshot", writer)
-        harmless = self._replaceable(v("holder"))
-        return [
-            z3.Implies(v("fresh", writer), snapshot == v("holder")),
-            z3.Implies(z3.And(v("fresh", writer), v("writing", writer)), harmless),
-            z3.Implies(z3.And(v("late", writer), v("late_fresh", writer)), harmless),
-            v("holder") != self.snapshot[UNREAD],
-            v("past") != self.snapshot[UNREAD],
-            v("value", writer) != self.snapshot[UNREAD],
-            v("late_value", writer) != self.snapshot[UNREAD],
-        ]
-
-    def _stands(self, place, send):
-        return place == self.s(send)
-
-    def _seen(self, send):
-        """Places that hold the nonce because it was in the store."""
-        v = self.v
-        seen = [self._stands(v("past"), send)]
-        for writer in self.routers:
-            seen.append(self._stands(v("snapshot", writer), send))
-        return seen
-
-    def _idle_for_ever(self, send):
-        """The send never ran and never will: it was refused, also if its router died later."""
-        state = self.v("request", send)
-        never_ran = self.v("runs", send) == RUNS["none"]
-        return z3.And(never_ran, z3.Or(state == REQUEST["refused"], state == REQUEST["gone"]))
-
-    def _replaceable(self, place):
-        free = place == self.snapshot[NOBODY]
-        return z3.Or(free, *(z3.And(self._stands(place, send), self._idle_for_ever(send)) for send in self.sends))
-
-    def _unheard(self, send):
-        v = self.v
-        nowhere = [z3.Not(v("asked", send, writer)) for writer in self.routers]
-        return z3.And(z3.Not(v("won", send)), v("runs", send) == RUNS["none"], *nowhere)
-
     def _witnesses(self):
         v = self.v
         taken_over = z3.And(v("replaces", 1) == self.n(0), v("request", 1) == REQUEST["finished"])
--- /dev/null
+++ b/wagtailtrestle/spec/claims_terms.py
@@ -0,0 +1,13 @@
+"""Domains and names of the specification of claims."""
+
+from wagtailtrestle.spec.language import Domain
+
+ROUTERS = 2
+NOBODY = "nobody"
+UNREAD = "unread"
+
+# queued, dispatched, finished, refused, unknown as in RequestState; claiming and running as in
+# NonceState; gone: its router died.
+REQUEST = Domain("queued", "claiming", "running", "dispatched", "finished", "refused", "unknown", "gone")
+TOLD = Domain("nothing", "no", "unknown", "answer")
+RUNS = Domain("none", "one", "more")
--- a/wagtailtrestle/spec/stewardship.py
+++ b/wagtailtrestle/spec/stewardship.py
@@ -13,7 +13,6 @@
     TRUE,
     TRUTH,
     Builder,
-    Domain,
     Safeguard,
     Specification,
     all_of,
@@ -21,19 +20,22 @@
     at_most_one,
     variable_name,
 )
-
-STEWARDS = ("s0", "s1")
-HIGH, LOW, FIXED = "high", "low", "fixed"
-REQUESTS = (HIGH, LOW, FIXED)
-TIER_BY_REQUEST = {HIGH: 0, LOW: 1, FIXED: 1}
-REPEATABLE = (HIGH, LOW)
-
-STATE = Domain("queued", "dispatched", "finished", "refused")
-HELD = Domain("none", "waiting", "granted")
-ATTEMPT = Domain("a0", "a1", "a2", "a3")
-LAST_ATTEMPT = "a3"
-COUNT = Domain("none", "one", "more")
-VIEW = Domain(*STEWARDS)
+from wagtailtrestle.spec.stewardship_proof import lemmas
+from wagtailtrestle.spec.stewardship_terms import (
+    ATTEMPT,
+    COUNT,
+    FIXED,
+    HELD,
+    HIGH,
+    LAST_ATTEMPT,
+    LOW,
+    REPEATABLE,
+    REQUESTS,
+    STATE,
+    STEWARDS,
+    TIER_BY_REQUEST,
+    VIEW,
+)
 
 ONE_RUN = "a request has one run at a time, and none once it is refused"
 NOT_REPEATED = "a request that may not be repeated is dispatched once"
@@ -113,7 +115,7 @@
             actions=self.actions,
             initial=self.initial,
             properties_by_name=self._properties(),
-            lemmas=self._lemmas(),
+            lemmas=lemmas(self),
             witnesses_by_name=self._witnesses(),
             limits_by_name=self._limits(),
         )
@@ -314,60 +316,6 @@
             RETURNED: z3.Or(v("views_differed"), all_of(returned)),
         }
 
-    def _lemmas(self):
-        v = self.v
-        lemmas = [
-            v("attempt", FIXED) == ATTEMPT["a1"],
-            z3.Implies(v("state", FIXED) == STATE["queued"], v("dispatches", FIXED) == COUNT["none"]),
-        ]
-        agreed = []
-        for request in REQUESTS:
-            lemmas.append(v("attempt", request) != ATTEMPT["a0"])
-            agreed += self._lemmas_while_views_agree(request)
-        agreed.append(at_most_one(v("held", "s0", request) == HELD["granted"] for request in REQUESTS))
-        lemmas.append(z3.Or(v("views_differed"), all_of(agreed)))
-        return lemmas
-
-    def _lemmas_while_views_agree(self, request):
-        """Say, for each phase of a request, what the one steward and the link hold of it."""
-        v = self.v
-        attempt, state = v("attempt", request), v("state", request)
-        held, held_attempt = v("held", "s0", request), v("held_attempt", "s0", request)
-        granted, refused = v("granted", "s0", request), v("refused", "s0", request)
-        returned, ended = v("returned", "s0", request), v("ended", "s0", request)
-        none = ATTEMPT["a0"]
-        nothing_held, is_granted = held == HELD["none"], held == HELD["granted"]
-        this_granted = z3.And(is_granted, held_attempt == attempt, granted == attempt, ended != attempt)
-        ahead = z3.And(
-            returned == none,
-            z3.ULE(attempt - 1, ended),
-            z3.Implies(z3.Not(nothing_held), z3.And(held_attempt == attempt, ended != attempt)),
-            z3.Implies(z3.Or(granted == attempt, is_granted), this_granted),
-            (refused == attempt) == (ended == attempt),
-        )
-        coming_back = z3.And(
-            returned == attempt - 1,
-            is_granted,
-            held_attempt == attempt - 1,
-            z3.ULT(granted, attempt),
-            z3.ULT(refused, attempt),
-            z3.ULT(ended, attempt),
-        )
-        runs = z3.And(returned == none, this_granted, z3.ULT(refused, attempt))
-        finished = z3.Or(
-            z3.And(returned == attempt, is_granted, held_attempt == attempt),
-            z3.And(returned == none, nothing_held, ended == attempt),
-        )
-        is_refused = z3.And(returned == none, nothing_held, ended == attempt, refused == attempt)
-        phase_by_state = {"dispatched": runs, "finished": finished, "refused": is_refused}
-        phase_by_state["queued"] = z3.If(returned == none, ahead, coming_back)
-        phases = [z3.Implies(state == STATE[name], phase) for name, phase in phase_by_state.items()]
-        told = ("ask", "granted", "refused", "returned", "ended", "preempt")
-        bounds = [z3.ULE(v(message, "s0", request), attempt) for message in told]
-        silent = [v(message, "s1", request) == none for message in told]
-        views = [v("view", request) == VIEW["s0"], v("held", "s1", request) == HELD["none"]]
-        return [*phases, *bounds, *silent, *views]
-
     def _witnesses(self):
         v = self.v
         preempted = z3.And(v("state", HIGH) == STATE["finished"], v("dispatches", LOW) == COUNT["more"])
--- /dev/null
+++ b/wagtailtrestle/spec/stewardship_proof.py
@@ -0,0 +1,67 @@
+"""What makes the properties of :mod:`wagtailtrestle.spec.stewardship` inductive.
+
+In words: while views agree, the one steward's account follows each request through its phases,
+and what is on its way between them is for the present attempt or the one before.
+"""
+
+import z3
+
+from wagtailtrestle.spec.language import all_of, at_most_one
+from wagtailtrestle.spec.stewardship_terms import ATTEMPT, COUNT, FIXED, HELD, REQUESTS, STATE, VIEW
+
+
+def lemmas(spec):
+    """Facts that carry the induction; ``spec`` is the builder of the specification."""
+    v = spec.v
+    facts = [
+        v("attempt", FIXED) == ATTEMPT["a1"],
+        z3.Implies(v("state", FIXED) == STATE["queued"], v("dispatches", FIXED) == COUNT["none"]),
+    ]
+    agreed = []
+    for request in REQUESTS:
+        facts.append(v("attempt", request) != ATTEMPT["a0"])
+        agreed += _lemmas_while_views_agree(spec, request)
+    agreed.append(at_most_one(v("held", "s0", request) == HELD["granted"] for request in REQUESTS))
+    facts.append(z3.Or(v("views_differed"), all_of(agreed)))
+    return facts
+
+
+def _lemmas_while_views_agree(spec, request):
+    """Say, for each phase of a request, what the one steward and the link hold of it."""
+    v = spec.v
+    attempt, state = v("attempt", request), v("state", request)
+    held, held_attempt = v("held", "s0", request), v("held_attempt", "s0", request)
+    granted, refused = v("granted", "s0", request), v("refused", "s0", request)
+    returned, ended = v("returned", "s0", request), v("ended", "s0", request)
+    none = ATTEMPT["a0"]
+    nothing_held, is_granted = held == HELD["none"], held == HELD["granted"]
+    this_granted = z3.And(is_granted, held_attempt == attempt, granted == attempt, ended != attempt)
+    ahead = z3.And(
+        returned == none,
+        z3.ULE(attempt - 1, ended),
+        z3.Implies(z3.Not(nothing_held), z3.And(held_attempt == attempt, ended != attempt)),
+        z3.Implies(z3.Or(granted == attempt, is_granted), this_granted),
+        (refused == attempt) == (ended == attempt),
+    )
+    coming_back = z3.And(
+        returned == attempt - 1,
+        is_granted,
+        held_attempt == attempt - 1,
+        z3.ULT(granted, attempt),
+        z3.ULT(refused, attempt),
+        z3.ULT(ended, attempt),
+    )
+    runs = z3.And(returned == none, this_granted, z3.ULT(refused, attempt))
+    finished = z3.Or(
+        z3.And(returned == attempt, is_granted, held_attempt == attempt),
+        z3.And(returned == none, nothing_held, ended == attempt),
+    )
+    is_refused = z3.And(returned == none, nothing_held, ended == attempt, refused == attempt)
+    phase_by_state = {"dispatched": runs, "finished": finished, "refused": is_refused}
+    phase_by_state["queued"] = z3.If(returned == none, ahead, coming_back)
+    phases = [z3.Implies(state == STATE[name], phase) for name, phase in phase_by_state.items()]
+    told = ("ask", "granted", "refused", "returned", "ended", "preempt")
+    bounds = [z3.ULE(v(message, "s0", request), attempt) for message in told]
+    silent = [v(message, "s1", request) == none for message in told]
+    views = [v("view", request) == VIEW["s0"], v("held", "s1", request) == HELD["none"]]
+    return [*phases, *bounds, *silent, *views]
