Tell a router that starts of the crashes the others know

Cause: crash reports went only to routers that ran at the time. A request refused by all others was run again by one that had restarted since, up to the limit of crashes once more (found by the new end of the test of the crashing request: no_engine, executed yes, one more crash). Change: each new connection to a peer begins with the crashes known here; merging twice changes nothing.

--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -53,6 +53,16 @@
         self.assert_promises(running, [*seen, *after, *sent])
         self.assertEqual([each for each in seen if each.result.reason == "poisoned"], [])
         self.assert_all_whole(after)
+        self.check_restarted_router()
+
+    def check_restarted_router(self):
+        # A router that starts knows of no crash by itself; asked by the caller that goes on sending,
+        # it would let the request crash engines all over again.
+        name = self.running.routers[0]
+        self.running.router(name).kill()
+        self.running.restart(name)
+        again = self.running.send(PLAN, router=name, prompt=POISON)
+        self.assertEqual((again.result.reason, again.result.executed), ("poisoned", "no"), again)
 
 
 if __name__ == "__main__":
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -133,6 +133,7 @@
         )
         self._broadcast.on(CrashReport, key=lambda report: report.incident, handler=self._crashes.merge)
         self._broadcast.on(CrashClearance, key=lambda clearance: clearance, handler=self._crashes.merge_clearance)
+        self._peers.on_reconnect(self._tell_crashes)
         self._make_ledger()
         self._entry = Entry(
             name=name,
@@ -329,6 +330,12 @@
     def _other_members(self):
         return [name for name in self._membership.view.everyone if name != self._settings.name]
 
+    def _tell_crashes(self, peer):
+        # A router that starts, or was cut off, has heard of no crash. Without this a request
+        # that every other router refuses would crash engines again through that one.
+        for report in self._crashes.reports():
+            self._peers.send(peer, report)
+
     async def _ask(self, peer, message, timeout_s):
         if peer == self._settings.name:
             return await self._ledger.handle(message)
