The list's mark of a leaving engine ends with the list

Cause: when the platform's list took an engine back, the declaration's mark was written in the place of the list's; it then stood there for ever, also once a later declaration had taken it back, and the engine got no work again (found by the replay of the draining specification, tellers declared, listed, listed, declared). Change: only the list's own mark is taken back; the engine's state keeps the declaration's apart.

--- a/wagtailtrestle/steward_set.py
+++ b/wagtailtrestle/steward_set.py
@@ -53,9 +53,10 @@
         for steward in self.by_cell.values():
             for engine in engines:
                 steward.mark_leaving(engine)
-            for engine in came_back & set(self._engines_of(steward.cell)):
-                declared = self._declaration.engines_by_name[engine]
-                steward.mark_leaving(engine, declared.leaving)
+            for engine in came_back:
+                # The declaration's own mark is kept apart from the list's. Passed on here, it
+                # would stand as the list's for ever, also once the declaration takes it back.
+                steward.mark_leaving(engine, False)
 
     def on_load_report(self, report):
         """Give an engine's load report to the steward that holds the engine."""
