Watch four neighbours instead of everybody among six to nine routers

Cause: an idle router of nine spent its time on heartbeats: 8 links, 3.3 a second each way on each, at 0.2 to 0.25 ms of processor time for either end of one.

Change: full mesh up to five routers only; up to nine, two neighbours on either side of the ring, at the same 0.3 s; fingers carry the news. One neighbour a side (as beyond nine) was weighed: a zone is a third of such a fleet and may hold a router and both its neighbours. A test freezes three that sit side by side. The slopes' sizes follow.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,6 +7,7 @@
 from wagtailtrestle.broadcast import Broadcast
 from wagtailtrestle.member_table import MemberTable
 from wagtailtrestle.messages import Withdraw
+from wagtailtrestle.partners import position_of
 from wagtailtrestle.peer_messages import MemberState, ViewEvent
 
 
@@ -114,6 +115,19 @@
         version = self.net.by_name["r005"]._table.by_name["r000"].version
         self.assertLess(version, 20)
 
+    @on_fast_loop
+    async def test_zone_of_nine_freezes(self):
+        # Nine routers watch four neighbours each. Three that sit side by side on the ring, as badly as a zone can
+        # fall, freeze at once: each still has a watcher outside, so all are dropped as soon as one would be.
+        names = await self.net.add_all(9)
+        ring = sorted(names, key=position_of)
+        zone = ring[3:6]
+        self.assertEqual({len(self.net.by_name[name].broadcast_targets()) for name in names}, {5})
+        for name in zone:
+            self.net.freeze(name)
+        await asyncio.sleep(1.3)
+        self.assert_views([name for name in names if name not in zone], but=zone)
+
     @on_fast_loop
     async def test_many_routers(self):
         # Too many for everybody to watch everybody: each has two partners, and yet a death, a frozen router
--- a/wagtailtrestle/membership.py
+++ b/wagtailtrestle/membership.py
@@ -399,7 +399,7 @@
     def _rewire(self, view):
         self._ring_names = view.everyone
         ring = Ring(names=view.everyone)
-        self._heartbeat_s = self._mesh_heartbeat_s if ring.is_mesh else max(self._mesh_heartbeat_s, RING_HEARTBEAT_S)
+        self._heartbeat_s = self._mesh_heartbeat_s if ring.is_small else max(self._mesh_heartbeat_s, RING_HEARTBEAT_S)
         if self.name in view.everyone:
             self._partners = ring.partners(self.name)
             self._fingers = ring.fingers(self.name)
--- a/wagtailtrestle/partners.py
+++ b/wagtailtrestle/partners.py
@@ -1,15 +1,18 @@
 """Who exchanges heartbeats with whom, and who passes view events to whom.
 
 Up to ``MESH_LIMIT`` routers everybody is everybody's partner. Beyond that, heartbeats to
-all would cost more than a router may spend on control, so each router has two partners,
-its neighbours on a hash ring, which mixes the availability zones. When both fail together
-with it, those who become its neighbours find out. Events also travel along "fingers" that
+all would cost more than a router may spend on control, so its partners are its neighbours
+on a hash ring, which mixes the availability zones: two on either side up to ``SMALL_LIMIT``
+routers, where a zone is a third of them, one on either side in larger fleets. When all fail
+together with it, those who become its neighbours find out. Events also travel along "fingers" that
 halve the ring, so that they reach everybody in a few hops.
 """
 
 from hashlib import blake2b
 
-MESH_LIMIT = 9
+MESH_LIMIT = 5
+SMALL_LIMIT = 9
+SMALL_NEIGHBOURS = 2
 NEIGHBOURS = 1
 FIRST_FINGER = 2
 
@@ -25,7 +28,7 @@
     __slots__ = ("_order", "_place_by_name")
 
     def __init__(self, *, names):
-        self._order = sorted(names, key=_position)
+        self._order = sorted(names, key=position_of)
         self._place_by_name = {name: place for place, name in enumerate(self._order)}
 
     @property
@@ -33,11 +36,16 @@
         """Whether there are few enough for everybody to be everybody's partner."""
         return len(self._order) <= MESH_LIMIT
 
+    @property
+    def is_small(self):
+        """Whether a router has few partners whatever their number, so that heartbeats may be frequent."""
+        return len(self._order) <= SMALL_LIMIT
+
     def partners(self, name):
         """Set of the routers that ``name`` exchanges heartbeats with; the relation is symmetric."""
         if self.is_mesh:
             return set(self._order) - {name}
-        steps = range(1, NEIGHBOURS + 1)
+        steps = range(1, (SMALL_NEIGHBOURS if self.is_small else NEIGHBOURS) + 1)
         return {self._at(name, sign * step) for step in steps for sign in (1, -1)}
 
     def fingers(self, name):
@@ -56,5 +64,6 @@
         return self._order[place % len(self._order)]
 
 
-def _position(name):
+def position_of(name):
+    """Where a router stands on the ring."""
     return blake2b(name.encode(), digest_size=8).digest()
--- a/wagtailtrestle/slopes/peers.py
+++ b/wagtailtrestle/slopes/peers.py
@@ -23,8 +23,9 @@
 BLOCK_COUNTS = (0, 32, 128, 512)
 LINK_COUNTS = (1, 4, 8)
 HELD_LINK_COUNTS = (8, 32, 64)
-# Everybody is everybody's partner up to nine; beyond, each has two.
-MESH_SIZES = (2, 5, 9)
+# Everybody is everybody's partner up to five; up to nine each has four; beyond, two.
+MESH_SIZES = (2, 4, 5)
+SMALL_SIZES = (6, 8, 9)
 RING_SIZES = (10, 14, 18)
 MEMBER_COUNTS = (9, 90, 370)
 PAIRS = 2_000
@@ -248,6 +249,7 @@
     """Print every slope of peers and membership."""
     asyncio.run(_measure_streams())
     _measure_fleets(MESH_SIZES, "full mesh")
+    _measure_fleets(SMALL_SIZES, "four partners each")
     _measure_fleets(RING_SIZES, "two partners each")
     points = [(count, view_change_ms(count)) for count in MEMBER_COUNTS]
     _print("processor time of a change of view, ms", "members", points)
