Tests: a line number is looked up in the example, logs go to a file

Change: the expected line is found in the example file; still the exact line is demanded. The runner logs to var/tests.log.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -2,9 +2,17 @@
 
 import sys
 import unittest
+from pathlib import Path
+
+from loguru import logger
+
+LOG_FILE = Path("var/tests.log")
 
 
 def main():
+    # Failure tests make the product log what it should; the verdict is easier to find without it.
+    logger.remove()
+    logger.add(LOG_FILE, mode="w")
     suite = unittest.defaultTestLoader.discover("tests", top_level_dir=".")
     result = unittest.TextTestRunner(verbosity=1).run(suite)
     failed = len(result.failures) + len(result.errors)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -81,7 +81,9 @@
         self.assertIn("12 engines", self.out.getvalue())
         faulty = self.changed_cometas("zone: gijon", "zone: bilbao")
         self.assertEqual(self.operate("check", faulty), ExitStatus.CHECK_FAILED)
-        self.assertIn(f"{faulty}:95: engines[asistente-1].zone: is bilbao", self.err.getvalue())
+        lines = Path(COMETAS).read_text().splitlines()
+        number = next(number for number, line in enumerate(lines, 1) if "name: asistente-1," in line)
+        self.assertIn(f"{faulty}:{number}: engines[asistente-1].zone: is bilbao", self.err.getvalue())
         self.assertIn("4 faults", self.err.getvalue())
         self.assertEqual(self.operate("check", "nowhere.yaml"), ExitStatus.USAGE)
 
