Run suspects of crashes alone; refuse no middle tier while lower ones run; a new steward preempts

Cause: two requests that always died together were neither told apart nor refused before both reached the limit, and neighbours went on dying beside them. Two tests of TierOrderTest failed: a request asked for the sixth time was refused "preempted" while lower work ran, and a steward in its cautious time told no run to yield. Change: a request that asks with `alone` gets an engine with nothing on it, by account and report; one engine of the cell is kept for it and emptied, let go for a higher tier that would expire or that has no other engine. The higher tier stays queued while lower work is there to yield. In the cautious time only runs confirmed by their entries are preempted.

--- /dev/null
+++ b/tests/test_isolation.py
@@ -0,0 +1,142 @@
+"""Suspects of crashing engines run beside no other, without taking the cell for it."""
+
+import unittest
+
+from tests.utils.steward_fakes import Cell, ask, finished, register, report, running
+from wagtailtrestle.isolation import MAX_SUSPECTS
+from wagtailtrestle.messages import Granted, Refused, Withdraw
+from wagtailtrestle.outcomes import Reason
+from wagtailtrestle.poison import ALONE_AFTER, SAME_CRASH_S, CrashBook
+
+
+def granted_on(cell):
+    return {granted.request_id: granted.engine for granted in cell.entries.of(Granted)}
+
+
+class IsolationTest(unittest.TestCase):
+    def test_an_engine_is_emptied_for_a_suspect_and_runs_nothing_beside_it(self):
+        # Both engines run something. A suspect waits for the end of what one of them runs; new
+        # work goes to the other meanwhile, and to both again once the suspect has ended.
+        cell = Cell(engines=("e1", "e2"))
+        cell.receive(ask("a", excluded_engines=("e2",)), ask("b", excluded_engines=("e1",), output_tokens=500))
+        cell.receive(ask("s", alone=True), ask("c"), ask("d"))
+        self.assertEqual(granted_on(cell), {"a": "e1", "b": "e2", "c": "e2"})
+        cell.receive(finished("a"), ask("e"))
+        self.assertEqual(granted_on(cell)["s"], "e1")
+        self.assertEqual(cell.steward.digest().waiting_by_tier, {1: 2})
+        cell.receive(finished("s"))
+        self.assertEqual({granted_on(cell)[name] for name in ("d", "e")}, {"e1"})
+
+    def test_load_that_only_a_report_shows_counts(self):
+        cell = Cell()
+        cell.steward.on_load_report(report(running=1))
+        cell.receive(ask("s", alone=True))
+        self.assertEqual(cell.entries.ids(Granted), [])
+        cell.advance(0.5)
+        cell.steward.on_load_report(report(running=0))
+        self.assertEqual(cell.entries.ids(Granted), ["s"])
+
+    def test_one_engine_at_a_time(self):
+        cell = Cell(engines=("e1", "e2", "e3"))
+        cell.receive(ask("s1", alone=True), ask("s2", alone=True), ask("a"), ask("b"))
+        self.assertNotIn("s2", granted_on(cell))
+        self.assertEqual(len({granted_on(cell)[name] for name in ("a", "b", "s1")}), 3)
+        cell.receive(finished("s1", on=granted_on(cell)["s1"]))
+        self.assertEqual(granted_on(cell)["s2"], granted_on(cell)["s1"])
+
+    def test_refused_at_once_if_no_engine_empties_in_time(self):
+        cell = Cell()
+        cell.measure()
+        cell.receive(ask("long", output_tokens=5000, remaining_s=100.0), ask("s", alone=True))
+        self.assertEqual([refused.reason for refused in cell.entries.of(Refused)], [Reason.DEADLINE_UNREACHABLE])
+
+    def test_refused_at_once_also_while_another_suspect_is_served(self):
+        cell = Cell(engines=("e1", "e2"))
+        cell.measure()
+        cell.receive(
+            ask("long1", output_tokens=5000, remaining_s=100.0),
+            ask("s1", output_tokens=3000, remaining_s=60.0, alone=True),
+        )
+        cell.receive(ask("s2", remaining_s=60.0, alone=True), ask("s3", remaining_s=4.0, alone=True))
+        self.assertEqual(cell.entries.ids(Refused), ["s3"])
+
+    def test_a_higher_tier_goes_first(self):
+        # The suspect's turn comes after the higher tier's, as without suspicion.
+        cell = Cell(slots=1)
+        cell.receive(ask("run", tier=0), ask("high", tier=0), ask("s", tier=1, alone=True), finished("run"))
+        self.assertEqual(cell.entries.ids(Granted), ["run", "high"])
+        cell.receive(finished("high"))
+        self.assertEqual(cell.entries.ids(Granted), ["run", "high", "s"])
+
+    def test_the_only_engine_is_not_kept_from_a_higher_tier(self):
+        # The engine is being emptied for a suspect when a higher tier's request arrives. Kept from
+        # it, the place beside the old run would stay empty while the request waits.
+        cell = Cell()
+        cell.receive(ask("run"), ask("s", alone=True), ask("high", tier=0))
+        cell.advance(0.1)
+        self.assertEqual(cell.entries.ids(Granted), ["run", "high"])
+
+    def test_a_kept_engine_is_let_go_for_a_higher_tier_about_to_expire(self):
+        cell = Cell(engines=("e1", "e2"), slots=2)
+        cell.measure()
+        cell.receive(*[ask(f"r{number}", tier=0, repeatable=False, output_tokens=600) for number in range(3)])
+        cell.receive(ask("s", remaining_s=30.0, alone=True), ask("high", tier=0, remaining_s=3.5, repeatable=False))
+        cell.advance(0.2)
+        self.assertNotIn("high", granted_on(cell))
+        cell.advance(1.8)
+        self.assertIn("high", granted_on(cell))
+
+    def test_a_withdrawn_suspect_leaves_the_engine(self):
+        cell = Cell()
+        cell.receive(ask("run"), ask("s", alone=True), Withdraw(request_id="s"))
+        cell.advance(0.1)
+        self.assertEqual(cell.steward.digest().free, 1)
+
+    def test_a_new_steward_keeps_a_registered_suspect_alone(self):
+        cell = Cell(members=("r1",))
+        cell.receive(register("r1", running=[running(ask("s", alone=True))]), ask("other"))
+        self.assertEqual(cell.entries.ids(Granted), [])
+
+    def test_nothing_is_known_empty_until_every_entry_registered(self):
+        # A new steward has not heard of r2 yet, whose run on the engine the suspect could take along.
+        cell = Cell(members=("r1", "r2"))
+        cell.receive(register("r1"), ask("s", alone=True))
+        self.assertEqual(cell.entries.ids(Granted), [])
+        cell.receive(register("r2"))
+        self.assertEqual(cell.entries.ids(Granted), ["s"])
+
+    def test_a_flood_of_suspects_is_bounded(self):
+        cell = Cell(engines=("e1", "e2"))
+        cell.receive(*[ask(f"s{number}", remaining_s=900.0, alone=True) for number in range(2 * MAX_SUSPECTS)])
+        self.assertEqual(len(cell.entries.of(Refused)), MAX_SUSPECTS - 1)
+
+
+class TellingApartTest(unittest.TestCase):
+    def test_two_that_always_die_together_are_told_apart(self):
+        # A poisoned request and an innocent one are sent again after each crash of the only
+        # engine. Placed together each time they would share the blame for ever, and the engine
+        # would crash for ever. After the second crash each runs alone: one crashes it, one ends.
+        cell = Cell(slots=4)
+        book = CrashBook(clock=cell.clock, reporter="r1")
+        crashes, answered = 0, False
+        for sending in range(2 * ALONE_AFTER + 2):
+            bodies = [body for body in ("poison", "innocent") if not book.blocked(body)]
+            cell.receive(*[ask(f"{body}{sending}", alone=book.runs_alone(body)) for body in bodies])
+            for _ in bodies:
+                on_engine = list(cell.steward._runs.grants_by_request_id)
+                crashed = f"poison{sending}" in on_engine
+                if crashed:
+                    crashes += 1
+                    book.note_crash("e1", [name.rstrip("0123456789") for name in on_engine])
+                elif on_engine:
+                    answered = True
+                    book.note_success("innocent")
+                cell.receive(*[finished(name, result="RunCut" if crashed else "RunDone") for name in on_engine])
+                cell.advance(2 * SAME_CRASH_S)
+        self.assertTrue(book.blocked("poison") and answered)
+        self.assertFalse(book.blocked("innocent"))
+        self.assertEqual(crashes, ALONE_AFTER + 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tests.utils.steward_fakes import Cell, ask, finished
+from tests.utils.steward_fakes import Cell, ask, finished, register, running
 from wagtailtrestle.admission import MAX_ASKS
 from wagtailtrestle.messages import Granted, Preempt, Refused, RunProgress, RunStarted
 from wagtailtrestle.outcomes import Reason
@@ -36,6 +36,19 @@
         cell.receive(finished(victim[0], result="RunCancelled"))
         self.assertEqual(cell.entries.ids(Granted), ["d0", "d1", "q"])
 
+    def test_a_woken_steward_cancels_nothing_by_what_it_held_before(self):
+        # A steward was paused for 10 s. Others served the cell meanwhile, so the drafts that it
+        # holds may have ended; until their entry says so again, none is cancelled for a question.
+        cell = Cell(members=("r1", "r2"))
+        cell.receive(register("r1"), register("r2"), draft("d0"), draft("d1"))
+        cell.clock.now += 10.0
+        cell.receive(high("q", entry="r2"))
+        cell.advance(0.1)
+        self.assertEqual(cell.entries.ids(Preempt), [])
+        cell.receive(register("r1", running=[running(draft("d0")), running(draft("d1"))]))
+        cell.advance(0.1)
+        self.assertEqual(len(cell.entries.ids(Preempt)), 1)
+
     def test_nothing_is_cancelled_if_a_place_frees_in_time(self):
         cell = Cell()
         cell.measure()
--- a/wagtailtrestle/admission.py
+++ b/wagtailtrestle/admission.py
@@ -124,9 +124,11 @@
             return Reason.DEADLINE_UNREACHABLE
         if self._places_free() and not len(self._queue):
             return None
+        if self._holds_lower(request.tier):
+            return None
         if request.attempt > MAX_ASKS and request.done_tokens:
             return Reason.PREEMPTED
-        if self._holds_lower(request.tier) or not self._models_trusted():
+        if not self._models_trusted():
             return None
         full_s = min(run_s(request, engine, max(1, engine.limit), 0) for engine in possible)
         slack_s = waiting.deadline - self._clock() - full_s
@@ -161,6 +163,9 @@
         return wait_s * (1.0 + RETRY_SPREAD * spread)
 
     def _work_s(self, request):
+        if request.alone:
+            # It uses up a whole engine for as long as it runs, whatever it decodes.
+            return min((shielded_run_s(request, engine, 1, 0) for engine in self._engines), default=0.0)
         costs = []
         for engine in self._engines:
             limit = max(1, engine.limit)
--- a/wagtailtrestle/engine_state.py
+++ b/wagtailtrestle/engine_state.py
@@ -37,6 +37,8 @@
         Runs the engine reported that this steward granted to nobody it knows.
     health_share : float
         Share of its concurrency that its health allows.
+    kept_for : str or None
+        Request that needs the engine to itself; until it runs there, nothing more is granted.
     """
 
     __slots__ = (
@@ -50,6 +52,8 @@
         "limit",
         "phantom",
         "health_share",
+        "kept_for",
+        "_alone_runs",
         "_declared_leaving",
         "_marked_leaving",
         "_unreachable",
@@ -78,6 +82,8 @@
         self.limit = 0
         self.phantom = 0
         self.health_share = 1.0
+        self.kept_for = None
+        self._alone_runs = 0
         self._declared_leaving = declared.leaving
         self._marked_leaving = False
         self._unreachable = False
@@ -127,9 +133,16 @@
 
     @property
     def room(self):
-        """Places free now."""
+        """Places free now; none beside a suspect, whose crash would take its neighbours along."""
+        if self.kept_for is not None or self.runs_alone:
+            return 0
         return max(0, self.limit - self.running)
 
+    @property
+    def runs_alone(self):
+        """Whether a request is on it that must run beside no other."""
+        return self._alone_runs > 0
+
     @property
     def available(self):
         """Whether the policy may choose it."""
@@ -153,6 +166,7 @@
     def add(self, grant: Grant):
         """Count a grant against this engine."""
         self.grants_by_request_id[grant.request_id] = grant
+        self._alone_runs += grant.request.alone
         if not grant.started:
             self._unstarted_tokens += grant.prefill_tokens
             prefill_s = self.model.prefill_s(grant.prefill_tokens)
@@ -175,6 +189,7 @@
         """Free the grant's place."""
         if self.grants_by_request_id.pop(grant.request_id, None) is None:
             return
+        self._alone_runs -= grant.request.alone
         self._finishes.append((self._clock(), grant.granted_at))
         if not grant.started:
             self._unstarted_tokens -= grant.prefill_tokens
@@ -259,6 +274,7 @@
         return {
             "running": len(self.grants_by_request_id),
             "phantom": self.phantom,
+            "kept_for": self.kept_for,
             "limit": self.limit,
             "pending_prefill_tokens": self.pending_prefill_tokens,
             "reported_running": self.reported_running,
--- /dev/null
+++ b/wagtailtrestle/silence_limits.py
@@ -0,0 +1,33 @@
+"""How long a granted run may stay silent before its entry gives it up."""
+
+from wagtailtrestle.messages import Granted
+
+PROGRESS_FLOOR_S = 1.0
+"""Least silence tolerated between tokens."""
+
+FIRST_TOKEN_FLOOR_S = 2.0
+"""Least silence tolerated before the first token."""
+
+SILENCE_FACTOR = 8.0
+"""How many times the predicted time a run may stay silent before it is given up."""
+
+CHUNK_TOKENS = 1024
+"""Prompt tokens of other runs that an engine may prefill between two tokens of one."""
+
+
+def granted_message(grant, engine):
+    """Tell the entry of its place on the engine, with the limits on its silence."""
+    model = engine.model
+    first_token_s = model.predict_first_token_s(
+        uncached_tokens=grant.prefill_tokens,
+        concurrency=engine.slots,
+        pending_prefill_tokens=engine.pending_prefill_tokens,
+    )
+    step_s = model.step_s(engine.slots) + model.prefill_s(CHUNK_TOKENS)
+    return Granted(
+        request_id=grant.request_id,
+        attempt=grant.request.attempt,
+        engine=grant.engine,
+        progress_deadline_s=max(PROGRESS_FLOOR_S, SILENCE_FACTOR * step_s),
+        first_token_deadline_s=max(FIRST_TOKEN_FLOOR_S, SILENCE_FACTOR * first_token_s),
+    )
--- a/wagtailtrestle/steward.py
+++ b/wagtailtrestle/steward.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 
 from wagtailtrestle.admission import Admission
+from wagtailtrestle.isolation import Isolation
 from wagtailtrestle.messages import (
-    Granted,
     GrantRequest,
     Preempt,
     Refused,
@@ -23,20 +23,9 @@
 from wagtailtrestle.preemption import LOOK_AHEAD, PreemptionPlanner
 from wagtailtrestle.registration import Registration
 from wagtailtrestle.run_book import RunBook
+from wagtailtrestle.silence_limits import granted_message
 from wagtailtrestle.tier_queue import TierQueue
 
-PROGRESS_FLOOR_S = 1.0
-"""Least silence tolerated between tokens."""
-
-FIRST_TOKEN_FLOOR_S = 2.0
-"""Least silence tolerated before the first token."""
-
-SILENCE_FACTOR = 8.0
-"""How many times the predicted time a run may stay silent before it is given up."""
-
-CHUNK_TOKENS = 1024
-"""Prompt tokens of other runs that an engine may prefill between two tokens of one."""
-
 TRIES_IN_A_ROW = 128
 """Waiting requests tried in one round, so that no message costs unbounded time."""
 
@@ -86,6 +75,7 @@
         "_queue",
         "_admission",
         "_planner",
+        "_isolation",
         "_registration",
         "_members",
         "_granting",
@@ -101,6 +91,7 @@
         self._queue = TierQueue()
         self._admission = Admission(clock=clock, queue=self._queue, lengths=self._runs.lengths)
         self._planner = PreemptionPlanner(clock=clock, prefill_weight=prefill_weight)
+        self._isolation = Isolation(clock=clock, queue=self._queue)
         self._registration = Registration(clock=clock)
         self._members = frozenset()
         self._granting = True
@@ -190,6 +181,7 @@
         for waiting in self._queue.pop_expired(self._clock()):
             self._refuse(waiting.request, Reason.OVERLOADED)
         self._queue.unpark_some(UNPARK_IN_A_ROW)
+        self._isolation.yield_to_urgent(self._runs.engines)
         self._grant_ready()
         self._preempt()
 
@@ -283,12 +275,25 @@
         if reason is not None:
             self._refuse(request, reason)
             return
+        if request.alone:
+            self._set_aside(waiting)
+            return
         self._admission.admit(waiting)
         self._queue.push(waiting)
 
+    def _set_aside(self, waiting):
+        if not self._isolation.has_room():
+            self._refuse(waiting.request, Reason.OVERLOADED)
+        elif not self._isolation.possible(waiting, self._runs.engines):
+            self._refuse(waiting.request, Reason.DEADLINE_UNREACHABLE)
+        else:
+            self._admission.admit(waiting)
+            self._queue.set_aside(waiting)
+
     def _grant_ready(self):
         if not self._granting or not len(self._queue):
             return
+        self._serve_suspects()
         open_engines = self._open_engines()
         self._queue.unpark({engine.name for engine in open_engines})
         for _ in range(TRIES_IN_A_ROW):
@@ -300,6 +305,18 @@
             self._try(waiting, open_engines)
             open_engines = self._open_engines()
 
+    def _serve_suspects(self):
+        # Until every entry registered, what runs on an engine is not known, so none is known empty.
+        if self._registration.cautious:
+            return
+        while (step := self._isolation.next(self._runs.engines)) is not None:
+            if step.engine is None:
+                self._queue.remove(step.waiting.request_id)
+                self._refuse(step.waiting.request, Reason.DEADLINE_UNREACHABLE)
+            else:
+                self._queue.take(step.waiting)
+                self._grant(step.waiting, step.engine)
+
     def _open_engines(self):
         cautious = self._registration.cautious
         engines = self._runs.engines
@@ -331,21 +348,7 @@
         engine = self._runs.engines_by_name.get(grant.engine)
         if engine is None:
             return
-        model = engine.model
-        first_token_s = model.predict_first_token_s(
-            uncached_tokens=grant.prefill_tokens,
-            concurrency=engine.slots,
-            pending_prefill_tokens=engine.pending_prefill_tokens,
-        )
-        step_s = model.step_s(engine.slots) + model.prefill_s(CHUNK_TOKENS)
-        granted = Granted(
-            request_id=grant.request_id,
-            attempt=grant.request.attempt,
-            engine=grant.engine,
-            progress_deadline_s=max(PROGRESS_FLOOR_S, SILENCE_FACTOR * step_s),
-            first_token_deadline_s=max(FIRST_TOKEN_FLOOR_S, SILENCE_FACTOR * first_token_s),
-        )
-        if not self._entries.send(entry=grant.request.entry, message=granted):
+        if not self._entries.send(entry=grant.request.entry, message=granted_message(grant, engine)):
             self._runs.end(grant)
 
     def _refuse(self, request, reason):
@@ -361,13 +364,22 @@
     # Preemption, members that left, pauses.
 
     def _preempt(self):
-        if not self._granting or self._registration.cautious or not len(self._queue):
+        if not self._granting or not len(self._queue) or self._holds_unconfirmed():
             return
         first = self._queue.first(LOOK_AHEAD)
-        for grant in self._planner.victims(waiting=first, engines=self._runs.engines):
+        # Places that free on an engine kept for a suspect are not for those who wait.
+        engines = [engine for engine in self._runs.engines if engine.kept_for is None]
+        for grant in self._planner.victims(waiting=first, engines=engines):
             if self._tell_preempt(grant):
                 grant.preempted_at = self._clock()
 
+    def _holds_unconfirmed(self):
+        # A steward that woke from a pause may hold runs that ended long ago; by them it would
+        # cancel others. A new one holds only what entries registered, and acts on it at once:
+        # waiting for the last entry could let a higher tier expire while a lower one runs.
+        awaited = self.awaited_entries
+        return any(grant.request.entry in awaited for grant in self._runs.grants_by_request_id.values())
+
     def _tell_preempt(self, grant):
         message = Preempt(request_id=grant.request_id, engine=grant.engine)
         return self._entries.send(entry=grant.request.entry, message=message)
--- a/wagtailtrestle/tier_queue.py
+++ b/wagtailtrestle/tier_queue.py
@@ -113,11 +113,14 @@
     Attributes
     ----------
     waiting_by_request_id : dict of str to WaitingRequest
-        Everything that waits, parked requests included.
+        Everything that waits, parked and set aside requests included.
+    aside_by_request_id : dict of str to WaitingRequest
+        Requests that count as waiting but are never popped: see :meth:`set_aside`.
     """
 
     __slots__ = (
         "waiting_by_request_id",
+        "aside_by_request_id",
         "_parked_by_request_id",
         "_tiers_by_rank",
         "_ranks",
@@ -128,6 +131,7 @@
 
     def __init__(self, *, share_by_team=None):
         self.waiting_by_request_id = {}
+        self.aside_by_request_id = {}
         self._parked_by_request_id = {}
         self._tiers_by_rank = {}
         self._ranks = []
@@ -145,14 +149,29 @@
     def push(self, waiting: WaitingRequest):
         """Add a request; it must not be waiting already."""
         self._hold(waiting)
-        heapq.heappush(self._latest_start_heap, (waiting.latest_start, next(self._sequence), waiting))
+        self._watch_latest_start(waiting)
         self._order(waiting)
 
+    def set_aside(self, waiting: WaitingRequest):
+        """Add a request that only :meth:`take` serves, as it needs more than a place."""
+        self._hold(waiting)
+        self._watch_latest_start(waiting)
+        self.aside_by_request_id[waiting.request_id] = waiting
+
+    def take(self, waiting: WaitingRequest):
+        """Take out a request set aside and charge its team for it."""
+        self.remove(waiting.request_id)
+        team = self._team(waiting)
+        tier = self._tiers_by_rank[waiting.request.tier]
+        start = max(team.virtual_start, tier.virtual_time)
+        self._set_virtual_start(team, waiting, start + waiting.work_s / self._share(team.name))
+
     def remove(self, request_id):
         """Take a request out, wherever it stands; ``None`` if it is not waiting."""
         waiting = self.waiting_by_request_id.pop(request_id, None)
         if waiting is not None:
             self._parked_by_request_id.pop(request_id, None)
+            self.aside_by_request_id.pop(request_id, None)
             team = self._team(waiting)
             team.discount(waiting)
             self._compact(team)
@@ -234,6 +253,10 @@
         fair = sum(min(other.work_s, own * self._share(other.name) / share) for other in others)
         return above + own + fair
 
+    def waits_above(self, rank):
+        """Whether something of a higher tier waits."""
+        return any(self._tiers_by_rank[other].count() for other in self._ranks if other < rank)
+
     def waiting_by_tier(self):
         """Count by rank of the tiers in which something waits."""
         counts = {rank: self._tiers_by_rank[rank].count() for rank in self._ranks}
@@ -271,6 +294,9 @@
             team.heap = [entry for entry in team.heap if self._is_ready(entry[2])]
             heapq.heapify(team.heap)
 
+    def _watch_latest_start(self, waiting):
+        heapq.heappush(self._latest_start_heap, (waiting.latest_start, next(self._sequence), waiting))
+
     def _hold(self, waiting):
         self.waiting_by_request_id[waiting.request_id] = waiting
         self._team(waiting).count(waiting)
