Measure claims, platform writes and the platform's outage

Cause: the measured runs carried no idempotency keys, so neither the writes per 1,000 requests nor a run with the platform out could be stated. Change: two scenarios for our routers. Half of the callers on at-most-once routes send a key; the real Ledger of each router claims it in the stand-in's object table, 5 ms away. 'keyed' has the store up, 'platform-out' has it refuse every call for the whole run. The plan also takes six weights at two loads for the curve over prefill_weight.

--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -2,7 +2,7 @@
 import unittest
 
 from wagtailtrestle.measure import virtual_time
-from wagtailtrestle.measure.one_run import KILLED_STEWARD, OURS, RunSpec, measure
+from wagtailtrestle.measure.one_run import KEYED, KILLED_STEWARD, OURS, PLATFORM_OUT, RunSpec, measure
 
 
 def run(policy, *, scenario="none", load=1.5):
@@ -40,6 +40,24 @@
         self.assertEqual((figures["duplicates"], figures["lies"], figures["unsettled"]), (0, 0, 0))
         self.assertGreater(figures["prefill_tokens"], 0)
 
+    def test_platform_out_refuses_keys_at_once_and_nothing_else(self):
+        # The store refuses every call for the whole run: no claim can be proved, so requests
+        # with a key are told at once that they did not run, and that is true. Nothing else
+        # reads the store: the same tier without a key is served under overload as ever.
+        figures = run(OURS, scenario=PLATFORM_OUT, load=2.5)
+        keyed, unkeyed = figures["keyed"]["keyed"], figures["keyed"]["unkeyed"]
+        self.assertEqual((figures["duplicates"], figures["lies"], figures["unsettled"]), (0, 0, 0))
+        self.assertEqual(keyed["refused"], keyed["asked"])
+        self.assertLess(figures["keyed"]["slowest_refusal_s"], 0.5)
+        self.assertGreater(unkeyed["in_time"], 0.98 * unkeyed["asked"])
+
+    def test_claims_share_writes(self):
+        # Every claim and its recorded answer go to the real ledger over a store of 5 ms.
+        figures = run(OURS, scenario=KEYED, load=2.5)
+        keyed = figures["keyed"]["keyed"]
+        self.assertGreater(keyed["in_time"], 0.98 * keyed["asked"])
+        self.assertTrue(keyed["asked"] < figures["writes"] < 2 * keyed["asked"] + 50)
+
     def test_baseline_answers_every_caller(self):
         figures = run("two-choices")
         self.assertEqual(figures["unsettled"], 0)
--- a/wagtailtrestle/measure/__main__.py
+++ b/wagtailtrestle/measure/__main__.py
@@ -11,7 +11,7 @@
 
 from wagtailtrestle.measure.one_run import measure
 from wagtailtrestle.measure.plan_of_runs import full_plan, quick_plan
-from wagtailtrestle.measure.report import rows_of, table, targets
+from wagtailtrestle.measure.report import platform_table, rows_of, table, targets
 
 MOST_WORKERS = 8
 
@@ -45,6 +45,8 @@
     rows = rows_of(results)
     print(table(rows))
     print()
+    print(platform_table(results))
+    print()
     print("\n".join(targets(rows)))
     print(f"\n{len(results)} runs in {time.monotonic() - began:.0f} s; results in {output}")
 
--- a/wagtailtrestle/measure/cluster.py
+++ b/wagtailtrestle/measure/cluster.py
@@ -27,9 +27,12 @@
     make_policy : callable
         Returns a new ``EnginePolicy``.
     loop : asyncio.AbstractEventLoop
+    claims_by_router : dict of str to Claims
+        Empty if no request carries an idempotency key.
     """
 
-    def __init__(self, *, setting, engines_by_name, make_policy, loop):
+    def __init__(self, *, setting, engines_by_name, make_policy, loop, claims_by_router=None):
+        self._claims_by_router = claims_by_router or {}
         self._setting = setting
         self._engines_by_name = engines_by_name
         self._make_policy = make_policy
@@ -118,7 +121,7 @@
         return Entry(
             name=name,
             stewards=SentBy(router=name, send=self._send_to_steward),
-            claims=None,
+            claims=self._claims_by_router.get(name),
             crashes=crashes,
             budget_by_service=lambda service: budget,
             declaration=lambda: self._setting.declaration,
@@ -163,8 +166,8 @@
             self._steward.on_load_report(report)
 
 
-def caller_request(*, arrival, request_id, service, tier, repeatable, now):
-    """Build the request that a router's HTTP side would hand to its entry."""
+def caller_request(*, arrival, request_id, service, tier, repeatable, now, key=""):
+    """Build the request that a router's HTTP side would hand to its entry; ``key`` makes it run at most once."""
     return CallerRequest(
         request_id=request_id,
         service=service,
@@ -172,8 +175,8 @@
         route=arrival.kind.route,
         tier=tier,
         repeatable=repeatable,
-        at_most_once=False,
-        idempotency_key="",
+        at_most_once=bool(key),
+        idempotency_key=key,
         body_digest=request_id,
         prompt_tokens=arrival.prompt_tokens,
         output_tokens=arrival.output_cap,
--- a/wagtailtrestle/measure/fake_caller.py
+++ b/wagtailtrestle/measure/fake_caller.py
@@ -25,6 +25,7 @@
         "request_id",
         "answered_at",
         "refusal",
+        "refused_at",
         "lost",
         "received_tokens",
         "_engines_by_name",
@@ -38,6 +39,7 @@
         self.request_id = request_id
         self.answered_at = None
         self.refusal = None
+        self.refused_at = None
         self.lost = False
         self.received_tokens = 0
         self._engines_by_name = engines_by_name
@@ -60,6 +62,7 @@
                 self.answered_at = self._loop.time()
             case AnswerRefusal(refusal=refusal):
                 self.refusal = refusal
+                self.refused_at = self._loop.time()
 
     def cancel_run(self, *, run_id, engine, address):
         """Ask the engine to cancel; ``RunEnded`` follows."""
--- a/wagtailtrestle/measure/one_run.py
+++ b/wagtailtrestle/measure/one_run.py
@@ -12,8 +12,9 @@
 from wagtailtrestle.measure.cluster import StewardRouters, caller_request
 from wagtailtrestle.measure.fake_engine import FakeEngine
 from wagtailtrestle.measure.fleet import capacity_left, fleet_cost_s, true_speeds
+from wagtailtrestle.measure.platform_store import MeasuredLedgers, MeasuredStore, is_keyed
 from wagtailtrestle.measure.run_parts import RunSetting
-from wagtailtrestle.measure.tally import tally
+from wagtailtrestle.measure.tally import tally, tally_keyed
 from wagtailtrestle.measure.workload import Drawing
 from wagtailtrestle.policies import LeastReportedLoad, PredictedFinish, RoundRobin, TwoChoices
 
@@ -28,6 +29,10 @@
 STRAGGLER = "straggler"
 KILLED_ENTRY = "killed-entry"
 KILLED_STEWARD = "killed-steward"
+KEYED = "keyed"
+PLATFORM_OUT = "platform-out"
+KEYED_SCENARIOS = (KEYED, PLATFORM_OUT)
+"""Half of the callers on at-most-once routes send a key; in the second the store is out."""
 
 OURS = "ours"
 BASELINES = ("round-robin", "least-reported", "two-choices")
@@ -76,6 +81,7 @@
             route.name: declaration.tiers_by_name[route.tier].rank for route in service.routes_by_name.values()
         }
         self._callers = []
+        self._store = MeasuredStore(out=spec.scenario == PLATFORM_OUT)
 
     async def run(self):
         """Drive the run to its end."""
@@ -84,14 +90,21 @@
         engines_by_name = {
             name: FakeEngine(name=name, speed=speed, loop=loop) for name, speed in self._speed_by_name.items()
         }
-        routers = self._routers(engines_by_name, loop)
+        routers = self._routers(engines_by_name, loop, await self._claims_by_router(loop))
         routers.start()
         loop.call_later(spec.duration_s * FAULT_AT, self._break, routers, engines_by_name)
         await self._arrive(routers, loop)
         await asyncio.sleep(DRAIN_S)
         return self._figures(engines_by_name)
 
-    def _routers(self, engines_by_name, loop):
+    async def _claims_by_router(self, loop):
+        if self._spec.scenario not in KEYED_SCENARIOS:
+            return {}
+        ledgers = MeasuredLedgers(setting=self._setting, store=self._store, loop=loop)
+        await ledgers.start()
+        return ledgers.ledger_by_router
+
+    def _routers(self, engines_by_name, loop, claims_by_router):
         policy = self._spec.policy
         seed = self._spec.seed
         steward = policy == OURS or policy in ABLATIONS
@@ -108,8 +121,8 @@
                 case _:
                     return PredictedFinish(prefill_weight=self._setting.prefill_weight)
 
-        kind = StewardRouters if steward else BaselineRouters
-        return kind(setting=self._setting, engines_by_name=engines_by_name, make_policy=make_policy, loop=loop)
+        parts = dict(setting=self._setting, engines_by_name=engines_by_name, make_policy=make_policy, loop=loop)
+        return StewardRouters(**parts, claims_by_router=claims_by_router) if steward else BaselineRouters(**parts)
 
     async def _arrive(self, routers, loop):
         spec = self._spec
@@ -118,9 +131,12 @@
             await asyncio.sleep(arrival.at_s - loop.time())
             route = self._setting.service.routes_by_name[arrival.kind.route]
             router = pick.choice(routers.live())
+            request_id = f"{router}-{arrival.number}"
+            keyed = spec.scenario in KEYED_SCENARIOS and route.at_most_once and is_keyed(request_id)
             request = caller_request(
                 arrival=arrival,
-                request_id=f"{router}-{arrival.number}",
+                request_id=request_id,
+                key=request_id if keyed else "",
                 service=spec.service,
                 tier=self._tier_of[route.name],
                 repeatable=route.repeatable,
@@ -159,6 +175,10 @@
             repeatable_of={route.name: route.repeatable for route in routes},
             window=(WARM_S, spec.duration_s),
         )
+        figures["requests"] = len(self._callers)
+        figures["writes"] = self._store.writes
+        if spec.scenario in KEYED_SCENARIOS:
+            figures["keyed"] = tally_keyed(callers=self._callers, routes_by_name=self._setting.service.routes_by_name)
         figures["bound"] = min(figures["offered_of_fleet"], self._capacity())
         figures["busy_share"] = figures.pop("busy_s") / (spec.duration_s * len(engines_by_name))
         return figures
--- a/wagtailtrestle/measure/plan_of_runs.py
+++ b/wagtailtrestle/measure/plan_of_runs.py
@@ -3,6 +3,7 @@
 from wagtailtrestle.measure.one_run import (
     ABLATIONS,
     BASELINES,
+    KEYED_SCENARIOS,
     KILLED_ENTRY,
     KILLED_STEWARD,
     NO_FAULT,
@@ -14,10 +15,11 @@
 SERVICES = ("asistente", "naamkosh")
 LOADS = (0.7, 1.0, 1.5, 2.5)
 FAULT_LOADS = (1.0, 2.5)
-FAULTS = (STRAGGLER, KILLED_ENTRY, KILLED_STEWARD)
+FAULTS = (STRAGGLER, KILLED_ENTRY, KILLED_STEWARD, *KEYED_SCENARIOS)
 BASELINE_FAULTS = (STRAGGLER, KILLED_ENTRY)
 SEEDS = (1, 2, 3)
-WEIGHTS = (0.0, 0.5, 1.0)
+WEIGHTS = (0.0, 0.2, 0.4, 0.6, 0.8, 1.0)
+WEIGHT_LOADS = (1.0, 2.5)
 DURATION_S = 45.0
 QUICK_DURATION_S = 25.0
 
@@ -29,11 +31,11 @@
         for seed in SEEDS:
             for policy in (OURS, *BASELINES):
                 specs += [_spec(service, policy, load, NO_FAULT, seed) for load in LOADS]
-                # To a baseline every router is like every other: it has no steward.
+                # To a baseline every router is like every other, and it knows no keys.
                 faults = FAULTS if policy == OURS else BASELINE_FAULTS
                 specs += [_spec(service, policy, load, fault, seed) for load in FAULT_LOADS for fault in faults]
             specs += [_spec(service, policy, 2.5, NO_FAULT, seed) for policy in ABLATIONS]
-            specs += [_spec(service, OURS, 2.5, NO_FAULT, seed, weight) for weight in WEIGHTS]
+            specs += [_spec(service, OURS, load, NO_FAULT, seed, weight) for load in WEIGHT_LOADS for weight in WEIGHTS]
     return _dearest_first(specs)
 
 
--- a/wagtailtrestle/measure/report.py
+++ b/wagtailtrestle/measure/report.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 
-from wagtailtrestle.measure.one_run import BASELINES, OURS
+from wagtailtrestle.measure.one_run import BASELINES, KEYED, KEYED_SCENARIOS, NO_FAULT, OURS
 
 GROUP = ("service", "scenario", "load", "policy", "prefill_weight")
 TOP_TIER_BY_SERVICE = {"asistente": "question", "naamkosh": "wording"}
@@ -50,6 +50,37 @@
     return "\n".join(lines)
 
 
+def platform_table(results):
+    """Lay out what the ledger costs the platform, and what its outage costs callers, as a Markdown table."""
+    lines = [
+        "| service | scenario | load | writes per 1,000 requests | per request with a key "
+        "| with a key: in time, refused unrun, slowest refusal | without a key: in time |",
+        "|---|---|---|---|---|---|---|",
+    ]
+    grouped = defaultdict(list)
+    for result in results:
+        if result["scenario"] in KEYED_SCENARIOS:
+            grouped[result["service"], result["scenario"], result["load"]].append(result)
+    return "\n".join(lines + [_platform_line(key, grouped[key]) for key in sorted(grouped)])
+
+
+def _platform_line(key, results):
+    service, scenario, load = key
+    keyed, unkeyed = (_sums([result["keyed"][name] for result in results]) for name in ("keyed", "unkeyed"))
+    writes = sum(result["writes"] for result in results)
+    requests = sum(result["requests"] for result in results)
+    slowest_s = max(result["keyed"]["slowest_refusal_s"] for result in results)
+    return (
+        f"| {service} | {scenario} | {load} | {1000 * writes / requests:.0f} | {writes / keyed['asked']:.2f} "
+        f"| {keyed['in_time'] / keyed['asked']:.1%}, {keyed['refused'] / keyed['asked']:.1%}, {slowest_s:.3f} s "
+        f"| {unkeyed['in_time'] / unkeyed['asked']:.1%} |"
+    )
+
+
+def _sums(counts):
+    return {name: sum(each[name] for each in counts) for name in counts[0]}
+
+
 def targets(rows):
     """Return one line for each target: held or missed, with its figure."""
     by_key = {row.key: row for row in rows}
@@ -85,13 +116,13 @@
 
 
 def _top_tier(by_key, service, top):
-    row = _ours(by_key, service, "none", 2.5)
+    row = _ours(by_key, service, NO_FAULT, 2.5)
     if row is not None:
         yield _line(f"{service}: top tier in time at 2.5", row.in_time_by_tier[top], 0.99)
 
 
 def _goodput(by_key, service):
-    rows = {load: _ours(by_key, service, "none", load) for load in (1.0, 1.5, 2.5)}
+    rows = {load: _ours(by_key, service, NO_FAULT, load) for load in (1.0, 1.5, 2.5)}
     for load, row in rows.items():
         if row is not None:
             yield _line(f"{service}: goodput / bound at {load}", row.goodput, 0.9)
@@ -102,13 +133,13 @@
 def _waste(by_key, service):
     for (name, scenario, load, policy, weight), row in by_key.items():
         if (name, policy, weight) == (service, OURS, -1.0):
-            limit = 0.01 if scenario == "none" else 0.05
+            limit = 0.01 if scenario in (NO_FAULT, KEYED) else 0.05
             yield _line(f"{service}: wasted prefill, {scenario}, load {load}", row.wasted, limit, most=True)
 
 
 def _against_baseline(by_key, service):
-    ours = _ours(by_key, service, "none", 2.5)
-    others = [by_key.get((service, "none", 2.5, policy, -1.0)) for policy in BASELINES]
+    ours = _ours(by_key, service, NO_FAULT, 2.5)
+    others = [by_key.get((service, NO_FAULT, 2.5, policy, -1.0)) for policy in BASELINES]
     best = min((row.wasted for row in others if row), default=None)
     if ours is not None and best is not None:
         ratio = best / max(ours.wasted, 1e-6)
--- a/wagtailtrestle/measure/tally.py
+++ b/wagtailtrestle/measure/tally.py
@@ -1,6 +1,7 @@
 """Figures of one measured run, taken from the engines' own record and the callers' answers."""
 
 from wagtailtrestle.measure.fleet import fleet_cost_s
+from wagtailtrestle.measure.platform_store import is_keyed
 from wagtailtrestle.outcomes import Executed, Reason
 
 
@@ -77,6 +78,23 @@
     }
 
 
+def tally_keyed(*, callers, routes_by_name):
+    """Counts of the at-most-once routes' callers, apart by whether they sent a key."""
+    counts = {"keyed": TierTally(), "unkeyed": TierTally()}
+    slowest_refusal_s = 0.0
+    for caller in callers:
+        arrival = caller.arrival
+        if not routes_by_name[arrival.kind.route].at_most_once:
+            continue
+        keyed = is_keyed(caller.request_id)
+        in_time = caller.answered_at is not None and caller.answered_at <= arrival.at_s + arrival.kind.deadline_s
+        count(counts["keyed" if keyed else "unkeyed"], caller, in_time)
+        if keyed and caller.refusal:
+            slowest_refusal_s = max(slowest_refusal_s, caller.refused_at - arrival.at_s)
+    figures = {name: tier.as_dict() for name, tier in counts.items()}
+    return {**figures, "slowest_refusal_s": round(slowest_refusal_s, 3)}
+
+
 def count(tier, caller, in_time):
     """Count one caller's end."""
     tier.asked += 1
