--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,8 +5,10 @@
 import typing
 import unittest
 from enum import Enum
+from unittest import mock
 
 import looptime
+from grpclib.client import Channel
 
 from tests.utils.tcp_forwarder import TcpForwarder
 from wagtailtrestle.generated import peers_pb2 as pb
@@ -21,8 +23,9 @@
 )
 from wagtailtrestle.outcomes import Reason
 from wagtailtrestle.peer_codec import BODIES, decode, encode
+from wagtailtrestle.peer_connection import connect
 from wagtailtrestle.peer_delays import delay_of
-from wagtailtrestle.peer_messages import ConfigurationAsk, ConfigurationText, Heartbeat, PeerUnreachable
+from wagtailtrestle.peer_messages import ConfigurationAsk, ConfigurationText, Heartbeat, Hello, PeerUnreachable
 from wagtailtrestle.peer_outbox import Outbox
 from wagtailtrestle.peers_grpc import Peers
 
@@ -138,6 +141,21 @@
         await asyncio.sleep(1.0)
         self.assertEqual((a.dump()["b"]["link"]["items_received"], a.dump()["b"]["link"]["items_sent"]), (0, 2))
 
+    async def test_connection_ends_between_opening_and_use(self):
+        # A peer dies just after it took the connection. Dialing must end as failed like any other: were it to end
+        # with an error, nobody would be told that the peer can't be reached, and nobody would try again.
+        b = await self.make("b")
+        connect_channel = Channel.__connect__
+
+        async def lost_at_once(channel):
+            protocol = await connect_channel(channel)
+            protocol.processor.close()
+            return protocol
+
+        with mock.patch.object(Channel, "__connect__", lost_at_once):
+            hello = Hello(name="a", incarnation=1, zone="", address="")
+            self.assertIsInstance(await connect(address=b.address, name="b", own_hello=hello), str)
+
     async def test_used_link_falls_quiet(self):
         # One message is sent and none comes back, so the sender asks once for a sign of life. That sign needs
         # none in return: otherwise both ends would ask each other for ever on every link once used.
--- a/wagtailtrestle/peer_connection.py
+++ b/wagtailtrestle/peer_connection.py
@@ -16,6 +16,7 @@
 KEEPALIVE_IDLE_S = 15
 KEEPALIVE_INTERVAL_S = 5
 KEEPALIVE_TRIES = 3
+LOST_ATTRIBUTE = "_transport"
 
 CONNECTION_ERRORS = (OSError, GRPCError, StreamTerminatedError, TimeoutError)
 
@@ -41,7 +42,14 @@
     async def greet(self, own_hello):
         """Send this router's ``Hello`` and wait for the peer's, ``None`` if it is none."""
         self.stream = await self._context.__aenter__()
-        await self.stream.send_message(pb.Batch(items=[encode(own_hello)]))
+        try:
+            await self.stream.send_message(pb.Batch(items=[encode(own_hello)]))
+        except AttributeError as error:
+            # The library drops a lost connection's transport; one lost between opening and first use shows as
+            # this. Uncaught, dialing would end unreported and never be tried again.
+            if error.name != LOST_ATTRIBUTE:
+                raise
+            raise ConnectionResetError("connection lost before it was used") from error
         self.hello = hello_in(await self.stream.recv_message())
 
     def close(self):
