Bound a cell's queue by count and by work; the lowest tier's flooding team is refused first

Cause: while models are cold, or lower tiers are left, no predicted wait refuses anything, so a flood queued without limit, and each message went through all parked requests. Change: at most 4,096 requests and 600 engine-seconds for each engine wait; beyond, the last due of the team with most work for its share in the lowest waiting tier is refused at once, OVERLOADED with the computed Retry-After, by a heap for each team (O(log n)). Parked requests are grouped by the engines tried. Teams moved to team_queue, CellDigest to cells.

--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -3,6 +3,7 @@
 import unittest
 
 from tests.utils.steward_fakes import Cell, ask, engine, finished, register, report, running
+from wagtailtrestle.admission import MOST_WAITING, MOST_WORK_S
 from wagtailtrestle.messages import Granted, Preempt, Refused, RunProgress, Withdraw
 from wagtailtrestle.outcomes import Reason
 from wagtailtrestle.registration import CAUTION_S
@@ -67,6 +68,27 @@
         self.assertEqual(cell.entries.ids(Granted), ["r"])
 
 
+class FloodTest(unittest.TestCase):
+    def test_a_flood_is_refused_from_the_lowest_tier_and_stays_bounded(self):
+        # More arrive at one instant than may wait. Without measurements no predicted wait refuses
+        # any, so the queue would grow as long as the flood lasts. The lowest tier goes first, is
+        # told so at once, and is told to come back when what waits has been served.
+        cell = Cell(engines=tuple(f"e{number}" for number in range(9)), slots=16)
+        cell.receive(*[ask(f"low{number}", tier=3, remaining_s=900.0) for number in range(MOST_WAITING)])
+        cell.receive(*[ask(f"high{number}", tier=0, remaining_s=900.0) for number in range(MOST_WAITING // 2)])
+        refused = cell.entries.of(Refused)
+        self.assertEqual(sum(cell.steward.digest().waiting_by_tier.values()), MOST_WAITING)
+        self.assertEqual({each.request_id[:3] for each in refused}, {"low"})
+        self.assertEqual({each.reason for each in refused}, {Reason.OVERLOADED})
+        self.assertGreater(refused[-1].retry_after_s, 10.0)
+
+    def test_few_very_long_requests_are_bounded_by_their_work(self):
+        cell = Cell(slots=1)
+        cell.receive(*[ask(f"r{number}", output_tokens=20_000, remaining_s=9000.0) for number in range(9)])
+        self.assertLessEqual(cell.steward._queue.work_s, MOST_WORK_S)
+        self.assertEqual(len(cell.entries.of(Refused)) + cell.steward.digest().waiting_by_tier[1], 8)
+
+
 class MessagesTest(unittest.TestCase):
     def test_the_same_ask_twice_is_one_place(self):
         # The entry asks again as it saw no answer. The second ask must repeat the answer
--- a/tests/test_tier_queue.py
+++ b/tests/test_tier_queue.py
@@ -5,7 +5,8 @@
 
 from tests.utils.steward_fakes import ask
 from wagtailtrestle.grants import WaitingRequest
-from wagtailtrestle.tier_queue import AGEING, COMPACT_ABOVE, TierQueue
+from wagtailtrestle.team_queue import AGEING, COMPACT_ABOVE
+from wagtailtrestle.tier_queue import TierQueue
 
 
 def waiting(request_id, *, tier=1, team="socios", arrived_at=0.0, work_s=1.0, deadline=1000.0):
@@ -48,8 +49,22 @@
         for number in range(50 * COMPACT_ABOVE):
             queue.push(waiting(f"r{number}", deadline=number + 2.0))
             queue.pop_expired(float(number))
-        entries = len(queue._tiers_by_rank[1].teams_by_name["socios"].heap)
-        self.assertLess(entries, 3 * COMPACT_ABOVE)
+        team = queue._tiers_by_rank[1].teams_by_name["socios"]
+        self.assertLess(max(len(team.heap), len(team.tail)), 3 * COMPACT_ABOVE)
+
+    def test_the_lowest_tier_and_the_team_that_floods_it_are_given_up_first(self):
+        queue = TierQueue(share_by_team={"bitacora": 4.0})
+        queue.push(waiting("high", tier=0, work_s=50.0))
+        for number in range(3):
+            queue.push(waiting(f"flood{number}", team="socios", work_s=1.0 + number))
+            queue.push(waiting(f"large{number}", team="bitacora", work_s=2.0))
+        queue.park(queue.pop(), tried_engines=frozenset({"e1"}))
+        given_up = []
+        while (last := queue.last()) is not None:
+            given_up.append(last.request_id)
+            queue.remove(last.request_id)
+        self.assertEqual(given_up[:2], ["flood2", "flood1"])
+        self.assertEqual((len(given_up), given_up[-1]), (7, "high"))
 
 
 class FairSharesTest(unittest.TestCase):
--- a/wagtailtrestle/admission.py
+++ b/wagtailtrestle/admission.py
@@ -44,6 +44,13 @@
 """Asks after which a request that was preempted again and again is refused for good."""
 
 
+MOST_WAITING = 4096
+"""Requests that may wait in one cell, so that a flood costs bounded memory and time."""
+
+MOST_WORK_S = 600.0
+"""Engine-seconds that may wait for each engine of the cell: more than any deadline waits for."""
+
+
 class ArrivalRates:
     """Engine-seconds of admitted work arriving per second, by tier, over a fading window."""
 
@@ -109,6 +116,19 @@
         """Count an admitted request's work as demand of its tier."""
         self._rates.note(waiting.request.tier, waiting.work_s)
 
+    def overflow(self) -> WaitingRequest | None:
+        """Return a waiting request to give up as too many wait, or ``None``.
+
+        Predicted waits refuse nothing while lower tiers are left or the models are cold.
+        A flood could then fill the process's memory, and each tick would take longer
+        than the time between two, so that engines stand idle beside a full queue.
+        """
+        most_work_s = MOST_WORK_S * max(1, len(self._engines))
+        too_much_work = self._queue.work_s > most_work_s and len(self._queue) > 1
+        if len(self._queue) > MOST_WAITING or too_much_work:
+            return self._queue.last()
+        return None
+
     def refusal(self, waiting: WaitingRequest):
         """Reason to refuse an arriving request, or ``None`` to let it wait or run.
 
--- a/wagtailtrestle/cells.py
+++ b/wagtailtrestle/cells.py
@@ -1,6 +1,25 @@
 """Choice of the cell, a group of engines under one steward, that a request asks."""
 
 import hashlib
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class CellDigest:
+    """Summary of a cell by which entries choose between cells.
+
+    Parameters
+    ----------
+    free : int
+        Places free now.
+    waiting_by_tier : dict of int to int
+    lowest_tier : int or None
+        Rank of the lowest tier that waits or runs here.
+    """
+
+    free: int
+    waiting_by_tier: dict
+    lowest_tier: int | None
 
 
 def cells_of(declaration, service):
--- a/wagtailtrestle/isolation.py
+++ b/wagtailtrestle/isolation.py
@@ -9,7 +9,7 @@
 
 from wagtailtrestle.admission import shielded_run_s, tolerance
 from wagtailtrestle.grants import WaitingRequest
-from wagtailtrestle.tier_queue import due
+from wagtailtrestle.team_queue import due
 
 MAX_SUSPECTS = 16
 """Suspects that may wait in one cell: they are served one by one."""
--- a/wagtailtrestle/steward.py
+++ b/wagtailtrestle/steward.py
@@ -5,9 +5,8 @@
 can't make a request run twice.
 """
 
-from dataclasses import dataclass
-
 from wagtailtrestle.admission import Admission
+from wagtailtrestle.cells import CellDigest
 from wagtailtrestle.isolation import Isolation
 from wagtailtrestle.messages import (
     GrantRequest,
@@ -33,24 +32,6 @@
 """Parked requests tried again at each tick, as predictions change with time."""
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
-class CellDigest:
-    """Summary of a cell by which entries choose between cells.
-
-    Parameters
-    ----------
-    free : int
-        Places free now.
-    waiting_by_tier : dict of int to int
-    lowest_tier : int or None
-        Rank of the lowest tier that waits or runs here.
-    """
-
-    free: int
-    waiting_by_tier: dict
-    lowest_tier: int | None
-
-
 class Steward:
     """Admission of one cell.
 
@@ -280,6 +261,9 @@
             return
         self._admission.admit(waiting)
         self._queue.push(waiting)
+        while (given_up := self._admission.overflow()) is not None:
+            self._queue.remove(given_up.request_id)
+            self._refuse(given_up.request, Reason.OVERLOADED)
 
     def _set_aside(self, waiting):
         if not self._isolation.has_room():
--- /dev/null
+++ b/wagtailtrestle/team_queue.py
@@ -0,0 +1,129 @@
+"""Waiting requests of one team in one tier, and the teams of one tier."""
+
+import heapq
+import math
+
+AGEING = 4.0
+"""Seconds of later arrivals that may overtake a request, for each second of its work."""
+
+URGENT_S = 0.5
+"""A request goes first once this little is left to its latest start."""
+
+COMPACT_ABOVE = 64
+"""Entries of removed requests that a heap may hold beyond as many as wait."""
+
+SLOT_S = 0.25
+"""Width of the slots of due time over which waiting work is summed."""
+
+
+def due(waiting):
+    """Time by which a waiting request is to be served, as its order among its team's."""
+    return min(waiting.arrived_at + AGEING * waiting.work_s, waiting.latest_start - URGENT_S)
+
+
+def _slot(waiting):
+    return math.floor(due(waiting) / SLOT_S)
+
+
+class TeamQueue:
+    """Requests of one team in one tier, with its virtual time.
+
+    Attributes
+    ----------
+    heap : list
+        ``(due, sequence, waiting)``; entries of removed requests are skipped when met.
+    virtual_start : float
+        Start tag of the team's next request, in engine-seconds per share.
+    ticket : int or None
+        Sequence of the team's valid entry in its tier's heap of teams.
+    tail : list
+        ``(-due, -sequence, waiting)``: who is given up first when too many wait.
+    waiting, work_s : int, float
+        Requests that wait, parked ones included, and their engine-seconds.
+    """
+
+    __slots__ = ("name", "heap", "tail", "virtual_start", "ticket", "waiting", "work_s", "work_by_slot")
+
+    def __init__(self, *, name):
+        self.name = name
+        self.heap = []
+        self.tail = []
+        self.virtual_start = 0.0
+        self.ticket = None
+        self.waiting = 0
+        self.work_s = 0.0
+        self.work_by_slot = {}
+
+    def pop_first(self, is_ready):
+        """Take the request due first; ``None`` if none is ready."""
+        while self.heap:
+            waiting = heapq.heappop(self.heap)[2]
+            if is_ready(waiting):
+                return waiting
+        return None
+
+    def last(self, is_waiting):
+        """Look at the request due last, parked or not; ``None`` if none waits."""
+        while self.tail and not is_waiting(self.tail[0][2]):
+            heapq.heappop(self.tail)
+        return self.tail[0][2] if self.tail else None
+
+    def compact(self, *, is_ready, is_waiting):
+        """Drop the entries of removed requests once they are the greater part.
+
+        A starved tier is never popped: without this, every request that expired in it
+        would stay in the heaps for as long as the overload lasts, and memory would grow.
+        """
+        most = COMPACT_ABOVE + 2 * self.waiting
+        if len(self.heap) > most:
+            self.heap = [entry for entry in self.heap if is_ready(entry[2])]
+            heapq.heapify(self.heap)
+        if len(self.tail) > most:
+            self.tail = [entry for entry in self.tail if is_waiting(entry[2])]
+            heapq.heapify(self.tail)
+
+    def count(self, waiting):
+        """Add a request to the sums."""
+        self.waiting += 1
+        self.work_s += waiting.work_s
+        slot = _slot(waiting)
+        self.work_by_slot[slot] = self.work_by_slot.get(slot, 0.0) + waiting.work_s
+
+    def discount(self, waiting):
+        """Take a request out of the sums."""
+        self.waiting -= 1
+        self.work_s -= waiting.work_s
+        slot = _slot(waiting)
+        left = self.work_by_slot[slot] - waiting.work_s
+        if not self.waiting:
+            # What rounding left over would otherwise add up for ever.
+            self.work_s = 0.0
+            self.work_by_slot.clear()
+        elif left <= 0.0:
+            self.work_by_slot.pop(slot)
+        else:
+            self.work_by_slot[slot] = left
+
+    def work_ahead_s(self, waiting):
+        """Engine-seconds of the team's requests that are due before this one, or with it."""
+        slot = _slot(waiting)
+        return sum(work for other, work in self.work_by_slot.items() if other <= slot)
+
+
+class Tier:
+    """One tier: its teams, and the heap of teams by virtual start time."""
+
+    __slots__ = ("teams_by_name", "heap", "virtual_time")
+
+    def __init__(self):
+        self.teams_by_name = {}
+        self.heap = []
+        self.virtual_time = 0.0
+
+    def count(self):
+        """Requests that wait."""
+        return sum(team.waiting for team in self.teams_by_name.values())
+
+    def work_s(self):
+        """Engine-seconds that wait."""
+        return sum(team.work_s for team in self.teams_by_name.values())
--- a/wagtailtrestle/tier_queue.py
+++ b/wagtailtrestle/tier_queue.py
@@ -10,102 +10,12 @@
 
 import heapq
 import itertools
-import math
 
 from wagtailtrestle.grants import WaitingRequest
-
-AGEING = 4.0
-"""Seconds of later arrivals that may overtake a request, for each second of its work."""
-
-URGENT_S = 0.5
-"""A request goes first once this little is left to its latest start."""
+from wagtailtrestle.team_queue import TeamQueue, Tier, due
 
 DEFAULT_SHARE = 1.0
 
-COMPACT_ABOVE = 64
-"""Entries of removed requests that a heap may hold beyond as many as wait."""
-
-SLOT_S = 0.25
-"""Width of the slots of due time over which waiting work is summed."""
-
-
-def due(waiting):
-    """Time by which a waiting request is to be served, as its order among its team's."""
-    return min(waiting.arrived_at + AGEING * waiting.work_s, waiting.latest_start - URGENT_S)
-
-
-def _slot(waiting):
-    return math.floor(due(waiting) / SLOT_S)
-
-
-class _TeamQueue:
-    """Requests of one team in one tier, with its virtual time.
-
-    Attributes
-    ----------
-    heap : list
-        ``(due, sequence, waiting)``; entries of removed requests are skipped when met.
-    virtual_start : float
-        Start tag of the team's next request, in engine-seconds per share.
-    ticket : int or None
-        Sequence of the team's valid entry in its tier's heap of teams.
-    """
-
-    __slots__ = ("name", "heap", "virtual_start", "ticket", "waiting", "work_s", "work_by_slot")
-
-    def __init__(self, *, name):
-        self.name = name
-        self.heap = []
-        self.virtual_start = 0.0
-        self.ticket = None
-        self.waiting = 0
-        self.work_s = 0.0
-        self.work_by_slot = {}
-
-    def count(self, waiting):
-        """Add a request to the sums."""
-        self.waiting += 1
-        self.work_s += waiting.work_s
-        slot = _slot(waiting)
-        self.work_by_slot[slot] = self.work_by_slot.get(slot, 0.0) + waiting.work_s
-
-    def discount(self, waiting):
-        """Take a request out of the sums."""
-        self.waiting -= 1
-        self.work_s -= waiting.work_s
-        slot = _slot(waiting)
-        left = self.work_by_slot[slot] - waiting.work_s
-        if not self.waiting:
-            # What rounding left over would otherwise add up for ever.
-            self.work_s = 0.0
-            self.work_by_slot.clear()
-        elif left <= 0.0:
-            self.work_by_slot.pop(slot)
-        else:
-            self.work_by_slot[slot] = left
-
-    def work_ahead_s(self, waiting):
-        """Engine-seconds of the team's requests that are due before this one, or with it."""
-        slot = _slot(waiting)
-        return sum(work for other, work in self.work_by_slot.items() if other <= slot)
-
-
-class _Tier:
-    """One tier: its teams, and the heap of teams by virtual start time."""
-
-    __slots__ = ("teams_by_name", "heap", "virtual_time")
-
-    def __init__(self):
-        self.teams_by_name = {}
-        self.heap = []
-        self.virtual_time = 0.0
-
-    def count(self):
-        return sum(team.waiting for team in self.teams_by_name.values())
-
-    def work_s(self):
-        return sum(team.work_s for team in self.teams_by_name.values())
-
 
 class TierQueue:
     """Waiting requests by tier, team and due time.
@@ -122,6 +32,7 @@
         "waiting_by_request_id",
         "aside_by_request_id",
         "_parked_by_request_id",
+        "_parked_by_tried",
         "_tiers_by_rank",
         "_ranks",
         "_latest_start_heap",
@@ -133,6 +44,7 @@
         self.waiting_by_request_id = {}
         self.aside_by_request_id = {}
         self._parked_by_request_id = {}
+        self._parked_by_tried = {}
         self._tiers_by_rank = {}
         self._ranks = []
         self._latest_start_heap = []
@@ -142,6 +54,11 @@
     def __len__(self):
         return len(self.waiting_by_request_id)
 
+    @property
+    def work_s(self):
+        """Engine-seconds that wait in all."""
+        return sum(self.work_by_tier().values())
+
     def set_shares(self, share_by_team):
         """Put declared shares in force for what is served from now on."""
         self._share_by_team = dict(share_by_team)
@@ -150,6 +67,7 @@
         """Add a request; it must not be waiting already."""
         self._hold(waiting)
         self._watch_latest_start(waiting)
+        heapq.heappush(self._team(waiting).tail, (-due(waiting), -next(self._sequence), waiting))
         self._order(waiting)
 
     def set_aside(self, waiting: WaitingRequest):
@@ -170,11 +88,11 @@
         """Take a request out, wherever it stands; ``None`` if it is not waiting."""
         waiting = self.waiting_by_request_id.pop(request_id, None)
         if waiting is not None:
-            self._parked_by_request_id.pop(request_id, None)
+            self._forget_parked(request_id)
             self.aside_by_request_id.pop(request_id, None)
             team = self._team(waiting)
             team.discount(waiting)
-            self._compact(team)
+            team.compact(is_ready=self._is_ready, is_waiting=self._is_waiting)
         return waiting
 
     def pop(self):
@@ -195,11 +113,12 @@
         waiting.tried_engines = tried_engines
         self._hold(waiting)
         self._parked_by_request_id[waiting.request_id] = waiting
+        self._parked_by_tried.setdefault(tried_engines, {})[waiting.request_id] = waiting
 
     def unpark(self, engine_names):
         """Let parked requests be tried again for which one of these engines is new."""
-        for waiting in list(self._parked_by_request_id.values()):
-            if not engine_names <= waiting.tried_engines:
+        for tried_engines in [tried for tried in self._parked_by_tried if not engine_names <= tried]:
+            for waiting in list(self._parked_by_tried[tried_engines].values()):
                 self._unpark(waiting)
 
     def unpark_some(self, count):
@@ -207,6 +126,19 @@
         for waiting in list(itertools.islice(self._parked_by_request_id.values(), count)):
             self._unpark(waiting)
 
+    def last(self):
+        """Look at the request to give up first: lowest tier, most work for its share, due last.
+
+        The team that floods its tier pays for it, and requests set aside are left out.
+        """
+        for rank in reversed(self._ranks):
+            teams = [team for team in self._tiers_by_rank[rank].teams_by_name.values() if team.waiting]
+            for team in sorted(teams, key=lambda team: -team.work_s / self._share(team.name)):
+                waiting = team.last(self._is_waiting)
+                if waiting is not None:
+                    return waiting
+        return None
+
     def pop_expired(self, now):
         """Take out and return all whose latest start has passed."""
         expired = []
@@ -279,21 +211,14 @@
         rank = waiting.request.tier
         tier = self._tiers_by_rank.get(rank)
         if tier is None:
-            tier = self._tiers_by_rank[rank] = _Tier()
+            tier = self._tiers_by_rank[rank] = Tier()
             self._ranks = sorted(self._tiers_by_rank)
         name = waiting.request.team
         team = tier.teams_by_name.get(name)
         if team is None:
-            team = tier.teams_by_name[name] = _TeamQueue(name=name)
+            team = tier.teams_by_name[name] = TeamQueue(name=name)
         return team
 
-    def _compact(self, team):
-        # A starved tier is never popped: without this, every request that expired in it
-        # would stay in the heap for as long as the overload lasts, and memory would grow.
-        if len(team.heap) > COMPACT_ABOVE + 2 * team.waiting:
-            team.heap = [entry for entry in team.heap if self._is_ready(entry[2])]
-            heapq.heapify(team.heap)
-
     def _watch_latest_start(self, waiting):
         heapq.heappush(self._latest_start_heap, (waiting.latest_start, next(self._sequence), waiting))
 
@@ -312,10 +237,19 @@
             self._enter(tier, team)
 
     def _unpark(self, waiting):
-        self._parked_by_request_id.pop(waiting.request_id)
+        self._forget_parked(waiting.request_id)
         waiting.tried_engines = frozenset()
         self._order(waiting)
 
+    def _forget_parked(self, request_id):
+        waiting = self._parked_by_request_id.pop(request_id, None)
+        if waiting is None:
+            return
+        parked_by_id = self._parked_by_tried[waiting.tried_engines]
+        del parked_by_id[request_id]
+        if not parked_by_id:
+            del self._parked_by_tried[waiting.tried_engines]
+
     def _enter(self, tier, team):
         team.ticket = next(self._sequence)
         heapq.heappush(tier.heap, (team.virtual_start, team.ticket, team))
@@ -331,7 +265,7 @@
             if ticket != team.ticket:
                 continue
             team.ticket = None
-            waiting = self._pop_team(team)
+            waiting = team.pop_first(self._is_ready)
             if waiting is None:
                 continue
             tier.virtual_time = max(tier.virtual_time, virtual_start)
@@ -342,13 +276,6 @@
             return waiting
         return None
 
-    def _pop_team(self, team):
-        while team.heap:
-            waiting = heapq.heappop(team.heap)[2]
-            if self._is_ready(waiting):
-                return waiting
-        return None
-
 
 def _in_order(heap):
     """Yield a heap's entries in order, O(k log k) for the first k, leaving it as it is."""
