The margin of a promised finish grows with prefill_weight

The planner judges by the same margin. Conclusion: one setting now trades the lowest tier's goodput for prefill.

--- a/wagtailtrestle/admission.py
+++ b/wagtailtrestle/admission.py
@@ -10,8 +10,10 @@
 from wagtailtrestle.grants import WaitingRequest
 from wagtailtrestle.outcomes import Reason
 
-FINISH_MARGIN = 1.1
-"""A finish is promised only if it would still hold this much later than predicted."""
+LEAST_FINISH_MARGIN = 1.0
+FINISH_MARGIN_SPAN = 0.5
+"""A finish is promised only if it would still hold so many times later than predicted: the
+least margin where goodput alone counts, and the span more where thrown-away prefill does."""
 
 LENGTH_CAUTION = 0.7
 """Part of the gap between the expected and the greatest output that a promise allows for."""
@@ -84,11 +86,14 @@
     clock : callable
     queue : TierQueue
     lengths : OutputLengths
+    prefill_weight : float
+        From 0 (start what may just finish) to 1 (start only what surely finishes).
     """
 
-    __slots__ = ("_clock", "_queue", "_lengths", "_rates", "_engines")
+    __slots__ = ("_clock", "_queue", "_lengths", "_margin", "_rates", "_engines")
 
-    def __init__(self, *, clock, queue, lengths):
+    def __init__(self, *, clock, queue, lengths, prefill_weight):
+        self._margin = finish_margin(prefill_weight)
         self._lengths = lengths
         self._clock = clock
         self._queue = queue
@@ -168,7 +173,7 @@
         if engine.would_delay(prefill_s=prefill_s, tier=waiting.request.tier):
             return False
         concurrency = min(max(1, engine.limit), engine.running + 1 + len(self._queue))
-        predicted_s = promised_s(waiting, engine, concurrency, engine.pending_prefill_tokens)
+        predicted_s = promised_s(waiting, engine, concurrency, engine.pending_prefill_tokens, self._margin)
         return predicted_s <= tolerance(engine) * (waiting.deadline - self._clock())
 
     def wait_s(self, waiting: WaitingRequest):
@@ -236,8 +241,13 @@
     return prefill_s + request.output_tokens * engine.model.step_s(concurrency)
 
 
-def promised_s(waiting, engine, concurrency, pending_prefill_tokens):
-    """Time to the last token that is promised with some margin.
+def finish_margin(prefill_weight):
+    """Factor on a predicted finish, by how much thrown-away prefill weighs."""
+    return LEAST_FINISH_MARGIN + FINISH_MARGIN_SPAN * prefill_weight
+
+
+def promised_s(waiting, engine, concurrency, pending_prefill_tokens, margin):
+    """Time to the last token that is promised, with ``margin`` as its factor.
 
     A long prompt cut short by its deadline wastes its prefill, so it is started only if
     it would finish with a longer answer than expected too. A short one may be tried.
@@ -247,7 +257,7 @@
         return shielded_run_s(request, engine, concurrency, pending_prefill_tokens)
     predicted_s = run_s(request, engine, concurrency, pending_prefill_tokens)
     unexpected_tokens = LENGTH_CAUTION * (waiting.asked_tokens - request.output_tokens)
-    return FINISH_MARGIN * (predicted_s + unexpected_tokens * engine.model.pace_s(concurrency))
+    return margin * (predicted_s + unexpected_tokens * engine.model.pace_s(concurrency))
 
 
 def tolerance(engine):
--- a/wagtailtrestle/preemption.py
+++ b/wagtailtrestle/preemption.py
@@ -10,7 +10,7 @@
 import itertools
 from dataclasses import dataclass
 
-from wagtailtrestle.admission import MAX_ASKS, promised_s, run_s, tolerance, uncached_tokens
+from wagtailtrestle.admission import MAX_ASKS, finish_margin, promised_s, run_s, tolerance, uncached_tokens
 from wagtailtrestle.grants import Grant, WaitingRequest
 
 LOOK_AHEAD = 32
@@ -60,11 +60,17 @@
     clock : callable
     prefill_weight : float
         From 0 (act early, goodput counts) to 1 (act as late as possible).
+
+    Attributes
+    ----------
+    margin : float
+        Factor on a predicted finish, the same as at the grant.
     """
 
-    __slots__ = ("_clock", "_risk_s")
+    __slots__ = ("margin", "_clock", "_risk_s")
 
     def __init__(self, *, clock, prefill_weight):
+        self.margin = finish_margin(prefill_weight)
         self._clock = clock
         self._risk_s = RISK_S + EAGER_RISK_S * (1.0 - prefill_weight)
 
@@ -200,7 +206,7 @@
         # given goes to another, and the next round would cancel another run for it.
         if engine.name in waiting.request.excluded_engines:
             return False
-        duration_s = promised_s(waiting, engine, engine.limit, engine.pending_prefill_tokens)
+        duration_s = promised_s(waiting, engine, engine.limit, engine.pending_prefill_tokens, self._planner.margin)
         return free_at + duration_s <= self._now + tolerance(engine) * (waiting.deadline - self._now)
 
     def _order(self, grant, needed_s):
--- a/wagtailtrestle/steward.py
+++ b/wagtailtrestle/steward.py
@@ -70,7 +70,9 @@
         self._entries = entries
         self._runs = RunBook(clock=clock)
         self._queue = TierQueue()
-        self._admission = Admission(clock=clock, queue=self._queue, lengths=self._runs.lengths)
+        self._admission = Admission(
+            clock=clock, queue=self._queue, lengths=self._runs.lengths, prefill_weight=prefill_weight
+        )
         self._planner = PreemptionPlanner(clock=clock, prefill_weight=prefill_weight)
         self._isolation = Isolation(clock=clock, queue=self._queue)
         self._registration = Registration(clock=clock)
