Requests parked ahead keep nobody from free places

A plan that can't be promised its finish is parked and takes no place, but its work counted as ahead, and a longer margin parks more plans. Change: with a place free, an arrival is judged by the predicted wait only if a request waits that is not parked.

--- a/wagtailtrestle/admission.py
+++ b/wagtailtrestle/admission.py
@@ -147,7 +147,9 @@
             return Reason.NO_ENGINE
         if not any(self.could_finish(waiting, engine) for engine in possible):
             return Reason.DEADLINE_UNREACHABLE
-        if self._places_free() and not len(self._queue):
+        # Parked requests wait although places are free, as no engine with room suits them. What
+        # arrives behind them takes nothing from them; refused, it would find engines idle.
+        if self._places_free() and not self._queue.ready:
             return None
         if self._holds_lower(request.tier):
             return None
--- a/wagtailtrestle/tier_queue.py
+++ b/wagtailtrestle/tier_queue.py
@@ -59,6 +59,11 @@
         """Engine-seconds that wait in all."""
         return sum(self.work_by_tier().values())
 
+    @property
+    def ready(self):
+        """Requests that any free place might serve: neither parked nor set aside."""
+        return len(self.waiting_by_request_id) - len(self._parked_by_request_id) - len(self.aside_by_request_id)
+
     def set_shares(self, share_by_team):
         """Put declared shares in force for what is served from now on."""
         self._share_by_team = dict(share_by_team)
