Learn the prefill rate at the end of a run

Cause: engines tell usage with the end of an answer; the first token told 0 tokens, so the prefill rate stayed the declared one for ever. Change: RunBook gives the model the time to the first token when RunFinished comes, with what was prefilled ahead at the grant.

--- /dev/null
+++ b/tests/test_run_book.py
@@ -0,0 +1,36 @@
+import unittest
+
+from tests.utils.steward_fakes import Cell, ask, finished
+from wagtailtrestle.messages import Granted, Refused, RunStarted
+
+
+class PrefillRateTest(unittest.TestCase):
+    def test_it_is_learned_at_the_end_of_a_run_without_what_the_cache_held(self):
+        # An engine tells how much of a prompt its cache held only with the end of its answer.
+        # By the first token alone nothing is known of what it computed.
+        cell = Cell()
+        (engine,) = cell.steward._runs.engines
+        declared_s = engine.model.prefill_s(1000)
+        for number in range(20):
+            request_id = f"r{number}"
+            cell.receive(ask(request_id, prompt_tokens=4000, remaining_s=60.0))
+            self.assertIn(request_id, cell.entries.ids(Granted))
+            cell.receive(RunStarted(request_id=request_id, engine="e1", first_token_s=1.5))
+            usage = {"first_token_s": 1.5, "prompt_tokens": 4000, "cached_tokens": 1000, "output_tokens": 100}
+            cell.receive(finished(request_id, duration_s=2.5, **usage))
+        learned_s = engine.model.prefill_s(1000)
+        self.assertAlmostEqual(declared_s, 1.0)
+        self.assertTrue(0.42 < learned_s < 0.6, learned_s)
+
+
+class ParkedAheadTest(unittest.TestCase):
+    def test_a_free_place_is_given_though_a_parked_request_waits_ahead(self):
+        # A plan can't be promised its finish now, so it is parked and its place stays free. Its
+        # ten seconds of work stand ahead of a tagging request with two seconds left; refused for
+        # them, that request would find an idle engine.
+        cell = Cell()
+        cell.measure()
+        cell.receive(ask("plan", tier=2, prompt_tokens=600, output_tokens=1000, remaining_s=11.5))
+        self.assertEqual(cell.entries.sent, [])
+        cell.receive(ask("tag", tier=3, remaining_s=2.0))
+        self.assertEqual((cell.entries.ids(Granted), cell.entries.ids(Refused)), (["tag"], []))
--- a/wagtailtrestle/run_book.py
+++ b/wagtailtrestle/run_book.py
@@ -123,12 +123,6 @@
             return
         engine.start(grant)
         grant.progress_at = self._clock()
-        engine.model.observe_first_token(
-            first_token_s=message.first_token_s,
-            uncached_tokens=message.prompt_tokens - message.cached_tokens,
-            concurrency=engine.running,
-            pending_prefill_tokens=grant.ahead_tokens,
-        )
 
     def on_progress(self, message):
         """Take in how far a run has come."""
@@ -154,6 +148,14 @@
             engine.cache.clear()
         if message.result != RunDone.__name__:
             return
+        if message.first_token_s > 0.0:
+            # Only now: an engine tells how much its cache held with the end of its answer.
+            engine.model.observe_first_token(
+                first_token_s=message.first_token_s,
+                uncached_tokens=message.prompt_tokens - message.cached_tokens,
+                concurrency=grant.mean_concurrency,
+                pending_prefill_tokens=grant.ahead_tokens,
+            )
         tokens = message.output_tokens or grant.request.output_tokens
         decode_s = message.duration_s - (message.first_token_s if message.output_tokens else 0.0)
         concurrency = grant.mean_concurrency
