Begin no long prompt while the tiers above ask for more than the cell can do

Change: the rate above a tier is also known while the window fills (divided by the share of it that has passed, from ten requests and half a second on).

--- a/tests/test_run_book.py
+++ b/tests/test_run_book.py
@@ -34,3 +34,19 @@
         self.assertEqual(cell.entries.sent, [])
         cell.receive(ask("tag", tier=3, remaining_s=2.0))
         self.assertEqual((cell.entries.ids(Granted), cell.entries.ids(Refused)), (["tag"], []))
+
+
+class ColdStartTest(unittest.TestCase):
+    def test_long_prompts_wait_while_more_arrives_above_than_the_cell_can_do(self):
+        # A cell starts under overload: petitions for many times what it can do arrive, and a
+        # gazette of 4000 tokens. Begun on a place that happens to be idle, it would be cancelled
+        # within a second and its prefill lost. A short one loses nothing and is begun.
+        cell = Cell(slots=32)
+        cell.receive(*[ask(f"above{number}", tier=1) for number in range(20)])
+        cell.receive(ask("long", tier=3, prompt_tokens=4000, remaining_s=60.0), ask("short", tier=3))
+        granted = cell.entries.ids(Granted)
+        self.assertIn("short", granted)
+        self.assertNotIn("long", granted)
+        cell.receive(*[finished(f"above{number}") for number in range(20)])
+        cell.advance(20.0)
+        self.assertIn("long", cell.entries.ids(Granted))
--- a/wagtailtrestle/admission.py
+++ b/wagtailtrestle/admission.py
@@ -34,6 +34,13 @@
 RATE_WINDOW_S = 5.0
 """Time over which the arrival of work is averaged."""
 
+CROWDED_LOAD = 1.2
+"""Demand of the tiers above, in multiples of the cell's capacity, at which no long prompt is begun."""
+
+LEAST_RATE_EVIDENCE_S = 0.5
+LEAST_RATE_REQUESTS = 10
+"""An early rate needs so many requests, and is taken over no shorter a time: a first arrival tells of none."""
+
 LEAST_SERVICE_SHARE = 0.05
 """Least share of the cell assumed to be left for a tier by those above it."""
 
@@ -56,15 +63,20 @@
 class ArrivalRates:
     """Engine-seconds of admitted work arriving per second, by tier, over a fading window."""
 
-    __slots__ = ("_clock", "_rate_by_tier", "_at_by_tier")
+    __slots__ = ("_clock", "_rate_by_tier", "_at_by_tier", "_began_at", "_noted")
 
     def __init__(self, *, clock):
         self._clock = clock
+        self._began_at = None
+        self._noted = 0
         self._rate_by_tier = {}
         self._at_by_tier = {}
 
     def note(self, tier, work_s):
         """Count admitted work."""
+        if self._began_at is None:
+            self._began_at = self._clock()
+        self._noted += 1
         self._rate_by_tier[tier] = self.rate(tier) + work_s / RATE_WINDOW_S
         self._at_by_tier[tier] = self._clock()
 
@@ -77,6 +89,13 @@
         """Present rate of all tiers above this one."""
         return sum(self.rate(other) for other in self._rate_by_tier if other < tier)
 
+    def early_rate_above(self, tier):
+        """Present rate above, in the first seconds too, when the window is not full yet."""
+        if self._noted < LEAST_RATE_REQUESTS:
+            return 0.0
+        seen_s = max(LEAST_RATE_EVIDENCE_S, self._clock() - self._began_at)
+        return self.rate_above(tier) / (1.0 - math.exp(-seen_s / RATE_WINDOW_S))
+
 
 class Admission:
     """Judges requests against the engines' models and the queue.
@@ -171,7 +190,10 @@
 
     def can_finish_now(self, waiting: WaitingRequest, engine):
         """Whether the engine would finish it in time if it were granted there now, and those there too."""
-        prefill_s = engine.model.prefill_s(uncached_tokens(waiting.request, engine))
+        uncached = uncached_tokens(waiting.request, engine)
+        if uncached > CHEAP_PROMPT_TOKENS and self._crowded(waiting.request.tier):
+            return False
+        prefill_s = engine.model.prefill_s(uncached)
         if engine.would_delay(prefill_s=prefill_s, tier=waiting.request.tier):
             return False
         concurrency = min(max(1, engine.limit), engine.running + 1 + len(self._queue))
@@ -205,6 +227,12 @@
         left = capacity - self._rates.rate_above(tier)
         return max(left, LEAST_SERVICE_SHARE * max(1.0, capacity))
 
+    def _crowded(self, tier):
+        # A cell that starts under overload has idle engines for a second. Long prompts of the
+        # lowest tier begun then are cancelled soon for those above, and their prefill is lost.
+        capacity = sum(engine.health_share for engine in self._engines if engine.limit)
+        return self._rates.early_rate_above(tier) > CROWDED_LOAD * capacity
+
     def _places_free(self):
         return any(engine.available for engine in self._engines)
 
