--- a/wagtailtrestle/measure/workload.py
+++ b/wagtailtrestle/measure/workload.py
@@ -4,6 +4,7 @@
 system prompt, and some drafts take up the prompt of an earlier draft again.
 """
 
+import copy
 import math
 import random
 
@@ -176,6 +177,14 @@
         self.reusable_tokens = reusable_tokens
 
 
+def with_deadline(arrival, deadline_s):
+    """Return the arrival with another deadline."""
+    changed = copy.copy(arrival)
+    changed.kind = copy.copy(arrival.kind)
+    changed.kind.deadline_s = deadline_s
+    return changed
+
+
 class Drawing:
     """Draws the arrivals of one service.
 
