Ready only once peers have told who lives and what crashed; progress told once a second

Each word of progress costs the loop about as much as a message between routers, and preemption and stall detection need none every 0.25 s. Change: readiness waits, once, for the trusted view, whose answer follows the reports on the same link (at most 1 s alone); the first progress comes after 0.25 s, later ones after 1 s.

--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -61,6 +61,7 @@
         self._started = contextlib.AsyncExitStack()
         self._ledger_starting = None
         self._draining = False
+        self._begun = False
         self._asked_members = set()
         self._budget_by_service = {}
         self._rendezvous = Rendezvous()
@@ -249,10 +250,18 @@
         """Why the balancer may not send work now, or ``None``."""
         if self._draining:
             return Reason.DRAINING
-        if self._configuration.in_force is None:
+        if not self._has_begun():
             return Reason.NOT_READY
         return None
 
+    def _has_begun(self):
+        # A router that starts asks its peers who lives; with the answer, on the same link and before
+        # it, come the crashes they know. Ready without them, it would run again a request that every
+        # other router refuses. With nobody to ask, the view is trusted after a second.
+        if not self._begun:
+            self._begun = self._configuration.in_force is not None and self._membership.trusted
+        return self._begun
+
     def state(self):
         """The whole state, for the dump."""
         return {
--- a/wagtailtrestle/run_progress.py
+++ b/wagtailtrestle/run_progress.py
@@ -4,7 +4,11 @@
 
 from wagtailtrestle.exchange import RunAdvanced, RunBegan
 
-ADVANCE_INTERVAL_S = 0.25
+FIRST_ADVANCE_S = 0.25
+"""From the first token to the first word of progress, which gives the pace early."""
+
+ADVANCE_INTERVAL_S = 1.0
+"""Between later ones: each costs the loop about as much as a message between routers."""
 
 
 class RunProgress:
@@ -35,6 +39,7 @@
         "_ends_at",
         "_progress_at",
         "_advanced_at",
+        "_advance_after_s",
         "_tokens_noted",
     )
 
@@ -47,6 +52,7 @@
         self._ends_at = self._began_at + command.overall_s
         self._progress_at = self._began_at
         self._advanced_at = 0.0
+        self._advance_after_s = FIRST_ADVANCE_S
         self._tokens_noted = len(received.tokens)
 
     @property
@@ -74,8 +80,9 @@
         now = self._progress_at = time.monotonic()
         if not self.first_token_s:
             self.begin()
-        elif now - self._advanced_at >= ADVANCE_INTERVAL_S:
+        elif now - self._advanced_at >= self._advance_after_s:
             self._advanced_at = now
+            self._advance_after_s = ADVANCE_INTERVAL_S
             self._on_event(RunAdvanced(run_id=self._command.run_id, output_tokens=count))
 
     def begin(self):
