Request task in four modules: final answers, claim, reach, and the state machine

Change: final_answers words the refusals, request_claim holds one request's claim, reach says what may be told of runs; a new dispatch forgets an earlier preemption.

--- a/wagtailtrestle/entry.py
+++ b/wagtailtrestle/entry.py
@@ -10,9 +10,10 @@
 from wagtailtrestle.cells import cells_of, choose_cell
 from wagtailtrestle.declaration import LANGUAGE
 from wagtailtrestle.exchange import AnswerRefusal
+from wagtailtrestle.final_answers import refusal_of
 from wagtailtrestle.messages import Granted, Register, RunFinished, Withdraw
-from wagtailtrestle.outcomes import Executed, Reason, Refusal, RunNotSent
-from wagtailtrestle.request_task import DEFAULT_RETRY_AFTER_S, Displaced, RequestState, RequestTask
+from wagtailtrestle.outcomes import Executed, Reason, RunNotSent
+from wagtailtrestle.request_task import Displaced, RequestState, RequestTask
 
 
 class RequestContext:
@@ -96,7 +97,7 @@
         cells = cells_of(self._declaration(), request.service)
         cell = choose_cell(cells=cells, prefix_blocks=request.prefix_blocks, request_id=request.request_id)
         if cell is None:
-            caller.post(AnswerRefusal(refusal=_no_engine()))
+            caller.post(AnswerRefusal(refusal=refusal_of(Reason.NO_ENGINE, executed=Executed.NO)))
             return
         task = RequestTask(request=request, caller=caller, context=self._context, cell=cell)
         self.tasks_by_id[request.request_id] = task
@@ -197,13 +198,3 @@
 
 def _awaits(task, granted):
     return task is not None and task.state is RequestState.QUEUED and task.attempt == granted.attempt
-
-
-def _no_engine():
-    return Refusal(
-        status=503,
-        reason=Reason.NO_ENGINE,
-        executed=Executed.NO,
-        detail="The service has no engine.",
-        retry_after_s=DEFAULT_RETRY_AFTER_S,
-    )
--- /dev/null
+++ b/wagtailtrestle/reach.py
@@ -0,0 +1,30 @@
+"""How far a request has come towards engines, and what may truthfully be said of it."""
+
+from wagtailtrestle.outcomes import Executed, RunCut, RunLost, RunNotSent, RunRejected, RunSilent
+
+
+class Reach:
+    """Whether some run of a request may have, or is known to have, reached an engine."""
+
+    __slots__ = ("maybe", "known")
+
+    def __init__(self):
+        self.maybe = False
+        self.known = False
+
+    def note(self, outcome):
+        """Take in how one run ended."""
+        match outcome:
+            case RunNotSent():
+                return
+            case RunCut(reached=False) | RunSilent(reached=False) | RunLost() | RunRejected():
+                self.maybe = True
+            case _:
+                self.maybe = True
+                self.known = True
+
+    def executed(self):
+        """What the caller is told; ``no`` only if no byte ever reached an engine."""
+        if self.known:
+            return Executed.YES
+        return Executed.UNKNOWN if self.maybe else Executed.NO
--- /dev/null
+++ b/wagtailtrestle/request_claim.py
@@ -0,0 +1,72 @@
+"""One request's claim on its idempotency key, from before its dispatch to its recorded end."""
+
+import asyncio
+
+from wagtailtrestle.outcomes import ClaimUnavailable, ClaimWon, Executed
+
+CLAIM_LIMIT_S = 10.0
+CLAIM_ROOM_S = 0.5
+
+
+class RequestClaim:
+    """The claim of one request; does nothing for a request that needs none.
+
+    Parameters
+    ----------
+    request : CallerRequest
+    claims : Claims
+    remaining : Callable
+        Seconds left to the request's deadline.
+    """
+
+    __slots__ = ("_request", "_claims", "_remaining", "_is_won")
+
+    def __init__(self, *, request, claims, remaining):
+        self._request = request
+        self._claims = claims
+        self._remaining = remaining
+        self._is_won = False
+
+    @property
+    def is_needed(self):
+        """Whether nothing may be dispatched before the claim is won."""
+        return bool(self._request.at_most_once and self._request.idempotency_key)
+
+    async def win(self):
+        """Claim the key; the outcome tells whether this request alone may run."""
+        outcome = await self._claim_within_deadline()
+        self._is_won = isinstance(outcome, ClaimWon)
+        return outcome
+
+    def finish(self, ended):
+        """Record a whole answer."""
+        if self._is_won:
+            self._claims.finish(**self._named(), status=ended.status, content_type=ended.content_type, body=ended.body)
+
+    def give_up(self, executed):
+        """Record that there is no whole answer: a request that never ran frees its key."""
+        if not self._is_won:
+            return
+        if executed is Executed.NO:
+            self._claims.release(**self._named())
+        else:
+            self._claims.finish_unknown(**self._named())
+
+    async def _claim_within_deadline(self):
+        # The ledger must answer within the deadline itself: it alone knows whether an earlier
+        # request holds the key. Cut off here, a re-send would be told that nothing was run
+        # while the first run of its key goes on.
+        claim = self._claims.claim(
+            **self._named(),
+            body_digest=self._request.body_digest,
+            wait_s=min(max(self._remaining() - CLAIM_ROOM_S, 0.0), CLAIM_LIMIT_S),
+        )
+        try:
+            return await asyncio.wait_for(claim, timeout=max(self._remaining(), 0.0))
+        except TimeoutError:
+            self._claims.release(**self._named())
+            return ClaimUnavailable(detail="no answer from the ledger within the deadline")
+
+    def _named(self):
+        request = self._request
+        return {"team": request.team, "key": request.idempotency_key, "nonce": request.request_id}
--- a/wagtailtrestle/request_task.py
+++ b/wagtailtrestle/request_task.py
@@ -18,6 +18,7 @@
     RunEnded,
     StartRun,
 )
+from wagtailtrestle.final_answers import DEFAULT_RETRY_AFTER_S, refusal_of, rejected_status
 from wagtailtrestle.messages import (
     Granted,
     GrantRequest,
@@ -37,61 +38,20 @@
     ClaimWon,
     Executed,
     Reason,
-    Refusal,
     RunCancelled,
     RunCut,
     RunDone,
-    RunLost,
     RunNotSent,
     RunRejected,
     RunSilent,
 )
+from wagtailtrestle.reach import Reach
+from wagtailtrestle.request_claim import RequestClaim
 
 MAX_NOT_SENT = 4
 MAX_ATTACHES = 2
 ATTACH_ROOM_S = 0.05
 CANCEL_GRACE_S = 2.0
-CLAIM_LIMIT_S = 10.0
-CLAIM_ROOM_S = 0.5
-DEFAULT_RETRY_AFTER_S = 1.0
-
-STATUS_BY_REASON = {
-    Reason.OVERLOADED: 429,
-    Reason.DEADLINE_UNREACHABLE: 503,
-    Reason.DEADLINE_EXCEEDED: 504,
-    Reason.NO_ENGINE: 503,
-    Reason.ROUTER_FULL: 503,
-    Reason.PREEMPTED: 503,
-    Reason.POISONED: 422,
-    Reason.RETRY_BUDGET: 503,
-    Reason.ENGINE_LOST: 502,
-    Reason.ENGINE_ERROR: 502,
-    Reason.ANSWER_INCOMPLETE: 502,
-    Reason.LEDGER_UNAVAILABLE: 503,
-    Reason.KEY_IN_USE: 409,
-    Reason.KEY_MISMATCH: 422,
-    Reason.CALLER_GONE: 499,
-}
-
-DETAIL_BY_REASON = {
-    Reason.OVERLOADED: "The service is full with work of this tier or higher.",
-    Reason.DEADLINE_UNREACHABLE: "No engine can finish this request within its deadline.",
-    Reason.DEADLINE_EXCEEDED: "The deadline passed before the answer was complete.",
-    Reason.NO_ENGINE: "No engine of the service takes work at present.",
-    Reason.ROUTER_FULL: "This router needed its room for a higher tier.",
-    Reason.PREEMPTED: "The run was stopped for a higher tier and could not be resumed in time.",
-    Reason.POISONED: "Earlier runs of this request stopped several engines; it is not run again.",
-    Reason.RETRY_BUDGET: "The run was lost and the service's retry budget is used up.",
-    Reason.ENGINE_LOST: "The engine was lost while the request may have been running.",
-    Reason.ENGINE_ERROR: "The engine answered with an error.",
-    Reason.ANSWER_INCOMPLETE: "The engine's answer was not complete.",
-    Reason.LEDGER_UNAVAILABLE: (
-        "The idempotency key could not be recorded, so this sending was not run; an earlier one may have been."
-    ),
-    Reason.KEY_IN_USE: "An earlier request with this idempotency key may have run; its outcome is not known.",
-    Reason.KEY_MISMATCH: "This idempotency key was used before with another request.",
-    Reason.CALLER_GONE: "The caller closed the connection.",
-}
 
 
 class RequestState(StrEnum):
@@ -137,13 +97,12 @@
         "run_tokens",
         "_inbox",
         "_excluded",
-        "_maybe_reached",
-        "_known_reached",
+        "_reach",
         "_not_sent",
         "_attaches",
         "_preempted",
         "_cancelling",
-        "_nonce",
+        "_key",
         "_caller_gone",
         "_address",
         "_alone",
@@ -163,13 +122,12 @@
         self.run_tokens = 0
         self._inbox = asyncio.Queue()
         self._excluded = set()
-        self._maybe_reached = False
-        self._known_reached = False
+        self._reach = Reach()
         self._not_sent = 0
         self._attaches = 0
         self._preempted = False
         self._cancelling = False
-        self._nonce = ""
+        self._key = RequestClaim(request=request, claims=context.claims, remaining=self._remaining)
         self._caller_gone = False
         self._address = ""
         self._alone = False
@@ -222,27 +180,16 @@
             output_tokens=self.run_tokens,
         )
 
-    def executed(self):
-        """What may truthfully be said about whether the request ran."""
-        if self._known_reached:
-            return Executed.YES
-        if self._maybe_reached:
-            return Executed.UNKNOWN
-        return Executed.NO
-
     # Claim.
 
     async def _claim(self):
-        request = self.request
-        if not (request.at_most_once and request.idempotency_key):
+        if not self._key.is_needed:
             return True
         # A caller that sends again through another router must not make a second
         # run. The claim is proved in the platform's store before the first dispatch;
         # without that proof nothing is dispatched, so the refusal is true.
-        outcome = await self._claim_within_deadline()
-        match outcome:
-            case ClaimWon(nonce=nonce):
-                self._nonce = nonce
+        match await self._key.win():
+            case ClaimWon():
                 return True
             case ClaimFinished(status=status, content_type=content_type, body=body):
                 self._finish(AnswerRecorded(status=status, content_type=content_type, body=body))
@@ -254,29 +201,6 @@
                 self._refuse(Reason.LEDGER_UNAVAILABLE, executed=Executed.NO)
         return False
 
-    async def _claim_within_deadline(self):
-        request = self.request
-        nonce = request.request_id
-        # The ledger must answer within the deadline itself: it alone knows whether an earlier
-        # request holds the key. Cut off here, a re-send would be told that nothing was run
-        # while the first run of its key goes on.
-        claim = self.context.claims.claim(
-            team=request.team,
-            key=request.idempotency_key,
-            body_digest=request.body_digest,
-            nonce=nonce,
-            wait_s=min(max(self._remaining() - CLAIM_ROOM_S, 0.0), CLAIM_LIMIT_S),
-        )
-        try:
-            return await asyncio.wait_for(claim, timeout=max(self._remaining(), 0.0))
-        except TimeoutError:
-            self._release(nonce)
-            return ClaimUnavailable(detail="no answer from the ledger within the deadline")
-
-    def _release(self, nonce):
-        request = self.request
-        self.context.claims.release(team=request.team, key=request.idempotency_key, nonce=nonce)
-
     # Place.
 
     def _may_go_on(self):
@@ -343,6 +267,7 @@
             self.dispatched_at = self.context.now()
             self.run_tokens = 0
             self._cancelling = False
+            self._preempted = False
         self.state = RequestState.DISPATCHED
         self.caller.post(
             StartRun(
@@ -376,7 +301,7 @@
                     self._preempted = True
                     self._cancel()
                 case RunBegan():
-                    self._known_reached = True
+                    self._reach.maybe = self._reach.known = True
                     self._tell_started(message)
                 case RunAdvanced(output_tokens=output_tokens):
                     self.run_tokens = output_tokens
@@ -388,7 +313,7 @@
                     # A second steward granted the same ask; the place is not needed.
                     self._give_back(engine, RunNotSent.__name__)
                 case RunEnded():
-                    self._note_reach(message.outcome)
+                    self._reach.note(message.outcome)
                     return message
 
     def _cancel(self):
@@ -413,16 +338,6 @@
             return False
         return isinstance(ended.outcome, RunCut | RunSilent)
 
-    def _note_reach(self, outcome):
-        match outcome:
-            case RunNotSent():
-                return
-            case RunCut(reached=False) | RunSilent(reached=False) | RunLost() | RunRejected():
-                self._maybe_reached = True
-            case _:
-                self._maybe_reached = True
-                self._known_reached = True
-
     # What follows a run.
 
     def _settled(self, ended):
@@ -442,7 +357,7 @@
                 # A plain service's own refusal (a slot taken) is its whole answer.
                 return self._answer_whole(ended)
             case RunRejected(status=status):
-                return self._refuse(Reason.ENGINE_ERROR, status=_rejected_status(status))
+                return self._refuse(Reason.ENGINE_ERROR, status=rejected_status(status))
             case RunCancelled() if self._preempted:
                 self._keep_tokens(outcome)
                 return False
@@ -452,7 +367,7 @@
     def _after_not_sent(self):
         self._not_sent += 1
         self._excluded.add(self.engine)
-        if self._maybe_reached and not self.request.repeatable:
+        if self._reach.maybe and not self.request.repeatable:
             return self._lost()
         if self._not_sent >= MAX_NOT_SENT:
             return self._refuse(Reason.NO_ENGINE)
@@ -481,26 +396,9 @@
     def _answer_whole(self, ended):
         self.context.retry_budget(self.request.service).on_success()
         self._finish(AnswerWhole())
-        self._record(ended.status, ended.content_type, ended.body)
+        self._key.finish(ended)
         return True
 
-    def _record(self, status, content_type, body):
-        if not self._nonce:
-            return
-        request = self.request
-        self.context.claims.finish(
-            team=request.team,
-            key=request.idempotency_key,
-            nonce=self._nonce,
-            status=status,
-            content_type=content_type,
-            body=body,
-        )
-
-    def _record_unknown(self):
-        request = self.request
-        self.context.claims.finish_unknown(team=request.team, key=request.idempotency_key, nonce=self._nonce)
-
     # Messages out.
 
     def _tell_started(self, began):
@@ -543,23 +441,11 @@
 
     def _refuse(self, reason, *, executed=None, retry_after_s=None, status=None):
         """Give the final answer at once; returns ``True`` as the request is settled."""
-        executed = executed or self.executed()
-        if self._nonce and executed is Executed.NO:
-            self._release(self._nonce)
-        elif self._nonce:
-            self._record_unknown()
+        executed = executed or self._reach.executed()
+        self._key.give_up(executed)
         self.state = RequestState.UNKNOWN if executed is Executed.UNKNOWN else RequestState.REFUSED
-        self.caller.post(
-            AnswerRefusal(
-                refusal=Refusal(
-                    status=status or STATUS_BY_REASON[reason],
-                    reason=reason,
-                    executed=executed,
-                    detail=DETAIL_BY_REASON[reason],
-                    retry_after_s=retry_after_s or DEFAULT_RETRY_AFTER_S,
-                )
-            )
-        )
+        refusal = refusal_of(reason, executed=executed, retry_after_s=retry_after_s, status=status)
+        self.caller.post(AnswerRefusal(refusal=refusal))
         return True
 
     # Helpers.
@@ -579,8 +465,3 @@
 
     def _run_id(self):
         return f"{self.request.request_id}.{self.runs}"
-
-
-def _rejected_status(status):
-    """Pass an engine's 4xx on; hide its 5xx behind 502, since the fault isn't ours."""
-    return status if 400 <= status < 500 else 502
