Attach again as long as tokens come; the demo's engines three times slower instead of six

Cause: in make demo two questions ended as engine_lost though their engines were at work: a long prompt's chunks stalled the stream past the progress deadline three times, and two attaches were allowed for the whole run. Nine more questions missed 8 s on engines slowed six times, which makes every deadline six times tighter than declared. Change: only attaches that brought no new token count against the limit; the demo scales time by three.

--- /dev/null
+++ b/tests/test_attach.py
@@ -0,0 +1,73 @@
+"""A run whose stream goes silent is attached to again on its engine, which starts nothing twice."""
+
+import unittest
+
+import looptime
+
+from wagtailtrestle.exchange import AnswerRefusal, AnswerWhole, RunEnded, StartRun
+from wagtailtrestle.outcomes import Executed, Reason, RunDone, RunSilent
+from wagtailtrestle.request_task import MAX_ATTACHES
+from wagtailtrestle.slopes.entry import InstantCaller, make_entry, make_request
+
+
+class ScriptedCaller(InstantCaller):
+    """Ends each sending as the script says and keeps what it was told."""
+
+    __slots__ = ("outcomes", "starts", "answer")
+
+    def __init__(self, *, entry, loop, request_id, outcomes):
+        super().__init__(entry=entry, loop=loop, request_id=request_id)
+        self.outcomes = list(outcomes)
+        self.starts = []
+        self.answer = None
+
+    def post(self, command):
+        if not isinstance(command, StartRun):
+            self.answer = command
+            return
+        self.starts.append(command)
+        ended = RunEnded(run_id=command.run_id, outcome=self.outcomes.pop(0), duration_s=1.0)
+        self.loop.call_later(1.0, self.entry.post, self.request_id, ended)
+
+
+def silent(tokens):
+    return RunSilent(output_tokens=tokens, reached=True)
+
+
+class AttachTest(unittest.TestCase):
+    def serve(self, outcomes):
+        loop = looptime.new_event_loop()
+
+        async def run():
+            entry, _ = make_entry(loop)
+            caller = ScriptedCaller(entry=entry, loop=loop, request_id="r", outcomes=outcomes)
+            entry.submit(make_request(loop, "r", repeatable=False), caller)
+            await entry.drained()
+            return caller
+
+        try:
+            return loop.run_until_complete(run())
+        finally:
+            loop.close()
+
+    def test_engine_that_stalls_but_goes_on_is_not_lost(self):
+        # The caller gets its whole answer. The engine stalls four times, each time for longer than the
+        # progress deadline, since it prefills a long prompt beside; after each attach a few more tokens
+        # come. Counted as losses, the question would end as unknown though its engine was at work.
+        caller = self.serve([silent(3), silent(6), silent(9), silent(12), RunDone(output_tokens=15)])
+        self.assertIsInstance(caller.answer, AnswerWhole)
+        self.assertEqual([start.attach for start in caller.starts], [False, True, True, True, True])
+        self.assertEqual(len({start.run_id for start in caller.starts}), 1)
+
+    def test_engine_that_gives_nothing_more_is_lost(self):
+        # The caller is told that the run may have ended. The engine stays silent through every attach;
+        # the request may not be repeated, so it is not sent to another engine.
+        caller = self.serve([silent(3)] * (MAX_ATTACHES + 2))
+        self.assertIsInstance(caller.answer, AnswerRefusal)
+        self.assertEqual(caller.answer.refusal.reason, Reason.ENGINE_LOST)
+        self.assertEqual(caller.answer.refusal.executed, Executed.YES)
+        self.assertEqual(sum(not start.attach for start in caller.starts), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wagtailtrestle/demo/__main__.py
+++ b/wagtailtrestle/demo/__main__.py
@@ -16,9 +16,9 @@
 
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 ROUTERS = 3
-TIME_SCALE = 6.0
+TIME_SCALE = 3.0
 OVERLOAD = 1.5
-DURATION_S = 25.0
+DURATION_S = 30.0
 SEED = 7
 
 
--- a/wagtailtrestle/request_task.py
+++ b/wagtailtrestle/request_task.py
@@ -100,6 +100,7 @@
         "_reach",
         "_not_sent",
         "_attaches",
+        "_attach_tokens",
         "_preempted",
         "_cancelling",
         "_key",
@@ -125,6 +126,7 @@
         self._reach = Reach()
         self._not_sent = 0
         self._attaches = 0
+        self._attach_tokens = 0
         self._preempted = False
         self._cancelling = False
         self._key = RequestClaim(request=request, claims=context.claims, remaining=self._remaining)
@@ -257,10 +259,15 @@
             if not self._can_attach(ended):
                 return ended
             # The stream broke but the engine may still hold the run: attaching to it
-            # gives the rest of the same run, which is no second dispatch.
-            self._attaches += 1
+            # gives the rest of the same run, which is no second dispatch. Only tries without
+            # a new token count: an engine that stalls again and again is slow, not lost.
+            self._count_attach(ended.outcome.output_tokens)
             self._begin_run(granted, attach=True)
 
+    def _count_attach(self, output_tokens):
+        self._attaches = self._attaches + 1 if output_tokens <= self._attach_tokens else 1
+        self._attach_tokens = output_tokens
+
     def _begin_run(self, granted, *, attach):
         if not attach:
             self._address = self.context.address_of(granted.engine)
--- a/wagtailtrestle/slopes/entry.py
+++ b/wagtailtrestle/slopes/entry.py
@@ -126,13 +126,19 @@
 
 
 def _submit(entry, loop, request_id):
-    request = CallerRequest(
+    request = make_request(loop, request_id)
+    entry.submit(request, InstantCaller(entry=entry, loop=loop, request_id=request_id))
+
+
+def make_request(loop, request_id, *, repeatable=True):
+    """Build one request with an hour to its deadline."""
+    return CallerRequest(
         request_id=request_id,
         service="service",
         team="team-1",
         route="route",
         tier=1,
-        repeatable=True,
+        repeatable=repeatable,
         at_most_once=False,
         idempotency_key="",
         body_digest=request_id,
@@ -141,7 +147,6 @@
         prefix_blocks=tuple(range(8)),
         deadline=loop.time() + 3600,
     )
-    entry.submit(request, InstantCaller(entry=entry, loop=loop, request_id=request_id))
 
 
 def _declaration():
