Stand-ins answer /metrics and /readyz like every process

Cause: admin HTTP on every process is a fixed interface, and the stand-ins lacked parts of it. Change: engine and service expose the totals of their record, the platform its counts of calls; /readyz on the platform.

--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -75,6 +75,17 @@
         runs = read_records([self.deployment.engine_url("reservas-1")])[0].values()
         self.assertEqual(sum(run.starts for each in runs for run in each), 1)
 
+    def test_every_process_tells_of_itself(self):
+        urls = [self.deployment.platform_url, *self.deployment.engine_urls()]
+        urls += self.deployment.admin_url_by_router.values()
+        for url in urls:
+            for path in ("/healthz", "/readyz", "/state", "/metrics"):
+                with self.subTest(url=url, path=path):
+                    answer = urllib3.request("GET", url + path, retries=False, timeout=5)
+                    self.assertEqual(answer.status, 200, answer.data)
+        metrics = urllib3.request("GET", self.deployment.engine_url("asistente-1") + "/metrics", retries=False).data
+        self.assertIn(b"wagtailtrestle_standin_starts", metrics)
+
     def test_unknown_key_is_refused_and_nothing_runs(self):
         answer = self.ask(0, "/v1/chat/completions", self.chat(), Authorization="Bearer nobody")
         self.assertEqual(answer.status, 401)
--- a/wagtailtrestle/standins/engine.py
+++ b/wagtailtrestle/standins/engine.py
@@ -17,6 +17,7 @@
     bytes_answer,
     hold_silent,
     json_answer,
+    metrics_answer,
     read_body,
     refuse_unstarted,
     run_until_signal,
@@ -149,6 +150,7 @@
             ("POST", "faults", 1): self._post_faults,
             ("GET", "healthz", 1): lambda _, respond, __: json_answer(respond, 200, {"alive": True}),
             ("GET", "readyz", 1): self._get_readyz,
+            ("GET", "metrics", 1): lambda _, respond, __: metrics_answer(respond, self.record.as_dict()["totals"]),
             ("GET", "state", 1): lambda _, respond, __: json_answer(respond, 200, self.state()),
         }
 
--- a/wagtailtrestle/standins/http_serving.py
+++ b/wagtailtrestle/standins/http_serving.py
@@ -10,7 +10,10 @@
 
 from cheroot import wsgi
 
+from wagtailtrestle.metrics import Metrics
+
 JSON_TYPE = "application/json"
+TEXT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 STARTED_HEADER = "X-Run-Started"
 SHUTDOWN_TIMEOUT_S = 5
 BACKLOG = 1024
@@ -76,6 +79,20 @@
     return bytes_answer(start_response, status, body, headers)
 
 
+def metrics_text(counts) -> bytes:
+    """Text exposition of a stand-in's numbers by name."""
+    metrics = Metrics(prefix="wagtailtrestle_standin")
+    for name, value in counts.items():
+        if isinstance(value, int | float):
+            metrics.gauge(name, value=value)
+    return metrics.exposition().encode()
+
+
+def metrics_answer(start_response, counts):
+    """Answer with a text exposition."""
+    return bytes_answer(start_response, HTTPStatus.OK, metrics_text(counts), [("Content-Type", TEXT_TYPE)])
+
+
 def refuse_unstarted(start_response, run_id):
     """Refuse a request, and say that it was not begun: whoever sent it may send it elsewhere."""
     body = json.dumps({"error": {"message": "leaving: not started"}}).encode()
--- a/wagtailtrestle/standins/platform.py
+++ b/wagtailtrestle/standins/platform.py
@@ -16,7 +16,13 @@
 from cheroot import wsgi
 
 from wagtailtrestle.outcomes import StoreDone
-from wagtailtrestle.standins.http_serving import CONNECTION, connection_closed, read_body, run_until_signal
+from wagtailtrestle.standins.http_serving import (
+    CONNECTION,
+    connection_closed,
+    metrics_answer,
+    read_body,
+    run_until_signal,
+)
 from wagtailtrestle.standins.object_table import ObjectTable
 from wagtailtrestle.standins.platform_answers import Answer, answer_outcome, bad_request, entity_tag, send
 from wagtailtrestle.standins.platform_faults import (
@@ -134,6 +140,8 @@
     def _application(self, environ, start_response):
         connection = environ[CONNECTION]
         self._connections.add(connection)
+        if environ["PATH_INFO"] == "/metrics":
+            return metrics_answer(start_response, self.counts.dump())
         answer = self._answer(environ, connection)
         return send(answer, environ, start_response)
 
@@ -270,6 +278,8 @@
         match method, path:
             case "GET", ("healthz",):
                 return Answer(status=HTTPStatus.OK, body={"alive": True})
+            case "GET", ("readyz",):
+                return Answer(status=HTTPStatus.OK, body={"ready": True})
             case "GET", ("counts",):
                 return Answer(status=HTTPStatus.OK, body=self.counts.dump())
             case "GET", ("faults",):
--- a/wagtailtrestle/standins/service.py
+++ b/wagtailtrestle/standins/service.py
@@ -16,6 +16,7 @@
     break_connection,
     hold_silent,
     json_answer,
+    metrics_answer,
     read_body,
     refuse_unstarted,
     run_until_signal,
@@ -115,6 +116,7 @@
             ("GET", "/readyz"): lambda _, respond: json_answer(
                 respond, 503 if self._leaving else 200, {"ready": not self._leaving}
             ),
+            ("GET", "/metrics"): lambda _, respond: metrics_answer(respond, self.record.as_dict()["totals"]),
             ("GET", "/state"): lambda _, respond: json_answer(respond, 200, self.state()),
         }
 
