--- a/wagtailtrestle/demo/__main__.py
+++ b/wagtailtrestle/demo/__main__.py
@@ -50,7 +50,8 @@
     rows = rows_by_tier(results, deployment.document["tiers"])
     truth = check_truth(results, *read_records(deployment.engine_urls()))
     print(table(rows))
-    print(reason_lines(results))
+    if reasons := reason_lines(results):
+        print(reasons)
     print(truth_lines(truth))
     served = any(row.in_deadline for row in rows.values())
     return served and not truth.false_refusals and not truth.doubled and not truth.unreadable
