--- a/wagtailtrestle/slopes/entry.py
+++ b/wagtailtrestle/slopes/entry.py
@@ -94,7 +94,7 @@
 async def _cycle_us(held):
     loop = asyncio.get_running_loop()
     entry, steward = make_entry(loop)
-    await _hold(entry, steward, loop, held)
+    await hold(entry, steward, loop, held)
     began = time.process_time()
     for number in range(CYCLES):
         _submit(entry, loop, f"cycle-{number}")
@@ -110,14 +110,15 @@
     entry, steward = make_entry(loop)
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
-    await _hold(entry, steward, loop, held)
+    await hold(entry, steward, loop, held)
     bytes_held = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
     await entry.close()
     return bytes_held
 
 
-async def _hold(entry, steward, loop, held):
+async def hold(entry, steward, loop, held):
+    """Have the entry hold so many waiting requests."""
     steward.granting = False
     for number in range(held):
         _submit(entry, loop, f"held-{number}")
