--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -3,11 +3,11 @@
 import json
 import unittest
 
-from wagtailtrestle.admin_http import AdminServer
-from wagtailtrestle.declaration import Team
-from wagtailtrestle.metrics import MAX_SERIES, Metrics
-from wagtailtrestle.outcomes import Executed, Reason
-from wagtailtrestle.state_dump import MAX_ITEMS, plain
+from wagtailtrestle.contracts.declaration import Team
+from wagtailtrestle.contracts.outcomes import Executed, Reason
+from wagtailtrestle.observe.admin_http import AdminServer
+from wagtailtrestle.observe.metrics import MAX_SERIES, Metrics
+from wagtailtrestle.observe.state_dump import MAX_ITEMS, plain
 
 
 class TestAdminServer(unittest.TestCase):
--- a/tests/test_applying.py
+++ b/tests/test_applying.py
@@ -6,7 +6,7 @@
 
 from tests.utils.memory_store import MemoryStore
 from tests.utils.paused_clock import on_paused_clock
-from wagtailtrestle.applying import (
+from wagtailtrestle.configuration.applying import (
     DECLARATION_KIND,
     DECLARATION_NAME,
     HISTORY_LENGTH,
@@ -17,7 +17,7 @@
     apply,
     read_accepted,
 )
-from wagtailtrestle.outcomes import StoreUnknown
+from wagtailtrestle.contracts.outcomes import StoreUnknown
 from wagtailtrestle.standins.object_table import ObjectTable
 
 SEEDS = 60
--- a/tests/test_attach.py
+++ b/tests/test_attach.py
@@ -4,9 +4,9 @@
 
 import looptime
 
-from wagtailtrestle.exchange import AnswerRefusal, AnswerWhole, RunEnded, StartRun
-from wagtailtrestle.outcomes import Executed, Reason, RunDone, RunSilent
-from wagtailtrestle.request_task import MAX_ATTACHES
+from wagtailtrestle.contracts.exchange import AnswerRefusal, AnswerWhole, RunEnded, StartRun
+from wagtailtrestle.contracts.outcomes import Executed, Reason, RunDone, RunSilent
+from wagtailtrestle.entry.request_task import MAX_ATTACHES
 from wagtailtrestle.slopes.entry import InstantCaller, make_entry, make_request
 
 
--- a/tests/test_authentication.py
+++ b/tests/test_authentication.py
@@ -1,9 +1,9 @@
 import unittest
 
 from tests.utils.callers import CHAT, HIGH_KEY, LOW_KEY, declaration
-from wagtailtrestle.authentication import KeyIndex, authenticate, bearer_key
-from wagtailtrestle.outcomes import Reason, Refusal
-from wagtailtrestle.route_match import Matched, match_language, match_plain, path_fault, services_of
+from wagtailtrestle.callers.authentication import KeyIndex, authenticate, bearer_key
+from wagtailtrestle.callers.route_match import Matched, match_language, match_plain, path_fault, services_of
+from wagtailtrestle.contracts.outcomes import Reason, Refusal
 
 
 class TestKeys(unittest.TestCase):
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -1,6 +1,6 @@
 import unittest
 
-from wagtailtrestle.caller_limits import Admitted, CallerLimits, Full, ReceiveLimit, held_for
+from wagtailtrestle.callers.limits import Admitted, CallerLimits, Full, ReceiveLimit, held_for
 
 HIGH, MIDDLE, LOW = 0, 1, 2
 
--- a/tests/test_callers_http.py
+++ b/tests/test_callers_http.py
@@ -20,10 +20,10 @@
     start_run,
     stream_data,
 )
-from wagtailtrestle.exchange import AnswerRecorded, AnswerWhole, CallerGone, RunEnded
-from wagtailtrestle.outcomes import Executed, Reason
-from wagtailtrestle.problem import TITLE_BY_REASON, retry_after_seconds
-from wagtailtrestle.prompt_shape import chat_text, shape_of
+from wagtailtrestle.callers.problem import TITLE_BY_REASON, retry_after_seconds
+from wagtailtrestle.callers.prompt_shape import chat_text, shape_of
+from wagtailtrestle.contracts.exchange import AnswerRecorded, AnswerWhole, CallerGone, RunEnded
+from wagtailtrestle.contracts.outcomes import Executed, Reason
 from wagtailtrestle.standins import prompts
 
 BOOKING = b'{"family": "Ruiz", "day": 4}'
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,10 +11,10 @@
 
 from tests.utils.memory_store import MemoryStore
 from wagtailtrestle.cli import dump, operate, router
+from wagtailtrestle.contracts.outcomes import StoreDone, StoreUnavailable
 from wagtailtrestle.environment import Environment
 from wagtailtrestle.exit_status import ExitStatus
-from wagtailtrestle.outcomes import StoreDone, StoreUnavailable
-from wagtailtrestle.vm_list import VM
+from wagtailtrestle.membership.vm_list import VM
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 COMETAS = str(EXAMPLES / "cometas.yaml")
@@ -43,7 +43,7 @@
         self.state_by_url = {}
         self.out, self.err = io.StringIO(), io.StringIO()
         for name in ("SETTLE_PAUSE_S",):
-            patch = mock.patch(f"wagtailtrestle.applying.{name}", 0)
+            patch = mock.patch(f"wagtailtrestle.configuration.applying.{name}", 0)
             patch.start()
             self.addCleanup(patch.stop)
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -6,11 +6,11 @@
 
 from tests.utils.memory_store import MemoryStore
 from tests.utils.paused_clock import now, on_paused_clock
-from wagtailtrestle.applying import Applied, apply, read_accepted
-from wagtailtrestle.configuration import Configuration, PeersAnswer
-from wagtailtrestle.declaration import Declaration
-from wagtailtrestle.declaration_check import DeclarationFaults
-from wagtailtrestle.outcomes import StoreUnavailable
+from wagtailtrestle.configuration.applying import Applied, apply, read_accepted
+from wagtailtrestle.configuration.configuration import Configuration, PeersAnswer
+from wagtailtrestle.contracts.declaration import Declaration
+from wagtailtrestle.contracts.outcomes import StoreUnavailable
+from wagtailtrestle.declarations.check import DeclarationFaults
 
 POLL_S = 2.0
 WITHIN_S = 5.0
--- a/tests/test_declaration.py
+++ b/tests/test_declaration.py
@@ -5,9 +5,9 @@
 import unittest
 from pathlib import Path
 
-from wagtailtrestle.declaration import Declaration
-from wagtailtrestle.declaration_check import DeclarationFaults, parse_declaration
-from wagtailtrestle.declaration_diff import Added, Changed, Removed, difference
+from wagtailtrestle.contracts.declaration import Declaration
+from wagtailtrestle.declarations.check import DeclarationFaults, parse_declaration
+from wagtailtrestle.declarations.diff import Added, Changed, Removed, difference
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 KEY = hashlib.sha256(b"k").hexdigest()
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -2,11 +2,11 @@
 import unittest
 
 from tests.test_peers import grant_request
-from wagtailtrestle.directory import Directory
-from wagtailtrestle.messages import Granted, Register, Withdraw
-from wagtailtrestle.peer_messages import RegisterAsk, Relayed
-from wagtailtrestle.rendezvous import Rendezvous
-from wagtailtrestle.view import View
+from wagtailtrestle.contracts.messages import Granted, Register, Withdraw
+from wagtailtrestle.contracts.peer_messages import RegisterAsk, Relayed
+from wagtailtrestle.membership.view import View
+from wagtailtrestle.peers.directory import Directory
+from wagtailtrestle.peers.rendezvous import Rendezvous
 
 HELD = Register(entry="a", cell="c1", waiting=(grant_request(),))
 NOTHING = Register(entry="a", cell="c1")
--- a/tests/test_engine_health.py
+++ b/tests/test_engine_health.py
@@ -1,6 +1,6 @@
 import unittest
 
-from wagtailtrestle.engine_health import LEAST_SHARE, EngineHealth
+from wagtailtrestle.engines.health import LEAST_SHARE, EngineHealth
 
 NAMES = tuple(f"engine-{number}" for number in range(9))
 
--- a/tests/test_engine_http.py
+++ b/tests/test_engine_http.py
@@ -6,10 +6,8 @@
 import unittest
 
 from tests.utils.engines import PROMPT, RunSender, address_of, chat_call, plain_call, start_engine, start_service
-from wagtailtrestle.answer_check import AnswerCheck, ReceivedAnswer
-from wagtailtrestle.engine_reports import EngineReports
-from wagtailtrestle.exchange import RunAdvanced, RunBegan
-from wagtailtrestle.outcomes import (
+from wagtailtrestle.contracts.exchange import RunAdvanced, RunBegan
+from wagtailtrestle.contracts.outcomes import (
     RunCancelled,
     RunCut,
     RunDone,
@@ -18,7 +16,9 @@
     RunRejected,
     RunSilent,
 )
-from wagtailtrestle.report_messages import CacheEvents, LoadReport, LoadUnreachable
+from wagtailtrestle.contracts.report_messages import CacheEvents, LoadReport, LoadUnreachable
+from wagtailtrestle.engines.answer_check import AnswerCheck, ReceivedAnswer
+from wagtailtrestle.engines.reports import EngineReports
 from wagtailtrestle.standins.prompts import whole_answer
 
 
--- a/tests/test_engine_model.py
+++ b/tests/test_engine_model.py
@@ -1,8 +1,8 @@
 import random
 import unittest
 
-from wagtailtrestle.engine_model import EngineModel
-from wagtailtrestle.prefix_cache import BLOCK_TOKENS, PrefixCacheIndex
+from wagtailtrestle.engines.model import EngineModel
+from wagtailtrestle.engines.prefix_cache import BLOCK_TOKENS, PrefixCacheIndex
 
 CHUNK_STEP_S = 0.064
 
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -3,10 +3,10 @@
 import unittest
 
 from tests.utils.steward_fakes import Cell, ask, finished, register, report, running
-from wagtailtrestle.isolation import MAX_SUSPECTS
-from wagtailtrestle.messages import Granted, Refused, Withdraw
-from wagtailtrestle.outcomes import Reason
-from wagtailtrestle.poison import ALONE_AFTER, SAME_CRASH_S, CrashBook
+from wagtailtrestle.capacity.isolation import MAX_SUSPECTS
+from wagtailtrestle.contracts.messages import Granted, Refused, Withdraw
+from wagtailtrestle.contracts.outcomes import Reason
+from wagtailtrestle.entry.poison import ALONE_AFTER, SAME_CRASH_S, CrashBook
 
 
 def granted_on(cell):
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -6,37 +6,41 @@
 
 PACKAGE = Path(__file__).resolve().parents[1] / "wagtailtrestle"
 DECISIONS = (
-    "entry",
-    "request_task",
-    "request_claim",
-    "reach",
-    "cells",
-    "retry_budget",
-    "poison",
-    "crash_watch",
-    "steward",
-    "steward_set",
-    "tier_queue",
-    "admission",
-    "preemption",
-    "isolation",
-    "registration",
-    "run_book",
-    "engine_state",
-    "engine_model",
-    "prefix_cache",
-    "policies",
-    "engine_health",
-    "membership",
-    "rendezvous",
-    "applying",
+    "entry.entry",
+    "entry.request_task",
+    "entry.request_claim",
+    "entry.reach",
+    "entry.cells",
+    "entry.retry_budget",
+    "entry.poison",
+    "entry.crash_watch",
+    "capacity.steward",
+    "capacity.steward_set",
+    "capacity.tier_queue",
+    "capacity.admission",
+    "capacity.preemption",
+    "capacity.isolation",
+    "capacity.registration",
+    "capacity.run_book",
+    "engines.state",
+    "engines.model",
+    "engines.prefix_cache",
+    "engines.policies",
+    "engines.health",
+    "membership.membership",
+    "peers.rendezvous",
+    "configuration.applying",
 )
 FORBIDDEN = {"socket", "ssl", "selectors", "threading", "queue", "subprocess", "urllib3", "cheroot", "grpclib", "http"}
 
 
+def _path(module):
+    return PACKAGE / f"{module.replace('.', '/')}.py"
+
+
 def imported(module):
     """Names of the modules that one of ours imports."""
-    for node in ast.walk(ast.parse((PACKAGE / f"{module}.py").read_text())):
+    for node in ast.walk(ast.parse(_path(module).read_text())):
         if isinstance(node, ast.Import):
             yield from (alias.name for alias in node.names)
         elif isinstance(node, ast.ImportFrom):
@@ -52,7 +56,7 @@
             continue
         seen.add(name)
         own = name.removeprefix("wagtailtrestle.")
-        if name != own and (PACKAGE / f"{own}.py").exists():
+        if name != own and _path(own).exists():
             waiting.extend(imported(own))
     return seen
 
@@ -65,7 +69,7 @@
                 self.assertEqual(used, set())
 
     def test_the_check_sees_what_an_adapter_imports(self):
-        self.assertIn("urllib3", {name.partition(".")[0] for name in reached("engine_http")})
+        self.assertIn("urllib3", {name.partition(".")[0] for name in reached("engines.client")})
 
 
 if __name__ == "__main__":
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -6,9 +6,17 @@
 import looptime
 
 from tests.utils.memory_store import MemoryStore
-from wagtailtrestle.ledger import Ledger
-from wagtailtrestle.ledger_messages import ClaimAsk, NonceState, SettleAsk
-from wagtailtrestle.ledger_record import (
+from wagtailtrestle.contracts.ledger_messages import ClaimAsk, NonceState, SettleAsk
+from wagtailtrestle.contracts.outcomes import (
+    ClaimFinished,
+    ClaimMismatch,
+    ClaimTaken,
+    ClaimUnavailable,
+    ClaimWon,
+    StoreDone,
+)
+from wagtailtrestle.ledger.ledger import Ledger
+from wagtailtrestle.ledger.record import (
     BODIES_LIMIT_BYTES,
     CLOCK_ROOM_S,
     LEDGER_KIND,
@@ -17,14 +25,6 @@
     ShardContents,
     key_hash,
 )
-from wagtailtrestle.outcomes import (
-    ClaimFinished,
-    ClaimMismatch,
-    ClaimTaken,
-    ClaimUnavailable,
-    ClaimWon,
-    StoreDone,
-)
 
 SHARD = "shard-000"
 RETENTION_S = 3600.0
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,11 +4,11 @@
 import looptime
 
 from tests.utils.fake_routers import FakeNet
-from wagtailtrestle.broadcast import Broadcast
-from wagtailtrestle.member_table import MemberTable
-from wagtailtrestle.messages import Withdraw
-from wagtailtrestle.partners import position_of
-from wagtailtrestle.peer_messages import MemberState, ViewEvent
+from wagtailtrestle.contracts.messages import Withdraw
+from wagtailtrestle.contracts.peer_messages import MemberState, ViewEvent
+from wagtailtrestle.membership.member_table import MemberTable
+from wagtailtrestle.membership.partners import position_of
+from wagtailtrestle.peers.broadcast import Broadcast
 
 
 def on_fast_loop(test):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,8 +11,7 @@
 from grpclib.client import Channel
 
 from tests.utils.tcp_forwarder import TcpForwarder
-from wagtailtrestle.generated import peers_pb2 as pb
-from wagtailtrestle.messages import (
+from wagtailtrestle.contracts.messages import (
     GrantRequest,
     Register,
     RunFinished,
@@ -21,13 +20,20 @@
     RunStarted,
     Withdraw,
 )
-from wagtailtrestle.outcomes import Reason
-from wagtailtrestle.peer_codec import BODIES, decode, encode
-from wagtailtrestle.peer_connection import connect
-from wagtailtrestle.peer_delays import delay_of
-from wagtailtrestle.peer_messages import ConfigurationAsk, ConfigurationText, Heartbeat, Hello, PeerUnreachable
-from wagtailtrestle.peer_outbox import Outbox
-from wagtailtrestle.peers_grpc import Peers
+from wagtailtrestle.contracts.outcomes import Reason
+from wagtailtrestle.contracts.peer_messages import (
+    ConfigurationAsk,
+    ConfigurationText,
+    Heartbeat,
+    Hello,
+    PeerUnreachable,
+)
+from wagtailtrestle.generated import peers_pb2 as pb
+from wagtailtrestle.peers.codec import BODIES, decode, encode
+from wagtailtrestle.peers.connection import connect
+from wagtailtrestle.peers.delays import delay_of
+from wagtailtrestle.peers.outbox import Outbox
+from wagtailtrestle.peers.peers_grpc import Peers
 
 
 def grant_request(request_id="a/1"):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,14 +10,14 @@
 
 from tests.utils.memory_store import MemoryStore
 from tests.utils.paused_clock import on_paused_clock
-from wagtailtrestle.applying import apply
-from wagtailtrestle.object_store_http import HttpObjectStore
-from wagtailtrestle.outcomes import StoreAbsent, StoreConflict, StoreDone, StoreUnavailable, StoreUnknown
+from wagtailtrestle.configuration.applying import apply
+from wagtailtrestle.configuration.status_report import RouterInForce, RouterUnreachable, collect_status
+from wagtailtrestle.contracts.outcomes import StoreAbsent, StoreConflict, StoreDone, StoreUnavailable, StoreUnknown
+from wagtailtrestle.membership.vm_list import VMList
 from wagtailtrestle.standins.object_table import ObjectTable
 from wagtailtrestle.standins.platform import PlatformStandIn
 from wagtailtrestle.standins.platform_settings import PlatformSettings, parse_platform_settings
-from wagtailtrestle.status_report import RouterInForce, RouterUnreachable, collect_status
-from wagtailtrestle.vm_list import VMList
+from wagtailtrestle.store.object_store_http import HttpObjectStore
 
 READ_TIMEOUT_S = 0.4
 VM_ITEMS = [
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -3,9 +3,9 @@
 import unittest
 
 from tests.utils.steward_fakes import Clock
-from wagtailtrestle.crash_watch import CrashWatch
-from wagtailtrestle.outcomes import RunCut, RunDone
-from wagtailtrestle.poison import (
+from wagtailtrestle.contracts.outcomes import RunCut, RunDone
+from wagtailtrestle.entry.crash_watch import CrashWatch
+from wagtailtrestle.entry.poison import (
     CRASH_LIMIT,
     CRASH_WINDOW_S,
     CUT_WINDOW_S,
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -1,9 +1,9 @@
 import unittest
 
-from wagtailtrestle.engine_model import EngineModel
-from wagtailtrestle.messages import GrantRequest
-from wagtailtrestle.policies import LeastReportedLoad, PredictedFinish, RoundRobin, TwoChoices
-from wagtailtrestle.prefix_cache import PrefixCacheIndex
+from wagtailtrestle.contracts.messages import GrantRequest
+from wagtailtrestle.engines.model import EngineModel
+from wagtailtrestle.engines.policies import LeastReportedLoad, PredictedFinish, RoundRobin, TwoChoices
+from wagtailtrestle.engines.prefix_cache import PrefixCacheIndex
 
 
 class View:
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -3,10 +3,10 @@
 import unittest
 
 from tests.utils.steward_fakes import Cell, ask, finished, register, running
-from wagtailtrestle.admission import MAX_ASKS
-from wagtailtrestle.messages import Granted, Preempt, Refused, RunProgress, RunStarted
-from wagtailtrestle.outcomes import Reason
-from wagtailtrestle.preemption import PREEMPT_TIMEOUT_S
+from wagtailtrestle.capacity.admission import MAX_ASKS
+from wagtailtrestle.capacity.preemption import PREEMPT_TIMEOUT_S
+from wagtailtrestle.contracts.messages import Granted, Preempt, Refused, RunProgress, RunStarted
+from wagtailtrestle.contracts.outcomes import Reason
 
 
 def started(request_id, *, on="e1", prompt_tokens=100):
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -3,7 +3,7 @@
 import unittest
 
 from tests.utils.steward_fakes import Clock
-from wagtailtrestle.retry_budget import RETRY_FLOOR, RETRY_WINDOW_S, RetryBudget
+from wagtailtrestle.entry.retry_budget import RETRY_FLOOR, RETRY_WINDOW_S, RetryBudget
 
 
 class RetryBudgetTest(unittest.TestCase):
--- a/tests/test_run_book.py
+++ b/tests/test_run_book.py
@@ -1,7 +1,7 @@
 import unittest
 
 from tests.utils.steward_fakes import Cell, ask, finished
-from wagtailtrestle.messages import Granted, Refused, RunStarted
+from wagtailtrestle.contracts.messages import Granted, Refused, RunStarted
 
 
 class PrefillRateTest(unittest.TestCase):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,8 +8,13 @@
 
 from loguru import logger
 
-from wagtailtrestle.logs import start_logs
-from wagtailtrestle.settings import RouterSettings, SettingsFaults, load_router_settings, parse_router_settings
+from wagtailtrestle.declarations.settings import (
+    RouterSettings,
+    SettingsFaults,
+    load_router_settings,
+    parse_router_settings,
+)
+from wagtailtrestle.observe.logs import start_logs
 
 EXAMPLE = Path(__file__).parent.parent / "examples" / "settings" / "router.yaml"
 
--- a/tests/test_spec_replay.py
+++ b/tests/test_spec_replay.py
@@ -20,9 +20,9 @@
 from tests.utils.ledger_replay import LedgerReplay
 from tests.utils.steward_fakes import Cell, ask, register, running
 from tests.utils.stewardship_replay import EntryReplay, StewardReplay
-from wagtailtrestle.admission import MAX_ASKS
-from wagtailtrestle.messages import Preempt, Refused
-from wagtailtrestle.request_task import MAX_NOT_SENT
+from wagtailtrestle.capacity.admission import MAX_ASKS
+from wagtailtrestle.contracts.messages import Preempt, Refused
+from wagtailtrestle.entry.request_task import MAX_NOT_SENT
 from wagtailtrestle.spec import claims, configuring, draining, stewardship
 from wagtailtrestle.spec.checker import Step, Trace, covering_traces, shortest_trace
 from wagtailtrestle.spec.checks import MOST_STEPS, mutant
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -14,8 +14,8 @@
 from urllib3.exceptions import HTTPError, NewConnectionError
 
 from tests.utils.engines import PROMPT, RunSender, address_of, chat_call, plain_call, start_engine, start_service
-from wagtailtrestle.outcomes import RunCut, RunDone, RunNotSent, RunSilent
-from wagtailtrestle.prompt_shape import shape_of
+from wagtailtrestle.callers.prompt_shape import shape_of
+from wagtailtrestle.contracts.outcomes import RunCut, RunDone, RunNotSent, RunSilent
 from wagtailtrestle.standins.batching import BatchingEngine, BatchRun
 from wagtailtrestle.standins.prompts import count_tokens, prefix_blocks, whole_answer
 from wagtailtrestle.standins.standin_settings import ENGINE_DEFAULTS, settings_problems
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -3,11 +3,11 @@
 import unittest
 
 from tests.utils.steward_fakes import Cell, ask, engine, finished, register, report, running
-from wagtailtrestle.admission import MOST_WAITING, MOST_WORK_S
-from wagtailtrestle.messages import Granted, Preempt, Refused, RunProgress, Withdraw
-from wagtailtrestle.outcomes import Reason
-from wagtailtrestle.registration import CAUTION_S
-from wagtailtrestle.report_messages import CacheEvents
+from wagtailtrestle.capacity.admission import MOST_WAITING, MOST_WORK_S
+from wagtailtrestle.capacity.registration import CAUTION_S
+from wagtailtrestle.contracts.messages import Granted, Preempt, Refused, RunProgress, Withdraw
+from wagtailtrestle.contracts.outcomes import Reason
+from wagtailtrestle.contracts.report_messages import CacheEvents
 
 
 class GrantTest(unittest.TestCase):
--- a/tests/test_tier_queue.py
+++ b/tests/test_tier_queue.py
@@ -4,9 +4,9 @@
 from collections import Counter
 
 from tests.utils.steward_fakes import ask
-from wagtailtrestle.grants import WaitingRequest
-from wagtailtrestle.team_queue import AGEING, COMPACT_ABOVE
-from wagtailtrestle.tier_queue import TierQueue
+from wagtailtrestle.capacity.grants import WaitingRequest
+from wagtailtrestle.capacity.team_queue import AGEING, COMPACT_ABOVE
+from wagtailtrestle.capacity.tier_queue import TierQueue
 
 
 def waiting(request_id, *, tier=1, team="socios", arrived_at=0.0, work_s=1.0, deadline=1000.0):
--- a/tests/utils/callers.py
+++ b/tests/utils/callers.py
@@ -7,12 +7,12 @@
 import threading
 from types import SimpleNamespace
 
-from wagtailtrestle.caller_limits import CallerLimits
-from wagtailtrestle.callers_http import CallersServer
-from wagtailtrestle.declaration import Declaration, Route, Service, Team, Tier
-from wagtailtrestle.exchange import AnswerRefusal, AnswerWhole, CallerGone, RunBegan, RunEnded, StartRun
-from wagtailtrestle.metrics import Metrics
-from wagtailtrestle.outcomes import Executed, Reason, Refusal, RunCancelled, RunDone
+from wagtailtrestle.callers.limits import CallerLimits
+from wagtailtrestle.callers.server import CallersServer
+from wagtailtrestle.contracts.declaration import Declaration, Route, Service, Team, Tier
+from wagtailtrestle.contracts.exchange import AnswerRefusal, AnswerWhole, CallerGone, RunBegan, RunEnded, StartRun
+from wagtailtrestle.contracts.outcomes import Executed, Reason, Refusal, RunCancelled, RunDone
+from wagtailtrestle.observe.metrics import Metrics
 
 HIGH_KEY = "high-key-0123456789"
 LOW_KEY = "low-key-0123456789"
--- a/tests/utils/configuring_replay.py
+++ b/tests/utils/configuring_replay.py
@@ -5,7 +5,7 @@
 
 from tests.utils.memory_store import MemoryStore
 from tests.utils.stewardship_replay import small_declaration
-from wagtailtrestle.applying import (
+from wagtailtrestle.configuration.applying import (
     DECLARATION_KIND,
     DECLARATION_NAME,
     Applied,
@@ -13,8 +13,8 @@
     ApplyNotDone,
     apply,
 )
-from wagtailtrestle.configuration import Configuration, PeersAnswer
-from wagtailtrestle.outcomes import StoreDone, StoreUnavailable, StoreUnknown
+from wagtailtrestle.configuration.configuration import Configuration, PeersAnswer
+from wagtailtrestle.contracts.outcomes import StoreDone, StoreUnavailable, StoreUnknown
 from wagtailtrestle.spec.configuring import OPERATORS, ROUTERS
 from wagtailtrestle.spec.monitor import Monitor
 
--- a/tests/utils/dispatch_replay.py
+++ b/tests/utils/dispatch_replay.py
@@ -3,9 +3,9 @@
 import asyncio
 
 from tests.utils.stewardship_replay import FakeCaller, caller_request, make_entry
-from wagtailtrestle.exchange import AnswerWhole, RunEnded
-from wagtailtrestle.messages import Granted
-from wagtailtrestle.outcomes import (
+from wagtailtrestle.contracts.exchange import AnswerWhole, RunEnded
+from wagtailtrestle.contracts.messages import Granted
+from wagtailtrestle.contracts.outcomes import (
     ClaimWon,
     Executed,
     RunCut,
--- a/tests/utils/draining_replay.py
+++ b/tests/utils/draining_replay.py
@@ -4,14 +4,14 @@
 
 from tests.utils.steward_fakes import FakeEntries, ask, engine, finished
 from tests.utils.stewardship_replay import FakeCaller, caller_request, make_entry
-from wagtailtrestle.declaration import LANGUAGE, Declaration, Route, Service
-from wagtailtrestle.exchange import RunEnded
-from wagtailtrestle.messages import Granted
-from wagtailtrestle.outcomes import RunDone
+from wagtailtrestle.capacity.steward_set import StewardSet
+from wagtailtrestle.contracts.declaration import LANGUAGE, Declaration, Route, Service
+from wagtailtrestle.contracts.exchange import RunEnded
+from wagtailtrestle.contracts.messages import Granted
+from wagtailtrestle.contracts.outcomes import RunDone
 from wagtailtrestle.spec.checker import Step
 from wagtailtrestle.spec.draining import ENGINES, LEAVER
 from wagtailtrestle.spec.monitor import Monitor
-from wagtailtrestle.steward_set import StewardSet
 
 CELL = "asistente"
 STEP_S = 0.05
--- a/tests/utils/engines.py
+++ b/tests/utils/engines.py
@@ -2,9 +2,9 @@
 
 import threading
 
-from wagtailtrestle.answer_check import ReceivedAnswer
-from wagtailtrestle.engine_http import EngineCall, EngineClient
-from wagtailtrestle.exchange import StartRun
+from wagtailtrestle.contracts.exchange import StartRun
+from wagtailtrestle.engines.answer_check import ReceivedAnswer
+from wagtailtrestle.engines.client import EngineCall, EngineClient
 from wagtailtrestle.standins.engine import EngineStandin
 from wagtailtrestle.standins.service import ServiceStandin
 from wagtailtrestle.standins.standin_settings import ENGINE_DEFAULTS, SERVICE_DEFAULTS, StandinSettings
--- a/tests/utils/fake_routers.py
+++ b/tests/utils/fake_routers.py
@@ -3,8 +3,8 @@
 import asyncio
 import random
 
-from wagtailtrestle.membership import Membership
-from wagtailtrestle.peer_messages import Hello, PeerUnreachable, Ping, Pong
+from wagtailtrestle.contracts.peer_messages import Hello, PeerUnreachable, Ping, Pong
+from wagtailtrestle.membership.membership import Membership
 
 DELAY_S = 0.001
 DIAL_S = 0.25
--- a/tests/utils/ledger_replay.py
+++ b/tests/utils/ledger_replay.py
@@ -4,12 +4,8 @@
 from unittest import mock
 
 from tests.utils.memory_store import MemoryStore
-from wagtailtrestle import ledger as ledger_module
-from wagtailtrestle.ledger import LAYOUT_NAME, Ledger
-from wagtailtrestle.ledger_messages import ClaimAsk, ClaimResult, NonceAsk, NonceState
-from wagtailtrestle.ledger_record import LEDGER_KIND, key_hash
-from wagtailtrestle.ledger_shard import ShardWriter
-from wagtailtrestle.outcomes import (
+from wagtailtrestle.contracts.ledger_messages import ClaimAsk, ClaimResult, NonceAsk, NonceState
+from wagtailtrestle.contracts.outcomes import (
     ClaimFinished,
     ClaimUnavailable,
     ClaimWon,
@@ -17,6 +13,10 @@
     StoreUnavailable,
     StoreUnknown,
 )
+from wagtailtrestle.ledger import ledger as ledger_module
+from wagtailtrestle.ledger.ledger import LAYOUT_NAME, Ledger
+from wagtailtrestle.ledger.record import LEDGER_KIND, key_hash
+from wagtailtrestle.ledger.shard import ShardWriter
 from wagtailtrestle.spec.claims import ROUTERS
 from wagtailtrestle.spec.monitor import Monitor
 
--- a/tests/utils/memory_store.py
+++ b/tests/utils/memory_store.py
@@ -6,9 +6,9 @@
 import asyncio
 import json
 
-from wagtailtrestle.outcomes import StoreDone, StoreUnavailable, StoreUnknown
+from wagtailtrestle.contracts.outcomes import StoreDone, StoreUnavailable, StoreUnknown
+from wagtailtrestle.membership.vm_list import vm_from_json
 from wagtailtrestle.standins.object_table import ObjectTable
-from wagtailtrestle.vm_list import vm_from_json
 
 SILENT_S = 1e6
 
--- a/tests/utils/steward_fakes.py
+++ b/tests/utils/steward_fakes.py
@@ -1,10 +1,10 @@
 """A steward with a clock that tests move and entries that keep what they are sent."""
 
-from wagtailtrestle.declaration import DeclaredEngine
-from wagtailtrestle.messages import GrantRequest, Register, RunFinished, RunningRecord
-from wagtailtrestle.policies import PredictedFinish
-from wagtailtrestle.report_messages import LoadReport
-from wagtailtrestle.steward import Steward
+from wagtailtrestle.capacity.steward import Steward
+from wagtailtrestle.contracts.declaration import DeclaredEngine
+from wagtailtrestle.contracts.messages import GrantRequest, Register, RunFinished, RunningRecord
+from wagtailtrestle.contracts.report_messages import LoadReport
+from wagtailtrestle.engines.policies import PredictedFinish
 
 
 class Clock:
--- a/tests/utils/stewardship_replay.py
+++ b/tests/utils/stewardship_replay.py
@@ -3,12 +3,12 @@
 import asyncio
 
 from tests.utils.steward_fakes import Cell, ask, engine, finished, register
-from wagtailtrestle.declaration import LANGUAGE, Declaration, Route, Service
-from wagtailtrestle.entry import Entry
-from wagtailtrestle.exchange import AnswerRefusal, AnswerWhole, CallerRequest, RunEnded, StartRun
-from wagtailtrestle.messages import Granted, Preempt, Refused
-from wagtailtrestle.outcomes import Reason, RunCancelled, RunDone
-from wagtailtrestle.retry_budget import RetryBudget
+from wagtailtrestle.contracts.declaration import LANGUAGE, Declaration, Route, Service
+from wagtailtrestle.contracts.exchange import AnswerRefusal, AnswerWhole, CallerRequest, RunEnded, StartRun
+from wagtailtrestle.contracts.messages import Granted, Preempt, Refused
+from wagtailtrestle.contracts.outcomes import Reason, RunCancelled, RunDone
+from wagtailtrestle.entry.entry import Entry
+from wagtailtrestle.entry.retry_budget import RetryBudget
 from wagtailtrestle.spec.monitor import Monitor
 from wagtailtrestle.spec.stewardship import HIGH, REPEATABLE, REQUESTS, TIER_BY_REQUEST
 
--- /dev/null
+++ b/wagtailtrestle/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side: HTTP in, checks, answers out."""
--- a/wagtailtrestle/caller_answer.py
+++ b/wagtailtrestle/callers/answer.py
@@ -3,8 +3,14 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from wagtailtrestle.answer_check import ReceivedAnswer
-from wagtailtrestle.caller_stream import (
+from wagtailtrestle.callers.problem import (
+    EXECUTED_HEADER,
+    REQUEST_ID_HEADER,
+    problem_bytes,
+    problem_headers,
+    status_line,
+)
+from wagtailtrestle.callers.stream import (
     JSON_TYPE,
     SSE_TYPE,
     AnswerEnd,
@@ -12,9 +18,9 @@
     read_whole_answer,
     whole_answer,
 )
-from wagtailtrestle.exchange import AnswerRecorded
-from wagtailtrestle.outcomes import Executed, Refusal
-from wagtailtrestle.problem import EXECUTED_HEADER, REQUEST_ID_HEADER, problem_bytes, problem_headers, status_line
+from wagtailtrestle.contracts.exchange import AnswerRecorded
+from wagtailtrestle.contracts.outcomes import Executed, Refusal
+from wagtailtrestle.engines.answer_check import ReceivedAnswer
 
 BODYLESS_STATUSES = frozenset({204, 304})
 # Of the connection to the engine, or naming the run there.
--- a/wagtailtrestle/authentication.py
+++ b/wagtailtrestle/callers/authentication.py
@@ -3,8 +3,8 @@
 import hashlib
 import hmac
 
-from wagtailtrestle.declaration import Declaration, Team
-from wagtailtrestle.outcomes import Executed, Reason, Refusal
+from wagtailtrestle.contracts.declaration import Declaration, Team
+from wagtailtrestle.contracts.outcomes import Executed, Reason, Refusal
 
 SCHEME = "bearer"
 MAX_KEY_CHARACTERS = 512
--- a/wagtailtrestle/caller_body.py
+++ b/wagtailtrestle/callers/body.py
@@ -7,9 +7,9 @@
 
 from cheroot.errors import MaxSizeExceeded
 
-from wagtailtrestle.outcomes import Executed, Reason, Refusal
-from wagtailtrestle.prompt_shape import PromptShape, chat_text, shape_of
-from wagtailtrestle.route_match import CHAT_PATH
+from wagtailtrestle.callers.prompt_shape import PromptShape, chat_text, shape_of
+from wagtailtrestle.callers.route_match import CHAT_PATH
+from wagtailtrestle.contracts.outcomes import Executed, Reason, Refusal
 
 DEFAULT_OUTPUT_TOKENS = 256
 MAX_OUTPUT_TOKENS = 1_000_000
--- a/wagtailtrestle/caller_carriage.py
+++ b/wagtailtrestle/callers/carriage.py
@@ -5,13 +5,13 @@
 
 from loguru import logger
 
-from wagtailtrestle.answer_check import ReceivedAnswer
-from wagtailtrestle.caller_exchange import CallerExchange
-from wagtailtrestle.caller_intake import Arrival, Prepared
-from wagtailtrestle.caller_limits import CallerLimits
-from wagtailtrestle.exchange import AnswerRecorded, AnswerRefusal, AnswerWhole, RunEnded
-from wagtailtrestle.metrics import Metrics
-from wagtailtrestle.outcomes import Reason, Refusal, RunDone, RunNotSent, RunRejected
+from wagtailtrestle.callers.intake import Arrival, Prepared
+from wagtailtrestle.callers.limits import CallerLimits
+from wagtailtrestle.callers.link import CallerExchange
+from wagtailtrestle.contracts.exchange import AnswerRecorded, AnswerRefusal, AnswerWhole, RunEnded
+from wagtailtrestle.contracts.outcomes import Reason, Refusal, RunDone, RunNotSent, RunRejected
+from wagtailtrestle.engines.answer_check import ReceivedAnswer
+from wagtailtrestle.observe.metrics import Metrics
 
 ANSWERED = "answered"
 RECORDED = "recorded"
--- a/wagtailtrestle/caller_headers.py
+++ b/wagtailtrestle/callers/headers.py
@@ -4,8 +4,8 @@
 import uuid
 from dataclasses import dataclass
 
-from wagtailtrestle.caller_body import bad_request
-from wagtailtrestle.outcomes import Refusal
+from wagtailtrestle.callers.body import bad_request
+from wagtailtrestle.contracts.outcomes import Refusal
 
 REQUEST_ID = "HTTP_WAGTAILTRESTLE_REQUEST_ID"
 DEADLINE = "HTTP_WAGTAILTRESTLE_DEADLINE_MS"
--- a/wagtailtrestle/caller_intake.py
+++ b/wagtailtrestle/callers/intake.py
@@ -4,20 +4,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from wagtailtrestle.authentication import KeyIndex, authenticate
-from wagtailtrestle.caller_answer import Answer, CallerResponse, PlainAnswer, StreamedAnswer, WholeAnswer
-from wagtailtrestle.caller_body import BodyLength, body_digest, body_length, parse_language, read_body
-from wagtailtrestle.caller_headers import caller_headers, deadline_s, forwarded_headers
-from wagtailtrestle.caller_limits import ReceiveLimit
-from wagtailtrestle.caller_stream import EventWriter, model_list
-from wagtailtrestle.caller_watch import CallerWatch
-from wagtailtrestle.caller_wsgi import CONNECTION_ENVIRON
-from wagtailtrestle.declaration import LANGUAGE, PLAIN
-from wagtailtrestle.engine_http import EngineCall
-from wagtailtrestle.exchange import CallerRequest
-from wagtailtrestle.outcomes import Executed, Reason, Refusal
-from wagtailtrestle.prompt_shape import PromptShape
-from wagtailtrestle.route_match import (
+from wagtailtrestle.callers.answer import Answer, CallerResponse, PlainAnswer, StreamedAnswer, WholeAnswer
+from wagtailtrestle.callers.authentication import KeyIndex, authenticate
+from wagtailtrestle.callers.body import BodyLength, body_digest, body_length, parse_language, read_body
+from wagtailtrestle.callers.headers import caller_headers, deadline_s, forwarded_headers
+from wagtailtrestle.callers.limits import ReceiveLimit
+from wagtailtrestle.callers.prompt_shape import PromptShape
+from wagtailtrestle.callers.route_match import (
     CHAT_PATH,
     LANGUAGE_PATHS,
     MODELS_PATH,
@@ -27,6 +20,13 @@
     services_of,
     wrong_method,
 )
+from wagtailtrestle.callers.stream import EventWriter, model_list
+from wagtailtrestle.callers.watch import CallerWatch
+from wagtailtrestle.callers.wsgi import CONNECTION_ENVIRON
+from wagtailtrestle.contracts.declaration import LANGUAGE, PLAIN
+from wagtailtrestle.contracts.exchange import CallerRequest
+from wagtailtrestle.contracts.outcomes import Executed, Reason, Refusal
+from wagtailtrestle.engines.client import EngineCall
 
 NO_PROMPT = PromptShape(tokens=0)
 RETRY_AFTER_S = 1.0
--- a/wagtailtrestle/caller_exchange.py
+++ b/wagtailtrestle/callers/link.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from wagtailtrestle.exchange import (
+from wagtailtrestle.contracts.exchange import (
     AnswerRecorded,
     AnswerRefusal,
     AnswerWhole,
@@ -16,7 +16,7 @@
     RunEnded,
     StartRun,
 )
-from wagtailtrestle.outcomes import Executed, Reason, Refusal, RunCut
+from wagtailtrestle.contracts.outcomes import Executed, Reason, Refusal, RunCut
 
 # The task answers by the deadline, and a moment later if a run must first be cancelled.
 # A task that failed answers never: past this the thread ends the request by itself.
--- a/wagtailtrestle/problem.py
+++ b/wagtailtrestle/callers/problem.py
@@ -4,7 +4,7 @@
 import math
 from http import HTTPStatus
 
-from wagtailtrestle.outcomes import Reason, Refusal
+from wagtailtrestle.contracts.outcomes import Reason, Refusal
 
 CONTENT_TYPE = "application/problem+json"
 TYPE_PREFIX = "urn:wagtailtrestle:refusal:"
--- a/wagtailtrestle/route_match.py
+++ b/wagtailtrestle/callers/route_match.py
@@ -3,8 +3,8 @@
 import re
 from dataclasses import dataclass
 
-from wagtailtrestle.declaration import LANGUAGE, PLAIN, Declaration, Route, Service, Team, Tier
-from wagtailtrestle.outcomes import Executed, Reason, Refusal
+from wagtailtrestle.contracts.declaration import LANGUAGE, PLAIN, Declaration, Route, Service, Team, Tier
+from wagtailtrestle.contracts.outcomes import Executed, Reason, Refusal
 
 CHAT_PATH = "/v1/chat/completions"
 TEXT_PATH = "/v1/completions"
--- a/wagtailtrestle/callers_http.py
+++ b/wagtailtrestle/callers/server.py
@@ -7,18 +7,18 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
-from wagtailtrestle.caller_answer import CallerResponse
-from wagtailtrestle.caller_carriage import CallerCarriage
-from wagtailtrestle.caller_exchange import CallerExchange
-from wagtailtrestle.caller_headers import caller_request_id
-from wagtailtrestle.caller_intake import Arrival, Intake, ModelList, Prepared, closed
-from wagtailtrestle.caller_limits import DEFAULT_RECEIVE_BYTES, CallerLimits, Full, ReceiveLimit, held_for
-from wagtailtrestle.caller_stream import JSON_TYPE
-from wagtailtrestle.caller_watch import CallerWatch
-from wagtailtrestle.caller_wsgi import CONNECTION_ENVIRON, REQUEST_ENVIRON, CallersWsgiServer
-from wagtailtrestle.exchange import AnswerRefusal
-from wagtailtrestle.metrics import Metrics
-from wagtailtrestle.outcomes import Executed, Reason, Refusal
+from wagtailtrestle.callers.answer import CallerResponse
+from wagtailtrestle.callers.carriage import CallerCarriage
+from wagtailtrestle.callers.headers import caller_request_id
+from wagtailtrestle.callers.intake import Arrival, Intake, ModelList, Prepared, closed
+from wagtailtrestle.callers.limits import DEFAULT_RECEIVE_BYTES, CallerLimits, Full, ReceiveLimit, held_for
+from wagtailtrestle.callers.link import CallerExchange
+from wagtailtrestle.callers.stream import JSON_TYPE
+from wagtailtrestle.callers.watch import CallerWatch
+from wagtailtrestle.callers.wsgi import CONNECTION_ENVIRON, REQUEST_ENVIRON, CallersWsgiServer
+from wagtailtrestle.contracts.exchange import AnswerRefusal
+from wagtailtrestle.contracts.outcomes import Executed, Reason, Refusal
+from wagtailtrestle.observe.metrics import Metrics
 
 DEFAULT_THREADS = 128
 DEFAULT_MAX_BODY_BYTES = 4_194_304
--- a/wagtailtrestle/caller_stream.py
+++ b/wagtailtrestle/callers/stream.py
@@ -9,8 +9,8 @@
 import time
 from dataclasses import dataclass
 
-from wagtailtrestle.outcomes import Refusal
-from wagtailtrestle.problem import stream_error_event
+from wagtailtrestle.callers.problem import stream_error_event
+from wagtailtrestle.contracts.outcomes import Refusal
 
 SSE_TYPE = "text/event-stream; charset=utf-8"
 JSON_TYPE = "application/json"
--- a/wagtailtrestle/caller_wsgi.py
+++ b/wagtailtrestle/callers/wsgi.py
@@ -10,8 +10,8 @@
 from cheroot.workers.threadpool import ThreadPool
 from loguru import logger
 
-from wagtailtrestle.outcomes import Executed, Reason, Refusal
-from wagtailtrestle.problem import problem_bytes, problem_headers, status_line
+from wagtailtrestle.callers.problem import problem_bytes, problem_headers, status_line
+from wagtailtrestle.contracts.outcomes import Executed, Reason, Refusal
 
 CONNECTION_ENVIRON = "wagtailtrestle.connection"
 REQUEST_ENVIRON = "wagtailtrestle.request"
--- /dev/null
+++ b/wagtailtrestle/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity of a cell: who runs next, who is refused, who yields (decisions)."""
--- a/wagtailtrestle/admission.py
+++ b/wagtailtrestle/capacity/admission.py
@@ -7,8 +7,8 @@
 import math
 import zlib
 
-from wagtailtrestle.grants import WaitingRequest
-from wagtailtrestle.outcomes import Reason
+from wagtailtrestle.capacity.grants import WaitingRequest
+from wagtailtrestle.contracts.outcomes import Reason
 
 LEAST_FINISH_MARGIN = 1.0
 FINISH_MARGIN_SPAN = 0.5
--- a/wagtailtrestle/grants.py
+++ b/wagtailtrestle/capacity/grants.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-from wagtailtrestle.messages import GrantRequest
+from wagtailtrestle.contracts.messages import GrantRequest
 
 ENDED_KEPT = 8192
 """Settled asks remembered: tens of seconds at the rates of one cell."""
--- a/wagtailtrestle/isolation.py
+++ b/wagtailtrestle/capacity/isolation.py
@@ -7,9 +7,9 @@
 
 from dataclasses import dataclass
 
-from wagtailtrestle.admission import shielded_run_s, tolerance
-from wagtailtrestle.grants import WaitingRequest
-from wagtailtrestle.team_queue import due
+from wagtailtrestle.capacity.admission import shielded_run_s, tolerance
+from wagtailtrestle.capacity.grants import WaitingRequest
+from wagtailtrestle.capacity.team_queue import due
 
 MAX_SUSPECTS = 16
 """Suspects that may wait in one cell: they are served one by one."""
--- a/wagtailtrestle/preemption.py
+++ b/wagtailtrestle/capacity/preemption.py
@@ -10,8 +10,8 @@
 import itertools
 from dataclasses import dataclass
 
-from wagtailtrestle.admission import MAX_ASKS, finish_margin, promised_s, run_s, tolerance, uncached_tokens
-from wagtailtrestle.grants import Grant, WaitingRequest
+from wagtailtrestle.capacity.admission import MAX_ASKS, finish_margin, promised_s, run_s, tolerance, uncached_tokens
+from wagtailtrestle.capacity.grants import Grant, WaitingRequest
 
 LOOK_AHEAD = 32
 """Waiting requests considered in one round."""
--- a/wagtailtrestle/run_book.py
+++ b/wagtailtrestle/capacity/run_book.py
@@ -1,10 +1,10 @@
 """Every run that holds a place in one cell, and what its course teaches about the engines."""
 
-from wagtailtrestle.engine_health import EngineHealth
-from wagtailtrestle.engine_state import EngineState
-from wagtailtrestle.grants import EndedAsks, Grant
-from wagtailtrestle.outcomes import RunDone, RunLost
-from wagtailtrestle.output_lengths import OutputLengths
+from wagtailtrestle.capacity.grants import EndedAsks, Grant
+from wagtailtrestle.contracts.outcomes import RunDone, RunLost
+from wagtailtrestle.engines.health import EngineHealth
+from wagtailtrestle.engines.output_lengths import OutputLengths
+from wagtailtrestle.engines.state import EngineState
 
 GRANT_GRACE_S = 5.0
 """Time after a run's deadline at which its place is free even if nobody said so."""
--- a/wagtailtrestle/steward.py
+++ b/wagtailtrestle/capacity/steward.py
@@ -5,10 +5,13 @@
 can't make a request run twice.
 """
 
-from wagtailtrestle.admission import Admission
-from wagtailtrestle.cells import CellDigest
-from wagtailtrestle.isolation import Isolation
-from wagtailtrestle.messages import (
+from wagtailtrestle.capacity.admission import Admission
+from wagtailtrestle.capacity.isolation import Isolation
+from wagtailtrestle.capacity.preemption import LOOK_AHEAD, PreemptionPlanner
+from wagtailtrestle.capacity.registration import Registration
+from wagtailtrestle.capacity.run_book import RunBook
+from wagtailtrestle.capacity.tier_queue import TierQueue
+from wagtailtrestle.contracts.messages import (
     GrantRequest,
     Preempt,
     Refused,
@@ -18,12 +21,9 @@
     RunStarted,
     Withdraw,
 )
-from wagtailtrestle.outcomes import Reason
-from wagtailtrestle.preemption import LOOK_AHEAD, PreemptionPlanner
-from wagtailtrestle.registration import Registration
-from wagtailtrestle.run_book import RunBook
-from wagtailtrestle.silence_limits import granted_message
-from wagtailtrestle.tier_queue import TierQueue
+from wagtailtrestle.contracts.outcomes import Reason
+from wagtailtrestle.engines.silence_limits import granted_message
+from wagtailtrestle.entry.cells import CellDigest
 
 TRIES_IN_A_ROW = 128
 """Waiting requests tried in one round, so that no message costs unbounded time."""
--- a/wagtailtrestle/steward_set.py
+++ b/wagtailtrestle/capacity/steward_set.py
@@ -1,7 +1,7 @@
 """The stewards that this router holds, one for each cell whose messages reach it."""
 
-from wagtailtrestle.policies import PredictedFinish
-from wagtailtrestle.steward import Steward
+from wagtailtrestle.capacity.steward import Steward
+from wagtailtrestle.engines.policies import PredictedFinish
 
 
 class StewardSet:
--- a/wagtailtrestle/tier_queue.py
+++ b/wagtailtrestle/capacity/tier_queue.py
@@ -11,8 +11,8 @@
 import heapq
 import itertools
 
-from wagtailtrestle.grants import WaitingRequest
-from wagtailtrestle.team_queue import TeamQueue, Tier, due
+from wagtailtrestle.capacity.grants import WaitingRequest
+from wagtailtrestle.capacity.team_queue import TeamQueue, Tier, due
 
 DEFAULT_SHARE = 1.0
 
--- a/wagtailtrestle/cli/dump.py
+++ b/wagtailtrestle/cli/dump.py
@@ -6,8 +6,8 @@
 import yaml
 from fire.decorators import SetParseFn
 
-from wagtailtrestle.argument_types import Flag, Url
 from wagtailtrestle.cli.runner import read_arguments, run_program
+from wagtailtrestle.declarations.argument_types import Flag, Url
 from wagtailtrestle.environment import Environment
 from wagtailtrestle.exit_status import ExitStatus
 
--- a/wagtailtrestle/cli/operate.py
+++ b/wagtailtrestle/cli/operate.py
@@ -5,7 +5,8 @@
 
 from fire.decorators import SetParseFn
 
-from wagtailtrestle.applying import (
+from wagtailtrestle.cli.runner import read_arguments, run_program
+from wagtailtrestle.configuration.applying import (
     NOTHING_ACCEPTED,
     Applied,
     ApplyConflict,
@@ -14,16 +15,15 @@
     apply,
     read_accepted,
 )
-from wagtailtrestle.argument_types import Integer, Url
-from wagtailtrestle.cli.runner import read_arguments, run_program
-from wagtailtrestle.declaration_check import DeclarationFaults, parse_declaration
-from wagtailtrestle.declaration_diff import difference
+from wagtailtrestle.configuration.status_report import collect_status
+from wagtailtrestle.contracts.outcomes import StoreUnavailable
+from wagtailtrestle.declarations.argument_types import Integer, Url
+from wagtailtrestle.declarations.check import DeclarationFaults, parse_declaration
+from wagtailtrestle.declarations.diff import difference
+from wagtailtrestle.declarations.yaml_source import read_file
 from wagtailtrestle.environment import Environment
 from wagtailtrestle.exit_status import ExitStatus
-from wagtailtrestle.outcomes import StoreUnavailable
 from wagtailtrestle.output.text import change_text, faults_text, status_text, summary_text
-from wagtailtrestle.status_report import collect_status
-from wagtailtrestle.yaml_source import read_file
 
 PROGRAM = "wagtailtrestle"
 LARGEST_GENERATION = 10**15
--- a/wagtailtrestle/cli/router.py
+++ b/wagtailtrestle/cli/router.py
@@ -5,11 +5,11 @@
 from fire.decorators import SetParseFn
 
 from wagtailtrestle.cli.runner import run_program
+from wagtailtrestle.declarations.settings import SettingsFaults, load_router_settings
 from wagtailtrestle.environment import Environment
 from wagtailtrestle.exit_status import ExitStatus
-from wagtailtrestle.logs import start_logs
+from wagtailtrestle.observe.logs import start_logs
 from wagtailtrestle.output.text import faults_text
-from wagtailtrestle.settings import SettingsFaults, load_router_settings
 
 PROGRAM = "wagtailtrestle-router"
 
--- a/wagtailtrestle/cli/runner.py
+++ b/wagtailtrestle/cli/runner.py
@@ -6,7 +6,7 @@
 
 import fire
 
-from wagtailtrestle.argument_types import Wrong
+from wagtailtrestle.declarations.argument_types import Wrong
 from wagtailtrestle.exit_status import ExitStatus
 
 ANSI = re.compile(r"\x1b\[[0-9;]*m")
--- /dev/null
+++ b/wagtailtrestle/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The declaration in force on one router."""
--- a/wagtailtrestle/applying.py
+++ b/wagtailtrestle/configuration/applying.py
@@ -7,7 +7,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from wagtailtrestle.outcomes import StoreAbsent, StoreConflict, StoreDone, StoreUnavailable, StoreUnknown
+from wagtailtrestle.contracts.outcomes import StoreAbsent, StoreConflict, StoreDone, StoreUnavailable, StoreUnknown
 
 DECLARATION_KIND = "declarations"
 DECLARATION_NAME = "current"
--- a/wagtailtrestle/configuration.py
+++ b/wagtailtrestle/configuration/configuration.py
@@ -10,10 +10,10 @@
 
 from loguru import logger
 
-from wagtailtrestle.applying import NO_GENERATION
 from wagtailtrestle.broken_invariant import report_broken
-from wagtailtrestle.configuration_sources import PeersAnswer, PeerSource, PlatformSource, Source
-from wagtailtrestle.declaration import Declaration
+from wagtailtrestle.configuration.applying import NO_GENERATION
+from wagtailtrestle.configuration.sources import PeersAnswer, PeerSource, PlatformSource, Source
+from wagtailtrestle.contracts.declaration import Declaration
 
 __all__ = ["Configuration", "InForce", "PeersAnswer"]
 
--- a/wagtailtrestle/peer_configuration.py
+++ b/wagtailtrestle/configuration/peer_configuration.py
@@ -3,8 +3,8 @@
 import asyncio
 import random
 
-from wagtailtrestle.configuration import PeersAnswer
-from wagtailtrestle.peer_messages import ConfigurationAsk, ConfigurationText
+from wagtailtrestle.configuration.configuration import PeersAnswer
+from wagtailtrestle.contracts.peer_messages import ConfigurationAsk, ConfigurationText
 
 MAX_ASKED = 8
 ASK_TIMEOUT_S = 1.0
--- a/wagtailtrestle/configuration_sources.py
+++ b/wagtailtrestle/configuration/sources.py
@@ -6,8 +6,8 @@
 
 from loguru import logger
 
-from wagtailtrestle.applying import DECLARATION_KIND, DECLARATION_NAME, NO_GENERATION, accepted_from_value
-from wagtailtrestle.outcomes import StoreAbsent, StoreConflict, StoreDone
+from wagtailtrestle.configuration.applying import DECLARATION_KIND, DECLARATION_NAME, NO_GENERATION, accepted_from_value
+from wagtailtrestle.contracts.outcomes import StoreAbsent, StoreConflict, StoreDone
 
 POLL_JITTER = 0.25
 POLL_RETRY_S = 0.2
--- a/wagtailtrestle/status_report.py
+++ b/wagtailtrestle/configuration/status_report.py
@@ -5,9 +5,9 @@
 
 import urllib3
 
-from wagtailtrestle.applying import NOTHING_ACCEPTED, read_accepted
-from wagtailtrestle.outcomes import StoreDone, StoreUnavailable
-from wagtailtrestle.vm_list import ROUTER
+from wagtailtrestle.configuration.applying import NOTHING_ACCEPTED, read_accepted
+from wagtailtrestle.contracts.outcomes import StoreDone, StoreUnavailable
+from wagtailtrestle.membership.vm_list import ROUTER
 
 FETCH_TIMEOUT_S = 2.0
 FETCH_AT_ONCE = 16
--- /dev/null
+++ b/wagtailtrestle/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""What the parts tell each other: declared data, messages, outcomes and ports."""
--- a/wagtailtrestle/declaration.py
+++ b/wagtailtrestle/contracts/declaration.py
@@ -1,6 +1,6 @@
 """Declared data: tiers, teams, services, routes and engines of one deployment.
 
-Instances are built by :mod:`wagtailtrestle.declaration_check` from a YAML file
+Instances are built by :mod:`wagtailtrestle.declarations.check` from a YAML file
 that passed every check; nothing here validates.
 """
 
--- a/wagtailtrestle/exchange.py
+++ b/wagtailtrestle/contracts/exchange.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from wagtailtrestle.outcomes import Refusal, RunOutcome
+from wagtailtrestle.contracts.outcomes import Refusal, RunOutcome
 
 
 class CallerRequest:
@@ -31,7 +31,7 @@
     output_tokens : int
         Upper limit asked for by the caller, or the service's default.
     prefix_blocks : tuple of int
-        See :class:`wagtailtrestle.messages.GrantRequest`.
+        See :class:`wagtailtrestle.contracts.messages.GrantRequest`.
     deadline : float
         Loop time by which the whole answer must be given.
     """
--- a/wagtailtrestle/messages.py
+++ b/wagtailtrestle/contracts/messages.py
@@ -1,13 +1,13 @@
 """Messages between entries (which own requests) and stewards (which own capacity).
 
 The same classes are delivered in one process or, through
-:mod:`wagtailtrestle.peer_codec`, between two. Times are remaining or elapsed seconds,
+:mod:`wagtailtrestle.peers.codec`, between two. Times are remaining or elapsed seconds,
 never a clock reading: clocks of two processes are not comparable.
 """
 
 from dataclasses import dataclass
 
-from wagtailtrestle.outcomes import Reason
+from wagtailtrestle.contracts.outcomes import Reason
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
--- a/wagtailtrestle/ports.py
+++ b/wagtailtrestle/contracts/ports.py
@@ -2,8 +2,8 @@
 
 from typing import Protocol
 
-from wagtailtrestle.messages import EntryMessage, StewardMessage
-from wagtailtrestle.outcomes import ClaimOutcome, StoreOutcome
+from wagtailtrestle.contracts.messages import EntryMessage, StewardMessage
+from wagtailtrestle.contracts.outcomes import ClaimOutcome, StoreOutcome
 
 
 class ObjectStore(Protocol):
--- /dev/null
+++ b/wagtailtrestle/declarations/__init__.py
@@ -0,0 +1,1 @@
+"""Files of operators, read and checked: declarations and settings."""
--- a/wagtailtrestle/declaration_check.py
+++ b/wagtailtrestle/declarations/check.py
@@ -6,13 +6,13 @@
 
 from dataclasses import dataclass
 
-from wagtailtrestle.argument_types import Integer, Name, Number, Sha256
-from wagtailtrestle.declaration import Declaration, Team, Tier
-from wagtailtrestle.declared_names import DeclaredNames
-from wagtailtrestle.engine_check import read_engines
-from wagtailtrestle.field_reader import open_mapping, read_scalar
-from wagtailtrestle.service_check import read_services
-from wagtailtrestle.yaml_source import Fault, FaultList, compose
+from wagtailtrestle.contracts.declaration import Declaration, Team, Tier
+from wagtailtrestle.declarations.argument_types import Integer, Name, Number, Sha256
+from wagtailtrestle.declarations.engine_check import read_engines
+from wagtailtrestle.declarations.field_reader import open_mapping, read_scalar
+from wagtailtrestle.declarations.names import DeclaredNames
+from wagtailtrestle.declarations.service_check import read_services
+from wagtailtrestle.declarations.yaml_source import Fault, FaultList, compose
 
 FORMAT = 1
 DEFAULT_SHARE = 1.0
--- a/wagtailtrestle/engine_check.py
+++ b/wagtailtrestle/declarations/engine_check.py
@@ -1,9 +1,9 @@
 """Checks of the section ``engines`` of a declaration."""
 
-from wagtailtrestle.argument_types import Flag, HostPort, Integer, Name, Number
-from wagtailtrestle.declaration import PLAIN, DeclaredEngine
-from wagtailtrestle.declared_names import NameTable
-from wagtailtrestle.field_reader import REQUIRED
+from wagtailtrestle.contracts.declaration import PLAIN, DeclaredEngine
+from wagtailtrestle.declarations.argument_types import Flag, HostPort, Integer, Name, Number
+from wagtailtrestle.declarations.field_reader import REQUIRED
+from wagtailtrestle.declarations.names import NameTable
 
 LARGEST_SLOTS = 100_000
 LARGEST_STEP_MS = 600_000
--- a/wagtailtrestle/field_reader.py
+++ b/wagtailtrestle/declarations/field_reader.py
@@ -1,7 +1,7 @@
 """Readers of YAML mappings, field by field, that record every fault and go on."""
 
-from wagtailtrestle.argument_types import Wrong, shown
-from wagtailtrestle.yaml_source import MappingNode, ScalarNode, SequenceNode
+from wagtailtrestle.declarations.argument_types import Wrong, shown
+from wagtailtrestle.declarations.yaml_source import MappingNode, ScalarNode, SequenceNode
 
 REQUIRED = object()
 
--- a/wagtailtrestle/service_check.py
+++ b/wagtailtrestle/declarations/service_check.py
@@ -1,9 +1,9 @@
 """Checks of the section ``services`` of a declaration, with the routes."""
 
-from wagtailtrestle.argument_types import Flag, Integer, Name, Number, OneOf, UrlPath
-from wagtailtrestle.declaration import LANGUAGE, PLAIN, Route, Service
-from wagtailtrestle.declared_names import NameTable
-from wagtailtrestle.route_match import CHAT_PATH, TEXT_PATH
+from wagtailtrestle.callers.route_match import CHAT_PATH, TEXT_PATH
+from wagtailtrestle.contracts.declaration import LANGUAGE, PLAIN, Route, Service
+from wagtailtrestle.declarations.argument_types import Flag, Integer, Name, Number, OneOf, UrlPath
+from wagtailtrestle.declarations.names import NameTable
 
 LANGUAGE_PATHS = (CHAT_PATH, TEXT_PATH)
 LANGUAGE_METHOD = "POST"
--- a/wagtailtrestle/settings.py
+++ b/wagtailtrestle/declarations/settings.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from wagtailtrestle.argument_types import Flag, HostPort, Integer, Name, Number, OneOf, Peer, Url
-from wagtailtrestle.field_reader import open_mapping
-from wagtailtrestle.yaml_source import Fault, FaultList, compose, read_file
+from wagtailtrestle.declarations.argument_types import Flag, HostPort, Integer, Name, Number, OneOf, Peer, Url
+from wagtailtrestle.declarations.field_reader import open_mapping
+from wagtailtrestle.declarations.yaml_source import Fault, FaultList, compose, read_file
 
 DEFAULT_CALLER_THREADS = 128
 DEFAULT_MAX_BODY_BYTES = 4_194_304
--- a/wagtailtrestle/demo/deployment.py
+++ b/wagtailtrestle/demo/deployment.py
@@ -7,7 +7,7 @@
 import urllib3
 import yaml
 
-from wagtailtrestle.declaration import LANGUAGE
+from wagtailtrestle.contracts.declaration import LANGUAGE
 from wagtailtrestle.demo.processes import LocalProcess
 
 HOST = "127.0.0.1"
--- /dev/null
+++ b/wagtailtrestle/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Unlike engines: the client, their learned speed, their health."""
--- a/wagtailtrestle/engine_http.py
+++ b/wagtailtrestle/engines/client.py
@@ -11,9 +11,9 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
-from wagtailtrestle.declaration import LANGUAGE
-from wagtailtrestle.exchange import RunEnded
-from wagtailtrestle.run_exchange import OK, RunExchange
+from wagtailtrestle.contracts.declaration import LANGUAGE
+from wagtailtrestle.contracts.exchange import RunEnded
+from wagtailtrestle.engines.run_exchange import OK, RunExchange
 
 CANCEL_TIMEOUT_S = 1.0
 CANCEL_END_S = 0.5
--- a/wagtailtrestle/output_lengths.py
+++ b/wagtailtrestle/engines/output_lengths.py
@@ -7,7 +7,7 @@
 import math
 from dataclasses import replace
 
-from wagtailtrestle.messages import GrantRequest
+from wagtailtrestle.contracts.messages import GrantRequest
 
 FADE = 0.98
 """Share of the old evidence's weight kept at each answer."""
--- a/wagtailtrestle/policies.py
+++ b/wagtailtrestle/engines/policies.py
@@ -4,9 +4,9 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from wagtailtrestle.engine_model import EngineModel
-from wagtailtrestle.messages import GrantRequest
-from wagtailtrestle.prefix_cache import PrefixCacheIndex
+from wagtailtrestle.contracts.messages import GrantRequest
+from wagtailtrestle.engines.model import EngineModel
+from wagtailtrestle.engines.prefix_cache import PrefixCacheIndex
 
 
 class EngineView(Protocol):
--- a/wagtailtrestle/engine_reports.py
+++ b/wagtailtrestle/engines/reports.py
@@ -13,7 +13,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
-from wagtailtrestle.report_messages import CacheEvents, EngineReport, LoadReport, LoadUnreachable
+from wagtailtrestle.contracts.report_messages import CacheEvents, EngineReport, LoadReport, LoadUnreachable
 
 CONNECT_TIMEOUT_S = 0.3
 READ_TIMEOUT_S = 0.5
--- a/wagtailtrestle/run_exchange.py
+++ b/wagtailtrestle/engines/run_exchange.py
@@ -10,10 +10,9 @@
 from urllib3.exceptions import HTTPError, NewConnectionError, ReadTimeoutError
 from urllib3.exceptions import TimeoutError as UrllibTimeoutError
 
-from wagtailtrestle.answer_check import AnswerCheck
-from wagtailtrestle.declaration import LANGUAGE
-from wagtailtrestle.exchange import RunEnded
-from wagtailtrestle.outcomes import (
+from wagtailtrestle.contracts.declaration import LANGUAGE
+from wagtailtrestle.contracts.exchange import RunEnded
+from wagtailtrestle.contracts.outcomes import (
     RunCancelled,
     RunCut,
     RunDone,
@@ -22,7 +21,8 @@
     RunRejected,
     RunSilent,
 )
-from wagtailtrestle.run_progress import RunProgress
+from wagtailtrestle.engines.answer_check import AnswerCheck
+from wagtailtrestle.engines.run_progress import RunProgress
 
 READ_BYTES = 65536
 MOST_ERROR_BYTES = 65536
@@ -71,7 +71,7 @@
     request : EngineCall
     received : ReceivedAnswer
     on_event, on_token : callable
-        See :meth:`wagtailtrestle.engine_http.EngineClient.run`.
+        See :meth:`wagtailtrestle.engines.client.EngineClient.run`.
     connect_timeout_s : float
 
     Attributes
--- a/wagtailtrestle/run_progress.py
+++ b/wagtailtrestle/engines/run_progress.py
@@ -2,7 +2,7 @@
 
 import time
 
-from wagtailtrestle.exchange import RunAdvanced, RunBegan
+from wagtailtrestle.contracts.exchange import RunAdvanced, RunBegan
 
 FIRST_ADVANCE_S = 0.25
 """From the first token to the first word of progress, which gives the pace early."""
--- a/wagtailtrestle/silence_limits.py
+++ b/wagtailtrestle/engines/silence_limits.py
@@ -1,6 +1,6 @@
 """How long a granted run may stay silent before its entry gives it up."""
 
-from wagtailtrestle.messages import Granted
+from wagtailtrestle.contracts.messages import Granted
 
 PROGRESS_FLOOR_S = 1.0
 """Least silence tolerated between tokens."""
--- a/wagtailtrestle/engine_state.py
+++ b/wagtailtrestle/engines/state.py
@@ -3,9 +3,9 @@
 import math
 from collections import deque
 
-from wagtailtrestle.engine_model import EngineModel
-from wagtailtrestle.grants import Grant
-from wagtailtrestle.prefix_cache import PrefixCacheIndex
+from wagtailtrestle.capacity.grants import Grant
+from wagtailtrestle.engines.model import EngineModel
+from wagtailtrestle.engines.prefix_cache import PrefixCacheIndex
 
 FINISHES_KEPT_S = 10.0
 """How long ended grants are remembered to be set against late load reports."""
--- /dev/null
+++ b/wagtailtrestle/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The request: its owner and its state machine (decisions)."""
--- a/wagtailtrestle/crash_watch.py
+++ b/wagtailtrestle/entry/crash_watch.py
@@ -1,7 +1,7 @@
 """Watches how runs end for engines that crash, and shares what it learns with all routers."""
 
-from wagtailtrestle.outcomes import RunCut, RunDone, RunLost, RunNotSent
-from wagtailtrestle.poison import fingerprint_of
+from wagtailtrestle.contracts.outcomes import RunCut, RunDone, RunLost, RunNotSent
+from wagtailtrestle.entry.poison import fingerprint_of
 
 
 class CrashWatch:
--- a/wagtailtrestle/entry.py
+++ b/wagtailtrestle/entry/entry.py
@@ -1,19 +1,19 @@
 """The entry: owns every request that callers gave to this router.
 
-Runs one :class:`wagtailtrestle.request_task.RequestTask` per request and routes the
+Runs one :class:`wagtailtrestle.entry.request_task.RequestTask` per request and routes the
 messages of callers and stewards to them.
 """
 
 import asyncio
 
 from wagtailtrestle.broken_invariant import report_broken
-from wagtailtrestle.cells import cells_of, choose_cell
-from wagtailtrestle.declaration import LANGUAGE
-from wagtailtrestle.exchange import AnswerRefusal
-from wagtailtrestle.final_answers import refusal_of
-from wagtailtrestle.messages import Granted, Register, RunFinished, Withdraw
-from wagtailtrestle.outcomes import Executed, Reason, RunNotSent
-from wagtailtrestle.request_task import Displaced, RequestState, RequestTask
+from wagtailtrestle.contracts.declaration import LANGUAGE
+from wagtailtrestle.contracts.exchange import AnswerRefusal
+from wagtailtrestle.contracts.messages import Granted, Register, RunFinished, Withdraw
+from wagtailtrestle.contracts.outcomes import Executed, Reason, RunNotSent
+from wagtailtrestle.entry.cells import cells_of, choose_cell
+from wagtailtrestle.entry.final_answers import refusal_of
+from wagtailtrestle.entry.request_task import Displaced, RequestState, RequestTask
 
 
 class RequestContext:
@@ -27,7 +27,7 @@
     claims : Claims
     crashes : CrashWatch
     budget_by_service : Callable
-        Maps a service's name to its :class:`wagtailtrestle.retry_budget.RetryBudget`.
+        Maps a service's name to its :class:`wagtailtrestle.entry.retry_budget.RetryBudget`.
     declaration : Callable
         Gives the declaration in force.
     now : Callable
--- a/wagtailtrestle/final_answers.py
+++ b/wagtailtrestle/entry/final_answers.py
@@ -1,6 +1,6 @@
 """The final answers that a request which gets no whole answer may get, and how they are worded."""
 
-from wagtailtrestle.outcomes import Reason, Refusal
+from wagtailtrestle.contracts.outcomes import Reason, Refusal
 
 DEFAULT_RETRY_AFTER_S = 1.0
 
--- a/wagtailtrestle/reach.py
+++ b/wagtailtrestle/entry/reach.py
@@ -1,6 +1,6 @@
 """How far a request has come towards engines, and what may truthfully be said of it."""
 
-from wagtailtrestle.outcomes import Executed, RunCut, RunLost, RunNotSent, RunRejected, RunSilent
+from wagtailtrestle.contracts.outcomes import Executed, RunCut, RunLost, RunNotSent, RunRejected, RunSilent
 
 
 class Reach:
--- a/wagtailtrestle/request_claim.py
+++ b/wagtailtrestle/entry/request_claim.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from wagtailtrestle.outcomes import ClaimUnavailable, ClaimWon, Executed
+from wagtailtrestle.contracts.outcomes import ClaimUnavailable, ClaimWon, Executed
 
 CLAIM_LIMIT_S = 10.0
 CLAIM_ROOM_S = 0.5
--- a/wagtailtrestle/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from wagtailtrestle.exchange import (
+from wagtailtrestle.contracts.exchange import (
     AnswerRecorded,
     AnswerRefusal,
     AnswerWhole,
@@ -18,8 +18,7 @@
     RunEnded,
     StartRun,
 )
-from wagtailtrestle.final_answers import DEFAULT_RETRY_AFTER_S, refusal_of, rejected_status
-from wagtailtrestle.messages import (
+from wagtailtrestle.contracts.messages import (
     Granted,
     GrantRequest,
     Preempt,
@@ -30,7 +29,7 @@
     RunStarted,
     Withdraw,
 )
-from wagtailtrestle.outcomes import (
+from wagtailtrestle.contracts.outcomes import (
     ClaimFinished,
     ClaimMismatch,
     ClaimTaken,
@@ -45,8 +44,9 @@
     RunRejected,
     RunSilent,
 )
-from wagtailtrestle.reach import Reach
-from wagtailtrestle.request_claim import RequestClaim
+from wagtailtrestle.entry.final_answers import DEFAULT_RETRY_AFTER_S, refusal_of, rejected_status
+from wagtailtrestle.entry.reach import Reach
+from wagtailtrestle.entry.request_claim import RequestClaim
 
 MAX_NOT_SENT = 4
 MAX_ATTACHES = 2
--- a/wagtailtrestle/environment.py
+++ b/wagtailtrestle/environment.py
@@ -76,12 +76,12 @@
 
 
 def _open_http_store(url):
-    from wagtailtrestle.object_store_http import HttpObjectStore
+    from wagtailtrestle.store.object_store_http import HttpObjectStore
 
     return HttpObjectStore(url=url)
 
 
 def _fetch_json(url):
-    from wagtailtrestle.status_report import fetch_json
+    from wagtailtrestle.configuration.status_report import fetch_json
 
     return fetch_json(url)
--- /dev/null
+++ b/wagtailtrestle/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Idempotency keys that are remembered."""
--- a/wagtailtrestle/ledger.py
+++ b/wagtailtrestle/ledger/ledger.py
@@ -9,7 +9,7 @@
 import asyncio
 import time
 
-from wagtailtrestle.ledger_messages import (
+from wagtailtrestle.contracts.ledger_messages import (
     ClaimAnswer,
     ClaimAsk,
     ClaimResult,
@@ -20,10 +20,7 @@
     SettleAnswer,
     SettleAsk,
 )
-from wagtailtrestle.ledger_nonces import NonceBook
-from wagtailtrestle.ledger_record import LEDGER_KIND, MAX_BODY_BYTES, ShardContents, key_hash, shard_name
-from wagtailtrestle.ledger_shard import ShardWriter, WritePacer, bounded
-from wagtailtrestle.outcomes import (
+from wagtailtrestle.contracts.outcomes import (
     ClaimFinished,
     ClaimMismatch,
     ClaimTaken,
@@ -32,6 +29,9 @@
     StoreAbsent,
     StoreDone,
 )
+from wagtailtrestle.ledger.nonces import NonceBook
+from wagtailtrestle.ledger.record import LEDGER_KIND, MAX_BODY_BYTES, ShardContents, key_hash, shard_name
+from wagtailtrestle.ledger.shard import ShardWriter, WritePacer, bounded
 
 LAYOUT_NAME = "layout"
 CLAIM_WAIT_S = 10.0
@@ -51,7 +51,7 @@
 
 
 class Ledger:
-    """Implements :class:`wagtailtrestle.ports.Claims` and answers other routers' asks.
+    """Implements :class:`wagtailtrestle.contracts.ports.Claims` and answers other routers' asks.
 
     Parameters
     ----------
@@ -104,7 +104,7 @@
     # The entry's side: the port Claims.
 
     async def claim(self, *, team, key, body_digest, nonce, wait_s=CLAIM_WAIT_S):
-        """Claim a key; see :class:`wagtailtrestle.ports.Claims`."""
+        """Claim a key; see :class:`wagtailtrestle.contracts.ports.Claims`."""
         self._book.begin(nonce)
         outcome = ClaimUnavailable(detail="the claim was abandoned")
         try:
--- a/wagtailtrestle/ledger_nonces.py
+++ b/wagtailtrestle/ledger/nonces.py
@@ -6,7 +6,7 @@
 
 import asyncio
 
-from wagtailtrestle.ledger_messages import NonceAnswer, NonceState
+from wagtailtrestle.contracts.ledger_messages import NonceAnswer, NonceState
 
 ENDED_STATES = (NonceState.FINISHED, NonceState.REFUSED, NonceState.UNKNOWN)
 MAX_NONCES = 50_000
--- a/wagtailtrestle/ledger_record.py
+++ b/wagtailtrestle/ledger/record.py
@@ -6,7 +6,7 @@
 import base64
 import hashlib
 
-from wagtailtrestle.ledger_messages import ClaimAnswer, ClaimAsk, ClaimResult, ClaimState, NonceState
+from wagtailtrestle.contracts.ledger_messages import ClaimAnswer, ClaimAsk, ClaimResult, ClaimState, NonceState
 
 LEDGER_KIND = "ledger"
 MAX_BODY_BYTES = 4096
--- a/wagtailtrestle/ledger_shard.py
+++ b/wagtailtrestle/ledger/shard.py
@@ -8,9 +8,9 @@
 import asyncio
 import random
 
-from wagtailtrestle.ledger_messages import ClaimAnswer, ClaimAsk, ClaimResult
-from wagtailtrestle.ledger_record import LEDGER_KIND, ShardContents
-from wagtailtrestle.outcomes import StoreAbsent, StoreDone, StoreUnavailable, StoreUnknown
+from wagtailtrestle.contracts.ledger_messages import ClaimAnswer, ClaimAsk, ClaimResult
+from wagtailtrestle.contracts.outcomes import StoreAbsent, StoreDone, StoreUnavailable, StoreUnknown
+from wagtailtrestle.ledger.record import LEDGER_KIND, ShardContents
 
 STORE_CALL_S = 2.0
 LINGER_S = 0.25
--- a/wagtailtrestle/measure/baseline_routers.py
+++ b/wagtailtrestle/measure/baseline_routers.py
@@ -4,13 +4,13 @@
 elsewhere; a request that misses its deadline is dropped.
 """
 
-from wagtailtrestle.engine_model import EngineModel
-from wagtailtrestle.exchange import AnswerRefusal, AnswerWhole, RunEnded, StartRun
+from wagtailtrestle.contracts.exchange import AnswerRefusal, AnswerWhole, RunEnded, StartRun
+from wagtailtrestle.contracts.messages import GrantRequest
+from wagtailtrestle.contracts.outcomes import Executed, Reason, Refusal, RunDone
+from wagtailtrestle.engines.model import EngineModel
+from wagtailtrestle.engines.prefix_cache import PrefixCacheIndex
 from wagtailtrestle.measure.cluster import REPORT_EVERY_S, REPORT_LAG_S
 from wagtailtrestle.measure.fake_caller import FakeCaller
-from wagtailtrestle.messages import GrantRequest
-from wagtailtrestle.outcomes import Executed, Reason, Refusal, RunDone
-from wagtailtrestle.prefix_cache import PrefixCacheIndex
 
 NO_LIMIT_S = 3600.0
 RETRIES = 2
--- a/wagtailtrestle/measure/cluster.py
+++ b/wagtailtrestle/measure/cluster.py
@@ -1,14 +1,14 @@
 """The routers of a measured run: real entries and the real steward, joined by delayed messages."""
 
-from wagtailtrestle.crash_watch import CrashWatch
-from wagtailtrestle.entry import Entry
-from wagtailtrestle.exchange import CallerRequest
+from wagtailtrestle.capacity.steward import Steward
+from wagtailtrestle.contracts.exchange import CallerRequest
+from wagtailtrestle.contracts.report_messages import LoadReport
+from wagtailtrestle.entry.crash_watch import CrashWatch
+from wagtailtrestle.entry.entry import Entry
+from wagtailtrestle.entry.poison import CrashBook, CrashDetector
+from wagtailtrestle.entry.retry_budget import RetryBudget
 from wagtailtrestle.measure.fake_caller import NETWORK_S, FakeCaller
 from wagtailtrestle.measure.run_parts import SentBy, SentTo
-from wagtailtrestle.poison import CrashBook, CrashDetector
-from wagtailtrestle.report_messages import LoadReport
-from wagtailtrestle.retry_budget import RetryBudget
-from wagtailtrestle.steward import Steward
 
 TICK_S = 0.05
 REPORT_EVERY_S = 0.1
--- a/wagtailtrestle/measure/configuration_delay.py
+++ b/wagtailtrestle/measure/configuration_delay.py
@@ -15,11 +15,11 @@
 import yaml
 from hdrh.histogram import HdrHistogram
 
-from wagtailtrestle.applying import Applied, apply
-from wagtailtrestle.configuration import Configuration, PeersAnswer
-from wagtailtrestle.declaration import Declaration
+from wagtailtrestle.configuration.applying import Applied, apply
+from wagtailtrestle.configuration.configuration import Configuration, PeersAnswer
+from wagtailtrestle.contracts.declaration import Declaration
 from wagtailtrestle.demo.processes import LocalProcess
-from wagtailtrestle.object_store_http import HttpObjectStore
+from wagtailtrestle.store.object_store_http import HttpObjectStore
 
 HOST = "127.0.0.1"
 KEEPERS = 9
--- a/wagtailtrestle/measure/configuration_whole.py
+++ b/wagtailtrestle/measure/configuration_whole.py
@@ -13,9 +13,9 @@
 
 import yaml
 
-from wagtailtrestle.applying import apply
+from wagtailtrestle.configuration.applying import apply
 from wagtailtrestle.demo.deployment import Deployment
-from wagtailtrestle.object_store_http import HttpObjectStore
+from wagtailtrestle.store.object_store_http import HttpObjectStore
 
 DOCUMENT = "examples/cometas.yaml"
 ROUTERS = 9
--- a/wagtailtrestle/measure/fake_caller.py
+++ b/wagtailtrestle/measure/fake_caller.py
@@ -1,14 +1,14 @@
 """A caller's side in a measured run: carries one request's runs to engines and its answer back."""
 
-from wagtailtrestle.exchange import AnswerRefusal, AnswerWhole, RunAdvanced, RunBegan, RunEnded, StartRun
-from wagtailtrestle.outcomes import RunCancelled, RunDone, RunLost, RunSilent
+from wagtailtrestle.contracts.exchange import AnswerRefusal, AnswerWhole, RunAdvanced, RunBegan, RunEnded, StartRun
+from wagtailtrestle.contracts.outcomes import RunCancelled, RunDone, RunLost, RunSilent
 
 NETWORK_S = 0.0015
 PROGRESS_S = 1.0
 
 
 class FakeCaller:
-    """Implements :class:`wagtailtrestle.exchange.CallerLink` for one arrival.
+    """Implements :class:`wagtailtrestle.contracts.exchange.CallerLink` for one arrival.
 
     Parameters
     ----------
--- a/wagtailtrestle/measure/one_run.py
+++ b/wagtailtrestle/measure/one_run.py
@@ -6,7 +6,8 @@
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
-from wagtailtrestle.declaration_check import parse_declaration
+from wagtailtrestle.declarations.check import parse_declaration
+from wagtailtrestle.engines.policies import LeastReportedLoad, PredictedFinish, RoundRobin, TwoChoices
 from wagtailtrestle.measure import virtual_time
 from wagtailtrestle.measure.baseline_routers import BaselineRouters
 from wagtailtrestle.measure.cluster import StewardRouters, caller_request
@@ -16,7 +17,6 @@
 from wagtailtrestle.measure.run_parts import RunSetting
 from wagtailtrestle.measure.tally import tally, tally_keyed
 from wagtailtrestle.measure.workload import Drawing
-from wagtailtrestle.policies import LeastReportedLoad, PredictedFinish, RoundRobin, TwoChoices
 
 ROUTERS = ("r1", "r2", "r3", "r4")
 WARM_S = 10.0
--- a/wagtailtrestle/measure/platform_store.py
+++ b/wagtailtrestle/measure/platform_store.py
@@ -4,10 +4,10 @@
 import json
 import zlib
 
-from wagtailtrestle.ledger import Ledger
+from wagtailtrestle.contracts.outcomes import StoreUnavailable
+from wagtailtrestle.ledger.ledger import Ledger
 from wagtailtrestle.measure.fake_caller import NETWORK_S
-from wagtailtrestle.outcomes import StoreUnavailable
-from wagtailtrestle.rendezvous import Rendezvous
+from wagtailtrestle.peers.rendezvous import Rendezvous
 from wagtailtrestle.standins.object_table import ObjectTable
 
 STORE_LATENCY_S = 0.005
--- a/wagtailtrestle/measure/real_processes.py
+++ b/wagtailtrestle/measure/real_processes.py
@@ -13,8 +13,9 @@
 import fire
 import yaml
 
-from wagtailtrestle.declaration_check import parse_declaration
+from wagtailtrestle.declarations.check import parse_declaration
 from wagtailtrestle.demo.deployment import Deployment
+from wagtailtrestle.engines.prefix_cache import BLOCK_TOKENS
 from wagtailtrestle.load.mix import RequestKind
 from wagtailtrestle.load.plan import BYTES_PER_TOKEN, PlannedRequest
 from wagtailtrestle.load.records import check_truth, read_records
@@ -23,7 +24,6 @@
 from wagtailtrestle.measure.fleet import TrueSpeed, fleet_cost_s
 from wagtailtrestle.measure.one_run import EXAMPLE_BY_SERVICE, EXAMPLES, NO_FAULT, OURS, MeasuredRun, RunSpec
 from wagtailtrestle.measure.workload import with_deadline
-from wagtailtrestle.prefix_cache import BLOCK_TOKENS
 
 TIME_SCALE = 2.0
 LOADS = (1.0, 2.5)
--- a/wagtailtrestle/measure/tally.py
+++ b/wagtailtrestle/measure/tally.py
@@ -1,8 +1,8 @@
 """Figures of one measured run, taken from the engines' own record and the callers' answers."""
 
+from wagtailtrestle.contracts.outcomes import Executed, Reason
 from wagtailtrestle.measure.fleet import fleet_cost_s
 from wagtailtrestle.measure.platform_store import is_keyed
-from wagtailtrestle.outcomes import Executed, Reason
 
 
 class TierTally:
--- a/wagtailtrestle/measure/workload.py
+++ b/wagtailtrestle/measure/workload.py
@@ -8,7 +8,7 @@
 import math
 import random
 
-from wagtailtrestle.prefix_cache import BLOCK_TOKENS
+from wagtailtrestle.engines.prefix_cache import BLOCK_TOKENS
 
 MIN_PROMPT_TOKENS = 8
 MIN_OUTPUT_TOKENS = 4
--- /dev/null
+++ b/wagtailtrestle/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which routers live."""
--- a/wagtailtrestle/member.py
+++ b/wagtailtrestle/membership/member.py
@@ -1,6 +1,6 @@
 """What one router believes of another, and the order in which statements outweigh each other."""
 
-from wagtailtrestle.peer_messages import MemberState, ViewEvent
+from wagtailtrestle.contracts.peer_messages import MemberState, ViewEvent
 
 HOLD_FIRST_S = 1.0
 HOLD_MAX_S = 30.0
--- a/wagtailtrestle/member_table.py
+++ b/wagtailtrestle/membership/member_table.py
@@ -1,8 +1,8 @@
 """All that one router believes of the others, and how it takes in statements about them."""
 
-from wagtailtrestle.member import RANKS_BY_STATE, Member, event_key
-from wagtailtrestle.peer_messages import MemberState
-from wagtailtrestle.view import View, digest_of
+from wagtailtrestle.contracts.peer_messages import MemberState
+from wagtailtrestle.membership.member import RANKS_BY_STATE, Member, event_key
+from wagtailtrestle.membership.view import View, digest_of
 
 # Long enough for the news of a death to have reached everybody who can be reached.
 RESURRECT_AFTER_S = 10.0
--- a/wagtailtrestle/membership.py
+++ b/wagtailtrestle/membership/membership.py
@@ -10,17 +10,17 @@
 
 from loguru import logger
 
-from wagtailtrestle.contacts import Contacts
-from wagtailtrestle.member_table import MemberTable
-from wagtailtrestle.partners import Ring
-from wagtailtrestle.peer_messages import (
+from wagtailtrestle.contracts.peer_messages import (
     Heartbeat,
     Hello,
     MemberState,
     ViewEvent,
 )
-from wagtailtrestle.suspicion import Suspicions
-from wagtailtrestle.view_sync import ViewSync
+from wagtailtrestle.membership.contacts import Contacts
+from wagtailtrestle.membership.member_table import MemberTable
+from wagtailtrestle.membership.partners import Ring
+from wagtailtrestle.membership.suspicion import Suspicions
+from wagtailtrestle.membership.view_sync import ViewSync
 
 HEARTBEAT_S = 0.3
 SILENT_HEARTBEATS = 2.2
--- a/wagtailtrestle/suspicion.py
+++ b/wagtailtrestle/membership/suspicion.py
@@ -2,7 +2,7 @@
 
 from loguru import logger
 
-from wagtailtrestle.peer_messages import MemberState
+from wagtailtrestle.contracts.peer_messages import MemberState
 
 REFUTE_S = 0.25
 ORPHAN_S = 3.0
--- a/wagtailtrestle/view_sync.py
+++ b/wagtailtrestle/membership/view_sync.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from wagtailtrestle.peer_messages import PeerUnreachable, Ping, ViewAsk, ViewText
+from wagtailtrestle.contracts.peer_messages import PeerUnreachable, Ping, ViewAsk, ViewText
 
 TIMEOUT_S = 0.5
 MISMATCHES = 2
--- a/wagtailtrestle/vm_list.py
+++ b/wagtailtrestle/membership/vm_list.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from wagtailtrestle.outcomes import StoreDone
+from wagtailtrestle.contracts.outcomes import StoreDone
 
 DEFAULT_INTERVAL_S = 1.0
 JITTER = 0.25
--- /dev/null
+++ b/wagtailtrestle/observe/__init__.py
@@ -0,0 +1,1 @@
+"""What operators see of a process: logs, metrics, state."""
--- a/wagtailtrestle/admin_http.py
+++ b/wagtailtrestle/observe/admin_http.py
@@ -8,10 +8,10 @@
 from cheroot import wsgi
 from loguru import logger
 
-from wagtailtrestle.metrics import Metrics
-from wagtailtrestle.outcomes import Reason
-from wagtailtrestle.problem import status_line
-from wagtailtrestle.state_dump import plain
+from wagtailtrestle.callers.problem import status_line
+from wagtailtrestle.contracts.outcomes import Reason
+from wagtailtrestle.observe.metrics import Metrics
+from wagtailtrestle.observe.state_dump import plain
 
 THREADS = 2
 SOCKET_TIMEOUT_S = 10
--- a/wagtailtrestle/output/text.py
+++ b/wagtailtrestle/output/text.py
@@ -2,9 +2,9 @@
 
 from datetime import UTC, datetime
 
-from wagtailtrestle.declaration_diff import Added, Changed, Removed
+from wagtailtrestle.configuration.status_report import RouterInForce
+from wagtailtrestle.declarations.diff import Added, Changed, Removed
 from wagtailtrestle.output.table import table
-from wagtailtrestle.status_report import RouterInForce
 
 NOT_YET = "none yet"
 
--- /dev/null
+++ b/wagtailtrestle/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between routers and who is reached by them."""
--- a/wagtailtrestle/peer_codec.py
+++ b/wagtailtrestle/peers/codec.py
@@ -8,10 +8,11 @@
 from enum import Enum
 from typing import get_type_hints
 
-from wagtailtrestle import ledger_messages, messages, peer_messages, poison
+from wagtailtrestle.contracts import ledger_messages, messages, peer_messages
+from wagtailtrestle.contracts.outcomes import Reason
+from wagtailtrestle.contracts.peer_messages import MemberState
+from wagtailtrestle.entry import poison
 from wagtailtrestle.generated import peers_pb2 as pb
-from wagtailtrestle.outcomes import Reason
-from wagtailtrestle.peer_messages import MemberState
 
 # Dataclass -> (name of the body in pb.Item, protobuf class).
 BODIES = {
--- a/wagtailtrestle/peer_connection.py
+++ b/wagtailtrestle/peers/connection.py
@@ -7,10 +7,10 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server
 
+from wagtailtrestle.contracts.peer_messages import Hello
 from wagtailtrestle.generated import peers_pb2 as pb
 from wagtailtrestle.generated.peers_grpc import PeersBase, PeersStub
-from wagtailtrestle.peer_codec import decode, encode
-from wagtailtrestle.peer_messages import Hello
+from wagtailtrestle.peers.codec import decode, encode
 
 HELLO_TIMEOUT_S = 0.25
 KEEPALIVE_IDLE_S = 15
--- a/wagtailtrestle/peer_delays.py
+++ b/wagtailtrestle/peers/delays.py
@@ -7,8 +7,8 @@
 
 from dataclasses import dataclass
 
-from wagtailtrestle.messages import Granted, RunFinished, RunProgress, RunStarted
-from wagtailtrestle.peer_messages import Heartbeat, Pong
+from wagtailtrestle.contracts.messages import Granted, RunFinished, RunProgress, RunStarted
+from wagtailtrestle.contracts.peer_messages import Heartbeat, Pong
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
--- a/wagtailtrestle/directory.py
+++ b/wagtailtrestle/peers/directory.py
@@ -18,7 +18,7 @@
 steward in its own view, which is never itself.
 """
 
-from wagtailtrestle.messages import (
+from wagtailtrestle.contracts.messages import (
     Granted,
     GrantRequest,
     Preempt,
@@ -29,9 +29,9 @@
     RunStarted,
     Withdraw,
 )
-from wagtailtrestle.peer_messages import RegisterAsk
-from wagtailtrestle.peer_routes import PeerRoutes
-from wagtailtrestle.rendezvous import Rendezvous
+from wagtailtrestle.contracts.peer_messages import RegisterAsk
+from wagtailtrestle.peers.rendezvous import Rendezvous
+from wagtailtrestle.peers.routes import PeerRoutes
 
 ENTRY_MESSAGES = (GrantRequest, Withdraw, RunStarted, RunProgress, RunFinished, Register)
 STEWARD_MESSAGES = (Granted, Refused, Preempt)
--- a/wagtailtrestle/peer_links.py
+++ b/wagtailtrestle/peers/links.py
@@ -3,9 +3,9 @@
 import asyncio
 import random
 
-from wagtailtrestle.peer_connection import Listener, connect, receive_hello
-from wagtailtrestle.peer_link import Link
-from wagtailtrestle.peer_messages import Hello
+from wagtailtrestle.contracts.peer_messages import Hello
+from wagtailtrestle.peers.connection import Listener, connect, receive_hello
+from wagtailtrestle.peers.link import Link
 
 SIMULTANEOUS_S = 1.0
 USED_LATELY_S = 30.0
--- a/wagtailtrestle/peer_outbox.py
+++ b/wagtailtrestle/peers/outbox.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from wagtailtrestle.peer_delays import AT_ONCE
+from wagtailtrestle.peers.delays import AT_ONCE
 
 MAX_BATCH_BYTES = 64 * 1024
 MAX_QUEUED_BYTES = 4 * 1024 * 1024
@@ -26,7 +26,7 @@
     """Items that wait for a connection to one peer, oldest first.
 
     An item that only informs may wait a while for a batch that leaves anyway
-    (``peer_delays``). One that is replaceable waits longer, and whatever is queued about the
+    (``peers.delays``). One that is replaceable waits longer, and whatever is queued about the
     same request after it takes its place, so nothing overtakes what was said before.
 
     Parameters
--- a/wagtailtrestle/peers_grpc.py
+++ b/wagtailtrestle/peers/peers_grpc.py
@@ -15,14 +15,14 @@
 import asyncio
 import inspect
 
+from wagtailtrestle.contracts.peer_messages import Hello, NoAnswer, PeerUnreachable, Ping, Pong
 from wagtailtrestle.generated import peers_pb2 as pb
-from wagtailtrestle.peer_codec import decode, encode
-from wagtailtrestle.peer_delays import AT_ONCE, delay_of
-from wagtailtrestle.peer_links import PeerLinks
-from wagtailtrestle.peer_messages import Hello, NoAnswer, PeerUnreachable, Ping, Pong
-from wagtailtrestle.peer_questions import Questions
-from wagtailtrestle.peer_state import PeerState
-from wagtailtrestle.peer_watch import LinkWatch
+from wagtailtrestle.peers.codec import decode, encode
+from wagtailtrestle.peers.delays import AT_ONCE, delay_of
+from wagtailtrestle.peers.links import PeerLinks
+from wagtailtrestle.peers.questions import Questions
+from wagtailtrestle.peers.state import PeerState
+from wagtailtrestle.peers.watch import LinkWatch
 
 FLUSH_TIMEOUT_S = 0.5
 FLUSH_LOOK_S = 0.005
--- a/wagtailtrestle/peer_questions.py
+++ b/wagtailtrestle/peers/questions.py
@@ -1,6 +1,6 @@
 """Questions to peers that wait for their answers."""
 
-from wagtailtrestle.peer_messages import NoAnswer, PeerUnreachable
+from wagtailtrestle.contracts.peer_messages import NoAnswer, PeerUnreachable
 
 
 class Questions:
--- a/wagtailtrestle/peer_routes.py
+++ b/wagtailtrestle/peers/routes.py
@@ -8,8 +8,8 @@
 registers again each second).
 """
 
-from wagtailtrestle.peer_codec import encode
-from wagtailtrestle.peer_messages import Relayed
+from wagtailtrestle.contracts.peer_messages import Relayed
+from wagtailtrestle.peers.codec import encode
 
 DETOUR_AFTER_S = 0.5
 DETOUR_CHANGES_S = 1.0
--- a/wagtailtrestle/peer_state.py
+++ b/wagtailtrestle/peers/state.py
@@ -1,6 +1,6 @@
 """What this router holds about one peer."""
 
-from wagtailtrestle.peer_outbox import Outbox
+from wagtailtrestle.peers.outbox import Outbox
 
 BACKOFF_FIRST_S = 0.05
 BACKOFF_MAX_S = 0.5
--- a/wagtailtrestle/peer_watch.py
+++ b/wagtailtrestle/peers/watch.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from wagtailtrestle.peer_codec import encode
-from wagtailtrestle.peer_messages import Ping
+from wagtailtrestle.contracts.peer_messages import Ping
+from wagtailtrestle.peers.codec import encode
 
 INTERVAL_S = 0.2
 PING_AFTER_S = 0.35
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -7,35 +7,35 @@
 
 from loguru import logger
 
-from wagtailtrestle.admin_http import AdminServer
-from wagtailtrestle.broadcast import Broadcast
 from wagtailtrestle.broken_invariant import report_broken
-from wagtailtrestle.caller_limits import DEFAULT_BODY_BYTES, CallerLimits, held_for
-from wagtailtrestle.callers_http import CallersServer
-from wagtailtrestle.cells import cells_of
-from wagtailtrestle.configuration import Configuration
-from wagtailtrestle.crash_watch import CrashWatch
-from wagtailtrestle.declaration import LANGUAGE
-from wagtailtrestle.declaration_check import parse_declaration
-from wagtailtrestle.directory import Directory
-from wagtailtrestle.engine_http import EngineClient
-from wagtailtrestle.engine_reports import EngineReports
-from wagtailtrestle.entry import Entry
-from wagtailtrestle.ledger import Ledger
-from wagtailtrestle.ledger_messages import ClaimAsk, NonceAsk, SettleAsk
-from wagtailtrestle.membership import Membership
-from wagtailtrestle.metrics import Metrics
-from wagtailtrestle.object_store_http import HttpObjectStore
-from wagtailtrestle.outcomes import Reason
-from wagtailtrestle.peer_configuration import PeerConfiguration
-from wagtailtrestle.peer_messages import PeerUnreachable
-from wagtailtrestle.peers_grpc import Peers
-from wagtailtrestle.poison import CrashBook, CrashClearance, CrashDetector, CrashReport
-from wagtailtrestle.rendezvous import Rendezvous
-from wagtailtrestle.report_messages import CacheEvents, LoadReport, LoadUnreachable
-from wagtailtrestle.retry_budget import RetryBudget
-from wagtailtrestle.steward_set import StewardSet
-from wagtailtrestle.vm_list import VMList
+from wagtailtrestle.callers.limits import DEFAULT_BODY_BYTES, CallerLimits, held_for
+from wagtailtrestle.callers.server import CallersServer
+from wagtailtrestle.capacity.steward_set import StewardSet
+from wagtailtrestle.configuration.configuration import Configuration
+from wagtailtrestle.configuration.peer_configuration import PeerConfiguration
+from wagtailtrestle.contracts.declaration import LANGUAGE
+from wagtailtrestle.contracts.ledger_messages import ClaimAsk, NonceAsk, SettleAsk
+from wagtailtrestle.contracts.outcomes import Reason
+from wagtailtrestle.contracts.peer_messages import PeerUnreachable
+from wagtailtrestle.contracts.report_messages import CacheEvents, LoadReport, LoadUnreachable
+from wagtailtrestle.declarations.check import parse_declaration
+from wagtailtrestle.engines.client import EngineClient
+from wagtailtrestle.engines.reports import EngineReports
+from wagtailtrestle.entry.cells import cells_of
+from wagtailtrestle.entry.crash_watch import CrashWatch
+from wagtailtrestle.entry.entry import Entry
+from wagtailtrestle.entry.poison import CrashBook, CrashClearance, CrashDetector, CrashReport
+from wagtailtrestle.entry.retry_budget import RetryBudget
+from wagtailtrestle.ledger.ledger import Ledger
+from wagtailtrestle.membership.membership import Membership
+from wagtailtrestle.membership.vm_list import VMList
+from wagtailtrestle.observe.admin_http import AdminServer
+from wagtailtrestle.observe.metrics import Metrics
+from wagtailtrestle.peers.broadcast import Broadcast
+from wagtailtrestle.peers.directory import Directory
+from wagtailtrestle.peers.peers_grpc import Peers
+from wagtailtrestle.peers.rendezvous import Rendezvous
+from wagtailtrestle.store.object_store_http import HttpObjectStore
 
 TICK_S = 0.1
 REPORT_INTERVAL_S = 0.5
--- a/wagtailtrestle/slopes/configuration.py
+++ b/wagtailtrestle/slopes/configuration.py
@@ -6,9 +6,9 @@
 
 import yaml
 
-from wagtailtrestle.authentication import KeyIndex
-from wagtailtrestle.declaration import Declaration
-from wagtailtrestle.declaration_check import parse_declaration
+from wagtailtrestle.callers.authentication import KeyIndex
+from wagtailtrestle.contracts.declaration import Declaration
+from wagtailtrestle.declarations.check import parse_declaration
 from wagtailtrestle.slopes.line import Slope
 
 SIZES = ((170, 75), (425, 190), (850, 375), (1_700, 750))
--- a/wagtailtrestle/slopes/control_node.py
+++ b/wagtailtrestle/slopes/control_node.py
@@ -12,19 +12,19 @@
 import time
 import uuid
 
-from wagtailtrestle.crash_watch import CrashWatch
-from wagtailtrestle.declaration import LANGUAGE, Declaration, DeclaredEngine, Service
-from wagtailtrestle.directory import Directory
-from wagtailtrestle.entry import Entry
-from wagtailtrestle.exchange import CallerRequest, RunAdvanced, RunBegan, RunEnded, StartRun
-from wagtailtrestle.outcomes import RunDone
-from wagtailtrestle.peers_grpc import Peers
-from wagtailtrestle.poison import CrashBook, CrashDetector
-from wagtailtrestle.prompt_shape import shape_of
-from wagtailtrestle.retry_budget import RetryBudget
-from wagtailtrestle.run_progress import ADVANCE_INTERVAL_S
-from wagtailtrestle.steward_set import StewardSet
-from wagtailtrestle.view import View
+from wagtailtrestle.callers.prompt_shape import shape_of
+from wagtailtrestle.capacity.steward_set import StewardSet
+from wagtailtrestle.contracts.declaration import LANGUAGE, Declaration, DeclaredEngine, Service
+from wagtailtrestle.contracts.exchange import CallerRequest, RunAdvanced, RunBegan, RunEnded, StartRun
+from wagtailtrestle.contracts.outcomes import RunDone
+from wagtailtrestle.engines.run_progress import ADVANCE_INTERVAL_S
+from wagtailtrestle.entry.crash_watch import CrashWatch
+from wagtailtrestle.entry.entry import Entry
+from wagtailtrestle.entry.poison import CrashBook, CrashDetector
+from wagtailtrestle.entry.retry_budget import RetryBudget
+from wagtailtrestle.membership.view import View
+from wagtailtrestle.peers.directory import Directory
+from wagtailtrestle.peers.peers_grpc import Peers
 
 ENTRY = "router-entry"
 CELLS_PER_STEWARD = 2
--- a/wagtailtrestle/slopes/entry.py
+++ b/wagtailtrestle/slopes/entry.py
@@ -4,14 +4,14 @@
 import time
 import tracemalloc
 
-from wagtailtrestle.crash_watch import CrashWatch
-from wagtailtrestle.declaration import LANGUAGE, Declaration, DeclaredEngine, Service
-from wagtailtrestle.entry import Entry
-from wagtailtrestle.exchange import CallerRequest, RunAdvanced, RunBegan, RunEnded, StartRun
-from wagtailtrestle.messages import Granted, GrantRequest
-from wagtailtrestle.outcomes import RunDone
-from wagtailtrestle.poison import CrashBook, CrashDetector
-from wagtailtrestle.retry_budget import RetryBudget
+from wagtailtrestle.contracts.declaration import LANGUAGE, Declaration, DeclaredEngine, Service
+from wagtailtrestle.contracts.exchange import CallerRequest, RunAdvanced, RunBegan, RunEnded, StartRun
+from wagtailtrestle.contracts.messages import Granted, GrantRequest
+from wagtailtrestle.contracts.outcomes import RunDone
+from wagtailtrestle.entry.crash_watch import CrashWatch
+from wagtailtrestle.entry.entry import Entry
+from wagtailtrestle.entry.poison import CrashBook, CrashDetector
+from wagtailtrestle.entry.retry_budget import RetryBudget
 from wagtailtrestle.slopes.line import Slope
 
 HELD_COUNTS = (0, 200, 1_000, 3_000)
--- a/wagtailtrestle/slopes/ledger.py
+++ b/wagtailtrestle/slopes/ledger.py
@@ -4,8 +4,8 @@
 import json
 import time
 
-from wagtailtrestle.ledger import Ledger
-from wagtailtrestle.outcomes import ClaimWon
+from wagtailtrestle.contracts.outcomes import ClaimWon
+from wagtailtrestle.ledger.ledger import Ledger
 from wagtailtrestle.slopes.line import Slope
 from wagtailtrestle.standins.object_table import ObjectTable
 
--- a/wagtailtrestle/slopes/member.py
+++ b/wagtailtrestle/slopes/member.py
@@ -8,8 +8,8 @@
 import json
 import sys
 
-from wagtailtrestle.membership import Membership
-from wagtailtrestle.peers_grpc import Peers
+from wagtailtrestle.membership.membership import Membership
+from wagtailtrestle.peers.peers_grpc import Peers
 
 
 def _tell(**values):
--- a/wagtailtrestle/slopes/peers.py
+++ b/wagtailtrestle/slopes/peers.py
@@ -8,12 +8,12 @@
 import time
 import tracemalloc
 
-from wagtailtrestle.member_table import MemberTable
-from wagtailtrestle.membership import HEARTBEAT_S
-from wagtailtrestle.messages import Granted, GrantRequest
-from wagtailtrestle.partners import Ring
-from wagtailtrestle.peer_messages import Heartbeat, MemberState, ViewEvent
-from wagtailtrestle.peers_grpc import Peers
+from wagtailtrestle.contracts.messages import Granted, GrantRequest
+from wagtailtrestle.contracts.peer_messages import Heartbeat, MemberState, ViewEvent
+from wagtailtrestle.membership.member_table import MemberTable
+from wagtailtrestle.membership.membership import HEARTBEAT_S
+from wagtailtrestle.membership.partners import Ring
+from wagtailtrestle.peers.peers_grpc import Peers
 from wagtailtrestle.slopes.counting_relay import CountingRelay
 from wagtailtrestle.slopes.fleet import idle_cost
 from wagtailtrestle.slopes.line import Slope
--- a/wagtailtrestle/slopes/steward.py
+++ b/wagtailtrestle/slopes/steward.py
@@ -3,11 +3,11 @@
 import time
 import tracemalloc
 
-from wagtailtrestle.declaration import DeclaredEngine
-from wagtailtrestle.messages import Granted, GrantRequest, Register, RunFinished, RunProgress, RunStarted
-from wagtailtrestle.policies import PredictedFinish
+from wagtailtrestle.capacity.steward import Steward
+from wagtailtrestle.contracts.declaration import DeclaredEngine
+from wagtailtrestle.contracts.messages import Granted, GrantRequest, Register, RunFinished, RunProgress, RunStarted
+from wagtailtrestle.engines.policies import PredictedFinish
 from wagtailtrestle.slopes.line import Slope
-from wagtailtrestle.steward import Steward
 
 CYCLES = 3_000
 ENGINE_COUNTS = (2, 4, 9, 18)
--- a/wagtailtrestle/standins/http_serving.py
+++ b/wagtailtrestle/standins/http_serving.py
@@ -10,7 +10,7 @@
 
 from cheroot import wsgi
 
-from wagtailtrestle.metrics import Metrics
+from wagtailtrestle.observe.metrics import Metrics
 
 JSON_TYPE = "application/json"
 TEXT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
--- a/wagtailtrestle/standins/object_table.py
+++ b/wagtailtrestle/standins/object_table.py
@@ -1,10 +1,10 @@
 """Pure core of the platform stand-in: versioned objects, conditional updates, lagging VMs.
 
 No sockets, no threads, no clock: callers pass the time in seconds. Outcomes are those
-of :mod:`wagtailtrestle.outcomes`.
+of :mod:`wagtailtrestle.contracts.outcomes`.
 """
 
-from wagtailtrestle.outcomes import StoreAbsent, StoreConflict, StoreDone
+from wagtailtrestle.contracts.outcomes import StoreAbsent, StoreConflict, StoreDone
 
 KEPT_VERSIONS = 4
 KEPT_VM_LISTS = 64
--- a/wagtailtrestle/standins/platform.py
+++ b/wagtailtrestle/standins/platform.py
@@ -15,7 +15,7 @@
 
 from cheroot import wsgi
 
-from wagtailtrestle.outcomes import StoreDone
+from wagtailtrestle.contracts.outcomes import StoreDone
 from wagtailtrestle.standins.http_serving import (
     CONNECTION,
     connection_closed,
--- a/wagtailtrestle/standins/platform_answers.py
+++ b/wagtailtrestle/standins/platform_answers.py
@@ -4,7 +4,7 @@
 import json
 from http import HTTPStatus
 
-from wagtailtrestle.outcomes import StoreAbsent, StoreConflict, StoreDone
+from wagtailtrestle.contracts.outcomes import StoreAbsent, StoreConflict, StoreDone
 
 COMPRESS_ABOVE_BYTES = 1400
 
--- a/wagtailtrestle/standins/platform_faults.py
+++ b/wagtailtrestle/standins/platform_faults.py
@@ -1,6 +1,6 @@
 """Faults that the platform stand-in can be made to show, as set by ``POST /faults``."""
 
-from wagtailtrestle.outcomes import StoreUnavailable
+from wagtailtrestle.contracts.outcomes import StoreUnavailable
 
 DOWN_NO = ""
 DOWN_UNAVAILABLE = "unavailable"
--- /dev/null
+++ b/wagtailtrestle/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API."""
--- a/wagtailtrestle/object_store_http.py
+++ b/wagtailtrestle/store/object_store_http.py
@@ -15,8 +15,8 @@
 
 import urllib3
 
-from wagtailtrestle.outcomes import StoreAbsent, StoreConflict, StoreDone, StoreUnavailable, StoreUnknown
-from wagtailtrestle.vm_list import vm_from_json
+from wagtailtrestle.contracts.outcomes import StoreAbsent, StoreConflict, StoreDone, StoreUnavailable, StoreUnknown
+from wagtailtrestle.membership.vm_list import vm_from_json
 
 WATCH_THREADS = 4
 # A watch is answered by the platform at its timeout; later than this it is silent.
