Requests that must begin soon are judged by their wait; quotas give out part of the tolerance

Cause: the first two seconds lost a third: work arriving together looked like 4 times the capacity to cold models, so long prompts waited 2 s beside idle engines. Quota refusals at the declared rate lost 7% though the operator tolerates more. Change: a request with a limit on its start is refused by its predicted wait only; 0.6 of the tolerance fills the buckets.

--- a/wagtailtrestle/capacity/admission.py
+++ b/wagtailtrestle/capacity/admission.py
@@ -164,6 +164,8 @@
         possible = [engine for engine in possible if engine.name not in request.excluded_engines]
         if not possible:
             return Reason.NO_ENGINE
+        if request.start_within_s:
+            return self._refusal_by_start(waiting)
         if not any(self.could_finish(waiting, engine) for engine in possible):
             return Reason.DEADLINE_UNREACHABLE
         # Parked requests wait although places are free, as no engine with room suits them. What
@@ -182,14 +184,27 @@
             return Reason.OVERLOADED
         return None
 
+    def _refusal_by_start(self, waiting):
+        # A request that only has to begin soon is not judged by its predicted finish: its deadline is
+        # many times its run. What it can't do is wait, and told so at once its caller loses least.
+        if self._places_free() or not self._models_trusted():
+            return None
+        if self.wait_s(waiting) > WAIT_TOLERANCE * waiting.request.start_within_s:
+            return Reason.OVERLOADED
+        return None
+
     def could_finish(self, waiting: WaitingRequest, engine):
         """Whether the engine could finish it if all that may be preempted for it were gone."""
+        if waiting.request.start_within_s:
+            return True
         held = [grant for grant in engine.grants_by_request_id.values() if not _yields(grant, waiting.request.tier)]
         predicted_s = shielded_run_s(waiting.request, engine, len(held) + 1, 0)
         return predicted_s <= tolerance(engine) * (waiting.deadline - self._clock())
 
     def can_finish_now(self, waiting: WaitingRequest, engine):
         """Whether the engine would finish it in time if it were granted there now, and those there too."""
+        if waiting.request.start_within_s:
+            return True
         uncached = uncached_tokens(waiting.request, engine)
         if uncached > CHEAP_PROMPT_TOKENS and self._crowded(waiting.request.tier):
             return False
--- a/wagtailtrestle/declarations/settings.py
+++ b/wagtailtrestle/declarations/settings.py
@@ -66,6 +66,12 @@
         Retries beyond that within ten seconds, over all routers.
     key_freshness_s : float
         How long a key may be used without proof that it still holds; 0 for no such limit.
+    quota_window_s : float
+        Time over which operators count what a team used; 0 if they tolerate no excess.
+    quota_overage : float
+        Part of a quota that may be exceeded within that time.
+    quota_slack : float
+        Units beyond that which may be exceeded, whatever the quota.
     configuration_poll_s : float
         Time between two reads of the declaration, beside the watch on it.
     balancer_grace_s : float
@@ -94,6 +100,9 @@
         "retry_share",
         "retry_extra",
         "key_freshness_s",
+        "quota_window_s",
+        "quota_overage",
+        "quota_slack",
         "configuration_poll_s",
         "balancer_grace_s",
         "engine_return_grace_s",
@@ -121,6 +130,9 @@
         retry_share=DEFAULT_RETRY_SHARE,
         retry_extra=DEFAULT_RETRY_EXTRA,
         key_freshness_s=0.0,
+        quota_window_s=0.0,
+        quota_overage=0.0,
+        quota_slack=0.0,
         configuration_poll_s=DEFAULT_CONFIGURATION_POLL_S,
         balancer_grace_s=DEFAULT_BALANCER_GRACE_S,
         engine_return_grace_s=DEFAULT_ENGINE_RETURN_GRACE_S,
@@ -144,6 +156,9 @@
         self.retry_share = retry_share
         self.retry_extra = retry_extra
         self.key_freshness_s = key_freshness_s
+        self.quota_window_s = quota_window_s
+        self.quota_overage = quota_overage
+        self.quota_slack = quota_slack
         self.configuration_poll_s = configuration_poll_s
         self.balancer_grace_s = balancer_grace_s
         self.engine_return_grace_s = engine_return_grace_s
@@ -234,6 +249,9 @@
         "retry_share": reader.value("retry_share", Number(least=0, most=10), default=DEFAULT_RETRY_SHARE),
         "retry_extra": reader.value("retry_extra", Number(least=0, most=1_000_000), default=DEFAULT_RETRY_EXTRA),
         "key_freshness_s": reader.value("key_freshness_s", seconds, default=0.0),
+        "quota_window_s": reader.value("quota_window_s", seconds, default=0.0),
+        "quota_overage": reader.value("quota_overage", Number(least=0, most=10), default=0.0),
+        "quota_slack": reader.value("quota_slack", Number(least=0, most=1e12), default=0.0),
         "configuration_poll_s": reader.value(
             "configuration_poll_s", Number(least=0.05, most=60), default=DEFAULT_CONFIGURATION_POLL_S
         ),
--- a/wagtailtrestle/quotas/owner.py
+++ b/wagtailtrestle/quotas/owner.py
@@ -15,6 +15,40 @@
 """How long a router that left the view is still reckoned with: cut off, it serves on its share alone."""
 
 
+GIVEN_TOLERANCE = 0.6
+"""Part of the operator's tolerance that is given out as credits. An operator who tolerates an excess
+would rather see idle engines used than a team refused at the very limit; the rest of the tolerance
+is for what this module can't know: credits of a former owner, and shares of routers cut off."""
+
+
+class Tolerance:
+    """By how much a team may exceed its quota within any window before the operator minds.
+
+    Parameters
+    ----------
+    window_s : float
+        0 if no excess is tolerated.
+    share : float
+        Part of what the quota allows in the window.
+    units : float
+        Beyond that, whatever the quota.
+    """
+
+    __slots__ = ("_window_s", "_share", "_units")
+
+    def __init__(self, *, window_s=0.0, share=0.0, units=0.0):
+        self._window_s = window_s
+        self._share = share
+        self._units = units
+
+    def rate_per_s(self, quota):
+        """The rate at which a bucket fills: the quota's, and the given part of the tolerance spread over the window."""
+        if not self._window_s:
+            return quota.rate_per_s
+        allowed = quota.rate_per_s * self._window_s + quota.burst
+        return quota.rate_per_s + GIVEN_TOLERANCE * (self._share * allowed + self._units) / self._window_s
+
+
 class Bucket:
     """One team's credits: at most ``burst``, filling at ``rate_per_s``."""
 
@@ -57,13 +91,15 @@
     clock : callable
     members : callable
         Number of routers in the live view.
+    tolerance : Tolerance, optional
     """
 
-    __slots__ = ("_clock", "_members", "_quota_by_team", "_bucket_by_team", "_asked_at", "_counts")
+    __slots__ = ("_clock", "_members", "_tolerance", "_quota_by_team", "_bucket_by_team", "_asked_at", "_counts")
 
-    def __init__(self, *, clock, members):
+    def __init__(self, *, clock, members, tolerance=None):
         self._clock = clock
         self._members = members
+        self._tolerance = tolerance or Tolerance()
         self._quota_by_team = {}
         self._bucket_by_team = {}
         self._asked_at = {}
@@ -76,7 +112,7 @@
             del self._bucket_by_team[team]
         for team, bucket in self._bucket_by_team.items():
             quota = quota_by_team[team]
-            bucket.limit(rate_per_s=quota.rate_per_s, burst=quota.burst)
+            bucket.limit(rate_per_s=self._tolerance.rate_per_s(quota), burst=quota.burst)
 
     def grant(self, ask) -> QuotaGrant:
         """Answer one ask; what requests wait for is granted before what is asked ahead."""
@@ -96,7 +132,8 @@
         bucket = self._bucket_by_team.get(team)
         if bucket is None or now - asked_at > IDLE_S:
             level = quota.burst * (1.0 if bucket is None else TAKEOVER_SHARE)
-            bucket = Bucket(rate_per_s=quota.rate_per_s, burst=quota.burst, level=level, now=now)
+            rate_per_s = self._tolerance.rate_per_s(quota)
+            bucket = Bucket(rate_per_s=rate_per_s, burst=quota.burst, level=level, now=now)
             self._bucket_by_team[team] = bucket
         return bucket
 
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -39,7 +39,7 @@
 from wagtailtrestle.peers.peers_grpc import Peers
 from wagtailtrestle.peers.rendezvous import Rendezvous
 from wagtailtrestle.quotas.book import QuotaBook
-from wagtailtrestle.quotas.owner import QuotaOwner
+from wagtailtrestle.quotas.owner import QuotaOwner, Tolerance
 
 TICK_S = 0.1
 REPORT_INTERVAL_S = 0.5
@@ -175,7 +175,13 @@
         self._make_quotas()
 
     def _make_quotas(self):
-        self._quota_owner = QuotaOwner(clock=self._loop.time, members=lambda: len(self._membership.view.everyone))
+        settings = self._settings
+        tolerance = Tolerance(
+            window_s=settings.quota_window_s, share=settings.quota_overage, units=settings.quota_slack
+        )
+        self._quota_owner = QuotaOwner(
+            clock=self._loop.time, members=lambda: len(self._membership.view.everyone), tolerance=tolerance
+        )
         self._quotas = QuotaBook(
             clock=self._loop.time,
             call_soon=self._loop.call_soon_threadsafe,
@@ -372,6 +378,8 @@
         self._membership.set_generation(in_force.generation)
         declaration = in_force.declaration
         quotas = {team.name: team.quota for team in declaration.teams_by_name.values() if team.quota is not None}
+        for team, quota in sorted(quotas.items()):
+            logger.bind(team=team, rate_per_s=quota.rate_per_s, burst=quota.burst).info("quota in force")
         self._quota_owner.set_quotas(quotas)
         self._quotas.set_quotas(quotas)
         self._use_declaration(in_force)
