--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from loguru import logger
+
 from wagtailtrestle.contracts.exchange import (
     AnswerRecorded,
     AnswerRefusal,
@@ -360,6 +362,8 @@
         """Tell the steward, then answer the caller or return ``False`` to ask again."""
         self._tell_finished(ended)
         outcome = ended.outcome
+        if not isinstance(outcome, RunDone):
+            self._log_early_end(ended)
         if isinstance(outcome, RunDone):
             return self._answer_whole(ended)
         if self._caller_gone:
@@ -382,6 +386,21 @@
             case _:
                 return self._after_loss(outcome)
 
+    def _log_early_end(self, ended):
+        outcome = ended.outcome
+        logger.bind(
+            request_id=self.request.request_id,
+            engine=self.engine,
+            run=self.runs,
+            outcome=type(outcome).__name__,
+            detail=getattr(outcome, "detail", "") or str(getattr(outcome, "status", "")),
+            duration_s=round(ended.duration_s, 3),
+            output_tokens=self.run_tokens,
+            remaining_s=round(self._remaining(), 3),
+            cancelled=self._cancelling,
+            caller_gone=self._caller_gone,
+        ).info("a run ended early")
+
     def _after_not_sent(self, outcome):
         self._not_sent += 1
         self._excluded.add(self.engine)
