SIGHUP reads settings again; a last run is not given up for silence; engines known to leave get no grant used

(3) The steward, cut off from the store, granted an engine that its entry knew to leave (DRAIN by 56 ms). Change: settings watch; silence limits of a last run are its whole time; an entry gives back grants on engines it knows to leave.

--- a/wagtailtrestle/cli/router.py
+++ b/wagtailtrestle/cli/router.py
@@ -45,7 +45,7 @@
     # Imported late: a faulty settings file is told at once, without the whole router's libraries.
     from wagtailtrestle.core import run_router
 
-    return run_router(settings=settings, environment=environment)
+    return run_router(settings=settings, settings_file=settings_file, environment=environment)
 
 
 def main():
--- a/wagtailtrestle/core.py
+++ b/wagtailtrestle/core.py
@@ -6,20 +6,21 @@
 from loguru import logger
 
 from wagtailtrestle.broken_invariant import stop_on_broken_invariant
+from wagtailtrestle.declarations.settings_watch import SettingsWatch
 from wagtailtrestle.exit_status import ExitStatus
 from wagtailtrestle.router import Router
 
 
-def run_router(*, settings, environment):
+def run_router(*, settings, settings_file, environment):
     """Run a router until SIGTERM or SIGINT, then drain it; return the exit status."""
     try:
-        return asyncio.run(_run(settings))
+        return asyncio.run(_run(settings, settings_file))
     except OSError as error:
         environment.complain(f"The router could not listen: {error}. Check the addresses in its settings.")
         return ExitStatus.CHECK_FAILED
 
 
-async def _run(settings):
+async def _run(settings, settings_file):
     loop = asyncio.get_running_loop()
     asked_to_stop = asyncio.Event()
     broken = asyncio.Event()
@@ -27,10 +28,15 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, asked_to_stop.set)
     router = Router(settings=settings, loop=loop)
+    watch = SettingsWatch(path=settings_file, settings=settings)
+    # Unhandled, this signal ends a process on the spot, with every request in flight.
+    loop.add_signal_handler(signal.SIGHUP, watch.reload)
     await router.start()
+    watch.start()
     await asked_to_stop.wait()
     logger.info("asked to stop, draining")
     await router.drain()
+    await watch.close()
     await router.close()
     logger.info("router stopped")
     return ExitStatus.CHECK_FAILED if broken.is_set() else ExitStatus.DONE
--- a/wagtailtrestle/entry/entry.py
+++ b/wagtailtrestle/entry/entry.py
@@ -53,6 +53,11 @@
         declared = self._declaration().engines_by_name.get(engine)
         return declared.address if declared else None
 
+    def takes_work(self, engine):
+        """Whether an engine is known here and does not leave, as far as this router knows."""
+        declared = self._declaration().engines_by_name.get(engine)
+        return declared is not None and not declared.leaving
+
     def service(self, name):
         """What is declared of a service now, or ``None``."""
         return self._declaration().services_by_name.get(name)
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -238,11 +238,13 @@
                 case Refused(attempt=self.attempt, reason=reason, retry_after_s=retry_after_s):
                     return self._take_refusal(reason, retry_after_s)
                 case Granted(attempt=self.attempt):
-                    if self.context.address_of(message.engine) is not None:
+                    if self.context.takes_work(message.engine):
                         self.state = RequestState.GRANTED
                         return message
-                    # The steward knows an engine that this router's declaration does
-                    # not: give the place back and ask again without that engine.
+                    # The steward may be cut off from the platform, and not know yet that an
+                    # engine leaves, or know one that this router does not. Sent there, the
+                    # request would be lost with the engine: the place goes back, and the next
+                    # ask leaves the engine out.
                     self._give_back(message.engine, RunNotSent.__name__)
                     self._excluded.add(message.engine)
                     self.attempt += 1
@@ -287,14 +289,18 @@
             self._cancelling = False
             self._preempted = False
         self.state = RequestState.DISPATCHED
+        overall_s = max(self._remaining(), ATTACH_ROOM_S)
+        # A run that is the last this request may have is not given up for silence: there is nothing
+        # to gain, and an engine that only paused would have finished it.
+        is_last = self.request.max_runs is not None and not self._may_run_again()
         self.caller.post(
             StartRun(
                 run_id=self._run_id(),
                 engine=granted.engine,
                 address=self._address,
-                first_token_deadline_s=granted.first_token_deadline_s,
-                progress_deadline_s=granted.progress_deadline_s,
-                overall_s=max(self._remaining(), ATTACH_ROOM_S),
+                first_token_deadline_s=overall_s if is_last else granted.first_token_deadline_s,
+                progress_deadline_s=overall_s if is_last else granted.progress_deadline_s,
+                overall_s=overall_s,
                 attach=attach,
             )
         )
--- a/wagtailtrestle/platform/callers.py
+++ b/wagtailtrestle/platform/callers.py
@@ -151,7 +151,6 @@
             request_id=arrival.response.request_id,
             team=team.name if team is not None else "",
             is_streamed=route.streaming,
-            is_patient=not route.repeatable,
         )
         request = CallerRequest(
             request_id=arrival.request_id,
--- a/wagtailtrestle/platform/engines.py
+++ b/wagtailtrestle/platform/engines.py
@@ -61,14 +61,11 @@
     body : bytes
     request_id, team : str
     is_streamed : bool
-    is_patient : bool
-        Whether an engine's silence is waited out: the request may not run again, so nothing is
-        gained by giving its run up before the deadline.
     """
 
-    __slots__ = ("method", "target", "headers", "body", "request_id", "team", "is_streamed", "is_patient")
+    __slots__ = ("method", "target", "headers", "body", "request_id", "team", "is_streamed")
 
-    def __init__(self, *, method, target, headers, body, request_id, team, is_streamed, is_patient):
+    def __init__(self, *, method, target, headers, body, request_id, team, is_streamed):
         self.method = method
         self.target = target
         self.headers = headers
@@ -76,7 +73,6 @@
         self.request_id = request_id
         self.team = team
         self.is_streamed = is_streamed
-        self.is_patient = is_patient
 
     def cancel_path(self, run_id):
         """Nowhere: these engines drop a run whose connection closes."""
@@ -102,8 +98,6 @@
 
     def read(self, exchange):
         """Read the answer to its end."""
-        if self.is_patient:
-            exchange.wait_at_most(exchange.progress.left_s(exchange.command.overall_s))
         response = exchange.response
         if response.status == MISDIRECTED or names.NOT_RUN in response.headers:
             return RunNotSent(detail=f"the engine did not run it, status {response.status}", arrived=True)
@@ -155,7 +149,7 @@
         parts = []
         size = 0
         for data in exchange.chunks():
-            exchange.wait_at_most(self._left_s(exchange))
+            exchange.wait_at_most(exchange.progress.left_for_token_s())
             parts.append(data)
             size += len(data)
             if size > MOST_PLAIN_BYTES:
@@ -180,15 +174,11 @@
                 received.last_event_id = splitter.last_id
                 exchange.on_token(received.events, events.data)
                 exchange.progress.note()
-            exchange.wait_at_most(self._left_s(exchange))
+            exchange.wait_at_most(exchange.progress.left_for_token_s())
         if splitter.has_rest or left:
             return exchange.cut("the stream ended inside an event")
         return exchange.done()
 
-    def _left_s(self, exchange):
-        progress = exchange.progress
-        return progress.left_s(exchange.command.overall_s) if self.is_patient else progress.left_for_token_s()
-
 
 class PlatformReports:
     """Where an engine of the platform tells its load, and how that reads."""
--- a/wagtailtrestle/quotas/owner.py
+++ b/wagtailtrestle/quotas/owner.py
@@ -91,15 +91,16 @@
     clock : callable
     members : callable
         Number of routers in the live view.
-    tolerance : Tolerance, optional
+    tolerance : callable
+        Returns the ``Tolerance`` in force.
     """
 
     __slots__ = ("_clock", "_members", "_tolerance", "_quota_by_team", "_bucket_by_team", "_asked_at", "_counts")
 
-    def __init__(self, *, clock, members, tolerance=None):
+    def __init__(self, *, clock, members, tolerance=Tolerance):
         self._clock = clock
         self._members = members
-        self._tolerance = tolerance or Tolerance()
+        self._tolerance = tolerance
         self._quota_by_team = {}
         self._bucket_by_team = {}
         self._asked_at = {}
@@ -112,7 +113,7 @@
             del self._bucket_by_team[team]
         for team, bucket in self._bucket_by_team.items():
             quota = quota_by_team[team]
-            bucket.limit(rate_per_s=self._tolerance.rate_per_s(quota), burst=quota.burst)
+            bucket.limit(rate_per_s=self._tolerance().rate_per_s(quota), burst=quota.burst)
 
     def grant(self, ask) -> QuotaGrant:
         """Answer one ask; what requests wait for is granted before what is asked ahead."""
@@ -132,7 +133,7 @@
         bucket = self._bucket_by_team.get(team)
         if bucket is None or now - asked_at > IDLE_S:
             level = quota.burst * (1.0 if bucket is None else TAKEOVER_SHARE)
-            rate_per_s = self._tolerance.rate_per_s(quota)
+            rate_per_s = self._tolerance().rate_per_s(quota)
             bucket = Bucket(rate_per_s=rate_per_s, burst=quota.burst, level=level, now=now)
             self._bucket_by_team[team] = bucket
         return bucket
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -175,12 +175,8 @@
         self._make_quotas()
 
     def _make_quotas(self):
-        settings = self._settings
-        tolerance = Tolerance(
-            window_s=settings.quota_window_s, share=settings.quota_overage, units=settings.quota_slack
-        )
         self._quota_owner = QuotaOwner(
-            clock=self._loop.time, members=lambda: len(self._membership.view.everyone), tolerance=tolerance
+            clock=self._loop.time, members=lambda: len(self._membership.view.everyone), tolerance=self._tolerance
         )
         self._quotas = QuotaBook(
             clock=self._loop.time,
@@ -411,6 +407,10 @@
         age_s = self._configuration.confirmed_age_s()
         return age_s is not None and age_s < limit_s
 
+    def _tolerance(self):
+        settings = self._settings
+        return Tolerance(window_s=settings.quota_window_s, share=settings.quota_overage, units=settings.quota_slack)
+
     def _ask_quota(self, ask):
         owner = self._rendezvous.choose(key=f"quota/{ask.team}", members=self._membership.view.members)
         if owner == self._settings.name:
