Refuse early by the measured rate of grants; rank by team, then by route; three seconds of silence where runs are counted

Ruled out: the models' predicted wait (counts slow and dead engines as sound, refused nothing); waiting less alone. Change: predicted wait = work ahead over the rate of grants that the tiers above leave; more than half of the time to the start refuses; least silence 3 s, a last run or one without budget waits to its end.

--- a/wagtailtrestle/capacity/admission.py
+++ b/wagtailtrestle/capacity/admission.py
@@ -37,6 +37,13 @@
 CROWDED_LOAD = 1.2
 """Demand of the tiers above, in multiples of the cell's capacity, at which no long prompt is begun."""
 
+GRANT_WINDOW_S = 1.5
+"""Time over which grants are averaged: a few runs' length, so that a burst or a loss of engines shows at once."""
+GRANT_EVIDENCE = 0.6
+"""Part of the window that must have passed before its rate is believed."""
+START_WAIT_SHARE = 0.5
+"""Part of the time to its start that a request may be predicted to wait. The prediction leaves out what
+arrives above it meanwhile; and whoever will be refused in the end is better off told at once."""
 LEAST_RATE_EVIDENCE_S = 0.5
 LEAST_RATE_REQUESTS = 10
 """An early rate needs so many requests, and is taken over no shorter a time: a first arrival tells of none."""
@@ -46,6 +53,7 @@
 
 LEAST_RETRY_AFTER_S = 1.0
 
+MIN_RATE = 1e-6
 RETRY_SPREAD = 0.25
 """Retry-After is longer by up to this share, so that callers refused together don't return together."""
 
@@ -97,6 +105,42 @@
         return self.rate_above(tier) / (1.0 - math.exp(-seen_s / RATE_WINDOW_S))
 
 
+class GrantRate:
+    """Engine-seconds of work granted per second, over a fading window.
+
+    Judged by its engines' models, a cell looks faster than it is while engines are slow or broken.
+    What it really takes up is seen in its grants.
+    """
+
+    __slots__ = ("_clock", "_work_s", "_seconds", "_at")
+
+    def __init__(self, *, clock):
+        self._clock = clock
+        self._work_s = 0.0
+        self._seconds = 0.0
+        self._at = clock()
+
+    def note(self, work_s):
+        """Count a grant."""
+        self._fade()
+        self._work_s += work_s
+
+    def per_s(self):
+        """Present rate; ``None`` until there is a window's worth of it."""
+        self._fade()
+        if self._seconds < GRANT_EVIDENCE * GRANT_WINDOW_S:
+            return None
+        return self._work_s / self._seconds
+
+    def _fade(self):
+        now = self._clock()
+        elapsed_s = now - self._at
+        self._at = now
+        kept = math.exp(-elapsed_s / GRANT_WINDOW_S)
+        self._work_s *= kept
+        self._seconds = self._seconds * kept + GRANT_WINDOW_S * (1.0 - kept)
+
+
 class Admission:
     """Judges requests against the engines' models and the queue.
 
@@ -109,7 +153,7 @@
         From 0 (start what may just finish) to 1 (start only what surely finishes).
     """
 
-    __slots__ = ("_clock", "_queue", "_lengths", "_margin", "_rates", "_engines")
+    __slots__ = ("_clock", "_queue", "_lengths", "_margin", "_rates", "_granted", "_engines")
 
     def __init__(self, *, clock, queue, lengths, prefill_weight):
         self._margin = finish_margin(prefill_weight)
@@ -117,6 +161,7 @@
         self._clock = clock
         self._queue = queue
         self._rates = ArrivalRates(clock=clock)
+        self._granted = GrantRate(clock=clock)
         self._engines = ()
 
     def set_engines(self, engines):
@@ -140,6 +185,10 @@
         """Count an admitted request's work as demand of its tier."""
         self._rates.note(waiting.request.tier, waiting.work_s)
 
+    def granted(self, waiting: WaitingRequest):
+        """Count a grant as work that the cell took up."""
+        self._granted.note(waiting.work_s)
+
     def overflow(self) -> WaitingRequest | None:
         """Return a waiting request to give up as too many wait, or ``None``.
 
@@ -187,9 +236,15 @@
     def _refusal_by_start(self, waiting):
         # A request that only has to begin soon is not judged by its predicted finish: its deadline is
         # many times its run. What it can't do is wait, and told so at once its caller loses least.
-        if self._places_free() or not self._models_trusted():
+        if self._places_free():
+            return None
+        granted_per_s = self._granted.per_s()
+        if granted_per_s is None:
             return None
-        if self.wait_s(waiting) > WAIT_TOLERANCE * waiting.request.start_within_s:
+        tier = waiting.request.tier
+        left_per_s = granted_per_s - self._rates.rate_above(tier)
+        left_per_s = max(left_per_s, LEAST_SERVICE_SHARE * granted_per_s, MIN_RATE)
+        if self._queue.work_ahead_s(waiting) / left_per_s > START_WAIT_SHARE * waiting.request.start_within_s:
             return Reason.OVERLOADED
         return None
 
--- a/wagtailtrestle/capacity/steward.py
+++ b/wagtailtrestle/capacity/steward.py
@@ -322,6 +322,7 @@
             self._refuse(waiting.request, Reason.DEADLINE_UNREACHABLE)
 
     def _grant(self, waiting, engine):
+        self._admission.granted(waiting)
         grant = self._runs.hold(
             waiting.request,
             asked_tokens=waiting.asked_tokens,
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -55,6 +55,10 @@
 MAX_ATTACHES = 2
 ATTACH_ROOM_S = 0.05
 CANCEL_GRACE_S = 2.0
+COUNTED_RUN_SILENCE_S = 3.0
+"""Least silence after which a run is given up where runs are counted. Engines that prefill several long
+prompts pause for a second or two; taken for lost, their runs would be begun again elsewhere, at the
+price of their prompts, just when engines are busiest."""
 MIN_START_S = 0.001
 """A limit on the start that has passed: distinct from 0, which stands for none."""
 
@@ -292,14 +296,15 @@
         overall_s = max(self._remaining(), ATTACH_ROOM_S)
         # A run that is the last this request may have is not given up for silence: there is nothing
         # to gain, and an engine that only paused would have finished it.
-        is_last = self.request.max_runs is not None and not self._may_run_again()
+        is_last = self.request.max_runs is not None and not (self._may_run_again() and self._budget().has_room())
+        floor_s = 0.0 if self.request.max_runs is None else COUNTED_RUN_SILENCE_S
         self.caller.post(
             StartRun(
                 run_id=self._run_id(),
                 engine=granted.engine,
                 address=self._address,
-                first_token_deadline_s=overall_s if is_last else granted.first_token_deadline_s,
-                progress_deadline_s=overall_s if is_last else granted.progress_deadline_s,
+                first_token_deadline_s=overall_s if is_last else max(floor_s, granted.first_token_deadline_s),
+                progress_deadline_s=overall_s if is_last else max(floor_s, granted.progress_deadline_s),
                 overall_s=overall_s,
                 attach=attach,
             )
@@ -418,7 +423,7 @@
             return self._refuse(Reason.NO_ENGINE)
         # What an engine refused cost it a connection and a look: sent on and on to full engines,
         # the refusals alone would keep them busy.
-        if outcome.arrived and not self.context.retry_budget(self.request.service).allow():
+        if outcome.arrived and not self._budget().allow():
             return self._refuse(Reason.RETRY_BUDGET)
         return False
 
@@ -437,7 +442,7 @@
         # may not be repeated could charge a caller twice, so it ends here as unknown.
         if not self._may_run_again():
             return self._lost()
-        if not self.context.retry_budget(self.request.service).allow():
+        if not self._budget().allow():
             return self._refuse(Reason.RETRY_BUDGET)
         self._excluded.add(self.engine)
         self._attaches = 0
@@ -452,7 +457,7 @@
         self.done_tokens = max(self.done_tokens, tokens)
 
     def _answer_whole(self, ended):
-        self.context.retry_budget(self.request.service).on_success()
+        self._budget().on_success()
         self._finish(AnswerWhole())
         self._key.finish(ended)
         return True
@@ -518,6 +523,9 @@
         except TimeoutError:
             return None
 
+    def _budget(self):
+        return self.context.retry_budget(self.request.service)
+
     def _service_can(self, ability):
         service = self.context.service(self.request.service)
         return service is not None and getattr(service, ability)
--- a/wagtailtrestle/entry/retry_budget.py
+++ b/wagtailtrestle/entry/retry_budget.py
@@ -42,10 +42,14 @@
         self._retries = 0.0
         self._faded_at = clock()
 
+    def has_room(self) -> bool:
+        """Whether the budget holds a retry now."""
+        self._fade()
+        return self._retries + 1.0 <= self.floor + self._share * self._successes
+
     def allow(self) -> bool:
         """Spend one retry if the budget holds one."""
-        self._fade()
-        if self._retries + 1.0 > self.floor + self._share * self._successes:
+        if not self.has_room():
             return False
         self._retries += 1.0
         return True
--- a/wagtailtrestle/platform/callers.py
+++ b/wagtailtrestle/platform/callers.py
@@ -15,6 +15,7 @@
 from wagtailtrestle.contracts.outcomes import Executed, Reason, Refusal
 from wagtailtrestle.entry.final_answers import refusal_of
 from wagtailtrestle.platform import headers as names
+from wagtailtrestle.platform.declarations import tier_of
 from wagtailtrestle.platform.engines import PlatformCall, PlatformReceived
 from wagtailtrestle.quotas.book import QuotaRefused
 
@@ -137,7 +138,7 @@
             return refusal_of(Reason.QUOTA, executed=Executed.NO, retry_after_s=charge.retry_after_s)
         declaration = in_force.declaration
         service = choose_service(route=route, request_id=arrival.response.request_id)
-        tier = declaration.tiers_by_name[team.tier if team is not None and team.tier else route.tier]
+        tier = declaration.tiers_by_name[tier_of(route=route, team=team)]
         prompt_tokens, output_tokens = sizes or (0, 0)
         declared = declaration.services_by_name.get(service)
         received = PlatformReceived(
--- a/wagtailtrestle/platform/declarations.py
+++ b/wagtailtrestle/platform/declarations.py
@@ -29,6 +29,8 @@
 PRIOR_PREFILL_TOKENS_PER_S = 30_000.0
 """Prefill rate assumed likewise; both are replaced by what runs show within seconds."""
 DEFAULT_SLOTS = 1
+ROUTE_RANKS = 16
+"""Ranks kept apart within one rank of a team."""
 
 
 class Unreadable:
@@ -82,11 +84,10 @@
     """
     routes = tuple(_route(item) for item in document["routes"])
     teams = [_team(item) for item in document.get("tenants") or ()]
-    tiers = {route.tier for route in routes} | {team.tier for team in teams if team.tier}
     return Declaration(
         organisation="",
         zones_by_region={},
-        tiers_by_name={name: Tier(name=name, rank=int(name)) for name in sorted(tiers, key=int)},
+        tiers_by_name={str(rank): Tier(name=str(rank), rank=rank) for rank in _ranks(routes, teams)},
         teams_by_name={team.name: team for team in teams},
         services_by_name={item["name"]: _service(item) for item in document["services"]},
         engines_by_name={},
@@ -122,6 +123,20 @@
         return None
 
 
+def tier_of(*, route, team):
+    """The tier of a team's request: the team's rank decides, and among equals that of the route."""
+    if team is None or not team.tier:
+        return route.tier
+    return str(int(team.tier) * ROUTE_RANKS + int(route.tier))
+
+
+def _ranks(routes, teams):
+    route_ranks = {int(route.tier) for route in routes}
+    team_ranks = {int(team.tier) for team in teams if team.tier}
+    both = {team * ROUTE_RANKS + route for team in team_ranks for route in route_ranks}
+    return sorted(route_ranks | both)
+
+
 def _route(item):
     is_streaming = item["kind"] == STREAMING
     is_resumable = is_streaming and bool(item.get("resumable"))
