--- /dev/null
+++ b/tests/test_platform_events.py
@@ -0,0 +1,53 @@
+"""Whole events cut from a stream."""
+
+import unittest
+
+from wagtailtrestle.platform.events import EventFault, EventSplitter
+
+
+def event(number, text="x"):
+    return f"id: {number}\ndata: {text}\n\n".encode()
+
+
+class EventSplitterTest(unittest.TestCase):
+    def setUp(self):
+        self.splitter = EventSplitter(after_id=None)
+
+    def test_a_torn_event_is_kept_back(self):
+        # The engine stops in the middle of an event. Its piece must not reach the caller: the
+        # engine that goes on sends the event whole, and the caller would read one and a half.
+        data = event(1) + event(2)
+        taken = self.splitter.feed(data[:-3])
+        self.assertEqual(taken.data, event(1))
+        self.assertTrue(self.splitter.has_rest)
+        self.assertEqual(self.splitter.last_id, 1)
+
+    def test_a_torn_event_goes_on_with_the_next_bytes(self):
+        data = event(1)
+        self.splitter.feed(data[:5])
+        self.assertEqual(self.splitter.feed(data[5:]).data, data)
+        self.assertFalse(self.splitter.has_rest)
+
+    def test_events_that_were_had_are_dropped(self):
+        # The run goes on elsewhere and its engine repeats the last event: passed on, the caller
+        # would read it twice.
+        splitter = EventSplitter(after_id=2)
+        taken = splitter.feed(event(2) + event(3))
+        self.assertEqual((taken.data, taken.count), (event(3), 1))
+
+    def test_a_missing_event_is_a_fault(self):
+        # A piece was lost between engine and router. Passed on, the caller would take a stream
+        # with a hole for whole.
+        self.splitter.feed(event(1))
+        self.assertIsInstance(self.splitter.feed(event(3)), EventFault)
+
+    def test_an_event_without_an_id_passes(self):
+        taken = self.splitter.feed(b"data: hello\n\n")
+        self.assertEqual((taken.data, taken.count), (b"data: hello\n\n", 1))
+
+    def test_an_event_that_never_ends_is_a_fault(self):
+        self.assertIsInstance(self.splitter.feed(b"data: " + b"x" * 2_000_000), EventFault)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -73,7 +73,7 @@
         # variable and in the exception's own message. None of them may reach the log.
         for as_json in (False, True):
             stream = io.StringIO()
-            start_logs(stream=stream, as_json=as_json)
+            writer = start_logs(stream=stream, as_json=as_json)
             secret = "hush-hush"
             logger.bind(request_id="r1", prompt=secret, Authorization=secret).info("sent Bearer {}", secret)
             try:
@@ -81,6 +81,7 @@
             except ValueError:
                 logger.exception("failed")
             logging.getLogger("urllib3").warning("Authorization: Bearer %s", secret)
+            writer.close()
             told = stream.getvalue()
             self.assertNotIn(secret, told.replace("raise ValueError(secret)", ""))
             self.assertIn("r1", told)
@@ -88,9 +89,10 @@
 
     def test_json_lines_hold_the_bound_fields(self):
         stream = io.StringIO()
-        start_logs(stream=stream, as_json=True, level="INFO")
+        writer = start_logs(stream=stream, as_json=True, level="INFO")
         logger.debug("not shown")
         logger.bind(request_id="r1", team="office", tier="high", generation=3).info("done {braces}")
+        writer.close()
         line = json.loads(stream.getvalue())
         self.assertEqual((line["request_id"], line["generation"], line["level"]), ("r1", 3, "INFO"))
         self.assertEqual(line["message"], "done {braces}")
--- a/wagtailtrestle/cli/router.py
+++ b/wagtailtrestle/cli/router.py
@@ -41,11 +41,14 @@
         environment.complain(faults_text(settings.faults))
         environment.complain(f"The router was not started: correct {settings_file}.")
         return ExitStatus.USAGE
-    start_logs(stream=environment.stderr, level=settings.log_level, as_json=settings.log_json)
+    logs = start_logs(stream=environment.stdout, level=settings.log_level, as_json=settings.log_json)
     # Imported late: a faulty settings file is told at once, without the whole router's libraries.
     from wagtailtrestle.core import run_router
 
-    return run_router(settings=settings, settings_file=settings_file, environment=environment)
+    try:
+        return run_router(settings=settings, settings_file=settings_file, environment=environment)
+    finally:
+        logs.close()
 
 
 def main():
--- a/wagtailtrestle/demo/deployment.py
+++ b/wagtailtrestle/demo/deployment.py
@@ -1,7 +1,6 @@
 """A whole local deployment: stand-in platform, engines and services, and routers."""
 
 import json
-import socket
 from pathlib import Path
 
 import urllib3
@@ -9,26 +8,14 @@
 
 from wagtailtrestle.contracts.declaration import LANGUAGE
 from wagtailtrestle.demo.processes import LocalProcess
+from wagtailtrestle.standins.local_ports import HOST, free_ports
 
-HOST = "127.0.0.1"
 ROUTER_MODULE = "wagtailtrestle.cli.router"
 STANDIN_MODULE = "wagtailtrestle.cli.standin"
 OPERATE_MODULE = "wagtailtrestle.cli.operate"
 CALL_TIMEOUT_S = 5.0
 
 
-def free_ports(count):
-    """Ports that are free at this moment, all different."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind((HOST, 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
-
-
 class Deployment:
     """Processes of one deployment in one directory.
 
--- a/wagtailtrestle/measure/configuration_delay.py
+++ b/wagtailtrestle/measure/configuration_delay.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import json
-import socket
 import tempfile
 import time
 from pathlib import Path
@@ -19,6 +18,7 @@
 from wagtailtrestle.configuration.configuration import Configuration, PeersAnswer
 from wagtailtrestle.contracts.declaration import Declaration
 from wagtailtrestle.demo.processes import LocalProcess
+from wagtailtrestle.standins.local_ports import free_port
 from wagtailtrestle.store.object_store_http import HttpObjectStore
 
 HOST = "127.0.0.1"
@@ -126,15 +126,9 @@
     return PeersAnswer()
 
 
-def _free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
-
-
 def main():
     """Start the platform, measure, stop it, print."""
-    address = f"{HOST}:{_free_port()}"
+    address = f"{HOST}:{free_port()}"
     with tempfile.TemporaryDirectory() as directory:
         settings = Path(directory) / "platform.yaml"
         settings.write_text(yaml.safe_dump({"listen": address}))
--- a/wagtailtrestle/observe/logs.py
+++ b/wagtailtrestle/observe/logs.py
@@ -11,6 +11,8 @@
 
 from loguru import logger
 
+from wagtailtrestle.observe.log_writer import LineBudget, LogWriter
+
 HIDDEN = "(hidden)"
 LARGEST_TEXT = 2000
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL")
@@ -36,7 +38,7 @@
 
 
 def start_logs(*, stream, level="INFO", as_json=False):
-    """Send this process's logs, and those of its libraries, to ``stream``.
+    """Send this process's logs, and those of its libraries, to ``stream``; never blocks who logs.
 
     Parameters
     ----------
@@ -45,17 +47,33 @@
         Lowest level shown.
     as_json : bool
         One JSON object a line, else a line for a person.
+
+    Returns
+    -------
+    LogWriter
+        To be closed at the end, so that the last lines are written.
     """
     line = json_line if as_json else plain_line
+    budget = LineBudget()
+    writer = LogWriter(stream=stream)
+    writer.start()
+
+    def is_within_budget(record):
+        left_out = budget.take((record["name"], record["line"]))
+        if left_out:
+            record["extra"]["lines_left_out_before"] = left_out
+        return left_out is not None
 
     def sink(message):
-        stream.write(line(message.record) + "\n")
-        stream.flush()
+        writer.put(line(message.record))
 
     logger.remove()
     # loguru's own diagnosis prints the values of variables beside a traceback: prompts and keys.
-    logger.add(sink, level=level, format="{message}", diagnose=False, backtrace=False, catch=True)
+    logger.add(
+        sink, level=level, filter=is_within_budget, format="{message}", diagnose=False, backtrace=False, catch=True
+    )
     logging.basicConfig(handlers=[_LibraryHandler()], level=logging.WARNING, force=True)
+    return writer
 
 
 def json_line(record):
--- a/wagtailtrestle/quotas/book.py
+++ b/wagtailtrestle/quotas/book.py
@@ -210,9 +210,8 @@
             now = self._clock()
             if now < credit.exhausted_until:
                 return QuotaRefused(retry_after_s=credit.exhausted_until - now)
-            if now >= until:
+            if now >= until or not self._changed.wait(until - now):
                 return QuotaRefused(retry_after_s=SILENT_S)
-            self._changed.wait(until - now)
         return None
 
     def _share_alone(self, quota, credit, now):
--- a/wagtailtrestle/standins/http_serving.py
+++ b/wagtailtrestle/standins/http_serving.py
@@ -11,6 +11,7 @@
 from cheroot import wsgi
 
 from wagtailtrestle.observe.metrics import Metrics
+from wagtailtrestle.standins.local_ports import free_port
 
 JSON_TYPE = "application/json"
 TEXT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -148,7 +149,7 @@
         """Bind and serve."""
         # The library lets only a port given by number be bound again while old connections
         # to it linger, and :meth:`go_down` does just that.
-        self.port = self.port or _free_port(self.host)
+        self.port = self.port or free_port()
         with self._lock:
             self._listen()
 
@@ -203,12 +204,6 @@
         self._server = None
 
 
-def _free_port(host) -> int:
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
-
-
 def _discard(msg="", level=20, traceback=False):
     """Drop cheroot's log lines: broken connections are what this stand-in is for."""
 
