--- /dev/null
+++ b/tests/test_counted_runs.py
@@ -0,0 +1,158 @@
+"""Requests whose runs are counted: silence, refusals by engines, failures, engines that leave."""
+
+import asyncio
+import unittest
+
+from tests.utils.paused_clock import now, on_paused_clock
+from tests.utils.steward_fakes import engine
+from tests.utils.stewardship_replay import FakeCaller, caller_request, make_entry
+from wagtailtrestle.contracts.declaration import LANGUAGE, Declaration, Service
+from wagtailtrestle.contracts.exchange import AnswerRefusal, AnswerWhole, RunEnded
+from wagtailtrestle.contracts.messages import Granted, GrantRequest
+from wagtailtrestle.contracts.outcomes import Executed, RunCut, RunDone, RunFailed, RunNotSent
+from wagtailtrestle.entry.request_task import COUNTED_RUN_SILENCE_S
+
+TIME_S = 15.0
+GRANTED_SILENCE_S = 1.0
+STEP_S = 0.01
+
+
+def declaration(*, leaving=()):
+    service = Service(
+        name="asistente",
+        kind=LANGUAGE,
+        routes_by_name={},
+        cancellable=True,
+        attachable=False,
+        preemptable=False,
+        passes_errors=True,
+    )
+    engines = {name: engine(name, slots=4) for name in ("e1", "e2")}
+    for name in leaving:
+        engines[name].leaving = True
+    return Declaration(
+        organisation="",
+        zones_by_region={},
+        tiers_by_name={},
+        teams_by_name={},
+        services_by_name={"asistente": service},
+        engines_by_name=engines,
+    )
+
+
+class OneRequest:
+    """One request, granted places and ended as the test says."""
+
+    def __init__(self, *, leaving=(), **fields):
+        self.entry, self.stewards = make_entry(
+            loop=asyncio.get_running_loop(), declaration=declaration(leaving=leaving)
+        )
+        self.caller = FakeCaller()
+        self.entry.submit(caller_request("r1", deadline=now() + TIME_S, **fields), self.caller)
+
+    async def grant(self, name):
+        await asyncio.sleep(STEP_S)
+        task = self.entry.tasks_by_id["r1"]
+        limits = {"progress_deadline_s": GRANTED_SILENCE_S, "first_token_deadline_s": GRANTED_SILENCE_S}
+        self.entry.on_steward_message(Granted(request_id="r1", attempt=task.attempt, engine=name, **limits))
+        await asyncio.sleep(STEP_S)
+
+    async def end(self, outcome):
+        start = self.caller.starts[-1]
+        self.entry.post("r1", RunEnded(run_id=start.run_id, outcome=outcome, duration_s=0.1))
+        await asyncio.sleep(STEP_S)
+
+    @property
+    def asks(self):
+        return [message for message in self.stewards.sent if isinstance(message, GrantRequest)]
+
+
+class SilenceTest(unittest.TestCase):
+    @on_paused_clock
+    async def test_the_last_run_is_not_given_up_for_silence(self):
+        # The request may run once. Its engine pauses for seconds as it prefills beside; given up
+        # after one, the caller's stream would end broken though the engine was about to go on.
+        request = OneRequest(max_runs=1, repeatable=False)
+        await request.grant("e1")
+        start = request.caller.starts[-1]
+        self.assertGreater(start.progress_deadline_s, TIME_S - 1.0)
+        self.assertGreater(start.first_token_deadline_s, TIME_S - 1.0)
+
+    @on_paused_clock
+    async def test_a_run_that_may_be_repeated_is_given_up_after_a_while(self):
+        request = OneRequest(max_runs=2)
+        await request.grant("e1")
+        self.assertEqual(request.caller.starts[-1].progress_deadline_s, COUNTED_RUN_SILENCE_S)
+        await request.end(RunCut(detail="cut", reached=True))
+        await request.grant("e2")
+        self.assertGreater(request.caller.starts[-1].progress_deadline_s, TIME_S - 2.0)
+
+
+class LeavingEngineTest(unittest.TestCase):
+    @on_paused_clock
+    async def test_a_grant_on_an_engine_known_to_leave_is_given_back(self):
+        # The steward is cut off from the platform and grants an engine that this router knows to
+        # leave. Sent there, the request would be lost when the engine goes.
+        request = OneRequest(leaving=["e1"], max_runs=1)
+        await request.grant("e1")
+        self.assertEqual(request.caller.starts, [])
+        self.assertIn("e1", request.asks[-1].excluded_engines)
+        await request.grant("e2")
+        self.assertEqual(request.caller.starts[-1].engine, "e2")
+
+
+class RefusedByEngineTest(unittest.TestCase):
+    @on_paused_clock
+    async def test_what_an_engine_refused_goes_to_another_even_if_it_may_run_once(self):
+        request = OneRequest(max_runs=1, repeatable=False)
+        await request.grant("e1")
+        await request.end(RunNotSent(detail="full", arrived=True))
+        self.assertIn("e1", request.asks[-1].excluded_engines)
+        await request.grant("e2")
+        await request.end(RunDone())
+        self.assertIsInstance(request.caller.answer, AnswerWhole)
+
+    @on_paused_clock
+    async def test_engines_that_all_refuse_end_it_as_not_run(self):
+        request = OneRequest(max_runs=1, repeatable=False)
+        for _ in range(10):
+            if request.caller.answer is not None:
+                break
+            await request.grant("e1")
+            await request.end(RunNotSent(detail="full", arrived=True))
+        self.assertIs(request.caller.answer.refusal.executed, Executed.NO)
+
+
+class FailureTest(unittest.TestCase):
+    @on_paused_clock
+    async def test_a_failure_of_what_may_run_once_is_the_answer(self):
+        request = OneRequest(max_runs=3, repeatable=False)
+        await request.grant("e1")
+        await request.end(RunFailed(status=500))
+        self.assertIsInstance(request.caller.answer, AnswerWhole)
+
+    @on_paused_clock
+    async def test_a_failure_of_what_may_be_repeated_is_tried_elsewhere_within_its_runs(self):
+        request = OneRequest(max_runs=2)
+        await request.grant("e1")
+        await request.end(RunFailed(status=500))
+        self.assertIsNone(request.caller.answer)
+        await request.grant("e2")
+        await request.end(RunFailed(status=500))
+        self.assertIsInstance(request.caller.answer, AnswerWhole)
+        self.assertEqual(len(request.caller.starts), 2)
+
+    @on_paused_clock
+    async def test_a_failure_after_a_part_was_sent_is_no_answer(self):
+        # The caller has read a part of the stream, the engine broke off, and the next one fails.
+        # Its error can't be put after the part: the stream ends broken, and looks so.
+        request = OneRequest(max_runs=2)
+        await request.grant("e1")
+        await request.end(RunCut(detail="cut", output_tokens=15, reached=True))
+        await request.grant("e2")
+        await request.end(RunFailed(status=500))
+        self.assertIsInstance(request.caller.answer, AnswerRefusal)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_engine_list.py
@@ -0,0 +1,189 @@
+"""Engines that list themselves, followed through outages of the store."""
+
+import asyncio
+import unittest
+
+from tests.utils.memory_store import MemoryStore
+from tests.utils.paused_clock import now, on_paused_clock
+from wagtailtrestle.configuration.engine_list import RELIST_S, WATCH_S, EngineList
+from wagtailtrestle.contracts.outcomes import StoreConflict, StoreDone, StoreHistoryGone
+from wagtailtrestle.membership.announcement import Announcement
+from wagtailtrestle.platform.declarations import read_engine
+
+KIND = "engines"
+GRACE_S = 2.0
+
+
+def entry(state="ready", **changes):
+    return {"service": "assistant", "address": "10.0.0.1:80", "zone": "a", "slots": 4, "state": state} | changes
+
+
+class ListedStore(MemoryStore):
+    """Can forget its history, as a store that was compacted."""
+
+    history_gone = False
+
+    async def watch(self, **arguments):
+        if self.history_gone:
+            self.history_gone = False
+            return StoreHistoryGone()
+        return await super().watch(**arguments)
+
+
+class Followed:
+    """An engine list over a store in memory."""
+
+    def __init__(self):
+        self.store = ListedStore()
+        self.changes = []
+        self.list = EngineList(
+            store=self.store,
+            kind=KIND,
+            read_entry=read_engine,
+            on_change=self.changes.append,
+            clock=asyncio.get_running_loop().time,
+            return_grace_s=GRACE_S,
+        )
+
+    async def put(self, name, value):
+        found = await self.store.get(kind=KIND, name=name)
+        if isinstance(found, StoreDone):
+            await self.store.update(kind=KIND, name=name, value=value, if_version=found.version)
+        else:
+            await self.store.create(kind=KIND, name=name, value=value)
+
+    async def remove(self, name):
+        found = await self.store.get(kind=KIND, name=name)
+        await self.store.delete(kind=KIND, name=name, if_version=found.version)
+
+
+class EngineListTest(unittest.TestCase):
+    async def started(self):
+        followed = Followed()
+        await followed.put("i-1", entry())
+        await followed.put("i-2", entry(address="10.0.0.2:80"))
+        followed.list.start()
+        await asyncio.sleep(0.5)
+        return followed
+
+    @on_paused_clock
+    async def test_changes_come_by_the_watch(self):
+        followed = await self.started()
+        self.assertEqual(set(followed.list.by_name), {"i-1", "i-2"})
+        await followed.put("i-1", entry("draining"))
+        await asyncio.sleep(0.01)
+        self.assertTrue(followed.list.by_name["i-1"].leaving)
+        await followed.remove("i-2")
+        await asyncio.sleep(0.01)
+        self.assertEqual(set(followed.list.by_name), {"i-1"})
+        await followed.list.close()
+
+    @on_paused_clock
+    async def test_what_a_watch_missed_is_found_by_reading_the_whole(self):
+        # The watch hears nothing of an engine that leaves; it would get work until it is gone.
+        followed = await self.started()
+        followed.store.drop_events = True
+        await followed.put("i-1", entry("draining"))
+        await asyncio.sleep(RELIST_S + 2 * WATCH_S)
+        self.assertTrue(followed.list.by_name["i-1"].leaving)
+        await followed.list.close()
+
+    @on_paused_clock
+    async def test_a_lost_history_is_read_anew(self):
+        followed = await self.started()
+        followed.store.history_gone = True
+        followed.store.drop_events = True
+        await followed.remove("i-2")
+        await asyncio.sleep(WATCH_S + 0.5)
+        self.assertEqual(set(followed.list.by_name), {"i-1"})
+        await followed.list.close()
+
+    @on_paused_clock
+    async def test_entries_that_lapsed_in_an_outage_are_kept_for_a_while(self):
+        # The store is out, entries lapse, and it comes back without them. Their engines live and
+        # are back in the list a moment later; dropped at once, every request would be refused.
+        followed = await self.started()
+        followed.store.down = True
+        await asyncio.sleep(5.0)
+        followed.store.down = False
+        await followed.remove("i-1")
+        await followed.remove("i-2")
+        await asyncio.sleep(GRACE_S / 2)
+        self.assertEqual(set(followed.list.by_name), {"i-1", "i-2"})
+        await followed.put("i-2", entry(address="10.0.0.2:80"))
+        await asyncio.sleep(GRACE_S)
+        self.assertEqual(set(followed.list.by_name), {"i-2"})
+        await followed.list.close()
+
+    @on_paused_clock
+    async def test_an_entry_that_cannot_be_read_leaves_the_others(self):
+        followed = await self.started()
+        await followed.put("i-3", {"nonsense": True})
+        await asyncio.sleep(RELIST_S + 2 * WATCH_S)
+        self.assertEqual(set(followed.list.by_name), {"i-1", "i-2"})
+        await followed.list.close()
+
+
+class AnnouncementTest(unittest.TestCase):
+    def announcement(self, store, address="10.0.0.9:7000"):
+        return Announcement(store=store, kind="routers", name="router-1", value={"address": address})
+
+    async def entry(self, store):
+        found = await store.get(kind="routers", name="router-1")
+        return found.value if isinstance(found, StoreDone) else None
+
+    @on_paused_clock
+    async def test_it_is_written_once_the_store_is_back(self):
+        store = MemoryStore()
+        store.down = True
+        announcement = self.announcement(store)
+        announcement.start()
+        await asyncio.sleep(5.0)
+        store.down = False
+        await asyncio.sleep(3.0)
+        self.assertEqual(await self.entry(store), {"address": "10.0.0.9:7000"})
+        await announcement.withdraw()
+        self.assertIsNone(await self.entry(store))
+
+    @on_paused_clock
+    async def test_a_lost_answer_does_not_leave_it_unwritten_or_fought_over(self):
+        # The write took effect but its answer was lost. The next try finds the entry there, sees
+        # that it is its own, and lets it be.
+        store = MemoryStore()
+        store.lose_answers = 1
+        announcement = self.announcement(store)
+        announcement.start()
+        await asyncio.sleep(3.0)
+        writes = store.calls["writes"]
+        await asyncio.sleep(10.0)
+        self.assertEqual(await self.entry(store), {"address": "10.0.0.9:7000"})
+        self.assertEqual(store.calls["writes"], writes)
+        await announcement.close()
+
+    @on_paused_clock
+    async def test_a_restarted_router_replaces_the_address_of_its_predecessor(self):
+        store = MemoryStore()
+        await store.create(kind="routers", name="router-1", value={"address": "10.0.0.1:7000"})
+        announcement = self.announcement(store)
+        announcement.start()
+        await asyncio.sleep(1.0)
+        self.assertEqual(await self.entry(store), {"address": "10.0.0.9:7000"})
+        await announcement.close()
+
+    @on_paused_clock
+    async def test_a_leaving_router_does_not_wait_for_a_silent_store(self):
+        store = MemoryStore()
+        announcement = self.announcement(store)
+        announcement.start()
+        await asyncio.sleep(1.0)
+        store.slow_s = 100.0
+        began_at = now()
+        await announcement.withdraw()
+        self.assertLess(now() - began_at, 2.0)
+        self.assertIsInstance(
+            await MemoryStore(table=store.table).create(kind="routers", name="router-1", value={}), StoreConflict
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -30,6 +30,9 @@
     "membership.membership",
     "peers.rendezvous",
     "configuration.applying",
+    "configuration.engine_list",
+    "membership.announcement",
+    "quotas.owner",
 )
 FORBIDDEN = {"socket", "ssl", "selectors", "threading", "queue", "subprocess", "urllib3", "cheroot", "grpclib", "http"}
 
@@ -61,6 +64,55 @@
     return seen
 
 
+WIRING = {"adapters.py"}
+WIRE_NAMES = (
+    "Token-Counts",
+    "Response-Stamp",
+    "Expect-Instance",
+    "Not-Executed",
+    "Deadline-Milliseconds",
+    'path_prefix"',
+    "store_revision",
+    "kv_capacity_tokens",
+    "traffic_split",
+    "api_keys",
+    "max_attempts",
+    "/v1/objects",
+)
+
+
+def modules_outside_platform():
+    return [path for path in PACKAGE.rglob("*.py") if "platform" not in path.relative_to(PACKAGE).parts]
+
+
+class PlatformFolderTest(unittest.TestCase):
+    def test_only_the_wiring_imports_it(self):
+        importers = {
+            str(path.relative_to(PACKAGE))
+            for path in modules_outside_platform()
+            if "from wagtailtrestle.platform" in path.read_text()
+        }
+        self.assertEqual(importers, WIRING)
+
+    def test_no_wire_name_stands_outside_it(self):
+        for path in modules_outside_platform():
+            text = path.read_text()
+            for name in WIRE_NAMES:
+                with self.subTest(path=path.name, name=name):
+                    self.assertNotIn(name, text)
+
+    def test_it_translates_only(self):
+        # Timers, threads and tasks are decisions' means: what needs them belongs in the core.
+        for path in (PACKAGE / "platform").glob("*.py"):
+            used = (
+                {name.partition(".")[0] for name in imported(f"platform.{path.stem}")}
+                if path.stem != "__init__"
+                else set()
+            )
+            with self.subTest(path=path.name):
+                self.assertEqual(used & {"threading", "asyncio", "queue", "random"}, set())
+
+
 class LayersTest(unittest.TestCase):
     def test_decisions_reach_no_io_library(self):
         for module in DECISIONS:
--- /dev/null
+++ b/tests/test_platform_router.py
@@ -0,0 +1,243 @@
+"""A router process on the users' platform: what callers and engines see."""
+
+import json
+import signal
+import socket
+import threading
+import time
+import unittest
+
+import yaml
+
+from tests.utils.platform_world import KEY, SIGNATURE, TEAM, World, configuration, wait_until
+
+FORGED = {"Tenant": "another", "Hold": "h1", "Pin_Milliseconds": "5", "Kv_From": "10.0.0.1:1/x"}
+
+
+class WorldCase(unittest.TestCase):
+    SETTINGS = {}
+    ROUTERS = 1
+
+    def setUp(self):
+        self.world = World(routers=self.ROUTERS, **self.SETTINGS).start()
+        self.addCleanup(self.world.close)
+        self.assistants = [self.world.engines["a-1"], self.world.engines["a-2"]]
+
+    def script(self, service, *how):
+        """Let whichever engine of the service comes first answer so, once for each word."""
+        engines = [engine for engine in self.world.engines.values() if engine.service == service]
+        shared = list(how)
+        for engine in engines:
+            engine.script = shared
+
+
+class PassingOnTest(WorldCase):
+    def test_what_engines_and_callers_read(self):
+        answer = self.world.ask("POST", "/stream/x?q=1", Token_Counts="100,20", Model="m", X_Other="kept", **FORGED)
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        self.assertEqual(answer.event_ids, [1, 2, 3, 4, 5, 6])
+        self.assertTrue(answer.headers["Response-Stamp"].startswith(SIGNATURE))
+        self.assertEqual(answer.headers["Request-Id"], "r1")
+        (seen,) = self.world.runs(service="assistant")
+        self.assertEqual((seen["path"], seen["body"]), ("/stream/x?q=1", b"body"))
+        self.assertEqual((seen["request-id"], seen["token-counts"], seen["model"]), ("r1", "100,20", "m"))
+        self.assertEqual((seen["tenant"], seen["x-other"], seen["host"]), (TEAM, "kept", "service.example"))
+        self.assertLessEqual(int(seen["deadline-milliseconds"]), 4000)
+        self.assertIn(seen["expect-instance"], ("a-1", "a-2"))
+        for name in ("authorization", "hold", "pin-milliseconds", "kv-from"):
+            self.assertNotIn(name, seen)
+
+    def test_a_whole_answer_and_its_failure_pass_unchanged(self):
+        answer = self.world.ask("POST", "/book/1")
+        self.assertEqual((answer.status, answer.body[:10]), (200, b"whole from"))
+        self.script("booking", "fail")
+        answer = self.world.ask("POST", "/book/2", request_id="r2")
+        self.assertEqual((answer.status, answer.body), (500, b"broken"))
+        self.assertTrue(answer.headers["Response-Stamp"].startswith(SIGNATURE))
+
+    def test_routes_and_keys(self):
+        self.assertEqual(self.world.ask("GET", "/nowhere/").status, 404)
+        self.assertEqual(self.world.ask("GET", "/status/1", key="wrong").status, 401)
+        self.assertEqual(self.world.ask("GET", "/status/1", key=None).status, 401)
+        self.assertEqual(self.world.runs(service="booking"), [])
+
+    def test_a_request_with_two_lengths_is_not_passed_on(self):
+        # A length and a chunked coding together: an engine that believes the one where the router
+        # believes the other would run a second request, smuggled inside the first.
+        host, _, port = self.world.routers[0].values["callers_address"].partition(":")
+        with socket.create_connection((host, int(port)), timeout=5) as sock:
+            head = f"POST /book/1 HTTP/1.1\r\nHost: service.example\r\nAuthorization: Token {KEY}\r\n"
+            sock.sendall(
+                head.encode() + b"Request-Id: r1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+            )
+            self.assertIn(b"400", sock.recv(100))
+        self.assertEqual(self.world.runs(service="booking"), [])
+
+
+class BrokenAnswersTest(WorldCase):
+    def test_a_stream_that_broke_off_goes_on_elsewhere(self):
+        # The engine stops in the middle of an event. The caller reads one stream without a gap,
+        # with the head and signature of the first engine.
+        for how in ("cut", "torn"):
+            with self.subTest(how=how):
+                for engine in self.assistants:
+                    engine.seen.clear()
+                self.script("assistant", how)
+                answer = self.world.ask("POST", "/stream/x", request_id=f"r-{how}")
+                self.assertEqual(answer.event_ids, [1, 2, 3, 4, 5, 6])
+                self.assertTrue(answer.whole)
+                runs = self.world.runs(service="assistant")
+                self.assertEqual(sorted(seen.get("last-event-id", "") for seen in runs), ["", "2"])
+
+    def test_a_stream_that_may_not_go_on_ends_broken(self):
+        # It may run once: what was read is a part, and must not look whole.
+        self.script("assistant", "cut")
+        answer = self.world.ask("POST", "/stream-once/x")
+        self.assertEqual((answer.event_ids, answer.whole), ([1, 2], False))
+        self.assertEqual(len(self.world.runs(service="assistant")), 1)
+
+    def test_what_may_run_once_is_never_sent_twice(self):
+        # The answer breaks off, is coded, unsigned or another request's: the booking may have run.
+        # The caller is told neither that it succeeded nor that it did not run.
+        for number, how in enumerate(("cut", "coded", "unsigned", "crossed")):
+            with self.subTest(how=how):
+                self.script("booking", how)
+                answer = self.world.ask("POST", f"/book/{number}", request_id=f"r{number}")
+                self.assertEqual(answer.status, 502)
+                self.assertNotIn("Response-Stamp", answer.headers)
+                self.assertEqual(len(self.world.runs(service="booking")), number + 1)
+
+    def test_what_may_be_repeated_is_tried_once_more(self):
+        self.script("booking", "cut")
+        answer = self.world.ask("GET", "/status/1")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(len(self.world.runs(service="booking")), 2)
+
+    def test_an_engine_that_is_full_leaves_the_request_to_another(self):
+        self.script("booking", "full")
+        self.assertEqual(self.world.ask("POST", "/book/1").status, 200)
+        self.assertEqual(len(self.world.runs(service="booking")), 1)
+
+    def test_engines_that_are_all_full_mean_that_it_did_not_run(self):
+        self.script("booking", *["full"] * 10)
+        answer = self.world.ask("POST", "/book/1")
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["Retry-After"]), 0.0)
+        self.assertEqual(self.world.runs(service="booking"), [])
+
+
+class ChangesTest(WorldCase):
+    SETTINGS = {"key_freshness_s": 1.5}
+
+    def test_a_new_configuration_is_in_force_soon(self):
+        self.world.store.put("config", "main", configuration(9, keys=("new-key",)))
+        wait_until(lambda: self.world.ask("GET", "/status/1", key="new-key").status == 200, "the new key")
+        self.assertEqual(self.world.ask("GET", "/status/1").status, 401)
+
+    def test_one_that_cannot_be_read_changes_nothing(self):
+        self.world.store.put("config", "main", {"version": 9, "routes": "nonsense"})
+        time.sleep(0.8)
+        self.assertEqual(self.world.ask("GET", "/status/1").status, 200)
+        self.assertIn("can't be read", self.world.routers[0].log_path.read_text())
+
+    def test_keys_are_not_used_beyond_their_freshness(self):
+        # The store is out for longer than a key may be used without proof. A key that was taken
+        # away meanwhile must not run anything; nobody can tell which, so no request is run, and
+        # each is told so, with when to come back. With the store back all goes on.
+        self.world.store.down = True
+        wait_until(lambda: self.world.ask("GET", "/status/1").status == 503, "refusals")
+        ran = len(self.world.runs(service="booking"))
+        answer = self.world.ask("POST", "/book/1", request_id="r9")
+        self.assertEqual(answer.status, 503)
+        self.assertIn("Retry-After", answer.headers)
+        self.assertEqual(len(self.world.runs(service="booking")), ran)
+        self.world.store.down = False
+        wait_until(lambda: self.world.ask("GET", "/status/1").status == 200, "service again")
+
+    def test_engines_that_leave_get_nothing_more(self):
+        left = self.world.engines["b-1"]
+        self.world.store.put("servers", left.name, left.entry("draining"))
+        time.sleep(0.5)
+        left.seen.clear()
+        for number in range(6):
+            self.assertEqual(self.world.ask("POST", "/book/1", request_id=f"r{number}").status, 200)
+        self.assertEqual(left.seen, [])
+
+    def test_an_address_used_again_by_another_engine_runs_nothing(self):
+        # The engine is gone but still listed, and another has its address. It is named in each
+        # request, so that the newcomer refuses, and the other engine serves.
+        self.world.engines["b-1"].name = "c-1"
+        for number in range(4):
+            self.assertEqual(self.world.ask("POST", "/book/1", request_id=f"r{number}").status, 200)
+        self.assertEqual(self.world.engines["b-1"].seen, [])
+
+    def test_settings_are_read_again(self):
+        # Unhandled, the signal would end the process with every request in flight.
+        router = self.world.routers[0]
+        router.settings_file.write_text(yaml.safe_dump(router.values | {"retry_extra": 7.0, "zone": "b"}))
+        router.signal(signal.SIGHUP)
+        wait_until(lambda: "settings read again" in router.log_path.read_text(), "the log line")
+        line = next(line for line in router.log_path.read_text().splitlines() if "settings read again" in line)
+        told = json.loads(line)
+        self.assertEqual((told["changed"], told["from_next_start"]), ("zone,retry_extra", "zone"))
+        router.settings_file.write_text("nonsense: [")
+        wait_until(lambda: "not put in force" in router.log_path.read_text(), "the complaint")
+        self.assertEqual(self.world.ask("GET", "/status/1").status, 200)
+
+
+class CallersWhoLeaveTest(WorldCase):
+    def test_the_engine_is_let_go_at_once(self):
+        for engine in self.assistants:
+            engine.events, engine.pause_s = 400, 0.02
+        connection = self.world.connect()
+        connection.request(
+            "POST",
+            "/stream/x",
+            body=b"b",
+            headers={"Host": "service.example", "Request-Id": "r1", "Authorization": f"Token {KEY}"},
+        )
+        connection.getresponse().read(10)
+        connection.sock.close()
+        left_at = time.monotonic()
+        connection.close()
+        wait_until(lambda: any(engine.gone.is_set() for engine in self.assistants), "the end of the run")
+        self.assertLess(time.monotonic() - left_at, 0.5)
+
+
+class StopTest(WorldCase):
+    def test_streams_in_flight_are_finished(self):
+        # SIGTERM while a stream is being read: not ready at once, the stream whole, then the end.
+        for engine in self.assistants:
+            engine.events, engine.pause_s = 100, 0.015
+        answers = []
+        thread = threading.Thread(target=lambda: answers.append(self.world.ask("POST", "/stream/x")))
+        thread.start()
+        wait_until(lambda: self.world.runs(service="assistant"), "the run")
+        router = self.world.routers[0]
+        router.terminate()
+        wait_until(lambda: not router.is_ready(), "not ready")
+        thread.join()
+        self.assertEqual((answers[0].event_ids, answers[0].whole), (list(range(1, 101)), True))
+        self.assertEqual(router.wait_stopped(), 0)
+        self.assertEqual(self.world.store.objects("wagtailtrestle-routers"), {})
+
+
+class TwoRoutersTest(WorldCase):
+    ROUTERS = 2
+
+    def test_they_find_each_other_and_share_a_quota(self):
+        # One team's calls reach both routers. Each by itself would let the whole quota through.
+        self.world.store.put("config", "main", configuration(2, rate_per_s=50, burst=100))
+        wait_until(lambda: len(self.world.store.objects("wagtailtrestle-routers")) == 2, "both entries")
+        time.sleep(1.5)
+        began_at = time.monotonic()
+        statuses = [self.world.ask("GET", "/status/1", router=number % 2).status for number in range(60)]
+        elapsed_s = time.monotonic() - began_at
+        served = statuses.count(200) * 10
+        self.assertLessEqual(served, 100 + 50 * elapsed_s + 20)
+        self.assertGreaterEqual(served, 100)
+        self.assertEqual(set(statuses), {200, 429})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wagtailtrestle/callers/route_match.py
+++ b/wagtailtrestle/callers/route_match.py
@@ -107,14 +107,14 @@
 
     def __init__(self, *, routes):
         self._routes_by_host = {}
-        for route in sorted(routes, key=lambda route: -len(route.path_prefix)):
+        for route in sorted(routes, key=lambda route: -len(route.prefix)):
             self._routes_by_host.setdefault(route.host, []).append(route)
 
     def find(self, *, host, path):
         """The route of a request, or ``None``; ``host`` may carry a port."""
         name = host.strip().lower().partition(":")[0]
         for route in self._routes_by_host.get(name, ()):
-            if path.startswith(route.path_prefix):
+            if path.startswith(route.prefix):
                 return route
         return None
 
--- a/wagtailtrestle/contracts/declaration.py
+++ b/wagtailtrestle/contracts/declaration.py
@@ -115,7 +115,7 @@
     Parameters
     ----------
     name, host : str
-    path_prefix : str
+    prefix : str
         Begins and ends with a slash.
     weight_by_service : dict of str to float
         Shares of the requests.
@@ -138,7 +138,7 @@
     __slots__ = (
         "name",
         "host",
-        "path_prefix",
+        "prefix",
         "weight_by_service",
         "tier",
         "timeout_ms",
@@ -155,7 +155,7 @@
         *,
         name,
         host,
-        path_prefix,
+        prefix,
         weight_by_service,
         tier,
         timeout_ms,
@@ -168,7 +168,7 @@
     ):
         self.name = name
         self.host = host
-        self.path_prefix = path_prefix
+        self.prefix = prefix
         self.weight_by_service = weight_by_service
         self.tier = tier
         self.timeout_ms = timeout_ms
--- a/wagtailtrestle/platform/declarations.py
+++ b/wagtailtrestle/platform/declarations.py
@@ -144,7 +144,7 @@
     return HostRoute(
         name=item["name"],
         host=item["host"].lower(),
-        path_prefix=item["path_prefix"],
+        prefix=item["path_prefix"],
         weight_by_service=_weights(item),
         # A rank on the wire, 0 the highest; here the name of the tier with that rank.
         tier=str(int(item.get("priority", 0))),
