--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -71,7 +71,7 @@
     "Expect-Instance",
     "Not-Executed",
     "Deadline-Milliseconds",
-    'path_prefix"',
+    "path_prefix",
     "store_revision",
     "kv_capacity_tokens",
     "traffic_split",
--- a/wagtailtrestle/capacity/admission.py
+++ b/wagtailtrestle/capacity/admission.py
@@ -213,7 +213,7 @@
         possible = [engine for engine in possible if engine.name not in request.excluded_engines]
         if not possible:
             return Reason.NO_ENGINE
-        if request.start_within_s:
+        if request.first_token_within_s:
             return self._refusal_by_start(waiting)
         if not any(self.could_finish(waiting, engine) for engine in possible):
             return Reason.DEADLINE_UNREACHABLE
@@ -244,13 +244,13 @@
         tier = waiting.request.tier
         left_per_s = granted_per_s - self._rates.rate_above(tier)
         left_per_s = max(left_per_s, LEAST_SERVICE_SHARE * granted_per_s, MIN_RATE)
-        if self._queue.work_ahead_s(waiting) / left_per_s > START_WAIT_SHARE * waiting.request.start_within_s:
+        if self._queue.work_ahead_s(waiting) / left_per_s > START_WAIT_SHARE * (waiting.latest_start - self._clock()):
             return Reason.OVERLOADED
         return None
 
     def could_finish(self, waiting: WaitingRequest, engine):
         """Whether the engine could finish it if all that may be preempted for it were gone."""
-        if waiting.request.start_within_s:
+        if waiting.request.first_token_within_s:
             return True
         held = [grant for grant in engine.grants_by_request_id.values() if not _yields(grant, waiting.request.tier)]
         predicted_s = shielded_run_s(waiting.request, engine, len(held) + 1, 0)
@@ -258,8 +258,8 @@
 
     def can_finish_now(self, waiting: WaitingRequest, engine):
         """Whether the engine would finish it in time if it were granted there now, and those there too."""
-        if waiting.request.start_within_s:
-            return True
+        if waiting.request.first_token_within_s:
+            return self._begins_in_time(waiting, engine)
         uncached = uncached_tokens(waiting.request, engine)
         if uncached > CHEAP_PROMPT_TOKENS and self._crowded(waiting.request.tier):
             return False
@@ -270,6 +270,18 @@
         predicted_s = promised_s(waiting, engine, concurrency, engine.pending_prefill_tokens, self._margin)
         return predicted_s <= tolerance(engine) * (waiting.deadline - self._clock())
 
+    def _begins_in_time(self, waiting, engine):
+        # A slow engine's free place is no place for a long prompt: its first token would come late and
+        # the run would hold the place several times as long. Short requests fit there; the long one
+        # waits for a faster engine.
+        first_token_s = engine.model.predict_first_token_s(
+            uncached_tokens=uncached_tokens(waiting.request, engine),
+            concurrency=engine.running + 1,
+            pending_prefill_tokens=engine.pending_prefill_tokens,
+        )
+        hoped_for = waiting.arrived_at + waiting.request.first_token_within_s
+        return first_token_s <= tolerance(engine) * (hoped_for - self._clock())
+
     def wait_s(self, waiting: WaitingRequest):
         """Predicted wait: the work ahead over what the tiers above leave of the cell."""
         return self._queue.work_ahead_s(waiting) / self._service_rate(waiting.request.tier)
--- a/wagtailtrestle/capacity/grants.py
+++ b/wagtailtrestle/capacity/grants.py
@@ -7,6 +7,10 @@
 ENDED_KEPT = 8192
 """Settled asks remembered: tens of seconds at the rates of one cell."""
 
+START_SHARE = 0.7
+"""Part of the time to the hoped-for first token within which a run must begin: the rest is the engine's.
+Begun later it would disappoint, and take its place from a request that can still be in time."""
+
 
 class WaitingRequest:
     """A request that waits for a place.
@@ -62,8 +66,8 @@
     def latest_start(self):
         """Time after which a place is of no use: too late to finish, or to begin."""
         latest = self.deadline - self.shortest_run_s
-        within_s = self.request.start_within_s
-        return min(latest, self.arrived_at + within_s) if within_s else latest
+        within_s = self.request.first_token_within_s
+        return min(latest, self.arrived_at + START_SHARE * within_s) if within_s else latest
 
 
 class Grant:
--- a/wagtailtrestle/contracts/exchange.py
+++ b/wagtailtrestle/contracts/exchange.py
@@ -36,8 +36,8 @@
         Loop time by which the whole answer must be given.
     max_runs : int or None
         Engines it may run on; ``None`` for no limit but its deadline.
-    start_within_s : float or None
-        Time from its arrival within which a run must have begun to be worth it.
+    first_token_within_s : float or None
+        Time from its arrival to the first token that its caller hopes for; ``None`` if only the deadline counts.
     """
 
     __slots__ = (
@@ -55,7 +55,7 @@
         "prefix_blocks",
         "deadline",
         "max_runs",
-        "start_within_s",
+        "first_token_within_s",
     )
 
     def __init__(
@@ -75,7 +75,7 @@
         prefix_blocks,
         deadline,
         max_runs=None,
-        start_within_s=None,
+        first_token_within_s=None,
     ):
         self.request_id = request_id
         self.service = service
@@ -91,7 +91,7 @@
         self.prefix_blocks = prefix_blocks
         self.deadline = deadline
         self.max_runs = max_runs
-        self.start_within_s = start_within_s
+        self.first_token_within_s = first_token_within_s
 
 
 # From the request's task to the caller's side.
--- a/wagtailtrestle/contracts/messages.py
+++ b/wagtailtrestle/contracts/messages.py
@@ -39,8 +39,8 @@
         Engines this request must not go to again.
     alone : bool
         Whether it is suspected of crashing engines and must run beside no other.
-    start_within_s : float
-        Time from now within which a place is of use; 0 if only the deadline counts.
+    first_token_within_s : float
+        Time from now to the first token that the caller hopes for; 0 if only the deadline counts.
     """
 
     request_id: str
@@ -58,7 +58,7 @@
     prefix_blocks: tuple = ()
     excluded_engines: tuple = ()
     alone: bool = False
-    start_within_s: float = 0.0
+    first_token_within_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -59,8 +59,8 @@
 """Least silence after which a run is given up where runs are counted. Engines that prefill several long
 prompts pause for a second or two; taken for lost, their runs would be begun again elsewhere, at the
 price of their prompts, just when engines are busiest."""
-MIN_START_S = 0.001
-"""A limit on the start that has passed: distinct from 0, which stands for none."""
+MIN_FIRST_TOKEN_S = 0.001
+"""A hope that has passed: distinct from 0, which stands for none."""
 
 
 class RequestState(StrEnum):
@@ -184,7 +184,7 @@
             prefix_blocks=request.prefix_blocks,
             excluded_engines=tuple(sorted(self._excluded)),
             alone=self._alone,
-            start_within_s=self._start_within_s(),
+            first_token_within_s=self._first_token_within_s(),
         )
 
     def running_record(self):
@@ -530,12 +530,12 @@
         service = self.context.service(self.request.service)
         return service is not None and getattr(service, ability)
 
-    def _start_within_s(self):
-        """Time left in which a first run is of use; 0 for no such limit."""
-        within_s = self.request.start_within_s
+    def _first_token_within_s(self):
+        """Time left to the first token that the caller hopes for; 0 where there is no such hope."""
+        within_s = self.request.first_token_within_s
         if within_s is None or self.runs_begun:
             return 0.0
-        return max(MIN_START_S, self._arrived_at + within_s - self.context.now())
+        return max(MIN_FIRST_TOKEN_S, self._arrived_at + within_s - self.context.now())
 
     def _remaining(self):
         return self.request.deadline - self.context.now()
--- a/wagtailtrestle/platform/callers.py
+++ b/wagtailtrestle/platform/callers.py
@@ -26,9 +26,6 @@
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
 LEAST_RETRY_AFTER_S = 0.05
-START_SHARE = 0.7
-"""Part of a route's target time within which a run must begin: the rest is for its first event. Later
-it would earn a third and take its place from a request that can still be in time."""
 BLOCK_TOKENS = 64
 """Tokens of one prefix block, as the core counts them."""
 MOST_BLOCKS = 16
@@ -168,7 +165,7 @@
             prefix_blocks=_prefix_blocks(environ.get("HTTP_PROMPT_PREFIX", "")),
             deadline=self._now() + self._allowed_s(arrival, route, environ),
             max_runs=route.max_runs,
-            start_within_s=route.target_ms / MS_PER_S * START_SHARE,
+            first_token_within_s=route.target_ms / MS_PER_S,
         )
         return Prepared(
             request=request,
