--- a/wagtailtrestle/capacity/admission.py
+++ b/wagtailtrestle/capacity/admission.py
@@ -52,6 +52,8 @@
 """Least share of the cell assumed to be left for a tier by those above it."""
 
 LEAST_RETRY_AFTER_S = 1.0
+MOST_EXCESS_S = 10.0
+"""Longest time told for excess demand alone: a burst is mostly over by then."""
 
 MIN_RATE = 1e-6
 RETRY_SPREAD = 0.25
@@ -153,7 +155,7 @@
         From 0 (start what may just finish) to 1 (start only what surely finishes).
     """
 
-    __slots__ = ("_clock", "_queue", "_lengths", "_margin", "_rates", "_granted", "_engines")
+    __slots__ = ("_clock", "_queue", "_lengths", "_margin", "_rates", "_demand", "_granted", "_engines")
 
     def __init__(self, *, clock, queue, lengths, prefill_weight):
         self._margin = finish_margin(prefill_weight)
@@ -161,6 +163,7 @@
         self._clock = clock
         self._queue = queue
         self._rates = ArrivalRates(clock=clock)
+        self._demand = ArrivalRates(clock=clock)
         self._granted = GrantRate(clock=clock)
         self._engines = ()
 
@@ -185,6 +188,10 @@
         """Count an admitted request's work as demand of its tier."""
         self._rates.note(waiting.request.tier, waiting.work_s)
 
+    def asked(self, waiting: WaitingRequest):
+        """Count a request as demand, whether it is admitted or refused."""
+        self._demand.note(waiting.request.tier, waiting.work_s)
+
     def granted(self, waiting: WaitingRequest):
         """Count a grant as work that the cell took up."""
         self._granted.note(waiting.work_s)
@@ -259,7 +266,7 @@
     def can_finish_now(self, waiting: WaitingRequest, engine):
         """Whether the engine would finish it in time if it were granted there now, and those there too."""
         if waiting.request.first_token_within_s:
-            return self._begins_in_time(waiting, engine)
+            return True
         uncached = uncached_tokens(waiting.request, engine)
         if uncached > CHEAP_PROMPT_TOKENS and self._crowded(waiting.request.tier):
             return False
@@ -270,18 +277,6 @@
         predicted_s = promised_s(waiting, engine, concurrency, engine.pending_prefill_tokens, self._margin)
         return predicted_s <= tolerance(engine) * (waiting.deadline - self._clock())
 
-    def _begins_in_time(self, waiting, engine):
-        # A slow engine's free place is no place for a long prompt: its first token would come late and
-        # the run would hold the place several times as long. Short requests fit there; the long one
-        # waits for a faster engine.
-        first_token_s = engine.model.predict_first_token_s(
-            uncached_tokens=uncached_tokens(waiting.request, engine),
-            concurrency=engine.running + 1,
-            pending_prefill_tokens=engine.pending_prefill_tokens,
-        )
-        hoped_for = waiting.arrived_at + waiting.request.first_token_within_s
-        return first_token_s <= tolerance(engine) * (hoped_for - self._clock())
-
     def wait_s(self, waiting: WaitingRequest):
         """Predicted wait: the work ahead over what the tiers above leave of the cell."""
         return self._queue.work_ahead_s(waiting) / self._service_rate(waiting.request.tier)
@@ -289,10 +284,19 @@
     def retry_after_s(self, request):
         """Time until what waits now in this tier and above would be served."""
         ahead = sum(work for tier, work in self._queue.work_by_tier().items() if tier <= request.tier)
-        wait_s = max(LEAST_RETRY_AFTER_S, ahead / self._service_rate(request.tier))
+        wait_s = max(LEAST_RETRY_AFTER_S, ahead / self._service_rate(request.tier), self._excess_s(request.tier))
         spread = zlib.crc32(request.request_id.encode()) / 2**32
         return wait_s * (1.0 + RETRY_SPREAD * spread)
 
+    def _excess_s(self, tier):
+        # While demand exceeds what is granted, whoever comes back within a second meets the same
+        # demand and is refused again. What was refused lately would have kept the cell busy for this long.
+        granted_per_s = self._granted.per_s()
+        if not granted_per_s:
+            return 0.0
+        demand_per_s = self._demand.rate_above(tier) + self._demand.rate(tier)
+        return min(MOST_EXCESS_S, RATE_WINDOW_S * max(0.0, demand_per_s / granted_per_s - 1.0))
+
     def _work_s(self, request):
         if request.alone:
             # It uses up a whole engine for as long as it runs, whatever it decodes.
--- a/wagtailtrestle/capacity/run_book.py
+++ b/wagtailtrestle/capacity/run_book.py
@@ -164,10 +164,6 @@
         self.lengths.observe(
             request=grant.request, asked_tokens=grant.asked_tokens, output_tokens=message.output_tokens
         )
-        if not engine.tells_steps and tokens and decode_s > 0.0:
-            # Nobody measures this engine's steps but the runs themselves. Without it an engine faster than
-            # assumed would look as slow as assumed, and slower ones no slower than it.
-            engine.model.observe_report(step_s=decode_s / tokens, running=concurrency)
         engine.model.observe_finish(output_tokens=tokens, decode_s=decode_s, mean_concurrency=concurrency)
 
     def _new_grant(self, request, asked_tokens, engine_name, *, elapsed_s):
--- a/wagtailtrestle/capacity/steward.py
+++ b/wagtailtrestle/capacity/steward.py
@@ -254,6 +254,7 @@
 
     def _consider(self, request):
         waiting = self._admission.waiting(request)
+        self._admission.asked(waiting)
         reason = self._admission.refusal(waiting)
         if reason is not None:
             self._refuse(request, reason)
