--- a/wagtailtrestle/capacity/admission.py
+++ b/wagtailtrestle/capacity/admission.py
@@ -52,8 +52,8 @@
 """Least share of the cell assumed to be left for a tier by those above it."""
 
 LEAST_RETRY_AFTER_S = 1.0
-MOST_EXCESS_S = 10.0
-"""Longest time told for excess demand alone: a burst is mostly over by then."""
+LEAST_QUICK_RETRY_S = 1.0
+"""The same where a first token is hoped for within about a second: told a second, nobody could come back in time."""
 
 MIN_RATE = 1e-6
 RETRY_SPREAD = 0.25
@@ -155,7 +155,7 @@
         From 0 (start what may just finish) to 1 (start only what surely finishes).
     """
 
-    __slots__ = ("_clock", "_queue", "_lengths", "_margin", "_rates", "_demand", "_granted", "_engines")
+    __slots__ = ("_clock", "_queue", "_lengths", "_margin", "_rates", "_granted", "_engines")
 
     def __init__(self, *, clock, queue, lengths, prefill_weight):
         self._margin = finish_margin(prefill_weight)
@@ -163,7 +163,6 @@
         self._clock = clock
         self._queue = queue
         self._rates = ArrivalRates(clock=clock)
-        self._demand = ArrivalRates(clock=clock)
         self._granted = GrantRate(clock=clock)
         self._engines = ()
 
@@ -188,10 +187,6 @@
         """Count an admitted request's work as demand of its tier."""
         self._rates.note(waiting.request.tier, waiting.work_s)
 
-    def asked(self, waiting: WaitingRequest):
-        """Count a request as demand, whether it is admitted or refused."""
-        self._demand.note(waiting.request.tier, waiting.work_s)
-
     def granted(self, waiting: WaitingRequest):
         """Count a grant as work that the cell took up."""
         self._granted.note(waiting.work_s)
@@ -284,19 +279,11 @@
     def retry_after_s(self, request):
         """Time until what waits now in this tier and above would be served."""
         ahead = sum(work for tier, work in self._queue.work_by_tier().items() if tier <= request.tier)
-        wait_s = max(LEAST_RETRY_AFTER_S, ahead / self._service_rate(request.tier), self._excess_s(request.tier))
+        least_s = LEAST_RETRY_AFTER_S if not request.first_token_within_s else LEAST_QUICK_RETRY_S
+        wait_s = max(least_s, ahead / self._service_rate(request.tier))
         spread = zlib.crc32(request.request_id.encode()) / 2**32
         return wait_s * (1.0 + RETRY_SPREAD * spread)
 
-    def _excess_s(self, tier):
-        # While demand exceeds what is granted, whoever comes back within a second meets the same
-        # demand and is refused again. What was refused lately would have kept the cell busy for this long.
-        granted_per_s = self._granted.per_s()
-        if not granted_per_s:
-            return 0.0
-        demand_per_s = self._demand.rate_above(tier) + self._demand.rate(tier)
-        return min(MOST_EXCESS_S, RATE_WINDOW_S * max(0.0, demand_per_s / granted_per_s - 1.0))
-
     def _work_s(self, request):
         if request.alone:
             # It uses up a whole engine for as long as it runs, whatever it decodes.
--- a/wagtailtrestle/capacity/steward.py
+++ b/wagtailtrestle/capacity/steward.py
@@ -254,7 +254,6 @@
 
     def _consider(self, request):
         waiting = self._admission.waiting(request)
-        self._admission.asked(waiting)
         reason = self._admission.refusal(waiting)
         if reason is not None:
             self._refuse(request, reason)
