--- a/wagtailtrestle/adapters.py
+++ b/wagtailtrestle/adapters.py
@@ -22,6 +22,9 @@
         See :class:`wagtailtrestle.engines.client.EngineClient`.
     router_kind : str or None
         Kind of the objects by which routers find each other; ``None`` where the store lists VMs.
+    shares_confirmations : bool
+        Whether a peer's word that the platform confirmed the configuration spares a read: only where
+        reads are never stale.
     engine_kind : str or None
         Kind of the objects by which engines list themselves; ``None`` where they are declared.
     """
@@ -31,6 +34,7 @@
     ended_call: object
     router_kind: str | None
     engine_kind: str | None
+    shares_confirmations: bool
 
     def open_store(self, url: str):
         """Return an ``ObjectStore`` that is not started yet."""
@@ -53,6 +57,7 @@
     ended_call = CANCELLABLE
     router_kind = None
     engine_kind = None
+    shares_confirmations = False
 
     def open_store(self, url):
         """Return the client of the product's own object API."""
--- a/wagtailtrestle/capacity/admission.py
+++ b/wagtailtrestle/capacity/admission.py
@@ -52,7 +52,7 @@
 """Least share of the cell assumed to be left for a tier by those above it."""
 
 LEAST_RETRY_AFTER_S = 1.0
-LEAST_QUICK_RETRY_S = 1.0
+LEAST_QUICK_RETRY_S = 0.3
 """The same where a first token is hoped for within about a second: told a second, nobody could come back in time."""
 
 MIN_RATE = 1e-6
--- a/wagtailtrestle/configuration/configuration.py
+++ b/wagtailtrestle/configuration/configuration.py
@@ -63,6 +63,8 @@
     jitter : random.Random, optional
     place : DeclarationPlace, optional
         Where the store holds the declaration; the product's own by default.
+    ask_confirmation : callable, optional
+        Asks a peer how lately the platform confirmed its declaration; without it each poll reads the platform.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         start_wait_s=DEFAULT_START_WAIT_S,
         jitter=None,
         place=None,
+        ask_confirmation=None,
     ):
         self.in_force = None
         self._parse = parse
@@ -94,6 +97,9 @@
             watch_timeout_s=watch_timeout_s,
             jitter=jitter,
             place=place or OwnDeclarations(),
+            ask_confirmation=ask_confirmation,
+            generation=lambda: self.generation,
+            heard=self.heard,
         )
         self._peers = PeerSource(ask_peers=ask_peers, offer=self.offer, is_known=self._is_known, jitter=jitter)
         self._candidate = None
--- a/wagtailtrestle/configuration/sources.py
+++ b/wagtailtrestle/configuration/sources.py
@@ -21,6 +21,9 @@
 # A peer's generation is mostly on its way to us by the watch as well.
 PEER_DELAY_S = 0.2
 PEER_TIMEOUT_S = 2.0
+CONFIRMED_ENOUGH_S = 1.0
+"""A peer's word counts if the platform confirmed its configuration so lately. Of many routers one or two
+then read the platform each second, and the age that the others rely on stays within about twice this."""
 # No object is ever at this version, so an update that asks for it never takes effect.
 NEVER_A_VERSION = 0
 
@@ -77,6 +80,12 @@
         ``offer(generation, text, source)``.
     poll_interval_s, watch_timeout_s : float
     jitter : random.Random
+    ask_confirmation : callable, optional
+        ``await ask_confirmation()`` gives a peer's ``Confirmation`` or ``None``.
+    generation : callable, optional
+        The generation in force.
+    heard : callable, optional
+        ``heard(generation)`` notes a generation that a peer told.
 
     Attributes
     ----------
@@ -89,6 +98,9 @@
         "last_read",
         "confirmed_at",
         "_place",
+        "_ask_confirmation",
+        "_generation",
+        "_heard",
         "_watched_version",
         "_store",
         "_offer",
@@ -97,7 +109,22 @@
         "_jitter",
     )
 
-    def __init__(self, *, store, offer, poll_interval_s, watch_timeout_s, jitter, place):
+    def __init__(
+        self,
+        *,
+        store,
+        offer,
+        poll_interval_s,
+        watch_timeout_s,
+        jitter,
+        place,
+        ask_confirmation=None,
+        generation=None,
+        heard=None,
+    ):
+        self._ask_confirmation = ask_confirmation
+        self._generation = generation
+        self._heard = heard
         self.known_version = NEVER_A_VERSION
         self.last_read = None
         self.confirmed_at = None
@@ -144,6 +171,8 @@
         """Read at a bounded interval: finds what a silent watch or a dropped event hid."""
         while True:
             await asyncio.sleep(self._poll_interval_s * self._jitter.uniform(1 - POLL_JITTER, 1 + POLL_JITTER))
+            if await self._is_confirmed_by_peer():
+                continue
             if await self._read(Source.POLL) is None:
                 # Whatever silenced the watch mostly silenced the poll's idle connection
                 # too, and that cost this poll its whole timeout. The store is on a new
@@ -151,6 +180,24 @@
                 await asyncio.sleep(POLL_RETRY_S * self._jitter.uniform(0.5, 1.0))
                 await self._read(Source.POLL)
 
+    async def _is_confirmed_by_peer(self):
+        """Whether a peer's word spares a read of the platform."""
+        if self._ask_confirmation is None:
+            return False
+        # Counted from before the question: an answer that was long on its way is no fresher for it.
+        asked_at = boot_time_s()
+        confirmation = await self._ask_confirmation()
+        if confirmation is None:
+            return False
+        if confirmation.generation > self._generation():
+            self._heard(confirmation.generation)
+            return False
+        is_same = confirmation.generation == self._generation()
+        if not is_same or not 0.0 <= confirmation.age_s <= CONFIRMED_ENOUGH_S:
+            return False
+        self.confirmed_at = max(self.confirmed_at or 0.0, asked_at - confirmation.age_s)
+        return True
+
     async def _read(self, source):
         """Read the declaration; its version (``NEVER_A_VERSION`` if absent), or ``None`` if it can't be read."""
         known = self.known_version or None
--- a/wagtailtrestle/contracts/peer_messages.py
+++ b/wagtailtrestle/contracts/peer_messages.py
@@ -127,6 +127,27 @@
     text: str
 
 
+@dataclass(slots=True, frozen=True, kw_only=True)
+class ConfirmationAsk:
+    """Asks a peer how lately the platform confirmed the configuration that it has in force."""
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Confirmation:
+    """Answers :class:`ConfirmationAsk`.
+
+    Parameters
+    ----------
+    generation : int
+        0 for none.
+    age_s : float
+        Time since the platform showed that this generation is its newest; negative if it never did.
+    """
+
+    generation: int
+    age_s: float
+
+
 @dataclass(slots=True, frozen=True, kw_only=True)
 class PeerUnreachable:
     """Outcome of a question that got no answer: the peer may or may not have acted on it."""
--- a/wagtailtrestle/declarations/settings.py
+++ b/wagtailtrestle/declarations/settings.py
@@ -17,6 +17,7 @@
 """Three a router and ten seconds in a fleet of ten, so that a quiet service can recover."""
 DEFAULT_ENGINE_RETURN_GRACE_S = 2.0
 DEFAULT_CONFIGURATION_POLL_S = 2.0
+DEFAULT_REPORT_INTERVAL_S = 0.5
 DEFAULT_BALANCER_GRACE_S = 1.0
 """A balancer that probes every second or faster has noticed by then."""
 OWN_ADAPTER = "own"
@@ -74,6 +75,8 @@
         Units beyond that which may be exceeded, whatever the quota.
     configuration_poll_s : float
         Time between two reads of the declaration, beside the watch on it.
+    report_interval_s : float
+        Time between two looks at an engine's load report, by the steward of its cell.
     balancer_grace_s : float
         How long a leaving router still serves what the balancer sends it.
     engine_return_grace_s : float
@@ -104,6 +107,7 @@
         "quota_overage",
         "quota_slack",
         "configuration_poll_s",
+        "report_interval_s",
         "balancer_grace_s",
         "engine_return_grace_s",
     )
@@ -134,6 +138,7 @@
         quota_overage=0.0,
         quota_slack=0.0,
         configuration_poll_s=DEFAULT_CONFIGURATION_POLL_S,
+        report_interval_s=DEFAULT_REPORT_INTERVAL_S,
         balancer_grace_s=DEFAULT_BALANCER_GRACE_S,
         engine_return_grace_s=DEFAULT_ENGINE_RETURN_GRACE_S,
     ):
@@ -160,6 +165,7 @@
         self.quota_overage = quota_overage
         self.quota_slack = quota_slack
         self.configuration_poll_s = configuration_poll_s
+        self.report_interval_s = report_interval_s
         self.balancer_grace_s = balancer_grace_s
         self.engine_return_grace_s = engine_return_grace_s
 
@@ -255,6 +261,9 @@
         "configuration_poll_s": reader.value(
             "configuration_poll_s", Number(least=0.05, most=60), default=DEFAULT_CONFIGURATION_POLL_S
         ),
+        "report_interval_s": reader.value(
+            "report_interval_s", Number(least=0.05, most=60), default=DEFAULT_REPORT_INTERVAL_S
+        ),
         "balancer_grace_s": reader.value("balancer_grace_s", seconds, default=DEFAULT_BALANCER_GRACE_S),
         "engine_return_grace_s": reader.value("engine_return_grace_s", seconds, default=DEFAULT_ENGINE_RETURN_GRACE_S),
     }
--- a/wagtailtrestle/peers/codec.py
+++ b/wagtailtrestle/peers/codec.py
@@ -28,6 +28,8 @@
     peer_messages.RegisterAsk: ("register_ask", pb.RegisterAsk),
     peer_messages.ConfigurationAsk: ("configuration_ask", pb.ConfigurationAsk),
     peer_messages.ConfigurationText: ("configuration_text", pb.ConfigurationText),
+    peer_messages.ConfirmationAsk: ("confirmation_ask", pb.ConfirmationAsk),
+    peer_messages.Confirmation: ("confirmation", pb.Confirmation),
     messages.GrantRequest: ("grant_request", pb.GrantRequest),
     messages.Withdraw: ("withdraw", pb.Withdraw),
     messages.RunStarted: ("run_started", pb.RunStarted),
--- a/wagtailtrestle/platform/adapter.py
+++ b/wagtailtrestle/platform/adapter.py
@@ -15,6 +15,7 @@
     ended_call = None
     router_kind = ROUTER_KIND
     engine_kind = ENGINE_KIND
+    shares_confirmations = True
 
     def open_store(self, url):
         """Return the client of the users' store."""
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -42,7 +42,6 @@
 from wagtailtrestle.quotas.owner import QuotaOwner, Tolerance
 
 TICK_S = 0.1
-REPORT_INTERVAL_S = 0.5
 CONNECT_TIMEOUT_S = 1.0
 RETRY_EXTRA_MARGIN = 0.5
 """Part of the fleet's extra retries that is given out: budgets fade over the window in which the
@@ -108,7 +107,10 @@
 
     def _make_configuration(self):
         self._peer_configuration = PeerConfiguration(
-            peers=self._peers, members=self._other_members, in_force=lambda: self._configuration.in_force
+            peers=self._peers,
+            members=self._other_members,
+            in_force=lambda: self._configuration.in_force,
+            confirmed_age_s=lambda: self._configuration.confirmed_age_s(),
         )
         self._configuration = Configuration(
             store=self._store,
@@ -117,6 +119,7 @@
             ask_peers=self._peer_configuration.ask,
             executor=self._parsing,
             place=self._adapter.place,
+            ask_confirmation=self._peer_configuration.ask_confirmation if self._adapter.shares_confirmations else None,
             poll_interval_s=self._settings.configuration_poll_s,
         )
         self._engine_list = None
@@ -167,7 +170,7 @@
             loop=self._loop,
         )
         self._reports = EngineReports(
-            interval_s=REPORT_INTERVAL_S,
+            interval_s=self._settings.report_interval_s,
             loop=self._loop,
             on_report=self._take_report,
             dialect=self._adapter.reports,
