--- a/wagtailtrestle/configuration/engine_list.py
+++ b/wagtailtrestle/configuration/engine_list.py
@@ -12,9 +12,10 @@
 
 from wagtailtrestle.contracts.outcomes import StoreDone
 
-WATCH_S = 1.5
-"""Longest wait of one watch: a connection gone silent is found so much later, and a little more."""
-RELIST_S = 4.0
+WATCH_S = 2.0
+"""Longest wait of one watch: a connection gone silent is found so much later, and a little more. With the
+store's margin and a whole read it stays under three seconds; each shorter second costs a call."""
+RELIST_S = 8.0
 """Between two whole reads: finds what a watch that heard nothing missed."""
 RETRY_S = 0.1
 MOST_RETRY_S = 1.0
--- a/wagtailtrestle/declarations/settings.py
+++ b/wagtailtrestle/declarations/settings.py
@@ -18,6 +18,7 @@
 DEFAULT_ENGINE_RETURN_GRACE_S = 2.0
 DEFAULT_CONFIGURATION_POLL_S = 2.0
 DEFAULT_REPORT_INTERVAL_S = 0.5
+DEFAULT_VM_LIST_INTERVAL_S = 1.0
 DEFAULT_BALANCER_GRACE_S = 1.0
 """A balancer that probes every second or faster has noticed by then."""
 OWN_ADAPTER = "own"
@@ -75,6 +76,8 @@
         Units beyond that which may be exceeded, whatever the quota.
     configuration_poll_s : float
         Time between two reads of the declaration, beside the watch on it.
+    vm_list_interval_s : float
+        Time between two reads of the list of VMs.
     report_interval_s : float
         Time between two looks at an engine's load report, by the steward of its cell.
     balancer_grace_s : float
@@ -107,6 +110,7 @@
         "quota_overage",
         "quota_slack",
         "configuration_poll_s",
+        "vm_list_interval_s",
         "report_interval_s",
         "balancer_grace_s",
         "engine_return_grace_s",
@@ -138,6 +142,7 @@
         quota_overage=0.0,
         quota_slack=0.0,
         configuration_poll_s=DEFAULT_CONFIGURATION_POLL_S,
+        vm_list_interval_s=DEFAULT_VM_LIST_INTERVAL_S,
         report_interval_s=DEFAULT_REPORT_INTERVAL_S,
         balancer_grace_s=DEFAULT_BALANCER_GRACE_S,
         engine_return_grace_s=DEFAULT_ENGINE_RETURN_GRACE_S,
@@ -165,6 +170,7 @@
         self.quota_overage = quota_overage
         self.quota_slack = quota_slack
         self.configuration_poll_s = configuration_poll_s
+        self.vm_list_interval_s = vm_list_interval_s
         self.report_interval_s = report_interval_s
         self.balancer_grace_s = balancer_grace_s
         self.engine_return_grace_s = engine_return_grace_s
@@ -261,6 +267,9 @@
         "configuration_poll_s": reader.value(
             "configuration_poll_s", Number(least=0.05, most=60), default=DEFAULT_CONFIGURATION_POLL_S
         ),
+        "vm_list_interval_s": reader.value(
+            "vm_list_interval_s", Number(least=0.05, most=60), default=DEFAULT_VM_LIST_INTERVAL_S
+        ),
         "report_interval_s": reader.value(
             "report_interval_s", Number(least=0.05, most=60), default=DEFAULT_REPORT_INTERVAL_S
         ),
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -132,7 +132,9 @@
                 clock=self._loop.time,
                 return_grace_s=self._settings.engine_return_grace_s,
             )
-        self._vm_list = VMList(store=self._store, on_change=self._take_vms)
+        self._vm_list = VMList(
+            store=self._store, on_change=self._take_vms, interval_s=self._settings.vm_list_interval_s
+        )
         self._membership.on_generation(lambda peer, generation: self._configuration.heard(generation))
         self._membership.on_view_change(self._end_questions)
 
