--- a/wagtailtrestle/capacity/admission.py
+++ b/wagtailtrestle/capacity/admission.py
@@ -261,7 +261,7 @@
     def can_finish_now(self, waiting: WaitingRequest, engine):
         """Whether the engine would finish it in time if it were granted there now, and those there too."""
         if waiting.request.first_token_within_s:
-            return self._ends_by_deadline(waiting, engine)
+            return True
         uncached = uncached_tokens(waiting.request, engine)
         if uncached > CHEAP_PROMPT_TOKENS and self._crowded(waiting.request.tier):
             return False
@@ -272,13 +272,6 @@
         predicted_s = promised_s(waiting, engine, concurrency, engine.pending_prefill_tokens, self._margin)
         return predicted_s <= tolerance(engine) * (waiting.deadline - self._clock())
 
-    def _ends_by_deadline(self, waiting, engine):
-        # Engines of one service differ fourfold. A long answer that a fast one gives in a third of the
-        # caller's time does not end on a slow one: the caller leaves with a part of it, and the place
-        # was held all that time for nothing.
-        predicted_s = run_s(waiting.request, engine, engine.running + 1, engine.pending_prefill_tokens)
-        return predicted_s <= tolerance(engine) * (waiting.deadline - self._clock())
-
     def wait_s(self, waiting: WaitingRequest):
         """Predicted wait: the work ahead over what the tiers above leave of the cell."""
         return self._queue.work_ahead_s(waiting) / self._service_rate(waiting.request.tier)
