--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -8,6 +8,7 @@
 from wagtailtrestle.declarations.settings import SettingsFaults, parse_router_settings
 
 ROOT = Path(__file__).resolve().parents[1]
+SECTION = re.compile(r"\{\{#([a-z_.0-9]+)\}\}\n(.*?)\{\{/\1\}\}\n", re.DOTALL)
 PLACEHOLDER = re.compile(r"\{\{([a-z_.0-9]+)\}\}")
 FIELDS = {
     "node": "front-1",
@@ -23,9 +24,17 @@
     "bounds.quota_overage": "0.1",
     "bounds.quota_slack": "140000",
     "bounds.revoke_ms": "5000",
+    "bounds.strict_revocation": "true",
+    "bounds.grace_s": "8",
 }
 
 
+def filled_in(template, fields):
+    """A template as the platform fills it in: sections without a value are left out."""
+    kept = SECTION.sub(lambda found: found.group(2) if found.group(1) in fields else "", template)
+    return PLACEHOLDER.sub(lambda found: fields[found.group(1)], kept)
+
+
 class DeployTest(unittest.TestCase):
     def test_the_build_installs_what_the_project_declares(self):
         project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
@@ -34,9 +43,17 @@
 
     def test_the_template_gives_sound_settings(self):
         template = (ROOT / "deploy" / "router.yaml").read_text()
-        settings = parse_router_settings(PLACEHOLDER.sub(lambda found: FIELDS[found.group(1)], template))
+        settings = parse_router_settings(filled_in(template, FIELDS))
         self.assertNotIsInstance(settings, SettingsFaults, getattr(settings, "faults", ""))
         self.assertEqual(settings.adapter, "platform")
+        self.assertEqual((settings.key_freshness_s, settings.longest_drain_s), (4.5, 0.84 * 8))
+
+    def test_a_deployment_without_some_bounds_starts_too(self):
+        template = (ROOT / "deploy" / "router.yaml").read_text()
+        fields = {name: value for name, value in FIELDS.items() if not name.startswith("bounds.")}
+        settings = parse_router_settings(filled_in(template, fields))
+        self.assertNotIsInstance(settings, SettingsFaults, getattr(settings, "faults", ""))
+        self.assertEqual((settings.key_freshness_s, settings.quota_window_s), (0.0, 0.0))
 
     def test_the_role_runs_the_router_and_names_its_metrics(self):
         system = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -36,6 +36,16 @@
         self.assert_views(names)
         self.assertTrue(all(membership.trusted for membership in self.net.by_name.values()))
 
+    @on_fast_loop
+    async def test_a_fleet_that_starts_together_serves_within_half_a_second(self):
+        # All routers lost power and are back at the same moment. None has a view to tell, so each waits
+        # for one in vain; for as long callers are told "not ready", by every router.
+        names = [f"r{number:03d}" for number in range(6)]
+        for name in names:
+            await self.net.add(name)
+        await asyncio.sleep(0.5)
+        self.assertEqual([name for name in names if not self.net.by_name[name].trusted], [])
+
     @on_fast_loop
     async def test_killed_router(self):
         # A steward is killed. Its peers see their connections end and new ones refused; within half a second
--- a/tests/test_platform_router.py
+++ b/tests/test_platform_router.py
@@ -127,7 +127,7 @@
 
 
 class ChangesTest(WorldCase):
-    SETTINGS = {"key_freshness_s": 1.5}
+    SETTINGS = {"key_revocation_ms": 1667}
 
     def test_a_new_configuration_is_in_force_soon(self):
         self.world.store.put("config", "main", configuration(9, keys=("new-key",)))
--- a/tests/utils/callers.py
+++ b/tests/utils/callers.py
@@ -110,6 +110,9 @@
         self.gate.set()
         self.plain = (200, {"Content-Type": "application/json", "X-Request-Id": "run"}, b'{"slot": 3}')
 
+    def close(self):
+        """Nothing is open."""
+
     def run(self, *, command, request, received, on_event, on_token):
         self.calls.append(request)
         if request.kind == "plain":
--- a/wagtailtrestle/callers/intake.py
+++ b/wagtailtrestle/callers/intake.py
@@ -30,7 +30,8 @@
 from wagtailtrestle.engines.own_call import EngineCall
 
 NO_PROMPT = PromptShape(tokens=0)
-RETRY_AFTER_S = 1.0
+ELSEWHERE_S = 0.1
+"""When to come back to a router that takes nothing: at once, as others do; enough not to spin."""
 
 
 class Intake:
@@ -215,7 +216,7 @@
         reason=reason,
         executed=Executed.NO,
         detail="This router takes no requests now; send it again and another one will.",
-        retry_after_s=RETRY_AFTER_S,
+        retry_after_s=ELSEWHERE_S,
     )
 
 
--- a/wagtailtrestle/callers/server.py
+++ b/wagtailtrestle/callers/server.py
@@ -110,6 +110,7 @@
         self._exchanges_by_id = {}
         self._in_work = 0
         self._draining = False
+        self._streams_over = False
         self._grace_over = False
         self._thread = None
         self._server = CallersWsgiServer(
@@ -139,25 +140,37 @@
         self._thread = threading.Thread(target=self._server.serve, name="callers", daemon=True)
         self._thread.start()
 
-    async def drain(self, *, grace_s: float):
+    async def drain(self, *, grace_s: float, plain_grace_s: float = 0.0):
         """Finish every request in work, and those still coming within the grace.
 
         The balancer learns late that this router leaves. For ``grace_s`` what it still
-        sends is served; after that it is refused as not run, and once nothing is in
+        sends is served, and calls of plain services for ``plain_grace_s``: callers who keep
+        a connection learn only by their next answer that it ends, and a short call is done long
+        before this router is. After that all is refused as not run, and once nothing is in
         work this returns.
         """
         self._draining = True
         await asyncio.sleep(grace_s)
+        self._streams_over = True
+        await self._idle_within(max(0.0, plain_grace_s - grace_s))
         self._grace_over = True
         while self._in_work:
             await asyncio.sleep(DRAIN_POLL_S)
 
+    async def _idle_within(self, seconds):
+        until = self._loop.time() + seconds
+        while self._in_work and self._loop.time() < until:
+            await asyncio.sleep(DRAIN_POLL_S)
+
     def close(self):
         """Stop listening; requests still in work are ended, at worst as not known to have run."""
         self._draining = True
         self._grace_over = True
         for exchange in list(self._exchanges_by_id.values()):
             exchange.post(AnswerRefusal(refusal=_stopping(exchange)))
+        # Threads read that only once their runs end. Left to read on, they would hold the process
+        # until it is killed, and callers would see a reset in place of an end.
+        self._engine_client.close()
         self._server.stop()
         if self._thread is not None:
             self._thread.join()
@@ -210,6 +223,10 @@
                 self._refuse_early(arrival, prepared)
             case ModelList(body=body):
                 response.send(status=200, content_type=JSON_TYPE, body=body)
+            case Prepared() if self._streams_over and prepared.call.is_streamed:
+                if prepared.charge is not None:
+                    prepared.charge.refund()
+                self._refuse_early(arrival, closed(Reason.DRAINING))
             case Prepared():
                 self._carry(arrival, prepared)
         return response
--- a/wagtailtrestle/declarations/settings.py
+++ b/wagtailtrestle/declarations/settings.py
@@ -21,6 +21,10 @@
 DEFAULT_VM_LIST_INTERVAL_S = 1.0
 DEFAULT_BALANCER_GRACE_S = 1.0
 """A balancer that probes every second or faster has noticed by then."""
+FRESHNESS_SHARE = 0.9
+"""Part of the bound on taken-away keys for which a proof counts: the rest is for the request's own way."""
+DRAIN_SHARE = 0.84
+"""Part of the time until it is killed that a process waits for requests in flight; ending takes 1.1 s."""
 OWN_ADAPTER = "own"
 PLATFORM_ADAPTER = "platform"
 ADAPTERS = (OWN_ADAPTER, PLATFORM_ADAPTER)
@@ -66,8 +70,10 @@
         Retries allowed for each recent success of a service, on this router.
     retry_extra : float
         Retries beyond that within ten seconds, over all routers.
-    key_freshness_s : float
-        How long a key may be used without proof that it still holds; 0 for no such limit.
+    key_revocation_ms : float
+        Time after which a key that was taken away may run nothing, wherever; 0 for no such bound.
+    stop_grace_s : float
+        Time from SIGTERM until the process is killed; 0 if ``drain_timeout_s`` alone decides.
     quota_window_s : float
         Time over which operators count what a team used; 0 if they tolerate no excess.
     quota_overage : float
@@ -82,6 +88,8 @@
         Time between two looks at an engine's load report, by the steward of its cell.
     balancer_grace_s : float
         How long a leaving router still serves what the balancer sends it.
+    plain_grace_s : float
+        How long it still serves calls of plain services; at least ``balancer_grace_s`` counts.
     engine_return_grace_s : float
         How long an engine that is missing from the list is kept after an outage of the store.
     """
@@ -105,7 +113,8 @@
         "metrics_address",
         "retry_share",
         "retry_extra",
-        "key_freshness_s",
+        "key_revocation_ms",
+        "stop_grace_s",
         "quota_window_s",
         "quota_overage",
         "quota_slack",
@@ -113,6 +122,7 @@
         "vm_list_interval_s",
         "report_interval_s",
         "balancer_grace_s",
+        "plain_grace_s",
         "engine_return_grace_s",
     )
 
@@ -137,7 +147,8 @@
         metrics_address=None,
         retry_share=DEFAULT_RETRY_SHARE,
         retry_extra=DEFAULT_RETRY_EXTRA,
-        key_freshness_s=0.0,
+        key_revocation_ms=0.0,
+        stop_grace_s=0.0,
         quota_window_s=0.0,
         quota_overage=0.0,
         quota_slack=0.0,
@@ -145,6 +156,7 @@
         vm_list_interval_s=DEFAULT_VM_LIST_INTERVAL_S,
         report_interval_s=DEFAULT_REPORT_INTERVAL_S,
         balancer_grace_s=DEFAULT_BALANCER_GRACE_S,
+        plain_grace_s=0.0,
         engine_return_grace_s=DEFAULT_ENGINE_RETURN_GRACE_S,
     ):
         self.name = name
@@ -165,7 +177,8 @@
         self.metrics_address = metrics_address
         self.retry_share = retry_share
         self.retry_extra = retry_extra
-        self.key_freshness_s = key_freshness_s
+        self.key_revocation_ms = key_revocation_ms
+        self.stop_grace_s = stop_grace_s
         self.quota_window_s = quota_window_s
         self.quota_overage = quota_overage
         self.quota_slack = quota_slack
@@ -173,8 +186,19 @@
         self.vm_list_interval_s = vm_list_interval_s
         self.report_interval_s = report_interval_s
         self.balancer_grace_s = balancer_grace_s
+        self.plain_grace_s = plain_grace_s
         self.engine_return_grace_s = engine_return_grace_s
 
+    @property
+    def key_freshness_s(self):
+        """How long a key may be used without proof that it still holds; 0 for no such limit."""
+        return FRESHNESS_SHARE * self.key_revocation_ms / 1000.0
+
+    @property
+    def longest_drain_s(self):
+        """Longest wait for requests in flight: the end of the process takes a second more."""
+        return DRAIN_SHARE * self.stop_grace_s if self.stop_grace_s else self.drain_timeout_s
+
 
 def load_router_settings(path):
     """Return the settings in the file at ``path``, or every fault in it.
@@ -260,7 +284,8 @@
         ),
         "retry_share": reader.value("retry_share", Number(least=0, most=10), default=DEFAULT_RETRY_SHARE),
         "retry_extra": reader.value("retry_extra", Number(least=0, most=1_000_000), default=DEFAULT_RETRY_EXTRA),
-        "key_freshness_s": reader.value("key_freshness_s", seconds, default=0.0),
+        "key_revocation_ms": reader.value("key_revocation_ms", Number(least=0, most=3_600_000), default=0.0),
+        "stop_grace_s": reader.value("stop_grace_s", seconds, default=0.0),
         "quota_window_s": reader.value("quota_window_s", seconds, default=0.0),
         "quota_overage": reader.value("quota_overage", Number(least=0, most=10), default=0.0),
         "quota_slack": reader.value("quota_slack", Number(least=0, most=1e12), default=0.0),
@@ -274,6 +299,7 @@
             "report_interval_s", Number(least=0.05, most=60), default=DEFAULT_REPORT_INTERVAL_S
         ),
         "balancer_grace_s": reader.value("balancer_grace_s", seconds, default=DEFAULT_BALANCER_GRACE_S),
+        "plain_grace_s": reader.value("plain_grace_s", seconds, default=0.0),
         "engine_return_grace_s": reader.value("engine_return_grace_s", seconds, default=DEFAULT_ENGINE_RETURN_GRACE_S),
     }
 
--- a/wagtailtrestle/declarations/settings_watch.py
+++ b/wagtailtrestle/declarations/settings_watch.py
@@ -13,9 +13,11 @@
 RELOADABLE = (
     "drain_timeout_s",
     "balancer_grace_s",
+    "plain_grace_s",
     "retry_share",
     "retry_extra",
-    "key_freshness_s",
+    "key_revocation_ms",
+    "stop_grace_s",
     "quota_window_s",
     "quota_overage",
     "quota_slack",
