--- /dev/null
+++ b/tests/test_begin_soon.py
@@ -0,0 +1,122 @@
+"""Requests that hope for a first token soon: who waits, who is refused, and when."""
+
+import unittest
+
+from tests.utils.steward_fakes import Cell, ask, finished
+from wagtailtrestle.capacity.admission import LEAST_QUICK_RETRY_S, GrantRate
+from wagtailtrestle.capacity.grants import START_SHARE
+from wagtailtrestle.contracts.messages import Granted, Refused
+from wagtailtrestle.contracts.outcomes import Reason
+
+HOPED_FOR_S = 1.0
+RUN_S = 1.1
+
+
+class Overload:
+    """One engine of two places, asked for many times what it can do."""
+
+    def __init__(self):
+        self.cell = Cell(slots=2)
+        self.cell.measure()
+        self.asked_at = {}
+        self.refused_at = {}
+        self._ends = {}
+        self._number = 0
+
+    def ask(self, *, tier=1):
+        self._number += 1
+        request_id = f"q{self._number}"
+        self.asked_at[request_id] = self.cell.clock.now
+        self.cell.receive(ask(request_id, tier=tier, first_token_within_s=HOPED_FOR_S, remaining_s=15.0))
+        self._note()
+        return request_id
+
+    def run(self, seconds, *, per_s, tier=1):
+        until = self.cell.clock.now + seconds
+        while self.cell.clock.now < until:
+            self.ask(tier=tier)
+            self.step(1.0 / per_s)
+
+    def step(self, seconds):
+        self.cell.advance(seconds)
+        for request_id, ends_at in list(self._ends.items()):
+            if ends_at <= self.cell.clock.now:
+                del self._ends[request_id]
+                self.cell.receive(finished(request_id, duration_s=RUN_S, output_tokens=100))
+        self._note()
+
+    def _note(self):
+        now = self.cell.clock.now
+        for message in self.cell.entries.sent:
+            if isinstance(message, Granted):
+                self._ends[message.request_id] = now + RUN_S
+            elif isinstance(message, Refused):
+                self.refused_at[message.request_id] = now
+                self.last_refusal = message
+        self.cell.entries.sent.clear()
+
+    def waited(self, request_id):
+        return self.refused_at[request_id] - self.asked_at[request_id]
+
+
+class BeginSoonTest(unittest.TestCase):
+    def test_who_could_not_begin_in_time_is_told_so_then(self):
+        # Both places are taken for longer than the caller hopes to wait for its first token. Held to
+        # its deadline it would get its answer late, in a place that another could have used in time.
+        cell = Cell(slots=2)
+        cell.receive(ask("a"), ask("b"), ask("c", first_token_within_s=HOPED_FOR_S, remaining_s=15.0))
+        cell.advance(START_SHARE * HOPED_FOR_S - 0.1)
+        self.assertEqual(cell.entries.ids(Refused), [])
+        cell.advance(0.3)
+        self.assertEqual(cell.entries.ids(Refused), ["c"])
+        self.assertEqual(cell.entries.of(Refused)[0].reason, Reason.OVERLOADED)
+
+    def test_under_overload_the_refusal_comes_at_once(self):
+        # Ten requests a second for a cell that begins two. Each refused one that waited first was
+        # kept from asking elsewhere for nothing.
+        overload = Overload()
+        overload.run(6.0, per_s=10)
+        late = [request_id for request_id, at in overload.asked_at.items() if at > overload.cell.clock.now - 3.0]
+        refused = [request_id for request_id in late if request_id in overload.refused_at]
+        at_once = [request_id for request_id in refused if overload.waited(request_id) < 0.01]
+        self.assertGreater(len(refused), 0.6 * len(late))
+        self.assertGreater(len(at_once), 0.6 * len(refused))
+        self.assertEqual(overload.last_refusal.reason, Reason.OVERLOADED)
+        self.assertGreaterEqual(overload.last_refusal.retry_after_s, LEAST_QUICK_RETRY_S)
+
+    def test_a_higher_tier_is_not_refused_for_what_waits_below(self):
+        overload = Overload()
+        overload.run(4.0, per_s=10, tier=2)
+        first = overload.ask(tier=0)
+        self.assertNotIn(first, overload.refused_at)
+        for _ in range(12):
+            overload.step(0.05)
+        self.assertNotIn(first, overload.refused_at)
+
+    def test_free_places_refuse_nobody(self):
+        overload = Overload()
+        overload.run(4.0, per_s=10)
+        overload.step(5.0)
+        self.assertNotIn(overload.ask(), overload.refused_at)
+
+
+class GrantRateTest(unittest.TestCase):
+    def test_it_is_not_believed_before_its_window(self):
+        now = [0.0]
+        rate = GrantRate(clock=lambda: now[0])
+        rate.note(1.0)
+        self.assertIsNone(rate.per_s())
+
+    def test_it_follows_what_is_granted(self):
+        now = [0.0]
+        rate = GrantRate(clock=lambda: now[0])
+        for _ in range(100):
+            now[0] += 0.1
+            rate.note(0.3)
+        self.assertAlmostEqual(rate.per_s(), 3.0, delta=0.3)
+        now[0] += 5.0
+        self.assertLess(rate.per_s(), 0.3)
+
+
+if __name__ == "__main__":
+    unittest.main()
