Callers' threads are made as they are needed

Cause: each router made its 256 caller threads at the start. Ruled out: fewer threads at most: a router under load holds over a hundred requests, each on a thread. Change: eight at the start, one more whenever a connection comes and under four are idle beyond the queue.

--- /dev/null
+++ b/tests/test_caller_threads.py
@@ -0,0 +1,67 @@
+"""The callers' worker threads: made as they are needed, and enough of them."""
+
+import threading
+import unittest
+
+from cheroot.server import HTTPServer
+
+from wagtailtrestle.callers.wsgi import FIRST_THREADS, CallerThreads
+
+MOST = 40
+TIMEOUT_S = 10.0
+
+
+class HeldConnection:
+    """A connection whose request is in work until released."""
+
+    def __init__(self, *, begun, release):
+        self._begun = begun
+        self._release = release
+
+    def communicate(self):
+        """Stand for reading and answering one request."""
+        self._begun.release()
+        self._release.wait(TIMEOUT_S)
+        return False
+
+    def close(self):
+        """Nothing is open."""
+
+
+class CallerThreadsTest(unittest.TestCase):
+    def setUp(self):
+        server = HTTPServer(("127.0.0.1", 0), gateway=None)
+        self.threads = server.requests = CallerThreads(server, min=FIRST_THREADS, max=MOST)
+        self.threads.start()
+        self.begun = threading.Semaphore(0)
+        self.release = threading.Event()
+        self.addCleanup(self.threads.stop, TIMEOUT_S)
+        self.addCleanup(self.release.set)
+
+    def put(self, count):
+        for _ in range(count):
+            self.threads.put(HeldConnection(begun=self.begun, release=self.release))
+
+    def count_begun(self, count, timeout_s):
+        return sum(self.begun.acquire(timeout=timeout_s) for _ in range(count))
+
+    def test_a_quiet_server_has_few_threads(self):
+        self.assertEqual(len(self.threads._threads), FIRST_THREADS)
+
+    def test_every_request_up_to_the_limit_is_in_work_at_once(self):
+        # Callers send more requests than the server has threads, all at one moment, and each is long.
+        # A request left in the queue would wait for another's whole answer.
+        self.put(MOST)
+        self.assertEqual(self.count_begun(MOST, TIMEOUT_S), MOST)
+
+    def test_there_are_never_more_than_the_limit(self):
+        self.put(MOST + 10)
+        self.assertEqual(self.count_begun(MOST, TIMEOUT_S), MOST)
+        self.assertEqual(self.count_begun(1, 0.2), 0)
+        self.assertEqual(len(self.threads._threads), MOST)
+        self.release.set()
+        self.assertEqual(self.count_begun(10, TIMEOUT_S), 10)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wagtailtrestle/callers/wsgi.py
+++ b/wagtailtrestle/callers/wsgi.py
@@ -23,6 +23,10 @@
 KEEPALIVE_PROBES = 3
 WRITE_TIMEOUT_MS = 20_000
 STOP_TIMEOUT_S = 5.0
+FIRST_THREADS = 8
+"""Threads made at the start: what a quiet router uses at once."""
+SPARE_THREADS = 4
+"""Idle threads kept beyond the connections that wait for one; the moment they cover takes microseconds."""
 DISCARD_S = 0.5
 DISCARD_PIECE_BYTES = 262_144
 FULL_RETRY_AFTER_S = 1.0
@@ -123,7 +127,20 @@
 
 
 class CallerThreads(ThreadPool):
-    """The worker threads, which never keep the process from ending."""
+    """The worker threads, made as they are needed, which never keep the process from ending.
+
+    Made all at the start, 256 threads cost each router its first moments and their stacks, and
+    a few dozen routers side by side used up the machine's threads, though a router mostly uses
+    under thirty.
+    """
+
+    def put(self, obj):
+        """Queue a connection, with a thread to take it; called by the one thread that accepts."""
+        # A thread counts as idle for a moment after it took a connection off the queue. The spare
+        # ones make up for that, so that no request waits for another's answer to end.
+        if self.idle < self._queue.qsize() + SPARE_THREADS and len(self._threads) < self.max:
+            self._threads.append(self._spawn_worker())
+        super().put(obj)
 
     def _spawn_worker(self):
         worker = http_server.threadpool.WorkerThread(self.server)
@@ -170,7 +187,7 @@
     ):
         super().__init__(address, application, numthreads=threads, server_name="wagtailtrestle")
         self.gateway = CallersGateway
-        self.requests = CallerThreads(self, min=threads, max=threads)
+        self.requests = CallerThreads(self, min=min(FIRST_THREADS, threads), max=threads)
         self.request_queue_size = BACKLOG
         self.timeout = IDLE_TIMEOUT_S
         self.shutdown_timeout = STOP_TIMEOUT_S
