Engines' entries are told among routers; few routers ask the store

Ruled out: longer watches (a silent connection would be found too late for an engine that leaves); the store's lagging copy (an engine's leaving may show seconds late); pushing without questions (a follower cannot tell silence from nothing new). Change: two routers, and one more for each 24, read the store; the others ask one of them and are answered when something changes, with the age of the store's own word behind it. An answer older than 1.1 s, the way counted, or none within 0.6 s, sends the router to the store at once: an engine's leaving is known within 1.8 s whatever happens to the readers. The list's bookkeeping takes the same news from both sources. Tests fail with the age counted anew at each hop.

--- /dev/null
+++ b/tests/test_engine_relay.py
@@ -0,0 +1,233 @@
+"""Engines' entries told among routers: few ask the store, and nobody believes a stale list."""
+
+import asyncio
+import unittest
+
+from tests.utils.memory_store import MemoryStore
+from tests.utils.paused_clock import on_paused_clock
+from wagtailtrestle.configuration.engine_list import EngineList
+from wagtailtrestle.configuration.engine_relay import LEAST_READERS, READ_WATCH_S, EngineRelay
+from wagtailtrestle.contracts.outcomes import StoreDone
+from wagtailtrestle.contracts.peer_messages import PeerUnreachable
+from wagtailtrestle.platform.declarations import read_engine
+from wagtailtrestle.standins.object_table import ObjectTable
+
+KIND = "engines"
+NAMES = tuple(f"router-{number}" for number in range(6))
+KNOWN_WITHIN_S = 1.9
+"""Under the two seconds in which engines that leave may still get work."""
+WAY_S = 0.001
+
+
+def entry(state="ready", **changes):
+    return {"service": "assistant", "address": "10.0.0.1:80", "zone": "a", "slots": 4, "state": state} | changes
+
+
+class Network:
+    """Carries questions between routers in memory."""
+
+    def __init__(self):
+        self.handlers_by_router = {}
+        self.way_s = WAY_S
+        self.silent = set()
+
+    def peers_of(self, name):
+        return Peer(network=self, name=name)
+
+
+class Peer:
+    """One router's end of the network."""
+
+    def __init__(self, *, network, name):
+        self._network = network
+        self._name = name
+
+    def on(self, message_type, handler):
+        self._network.handlers_by_router[self._name] = handler
+
+    async def ask(self, peer, message, timeout_s):
+        try:
+            async with asyncio.timeout(timeout_s):
+                await asyncio.sleep(self._network.way_s)
+                if peer in self._network.silent:
+                    await asyncio.sleep(timeout_s)
+                answer = await self._network.handlers_by_router[peer](self._name, message, "")
+                await asyncio.sleep(self._network.way_s)
+                return answer
+        except TimeoutError:
+            return PeerUnreachable(peer=peer, detail="no answer")
+
+
+class Fleet:
+    """Routers that follow one store, each by its own connection to it."""
+
+    def __init__(self, *, members=None):
+        self.network = Network()
+        self.table = ObjectTable()
+        self.members_by_router = members or dict.fromkeys(NAMES, NAMES)
+        self.store_by_router = {name: MemoryStore(table=self.table) for name in self.members_by_router}
+        self.operator = MemoryStore(table=self.table)
+        self.relay_by_router = {}
+        self.list_by_router = {name: self._list_of(name) for name in self.members_by_router}
+
+    def _list_of(self, name):
+        clock = asyncio.get_running_loop().time
+        self.relay_by_router[name] = EngineRelay(
+            name=name,
+            peers=self.network.peers_of(name),
+            members=lambda: self.members_by_router[name],
+            clock=clock,
+        )
+        return EngineList(
+            store=self.store_by_router[name],
+            kind=KIND,
+            read_entry=read_engine,
+            on_change=lambda by_name: None,
+            clock=clock,
+            relay=self.relay_by_router[name],
+        )
+
+    async def start(self):
+        await self.operator.create(kind=KIND, name="i-1", value=entry())
+        await self.operator.create(kind=KIND, name="i-2", value=entry(address="10.0.0.2:80"))
+        for engines in self.list_by_router.values():
+            engines.start()
+        await asyncio.sleep(3.0)
+
+    async def close(self):
+        for engines in self.list_by_router.values():
+            await engines.close()
+
+    async def leave(self, name):
+        found = await self.operator.get(kind=KIND, name=name)
+        assert isinstance(found, StoreDone)
+        await self.operator.update(kind=KIND, name=name, value=entry("draining"), if_version=found.version)
+
+    def readers(self):
+        return {name for name, relay in self.relay_by_router.items() if relay.dump()["reader"] is None}
+
+    def calls(self):
+        return {name: store.calls["reads"] + store.calls["watches"] for name, store in self.store_by_router.items()}
+
+    def know_leaving(self, name):
+        return {router for router, engines in self.list_by_router.items() if engines.by_name[name].leaving}
+
+
+class EngineRelayTest(unittest.TestCase):
+    async def started(self, **options):
+        fleet = Fleet(**options)
+        await fleet.start()
+        return fleet
+
+    @on_paused_clock
+    async def test_only_the_readers_ask_the_store(self):
+        fleet = await self.started()
+        before = fleet.calls()
+        await asyncio.sleep(20.0)
+        asking = {name for name, calls in fleet.calls().items() if calls > before[name]}
+        self.assertEqual(len(fleet.readers()), LEAST_READERS)
+        self.assertEqual(asking, fleet.readers())
+        await fleet.close()
+
+    @on_paused_clock
+    async def test_all_hear_at_once_of_an_engine_that_leaves(self):
+        fleet = await self.started()
+        await fleet.leave("i-1")
+        await asyncio.sleep(0.02)
+        self.assertEqual(fleet.know_leaving("i-1"), set(NAMES))
+        self.assertEqual(fleet.know_leaving("i-2"), set())
+        await fleet.close()
+
+    @on_paused_clock
+    async def test_an_engine_that_is_gone_is_told_too(self):
+        fleet = await self.started()
+        found = await fleet.operator.get(kind=KIND, name="i-1")
+        await fleet.operator.delete(kind=KIND, name="i-1", if_version=found.version)
+        await asyncio.sleep(0.02)
+        for engines in fleet.list_by_router.values():
+            self.assertEqual(set(engines.by_name), {"i-2"})
+        await fleet.close()
+
+    @on_paused_clock
+    async def test_readers_cut_off_from_the_store_are_not_believed(self):
+        # Both readers lose the store, and hear nothing of an engine that leaves. The other routers
+        # ask them and get answers; going by these they would send requests to the engine for ever.
+        fleet = await self.started()
+        for name in fleet.readers():
+            fleet.store_by_router[name].down = True
+        await asyncio.sleep(READ_WATCH_S)
+        await fleet.leave("i-1")
+        await asyncio.sleep(KNOWN_WITHIN_S)
+        self.assertEqual(fleet.know_leaving("i-1"), set(NAMES) - fleet.readers())
+        await fleet.close()
+
+    @on_paused_clock
+    async def test_readers_whose_watch_is_silent_are_not_believed(self):
+        # The readers' connections to the store go silent, so that an engine's leaving reaches none of
+        # them; the others have sound connections and must not wait until the readers notice.
+        fleet = await self.started()
+        for name in fleet.readers():
+            fleet.store_by_router[name].silent_watch = True
+        await asyncio.sleep(READ_WATCH_S)
+        await fleet.leave("i-1")
+        await asyncio.sleep(KNOWN_WITHIN_S)
+        self.assertLessEqual(set(NAMES) - fleet.readers(), fleet.know_leaving("i-1"))
+        await fleet.close()
+
+    @on_paused_clock
+    async def test_silent_readers_are_replaced_by_the_store(self):
+        # The readers freeze with the question in hand; an engine leaves meanwhile.
+        fleet = await self.started()
+        fleet.network.silent = fleet.readers()
+        await fleet.leave("i-1")
+        await asyncio.sleep(KNOWN_WITHIN_S)
+        self.assertEqual(fleet.know_leaving("i-1"), set(NAMES))
+        await fleet.close()
+
+    @on_paused_clock
+    async def test_two_routers_that_ask_each_other_do_not_believe_for_ever(self):
+        # Two views differ, and each router takes the other for the reader. If the answer's age began
+        # anew at each hop, neither would ever ask the store again.
+        members = {"a": ("b", "c"), "b": ("a", "c"), "c": ("a", "b")}
+        fleet = await self.started(members=members)
+        self.assertEqual(fleet.readers(), set())
+        await fleet.leave("i-1")
+        await asyncio.sleep(KNOWN_WITHIN_S)
+        self.assertEqual(fleet.know_leaving("i-1"), {"a", "b", "c"})
+        await fleet.close()
+
+    @on_paused_clock
+    async def test_the_way_of_an_answer_counts_as_age(self):
+        # Answers of a reader are held up on a link for most of their time; what they tell may be old.
+        fleet = await self.started()
+        fleet.network.way_s = 0.29
+        for name in fleet.readers():
+            fleet.store_by_router[name].silent_watch = True
+        await asyncio.sleep(0.5)
+        await fleet.leave("i-1")
+        await asyncio.sleep(KNOWN_WITHIN_S)
+        self.assertLessEqual(set(NAMES) - fleet.readers(), fleet.know_leaving("i-1"))
+        await fleet.close()
+
+    @on_paused_clock
+    async def test_a_reader_that_knows_less_history_tells_the_whole(self):
+        # A router asks with a version from before its reader started.
+        fleet = await self.started()
+        reader = sorted(fleet.readers())[0]
+        other = sorted(set(NAMES) - fleet.readers())[0]
+        fresh = EngineRelay(
+            name=reader,
+            peers=fleet.network.peers_of(reader),
+            members=lambda: NAMES,
+            clock=asyncio.get_running_loop().time,
+        )
+        fresh.confirm(version=50, age_s=0.0, changed={"i-9": entry(address="10.0.0.9:80")})
+        fleet.members_by_router[other] = (reader,)
+        news = await fleet.relay_by_router[other].ask(3)
+        self.assertTrue(news.is_whole)
+        self.assertEqual(set(news.value_by_name), {"i-9"})
+        await fleet.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wagtailtrestle/configuration/engine_list.py
+++ b/wagtailtrestle/configuration/engine_list.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from wagtailtrestle.configuration.engine_relay import READ_WATCH_S, EngineNews
 from wagtailtrestle.contracts.outcomes import StoreDone
 
 WATCH_S = 2.0
@@ -40,6 +41,8 @@
         The loop's time, seconds.
     return_grace_s : float
     jitter : random.Random, optional
+    relay : EngineRelay, optional
+        Asked before the store, where routers tell each other of engines.
 
     Attributes
     ----------
@@ -58,7 +61,9 @@
         clock,
         return_grace_s=DEFAULT_RETURN_GRACE_S,
         jitter=None,
+        relay=None,
     ):
+        self._relay = relay
         self.by_name = {}
         self.is_known = False
         self._store = store
@@ -95,6 +100,7 @@
             "listed_age_s": None if self._listed_at is None else round(now - self._listed_at, 3),
             "answered_age_s": None if self._answered_at is None else round(now - self._answered_at, 3),
             "keeps_missing_entries": self._kept_until is not None,
+            "relay": None if self._relay is None else self._relay.dump(),
         }
 
     async def _follow(self):
@@ -107,22 +113,42 @@
                 retry_s = min(MOST_RETRY_S, 2 * retry_s)
 
     async def _step(self):
-        """List or watch once; whether the store answered."""
+        """Take one answer of a router or of the store; whether there was one."""
+        news = await self._ask_relay()
+        if news is None:
+            news = await self._ask_store()
+        if news is None:
+            return False
+        self._note_answer()
+        self._take(news)
+        return True
+
+    async def _ask_relay(self):
+        """What a router that reads the store tells; ``None`` where this one has to ask the store."""
+        if self._relay is None or not self.is_known or self._kept_until is not None:
+            return None
+        news = await self._relay.ask(self._version)
+        if news is not None:
+            # Should the routers fall silent, the store is read whole at once.
+            self._listed_at = None
+        return news
+
+    async def _ask_store(self):
+        """List or watch once; ``None`` if the store didn't answer."""
         if self._is_list_due():
             outcome = await self._store.list(kind=self._kind)
             if not isinstance(outcome, StoreDone):
-                return False
-            self._note_answer()
-            self._take_list(outcome)
-            return True
+                return None
+            self._listed_at = self._clock()
+            value_by_name = {name: value for name, (_, value) in outcome.value.items()}
+            return EngineNews(version=outcome.version, value_by_name=value_by_name, is_whole=True)
         outcome = await self._store.watch(kind=self._kind, from_version=self._version, timeout_s=self._watch_s())
         if not isinstance(outcome, StoreDone):
             # Silence, a refusal or a lost history: only a whole read tells what was missed.
             self._listed_at = None
-            return False
-        self._note_answer()
-        self._take_changes(outcome)
-        return True
+            return None
+        value_by_name = {name: value for name, _, value in outcome.value}
+        return EngineNews(version=outcome.version, value_by_name=value_by_name, is_whole=False)
 
     def _is_list_due(self):
         now = self._clock()
@@ -131,9 +157,10 @@
         return self._kept_until is not None and now >= self._kept_until
 
     def _watch_s(self):
+        longest_s = WATCH_S if self._relay is None else READ_WATCH_S
         if self._kept_until is None:
-            return WATCH_S
-        return max(0.05, min(WATCH_S, self._kept_until - self._clock()))
+            return longest_s
+        return max(0.05, min(longest_s, self._kept_until - self._clock()))
 
     def _note_answer(self):
         now = self._clock()
@@ -142,36 +169,45 @@
             self._kept_until = now + self._return_grace_s
         self._answered_at = now
 
-    def _take_list(self, outcome):
-        now = self._clock()
-        self._listed_at = now
-        self._version = outcome.version
-        by_name = {}
-        for name, (_, value) in outcome.value.items():
-            engine = self._read_entry(name, value)
-            if engine is not None:
-                by_name[name] = engine
-        if self._kept_until is not None and now < self._kept_until:
-            by_name = {**self.by_name, **by_name}
-        else:
-            self._kept_until = None
+    def _take(self, news):
+        if news.is_whole and news.version < self._version:
+            return  # An older whole than what is known here.
+        self._version = max(self._version, news.version)
+        gone = {name for name, value in news.value_by_name.items() if value is None}
+        read = {name: self._read_entry(name, value) for name, value in news.value_by_name.items() if value is not None}
+        listed = {name: engine for name, engine in read.items() if engine is not None}
+        by_name = self._from_whole(listed) if news.is_whole else self._from_changes(listed, gone)
         self.is_known = True
-        self._put(by_name)
-
-    def _take_changes(self, outcome):
-        self._version = max(self._version, outcome.version)
-        by_name = dict(self.by_name)
-        for name, _, value in outcome.value:
-            engine = None if value is None else self._read_entry(name, value)
-            if engine is not None:
-                by_name[name] = engine
-            elif value is None and self._kept_until is None:
-                by_name.pop(name, None)
-        self._put(by_name)
+        self._put(by_name, news)
+
+    def _from_whole(self, listed):
+        """The engines after a whole list; those that lapsed in an outage are kept for a while."""
+        if self._kept_until is not None and self._clock() < self._kept_until:
+            return {**self.by_name, **listed}
+        self._kept_until = None
+        return listed
 
-    def _put(self, by_name):
-        if _facts(by_name) == _facts(self.by_name):
+    def _from_changes(self, listed, gone):
+        """The engines after a few changes; an entry that can't be read leaves what was known."""
+        by_name = {**self.by_name, **listed}
+        if self._kept_until is None:
+            for name in gone:
+                by_name.pop(name, None)
+        return by_name
+
+    def _put(self, by_name, news):
+        known, facts = _facts(self.by_name), _facts(by_name)
+        changed = {name for name in known.keys() | facts.keys() if known.get(name) != facts.get(name)}
+        if self._relay is not None:
+            values = {name: news.value_by_name[name] if name in by_name else None for name in changed}
+            self._relay.confirm(version=self._version, age_s=news.age_s, changed=values)
+        if not changed:
             return
+        self._log_changes(by_name)
+        self.by_name = by_name
+        self._on_change(by_name)
+
+    def _log_changes(self, by_name):
         for name in sorted(set(self.by_name) - set(by_name)):
             logger.info("engine {} is gone from the list", name)
         for name, engine in sorted(by_name.items()):
@@ -179,8 +215,6 @@
             if known is None or known.leaving != engine.leaving:
                 state = "leaving" if engine.leaving else "ready"
                 logger.info("engine {} of {} at {} is {}", name, engine.service, engine.address, state)
-        self.by_name = by_name
-        self._on_change(by_name)
 
 
 def _facts(by_name):
--- /dev/null
+++ b/wagtailtrestle/configuration/engine_relay.py
@@ -0,0 +1,224 @@
+"""Engines' entries told among routers, so that few of them ask the store.
+
+Every router that watches the store by itself costs it a call a second or two, whatever changes:
+at 72 routers these calls are the dearest thing the fleet does. Here a few routers, chosen from
+the view, read the store; the others ask one of those and are answered when something changes. A
+router believes an answer only while the store itself was heard lately behind it, and reads the
+store at the first doubt. So a wrong choice, or two views that differ, cost calls and nothing else.
+"""
+
+import asyncio
+import json
+import math
+from collections import deque
+
+from loguru import logger
+
+from wagtailtrestle.configuration.boot_clock import boot_time_s
+from wagtailtrestle.contracts.peer_messages import EngineEntry, EnginesAnswer, EnginesAsk
+from wagtailtrestle.peers.rendezvous import Rendezvous
+
+READ_WATCH_S = 0.7
+"""Longest watch of a router that reads for others: each answer, also an empty one, proves its list anew."""
+WAIT_S = 0.4
+"""How long a question waits for a change; shorter costs messages, longer finds a frozen reader later."""
+ANSWER_WITHIN_S = 0.2
+"""Beyond the wait: a hundred times the way between two zones."""
+MOST_AGE_S = 1.1
+"""Oldest proof believed: a watch, and a slow reader's delays. Together with one question that gets no
+answer and a read of the store, an engine's leaving is known 1.8 s after the store accepted it."""
+PAUSE_S = 2.0
+"""How long a router reads the store by itself after a reader failed it; the view has changed by then."""
+ROUTERS_A_READER = 24
+"""At 2.5 questions a second each, some 60 a second for one reader: about a hundredth of a core."""
+LEAST_READERS = 2
+MOST_HISTORY = 512
+"""Changes kept for those who ask: minutes of them, while a question comes each half second."""
+MOST_ASKED_WAIT_S = 5.0
+READERS_KEY = "engine-readers"
+
+
+class EngineNews:
+    """What the engines' entries are, or how they changed.
+
+    Parameters
+    ----------
+    version : int
+        The store's version up to which this tells everything.
+    value_by_name : dict of str to object
+        What the store holds for each engine; ``None`` for an entry that is gone.
+    is_whole : bool
+        Whether these are all entries instead of those that changed.
+    age_s : float
+        Time since the store itself showed this.
+    """
+
+    __slots__ = ("version", "value_by_name", "is_whole", "age_s")
+
+    def __init__(self, *, version, value_by_name, is_whole, age_s=0.0):
+        self.age_s = age_s
+        self.version = version
+        self.value_by_name = value_by_name
+        self.is_whole = is_whole
+
+
+class EngineRelay:
+    """One router's part in telling engines' entries: asks a reader, and answers who asks.
+
+    Parameters
+    ----------
+    name : str
+        This router.
+    peers : Peers
+    members : callable
+        ``members()`` gives the names of the routers that live and stay, as a sorted tuple.
+    clock : callable
+        Seconds, pauses of the VM included.
+    """
+
+    def __init__(self, *, name, peers, members, clock=boot_time_s):
+        self._name = name
+        self._peers = peers
+        self._members = members
+        self._clock = clock
+        self._readers_ranking = Rendezvous()
+        self._own_ranking = Rendezvous()
+        self._paused_until = -math.inf
+        self._version = 0
+        self._proved_at = None
+        self._text_by_name = {}
+        self._history = deque()
+        self._history_from = 0
+        self._changed = asyncio.Event()
+        self.asked_total = 0
+        self.failed_total = 0
+        peers.on(EnginesAsk, lambda peer, ask, cell: self._answer(ask))
+
+    def dump(self):
+        """Return the state as a plain dict."""
+        return {
+            "reader": self._reader(),
+            "version": self._version,
+            "proof_age_s": None if self._proved_at is None else round(self._clock() - self._proved_at, 3),
+            "asked_total": self.asked_total,
+            "failed_total": self.failed_total,
+        }
+
+    # What others told.
+
+    async def ask(self, version):
+        """Ask a reader what changed after ``version``.
+
+        Returns
+        -------
+        EngineNews or None
+            ``None`` if this router should read the store itself.
+        """
+        reader = self._reader()
+        if reader is None or self._clock() < self._paused_until:
+            return None
+        self.asked_total += 1
+        asked_at = self._clock()
+        answer = await self._peers.ask(reader, EnginesAsk(version=version, wait_s=WAIT_S), WAIT_S + ANSWER_WITHIN_S)
+        # All of the way counts as age: an answer held up on a link looks as fresh as when it left.
+        way_s = max(0.0, self._clock() - asked_at - getattr(answer, "waited_s", 0.0))
+        problem = _problem(answer, way_s)
+        if problem is not None:
+            # The reader may be cut off from the store, frozen or gone. Asked again it may fail again,
+            # while an engine that leaves goes on getting work; the store tells at once.
+            logger.bind(reader=reader, problem=problem).info("engines are read from the store, not from a router")
+            self.failed_total += 1
+            self._paused_until = self._clock() + PAUSE_S
+            return None
+        return EngineNews(
+            version=answer.version,
+            value_by_name={entry.name: json.loads(entry.value) if entry.value else None for entry in answer.entries},
+            is_whole=answer.is_whole,
+            age_s=answer.age_s + way_s,
+        )
+
+    def _reader(self):
+        """The router to ask, or ``None`` if this one reads for others or is alone."""
+        members = self._members()
+        count = max(LEAST_READERS, math.ceil(len(members) / ROUTERS_A_READER))
+        readers = self._readers_ranking.ranked(key=READERS_KEY, members=members)[:count]
+        if not readers or self._name in readers:
+            return None
+        return self._own_ranking.choose(key=self._name, members=tuple(sorted(readers)))
+
+    # What this router tells.
+
+    def confirm(self, *, version, age_s, changed):
+        """Note what the store, or a reader, told.
+
+        Parameters
+        ----------
+        version : int
+            The store's version up to which everything is known here.
+        age_s : float
+            Time since the store itself showed it. Were it counted anew at each router, two that ask
+            each other would believe for ever what neither hears from the store.
+        changed : dict of str to object
+            The entries that changed since the last call, ``None`` for one that is gone.
+        """
+        if self._proved_at is None:
+            self._history_from = version
+            self._proved_at = -math.inf
+        self._proved_at = max(self._proved_at, self._clock() - age_s)
+        self._version = max(self._version, version)
+        for name, value in changed.items():
+            self._note_change(name, value)
+        if changed:
+            self._changed.set()
+            self._changed = asyncio.Event()
+
+    def _note_change(self, name, value):
+        text = "" if value is None else json.dumps(value)
+        if text:
+            self._text_by_name[name] = text
+        else:
+            self._text_by_name.pop(name, None)
+        self._history.append((self._version, EngineEntry(name=name, value=text)))
+        while len(self._history) > MOST_HISTORY:
+            self._history_from, _ = self._history.popleft()
+
+    async def _answer(self, ask):
+        asked_at = self._clock()
+        if self._proved_at is None:
+            return EnginesAnswer(version=0, age_s=-1.0, waited_s=0.0, is_whole=False, entries=())
+        if not self._entries_after(ask.version):
+            await self._wait_for_change(min(ask.wait_s, MOST_ASKED_WAIT_S))
+        is_whole = ask.version < self._history_from
+        return EnginesAnswer(
+            version=self._version,
+            age_s=self._clock() - self._proved_at,
+            waited_s=self._clock() - asked_at,
+            is_whole=is_whole,
+            entries=tuple(self._all_entries() if is_whole else self._entries_after(ask.version)),
+        )
+
+    async def _wait_for_change(self, wait_s):
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _all_entries(self):
+        return [EngineEntry(name=name, value=text) for name, text in sorted(self._text_by_name.items())]
+
+    def _entries_after(self, version):
+        if version < self._history_from:
+            return self._all_entries()
+        return [entry for changed_at, entry in self._history if changed_at > version]
+
+
+def _problem(answer, way_s):
+    """Why an answer can't be believed, or ``None``."""
+    if not isinstance(answer, EnginesAnswer):
+        return getattr(answer, "detail", "no answer")
+    if answer.age_s < 0.0:
+        return "it has no list yet"
+    if answer.age_s + way_s > MOST_AGE_S:
+        return f"its list was proved {answer.age_s + way_s:.1f} s ago"
+    return None
--- a/wagtailtrestle/contracts/peer_messages.py
+++ b/wagtailtrestle/contracts/peer_messages.py
@@ -132,6 +132,61 @@
     """Asks a peer how lately the platform confirmed the configuration that it has in force."""
 
 
+@dataclass(slots=True, frozen=True, kw_only=True)
+class EnginesAsk:
+    """Asks a peer how engines' entries changed after ``version``.
+
+    Parameters
+    ----------
+    version : int
+        The store's version that the asker knows; 0 for the whole list.
+    wait_s : float
+        How long the peer may wait for a change.
+    """
+
+    version: int
+    wait_s: float
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class EngineEntry:
+    """One engine's entry.
+
+    Parameters
+    ----------
+    name : str
+    value : str
+        What the store holds, as JSON; empty for an entry that is gone.
+    """
+
+    name: str
+    value: str
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class EnginesAnswer:
+    """Answers :class:`EnginesAsk`.
+
+    Parameters
+    ----------
+    version : int
+        The store's version up to which ``entries`` tells everything.
+    age_s : float
+        Time since the store itself showed that this is so; negative if it never did.
+    waited_s : float
+        How long the question waited at the peer; what else its answer took is the way.
+    is_whole : bool
+        Whether ``entries`` is the whole list instead of what changed.
+    entries : tuple of EngineEntry
+    """
+
+    version: int
+    age_s: float
+    waited_s: float
+    is_whole: bool
+    entries: tuple
+
+
 @dataclass(slots=True, frozen=True, kw_only=True)
 class Confirmation:
     """Answers :class:`ConfirmationAsk`.
--- a/wagtailtrestle/peers/codec.py
+++ b/wagtailtrestle/peers/codec.py
@@ -30,6 +30,8 @@
     peer_messages.ConfigurationText: ("configuration_text", pb.ConfigurationText),
     peer_messages.ConfirmationAsk: ("confirmation_ask", pb.ConfirmationAsk),
     peer_messages.Confirmation: ("confirmation", pb.Confirmation),
+    peer_messages.EnginesAsk: ("engines_ask", pb.EnginesAsk),
+    peer_messages.EnginesAnswer: ("engines_answer", pb.EnginesAnswer),
     messages.GrantRequest: ("grant_request", pb.GrantRequest),
     messages.Withdraw: ("withdraw", pb.Withdraw),
     messages.RunStarted: ("run_started", pb.RunStarted),
@@ -52,7 +54,7 @@
 }
 
 # Types that appear only inside others.
-PARTS = {messages.RunningRecord: pb.RunningRecord}
+PARTS = {messages.RunningRecord: pb.RunningRecord, peer_messages.EngineEntry: pb.EngineEntry}
 
 # What an enumeration's unknown value from a newer peer is read as. A refusal for a reason this router
 # doesn't know is still a refusal: dropping it would leave its request waiting for ever.
--- a/wagtailtrestle/peers/delays.py
+++ b/wagtailtrestle/peers/delays.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from wagtailtrestle.contracts.messages import Granted, RunFinished, RunProgress, RunStarted
-from wagtailtrestle.contracts.peer_messages import Heartbeat, Pong
+from wagtailtrestle.contracts.peer_messages import EnginesAnswer, EnginesAsk, Heartbeat, Pong
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
@@ -47,6 +47,9 @@
     RunFinished: Delay(patience_s=2.0),
     # Partners watch each other's heartbeats, and replace a connection on which they stop.
     Heartbeat: Delay(patience_s=None),
+    # The asker gives the question up by itself, and soon.
+    EnginesAsk: Delay(patience_s=None),
+    EnginesAnswer: Delay(patience_s=None),
     # Were a sign of life to ask for one, both ends would go on for ever.
     Pong: Delay(patience_s=None),
 }
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -14,6 +14,7 @@
 from wagtailtrestle.capacity.steward_set import StewardSet
 from wagtailtrestle.configuration.configuration import Configuration, InForce
 from wagtailtrestle.configuration.engine_list import EngineList
+from wagtailtrestle.configuration.engine_relay import EngineRelay
 from wagtailtrestle.configuration.peer_configuration import PeerConfiguration
 from wagtailtrestle.contracts.declaration import LANGUAGE
 from wagtailtrestle.contracts.ledger_messages import ClaimAsk, NonceAsk, SettleAsk
@@ -131,6 +132,7 @@
                 on_change=self._take_engines,
                 clock=self._loop.time,
                 return_grace_s=self._settings.engine_return_grace_s,
+                relay=self._make_engine_relay(),
             )
         self._vm_list = VMList(
             store=self._store, on_change=self._take_vms, interval_s=self._settings.vm_list_interval_s
@@ -138,6 +140,12 @@
         self._membership.on_generation(lambda peer, generation: self._configuration.heard(generation))
         self._membership.on_view_change(self._end_questions)
 
+    def _make_engine_relay(self):
+        # Where reads may lag, a reader's list proves nothing about what the store holds now.
+        if not self._adapter.shares_confirmations:
+            return None
+        return EngineRelay(name=self._settings.name, peers=self._peers, members=lambda: self._membership.view.members)
+
     def _make_decisions(self):
         name = self._settings.name
         self._directory = Directory(
