A reader that fails is replaced by another reader before the store is asked

Change: a reader that is silent or has an old proof is left out for two seconds and another one asked, to answer at once; a router that the store fails asks the others too. A reader with an old proof answers at once.

--- a/tests/test_engine_relay.py
+++ b/tests/test_engine_relay.py
@@ -104,7 +104,7 @@
         await self.operator.update(kind=KIND, name=name, value=entry("draining"), if_version=found.version)
 
     def readers(self):
-        return {name for name, relay in self.relay_by_router.items() if relay.dump()["reader"] is None}
+        return {name for name, relay in self.relay_by_router.items() if relay.dump()["reads_store"]}
 
     def calls(self):
         return {name: store.calls["reads"] + store.calls["watches"] for name, store in self.store_by_router.items()}
@@ -184,6 +184,24 @@
         self.assertEqual(fleet.know_leaving("i-1"), set(NAMES))
         await fleet.close()
 
+    @on_paused_clock
+    async def test_a_reader_turned_away_by_the_store_asks_the_other(self):
+        # The store turns one reader away and serves everybody else. It goes on asking in vain, and
+        # sends requests to an engine that leaves, though the other reader knows better. The routers
+        # that asked it turn to the other reader, and the store gets no call for each of them.
+        fleet = await self.started()
+        turned_away, sound = sorted(fleet.readers())
+        fleet.store_by_router[turned_away].down = True
+        await asyncio.sleep(READ_WATCH_S)
+        before = fleet.calls()
+        await fleet.leave("i-1")
+        await asyncio.sleep(KNOWN_WITHIN_S)
+        self.assertEqual(fleet.know_leaving("i-1"), set(NAMES))
+        await asyncio.sleep(10.0)
+        asking = {name for name, calls in fleet.calls().items() if calls > before[name]}
+        self.assertEqual(asking - {turned_away}, {sound})
+        await fleet.close()
+
     @on_paused_clock
     async def test_two_routers_that_ask_each_other_do_not_believe_for_ever(self):
         # Two views differ, and each router takes the other for the reader. If the answer's age began
--- a/wagtailtrestle/configuration/engine_list.py
+++ b/wagtailtrestle/configuration/engine_list.py
@@ -118,6 +118,8 @@
         if news is None:
             news = await self._ask_store()
         if news is None:
+            if self._relay is not None:
+                self._relay.store_failed()
             return False
         self._note_answer()
         self._take(news)
--- a/wagtailtrestle/configuration/engine_relay.py
+++ b/wagtailtrestle/configuration/engine_relay.py
@@ -24,11 +24,13 @@
 """How long a question waits for a change; shorter costs messages, longer finds a frozen reader later."""
 ANSWER_WITHIN_S = 0.2
 """Beyond the wait: a hundred times the way between two zones."""
-MOST_AGE_S = 1.1
-"""Oldest proof believed: a watch, and a slow reader's delays. Together with one question that gets no
-answer and a read of the store, an engine's leaving is known 1.8 s after the store accepted it."""
+MOST_AGE_S = 1.0
+"""Oldest proof believed: a watch, and a slow reader's delays. Together with a question that gets no
+answer, a second one and a read of the store, an engine's leaving is known 1.9 s after the store accepted it."""
 PAUSE_S = 2.0
-"""How long a router reads the store by itself after a reader failed it; the view has changed by then."""
+"""How long a reader that failed is not asked again; the view has changed by then if it is gone."""
+MOST_ASKED = 2
+"""Readers asked before the store is: where the store turns a third of the routers away, one of two mostly knows."""
 ROUTERS_A_READER = 24
 """At 2.5 questions a second each, some 60 a second for one reader: about a hundredth of a core."""
 LEAST_READERS = 2
@@ -83,7 +85,7 @@
         self._clock = clock
         self._readers_ranking = Rendezvous()
         self._own_ranking = Rendezvous()
-        self._paused_until = -math.inf
+        self._paused_until_by_reader = {}
         self._version = 0
         self._proved_at = None
         self._text_by_name = {}
@@ -97,7 +99,8 @@
     def dump(self):
         """Return the state as a plain dict."""
         return {
-            "reader": self._reader(),
+            "readers": list(self._readers()),
+            "reads_store": self._name in self._readers(),
             "version": self._version,
             "proof_age_s": None if self._proved_at is None else round(self._clock() - self._proved_at, 3),
             "asked_total": self.asked_total,
@@ -114,21 +117,49 @@
         EngineNews or None
             ``None`` if this router should read the store itself.
         """
-        reader = self._reader()
-        if reader is None or self._clock() < self._paused_until:
-            return None
+        wait_s = WAIT_S
+        for reader in self._to_ask():
+            news = await self._ask_one(reader, version, wait_s)
+            if news is not None:
+                return news
+            # What was believed until now is getting old: the next is to answer at once.
+            wait_s = 0.0
+        return None
+
+    def store_failed(self):
+        """Note that the store didn't answer this router, which should ask others for a while.
+
+        Where the store turns some routers away, a reader among them would go on asking it in vain
+        and hear nothing of engines that leave, though the other readers do.
+        """
+        self._pause(self._name)
+
+    def _to_ask(self):
+        """The readers to ask, in order; none if this router reads the store itself."""
+        now = self._clock()
+        ready = [name for name in self._readers() if self._paused_until_by_reader.get(name, -math.inf) <= now]
+        if self._name in ready:
+            return ()
+        ranked = self._own_ranking.ranked(key=self._name, members=tuple(sorted(ready)))
+        return ranked[:MOST_ASKED]
+
+    def _pause(self, name):
+        self._paused_until_by_reader[name] = self._clock() + PAUSE_S
+
+    async def _ask_one(self, reader, version, wait_s):
+        """Ask one reader; ``None`` if its answer can't be believed."""
         self.asked_total += 1
         asked_at = self._clock()
-        answer = await self._peers.ask(reader, EnginesAsk(version=version, wait_s=WAIT_S), WAIT_S + ANSWER_WITHIN_S)
+        answer = await self._peers.ask(reader, EnginesAsk(version=version, wait_s=wait_s), wait_s + ANSWER_WITHIN_S)
         # All of the way counts as age: an answer held up on a link looks as fresh as when it left.
         way_s = max(0.0, self._clock() - asked_at - getattr(answer, "waited_s", 0.0))
         problem = _problem(answer, way_s)
         if problem is not None:
             # The reader may be cut off from the store, frozen or gone. Asked again it may fail again,
-            # while an engine that leaves goes on getting work; the store tells at once.
-            logger.bind(reader=reader, problem=problem).info("engines are read from the store, not from a router")
+            # while an engine that leaves goes on getting work; another one, or the store, tells at once.
+            logger.bind(reader=reader, problem=problem).info("a router that reads engines' entries is not believed")
             self.failed_total += 1
-            self._paused_until = self._clock() + PAUSE_S
+            self._pause(reader)
             return None
         return EngineNews(
             version=answer.version,
@@ -137,14 +168,11 @@
             age_s=answer.age_s + way_s,
         )
 
-    def _reader(self):
-        """The router to ask, or ``None`` if this one reads for others or is alone."""
+    def _readers(self):
+        """The routers that read the store for all."""
         members = self._members()
         count = max(LEAST_READERS, math.ceil(len(members) / ROUTERS_A_READER))
-        readers = self._readers_ranking.ranked(key=READERS_KEY, members=members)[:count]
-        if not readers or self._name in readers:
-            return None
-        return self._own_ranking.choose(key=self._name, members=tuple(sorted(readers)))
+        return self._readers_ranking.ranked(key=READERS_KEY, members=members)[:count]
 
     # What this router tells.
 
@@ -186,7 +214,8 @@
         asked_at = self._clock()
         if self._proved_at is None:
             return EnginesAnswer(version=0, age_s=-1.0, waited_s=0.0, is_whole=False, entries=())
-        if not self._entries_after(ask.version):
+        is_old = asked_at - self._proved_at > MOST_AGE_S
+        if not is_old and not self._entries_after(ask.version):
             await self._wait_for_change(min(ask.wait_s, MOST_ASKED_WAIT_S))
         is_whole = ask.version < self._history_from
         return EnginesAnswer(
