--- a/wagtailtrestle/callers/server.py
+++ b/wagtailtrestle/callers/server.py
@@ -242,12 +242,13 @@
 
     def _refuse_early(self, arrival, refusal):
         self._metrics.count("refused_early", reason=refusal.reason.value)
+        cause = {"cause": refusal.cause} if refusal.cause else {}
         logger.bind(
             caller_request_id=arrival.response.request_id,
             reason=refusal.reason.value,
             executed=refusal.executed.value,
             retry_after_s=refusal.retry_after_s,
-            cause=refusal.cause,
+            **cause,
         ).info("refused on arrival")
         request = arrival.environ[REQUEST_ENVIRON]
         unread = getattr(request.rfile, "remaining", SMALL_UNREAD_BYTES + 1)
--- /dev/null
+++ b/wagtailtrestle/quotas/shared.py
@@ -0,0 +1,76 @@
+"""One router's part in quotas that hold over all routers: its book, and the buckets that it owns."""
+
+from loguru import logger
+
+from wagtailtrestle.contracts.quota_messages import QuotaAsk, QuotaGrant
+from wagtailtrestle.peers.rendezvous import Rendezvous
+from wagtailtrestle.quotas.book import QuotaBook
+from wagtailtrestle.quotas.owner import QuotaOwner
+
+
+class SharedQuotas:
+    """Joins the book of credits with the owners of the teams' buckets, here and at peers.
+
+    Parameters
+    ----------
+    name : str
+        This router.
+    peers : Peers
+    membership : Membership
+    loop : asyncio.AbstractEventLoop
+    tolerance : callable
+        ``tolerance()`` gives the present ``Tolerance``.
+
+    Attributes
+    ----------
+    book : QuotaBook
+        What requests are charged to.
+    """
+
+    __slots__ = ("book", "_name", "_peers", "_membership", "_loop", "_owner", "_rendezvous")
+
+    def __init__(self, *, name, peers, membership, loop, tolerance):
+        self._name = name
+        self._peers = peers
+        self._membership = membership
+        self._loop = loop
+        self._rendezvous = Rendezvous()
+        self._owner = QuotaOwner(clock=loop.time, members=self._count_members, tolerance=tolerance)
+        self.book = QuotaBook(
+            clock=loop.time,
+            call_soon=loop.call_soon_threadsafe,
+            send_ask=self._send_ask,
+            members=self._count_members,
+        )
+        peers.on(QuotaAsk, self._on_ask)
+        peers.on(QuotaGrant, lambda peer, grant, cell: self.book.on_grant(grant))
+
+    def set_declaration(self, declaration):
+        """Go by the quotas of a declaration."""
+        quotas = {team.name: team.quota for team in declaration.teams_by_name.values() if team.quota is not None}
+        for team, quota in sorted(quotas.items()):
+            logger.bind(team=team, rate_per_s=quota.rate_per_s, burst=quota.burst).info("quota in force")
+        self._owner.set_quotas(quotas)
+        self.book.set_quotas(quotas)
+
+    def tick(self):
+        """Ask owners for what will soon be needed."""
+        self.book.tick()
+
+    def dump(self):
+        """Return the state as a plain dict."""
+        return self.book.dump()
+
+    def _count_members(self):
+        return len(self._membership.view.everyone)
+
+    def _on_ask(self, peer, ask, cell):
+        self._peers.send(peer, self._owner.grant(ask))
+
+    def _send_ask(self, ask):
+        """Ask the team's owner; whether there is one that can be asked."""
+        owner = self._rendezvous.choose(key=f"quota/{ask.team}", members=self._membership.view.members)
+        if owner == self._name:
+            self._loop.call_soon(lambda: self.book.on_grant(self._owner.grant(ask)))
+            return True
+        return owner is not None and self._peers.send(owner, ask)
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -21,7 +21,6 @@
 from wagtailtrestle.contracts.ledger_messages import ClaimAsk, NonceAsk, SettleAsk
 from wagtailtrestle.contracts.outcomes import Reason
 from wagtailtrestle.contracts.peer_messages import PeerUnreachable
-from wagtailtrestle.contracts.quota_messages import QuotaAsk, QuotaGrant
 from wagtailtrestle.contracts.report_messages import CacheEvents, LoadReport, LoadUnreachable
 from wagtailtrestle.engines.client import EngineClient
 from wagtailtrestle.engines.reports import EngineReports
@@ -40,8 +39,8 @@
 from wagtailtrestle.peers.directory import Directory
 from wagtailtrestle.peers.peers_grpc import Peers
 from wagtailtrestle.peers.rendezvous import Rendezvous
-from wagtailtrestle.quotas.book import QuotaBook
-from wagtailtrestle.quotas.owner import QuotaOwner, Tolerance
+from wagtailtrestle.quotas.owner import Tolerance
+from wagtailtrestle.quotas.shared import SharedQuotas
 
 TICK_S = 0.1
 CONNECT_TIMEOUT_S = 1.0
@@ -186,20 +185,13 @@
             on_report=self._take_report,
             dialect=self._adapter.reports,
         )
-        self._make_quotas()
-
-    def _make_quotas(self):
-        self._quota_owner = QuotaOwner(
-            clock=self._loop.time, members=lambda: len(self._membership.view.everyone), tolerance=self._tolerance
-        )
-        self._quotas = QuotaBook(
-            clock=self._loop.time,
-            call_soon=self._loop.call_soon_threadsafe,
-            send_ask=self._ask_quota,
-            members=lambda: len(self._membership.view.everyone),
+        self._quotas = SharedQuotas(
+            name=name,
+            peers=self._peers,
+            membership=self._membership,
+            loop=self._loop,
+            tolerance=self._tolerance,
         )
-        self._peers.on(QuotaAsk, lambda peer, ask, cell: self._peers.send(peer, self._quota_owner.grant(ask)) and None)
-        self._peers.on(QuotaGrant, lambda peer, grant, cell: self._quotas.on_grant(grant))
 
     def _make_ledger(self):
         self._ledger = Ledger(
@@ -233,7 +225,7 @@
             max_body_bytes=settings.max_body_bytes,
             max_header_bytes=settings.max_header_bytes,
             make_dialect=lambda **parts: self._adapter.make_dialect(
-                key_proof=self._key_proof, quotas=self._quotas, **parts
+                key_proof=self._key_proof, quotas=self._quotas.book, **parts
             ),
         )
         addresses = [settings.admin_address, settings.metrics_address]
@@ -389,11 +381,7 @@
     def _put_in_force(self, in_force):
         self._membership.set_generation(in_force.generation)
         declaration = in_force.declaration
-        quotas = {team.name: team.quota for team in declaration.teams_by_name.values() if team.quota is not None}
-        for team, quota in sorted(quotas.items()):
-            logger.bind(team=team, rate_per_s=quota.rate_per_s, burst=quota.burst).info("quota in force")
-        self._quota_owner.set_quotas(quotas)
-        self._quotas.set_quotas(quotas)
+        self._quotas.set_declaration(declaration)
         self._use_declaration(in_force)
         if self._ledger_starting is None and declaration.ledger_shards:
             # The ledger's layout needs the declared number of shards.
@@ -423,13 +411,6 @@
         settings = self._settings
         return Tolerance(window_s=settings.quota_window_s, share=settings.quota_overage, units=settings.quota_slack)
 
-    def _ask_quota(self, ask):
-        owner = self._rendezvous.choose(key=f"quota/{ask.team}", members=self._membership.view.members)
-        if owner == self._settings.name:
-            self._loop.call_soon(lambda: self._quotas.on_grant(self._quota_owner.grant(ask)))
-            return True
-        return owner is not None and self._peers.send(owner, ask)
-
     def _take_vms(self, by_id):
         vms = tuple(by_id.values())
         self._membership.observe_vms(vms)
