A list of engines is as old as its question

Cause: found while the rule of relayed freshness was specified: a list that was held up on its way to a reader counted as new when it arrived, so that the other routers believed it for up to a second too long. Change: a list's age counts from its question; a watch that heard nothing proves the moment its time was up.

--- a/tests/test_engine_relay.py
+++ b/tests/test_engine_relay.py
@@ -227,6 +227,19 @@
         self.assertLessEqual(set(NAMES) - fleet.readers(), fleet.know_leaving("i-1"))
         await fleet.close()
 
+    @on_paused_clock
+    async def test_a_list_held_up_on_its_way_is_no_younger_for_it(self):
+        # A reader's link to the store is slow: a list arrives 0.9 s after it was asked for. An engine
+        # that left meanwhile is not in it; told as new, it would hide the leaving for 0.9 s more.
+        fleet = Fleet()
+        reader = sorted(fleet.readers())[0]
+        fleet.store_by_router[reader].slow_s = 0.9
+        fleet.list_by_router[reader].start()
+        await asyncio.sleep(0.92)
+        self.assertTrue(fleet.list_by_router[reader].is_known)
+        self.assertGreaterEqual(fleet.relay_by_router[reader].dump()["proof_age_s"], 0.9)
+        await fleet.list_by_router[reader].close()
+
     @on_paused_clock
     async def test_a_reader_that_knows_less_history_tells_the_whole(self):
         # A router asks with a version from before its reader started.
--- a/wagtailtrestle/configuration/engine_list.py
+++ b/wagtailtrestle/configuration/engine_list.py
@@ -137,20 +137,26 @@
 
     async def _ask_store(self):
         """List or watch once; ``None`` if the store didn't answer."""
+        began_at = self._clock()
         if self._is_list_due():
             outcome = await self._store.list(kind=self._kind)
             if not isinstance(outcome, StoreDone):
                 return None
             self._listed_at = self._clock()
             value_by_name = {name: value for name, (_, value) in outcome.value.items()}
-            return EngineNews(version=outcome.version, value_by_name=value_by_name, is_whole=True)
-        outcome = await self._store.watch(kind=self._kind, from_version=self._version, timeout_s=self._watch_s())
+            # What a list tells held when it was asked for; held up on its way, it is no younger for that.
+            age_s = self._listed_at - began_at
+            return EngineNews(version=outcome.version, value_by_name=value_by_name, is_whole=True, age_s=age_s)
+        watch_s = self._watch_s()
+        outcome = await self._store.watch(kind=self._kind, from_version=self._version, timeout_s=watch_s)
         if not isinstance(outcome, StoreDone):
             # Silence, a refusal or a lost history: only a whole read tells what was missed.
             self._listed_at = None
             return None
         value_by_name = {name: value for name, _, value in outcome.value}
-        return EngineNews(version=outcome.version, value_by_name=value_by_name, is_whole=False)
+        # A watch that heard nothing was answered when its time was up, and proves that moment.
+        age_s = 0.0 if value_by_name else max(0.0, self._clock() - began_at - watch_s)
+        return EngineNews(version=outcome.version, value_by_name=value_by_name, is_whole=False, age_s=age_s)
 
     def _is_list_due(self):
         now = self._clock()
