Model checking: relayed freshness of keys joins the specifications

What a router may believe of another's word is proved by induction (46 bits, 18 actions): a key that was taken away runs nothing after the limit, whatever is slow, suspended, restarted or asks whom. Seven safeguards, each one's mutant refuted; three witnesses, one limit. Quota credits and resumed streams are not specified yet.

--- a/tests/test_spec_replay.py
+++ b/tests/test_spec_replay.py
@@ -17,13 +17,14 @@
 from tests.utils.configuring_replay import ApplyReplay, ConfigurationReplay
 from tests.utils.dispatch_replay import OUTCOMES, DispatchReplay
 from tests.utils.draining_replay import DrainReplay
+from tests.utils.freshness_replay import FreshnessReplay
 from tests.utils.ledger_replay import LedgerReplay
 from tests.utils.steward_fakes import Cell, ask, register, running
 from tests.utils.stewardship_replay import EntryReplay, StewardReplay
 from wagtailtrestle.capacity.admission import MAX_ASKS
 from wagtailtrestle.contracts.messages import Preempt, Refused
 from wagtailtrestle.entry.request_task import MAX_NOT_SENT
-from wagtailtrestle.spec import claims, configuring, draining, stewardship
+from wagtailtrestle.spec import claims, configuring, draining, freshness, stewardship
 from wagtailtrestle.spec.checker import Step, Trace, covering_traces, shortest_trace
 from wagtailtrestle.spec.checks import MOST_STEPS, mutant
 
@@ -44,6 +45,20 @@
     "ask(send=1, writer=1)",
     "read(writer=1)",
 )
+# A router tells another what it proved two ticks ago. The mutant's shortest trace has a word with no proof at
+# all behind it, which the code refuses for another reason.
+OLD_WORD = (
+    "begin_read(router=1)",
+    "answer_read(router=1)",
+    "end_read(router=1)",
+    "take_away()",
+    "tick()",
+    "tick()",
+    "ask(router=0)",
+    "answer(router=0)",
+    "take(router=0)",
+    "tick()",
+)
 ENTRY_SAFEGUARDS = ("queued_only", "attempt", "preempt_repeatable_only")
 
 
@@ -201,6 +216,19 @@
                 self.assertEqual(believed, expected)
 
 
+class FreshnessReplayTest(unittest.TestCase):
+    def test_no_key_is_used_after_the_limit(self):
+        proved_by_word = 0
+        old_word = ("an old word", spelled_out(OLD_WORD), {})
+        for name, trace, _ in [*guides(freshness), old_word]:
+            with self.subTest(guide=name):
+                replay = FreshnessReplay(trace=trace)
+                on_paused_clock(replay.run())
+                self.assertEqual(replay.late, [])
+                proved_by_word += replay.proved_by_word
+        self.assertGreater(proved_by_word, 0)
+
+
 class TierOrderTest(unittest.TestCase):
     """Rules of the stewardship's specification that no trace of three requests shows."""
 
--- /dev/null
+++ b/tests/utils/freshness_replay.py
@@ -0,0 +1,193 @@
+"""Leads the real source of the configuration, and the proof of keys, along traces of relayed freshness."""
+
+import asyncio
+import random
+from types import SimpleNamespace
+from unittest import mock
+
+from wagtailtrestle.callers.dialect import KeyProof
+from wagtailtrestle.configuration import sources
+from wagtailtrestle.configuration.peer_configuration import PeerConfiguration
+from wagtailtrestle.configuration.sources import PlatformSource, Source
+from wagtailtrestle.contracts.outcomes import StoreDone
+from wagtailtrestle.contracts.peer_messages import ConfirmationAsk
+from wagtailtrestle.spec.freshness import LIMIT, ROUTERS
+
+TICK_S = 0.5
+LIMIT_S = LIMIT * TICK_S
+WITH_KEY, WITHOUT_KEY = 1, 2
+"""Generations: the key holds; it was taken away."""
+PASSES = 5
+"""Passes of the event loop in which a step's consequences are over; nothing here waits for time."""
+
+
+class Place:
+    """An object that holds nothing but its generation."""
+
+    kind = "config"
+    name = "main"
+    reads_are_newest = True
+
+    def accepted(self, *, version, value):
+        """Read the generation."""
+        return SimpleNamespace(generation=value, text="")
+
+
+class HeldStore:
+    """Takes a read, answers it when told, and delivers the answer when told."""
+
+    def __init__(self):
+        self._reading = None
+        self._answer = None
+
+    async def get(self, *, kind, name, unless_version=None):
+        self._reading = asyncio.get_running_loop().create_future()
+        return await self._reading
+
+    def answer(self, generation):
+        """Settle what the read will tell."""
+        self._answer = StoreDone(version=generation, value=generation)
+
+    def deliver(self):
+        """Let the answer arrive."""
+        if self._reading is not None and not self._reading.done() and self._answer is not None:
+            self._reading.set_result(self._answer)
+        self._answer = None
+
+
+class Router:
+    """One router's source of the configuration and its answers to peers."""
+
+    def __init__(self, *, clock):
+        # As told by a peer, without a proof: what every router starts from here.
+        self.generation = WITH_KEY
+        self.store = HeldStore()
+        self.word = None
+        self._clock = clock
+        self._asking = None
+        self._tasks = {}
+        self.source = PlatformSource(
+            store=self.store,
+            offer=self._offer,
+            poll_interval_s=TICK_S,
+            watch_timeout_s=TICK_S,
+            jitter=random.Random(1),
+            place=Place(),
+            ask_confirmation=self._ask,
+            generation=lambda: self.generation,
+            heard=lambda generation: None,
+        )
+        self._answers = PeerConfiguration(
+            peers=SimpleNamespace(on=lambda message_type, handler: None),
+            members=lambda: (),
+            in_force=lambda: SimpleNamespace(generation=self.generation),
+            confirmed_age_s=self.age_s,
+        )
+
+    def age_s(self):
+        """Seconds since the proof behind what is known here, or ``None``."""
+        return None if self.source.confirmed_at is None else self._clock() - self.source.confirmed_at
+
+    def uses_key(self):
+        """Whether a request with the key would run now."""
+        return self.generation == WITH_KEY and KeyProof(age_s=self.age_s(), limit_s=LIMIT_S).is_fresh
+
+    def begin(self, name, coroutine):
+        """Begin a read or a question, unless one is under way."""
+        task = self._tasks.get(name)
+        if task is None or task.done():
+            self._tasks[name] = asyncio.get_running_loop().create_task(coroutine)
+        else:
+            coroutine.close()
+
+    def tell(self):
+        """What this router answers a peer now."""
+        return self._answers._confirm("peer", ConfirmationAsk(), "")
+
+    def take_word(self):
+        """Let a peer's answer arrive."""
+        if self._asking is not None and not self._asking.done() and self.word is not None:
+            self._asking.set_result(self.word)
+        self.word = None
+
+    async def close(self):
+        """End what is under way."""
+        for task in self._tasks.values():
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+
+    def _offer(self, generation, text, source):
+        self.generation = max(self.generation, generation)
+
+    async def _ask(self):
+        self._asking = asyncio.get_running_loop().create_future()
+        return await self._asking
+
+
+class FreshnessReplay:
+    """Two routers led along one trace.
+
+    Attributes
+    ----------
+    late : list of str
+        Steps after which a router would have used the key too late.
+    proved_by_word : int
+        How often a router's proof became younger by the other's word.
+    """
+
+    def __init__(self, *, trace):
+        self.late = []
+        self.proved_by_word = 0
+        self._trace = trace
+        self._now = 100.0
+        self._taken_away_at = None
+        self._routers = [self._new_router() for _ in ROUTERS]
+
+    def _new_router(self):
+        return Router(clock=lambda: self._now)
+
+    async def run(self):
+        """Follow the trace."""
+        with mock.patch.object(sources, "boot_time_s", lambda: self._now):
+            for step in self._trace.steps[1:]:
+                before = [router.source.confirmed_at for router in self._routers]
+                await self._follow(step)
+                for _ in range(PASSES):
+                    await asyncio.sleep(0)
+                after = [router.source.confirmed_at for router in self._routers]
+                self.proved_by_word += step.verb == "take" and after != before
+                self._look(step)
+        for router in self._routers:
+            await router.close()
+
+    async def _follow(self, step):
+        number = step.parameters.get("router", 0)
+        router, peer = self._routers[number], self._routers[1 - number]
+        match step.verb:
+            case "tick" | "tick_suspended":
+                self._now += TICK_S
+            case "take_away":
+                self._taken_away_at = self._now
+            case "begin_read":
+                router.begin("read", router.source._read(Source.POLL))
+            case "answer_read":
+                router.store.answer(WITH_KEY if self._taken_away_at is None else WITHOUT_KEY)
+            case "end_read":
+                router.store.deliver()
+            case "ask":
+                router.begin("ask", router.source._is_confirmed_by_peer())
+            case "answer":
+                router.word = peer.tell()
+            case "take":
+                router.take_word()
+            case "restart":
+                await router.close()
+                self._routers[number] = self._new_router()
+
+    def _look(self, step):
+        since_s = None if self._taken_away_at is None else self._now - self._taken_away_at
+        for router in self._routers:
+            if not router.uses_key():
+                continue
+            if since_s is not None and since_s >= LIMIT_S:
+                self.late.append(step.action)
--- /dev/null
+++ b/wagtailtrestle/spec/freshness.py
@@ -0,0 +1,215 @@
+"""Relayed freshness: a key is taken away while routers read the store, ask each other, and pause.
+
+A router may use a key only while it can show that it would know of the key's end by now: by its
+own read of the store, or by the word of a router that can. Time passes in ticks for everybody at
+once; between two ticks anything may happen or not, which covers slow answers and paused
+processes. The same rule decides whether a router believes another's list of engines.
+"""
+
+import z3
+
+from wagtailtrestle.spec.language import (
+    FALSE,
+    TRUE,
+    TRUTH,
+    Builder,
+    Domain,
+    Safeguard,
+    Specification,
+    all_of,
+    variable_name,
+)
+
+ROUTERS = range(2)
+LIMIT = 3
+"""Ticks after which a key that was taken away may run nothing."""
+TICKS = Domain(*(f"t{number}" for number in range(LIMIT + 2)))
+"""A count of ticks; the last one stands for all higher ones."""
+READ = Domain("idle", "begun", "answered")
+ASK = Domain("idle", "asked", "answered")
+
+NOTHING_LATE = "a key taken away runs nothing after the limit"
+
+SAFEGUARDS = {
+    "limit_checked": Safeguard(
+        rule="a key is used only while its proof is younger than the limit", breaks=NOTHING_LATE
+    ),
+    "read_counts_from_its_start": Safeguard(
+        rule="a read proves what held when it began, however late its answer comes", breaks=NOTHING_LATE
+    ),
+    "way_counts": Safeguard(rule="the way of a router's word counts as its age", breaks=NOTHING_LATE),
+    "age_is_relayed": Safeguard(rule="a router's word is as old as the proof behind it", breaks=NOTHING_LATE),
+    "same_knowledge_only": Safeguard(
+        rule="a router's word proves only the configuration that it speaks of", breaks=NOTHING_LATE
+    ),
+    "pauses_count": Safeguard(rule="proofs age also while their router is suspended", breaks=NOTHING_LATE),
+    "restart_forgets": Safeguard(rule="a router that starts has no proof", breaks=NOTHING_LATE),
+}
+
+
+def specification(*, without=""):
+    """Build the specification, for a mutant ``without`` one safeguard."""
+    return _Freshness(without=without).specification()
+
+
+class _Freshness(Builder):
+    """Builder of one specification."""
+
+    def __init__(self, *, without):
+        super().__init__(safeguards=SAFEGUARDS, without=without)
+        self.declare(TRUTH, "taken_away", initial=FALSE)
+        self.declare(TICKS, "since", initial=TICKS["t0"])
+        self.declare(TRUTH, "ran_late", initial=FALSE)
+        self.declare(TRUTH, "ran_after_end", initial=FALSE)
+        for router in ROUTERS:
+            self.declare(TRUTH, "knows", router, initial=FALSE)
+            self.declare(TICKS, "age", router, initial=_most())
+            self.declare(TRUTH, "has_read", router, initial=FALSE)
+            self.declare(READ, "read", router, initial=READ["idle"])
+            self.declare(TICKS, "read_for", router, initial=TICKS["t0"])
+            self.declare(TRUTH, "read_tells", router, initial=FALSE)
+            self.declare(ASK, "ask", router, initial=ASK["idle"])
+            self.declare(TICKS, "asked_for", router, initial=TICKS["t0"])
+            self.declare(TRUTH, "told", router, initial=FALSE)
+            self.declare(TICKS, "told_age", router, initial=TICKS["t0"])
+
+    def specification(self):
+        self.act("take_away", [z3.Not(self.v("taken_away"))], {"taken_away": TRUE, "since": TICKS["t0"]})
+        self._time_actions()
+        for router in ROUTERS:
+            self._read_actions(router)
+            self._ask_actions(router)
+            self._own_actions(router)
+        return Specification(
+            name="relayed freshness",
+            domains_by_variable=self.domains_by_variable,
+            actions=self.actions,
+            initial=self.initial,
+            properties_by_name={NOTHING_LATE: z3.Not(self.v("ran_late"))},
+            lemmas=self._lemmas(),
+            witnesses_by_name=self._witnesses(),
+            limits_by_name={"a key taken away runs nothing from then on": z3.Not(self.v("ran_after_end"))},
+        )
+
+    def _time_actions(self):
+        changes = {"since": self._older("since")}
+        for router in ROUTERS:
+            for name in ("age", "read_for", "asked_for"):
+                changes[variable_name(name, router)] = self._older(name, router)
+        self.act("tick", [], changes)
+        if not self.keeps("pauses_count"):
+            # By a clock that stands still while the VM is suspended, its router's proof does not age.
+            for router in ROUTERS:
+                paused = {name: term for name, term in changes.items() if name != variable_name("age", router)}
+                self.act("tick_suspended", [], paused, router=router)
+
+    def _read_actions(self, router):
+        v = self.v
+        read = variable_name("read", router)
+        begun = {read: READ["begun"], variable_name("read_for", router): TICKS["t0"]}
+        self.act("begin_read", [v("read", router) == READ["idle"]], begun, router=router)
+        # What the store tells is what held when it answered; the answer may take long to arrive.
+        answered = {read: READ["answered"], variable_name("read_tells", router): v("taken_away")}
+        self.act("answer_read", [v("read", router) == READ["begun"]], answered, router=router)
+        proved = v("read_for", router) if self.keeps("read_counts_from_its_start") else TICKS["t0"]
+        ended = {
+            read: READ["idle"],
+            variable_name("knows", router): z3.Or(v("knows", router), v("read_tells", router)),
+            variable_name("age", router): _younger(v("age", router), proved),
+            variable_name("has_read", router): TRUE,
+        }
+        self.act("end_read", [v("read", router) == READ["answered"]], ended, router=router)
+
+    def _ask_actions(self, router):
+        v = self.v
+        peer = 1 - router
+        ask = variable_name("ask", router)
+        asked = {ask: ASK["asked"], variable_name("asked_for", router): TICKS["t0"]}
+        self.act("ask", [v("ask", router) == ASK["idle"]], asked, router=router)
+        answered = {
+            ask: ASK["answered"],
+            variable_name("told", router): v("knows", peer),
+            variable_name("told_age", router): v("age", peer) if self.keeps("age_is_relayed") else TICKS["t0"],
+        }
+        self.act("answer", [v("ask", router) == ASK["asked"]], answered, router=router)
+        self.act("take", [v("ask", router) == ASK["answered"]], self._taken(router), router=router)
+
+    def _taken(self, router):
+        v = self.v
+        age = v("told_age", router)
+        if self.keeps("way_counts"):
+            age = _sum(age, v("asked_for", router))
+        is_same = v("told", router) == v("knows", router)
+        believed = is_same if self.keeps("same_knowledge_only") else TRUE
+        younger = _younger(v("age", router), age)
+        return {
+            variable_name("ask", router): ASK["idle"],
+            variable_name("age", router): z3.If(believed, younger, v("age", router)),
+        }
+
+    def _own_actions(self, router):
+        v = self.v
+        is_fresh = z3.ULT(v("age", router), TICKS[f"t{LIMIT}"])
+        guards = [z3.Not(v("knows", router))]
+        if self.keeps("limit_checked"):
+            guards.append(is_fresh)
+        is_late = z3.And(v("taken_away"), z3.UGE(v("since"), TICKS[f"t{LIMIT}"]))
+        ran = {
+            "ran_late": z3.Or(v("ran_late"), is_late),
+            "ran_after_end": z3.Or(v("ran_after_end"), v("taken_away")),
+        }
+        self.act("run", guards, ran, router=router)
+        fresh_start = {
+            variable_name("knows", router): FALSE,
+            variable_name("has_read", router): FALSE,
+            variable_name("read", router): READ["idle"],
+            variable_name("ask", router): ASK["idle"],
+        }
+        if self.keeps("restart_forgets"):
+            fresh_start[variable_name("age", router)] = _most()
+        self.act("restart", [], fresh_start, router=router)
+
+    def _older(self, name, *indices):
+        term = self.v(name, *indices)
+        return z3.If(term == _most(), term, term + 1)
+
+    def _covers(self, knows, age):
+        """Whether knowledge of this age would show a key that was taken away before."""
+        return z3.Or(z3.Not(self.v("taken_away")), knows, z3.ULE(self.v("since"), age))
+
+    def _lemmas(self):
+        v = self.v
+        lemmas = []
+        for router in ROUTERS:
+            lemmas.append(self._covers(v("knows", router), v("age", router)))
+            reading = self._covers(v("read_tells", router), v("read_for", router))
+            lemmas.append(z3.Implies(v("read", router) == READ["answered"], reading))
+            told = self._covers(v("told", router), _sum(v("told_age", router), v("asked_for", router)))
+            lemmas.append(z3.Implies(v("ask", router) == ASK["answered"], told))
+        return lemmas
+
+    def _witnesses(self):
+        v = self.v
+        by_word_alone = z3.And(z3.Not(v("has_read", 0)), z3.ULT(v("age", 0), TICKS[f"t{LIMIT}"]))
+        learned = z3.And(v("taken_away"), v("knows", 0), v("knows", 1))
+        aged = all_of([v("has_read", 0), v("age", 0) == _most(), z3.Not(v("knows", 0))])
+        return {
+            "a router that never reads goes on by another's word": by_word_alone,
+            "both routers learn that the key was taken away": learned,
+            "a router that hears nothing for long uses no key": aged,
+        }
+
+
+def _most():
+    return TICKS[TICKS.names[-1]]
+
+
+def _younger(one, other):
+    return z3.If(z3.ULE(one, other), one, other)
+
+
+def _sum(one, other):
+    """Sum of two counts of ticks, at most the highest one."""
+    whole = z3.ZeroExt(1, one) + z3.ZeroExt(1, other)
+    most = z3.ZeroExt(1, _most())
+    return z3.If(z3.UGE(whole, most), _most(), z3.Extract(one.size() - 1, 0, whole))
