Model checking: resumed streams join the specifications

Two engines, three events, runs that break off, leave events out, start over or go on after they were given up: each event comes once, whole and in order, a run goes on only from what it was told that the caller has, a stream ends as complete only with its last event, what may not be repeated runs once. Quota credits are not specified.

--- a/tests/test_spec_replay.py
+++ b/tests/test_spec_replay.py
@@ -19,12 +19,13 @@
 from tests.utils.draining_replay import DrainReplay
 from tests.utils.freshness_replay import FreshnessReplay
 from tests.utils.ledger_replay import LedgerReplay
+from tests.utils.resumption_replay import ResumptionReplay
 from tests.utils.steward_fakes import Cell, ask, register, running
 from tests.utils.stewardship_replay import EntryReplay, StewardReplay
 from wagtailtrestle.capacity.admission import MAX_ASKS
 from wagtailtrestle.contracts.messages import Preempt, Refused
 from wagtailtrestle.entry.request_task import MAX_NOT_SENT
-from wagtailtrestle.spec import claims, configuring, draining, freshness, stewardship
+from wagtailtrestle.spec import claims, configuring, draining, freshness, resumption, stewardship
 from wagtailtrestle.spec.checker import Step, Trace, covering_traces, shortest_trace
 from wagtailtrestle.spec.checks import MOST_STEPS, mutant
 
@@ -229,6 +230,24 @@
         self.assertGreater(proved_by_word, 0)
 
 
+class ResumptionReplayTest(unittest.TestCase):
+    def test_callers_get_each_event_once_whole_and_in_order(self):
+        longest = faults = dropped = 0
+        for name, trace, _ in guides(resumption):
+            with self.subTest(guide=name):
+                replay = ResumptionReplay(trace=trace)
+                replay.run()
+                numbers = replay.numbers()
+                self.assertEqual(numbers, list(range(1, len(numbers) + 1)))
+                longest = max(longest, len(numbers))
+                faults += replay.faults
+                dropped += replay.dropped
+        # Each rule of the splitter was needed by some trace.
+        self.assertEqual(longest, resumption.EVENTS)
+        self.assertGreater(faults, 0)
+        self.assertGreater(dropped, 0)
+
+
 class TierOrderTest(unittest.TestCase):
     """Rules of the stewardship's specification that no trace of three requests shows."""
 
--- /dev/null
+++ b/tests/utils/resumption_replay.py
@@ -0,0 +1,78 @@
+"""Feeds the real splitter of events what engines send along traces of resumed streams."""
+
+import itertools
+
+from wagtailtrestle.platform.events import EVENT_END, EventFault, EventSplitter
+from wagtailtrestle.spec.resumption import ENGINES
+
+TORN = b"id: 9\ndata: a pie"
+
+
+def event_bytes(number):
+    """One whole event."""
+    return f"id: {number}\ndata: piece {number}".encode() + EVENT_END
+
+
+class ResumptionReplay:
+    """One stream whose runs come from the engines of a trace.
+
+    Attributes
+    ----------
+    passed : bytes
+        What the caller has got.
+    faults : int
+        Runs that were given up for a gap.
+    dropped : int
+        Events that were had before.
+    """
+
+    def __init__(self, *, trace):
+        self.passed = b""
+        self.faults = 0
+        self.dropped = 0
+        self._trace = trace
+        self._active = None
+        self._splitter = None
+        self._flying = dict.fromkeys(ENGINES, b"")
+
+    def run(self):
+        """Follow the trace."""
+        for before, step in itertools.pairwise(self._trace.steps):
+            engine = step.parameters.get("engine")
+            match step.verb:
+                case "resume" | "run_from_first":
+                    self._begin(engine)
+                case "send":
+                    number = int(before.state[f"next[{engine}]"].removeprefix("c"))
+                    self._flying[engine] = event_bytes(number)
+                case "break_off_torn":
+                    self._flying[engine] = TORN
+                case "give_up" | "take_cut" | "take_end":
+                    self._active = None
+                case "take" | "drop" | "take_again" | "take_beyond" | "refuse_gap" | "take_torn":
+                    self._arrive(engine)
+
+    def numbers(self):
+        """Numbers of the events passed on, ``None`` for a piece that is no whole event."""
+        pieces = self.passed.split(EVENT_END)
+        known = {event_bytes(number).removesuffix(EVENT_END): number for number in range(1, 10)}
+        return [known.get(piece) for piece in pieces if piece]
+
+    def _begin(self, engine):
+        had = self.numbers()
+        self._active = engine
+        self._flying[engine] = b""
+        self._splitter = EventSplitter(after_id=had[-1] if had else None)
+
+    def _arrive(self, engine):
+        data, self._flying[engine] = self._flying[engine], b""
+        # Each run has a connection of its own; that of a run given up is closed and read no more.
+        if engine != self._active:
+            return
+        got = self._splitter.feed(data)
+        if isinstance(got, EventFault):
+            self.faults += 1
+            self._active = None
+            return
+        self.dropped += not got.count and data != TORN
+        self.passed += got.data
--- /dev/null
+++ b/wagtailtrestle/spec/resumption.py
@@ -0,0 +1,205 @@
+"""Resumed streams: one stream made of the runs of several engines, each of which may break off.
+
+An engine is told the last event that the caller has; it may begin there, or from the first event again,
+whose text up to there is then the same. From there on two runs may say different things under one
+number. What an earlier run sent may still arrive after a later one began, whole or torn.
+"""
+
+import z3
+
+from wagtailtrestle.spec.language import (
+    FALSE,
+    TRUE,
+    TRUTH,
+    Builder,
+    Domain,
+    Safeguard,
+    Specification,
+    variable_name,
+)
+
+ENGINES = range(2)
+EVENTS = 3
+COUNT = Domain("c0", "c1", "c2", "c3", "c4")
+"""A number of events; one more than there are stands for the end of the stream."""
+NOBODY = "nobody"
+ACTIVE = Domain(NOBODY, "e0", "e1")
+FLYING = Domain("nothing", "c1", "c2", "c3", "end", "torn")
+"""What is on its way from an engine: an event by its number, the end, a piece of an event."""
+RUNS = Domain("none", "one", "more")
+
+IN_ORDER = "each event comes once and in order"
+NOT_JOINED = "a run goes on only from what it was told that the caller has"
+WHOLE_ONLY = "no piece of an event is passed on"
+COMPLETE = "a stream that ends as complete has its last event"
+ONCE = "a request that may not be repeated runs once"
+
+SAFEGUARDS = {
+    "present_run_only": Safeguard(rule="only what the present run sends is passed on", breaks=NOT_JOINED),
+    "had_before_dropped": Safeguard(rule="an event that was had before is dropped", breaks=IN_ORDER),
+    "gap_ends_run": Safeguard(rule="an event that doesn't follow the last one ends its run", breaks=IN_ORDER),
+    "torn_kept_back": Safeguard(rule="an event is passed on once it is whole", breaks=WHOLE_ONLY),
+    "cut_is_no_end": Safeguard(rule="a run that breaks off does not end the stream", breaks=COMPLETE),
+    "repeatable_only": Safeguard(rule="only a request that may be repeated is resumed", breaks=ONCE),
+}
+
+
+def specification(*, without=""):
+    """Build the specification, for a mutant ``without`` one safeguard."""
+    return _Resumption(without=without).specification()
+
+
+class _Resumption(Builder):
+    """Builder of one specification."""
+
+    def __init__(self, *, without):
+        super().__init__(safeguards=SAFEGUARDS, without=without)
+        self.declare(TRUTH, "repeatable", initial=TRUE)
+        self.declare(RUNS, "runs", initial=RUNS["none"])
+        self.declare(ACTIVE, "active", initial=ACTIVE[NOBODY])
+        self.declare(COUNT, "had", initial=COUNT["c0"])
+        self.declare(TRUTH, "is_complete", initial=FALSE)
+        self.declare(TRUTH, "out_of_order", initial=FALSE)
+        self.declare(TRUTH, "passed_torn", initial=FALSE)
+        self.declare(TRUTH, "ended_early", initial=FALSE)
+        self.declare(TRUTH, "joined", initial=FALSE)
+        self.declare(ACTIVE, "last_from", initial=ACTIVE[NOBODY])
+        self.declare(TRUTH, "was_resumed", initial=FALSE)
+        for engine in ENGINES:
+            self.declare(TRUTH, "goes", engine, initial=FALSE)
+            self.declare(COUNT, "start", engine, initial=COUNT["c0"])
+            self.declare(COUNT, "next", engine, initial=COUNT["c1"])
+            self.declare(FLYING, "flying", engine, initial=FLYING["nothing"])
+
+    def specification(self):
+        unbegun = self.v("runs") == RUNS["none"]
+        self.act("forbid_repeats", [unbegun], {"repeatable": FALSE})
+        for engine in ENGINES:
+            self._engine_actions(engine)
+            self._take_actions(engine)
+        return Specification(
+            name="resumed streams",
+            domains_by_variable=self.domains_by_variable,
+            actions=self.actions,
+            initial=self.initial,
+            properties_by_name={
+                IN_ORDER: z3.Not(self.v("out_of_order")),
+                NOT_JOINED: z3.Not(self.v("joined")),
+                WHOLE_ONLY: z3.Not(self.v("passed_torn")),
+                COMPLETE: z3.Not(self.v("ended_early")),
+                ONCE: z3.Or(self.v("repeatable"), self.v("runs") != RUNS["more"]),
+            },
+            lemmas=self._lemmas(),
+            witnesses_by_name=self._witnesses(),
+        )
+
+    def _engine_actions(self, engine):
+        v = self.v
+        goes, following = variable_name("goes", engine), variable_name("next", engine)
+        flying = variable_name("flying", engine)
+        idle = [v("active") == ACTIVE[NOBODY], z3.Not(v("is_complete")), z3.Not(v("goes", engine))]
+        may_run = z3.Or(v("repeatable"), v("runs") == RUNS["none"]) if self.keeps("repeatable_only") else TRUE
+        runs = z3.If(v("runs") == RUNS["none"], RUNS["one"], RUNS["more"])
+        begun = {"active": ACTIVE[f"e{engine}"], "runs": runs, goes: TRUE}
+        begun["was_resumed"] = z3.Or(v("was_resumed"), v("had") != COUNT["c0"])
+        # A new run is a new connection: nothing of an earlier one arrives on it.
+        begun[flying] = FLYING["nothing"]
+        begun[variable_name("start", engine)] = v("had")
+        self.act("resume", [*idle, may_run], {**begun, following: v("had") + 1}, engine=engine)
+        self.act("run_from_first", [*idle, may_run], {**begun, following: COUNT["c1"]}, engine=engine)
+        sends = [v("goes", engine), v("flying", engine) == FLYING["nothing"]]
+        sent = {flying: self._event(v("next", engine)), following: v("next", engine) + 1}
+        self.act("send", [*sends, z3.ULE(v("next", engine), COUNT[f"c{EVENTS}"])], sent, engine=engine)
+        is_over = v("next", engine) == COUNT[f"c{EVENTS + 1}"]
+        self.act("send_end", [*sends, is_over], {flying: FLYING["end"], goes: FALSE}, engine=engine)
+        # An engine at fault leaves an event out. Not the first one: streams may begin at any number, so
+        # that nobody can tell; and not the last one, as nobody knows how many there will be.
+        is_between = z3.And(v("next", engine) != COUNT["c1"], z3.ULT(v("next", engine), COUNT[f"c{EVENTS}"]))
+        skips = [v("goes", engine), is_between]
+        self.act("skip", skips, {following: v("next", engine) + 1}, engine=engine)
+        self.act("break_off", [v("goes", engine)], {goes: FALSE}, engine=engine)
+        torn = {goes: FALSE, flying: FLYING["torn"]}
+        self.act("break_off_torn", [*sends], torn, engine=engine)
+
+    def _take_actions(self, engine):
+        v = self.v
+        is_active = v("active") == ACTIVE[f"e{engine}"]
+        here = [is_active] if self.keeps("present_run_only") else []
+        flown = {variable_name("flying", engine): FLYING["nothing"]}
+        flying = v("flying", engine)
+        for number in range(1, EVENTS + 1):
+            self._take_event(engine, number, [*here, flying == FLYING[f"c{number}"]], flown)
+        is_whole = v("had") == COUNT[f"c{EVENTS}"]
+        ended = {
+            **flown,
+            "active": ACTIVE[NOBODY],
+            "is_complete": TRUE,
+            "ended_early": z3.Or(v("ended_early"), z3.Not(is_whole)),
+        }
+        self.act("take_end", [*here, flying == FLYING["end"]], ended, engine=engine)
+        passed = FALSE if self.keeps("torn_kept_back") else TRUE
+        torn = {**flown, "active": ACTIVE[NOBODY], "passed_torn": z3.Or(v("passed_torn"), passed)}
+        self.act("take_torn", [*here, flying == FLYING["torn"]], torn, engine=engine)
+        # Nothing came for too long: the run is given up, though it may go on.
+        self.act("give_up", [is_active], {"active": ACTIVE[NOBODY]}, engine=engine)
+        cut = {"active": ACTIVE[NOBODY]}
+        if not self.keeps("cut_is_no_end"):
+            cut |= {"is_complete": TRUE, "ended_early": z3.Or(v("ended_early"), z3.Not(is_whole))}
+        silent = [is_active, z3.Not(v("goes", engine)), flying == FLYING["nothing"]]
+        self.act("take_cut", silent, cut, engine=engine)
+
+    def _take_event(self, engine, number, guards, flown):
+        v = self.v
+        event = COUNT[f"c{number}"]
+        follows = v("had") + 1 == event
+        had_before = z3.ULE(event, v("had"))
+        goes_on = z3.Or(v("had") == v("start", engine), v("last_from") == ACTIVE[f"e{engine}"])
+        joined = z3.Or(v("joined"), z3.Not(goes_on))
+        passed = {**flown, "had": event, "last_from": ACTIVE[f"e{engine}"], "joined": joined}
+        self.act("take", [*guards, follows], passed, engine=engine, event=number)
+        if self.keeps("had_before_dropped"):
+            self.act("drop", [*guards, had_before], flown, engine=engine, event=number)
+        else:
+            twice = {**flown, "out_of_order": TRUE}
+            self.act("take_again", [*guards, had_before], twice, engine=engine, event=number)
+        beyond = [*guards, z3.Not(follows), z3.Not(had_before)]
+        if self.keeps("gap_ends_run"):
+            given_up = {**flown, "active": ACTIVE[NOBODY], variable_name("goes", engine): FALSE}
+            self.act("refuse_gap", beyond, given_up, engine=engine, event=number)
+        else:
+            skipped = {**flown, "had": event, "out_of_order": TRUE}
+            self.act("take_beyond", beyond, skipped, engine=engine, event=number)
+
+    def _event(self, number):
+        """The flying event of a number: both domains number events alike."""
+        return z3.ZeroExt(FLYING.sort.size() - number.size(), number)
+
+    def _lemmas(self):
+        v = self.v
+        is_whole = v("had") == COUNT[f"c{EVENTS}"]
+        lemmas = [z3.Implies(v("is_complete"), v("active") == ACTIVE[NOBODY])]
+        for engine in ENGINES:
+            is_active = v("active") == ACTIVE[f"e{engine}"]
+            flying, following = v("flying", engine), v("next", engine)
+            goes_on = z3.Or(v("had") == v("start", engine), v("last_from") == ACTIVE[f"e{engine}"])
+            lemmas.append(z3.Implies(is_active, goes_on))
+            sent_all = z3.And(following == COUNT[f"c{EVENTS + 1}"], flying == FLYING["nothing"])
+            lemmas.append(z3.Implies(z3.And(is_active, sent_all), is_whole))
+            lemmas.append(z3.Implies(z3.And(is_active, flying == FLYING["end"]), is_whole))
+            last_flies = flying == FLYING[f"c{EVENTS}"]
+            at_end = z3.Or(sent_all, last_flies, _is_over(flying))
+            lemmas.append(z3.Implies(following == COUNT[f"c{EVENTS + 1}"], at_end))
+            lemmas.append(z3.And(following != COUNT["c0"], z3.ULE(v("start", engine), COUNT[f"c{EVENTS}"])))
+        lemmas.append(z3.ULE(v("had"), COUNT[f"c{EVENTS}"]))
+        return lemmas
+
+    def _witnesses(self):
+        v = self.v
+        whole = z3.And(v("is_complete"), v("was_resumed"))
+        late = z3.And(v("active") == ACTIVE["e1"], v("flying", 0) == FLYING["c2"], v("had") == COUNT["c1"])
+        return {"a stream of two runs is complete": whole, "an event of an earlier run arrives late": late}
+
+
+def _is_over(flying):
+    """Whether a run's connection brings nothing more but its end or a torn piece."""
+    return z3.Or(flying == FLYING["end"], flying == FLYING["torn"])
