--- a/wagtailtrestle/configuration/sources.py
+++ b/wagtailtrestle/configuration/sources.py
@@ -22,8 +22,8 @@
 PEER_DELAY_S = 0.2
 PEER_TIMEOUT_S = 2.0
 CONFIRMED_ENOUGH_S = 1.0
-"""A peer's word counts if the platform confirmed its configuration so lately. Of many routers one or two
-then read the platform each second, and the age that the others rely on stays within about twice this."""
+"""A peer's word counts if the platform confirmed its configuration so lately. About one poll in 2.7 then reads
+the platform (words age by uniform waits, summed), and the age that others rely on stays within about twice this."""
 # No object is ever at this version, so an update that asks for it never takes effect.
 NEVER_A_VERSION = 0
 
