A finished run on a silent connection ends when it is cancelled

The tests' thread came late under load: the engine had finished the run when the cancel came and said so, and a finished run's exchange was never cut, to let its answer arrive. On a silent connection it never does, and the place was held until the run's own limit, 30 s there. Ruled out: slowness alone; with the run finished before the cancel the failure comes every time (new test, fails before).

--- a/tests/test_engine_http.py
+++ b/tests/test_engine_http.py
@@ -196,6 +196,20 @@
         self.assertFalse(thread.is_alive())
         self.assertIsInstance(self.sender.ended.outcome, RunCancelled)
 
+    def test_cancel_of_a_finished_run_does_not_wait_for_a_silent_connection(self):
+        # The run's connection went silent and the engine has finished the run when the cancel comes. It
+        # says so, and its answer never arrives: waited for, the place would be held until the deadline.
+        self.fail_next("silent")
+        thread = self.sender.send_in_thread(self.address, progress_s=30.0, overall_s=30.0)
+        self.assertTrue(self.sender.first_token.wait(2))
+        until = time.monotonic() + 10
+        while not self.run_record()["finished"] and time.monotonic() < until:
+            time.sleep(0.02)
+        self.sender.client.cancel(address=self.address, run_id="r.1")
+        thread.join(2)
+        self.assertFalse(thread.is_alive())
+        self.assertIsInstance(self.sender.ended.outcome, RunCancelled)
+
     def test_cancelled_run_resumes_under_a_new_one(self):
         sender = RunSender(call=chat_call(output_tokens=300))
         thread = sender.send_in_thread(self.address)
--- a/wagtailtrestle/engines/client.py
+++ b/wagtailtrestle/engines/client.py
@@ -79,7 +79,8 @@
         """Cancel a run: ask its engine, and end this side's reading.
 
         The run's own ``RunEnded`` follows within ``CANCEL_END_S``, whether or not the engine
-        could be asked: the place must not wait for a connection that has gone silent.
+        could be asked: the place must not wait for a connection that has gone silent. The answer of a
+        run that has finished is read on for as long as more of it comes.
 
         Returns
         -------
@@ -95,8 +96,8 @@
                 exchange.abort()
             return False
         state = self._ask_to_cancel(address, path)
-        if exchange is not None and state != FINISHED_STATE and not exchange.ended.wait(CANCEL_END_S):
-            exchange.abort()
+        if exchange is not None:
+            _end(exchange, is_finished=state == FINISHED_STATE)
         return state is not None
 
     def _ask_to_cancel(self, address, path):
@@ -114,3 +115,15 @@
             return None
         finally:
             connection.close()
+
+
+def _end(exchange, *, is_finished):
+    """Wait for an exchange to end, and cut it if it doesn't."""
+    had = None
+    while not exchange.ended.wait(CANCEL_END_S):
+        # A finished run's answer is ready and mostly on its way. If nothing more of it came meanwhile its
+        # connection is silent, and would hold the place until the run's deadline.
+        if not is_finished or exchange.output_tokens == had:
+            exchange.abort()
+            return
+        had = exchange.output_tokens
