Relay and cancel: constants tell their origin, readers that are gone are forgotten, plain words

Cause: found on reading the diff. Ruled out: a time of forgetting of its own: a pause that has ended says nothing any more and goes with the next one.

--- a/tests/test_engine_relay.py
+++ b/tests/test_engine_relay.py
@@ -185,13 +185,13 @@
         await fleet.close()
 
     @on_paused_clock
-    async def test_a_reader_turned_away_by_the_store_asks_the_other(self):
-        # The store turns one reader away and serves everybody else. It goes on asking in vain, and
+    async def test_a_reader_refused_by_the_store_asks_the_other(self):
+        # The store refuses one reader and serves everybody else. It goes on asking in vain, and
         # sends requests to an engine that leaves, though the other reader knows better. The routers
         # that asked it turn to the other reader, and the store gets no call for each of them.
         fleet = await self.started()
-        turned_away, sound = sorted(fleet.readers())
-        fleet.store_by_router[turned_away].down = True
+        refused, sound = sorted(fleet.readers())
+        fleet.store_by_router[refused].down = True
         await asyncio.sleep(READ_WATCH_S)
         before = fleet.calls()
         await fleet.leave("i-1")
@@ -199,7 +199,19 @@
         self.assertEqual(fleet.know_leaving("i-1"), set(NAMES))
         await asyncio.sleep(10.0)
         asking = {name for name, calls in fleet.calls().items() if calls > before[name]}
-        self.assertEqual(asking - {turned_away}, {sound})
+        self.assertEqual(asking - {refused}, {sound})
+        await fleet.close()
+
+    @on_paused_clock
+    async def test_readers_that_are_gone_are_forgotten(self):
+        # Routers come and go for months, each under a name of its own.
+        fleet = await self.started()
+        relay = fleet.relay_by_router[NAMES[0]]
+        for number in range(50):
+            fleet.network.silent.add(f"gone-{number}")
+            fleet.members_by_router[NAMES[0]] = (f"gone-{number}",)
+            await asyncio.sleep(3.0)
+        self.assertLessEqual(len(relay._paused_until_by_reader), 2)
         await fleet.close()
 
     @on_paused_clock
--- a/wagtailtrestle/configuration/engine_list.py
+++ b/wagtailtrestle/configuration/engine_list.py
@@ -1,7 +1,7 @@
 """The engines that list themselves in the platform's store, followed through its outages.
 
 A list read whole and a watch keep it up to date. What the store tells is taken as it comes, but
-for one case: entries lapse while the store is out, though their engines live. After an outage an
+for one case: entries expire while the store is out, though their engines live. After an outage an
 entry that is missing is kept for a moment, and taken for gone if it is missing still.
 """
 
@@ -23,7 +23,7 @@
 DEFAULT_RETURN_GRACE_S = 2.0
 """How long after an outage engines need to list themselves again."""
 OUTAGE_S = 0.8
-"""A store that answered nothing for so long may have let entries lapse."""
+"""A store that answered nothing for so long may have let entries expire."""
 
 
 class EngineList:
@@ -189,7 +189,7 @@
         self._put(by_name, news)
 
     def _from_whole(self, listed):
-        """The engines after a whole list; those that lapsed in an outage are kept for a while."""
+        """The engines after a whole list; those that expired in an outage are kept for a while."""
         if self._kept_until is not None and self._clock() < self._kept_until:
             return {**self.by_name, **listed}
         self._kept_until = None
--- a/wagtailtrestle/configuration/engine_relay.py
+++ b/wagtailtrestle/configuration/engine_relay.py
@@ -30,14 +30,17 @@
 PAUSE_S = 2.0
 """How long a reader that failed is not asked again; the view has changed by then if it is gone."""
 MOST_ASKED = 2
-"""Readers asked before the store is: where the store turns a third of the routers away, one of two mostly knows."""
+"""Readers asked before the store is: where the store refuses a third of the routers, one of two mostly knows."""
 ROUTERS_A_READER = 24
 """At 2.5 questions a second each, some 60 a second for one reader: about a hundredth of a core."""
 LEAST_READERS = 2
+"""The second one answers while the first is being replaced, so that the store is not read by all."""
 MOST_HISTORY = 512
 """Changes kept for those who ask: minutes of them, while a question comes each half second."""
 MOST_ASKED_WAIT_S = 5.0
+"""Longest wait that an asker may demand, so that a faulty one can't keep questions open without end."""
 READERS_KEY = "engine-readers"
+"""Key of the ranking by which all routers choose the same readers."""
 
 
 class EngineNews:
@@ -129,7 +132,7 @@
     def store_failed(self):
         """Note that the store didn't answer this router, which should ask others for a while.
 
-        Where the store turns some routers away, a reader among them would go on asking it in vain
+        Where the store refuses some routers, a reader among them would go on asking it in vain
         and hear nothing of engines that leave, though the other readers do.
         """
         self._pause(self._name)
@@ -137,14 +140,16 @@
     def _to_ask(self):
         """The readers to ask, in order; none if this router reads the store itself."""
         now = self._clock()
-        ready = [name for name in self._readers() if self._paused_until_by_reader.get(name, -math.inf) <= now]
+        ready = [name for name in self._readers() if self._paused_until_by_reader.get(name, now) <= now]
         if self._name in ready:
             return ()
         ranked = self._own_ranking.ranked(key=self._name, members=tuple(sorted(ready)))
         return ranked[:MOST_ASKED]
 
     def _pause(self, name):
-        self._paused_until_by_reader[name] = self._clock() + PAUSE_S
+        now = self._clock()
+        paused = {other: until for other, until in self._paused_until_by_reader.items() if until > now}
+        self._paused_until_by_reader = {**paused, name: now + PAUSE_S}
 
     async def _ask_one(self, reader, version, wait_s):
         """Ask one reader; ``None`` if its answer can't be believed."""
--- a/wagtailtrestle/engines/client.py
+++ b/wagtailtrestle/engines/client.py
@@ -14,7 +14,9 @@
 from wagtailtrestle.engines.run_exchange import OK, RunExchange
 
 CANCEL_TIMEOUT_S = 1.0
+"""Longest wait for an engine's answer to a cancel; a sound one answers within a decode step or two, under 0.1 s."""
 CANCEL_END_S = 0.5
+"""How long a cancelled run may take to end by itself before its connection is cut; some ten decode steps of 40 ms."""
 FINISHED_STATE = "finished"
 
 
@@ -78,9 +80,9 @@
     def cancel(self, *, address, run_id) -> bool:
         """Cancel a run: ask its engine, and end this side's reading.
 
-        The run's own ``RunEnded`` follows within ``CANCEL_END_S``, whether or not the engine
-        could be asked: the place must not wait for a connection that has gone silent. The answer of a
-        run that has finished is read on for as long as more of it comes.
+        The run's own ``RunEnded`` follows within ``CANCEL_END_S``, whether or not the engine could be
+        asked: the place must not wait for a connection that has gone silent. The answer of a run that
+        has finished is read on for as long as more of it comes, and cut after twice that time without.
 
         Returns
         -------
