--- /dev/null
+++ b/tests/test_start_hold.py
@@ -0,0 +1,131 @@
+"""Load on routers that start together: all are killed and come back while callers go on sending.
+
+The pattern: some 70 requests a second reach nine routers; all stop for half a second or more, and
+each needs 0.3 to 0.6 s from its start until it serves. A caller comes back once, and finds another
+router that starts too. Figures: the hold's default is twice the longest of those starts, a caller is
+held for a third of its own time at most, as it grants that much to a wait that it is told.
+"""
+
+import socket
+import threading
+import time
+import unittest
+
+from wagtailtrestle.callers.listening import listen
+from wagtailtrestle.callers.start_hold import CALLER_SHARE, StartHold
+from wagtailtrestle.contracts.outcomes import Reason
+
+HOLD_S = 5.0
+SOON_S = 1.0
+FD = 7
+
+
+class Watch:
+    """A ``CallerWatch`` whose callers leave when told."""
+
+    def __init__(self):
+        self.on_gone_by_fd = {}
+
+    def watch(self, *, fd, on_gone):
+        self.on_gone_by_fd[fd] = on_gone
+
+    def forget(self, *, fd):
+        self.on_gone_by_fd.pop(fd, None)
+
+
+class StartingRouter:
+    """What a hold sees of a router that starts."""
+
+    def __init__(self, *, longest_s=HOLD_S, most=8):
+        self.not_ready = Reason.NOT_READY
+        self.watch = Watch()
+        self.hold = StartHold(reason=lambda: self.not_ready, watch=self.watch, longest_s=longest_s, most=most)
+        self.told_by_fd = {}
+
+    def ask(self, *, fd=FD, caller_time_s=30.0):
+        def run():
+            self.told_by_fd[fd] = self.hold.reason(fd=fd, caller_time_s=caller_time_s)
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        return thread
+
+    def is_held(self, fd=FD):
+        until = time.monotonic() + SOON_S
+        while time.monotonic() < until:
+            if fd in self.watch.on_gone_by_fd:
+                return True
+            time.sleep(0.001)
+        return False
+
+
+class StartHoldTest(unittest.TestCase):
+    def test_a_request_that_comes_early_is_served_once_the_router_serves(self):
+        # Every router was killed; this one is up but knows no engines yet. Refused, the caller
+        # would spend its one return on another router that starts too.
+        router = StartingRouter()
+        thread = router.ask()
+        self.assertTrue(router.is_held())
+        router.not_ready = None
+        router.hold.open()
+        thread.join(SOON_S)
+        self.assertEqual(router.told_by_fd, {FD: None})
+
+    def test_a_caller_that_leaves_is_let_go_at_once(self):
+        # Its thread would wait for nobody, and its request reach an engine after it left.
+        router = StartingRouter()
+        thread = router.ask()
+        self.assertTrue(router.is_held())
+        router.watch.on_gone_by_fd[FD]()
+        thread.join(SOON_S)
+        self.assertEqual(router.told_by_fd, {FD: Reason.CALLER_GONE})
+
+    def test_a_short_caller_is_refused_while_it_can_still_be_served_elsewhere(self):
+        router = StartingRouter()
+        began_at = time.monotonic()
+        router.ask(caller_time_s=0.3).join(SOON_S)
+        self.assertEqual(router.told_by_fd, {FD: Reason.NOT_READY})
+        self.assertGreaterEqual(time.monotonic() - began_at, CALLER_SHARE * 0.3)
+
+    def test_more_than_may_be_held_are_refused_at_once(self):
+        # A flood on a router that never gets its configuration must not take every thread.
+        router = StartingRouter(most=1)
+        first = router.ask()
+        self.assertTrue(router.is_held())
+        router.ask(fd=FD + 1).join(SOON_S)
+        self.assertEqual(router.told_by_fd, {FD + 1: Reason.NOT_READY})
+        router.not_ready = Reason.DRAINING
+        router.hold.open()
+        first.join(SOON_S)
+        self.assertEqual(router.told_by_fd[FD], Reason.DRAINING)
+
+    def test_other_reasons_are_told_at_once(self):
+        router = StartingRouter()
+        router.not_ready = Reason.DRAINING
+        router.ask().join(SOON_S)
+        self.assertEqual(router.told_by_fd, {FD: Reason.DRAINING})
+
+    def test_no_hold_where_the_settings_say_so(self):
+        router = StartingRouter(longest_s=0.0)
+        router.ask().join(SOON_S)
+        self.assertEqual(router.told_by_fd, {FD: Reason.NOT_READY})
+
+
+class ListenerTest(unittest.TestCase):
+    def test_a_connection_made_before_there_is_a_server_waits(self):
+        # The process has begun but reads its modules still. Without a listener the kernel
+        # resets the caller's connection; with one, what it sent is there once the server reads.
+        with listen(("127.0.0.1", 0)) as listener:
+            with socket.create_connection(listener.getsockname(), timeout=SOON_S) as caller:
+                caller.sendall(b"GET / HTTP/1.1\r\n\r\n")
+                taken, _ = listener.accept()
+                with taken:
+                    self.assertEqual(taken.recv(3), b"GET")
+
+    def test_an_address_in_use_is_told(self):
+        with listen(("127.0.0.1", 0)) as listener, self.assertRaises(OSError):
+            listen(listener.getsockname())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wagtailtrestle/callers/headers.py
+++ b/wagtailtrestle/callers/headers.py
@@ -102,6 +102,12 @@
     return None
 
 
+def asked_s(environ: dict) -> float | None:
+    """Seconds that the caller says it will wait; ``None`` without a sound word of it."""
+    deadline = environ.get(DEADLINE, "")
+    return int(deadline) / MS_PER_S if DEADLINE_FORM.fullmatch(deadline) else None
+
+
 def deadline_s(*, headers: CallerHeaders, default_ms: int, most_s: float) -> float:
     """Seconds the whole answer may take: the caller's, else the route's, never above ``most_s``."""
     asked_ms = headers.deadline_ms if headers.deadline_ms is not None else default_ms
--- a/wagtailtrestle/callers/intake.py
+++ b/wagtailtrestle/callers/intake.py
@@ -8,7 +8,7 @@
 from wagtailtrestle.callers.body import body_digest, parse_language
 from wagtailtrestle.callers.body_reader import BodyReader
 from wagtailtrestle.callers.dialect import Arrival, ModelList, Prepared
-from wagtailtrestle.callers.headers import caller_headers, caller_request_id, deadline_s, forwarded_headers
+from wagtailtrestle.callers.headers import asked_s, caller_headers, caller_request_id, deadline_s, forwarded_headers
 from wagtailtrestle.callers.limits import ReceiveLimit
 from wagtailtrestle.callers.problem import problem_bytes, problem_headers
 from wagtailtrestle.callers.prompt_shape import PromptShape
@@ -69,6 +69,10 @@
         """The caller's own id of the request, or one made for it."""
         return caller_request_id(environ)
 
+    def caller_time_s(self, environ):
+        """The deadline that the caller gives, seconds."""
+        return asked_s(environ)
+
     def problem(self, refusal, request_id):
         """A problem document."""
         body = problem_bytes(refusal=refusal, request_id=request_id)
--- a/wagtailtrestle/callers/server.py
+++ b/wagtailtrestle/callers/server.py
@@ -15,6 +15,7 @@
 from wagtailtrestle.callers.intake import Intake, closed
 from wagtailtrestle.callers.limits import DEFAULT_RECEIVE_BYTES, CallerLimits, Full, ReceiveLimit, held_for
 from wagtailtrestle.callers.link import CallerExchange
+from wagtailtrestle.callers.start_hold import StartHold
 from wagtailtrestle.callers.stream import JSON_TYPE
 from wagtailtrestle.callers.watch import CallerWatch
 from wagtailtrestle.callers.wsgi import CONNECTION_ENVIRON, REQUEST_ENVIRON, CallersWsgiServer
@@ -61,6 +62,10 @@
         Longest time for the arrival of one whole request.
     most_deadline_s : float
         Longest deadline a caller is given.
+    start_hold_s : float
+        Longest time for which requests are held while ``ready`` says ``NOT_READY``; 0 refuses them at once.
+    listener : socket.socket, optional
+        Listens on ``address`` already.
     make_dialect : callable
         Builds the ``CallerDialect`` from ``directory``, ``now``, ``watch``, ``receive_limit`` and
         ``most_deadline_s``; the product's own interface by default.
@@ -85,6 +90,8 @@
         max_connections=DEFAULT_MAX_CONNECTIONS,
         receive_timeout_s=DEFAULT_RECEIVE_TIMEOUT_S,
         most_deadline_s=DEFAULT_MOST_DEADLINE_S,
+        start_hold_s=0.0,
+        listener=None,
         make_dialect=Intake,
     ):
         self._name = name
@@ -94,10 +101,12 @@
         self._loop = loop
         self._limits = limits
         self._metrics = metrics
-        self._ready = ready
         # The threads kept in reserve are those that receive: once these are all at it, slow
         # senders among them must go.
         self._watch = CallerWatch(timeout_s=receive_timeout_s, crowd=(threads - held_for(threads)) // 2)
+        self._start_hold = StartHold(
+            reason=ready, watch=self._watch, longest_s=start_hold_s, most=held_for(threads) // 2
+        )
         self._dialect = make_dialect(
             directory=directory,
             now=loop.time,
@@ -121,6 +130,7 @@
             max_connections=max_connections,
             max_header_bytes=max_header_bytes,
             max_body_bytes=max_body_bytes,
+            listener=listener,
         )
 
     @property
@@ -140,6 +150,10 @@
         self._thread = threading.Thread(target=self._server.serve, name="callers", daemon=True)
         self._thread.start()
 
+    def let_go(self):
+        """Serve what came while the router was not ready."""
+        self._start_hold.open()
+
     async def drain(self, *, grace_s: float, plain_grace_s: float = 0.0):
         """Finish every request in work, and those still coming within the grace.
 
@@ -232,7 +246,10 @@
         return response
 
     def _prepare(self, arrival):
-        reason = self._ready()
+        reason = self._start_hold.reason(
+            fd=arrival.environ[CONNECTION_ENVIRON].socket.fileno(),
+            caller_time_s=self._dialect.caller_time_s(arrival.environ),
+        )
         if self._grace_over:
             return closed(Reason.DRAINING)
         # While the grace lasts a leaving router still serves what the balancer sends it.
--- a/wagtailtrestle/callers/wsgi.py
+++ b/wagtailtrestle/callers/wsgi.py
@@ -10,18 +10,14 @@
 from cheroot.workers.threadpool import ThreadPool
 from loguru import logger
 
+from wagtailtrestle.callers.listening import BACKLOG, set_options
 from wagtailtrestle.callers.problem import problem_bytes, problem_headers, status_line
 from wagtailtrestle.contracts.outcomes import Executed, Reason, Refusal
 
 CONNECTION_ENVIRON = "wagtailtrestle.connection"
 REQUEST_ENVIRON = "wagtailtrestle.request"
-BACKLOG = 512
 READ_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 75
-KEEPALIVE_IDLE_S = 10
-KEEPALIVE_INTERVAL_S = 5
-KEEPALIVE_PROBES = 3
-WRITE_TIMEOUT_MS = 20_000
 STOP_TIMEOUT_S = 5.0
 FIRST_THREADS = 8
 """Threads made at the start: what a quiet router uses at once."""
@@ -170,6 +166,8 @@
     threads : int
     watch : CallerWatch
     max_connections, max_header_bytes, max_body_bytes : int
+    listener : socket.socket, optional
+        Listens on the address already; made at the start where left out.
     """
 
     ConnectionClass = CallersConnection
@@ -184,7 +182,9 @@
         max_connections,
         max_header_bytes,
         max_body_bytes,
+        listener=None,
     ):
+        self._listener = listener
         super().__init__(address, application, numthreads=threads, server_name="wagtailtrestle")
         self.gateway = CallersGateway
         self.requests = CallerThreads(self, min=min(FIRST_THREADS, threads), max=threads)
@@ -224,16 +224,14 @@
         self.put_conn(conn)
 
     def bind(self, family, type, proto=0):  # noqa: A002
-        """Bind, with options that accepted connections inherit."""
-        sock = super().bind(family, type, proto)
-        # A caller's VM that vanishes sends no end of connection: without these its thread
-        # and its run would be held until the deadline.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, WRITE_TIMEOUT_MS)
-        return sock
+        """Take the listener that there is, or bind one."""
+        if self._listener is None:
+            sock = super().bind(family, type, proto)
+            set_options(sock, is_port_given=self.bind_addr[1] != 0)
+            return sock
+        self.socket = self._listener
+        self.bind_addr = self.resolve_real_bind_addr(self.socket)
+        return self.socket
 
     def error_log(self, msg="", level=20, traceback=False):
         """Send the library's messages to the log."""
--- a/wagtailtrestle/cli/router.py
+++ b/wagtailtrestle/cli/router.py
@@ -4,12 +4,12 @@
 
 from fire.decorators import SetParseFn
 
+from wagtailtrestle.callers.listening import cannot_listen, listen
 from wagtailtrestle.cli.runner import run_program
+from wagtailtrestle.declarations.argument_types import split_address
 from wagtailtrestle.declarations.settings import SettingsFaults, load_router_settings
 from wagtailtrestle.environment import Environment
 from wagtailtrestle.exit_status import ExitStatus
-from wagtailtrestle.observe.logs import start_logs
-from wagtailtrestle.output.text import faults_text
 
 PROGRAM = "wagtailtrestle-router"
 
@@ -38,15 +38,25 @@
     """Run the router that a settings file describes and return its exit status."""
     settings = load_router_settings(settings_file)
     if isinstance(settings, SettingsFaults):
+        # Imported late: it brings an HTTP client, which only the commands that print need.
+        from wagtailtrestle.output.text import faults_text
+
         environment.complain(faults_text(settings.faults))
         environment.complain(f"The router was not started: correct {settings_file}.")
         return ExitStatus.USAGE
+    try:
+        listener = listen(split_address(settings.callers_address))
+    except OSError as error:
+        environment.complain(cannot_listen(error))
+        return ExitStatus.CHECK_FAILED
+    # Imported after the listener is there: they take longer than all that goes before.
+    from wagtailtrestle.observe.logs import start_logs
+
     logs = start_logs(stream=environment.stdout, level=settings.log_level, as_json=settings.log_json)
-    # Imported late: a faulty settings file is told at once, without the whole router's libraries.
     from wagtailtrestle.core import run_router
 
     try:
-        return run_router(settings=settings, settings_file=settings_file, environment=environment)
+        return run_router(settings=settings, settings_file=settings_file, environment=environment, listener=listener)
     finally:
         logs.close()
 
--- a/wagtailtrestle/core.py
+++ b/wagtailtrestle/core.py
@@ -6,28 +6,32 @@
 from loguru import logger
 
 from wagtailtrestle.broken_invariant import stop_on_broken_invariant
+from wagtailtrestle.callers.listening import cannot_listen
 from wagtailtrestle.declarations.settings_watch import SettingsWatch
 from wagtailtrestle.exit_status import ExitStatus
 from wagtailtrestle.router import Router
 
 
-def run_router(*, settings, settings_file, environment):
-    """Run a router until SIGTERM or SIGINT, then drain it; return the exit status."""
+def run_router(*, settings, settings_file, environment, listener=None):
+    """Run a router until SIGTERM or SIGINT, then drain it; return the exit status.
+
+    ``listener`` listens for callers already, where that was begun ahead of the router.
+    """
     try:
-        return asyncio.run(_run(settings, settings_file))
+        return asyncio.run(_run(settings, settings_file, listener))
     except OSError as error:
-        environment.complain(f"The router could not listen: {error}. Check the addresses in its settings.")
+        environment.complain(cannot_listen(error))
         return ExitStatus.CHECK_FAILED
 
 
-async def _run(settings, settings_file):
+async def _run(settings, settings_file, listener):
     loop = asyncio.get_running_loop()
     asked_to_stop = asyncio.Event()
     broken = asyncio.Event()
     stop_on_broken_invariant(loop, lambda: (broken.set(), asked_to_stop.set()))
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, asked_to_stop.set)
-    router = Router(settings=settings, loop=loop)
+    router = Router(settings=settings, loop=loop, listener=listener)
     watch = SettingsWatch(path=settings_file, settings=settings)
     # Unhandled, this signal ends a process on the spot, with every request in flight.
     loop.add_signal_handler(signal.SIGHUP, watch.reload)
--- a/wagtailtrestle/declarations/argument_types.py
+++ b/wagtailtrestle/declarations/argument_types.py
@@ -158,6 +158,12 @@
         return text
 
 
+def split_address(text):
+    """Host and port of an address that :class:`HostPort` allows; brackets are taken off."""
+    host, _, port = text.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
 class Sha256:
     """Hex digest of a key. The value is never shown: a key itself may stand there by mistake."""
 
--- a/wagtailtrestle/declarations/settings.py
+++ b/wagtailtrestle/declarations/settings.py
@@ -19,6 +19,9 @@
 DEFAULT_CONFIGURATION_POLL_S = 2.0
 DEFAULT_REPORT_INTERVAL_S = 0.5
 DEFAULT_VM_LIST_INTERVAL_S = 1.0
+DEFAULT_START_HOLD_S = 1.2
+"""Twice what a router needs from its start until it serves. Past it something is amiss, and another
+router is the better choice."""
 DEFAULT_BALANCER_GRACE_S = 1.0
 """A balancer that probes every second or faster has noticed by then."""
 FRESHNESS_SHARE = 0.9
@@ -88,6 +91,8 @@
         Time between two looks at an engine's load report, by the steward of its cell.
     balancer_grace_s : float
         How long a leaving router still serves what the balancer sends it.
+    start_hold_s : float
+        Longest time for which requests are held that come before it can serve; 0 refuses them at once.
     plain_grace_s : float
         How long it still serves calls of plain services; at least ``balancer_grace_s`` counts.
     engine_return_grace_s : float
@@ -122,6 +127,7 @@
         "vm_list_interval_s",
         "report_interval_s",
         "balancer_grace_s",
+        "start_hold_s",
         "plain_grace_s",
         "engine_return_grace_s",
     )
@@ -156,6 +162,7 @@
         vm_list_interval_s=DEFAULT_VM_LIST_INTERVAL_S,
         report_interval_s=DEFAULT_REPORT_INTERVAL_S,
         balancer_grace_s=DEFAULT_BALANCER_GRACE_S,
+        start_hold_s=DEFAULT_START_HOLD_S,
         plain_grace_s=0.0,
         engine_return_grace_s=DEFAULT_ENGINE_RETURN_GRACE_S,
     ):
@@ -186,6 +193,7 @@
         self.vm_list_interval_s = vm_list_interval_s
         self.report_interval_s = report_interval_s
         self.balancer_grace_s = balancer_grace_s
+        self.start_hold_s = start_hold_s
         self.plain_grace_s = plain_grace_s
         self.engine_return_grace_s = engine_return_grace_s
 
@@ -299,6 +307,7 @@
             "report_interval_s", Number(least=0.05, most=60), default=DEFAULT_REPORT_INTERVAL_S
         ),
         "balancer_grace_s": reader.value("balancer_grace_s", seconds, default=DEFAULT_BALANCER_GRACE_S),
+        "start_hold_s": reader.value("start_hold_s", seconds, default=DEFAULT_START_HOLD_S),
         "plain_grace_s": reader.value("plain_grace_s", seconds, default=0.0),
         "engine_return_grace_s": reader.value("engine_return_grace_s", seconds, default=DEFAULT_ENGINE_RETURN_GRACE_S),
     }
--- a/wagtailtrestle/engines/client.py
+++ b/wagtailtrestle/engines/client.py
@@ -11,6 +11,7 @@
 from urllib3.exceptions import HTTPError
 
 from wagtailtrestle.contracts.exchange import RunEnded
+from wagtailtrestle.declarations.argument_types import split_address
 from wagtailtrestle.engines.run_exchange import OK, RunExchange
 
 CANCEL_TIMEOUT_S = 1.0
@@ -104,8 +105,8 @@
 
     def _ask_to_cancel(self, address, path):
         # A new connection, since a pooled one may have gone silent unnoticed.
-        host, _, port = address.rpartition(":")
-        connection = HTTPConnection(host.strip("[]"), int(port), timeout=self._connect_timeout_s)
+        host, port = split_address(address)
+        connection = HTTPConnection(host, port, timeout=self._connect_timeout_s)
         try:
             connection.connect()
             connection.timeout = CANCEL_TIMEOUT_S
--- a/wagtailtrestle/engines/reports.py
+++ b/wagtailtrestle/engines/reports.py
@@ -14,6 +14,7 @@
 from urllib3.exceptions import HTTPError
 
 from wagtailtrestle.contracts.report_messages import CacheEvents, EngineReport, LoadReport, LoadUnreachable
+from wagtailtrestle.declarations.argument_types import split_address
 
 CONNECT_TIMEOUT_S = 0.3
 READ_TIMEOUT_S = 0.5
@@ -227,8 +228,8 @@
         return None, problem
 
     def _connect(self):
-        host, _, port = self._address.rpartition(":")
-        connection = HTTPConnection(host.strip("[]"), int(port), timeout=CONNECT_TIMEOUT_S)
+        host, port = split_address(self._address)
+        connection = HTTPConnection(host, port, timeout=CONNECT_TIMEOUT_S)
         connection.connect()
         connection.timeout = READ_TIMEOUT_S
         self._connection = connection
--- a/wagtailtrestle/engines/run_exchange.py
+++ b/wagtailtrestle/engines/run_exchange.py
@@ -18,6 +18,7 @@
     RunRejected,
     RunSilent,
 )
+from wagtailtrestle.declarations.argument_types import split_address
 from wagtailtrestle.engines.run_progress import RunProgress
 
 READ_BYTES = 65536
@@ -183,9 +184,9 @@
         # nobody can tell that from an engine that read it and died, so it could not be sent
         # again. It costs one round trip, and a failure here is certain: nothing was sent.
         # It also means that no run ever starts on a connection that went silent while idle.
-        host, _, port = self.command.address.rpartition(":")
+        host, port = split_address(self.command.address)
         timeout = max(min(self._connect_timeout_s, self.command.overall_s), SHORTEST_TIMEOUT_S)
-        self._connection = HTTPConnection(host.strip("[]"), int(port), timeout=timeout)
+        self._connection = HTTPConnection(host, port, timeout=timeout)
         try:
             self._connection.connect()
         except (NewConnectionError, UrllibTimeoutError, OSError) as error:
--- a/wagtailtrestle/membership/membership.py
+++ b/wagtailtrestle/membership/membership.py
@@ -30,8 +30,8 @@
 REFRESH_DELAY_S = 0.005
 LATE_TICK_S = 0.25
 FROZEN_GAP_S = 0.8
-TRUST_WITHIN_S = 0.4
-"""Longest wait of a router that starts or woke for a peer's view: many times what a peer that lives needs
+TRUST_WITHIN_S = 0.25
+"""Longest wait of a router that starts or woke for a peer's view: five times what a peer that lives needs
 (some 50 ms). Where all routers start at once nobody has a view to tell, and each of them serves nothing
 for so long."""
 CONTACT_INTERVAL_S = 1.0
@@ -120,7 +120,8 @@
         """Contact the seeds and begin to exchange heartbeats."""
         now = self._loop.time()
         self._table.own.address = self._peers.address
-        self._tick_at = self._heartbeat_at = self._contact_at = self._doubt_since = now
+        self._tick_at = self._heartbeat_at = self._contact_at = now
+        self._doubt(now)
         self._contacts.start()
         self._timer = self._loop.call_later(TICK_S, self._on_tick)
 
@@ -306,14 +307,23 @@
             return True
         logger.warning("this process was paused for {:.1f} s; asking peers what happened", now - self._tick_at)
         self._tick_at = self._silence_from = now
-        self._doubt_since = now
-        self.trusted = False
+        self._doubt(now)
         self._suspicions.restart()
         for peer in sorted(self._partners):
             if self._peers.connected(peer):
                 self._sync.pull(peer)
         return False
 
+    def _doubt(self, now):
+        self._doubt_since = now
+        self.trusted = False
+        self._loop.call_later(TRUST_WITHIN_S, self._trust_alone, now)
+
+    def _trust_alone(self, doubted_at):
+        """Go on with what is known: nobody told more, so this router is alone or cut off."""
+        if doubted_at == self._doubt_since:
+            self._trust()
+
     def _trust(self):
         if self.trusted:
             return
@@ -334,9 +344,6 @@
             # A pause too short to doubt the view: what arrived meanwhile may not be read yet.
             self._silence_from = now
         self._tick_at = now
-        if not self.trusted and now - self._doubt_since > TRUST_WITHIN_S:
-            # Nobody to ask: this router is alone or cut off, and goes on with what it has.
-            self._trust()
         if now >= self._heartbeat_at:
             self._heartbeat_at = now + self._heartbeat_s * self._jitter.uniform(0.9, 1.0)
             for peer in self._partners:
--- a/wagtailtrestle/platform/callers.py
+++ b/wagtailtrestle/platform/callers.py
@@ -72,6 +72,11 @@
         """The caller's own id, or one made for a request without."""
         return environ.get("HTTP_REQUEST_ID") or uuid.uuid4().hex
 
+    def caller_time_s(self, environ):
+        """What the caller has left, seconds."""
+        asked_ms = environ.get("HTTP_DEADLINE_MILLISECONDS", "").strip()
+        return int(asked_ms) / MS_PER_S if asked_ms.isdecimal() else None
+
     def problem(self, refusal, request_id):
         """A refusal in the statuses that callers of the platform go by."""
         status = _status(refusal)
@@ -175,12 +180,12 @@
         )
 
     def _allowed_s(self, arrival, route, environ):
-        allowed_ms = route.timeout_ms
-        asked = environ.get("HTTP_DEADLINE_MILLISECONDS", "").strip()
-        if asked.isdecimal():
-            allowed_ms = min(allowed_ms, int(asked))
+        allowed_s = min(route.timeout_ms / MS_PER_S, self._most_deadline_s)
+        caller_time_s = self.caller_time_s(environ)
+        if caller_time_s is not None:
+            allowed_s = min(allowed_s, caller_time_s)
         elapsed_s = time.monotonic() - arrival.at
-        return min(allowed_ms / MS_PER_S, self._most_deadline_s) - elapsed_s
+        return allowed_s - elapsed_s
 
 
 class PlatformAnswer:
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -22,6 +22,7 @@
 from wagtailtrestle.contracts.outcomes import Reason
 from wagtailtrestle.contracts.peer_messages import PeerUnreachable
 from wagtailtrestle.contracts.report_messages import CacheEvents, LoadReport, LoadUnreachable
+from wagtailtrestle.declarations.argument_types import split_address
 from wagtailtrestle.engines.client import EngineClient
 from wagtailtrestle.engines.reports import EngineReports
 from wagtailtrestle.entry.cells import cells_of
@@ -58,9 +59,12 @@
     ----------
     settings : RouterSettings
     loop : asyncio.AbstractEventLoop
+    listener : socket.socket, optional
+        Listens for callers already.
     """
 
-    def __init__(self, *, settings, loop):
+    def __init__(self, *, settings, loop, listener=None):
+        self._listener = listener
         self._settings = settings
         self._loop = loop
         self._incarnation = time.time_ns() // 1_000_000
@@ -139,6 +143,7 @@
         )
         self._membership.on_generation(lambda peer, generation: self._configuration.heard(generation))
         self._membership.on_view_change(self._end_questions)
+        self._membership.on_trusted(self._has_begun)
 
     def _make_engine_relay(self):
         # Where reads may lag, a reader's list proves nothing about what the store holds now.
@@ -212,7 +217,7 @@
         limits = CallerLimits(held=held_for(settings.caller_threads), body_bytes=DEFAULT_BODY_BYTES)
         self._callers = CallersServer(
             name=f"{settings.name}-{self._incarnation}",
-            address=_address(settings.callers_address),
+            address=split_address(settings.callers_address),
             directory=lambda: self._in_force,
             submit=lambda request, caller: self._entry.submit(request, caller),
             post=lambda request_id, event: self._entry.post(request_id, event),
@@ -224,6 +229,8 @@
             threads=settings.caller_threads,
             max_body_bytes=settings.max_body_bytes,
             max_header_bytes=settings.max_header_bytes,
+            start_hold_s=settings.start_hold_s,
+            listener=self._listener,
             make_dialect=lambda **parts: self._adapter.make_dialect(
                 key_proof=self._key_proof, quotas=self._quotas.book, **parts
             ),
@@ -233,7 +240,7 @@
 
     def _make_admin(self, address):
         return AdminServer(
-            address=_address(address),
+            address=split_address(address),
             ready=self.not_ready,
             state=self.state,
             metrics=self._metrics,
@@ -343,6 +350,8 @@
         if not self._begun:
             engines_known = self._engine_list is None or self._engine_list.is_known
             self._begun = self._in_force is not None and engines_known and self._membership.trusted
+            if self._begun:
+                self._callers.let_go()
         return self._begun
 
     def state(self):
@@ -400,6 +409,7 @@
         self._stewards.set_declaration(declaration)
         self._directory.refresh()
         self._watch_engines()
+        self._has_begun()
 
     def _key_proof(self):
         # A key that was revoked while this router was cut off from the platform must not run
@@ -485,11 +495,6 @@
                 self._quotas.tick()
 
 
-def _address(text):
-    host, _, port = text.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 async def _stopped(task):
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
