--- /dev/null
+++ b/tests/test_suited_engine.py
@@ -0,0 +1,101 @@
+"""Load of long and short prompts on engines that differ fourfold, nearly full.
+
+The pattern: two thirds of the engines read 80 prompt tokens in a millisecond, the others 18, and make
+an event of three tokens in 13 or 57 ms. What waits first takes the next place that frees. On a slow
+engine a long prompt's first token comes late, and while it is read every other stream there pauses for
+three pieces of 1,024 tokens and three steps, some 230 ms, where callers hope for 200. Figures: places
+on fast engines free every 20 to 50 ms, so a quarter of 400 to 800 ms is time enough to wait for one.
+"""
+
+import unittest
+
+from tests.utils.steward_fakes import Cell, ask, engine, finished
+from wagtailtrestle.capacity.grants import CHOOSY_SHARE
+from wagtailtrestle.contracts.messages import Granted, Refused
+
+HOPED_FOR_S = 0.8
+PAUSE_S = 0.2
+EVENT_TOKENS = 3
+
+
+def declared(name, *, prefill_tokens_per_ms, step_ms):
+    declared_engine = engine(name, slots=2)
+    declared_engine.prefill_tokens_per_s = 1000.0 * prefill_tokens_per_ms
+    declared_engine.step_ms = step_ms
+    return declared_engine
+
+
+FAST = declared("fast", prefill_tokens_per_ms=80.0, step_ms=4.3)
+SLOW = declared("slow", prefill_tokens_per_ms=18.0, step_ms=19.0)
+
+
+class SuitedEngineTest(unittest.TestCase):
+    def cell(self, *engines):
+        cell = Cell(engines=())
+        cell.steward.set_engines({each.name: each for each in engines})
+        return cell
+
+    def ask(self, cell, request_id, *, prompt_tokens):
+        cell.receive(
+            ask(
+                request_id,
+                prompt_tokens=prompt_tokens,
+                remaining_s=12.0,
+                first_token_within_s=HOPED_FOR_S,
+                pause_within_s=PAUSE_S,
+                event_tokens=EVENT_TOKENS,
+            )
+        )
+
+    def engine_of(self, cell, request_id):
+        granted = [message for message in cell.entries.of(Granted) if message.request_id == request_id]
+        return granted[0].engine if granted else None
+
+    def fill_fast(self, cell):
+        for number in range(2):
+            self.ask(cell, f"first-{number}", prompt_tokens=100)
+            self.assertEqual(self.engine_of(cell, f"first-{number}"), "fast")
+
+    def test_a_long_prompt_waits_a_moment_for_a_fast_engine(self):
+        # Places are free on the slow engine only, where its first token would come late.
+        cell = self.cell(FAST, SLOW)
+        self.fill_fast(cell)
+        self.ask(cell, "long", prompt_tokens=12_000)
+        self.assertIsNone(self.engine_of(cell, "long"))
+        cell.advance(0.05)
+        cell.receive(finished("first-0", on="fast", duration_s=0.1))
+        self.assertEqual(self.engine_of(cell, "long"), "fast")
+
+    def test_it_takes_the_slow_engine_rather_than_wait_long(self):
+        cell = self.cell(FAST, SLOW)
+        self.fill_fast(cell)
+        self.ask(cell, "long", prompt_tokens=12_000)
+        cell.advance(CHOOSY_SHARE * HOPED_FOR_S + 0.1)
+        self.assertEqual(self.engine_of(cell, "long"), "slow")
+
+    def test_a_prompt_that_would_stall_the_streams_beside_it_waits_too(self):
+        # It would begin in time by itself, but a stream on the slow engine would pause too long.
+        cell = self.cell(FAST, SLOW)
+        self.fill_fast(cell)
+        self.ask(cell, "beside", prompt_tokens=500)
+        self.assertEqual(self.engine_of(cell, "beside"), "slow")
+        self.ask(cell, "stalls", prompt_tokens=4000)
+        self.assertIsNone(self.engine_of(cell, "stalls"))
+
+    def test_a_short_prompt_takes_what_is_free(self):
+        cell = self.cell(FAST, SLOW)
+        self.fill_fast(cell)
+        self.ask(cell, "short", prompt_tokens=900)
+        self.ask(cell, "another", prompt_tokens=900)
+        self.assertEqual([self.engine_of(cell, name) for name in ("short", "another")], ["slow", "slow"])
+
+    def test_where_no_engine_would_suit_the_first_free_one_is_taken(self):
+        # Only slow engines are left: to wait for a better one would be to wait for nothing.
+        cell = self.cell(SLOW)
+        self.ask(cell, "long", prompt_tokens=12_000)
+        self.assertEqual(self.engine_of(cell, "long"), "slow")
+        self.assertEqual(cell.entries.of(Refused), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wagtailtrestle/capacity/admission.py
+++ b/wagtailtrestle/capacity/admission.py
@@ -55,6 +55,12 @@
 LEAST_QUICK_RETRY_S = 0.3
 """The same where a first token is hoped for within about a second: told a second, nobody could come back in time."""
 
+FIRST_TOKEN_MARGIN = 1.5
+"""How many times later than predicted a first token may come and still be in time: 90 of 100 come within
+twice the prediction, half within 1.05 times."""
+PIECE_TOKENS = 1024
+"""Prompt tokens that an engine is taken to read between two tokens of other runs."""
+
 MIN_RATE = 1e-6
 RETRY_SPREAD = 0.25
 """Retry-After is longer by up to this share, so that callers refused together don't return together."""
@@ -258,10 +264,16 @@
         predicted_s = shielded_run_s(waiting.request, engine, len(held) + 1, 0)
         return predicted_s <= tolerance(engine) * (waiting.deadline - self._clock())
 
+    def waits_for_better(self, waiting: WaitingRequest):
+        """Whether a request that no free place suits had better wait for one that does, for a moment."""
+        if self._clock() >= waiting.choosy_until:
+            return False
+        return any(engine.limit and suits_empty(waiting, engine) for engine in self._engines)
+
     def can_finish_now(self, waiting: WaitingRequest, engine):
         """Whether the engine would finish it in time if it were granted there now, and those there too."""
         if waiting.request.first_token_within_s:
-            return True
+            return suits(waiting, engine, now=self._clock())
         uncached = uncached_tokens(waiting.request, engine)
         if uncached > CHEAP_PROMPT_TOKENS and self._crowded(waiting.request.tier):
             return False
@@ -319,6 +331,40 @@
         return sum(confidences) >= TRUSTED_CONFIDENCE * len(confidences)
 
 
+def suits(waiting, engine, *, now):
+    """Whether a request that is to begin soon begins in time on the engine, and those there don't stall."""
+    first_token_s = engine.model.predict_first_token_s(
+        uncached_tokens=uncached_tokens(waiting.request, engine),
+        concurrency=engine.running + 1,
+        pending_prefill_tokens=engine.pending_prefill_tokens,
+    )
+    if now + FIRST_TOKEN_MARGIN * first_token_s > waiting.arrived_at + waiting.request.first_token_within_s:
+        return False
+    return not engine.running or not stalls_others(waiting.request, engine)
+
+
+def suits_empty(waiting, engine):
+    """The same for the engine if it had nothing to do."""
+    request = waiting.request
+    first_token_s = engine.model.predict_first_token_s(
+        uncached_tokens=uncached_tokens(request, engine), concurrency=1, pending_prefill_tokens=0
+    )
+    return FIRST_TOKEN_MARGIN * first_token_s <= request.first_token_within_s and not stalls_others(request, engine)
+
+
+def stalls_others(request, engine):
+    """Whether reading the prompt would make the streams beside it pause for longer than their callers hope.
+
+    An engine reads a prompt in pieces, one before each token that it makes for the others; an event
+    of theirs waits for all the pieces that fall between its tokens.
+    """
+    if not request.pause_within_s:
+        return False
+    between_tokens = min(uncached_tokens(request, engine), request.event_tokens * PIECE_TOKENS)
+    event_s = request.event_tokens * engine.model.step_s(engine.limit) + engine.model.prefill_s(between_tokens)
+    return event_s > request.pause_within_s
+
+
 def uncached_tokens(request, engine):
     """Tokens the engine would prefill for the request."""
     total = request.prompt_tokens + request.done_tokens
--- a/wagtailtrestle/capacity/grants.py
+++ b/wagtailtrestle/capacity/grants.py
@@ -12,6 +12,11 @@
 Begun later it would disappoint, and take its place from a request that can still be in time."""
 
 
+CHOOSY_SHARE = 0.25
+"""Part of the time to the hoped-for first token within which a request waits for an engine that suits it.
+Fast engines of a full cell free a place every 20 to 50 ms; longer waits cost more than a slow engine does."""
+
+
 class WaitingRequest:
     """A request that waits for a place.
 
@@ -69,6 +74,11 @@
         within_s = self.request.first_token_within_s
         return min(latest, self.arrived_at + START_SHARE * within_s) if within_s else latest
 
+    @property
+    def choosy_until(self):
+        """Time until which it may wait for an engine that suits it rather than take what is free."""
+        return self.arrived_at + CHOOSY_SHARE * self.request.first_token_within_s
+
 
 class Grant:
     """A place on an engine that belongs to one request until its run ends.
--- a/wagtailtrestle/capacity/steward.py
+++ b/wagtailtrestle/capacity/steward.py
@@ -311,6 +311,8 @@
     def _try(self, waiting, open_engines):
         """Grant the request on one of the engines with room, park it, or refuse it."""
         suited = [engine for engine in open_engines if self._admission.can_finish_now(waiting, engine)]
+        if not suited and waiting.request.first_token_within_s and not self._admission.waits_for_better(waiting):
+            suited = open_engines
         engine = self._policy.choose(request=waiting.request, engines=suited, now=self._clock()) if suited else None
         if engine is not None:
             self._grant(waiting, engine)
--- a/wagtailtrestle/contracts/declaration.py
+++ b/wagtailtrestle/contracts/declaration.py
@@ -124,6 +124,8 @@
         Longest time for the whole answer.
     target_ms : int
         Time to the answer, or to its first event, that callers hope for.
+    pause_ms : int
+        Longest pause between two events of a stream that callers hope for; 0 if it does not matter.
     repeatable : bool
         Whether a request may run more than once.
     streaming : bool
@@ -143,6 +145,7 @@
         "tier",
         "timeout_ms",
         "target_ms",
+        "pause_ms",
         "repeatable",
         "streaming",
         "resumable",
@@ -161,6 +164,7 @@
         timeout_ms,
         target_ms,
         repeatable,
+        pause_ms=0,
         streaming=False,
         resumable=False,
         max_runs=1,
@@ -173,6 +177,7 @@
         self.tier = tier
         self.timeout_ms = timeout_ms
         self.target_ms = target_ms
+        self.pause_ms = pause_ms
         self.repeatable = repeatable
         self.streaming = streaming
         self.resumable = resumable
--- a/wagtailtrestle/contracts/exchange.py
+++ b/wagtailtrestle/contracts/exchange.py
@@ -38,6 +38,10 @@
         Engines it may run on; ``None`` for no limit but its deadline.
     first_token_within_s : float or None
         Time from its arrival to the first token that its caller hopes for; ``None`` if only the deadline counts.
+    pause_within_s : float
+        Longest pause between two events that its caller hopes for; 0 if it does not matter.
+    event_tokens : int
+        Tokens in one event.
     hinted_tokens : int
         Its caller's own estimate of the output, often far off; 0 without one.
     """
@@ -58,6 +62,8 @@
         "deadline",
         "max_runs",
         "first_token_within_s",
+        "pause_within_s",
+        "event_tokens",
         "hinted_tokens",
     )
 
@@ -79,6 +85,8 @@
         deadline,
         max_runs=None,
         first_token_within_s=None,
+        pause_within_s=0.0,
+        event_tokens=1,
         hinted_tokens=0,
     ):
         self.request_id = request_id
@@ -96,6 +104,8 @@
         self.deadline = deadline
         self.max_runs = max_runs
         self.first_token_within_s = first_token_within_s
+        self.pause_within_s = pause_within_s
+        self.event_tokens = event_tokens
         self.hinted_tokens = hinted_tokens
 
 
--- a/wagtailtrestle/contracts/messages.py
+++ b/wagtailtrestle/contracts/messages.py
@@ -41,6 +41,10 @@
         Whether it is suspected of crashing engines and must run beside no other.
     first_token_within_s : float
         Time from now to the first token that the caller hopes for; 0 if only the deadline counts.
+    pause_within_s : float
+        Longest pause between two events that the caller hopes for; 0 if it does not matter.
+    event_tokens : int
+        Tokens that the engine puts into one event.
     hinted_tokens : int
         The caller's own estimate of its whole output, often far off; 0 without one.
     """
@@ -62,6 +66,8 @@
     alone: bool = False
     first_token_within_s: float = 0.0
     hinted_tokens: int = 0
+    pause_within_s: float = 0.0
+    event_tokens: int = 1
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -186,6 +186,8 @@
             alone=self._alone,
             first_token_within_s=self._first_token_within_s(),
             hinted_tokens=request.hinted_tokens,
+            pause_within_s=request.pause_within_s,
+            event_tokens=request.event_tokens,
         )
 
     def running_record(self):
--- a/wagtailtrestle/platform/callers.py
+++ b/wagtailtrestle/platform/callers.py
@@ -141,9 +141,8 @@
         tier = declaration.tiers_by_name[tier_of(route=route, team=team)]
         prompt_tokens, output_tokens = sizes or (0, 0)
         declared = declaration.services_by_name.get(service)
-        received = PlatformReceived(
-            tokens_per_event=declared.tokens_per_event if declared else 1, prompt_tokens=prompt_tokens
-        )
+        event_tokens = declared.tokens_per_event if declared else 1
+        received = PlatformReceived(tokens_per_event=event_tokens, prompt_tokens=prompt_tokens)
         call = PlatformCall(
             method=environ["REQUEST_METHOD"],
             target=environ["REQUEST_URI"],
@@ -169,6 +168,8 @@
             deadline=self._now() + self._allowed_s(arrival, route, environ),
             max_runs=route.max_runs,
             first_token_within_s=route.target_ms / MS_PER_S,
+            pause_within_s=route.pause_ms / MS_PER_S,
+            event_tokens=event_tokens,
             hinted_tokens=_length_hint(environ.get("HTTP_LENGTH_HINT", "")),
         )
         return Prepared(
--- a/wagtailtrestle/platform/declarations.py
+++ b/wagtailtrestle/platform/declarations.py
@@ -150,6 +150,7 @@
         tier=str(int(item.get("priority", 0))),
         timeout_ms=timeout_ms,
         target_ms=int(item.get("target_latency_ms") or timeout_ms),
+        pause_ms=int(item.get("gap_target_ms") or 0) if is_streaming else 0,
         repeatable=item["kind"] == IDEMPOTENT or is_resumable,
         streaming=is_streaming,
         resumable=is_resumable,
