--- a/wagtailtrestle/capacity/admission.py
+++ b/wagtailtrestle/capacity/admission.py
@@ -252,10 +252,17 @@
         tier = waiting.request.tier
         left_per_s = granted_per_s - self._rates.rate_above(tier)
         left_per_s = max(left_per_s, LEAST_SERVICE_SHARE * granted_per_s, MIN_RATE)
-        if self._queue.work_ahead_s(waiting) / left_per_s > START_WAIT_SHARE * (waiting.latest_start - self._clock()):
+        # While runs of lower tiers end, their places go to this tier first: refused now, it would see
+        # the next of them go to a lower one that came after it.
+        share = 1.0 if self._runs_lower(tier) else START_WAIT_SHARE
+        if self._queue.work_ahead_s(waiting) / left_per_s > share * (waiting.latest_start - self._clock()):
             return Reason.OVERLOADED
         return None
 
+    def _runs_lower(self, tier):
+        grants = (grant for engine in self._engines for grant in engine.grants_by_request_id.values())
+        return any(grant.request.tier > tier for grant in grants)
+
     def could_finish(self, waiting: WaitingRequest, engine):
         """Whether the engine could finish it if all that may be preempted for it were gone."""
         if waiting.request.first_token_within_s:
