--- a/tests/test_engine_list.py
+++ b/tests/test_engine_list.py
@@ -8,14 +8,23 @@
 from wagtailtrestle.configuration.engine_list import RELIST_S, WATCH_S, EngineList
 from wagtailtrestle.contracts.outcomes import StoreConflict, StoreDone, StoreHistoryGone
 from wagtailtrestle.membership.announcement import Announcement
-from wagtailtrestle.platform.declarations import read_engine
+from wagtailtrestle.platform.engine_entries import read_engine
 
 KIND = "engines"
 GRACE_S = 2.0
 
 
 def entry(state="ready", **changes):
-    return {"service": "assistant", "address": "10.0.0.1:80", "zone": "a", "slots": 4, "state": state} | changes
+    return {
+        "service": "assistant",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "version": "v1",
+        "slots": 4,
+        "state": state,
+        "cold_remaining_ms": 0,
+        "sequence": 1,
+    } | changes
 
 
 class ListedStore(MemoryStore):
--- a/tests/test_engine_relay.py
+++ b/tests/test_engine_relay.py
@@ -9,7 +9,7 @@
 from wagtailtrestle.configuration.engine_relay import LEAST_READERS, READ_WATCH_S, EngineRelay
 from wagtailtrestle.contracts.outcomes import StoreDone
 from wagtailtrestle.contracts.peer_messages import PeerUnreachable
-from wagtailtrestle.platform.declarations import read_engine
+from wagtailtrestle.platform.engine_entries import read_engine
 from wagtailtrestle.standins.object_table import ObjectTable
 
 KIND = "engines"
@@ -20,7 +20,16 @@
 
 
 def entry(state="ready", **changes):
-    return {"service": "assistant", "address": "10.0.0.1:80", "zone": "a", "slots": 4, "state": state} | changes
+    return {
+        "service": "assistant",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "version": "v1",
+        "slots": 4,
+        "state": state,
+        "cold_remaining_ms": 0,
+        "sequence": 1,
+    } | changes
 
 
 class Network:
--- /dev/null
+++ b/tests/test_engine_restart.py
@@ -0,0 +1,91 @@
+"""An engine that starts again under the name that it had.
+
+It crashed and is back before its entry lapsed. What a steward still counts on it is gone: places look
+taken until silent connections are noticed, a cache looks warm that is empty, a speed and a
+health are believed that were another process's. Its time of start tells, in its entry or its report.
+"""
+
+import unittest
+
+from tests.utils.steward_fakes import Cell, ask, engine, report
+from wagtailtrestle.contracts.messages import Granted
+
+BORN = 1_781_425_589_000
+LATER = BORN + 5_000
+
+
+def declared(start_ms, *, leaving=False):
+    found = engine("e1", slots=2)
+    found.start_ms = start_ms
+    found.leaving = leaving
+    return found
+
+
+class EngineRestartTest(unittest.TestCase):
+    def setUp(self):
+        self.cell = Cell(engines=())
+        self.put(declared(BORN))
+        self.cell.receive(ask("a", prefix_blocks=(1, 2, 3)), ask("b"))
+        self.assertEqual(self.granted(), ["a", "b"])
+
+    def put(self, declared_engine):
+        self.cell.steward.set_engines({"e1": declared_engine})
+
+    def granted(self):
+        return self.cell.entries.ids(Granted)
+
+    def state(self):
+        return self.cell.steward._runs.engines_by_name["e1"]
+
+    def report(self, start_ms, **changes):
+        told = report(**changes)
+        object.__setattr__(told, "start_ms", start_ms)
+        self.cell.steward.on_load_report(told)
+
+    def test_its_places_are_free_once_its_entry_tells(self):
+        self.cell.receive(ask("c"), ask("d"))
+        self.assertEqual(self.granted(), ["a", "b"])
+        self.put(declared(LATER))
+        self.assertEqual(self.granted(), ["a", "b", "c", "d"])
+
+    def test_its_report_may_be_the_first_to_tell(self):
+        self.cell.receive(ask("c"))
+        self.report(LATER)
+        self.assertEqual(self.granted(), ["a", "b", "c"])
+        # The list that follows tells of the same start, and of one before while it lags.
+        self.put(declared(BORN))
+        self.put(declared(LATER))
+        self.assertEqual(self.state().running, 1)
+
+    def test_nothing_of_before_holds(self):
+        self.cell.measure()
+        self.report(BORN, running=2, waiting=7, leaving=True)
+        self.assertTrue(self.state().leaving)
+        self.assertGreater(self.state().cache.cached_tokens((1, 2, 3)), 0)
+        self.put(declared(LATER))
+        state = self.state()
+        self.assertEqual((state.leaving, state.phantom, state.running), (False, 0, 0))
+        self.assertEqual(state.cache.cached_tokens((1, 2, 3)), 0)
+        self.assertEqual(state.model.confidence(), 0.0)
+
+    def test_a_late_report_of_before_is_not_believed(self):
+        self.put(declared(LATER))
+        self.report(BORN, running=2, waiting=5)
+        self.assertEqual(self.state().phantom, 0)
+        self.report(0, running=1)
+        self.assertEqual(self.state().phantom, 1)
+
+    def test_runs_begun_since_the_start_show_as_load(self):
+        # They were let go with the rest; the engine's own count keeps it from being overfilled.
+        self.put(declared(LATER))
+        self.report(LATER, running=2)
+        self.cell.receive(ask("c"))
+        self.assertEqual(self.granted(), ["a", "b"])
+
+    def test_the_same_start_again_changes_nothing(self):
+        self.put(declared(BORN, leaving=True))
+        self.assertEqual(self.state().running, 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_foreign_entries.py
@@ -0,0 +1,139 @@
+"""Entries, lists, reports and configurations that other writers put where engines and operators write.
+
+Anybody may write to the platform's store. Taken for an engine, such an entry sends callers' requests to
+an address that is none, or ends the task that follows the list, and a router goes on with the
+engines of that moment for ever. So whatever is not what an engine writes names no engine, and only that.
+"""
+
+import asyncio
+import json
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.test_engine_list import Followed, entry
+from tests.utils.paused_clock import on_paused_clock
+from wagtailtrestle.configuration.engine_list import RELIST_S, WATCH_S
+from wagtailtrestle.contracts.declaration import DeclaredEngine
+from wagtailtrestle.platform.declarations import PlatformDeclarations
+from wagtailtrestle.platform.engine_entries import STATES, Unfit, read_engine
+from wagtailtrestle.platform.engines import PlatformReports
+from wagtailtrestle.platform.store import _event, _is_event, _is_list, _is_object
+from wagtailtrestle.store.http_lane import _decoded
+
+FOREIGN = {
+    "state": ["moon", "", None, 5, ["ready"]],
+    "address": [5, "nonsense", "", None, "10.0.0.1", "10.0.0.1:0", "10.0.0.1:99999", "host:80", ["10.0.0.1:80"]],
+    "slots": [-3, 0, "6", 6.0, True, None, 10**9],
+    "service": [["x"], 5, "", None, {"a": 1}, "s" * 300],
+    "zone": [7, None, ["a"]],
+    "version": [7, None],
+    "cold_remaining_ms": ["0", None, False],
+    "sequence": ["4", None, 1.5],
+    "born": ["1", 1.5, True, None, -1],
+}
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=20),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner, max_size=3),
+    max_leaves=6,
+)
+ANY_ENTRY = st.dictionaries(st.sampled_from(sorted(entry())) | st.text(max_size=8), VALUES).map(lambda d: entry() | d)
+EXAMPLES = 300
+"""Some two seconds; the schedule is the same at each run, so that the verdict is."""
+steady = settings(max_examples=EXAMPLES, derandomize=True, deadline=None, database=None)
+
+
+class ForeignEntryTest(unittest.TestCase):
+    def test_a_field_of_another_type_or_meaning_names_no_engine(self):
+        for field, values in FOREIGN.items():
+            for value in values:
+                with self.subTest(field=field, value=value):
+                    self.assertIsNone(read_engine("i-1", entry() | {field: value}))
+
+    def test_a_missing_field_names_no_engine(self):
+        for field in entry():
+            value = entry()
+            del value[field]
+            with self.subTest(field=field):
+                self.assertIsNone(read_engine("i-1", value))
+
+    def test_what_is_no_map_names_no_engine(self):
+        for value in ("text", 5, [], [entry()], True):
+            self.assertIsNone(read_engine("i-1", value))
+
+    def test_the_start_is_read(self):
+        self.assertEqual(read_engine("i-1", entry(born=1781425589123)).start_ms, 1781425589123)
+        self.assertEqual(read_engine("i-1", entry()).start_ms, 0)
+
+    @steady
+    @given(ANY_ENTRY)
+    def test_whatever_is_read_can_be_used(self, value):
+        engine = read_engine("i-1", value)
+        if engine is None:
+            return
+        self.assertIsInstance(engine, DeclaredEngine)
+        self.assertTrue(isinstance(engine.service, str) and isinstance(engine.zone, str))
+        self.assertGreater(int(engine.address.rpartition(":")[2]), 0)
+        self.assertGreater(engine.slots, 0)
+        self.assertIn(value["state"], STATES)
+
+
+class ForeignStoreAnswerTest(unittest.TestCase):
+    @steady
+    @given(VALUES)
+    def test_objects_and_events_that_cannot_be_read_are_passed_over(self, value):
+        for item in (value, {"metadata": value}, {"metadata": {"name": "a", "revision": value}}):
+            _is_object(item)
+            event = {"object": item, "deleted": False}
+            if _is_event(event):
+                _event(event)
+        self.assertFalse(_is_list({"items": value, "store_revision": "5"}, "items"))
+
+    def test_bytes_that_are_no_text_spoil_only_their_own_object(self):
+        data = b'{"items":[{"specification":"\xff\xfe\x01"},{"specification":"sound"}],"store_revision":5}'
+        self.assertEqual(_decoded(data)["items"][1], {"specification": "sound"})
+
+    @on_paused_clock
+    async def test_an_entry_that_was_written_over_is_not_used_and_the_others_hold(self):
+        # Another writer replaces an engine's entry. The address in it may be anybody's; the other
+        # engines go on, and the engine's own next word brings it back.
+        followed = Followed()
+        await followed.put("i-1", entry())
+        await followed.put("i-2", entry(address="10.0.0.2:80"))
+        followed.list.start()
+        await asyncio.sleep(0.5)
+        await followed.put("i-1", entry("moon"))
+        await asyncio.sleep(0.1)
+        self.assertEqual(set(followed.list.by_name), {"i-2"})
+        await followed.put("i-3", {"service": ["x"]})
+        await asyncio.sleep(RELIST_S + 2 * WATCH_S)
+        self.assertEqual(set(followed.list.by_name), {"i-2"})
+        await followed.put("i-1", entry())
+        await asyncio.sleep(0.1)
+        self.assertEqual(set(followed.list.by_name), {"i-1", "i-2"})
+        await followed.list.close()
+
+
+class ForeignReportTest(unittest.TestCase):
+    @steady
+    @given(VALUES | st.dictionaries(st.sampled_from(["running", "waiting", "state", "born"]), VALUES))
+    def test_a_report_is_sound_or_said_to_be_unfit(self, values):
+        try:
+            report = PlatformReports().load("i-1", values, took_s=0.01)
+        except Unfit:
+            return
+        self.assertTrue(report.running >= 0 and report.waiting >= 0 and report.start_ms >= 0)
+
+
+class ForeignConfigurationTest(unittest.TestCase):
+    @steady
+    @given(VALUES | st.dictionaries(st.sampled_from(["version", "routes", "services", "tenants"]), VALUES))
+    def test_a_configuration_is_read_or_its_faults_are_told(self, document):
+        read = PlatformDeclarations().parse(json.dumps(document))
+        self.assertTrue(hasattr(read, "faults") or hasattr(read, "host_routes"))
+        PlatformDeclarations().accepted(version=1, value=document)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform_declarations.py
+++ b/tests/test_platform_declarations.py
@@ -6,7 +6,8 @@
 
 from wagtailtrestle.callers.route_match import HostRouteIndex, choose_service
 from wagtailtrestle.contracts.declaration import LANGUAGE, PLAIN, Declaration
-from wagtailtrestle.platform.declarations import PlatformDeclarations, read_engine, tier_of
+from wagtailtrestle.platform.declarations import PlatformDeclarations, tier_of
+from wagtailtrestle.platform.engine_entries import read_engine
 
 CONFIGURATION = {
     "version": 7,
@@ -55,7 +56,16 @@
         {"name": "guests", "api_keys": []},
     ],
 }
-ENTRY = {"service": "assistant", "address": "10.0.0.1:80", "zone": "a", "version": "v1", "slots": 10, "state": "ready"}
+ENTRY = {
+    "service": "assistant",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 10,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 4,
+}
 
 
 def parse(document):
--- a/tests/utils/platform_world.py
+++ b/tests/utils/platform_world.py
@@ -194,6 +194,7 @@
             "version": "v1",
             "slots": 8,
             "state": state,
+            "cold_remaining_ms": 0,
             "sequence": 1,
         }
 
--- a/wagtailtrestle/capacity/run_book.py
+++ b/wagtailtrestle/capacity/run_book.py
@@ -1,5 +1,7 @@
 """Every run that holds a place in one cell, and what its course teaches about the engines."""
 
+from loguru import logger
+
 from wagtailtrestle.capacity.grants import EndedAsks, Grant
 from wagtailtrestle.contracts.outcomes import RunDone, RunLost
 from wagtailtrestle.engines.health import EngineHealth
@@ -25,10 +27,19 @@
     lengths : OutputLengths
     """
 
-    __slots__ = ("engines_by_name", "grants_by_request_id", "ended", "lengths", "_clock", "_health")
+    __slots__ = (
+        "engines_by_name",
+        "grants_by_request_id",
+        "ended",
+        "lengths",
+        "_declared_by_name",
+        "_clock",
+        "_health",
+    )
 
     def __init__(self, *, clock):
         self.engines_by_name = {}
+        self._declared_by_name = {}
         self.grants_by_request_id = {}
         self.ended = EndedAsks()
         self.lengths = OutputLengths()
@@ -41,14 +52,35 @@
         return self.engines_by_name.values()
 
     def declare(self, by_name):
-        """Put the declared engines in force; what is known of those kept stays."""
+        """Put the declared engines in force; what is known of those kept stays.
+
+        Unless one started again under its name: then it holds and knows nothing of before.
+        """
         states = {}
         for name, declared in by_name.items():
-            states[name] = self.engines_by_name.get(name) or EngineState(declared=declared, clock=self._clock)
+            state = self.engines_by_name.get(name)
+            if state is not None and self._tells_new_start(declared, state):
+                self._forget(state)
+                state = None
+            states[name] = state or EngineState(declared=declared, clock=self._clock)
             states[name].declare(declared)
+        self._declared_by_name = dict(by_name)
         self.engines_by_name = states
         self._health.set_engines(states)
 
+    def _tells_new_start(self, declared, state):
+        # A list may be older than the report by which a start is known already.
+        return declared.start_ms not in (state.start_ms, self._declared_by_name[state.name].start_ms)
+
+    def _forget(self, state):
+        # Runs of before would hold places that are free, for as long as their entries take to notice
+        # silent connections. Runs begun since the start that are let go with them show as load that
+        # nobody explains in the engine's next report.
+        logger.info("engine {} started again; what was known of it is forgotten", state.name)
+        for grant in list(state.grants_by_request_id.values()):
+            self.end(grant)
+        self._health.forget(state.name)
+
     def hold(self, request, *, asked_tokens, engine_name, deadline):
         """Give a place to a request and count it as not yet begun."""
         grant = self._new_grant(request, asked_tokens, engine_name, elapsed_s=0.0)
@@ -97,9 +129,20 @@
     def on_load_report(self, report):
         """Correct an engine's account by its own report."""
         engine = self.engines_by_name.get(report.engine)
-        if engine is not None:
-            for grant in engine.report(report):
-                self.end(grant)
+        if engine is None or 0 < report.start_ms < engine.start_ms:
+            return  # Unknown, or a word of before its last start that was late on its way.
+        if report.start_ms > engine.start_ms:
+            engine = self._started_again(engine, report.start_ms)
+        for grant in engine.report(report):
+            self.end(grant)
+
+    def _started_again(self, state, start_ms):
+        """Begin anew with an engine whose report is the first to tell of its start."""
+        self._forget(state)
+        fresh = EngineState(declared=self._declared_by_name[state.name], clock=self._clock)
+        fresh.start_ms = start_ms
+        self.engines_by_name[state.name] = fresh
+        return fresh
 
     def distrust(self):
         """Believe no engine's report from before now."""
--- a/wagtailtrestle/capacity/steward.py
+++ b/wagtailtrestle/capacity/steward.py
@@ -120,6 +120,7 @@
     def on_load_report(self, report):
         """Correct an engine's account by its own report."""
         self._runs.on_load_report(report)
+        self._admission.set_engines(self._runs.engines)
         self._grant_ready()
 
     def on_cache_events(self, events):
--- a/wagtailtrestle/configuration/engine_list.py
+++ b/wagtailtrestle/configuration/engine_list.py
@@ -184,7 +184,11 @@
         gone = {name for name, value in news.value_by_name.items() if value is None}
         read = {name: self._read_entry(name, value) for name, value in news.value_by_name.items() if value is not None}
         listed = {name: engine for name, engine in read.items() if engine is not None}
+        unfit = read.keys() - listed.keys()
         by_name = self._from_whole(listed) if news.is_whole else self._from_changes(listed, gone)
+        # Whatever wrote over an engine's entry, the engine does not vouch for it any more. Its next
+        # word of itself brings it back.
+        by_name = {name: engine for name, engine in by_name.items() if name not in unfit}
         self.is_known = True
         self._put(by_name, news)
 
@@ -196,7 +200,7 @@
         return listed
 
     def _from_changes(self, listed, gone):
-        """The engines after a few changes; an entry that can't be read leaves what was known."""
+        """The engines after a few changes."""
         by_name = {**self.by_name, **listed}
         if self._kept_until is None:
             for name in gone:
@@ -228,6 +232,6 @@
 def _facts(by_name):
     """What of the engines matters to whoever uses them; entries change for less."""
     return {
-        name: (engine.service, engine.address, engine.zone, engine.slots, engine.leaving)
+        name: (engine.service, engine.address, engine.zone, engine.slots, engine.leaving, engine.start_ms)
         for name, engine in by_name.items()
     }
--- a/wagtailtrestle/contracts/declaration.py
+++ b/wagtailtrestle/contracts/declaration.py
@@ -265,6 +265,9 @@
         Whether it refuses an order that carries an old fencing number.
     leaving : bool
         Whether it takes no new work.
+    start_ms : int
+        When it started, Unix milliseconds, where engines tell: one that starts again under its name
+        holds nothing of before. 0 where they don't.
     """
 
     __slots__ = (
@@ -279,6 +282,7 @@
         "prefill_tokens_per_s",
         "checks_fencing",
         "leaving",
+        "start_ms",
     )
 
     def __init__(
@@ -295,6 +299,7 @@
         prefill_tokens_per_s,
         checks_fencing=False,
         leaving=False,
+        start_ms=0,
     ):
         self.name = name
         self.service = service
@@ -307,6 +312,7 @@
         self.prefill_tokens_per_s = prefill_tokens_per_s
         self.checks_fencing = checks_fencing
         self.leaving = leaving
+        self.start_ms = start_ms
 
 
 class Declaration:
@@ -366,7 +372,13 @@
         self.host_routes = host_routes
 
     def with_engines(self, engines_by_name):
-        """The same declaration with other engines, for deployments where engines list themselves."""
+        """The same declaration with other engines, for deployments where engines list themselves.
+
+        An engine of a service that is not declared is left out: whatever asked for its service would fail.
+        """
+        engines_by_name = {
+            name: engine for name, engine in engines_by_name.items() if engine.service in self.services_by_name
+        }
         return Declaration(
             organisation=self.organisation,
             zones_by_region=self.zones_by_region,
--- a/wagtailtrestle/contracts/report_messages.py
+++ b/wagtailtrestle/contracts/report_messages.py
@@ -17,6 +17,8 @@
     step_s : float
         Length of its last step.
     leaving : bool
+    start_ms : int
+        When it started, Unix milliseconds; 0 where engines don't tell.
     """
 
     engine: str
@@ -25,6 +27,7 @@
     waiting: int
     step_s: float
     leaving: bool
+    start_ms: int = 0
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
--- a/wagtailtrestle/engines/health.py
+++ b/wagtailtrestle/engines/health.py
@@ -79,6 +79,11 @@
         """Judge these engines from now on; what is known of those kept stays."""
         self._judged_by_name = {name: self._judged_by_name.get(name) or JudgedEngine() for name in engines}
 
+    def forget(self, engine):
+        """Judge the engine anew: it started again, and what it did before says nothing of it."""
+        if engine in self._judged_by_name:
+            self._judged_by_name[engine] = JudgedEngine()
+
     def on_outcome(self, engine, result, now):
         """Take in how a run ended; ``result`` is the outcome's class name."""
         judged = self._judged_by_name.get(engine)
--- a/wagtailtrestle/engines/reports.py
+++ b/wagtailtrestle/engines/reports.py
@@ -169,6 +169,9 @@
             due_at = time.monotonic() + self._interval_s
             try:
                 self._poll()
+            except ValueError as problem:
+                # Not what an engine tells: it corrects nothing, and the next one may.
+                logger.warning("the report of engine {} is not used: {}", self._name, problem)
             except Exception:
                 # A report in a shape nobody expected must not end the polling of this engine.
                 logger.exception("report of engine {} could not be read", self._name)
--- a/wagtailtrestle/engines/state.py
+++ b/wagtailtrestle/engines/state.py
@@ -37,6 +37,8 @@
         Runs the engine reported that this steward granted to nobody it knows.
     health_share : float
         Share of its concurrency that its health allows.
+    start_ms : int
+        Which start of the engine this state is of, where engines tell; see ``DeclaredEngine``.
     kept_for : str or None
         Request that needs the engine to itself; until it runs there, nothing more is granted.
     """
@@ -53,6 +55,7 @@
         "phantom",
         "health_share",
         "kept_for",
+        "start_ms",
         "_alone_runs",
         "_declared_leaving",
         "_marked_leaving",
@@ -83,6 +86,7 @@
         self.phantom = 0
         self.health_share = 1.0
         self.kept_for = None
+        self.start_ms = declared.start_ms
         self._alone_runs = 0
         self._declared_leaving = declared.leaving
         self._marked_leaving = False
--- a/wagtailtrestle/platform/adapter.py
+++ b/wagtailtrestle/platform/adapter.py
@@ -1,7 +1,8 @@
 """The users' platform as an ``Adapter``."""
 
 from wagtailtrestle.platform.callers import PlatformCallers
-from wagtailtrestle.platform.declarations import PlatformDeclarations, read_engine
+from wagtailtrestle.platform.declarations import PlatformDeclarations
+from wagtailtrestle.platform.engine_entries import read_engine
 from wagtailtrestle.platform.engines import PlatformReports
 from wagtailtrestle.platform.kinds import ENGINE_KIND, ROUTER_KIND
 from wagtailtrestle.platform.store import PlatformStore
--- a/wagtailtrestle/platform/declarations.py
+++ b/wagtailtrestle/platform/declarations.py
@@ -10,7 +10,6 @@
     LANGUAGE,
     PLAIN,
     Declaration,
-    DeclaredEngine,
     HostRoute,
     Service,
     Team,
@@ -23,12 +22,6 @@
 IDEMPOTENT = "idempotent"
 STREAMING = "streaming"
 TOKENS = "tokens"
-DRAINING = "draining"
-PRIOR_STEP_MS = 6.0
-"""Decode step assumed of an engine that nobody measured yet; entries say nothing of speed."""
-PRIOR_PREFILL_TOKENS_PER_S = 30_000.0
-"""Prefill rate assumed likewise; both are replaced by what runs show within seconds."""
-DEFAULT_SLOTS = 1
 ROUTE_RANKS = 16
 """Ranks kept apart within one rank of a team."""
 
@@ -96,33 +89,6 @@
     )
 
 
-def read_engine(name, value):
-    """Build an engine from its own entry in the store.
-
-    Returns
-    -------
-    DeclaredEngine or None
-        ``None`` for an entry that can't be read.
-    """
-    try:
-        return DeclaredEngine(
-            name=name,
-            service=value["service"],
-            cell=value["service"],
-            zone=value.get("zone", ""),
-            # The version of an engine's software: engines of one version are taken to be alike at first.
-            hardware=str(value.get("version", "")),
-            address=value["address"],
-            slots=int(value.get("slots") or DEFAULT_SLOTS),
-            step_ms=PRIOR_STEP_MS,
-            prefill_tokens_per_s=PRIOR_PREFILL_TOKENS_PER_S,
-            leaving=value.get("state") == DRAINING,
-        )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        logger.error("the entry of engine {} can't be read: {}: {}", name, type(error).__name__, error)
-        return None
-
-
 def tier_of(*, route, team):
     """The tier of a team's request: the team's rank decides, and among equals that of the route."""
     if team is None or not team.tier:
--- a/wagtailtrestle/platform/engines.py
+++ b/wagtailtrestle/platform/engines.py
@@ -5,6 +5,7 @@
 from wagtailtrestle.engines.dialect import CallHead
 from wagtailtrestle.engines.run_exchange import MOST_PLAIN_BYTES
 from wagtailtrestle.platform import headers as names
+from wagtailtrestle.platform.engine_entries import DRAINING, Unfit, start_ms, whole
 from wagtailtrestle.platform.events import EventFault, EventSplitter
 
 MS_PER_S = 1000.0
@@ -189,12 +190,21 @@
     """Its reports are some hundred milliseconds old and don't say how old."""
 
     def load(self, engine, values, *, took_s):
-        """Build a report from the engine's JSON."""
+        """Build a report from the engine's JSON.
+
+        Raises
+        ------
+        Unfit
+            If it is not what an engine tells.
+        """
+        if not isinstance(values, dict):
+            raise Unfit("the report holds no fields")
         return LoadReport(
             engine=engine,
             age_s=self.assumed_age_s + took_s / 2,
-            running=int(values["running"]),
-            waiting=int(values["waiting"]),
+            running=whole(values, "running"),
+            waiting=whole(values, "waiting"),
             step_s=0.0,
-            leaving=values.get("state") == "draining",
+            leaving=values.get("state") == DRAINING,
+            start_ms=start_ms(values),
         )
--- a/wagtailtrestle/platform/store.py
+++ b/wagtailtrestle/platform/store.py
@@ -4,6 +4,8 @@
 from http import HTTPStatus
 from urllib.parse import quote, urlsplit
 
+from loguru import logger
+
 from wagtailtrestle.contracts.outcomes import (
     StoreAbsent,
     StoreConflict,
@@ -25,6 +27,10 @@
 WATCH_MARGIN_S = 0.7
 """How much later than its own limit a watch may be answered before it counts as silent."""
 MS_PER_S = 1000.0
+MOST_SHOWN = 120
+"""Characters of an object that can't be read, in its log line."""
+VM_FIELDS = ("role", "address", "zone", "admin")
+"""What a router's announcement holds as text."""
 MOST_PAGES = 100
 """Pages read of one list, so that a store that never ends a list can't hold its reader."""
 NOT_TAKEN_UP = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.BAD_REQUEST)
@@ -93,9 +99,9 @@
         path = f"{_path(kind)}?watch={from_version}&wait_ms={int(timeout_s * MS_PER_S)}"
         answer = await self._watches.call(method="GET", path=path, wait_s=timeout_s + WATCH_MARGIN_S)
         match answer.status:
-            case HTTPStatus.OK if isinstance(answer.body, dict) and "events" in answer.body:
-                events = tuple(_event(event) for event in answer.body["events"])
-                return StoreDone(version=int(answer.body["store_revision"]), value=events)
+            case HTTPStatus.OK if _is_list(answer.body, "events"):
+                events = tuple(_event(event) for event in answer.body["events"] if _is_event(event))
+                return StoreDone(version=answer.body["store_revision"], value=events)
             case HTTPStatus.GONE:
                 return StoreHistoryGone()
         return StoreUnavailable(detail=describe(answer))
@@ -105,7 +111,7 @@
         outcome = await self._list(ROUTER_KIND, is_stale_enough=True)
         if not isinstance(outcome, StoreDone):
             return outcome
-        vms = tuple(vm_from_json({"id": name, **value}) for name, (_, value) in sorted(outcome.value.items()))
+        vms = tuple(_vm(name, value) for name, (_, value) in sorted(outcome.value.items()) if _is_vm(value))
         return StoreDone(version=outcome.version, value=vms)
 
     async def _list(self, kind, *, is_stale_enough):
@@ -113,12 +119,12 @@
         after = ""
         for _ in range(MOST_PAGES):
             answer = await self._call("GET", _path(kind) + _query(after=after, is_stale_enough=is_stale_enough))
-            if answer.status != HTTPStatus.OK or not isinstance(answer.body, dict):
+            if answer.status != HTTPStatus.OK or not _is_list(answer.body, "items"):
                 return StoreUnavailable(detail=describe(answer))
-            items = answer.body["items"]
+            items = [item for item in answer.body["items"] if _is_object(item)]
             by_name.update((_name(item), (_version(item), _value(item))) for item in items)
             if not answer.body.get("has_more") or not items:
-                return StoreDone(version=int(answer.body["store_revision"]), value=by_name)
+                return StoreDone(version=answer.body["store_revision"], value=by_name)
             # Named a revision on the wire, but it takes the name of the last object read.
             after = _name(items[-1])
         return StoreUnavailable(detail=f"the list of {kind} did not end after {MOST_PAGES} pages")
@@ -159,11 +165,34 @@
 def _event(event):
     """Name, version and value of one change."""
     changed = event["object"]
-    return _name(changed), _version(changed), None if event["deleted"] else _value(changed)
+    return _name(changed), _version(changed), None if event.get("deleted") else _value(changed)
+
+
+def _is_list(body, name):
+    """Whether an answer is a list of the store's: ``name`` is the field that holds it."""
+    return isinstance(body, dict) and isinstance(body.get(name), list) and isinstance(body.get("store_revision"), int)
+
+
+def _is_event(event):
+    return isinstance(event, dict) and _is_object(event.get("object"))
 
 
 def _is_object(body):
-    return isinstance(body, dict) and isinstance(body.get("metadata"), dict)
+    """Whether something read is an object; what isn't is passed over, as it can't be told whose it is."""
+    metadata = body.get("metadata") if isinstance(body, dict) else None
+    if isinstance(metadata, dict) and isinstance(metadata.get("name"), str):
+        return isinstance(metadata.get("revision"), int)
+    logger.error("an object of the store can't be read: {}", repr(body)[:MOST_SHOWN])
+    return False
+
+
+def _is_vm(value):
+    """Whether a router's announcement can be read; it may come from another writer."""
+    return isinstance(value, dict) and all(isinstance(value.get(name), str) for name in VM_FIELDS)
+
+
+def _vm(name, value):
+    return vm_from_json({**value, "id": name})
 
 
 def _name(item):
@@ -171,11 +200,11 @@
 
 
 def _version(item):
-    return int(item["metadata"]["revision"])
+    return item["metadata"]["revision"]
 
 
 def _value(item):
-    return item["specification"]
+    return item.get("specification")
 
 
 def _path(kind, name=None):
--- a/wagtailtrestle/store/http_lane.py
+++ b/wagtailtrestle/store/http_lane.py
@@ -107,7 +107,7 @@
                 retries=NO_RETRIES,
                 redirect=False,
             )
-            return Answer(status=response.status, body=json.loads(response.data) if response.data else None)
+            return Answer(status=response.status, body=_decoded(response.data) if response.data else None)
         except NOT_SENT_ERRORS as error:
             return Answer(was_sent=False, detail=_short(error))
         except urllib3.exceptions.ReadTimeoutError as error:
@@ -115,7 +115,7 @@
             # each would cost one more timeout: the next call starts on a new connection.
             self._replace_pool(pool)
             return Answer(detail=_short(error))
-        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+        except (urllib3.exceptions.HTTPError, OSError, ValueError, RecursionError) as error:
             return Answer(detail=_short(error))
 
     def _make_pool(self):
@@ -135,6 +135,11 @@
         pool.close()
 
 
+def _decoded(data):
+    # What one writer put into one object must not make a list of them all unreadable.
+    return json.loads(data.decode(errors="replace"), strict=False)
+
+
 def describe(answer):
     """A short text of what an answer says, or of why there is none."""
     if not answer.status:
