Records are quick to make; reports of runs leave the request's task

Ruled out: the loop at rest (profile of two routers of 61 over 8 s); byte code (it is kept between starts). Change: one decorator makes them without generating equality, hash, text and setters for each.

--- a/tests/test_begin_soon.py
+++ b/tests/test_begin_soon.py
@@ -100,6 +100,38 @@
         self.assertNotIn(overload.ask(), overload.refused_at)
 
 
+class LowerRunsEndTest(unittest.TestCase):
+    """A flood of a middle tier while runs of the lowest one end by themselves.
+
+    The pattern: 26 requests a second of the middle tier on cells that free 42 places a second; refused by
+    a predicted wait of 0.2 s they emptied the queue, and the next places went to the lowest tier. Figures:
+    half of the time to the start against all of it, while anything lower runs.
+    """
+
+    def wait_until_refused(self, *, lower):
+        """Requests of the middle tier that may wait before one is refused on arrival."""
+        cell = Cell(slots=4)
+        cell.measure()
+        for second in range(8):
+            for number in range(4):
+                cell.receive(ask(f"r{second}-{number}", tier=2 if lower else 1, remaining_s=30.0))
+            cell.advance(1.0)
+            if second < 7:
+                for number in range(4):
+                    cell.receive(finished(f"r{second}-{number}", duration_s=1.0, output_tokens=100))
+        for number in range(40):
+            cell.receive(ask(f"q{number}", tier=1, first_token_within_s=4.0, remaining_s=30.0))
+            if cell.entries.ids(Refused):
+                return number
+        return None
+
+    def test_more_may_wait_while_lower_runs_end(self):
+        above_lower = self.wait_until_refused(lower=True)
+        among_its_own = self.wait_until_refused(lower=False)
+        self.assertGreater(among_its_own, 0)
+        self.assertGreaterEqual(above_lower, 1.5 * among_its_own)
+
+
 class GrantRateTest(unittest.TestCase):
     def test_it_is_not_believed_before_its_window(self):
         now = [0.0]
--- a/wagtailtrestle/callers/answer.py
+++ b/wagtailtrestle/callers/answer.py
@@ -1,6 +1,5 @@
 """What a caller is sent: the response being written, and one way of answering for each kind of request."""
 
-from dataclasses import dataclass
 from typing import Protocol
 
 from wagtailtrestle.callers.problem import (
@@ -19,6 +18,7 @@
 from wagtailtrestle.contracts.exchange import AnswerRecorded
 from wagtailtrestle.contracts.outcomes import Executed, Refusal
 from wagtailtrestle.engines.answer_check import ReceivedAnswer
+from wagtailtrestle.record import record
 
 BODYLESS_STATUSES = frozenset({204, 304})
 # Of the connection to the engine, or naming the run there.
@@ -128,7 +128,7 @@
     """Nothing is to be told yet of a caller who left."""
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Recordable:
     """A whole answer as the ledger keeps it."""
 
--- a/wagtailtrestle/callers/authentication.py
+++ b/wagtailtrestle/callers/authentication.py
@@ -2,18 +2,18 @@
 
 import hashlib
 import hmac
-from dataclasses import dataclass
 
 from wagtailtrestle.contracts.declaration import Declaration, Team
 from wagtailtrestle.contracts.outcomes import Executed, Reason, Refusal
 from wagtailtrestle.entry.final_answers import refusal_of
+from wagtailtrestle.record import record
 
 SCHEME = "bearer"
 MAX_KEY_CHARACTERS = 512
 BUCKET_CHARACTERS = 8
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class KeyProof:
     """How lately the platform showed that the keys known here are the ones that hold.
 
--- a/wagtailtrestle/callers/body.py
+++ b/wagtailtrestle/callers/body.py
@@ -3,13 +3,13 @@
 import hashlib
 import json
 import re
-from dataclasses import dataclass
 
 from cheroot.errors import MaxSizeExceeded
 
 from wagtailtrestle.callers.prompt_shape import PromptShape, chat_text, shape_of
 from wagtailtrestle.callers.route_match import CHAT_PATH
 from wagtailtrestle.contracts.outcomes import Executed, Reason, Refusal
+from wagtailtrestle.record import record
 
 DEFAULT_OUTPUT_TOKENS = 256
 MAX_OUTPUT_TOKENS = 1_000_000
@@ -17,7 +17,7 @@
 LIMIT_FIELDS = ("max_completion_tokens", "max_tokens")
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class LanguageBody:
     """A completion's body after its checks; ``fields`` is what the caller sent, whole."""
 
@@ -29,7 +29,7 @@
     shape: PromptShape
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class BodyLength:
     """Declared bytes of a body, or that its chunks tell its end."""
 
--- a/wagtailtrestle/callers/dialect.py
+++ b/wagtailtrestle/callers/dialect.py
@@ -1,6 +1,6 @@
 """What varies between interfaces of callers: how a request is read and how it is refused."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Protocol
 
 from wagtailtrestle.callers.answer import Answer, CallerResponse
@@ -8,6 +8,7 @@
 from wagtailtrestle.contracts.outcomes import Refusal
 from wagtailtrestle.engines.answer_check import ReceivedAnswer
 from wagtailtrestle.engines.dialect import EngineDialect
+from wagtailtrestle.record import record
 
 
 class Charge(Protocol):
@@ -17,7 +18,7 @@
         """Give it back, since the request was not run."""
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Prepared:
     """A request ready for its task, and how its caller will be answered."""
 
@@ -31,14 +32,14 @@
     charge: Charge | None = None
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class ModelList:
     """The answer of ``/v1/models``, which needs no task."""
 
     body: bytes
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Arrival:
     """One request as it came.
 
--- a/wagtailtrestle/callers/headers.py
+++ b/wagtailtrestle/callers/headers.py
@@ -2,10 +2,10 @@
 
 import re
 import uuid
-from dataclasses import dataclass
 
 from wagtailtrestle.callers.body import bad_request
 from wagtailtrestle.contracts.outcomes import Refusal
+from wagtailtrestle.record import record
 
 REQUEST_ID = "HTTP_WAGTAILTRESTLE_REQUEST_ID"
 DEADLINE = "HTTP_WAGTAILTRESTLE_DEADLINE_MS"
@@ -42,7 +42,7 @@
 )
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class CallerHeaders:
     """The steering headers of one request.
 
--- a/wagtailtrestle/callers/limits.py
+++ b/wagtailtrestle/callers/limits.py
@@ -5,7 +5,8 @@
 
 import threading
 from collections import Counter
-from dataclasses import dataclass
+
+from wagtailtrestle.record import record
 
 DEFAULT_BODY_BYTES = 64 * 1024 * 1024
 DEFAULT_RECEIVE_BYTES = 64 * 1024 * 1024
@@ -24,14 +25,14 @@
     return max(1, threads - reserve)
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Admitted:
     """The request is held; each of ``displaced`` must be answered ``router_full`` in its place."""
 
     displaced: tuple = ()
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Full:
     """The request can't be held, and nothing of a lower tier could make room for it."""
 
--- a/wagtailtrestle/callers/prompt_shape.py
+++ b/wagtailtrestle/callers/prompt_shape.py
@@ -5,7 +5,8 @@
 """
 
 import hashlib
-from dataclasses import dataclass
+
+from wagtailtrestle.record import record
 
 BYTES_PER_TOKEN = 4
 BLOCK_TOKENS = 64
@@ -16,7 +17,7 @@
 MAX_BLOCKS = 16
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class PromptShape:
     """Estimated tokens of a prompt and the chained hashes of its leading blocks."""
 
--- a/wagtailtrestle/callers/route_match.py
+++ b/wagtailtrestle/callers/route_match.py
@@ -2,10 +2,10 @@
 
 import re
 import zlib
-from dataclasses import dataclass
 
 from wagtailtrestle.contracts.declaration import LANGUAGE, PLAIN, Declaration, HostRoute, Route, Service, Team, Tier
 from wagtailtrestle.contracts.outcomes import Executed, Reason, Refusal
+from wagtailtrestle.record import record
 
 CHAT_PATH = "/v1/chat/completions"
 TEXT_PATH = "/v1/completions"
@@ -15,7 +15,7 @@
 FORBIDDEN_IN_PATH = re.compile(r"[\x00-\x1f\x7f\\]")
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Matched:
     """The service and route of a request, and its tier after any lowering."""
 
--- a/wagtailtrestle/callers/stream.py
+++ b/wagtailtrestle/callers/stream.py
@@ -7,10 +7,10 @@
 
 import json
 import time
-from dataclasses import dataclass
 
 from wagtailtrestle.callers.problem import stream_error_event
 from wagtailtrestle.contracts.outcomes import Refusal
+from wagtailtrestle.record import record
 
 SSE_TYPE = "text/event-stream; charset=utf-8"
 JSON_TYPE = "application/json"
@@ -21,7 +21,7 @@
 TEXT_OBJECT = "text_completion"
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class AnswerEnd:
     """What closes an answer that was checked whole."""
 
--- a/wagtailtrestle/capacity/isolation.py
+++ b/wagtailtrestle/capacity/isolation.py
@@ -5,11 +5,10 @@
 ends. What the engine still runs is not cancelled: its prefill is worth more than a suspect's wait.
 """
 
-from dataclasses import dataclass
-
 from wagtailtrestle.capacity.admission import shielded_run_s, tolerance
 from wagtailtrestle.capacity.grants import WaitingRequest
 from wagtailtrestle.capacity.team_queue import due
+from wagtailtrestle.record import record
 
 MAX_SUSPECTS = 16
 """Suspects that may wait in one cell: they are served one by one."""
@@ -21,7 +20,7 @@
 """A kept engine is let go for a higher tier that has this little left to its latest start."""
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Isolated:
     """The next step for a suspect: its empty engine, or ``None`` if none comes in time."""
 
--- a/wagtailtrestle/capacity/preemption.py
+++ b/wagtailtrestle/capacity/preemption.py
@@ -8,10 +8,10 @@
 
 import heapq
 import itertools
-from dataclasses import dataclass
 
 from wagtailtrestle.capacity.admission import MAX_ASKS, finish_margin, promised_s, run_s, tolerance, uncached_tokens
 from wagtailtrestle.capacity.grants import Grant, WaitingRequest
+from wagtailtrestle.record import record
 
 LOOK_AHEAD = 32
 """Waiting requests considered in one round."""
@@ -43,7 +43,7 @@
 SHORT_S = 0.05
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class _Place:
     """One place and when it is free; ``grant`` is what holds it until then."""
 
--- a/wagtailtrestle/configuration/applying.py
+++ b/wagtailtrestle/configuration/applying.py
@@ -5,9 +5,9 @@
 """
 
 import asyncio
-from dataclasses import dataclass
 
 from wagtailtrestle.contracts.outcomes import StoreAbsent, StoreConflict, StoreDone, StoreUnavailable, StoreUnknown
+from wagtailtrestle.record import record
 
 DECLARATION_KIND = "declarations"
 DECLARATION_NAME = "current"
@@ -20,14 +20,14 @@
 NO_GENERATION = 0
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Applied:
     """The declaration was accepted as ``generation``."""
 
     generation: int
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class ApplyConflict:
     """Certainly not applied: ``generation``, applied by ``by``, stands in its way.
 
@@ -38,14 +38,14 @@
     by: str = ""
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class ApplyNotDone:
     """Certainly not applied: the platform could not be reached or refused."""
 
     detail: str
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class ApplyUnknown:
     """The update was sent, no answer came, and reading back could not settle it."""
 
@@ -55,7 +55,7 @@
 ApplyOutcome = Applied | ApplyConflict | ApplyNotDone | ApplyUnknown
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Accepted:
     """The declaration that the platform holds.
 
--- a/wagtailtrestle/configuration/configuration.py
+++ b/wagtailtrestle/configuration/configuration.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
 
 from loguru import logger
 
@@ -15,6 +14,7 @@
 from wagtailtrestle.configuration.boot_clock import boot_time_s
 from wagtailtrestle.configuration.sources import OwnDeclarations, PeersAnswer, PeerSource, PlatformSource, Source
 from wagtailtrestle.contracts.declaration import Declaration
+from wagtailtrestle.record import record
 
 __all__ = ["Configuration", "InForce", "PeersAnswer"]
 
@@ -26,7 +26,7 @@
 KEPT_REJECTED = 16
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class InForce:
     """The declaration that this router goes by."""
 
@@ -35,7 +35,7 @@
     text: str
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class _Candidate:
     generation: int
     text: str
--- a/wagtailtrestle/configuration/sources.py
+++ b/wagtailtrestle/configuration/sources.py
@@ -1,7 +1,6 @@
 """Where declarations come from: the platform by watch and by polling, and peers."""
 
 import asyncio
-from dataclasses import dataclass
 from enum import StrEnum
 
 from loguru import logger
@@ -9,6 +8,7 @@
 from wagtailtrestle.configuration.applying import DECLARATION_KIND, DECLARATION_NAME, NO_GENERATION, accepted_from_value
 from wagtailtrestle.configuration.boot_clock import boot_time_s
 from wagtailtrestle.contracts.outcomes import StoreAbsent, StoreConflict, StoreDone, StoreHistoryGone
+from wagtailtrestle.record import record
 
 POLL_JITTER = 0.25
 POLL_RETRY_S = 0.2
@@ -36,7 +36,7 @@
     PEER = "peer"
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class PeersAnswer:
     """What reachable peers have in force.
 
--- a/wagtailtrestle/configuration/status_report.py
+++ b/wagtailtrestle/configuration/status_report.py
@@ -1,19 +1,19 @@
 """What ``wagtailtrestle status`` tells: the accepted generation and each router's."""
 
 import asyncio
-from dataclasses import dataclass
 
 import urllib3
 
 from wagtailtrestle.configuration.applying import NOTHING_ACCEPTED, read_accepted
 from wagtailtrestle.contracts.outcomes import StoreDone, StoreUnavailable
 from wagtailtrestle.membership.vm_list import ROUTER
+from wagtailtrestle.record import record
 
 FETCH_TIMEOUT_S = 2.0
 FETCH_AT_ONCE = 16
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class RouterInForce:
     """A router that answered.
 
@@ -37,7 +37,7 @@
     faults: tuple = ()
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class RouterUnreachable:
     """A router on the platform's list that gave no usable answer."""
 
@@ -47,7 +47,7 @@
     detail: str
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class StatusReport:
     """The accepted declaration and what each router on the list has in force.
 
--- a/wagtailtrestle/contracts/exchange.py
+++ b/wagtailtrestle/contracts/exchange.py
@@ -4,10 +4,10 @@
 it is a fake. Neither side touches the other's state.
 """
 
-from dataclasses import dataclass
 from typing import Protocol
 
 from wagtailtrestle.contracts.outcomes import Refusal, RunOutcome
+from wagtailtrestle.record import record
 
 
 class CallerRequest:
@@ -112,7 +112,7 @@
 # From the request's task to the caller's side.
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class StartRun:
     """Send the request to an engine; exactly one ``RunEnded`` will answer.
 
@@ -137,19 +137,19 @@
     attach: bool = False
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class AnswerWhole:
     """Everything was received and checked: complete the caller's answer."""
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class AnswerRefusal:
     """Give the caller this final answer (an error event if a stream has begun)."""
 
     refusal: Refusal
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class AnswerRecorded:
     """Give the caller the recorded answer of the earlier request with the same key."""
 
@@ -164,7 +164,7 @@
 # From the caller's side to the request's task.
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class RunBegan:
     """The first token (or the answer's head, for a plain service) arrived."""
 
@@ -174,7 +174,7 @@
     cached_tokens: int = 0
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class RunAdvanced:
     """Tokens received so far in this run; at most a few times a second."""
 
@@ -182,7 +182,7 @@
     output_tokens: int
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class RunEnded:
     """The run came to an end; ``body`` is a whole plain answer small enough to record."""
 
@@ -195,7 +195,7 @@
     body: bytes = b""
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class CallerGone:
     """The caller closed its connection before its answer was complete."""
 
--- a/wagtailtrestle/contracts/ledger_messages.py
+++ b/wagtailtrestle/contracts/ledger_messages.py
@@ -4,9 +4,10 @@
 Any router may be asked to write any shard: who owns it decides only how well writes are batched.
 """
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from wagtailtrestle.record import record
+
 
 class ClaimState(StrEnum):
     """What is recorded of a claim in its shard."""
@@ -34,7 +35,7 @@
     UNKNOWN = "unknown"
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class ClaimAsk:
     """An entry asks the writer of ``shard`` to put its nonce under ``key``.
 
@@ -61,7 +62,7 @@
     replaces: str = ""
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class ClaimAnswer:
     """What came of a :class:`ClaimAsk`; the fields after ``detail`` tell the claim that holds the key."""
 
@@ -78,7 +79,7 @@
     body_kept: bool = False
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class SettleAsk:
     """The entry tells how the request behind ``nonce`` ended.
 
@@ -100,14 +101,14 @@
     body_kept: bool = False
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class SettleAnswer:
     """Whether the end of the request is now in the store."""
 
     stored: bool
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class NonceAsk:
     """Asks the router named in a claim what became of its nonce.
 
@@ -124,7 +125,7 @@
     wait_s: float
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class NonceAnswer:
     """What became of the nonce; ``refused`` promises that it will never be dispatched."""
 
--- a/wagtailtrestle/contracts/messages.py
+++ b/wagtailtrestle/contracts/messages.py
@@ -5,12 +5,11 @@
 never a clock reading: clocks of two processes are not comparable.
 """
 
-from dataclasses import dataclass
-
 from wagtailtrestle.contracts.outcomes import Reason
+from wagtailtrestle.record import record
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class GrantRequest:
     """An entry asks the steward of ``cell`` for a place on one of its engines.
 
@@ -70,14 +69,14 @@
     event_tokens: int = 1
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Withdraw:
     """The entry no longer wants a place for this request, granted or not."""
 
     request_id: str
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class RunStarted:
     """A granted run gave its first token."""
 
@@ -88,7 +87,7 @@
     cached_tokens: int = 0
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class RunProgress:
     """Tokens generated so far by a granted run; sent a few times a second at most."""
 
@@ -96,7 +95,7 @@
     output_tokens: int
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class RunFinished:
     """A granted run ended and its place is free.
 
@@ -118,7 +117,7 @@
     output_tokens: int = 0
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class RunningRecord:
     """One run an entry holds, told to a new steward."""
 
@@ -128,7 +127,7 @@
     output_tokens: int
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Register:
     """Everything one entry holds for ``cell``; replaces what the steward knew of it."""
 
@@ -138,7 +137,7 @@
     running: tuple = ()
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Granted:
     """A place on ``engine`` is this request's until it ends or is withdrawn."""
 
@@ -149,7 +148,7 @@
     first_token_deadline_s: float
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Refused:
     """No place will be given to this ask."""
 
@@ -159,7 +158,7 @@
     retry_after_s: float
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Preempt:
     """The steward takes the place back; the entry cancels the run and asks again."""
 
--- a/wagtailtrestle/contracts/outcomes.py
+++ b/wagtailtrestle/contracts/outcomes.py
@@ -1,8 +1,9 @@
 """Tagged outcomes: what an operation came to, as values rather than exceptions."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from wagtailtrestle.record import record
+
 
 class Executed(StrEnum):
     """What a caller is told about whether its request ran; ``no`` is a promise."""
@@ -41,7 +42,7 @@
     KEYS_STALE = "keys_stale"
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Refusal:
     """Final answer to a caller whose request got no whole answer.
 
@@ -70,7 +71,7 @@
 # How one run on one engine ended.
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class RunDone:
     """The engine sent its whole answer and it was checked complete."""
 
@@ -79,21 +80,21 @@
     output_tokens: int = 0
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class RunRejected:
     """The engine answered whole, with an HTTP error status of its own."""
 
     status: int
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class RunFailed:
     """The engine ran the request and answered whole, with a failure of its own (5xx)."""
 
     status: int
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class RunNotSent:
     """The request truly did not run.
 
@@ -104,7 +105,7 @@
     arrived: bool = False
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class RunCut:
     """The connection ended, or the answer was not this run's, after bytes were sent.
 
@@ -116,7 +117,7 @@
     reached: bool = False
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class RunSilent:
     """No progress within the progress deadline on a connection that stayed open."""
 
@@ -124,14 +125,14 @@
     reached: bool = False
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class RunCancelled:
     """The run ended because this router cancelled it."""
 
     output_tokens: int = 0
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class RunLost:
     """The engine does not know the run it was asked to resume (it restarted)."""
 
@@ -144,7 +145,7 @@
 # What a call on the platform's object API came to.
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class StoreDone:
     """The call took effect; for a read, ``value`` holds what was read."""
 
@@ -152,31 +153,31 @@
     value: object = None
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class StoreConflict:
     """A conditional write was refused: the object is at another version."""
 
     version: int | None = None
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class StoreAbsent:
     """There is no such object."""
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class StoreHistoryGone:
     """A watch can't go on from its version: what changed since must be read anew."""
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class StoreUnavailable:
     """The call certainly took no effect: it was never sent, or was refused."""
 
     detail: str
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class StoreUnknown:
     """The call was sent and no answer came: the write may have taken effect."""
 
@@ -189,21 +190,21 @@
 # What a claim on an idempotency key came to.
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class ClaimWon:
     """The claim is in the ledger under this nonce: this request alone may run."""
 
     nonce: str
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class ClaimTaken:
     """An earlier request holds the key and its outcome can't be told: say ``unknown``."""
 
     detail: str
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class ClaimFinished:
     """An earlier request with the same key and body ran; this is its answer."""
 
@@ -212,12 +213,12 @@
     body: bytes
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class ClaimMismatch:
     """The key was used before with another request body."""
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class ClaimUnavailable:
     """The ledger can't be reached: nothing ran and nothing will."""
 
--- a/wagtailtrestle/contracts/peer_messages.py
+++ b/wagtailtrestle/contracts/peer_messages.py
@@ -1,8 +1,9 @@
 """Messages between routers that concern neither entries nor stewards."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from wagtailtrestle.record import record
+
 
 class MemberState(StrEnum):
     """What is said of a router; a later one outweighs an earlier one of the same version."""
@@ -13,7 +14,7 @@
     LEFT = "left"
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Hello:
     """First item on each connection, in both directions.
 
@@ -31,22 +32,22 @@
     address: str
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Ping:
     """Asks for a sign of life on this very connection."""
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Pong:
     """Answers :class:`Ping`."""
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class NoAnswer:
     """The peer has nothing to say to a question: no handler, or an unknown question."""
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Heartbeat:
     """A router's sign of life to its partners.
 
@@ -67,7 +68,7 @@
     view_digest: int
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class ViewEvent:
     """One router's state, passed from peer to peer; (incarnation, version, state) orders events."""
 
@@ -80,24 +81,24 @@
     draining: bool = False
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class ViewAsk:
     """Asks a peer for all it knows of the members."""
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class ViewText:
     """Answers :class:`ViewAsk`."""
 
     events: tuple = ()
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class RegisterAsk:
     """A steward that starts or woke from a pause asks an entry to register for the cell of the item."""
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Relayed:
     """An item for ``target``, passed through a third router because the direct way is cut.
 
@@ -112,14 +113,14 @@
     item: bytes
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class ConfigurationAsk:
     """Asks a peer for the configuration it has in force, if it is at least ``generation``."""
 
     generation: int = 0
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class ConfigurationText:
     """A whole declaration; generation 0 means none is in force."""
 
@@ -127,12 +128,12 @@
     text: str
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class ConfirmationAsk:
     """Asks a peer how lately the platform confirmed the configuration that it has in force."""
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class EnginesAsk:
     """Asks a peer how engines' entries changed after ``version``.
 
@@ -148,7 +149,7 @@
     wait_s: float
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class EngineEntry:
     """One engine's entry.
 
@@ -163,7 +164,7 @@
     value: str
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class EnginesAnswer:
     """Answers :class:`EnginesAsk`.
 
@@ -187,7 +188,7 @@
     entries: tuple
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Confirmation:
     """Answers :class:`ConfirmationAsk`.
 
@@ -203,7 +204,7 @@
     age_s: float
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class PeerUnreachable:
     """Outcome of a question that got no answer: the peer may or may not have acted on it."""
 
--- a/wagtailtrestle/contracts/quota_messages.py
+++ b/wagtailtrestle/contracts/quota_messages.py
@@ -1,9 +1,9 @@
 """Messages between a router that serves a team and the owner of that team's quota."""
 
-from dataclasses import dataclass
+from wagtailtrestle.record import record
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class QuotaAsk:
     """Asks for credits of a team.
 
@@ -20,7 +20,7 @@
     ahead: int
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class QuotaGrant:
     """Answers :class:`QuotaAsk`.
 
--- a/wagtailtrestle/contracts/report_messages.py
+++ b/wagtailtrestle/contracts/report_messages.py
@@ -1,9 +1,9 @@
 """What engines report of themselves, as messages to the decisions."""
 
-from dataclasses import dataclass
+from wagtailtrestle.record import record
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class LoadReport:
     """An engine's load as it was ``age_s`` seconds ago.
 
@@ -30,7 +30,7 @@
     start_ms: int = 0
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class LoadUnreachable:
     """An engine gave no report when asked; says nothing about who is to blame."""
 
@@ -38,7 +38,7 @@
     detail: str
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class CacheEvents:
     """Changes of an engine's prefix cache, late.
 
--- a/wagtailtrestle/declarations/argument_types.py
+++ b/wagtailtrestle/declarations/argument_types.py
@@ -7,10 +7,11 @@
 import ipaddress
 import math
 import re
-from dataclasses import dataclass
 from typing import Protocol
 from urllib.parse import urlsplit
 
+from wagtailtrestle.record import record
+
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 # Without leading zeros: YAML 1.1 reads 010 as eight.
 INTEGER_PATTERN = re.compile(r"[-+]?(0|[1-9][0-9]{0,17})")
@@ -22,7 +23,7 @@
 LARGEST_SHOWN = 40
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Wrong:
     """What is wrong with a value, as the end of a sentence that begins with the field."""
 
--- a/wagtailtrestle/declarations/check.py
+++ b/wagtailtrestle/declarations/check.py
@@ -4,8 +4,6 @@
 after a fault, so that one never hides another. Nothing here raises, whatever the text.
 """
 
-from dataclasses import dataclass
-
 from wagtailtrestle.contracts.declaration import Declaration, Team, Tier
 from wagtailtrestle.declarations.argument_types import Integer, Name, Number, Sha256
 from wagtailtrestle.declarations.engine_check import read_engines
@@ -13,6 +11,7 @@
 from wagtailtrestle.declarations.names import DeclaredNames
 from wagtailtrestle.declarations.service_check import read_services
 from wagtailtrestle.declarations.yaml_source import Fault, FaultList, compose
+from wagtailtrestle.record import record
 
 FORMAT = 1
 DEFAULT_SHARE = 1.0
@@ -23,7 +22,7 @@
 LARGEST_RETENTION_S = 604_800
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class DeclarationFaults:
     """Everything wrong with a declaration; none of it is applied."""
 
--- a/wagtailtrestle/declarations/diff.py
+++ b/wagtailtrestle/declarations/diff.py
@@ -1,11 +1,11 @@
 """Typed difference of two declarations."""
 
-from dataclasses import dataclass
+from wagtailtrestle.record import record
 
 SHOWN_DIGEST = 8
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Added:
     """Something that only the newer declaration has."""
 
@@ -13,7 +13,7 @@
     name: str
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Removed:
     """Something that only the older declaration has."""
 
@@ -21,7 +21,7 @@
     name: str
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Changed:
     """A field that differs; ``before`` and ``after`` are for a person.
 
--- a/wagtailtrestle/declarations/settings.py
+++ b/wagtailtrestle/declarations/settings.py
@@ -1,10 +1,9 @@
 """Checked settings of one process; its own file, apart from the declaration."""
 
-from dataclasses import dataclass
-
 from wagtailtrestle.declarations.argument_types import Flag, HostPort, Integer, Name, Number, OneOf, Peer, Url
 from wagtailtrestle.declarations.field_reader import open_mapping
 from wagtailtrestle.declarations.yaml_source import Fault, FaultList, compose, read_file
+from wagtailtrestle.record import record
 
 DEFAULT_CALLER_THREADS = 128
 DEFAULT_MAX_BODY_BYTES = 4_194_304
@@ -34,7 +33,7 @@
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class SettingsFaults:
     """Everything wrong with a settings file; the process does not start."""
 
--- a/wagtailtrestle/declarations/yaml_source.py
+++ b/wagtailtrestle/declarations/yaml_source.py
@@ -5,10 +5,10 @@
 must not be built.
 """
 
-from dataclasses import dataclass
-
 import yaml
 
+from wagtailtrestle.record import record
+
 LARGEST_TEXT_BYTES = 1_000_000
 LARGEST_DEPTH = 16
 LARGEST_REASON = 200
@@ -18,7 +18,7 @@
 Loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Fault:
     """One thing wrong in a file.
 
@@ -123,7 +123,7 @@
         self._key = None
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class _Refused:
     problem: str
     allowed: str
--- a/wagtailtrestle/engines/answer_check.py
+++ b/wagtailtrestle/engines/answer_check.py
@@ -1,7 +1,8 @@
 """Whether a streamed answer is whole and this run's own: pure, fed with bytes."""
 
 import json
-from dataclasses import dataclass
+
+from wagtailtrestle.record import record
 
 CANCELLED_REASON = "cancelled"
 EVENT_END = b"\n\n"
@@ -10,7 +11,7 @@
 READ_JSON = json.JSONDecoder().raw_decode
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class AnswerFault:
     """Why an answer can't be the whole answer of its run."""
 
--- a/wagtailtrestle/engines/dialect.py
+++ b/wagtailtrestle/engines/dialect.py
@@ -1,12 +1,13 @@
 """What varies between kinds of engines: what is sent for a run, and how its answer reads."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Protocol
 
 from wagtailtrestle.contracts.outcomes import RunOutcome
+from wagtailtrestle.record import record
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class CallHead:
     """One HTTP request; ``target`` is the path with its query."""
 
--- a/wagtailtrestle/entry/cells.py
+++ b/wagtailtrestle/entry/cells.py
@@ -1,10 +1,11 @@
 """Choice of the cell, a group of engines under one steward, that a request asks."""
 
 import hashlib
-from dataclasses import dataclass
 
+from wagtailtrestle.record import record
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+
+@record
 class CellDigest:
     """Summary of a cell by which entries choose between cells.
 
--- a/wagtailtrestle/entry/poison.py
+++ b/wagtailtrestle/entry/poison.py
@@ -12,7 +12,8 @@
 import itertools
 import secrets
 from collections import Counter, OrderedDict
-from dataclasses import dataclass
+
+from wagtailtrestle.record import record
 
 CRASH_LIMIT = 3
 """Blame at which a fingerprint is refused: whole crashes that only it explains."""
@@ -47,7 +48,7 @@
     return hashlib.sha256(body_digest.encode()).hexdigest()
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class CrashReport:
     """One router's word on one crash, for all other routers.
 
@@ -67,7 +68,7 @@
     age_s: float = 0.0
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class CrashClearance:
     """One router's word that a request ran whole, so that it caused none of these crashes.
 
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from dataclasses import dataclass
 from enum import StrEnum
 
 from loguru import logger
@@ -25,10 +24,7 @@
     GrantRequest,
     Preempt,
     Refused,
-    RunFinished,
     RunningRecord,
-    RunProgress,
-    RunStarted,
     Withdraw,
 )
 from wagtailtrestle.contracts.outcomes import (
@@ -50,6 +46,8 @@
 from wagtailtrestle.entry.final_answers import DEFAULT_RETRY_AFTER_S, refusal_of, rejected_status
 from wagtailtrestle.entry.reach import Reach
 from wagtailtrestle.entry.request_claim import RequestClaim
+from wagtailtrestle.entry.run_reports import RunReports
+from wagtailtrestle.record import record
 
 MAX_NOT_SENT = 4
 MAX_ATTACHES = 2
@@ -74,7 +72,7 @@
     UNKNOWN = "unknown"
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Displaced:
     """The router needs this waiting request's room for a higher tier."""
 
@@ -106,6 +104,7 @@
         "done_tokens",
         "run_tokens",
         "_inbox",
+        "_reports",
         "_excluded",
         "_reach",
         "_not_sent",
@@ -134,6 +133,7 @@
         self.done_tokens = 0
         self.run_tokens = 0
         self._inbox = asyncio.Queue()
+        self._reports = RunReports(request_id=request.request_id, send=lambda message: context.send(self.cell, message))
         self._excluded = set()
         self._reach = Reach()
         self._not_sent = 0
@@ -252,7 +252,7 @@
                     # engine leaves, or know one that this router does not. Sent there, the
                     # request would be lost with the engine: the place goes back, and the next
                     # ask leaves the engine out.
-                    self._give_back(message.engine, RunNotSent.__name__)
+                    self._reports.gave_back(message.engine)
                     self._excluded.add(message.engine)
                     self.attempt += 1
                     self.context.send(self.cell, self.grant_request())
@@ -334,16 +334,13 @@
                     self._cancel()
                 case RunBegan():
                     self._reach.maybe = self._reach.known = True
-                    self._tell_started(message)
+                    self._reports.began(self.engine, message)
                 case RunAdvanced(output_tokens=output_tokens):
                     self.run_tokens = output_tokens
-                    self.context.send(
-                        self.cell,
-                        RunProgress(request_id=self.request.request_id, output_tokens=output_tokens),
-                    )
+                    self._reports.advanced(output_tokens)
                 case Granted(engine=engine) if engine != self.engine:
                     # A second steward granted the same ask; the place is not needed.
-                    self._give_back(engine, RunNotSent.__name__)
+                    self._reports.gave_back(engine)
                 case RunEnded():
                     self._reach.note(message.outcome)
                     return message
@@ -374,7 +371,7 @@
 
     def _settled(self, ended):
         """Tell the steward, then answer the caller or return ``False`` to ask again."""
-        self._tell_finished(ended)
+        self._reports.finished(self.engine, ended)
         outcome = ended.outcome
         if not isinstance(outcome, RunDone):
             self._log_early_end(ended)
@@ -467,40 +464,6 @@
 
     # Messages out.
 
-    def _tell_started(self, began):
-        self.context.send(
-            self.cell,
-            RunStarted(
-                request_id=self.request.request_id,
-                engine=self.engine,
-                first_token_s=began.first_token_s,
-                prompt_tokens=began.prompt_tokens,
-                cached_tokens=began.cached_tokens,
-            ),
-        )
-
-    def _tell_finished(self, ended):
-        outcome = ended.outcome
-        self.context.send(
-            self.cell,
-            RunFinished(
-                request_id=self.request.request_id,
-                engine=self.engine,
-                result=type(outcome).__name__,
-                duration_s=ended.duration_s,
-                first_token_s=ended.first_token_s,
-                prompt_tokens=getattr(outcome, "prompt_tokens", 0),
-                cached_tokens=getattr(outcome, "cached_tokens", 0),
-                output_tokens=getattr(outcome, "output_tokens", 0),
-            ),
-        )
-
-    def _give_back(self, engine, result):
-        self.context.send(
-            self.cell,
-            RunFinished(request_id=self.request.request_id, engine=engine, result=result, duration_s=0.0),
-        )
-
     def _finish(self, command):
         self.state = RequestState.FINISHED
         self.caller.post(command)
--- /dev/null
+++ b/wagtailtrestle/entry/run_reports.py
@@ -0,0 +1,58 @@
+"""What a steward is told of one request's runs."""
+
+from wagtailtrestle.contracts.messages import RunFinished, RunProgress, RunStarted
+from wagtailtrestle.contracts.outcomes import RunNotSent
+
+
+class RunReports:
+    """Tells the steward of a request's cell how its runs go; a lost message is made good by registering.
+
+    Parameters
+    ----------
+    request_id : str
+    send : callable
+        ``send(message)`` carries a message to the steward.
+    """
+
+    __slots__ = ("_request_id", "_send")
+
+    def __init__(self, *, request_id, send):
+        self._request_id = request_id
+        self._send = send
+
+    def began(self, engine, began):
+        """Tell that a run gave its first token; ``began`` is the ``RunBegan``."""
+        self._send(
+            RunStarted(
+                request_id=self._request_id,
+                engine=engine,
+                first_token_s=began.first_token_s,
+                prompt_tokens=began.prompt_tokens,
+                cached_tokens=began.cached_tokens,
+            )
+        )
+
+    def advanced(self, output_tokens):
+        """Tell how far a run has come."""
+        self._send(RunProgress(request_id=self._request_id, output_tokens=output_tokens))
+
+    def finished(self, engine, ended):
+        """Tell that a run ended; ``ended`` is the ``RunEnded``."""
+        outcome = ended.outcome
+        self._send(
+            RunFinished(
+                request_id=self._request_id,
+                engine=engine,
+                result=type(outcome).__name__,
+                duration_s=ended.duration_s,
+                first_token_s=ended.first_token_s,
+                prompt_tokens=getattr(outcome, "prompt_tokens", 0),
+                cached_tokens=getattr(outcome, "cached_tokens", 0),
+                output_tokens=getattr(outcome, "output_tokens", 0),
+            )
+        )
+
+    def gave_back(self, engine):
+        """Give a place back that no run was begun in."""
+        result = RunNotSent.__name__
+        self._send(RunFinished(request_id=self._request_id, engine=engine, result=result, duration_s=0.0))
--- a/wagtailtrestle/measure/one_run.py
+++ b/wagtailtrestle/measure/one_run.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from dataclasses import asdict, dataclass
+from dataclasses import asdict
 from pathlib import Path
 
 from wagtailtrestle.declarations.check import parse_declaration
@@ -17,6 +17,7 @@
 from wagtailtrestle.measure.run_parts import RunSetting
 from wagtailtrestle.measure.tally import tally, tally_keyed
 from wagtailtrestle.measure.workload import Drawing
+from wagtailtrestle.record import record
 
 ROUTERS = ("r1", "r2", "r3", "r4")
 WARM_S = 10.0
@@ -42,7 +43,7 @@
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class RunSpec:
     """What one run measures; ``prefill_weight`` below 0 takes the declared one."""
 
--- a/wagtailtrestle/peers/delays.py
+++ b/wagtailtrestle/peers/delays.py
@@ -5,13 +5,12 @@
 each, and a batch of its own costs far more than an item in one.
 """
 
-from dataclasses import dataclass
-
 from wagtailtrestle.contracts.messages import Granted, RunFinished, RunProgress, RunStarted
 from wagtailtrestle.contracts.peer_messages import EnginesAnswer, EnginesAsk, Heartbeat, Pong
+from wagtailtrestle.record import record
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Delay:
     """What a type of message may wait for.
 
--- a/wagtailtrestle/platform/events.py
+++ b/wagtailtrestle/platform/events.py
@@ -1,6 +1,6 @@
 """Whole events of a stream, cut from its bytes and checked to follow one another."""
 
-from dataclasses import dataclass
+from wagtailtrestle.record import record
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
@@ -8,7 +8,7 @@
 """A stream that never ends an event must not fill the router's memory."""
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Events:
     """Whole events, as the bytes that the engine sent."""
 
@@ -16,7 +16,7 @@
     count: int
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class EventFault:
     """Why a stream can't be what its engine meant to send."""
 
--- /dev/null
+++ b/wagtailtrestle/record.py
@@ -0,0 +1,37 @@
+"""How messages, outcomes and other records are declared."""
+
+from dataclasses import dataclass
+from typing import dataclass_transform
+
+
+@dataclass_transform(kw_only_default=True)
+def record(cls):
+    """Make a dataclass with slots, compared, hashed and shown by its fields; by agreement never changed.
+
+    A frozen dataclass compiles functions of its own for all of this, 1.3 ms a class. A router reads more
+    than a hundred of them at each start, before it serves anybody; with shared functions it is 0.3 ms.
+    """
+    made = dataclass(slots=True, kw_only=True, repr=False, eq=False)(cls)
+    made.__eq__ = _is_equal
+    made.__hash__ = _hash
+    made.__repr__ = _text
+    return made
+
+
+def _values(self):
+    return tuple(getattr(self, name) for name in self.__dataclass_fields__)
+
+
+def _is_equal(self, other):
+    if type(self) is not type(other):
+        return NotImplemented
+    return _values(self) == _values(other)
+
+
+def _hash(self):
+    return hash((type(self), _values(self)))
+
+
+def _text(self):
+    shown = ", ".join(f"{name}={getattr(self, name)!r}" for name in self.__dataclass_fields__)
+    return f"{type(self).__qualname__}({shown})"
--- a/wagtailtrestle/spec/checks.py
+++ b/wagtailtrestle/spec/checks.py
@@ -1,10 +1,10 @@
 """Every check of every specification: proofs, mutants, witnesses, limits."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 
 import z3
 
+from wagtailtrestle.record import record
 from wagtailtrestle.spec import claims, configuring, draining, freshness, resumption, stewardship
 from wagtailtrestle.spec.checker import Bounded, Inductive, Trace, shortest_trace
 
@@ -30,7 +30,7 @@
     LIMIT = "limit"
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class Finding:
     """What came of one check.
 
--- a/wagtailtrestle/standins/batching.py
+++ b/wagtailtrestle/standins/batching.py
@@ -5,7 +5,8 @@
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass
+
+from wagtailtrestle.record import record
 
 TOKENS_PER_BLOCK = 64
 
@@ -64,7 +65,7 @@
         return self.last_index - self.resume_tokens
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class StepResult:
     """What one step did.
 
@@ -88,7 +89,7 @@
     prefill_tokens: int
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@record
 class BatchLoad:
     """Present load: runs in the batch, runs waiting, length of the last step."""
 
