explain: from routers' log files to one request's way and to tables of lost requests

Ruled out: fields on the line that ends a request in place of its message: the routers' code stays as it is being verified. Change: wagtailtrestle explain reads any number of files in any order, passes over torn lines and says how many and how many lines routers left out; by id a request's whole way with its inputs, without one the lost requests by cause with tier, team, zone or second, within a span of time. Bad arguments are told, nothing counted. Plots are not built. No module of the running router imports it.

--- /dev/null
+++ b/wagtailtrestle/cli/explain.py
@@ -0,0 +1,65 @@
+"""``wagtailtrestle explain``: from routers' log files to what became of requests."""
+
+from datetime import UTC, datetime
+
+from wagtailtrestle.exit_status import ExitStatus
+from wagtailtrestle.observe.log_reading import RouterLogs
+from wagtailtrestle.observe.losses import KEYS, losses, losses_text, story, story_text
+
+
+def explain(environment, *, files, request_id, by, begin, end):
+    """Print one request's way, or a table of lost requests, and return the exit status."""
+    if not files:
+        environment.complain("Give at least one log file. Nothing was read.")
+        return ExitStatus.USAGE
+    if by not in KEYS:
+        environment.complain(f"--by is {by!r}; allowed: {', '.join(KEYS)}. Nothing was read.")
+        return ExitStatus.USAGE
+    times = [_time(environment, name, text) for name, text in (("--begin", begin), ("--end", end))]
+    if ExitStatus.USAGE in times:
+        return ExitStatus.USAGE
+    logs = _read(environment, files)
+    if logs is None:
+        return ExitStatus.USAGE
+    if request_id is not None:
+        return _tell_story(environment, logs, request_id)
+    lost, answered = losses(logs, begin=times[0], end=times[1])
+    environment.say(losses_text(lost, answered, key=by, logs=logs))
+    return ExitStatus.DONE
+
+
+def _tell_story(environment, logs, request_id):
+    lines = story(logs, request_id)
+    if not lines:
+        environment.complain(
+            f"No line names {request_id}. Give the files of all routers: a caller's second try reaches another one."
+        )
+        return ExitStatus.CHECK_FAILED
+    environment.say(story_text(lines))
+    return ExitStatus.DONE
+
+
+def _read(environment, files):
+    logs = RouterLogs()
+    for file in files:
+        try:
+            with open(file, encoding="utf-8", errors="replace") as opened:
+                logs.add_file(opened)
+        except OSError as error:
+            environment.complain(f"{file} can't be read: {error.strerror}. Nothing was counted.")
+            return None
+    return logs
+
+
+def _time(environment, name, text):
+    """Unix seconds of a time as the logs write it, ``None`` without one."""
+    if text is None:
+        return None
+    try:
+        told = datetime.fromisoformat(text)
+    except ValueError:
+        environment.complain(
+            f"{name} is {text!r}; allowed: a time as in the logs, 2026-05-05T18:37:25. Nothing was read."
+        )
+        return ExitStatus.USAGE
+    return (told if told.tzinfo else told.replace(tzinfo=UTC)).timestamp()
--- a/wagtailtrestle/cli/operate.py
+++ b/wagtailtrestle/cli/operate.py
@@ -5,6 +5,7 @@
 
 from fire.decorators import SetParseFn
 
+from wagtailtrestle.cli.explain import explain
 from wagtailtrestle.cli.runner import read_arguments, run_program
 from wagtailtrestle.configuration.applying import (
     NOTHING_ACCEPTED,
@@ -95,6 +96,22 @@
         """
         self._plan.note(lambda: status(self._environment, platform=platform))
 
+    @SetParseFn(str)
+    def explain(self, *files, id=None, by="cause", begin=None, end=None):  # noqa: A002
+        """Tell from routers' log files what became of requests.
+
+        With --id: every line about one request, in order of time. Without: a table of the requests
+        that got no answer. Files of all routers, in any order; torn lines are passed over and counted.
+
+        Args:
+            files: Log files in JSON, as routers write them; what stands before the JSON is passed over.
+            id: The caller's id of a request, or the router's.
+            by: What to count by beside the cause: cause, tier, team, zone or second.
+            begin: Count from this time on, as in the logs, UTC.
+            end: Count up to this time.
+        """
+        self._plan.note(lambda: explain(self._environment, files=files, request_id=id, by=by, begin=begin, end=end))
+
 
 def check(environment, *, file):
     """Check a file, print what was found and return the exit status."""
--- /dev/null
+++ b/wagtailtrestle/observe/log_reading.py
@@ -0,0 +1,122 @@
+"""Routers' log files read back: many, in any order, with lines torn or of other programs."""
+
+import json
+import re
+from datetime import datetime
+
+ENDED = re.compile(
+    r"(?P<service>[^/ ]+)/(?P<route>\S+) (?P<outcome>\w+) after (?P<took_s>[\d.]+) s, (?P<runs>\d+) runs"
+)
+"""The message of the line that ends each request."""
+REFUSED_EARLY = "refused on arrival"
+ROUTER_STARTED = "router started"
+LEFT_OUT = "lines_left_out_before"
+REQUEST_NUMBER = re.compile(r"-\d+-[0-9a-f]+$")
+"""What follows the router's name in a request's id: the process's start and a random part."""
+
+
+class LogLine:
+    """One line of a router's log.
+
+    Parameters
+    ----------
+    at : float
+        Unix seconds.
+    router : str
+        Name of the router that wrote it, empty where nothing tells.
+    message : str
+    fields : dict of str to object
+        Everything else on the line.
+    """
+
+    __slots__ = ("at", "router", "message", "fields")
+
+    def __init__(self, *, at, router, message, fields):
+        self.at = at
+        self.router = router
+        self.message = message
+        self.fields = fields
+
+
+class RouterLogs:
+    """The lines of all files, in order of time.
+
+    Attributes
+    ----------
+    lines : list of LogLine
+    unread : int
+        Lines that are none of a router's, or torn.
+    left_out : int
+        Lines that routers say they left out under load.
+    zone_by_router : dict of str to str
+    """
+
+    __slots__ = ("lines", "unread", "left_out", "zone_by_router")
+
+    def __init__(self):
+        self.lines = []
+        self.unread = 0
+        self.left_out = 0
+        self.zone_by_router = {}
+
+    def add_file(self, texts):
+        """Take in the lines of one file; ``texts`` is an iterable of str."""
+        known = ""
+        added = []
+        for text in texts:
+            line = read_line(text)
+            if line is None:
+                self.unread += bool(text.strip())
+                continue
+            known = line.router or known
+            line.router = known
+            added.append(line)
+            self._note(line)
+        self._name_first(added)
+        self.lines.extend(added)
+        self.lines.sort(key=lambda line: line.at)
+
+    def _note(self, line):
+        left_out = line.fields.get(LEFT_OUT, 0)
+        self.left_out += left_out if isinstance(left_out, int) else 0
+        if line.message == ROUTER_STARTED and line.router:
+            self.zone_by_router[line.router] = str(line.fields.get("zone", ""))
+
+    def _name_first(self, added):
+        # A file may begin before its router is named; all of a file is mostly one router's.
+        first = next((line.router for line in added if line.router), "")
+        for line in added:
+            if line.router:
+                return
+            line.router = first
+
+
+def read_line(text):
+    """Read one line; ``None`` for a torn one, or one that no router wrote.
+
+    What a collector put before the JSON is passed over, but for its last word: the router's name.
+    """
+    before, brace, rest = text.partition("{")
+    if not brace:
+        return None
+    try:
+        fields = json.loads(brace + rest)
+        at = datetime.fromisoformat(fields.pop("time")).timestamp()
+        message = fields.pop("message")
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
+    if not isinstance(message, str):
+        return None
+    return LogLine(at=at, router=_router(before, message, fields), message=message, fields=fields)
+
+
+def _router(before, message, fields):
+    words = before.split()
+    if words:
+        return words[-1]
+    if message == ROUTER_STARTED and isinstance(fields.get("name"), str):
+        return fields["name"]
+    request_id = fields.get("request_id")
+    if isinstance(request_id, str) and REQUEST_NUMBER.search(request_id):
+        return REQUEST_NUMBER.sub("", request_id)
+    return ""
--- /dev/null
+++ b/wagtailtrestle/observe/losses.py
@@ -0,0 +1,112 @@
+"""What became of requests, by routers' logs: one request's whole way, and the lost ones counted."""
+
+from collections import Counter
+from datetime import UTC, datetime
+
+from wagtailtrestle.observe.log_reading import ENDED, REFUSED_EARLY
+from wagtailtrestle.output.table import table
+
+SERVED = frozenset({"answered", "recorded"})
+UNKNOWN = "?"
+HEADING_BY_KEY = {"cause": "cause", "tier": "tier", "team": "team", "zone": "zone", "second": "second (UTC)"}
+KEYS = tuple(HEADING_BY_KEY)
+
+
+class Loss:
+    """One request that got no answer."""
+
+    __slots__ = ("at", "cause", "tier", "team", "zone")
+
+    def __init__(self, *, at, cause, tier, team, zone):
+        self.at = at
+        self.cause = cause
+        self.tier = tier
+        self.team = team
+        self.zone = zone
+
+    def value(self, key):
+        """What the loss counts under in a table by ``key``."""
+        return _clock_text(self.at, digits=0) if key == "second" else getattr(self, key)
+
+
+def story(logs, wanted):
+    """Lines about one request, by the caller's id or ours, in order of time.
+
+    The line of its end has both ids; those of its runs have ours alone.
+    """
+    ids = {wanted}
+    for line in logs.lines:
+        named = {line.fields.get("request_id"), line.fields.get("caller_request_id")} - {None}
+        if named & ids:
+            ids |= named
+    return [
+        line
+        for line in logs.lines
+        if line.fields.get("request_id") in ids or line.fields.get("caller_request_id") in ids
+    ]
+
+
+def story_text(lines):
+    """The lines of a story for a person: seconds since the first, router, message, inputs."""
+    began_at = lines[0].at
+    shown = []
+    for line in lines:
+        inputs = " ".join(f"{name}={value}" for name, value in line.fields.items() if name not in ("level", "module"))
+        when = f"{line.at - began_at:+.3f} s"
+        shown.append(f"{_clock_text(line.at, digits=3)} {when} {line.router or UNKNOWN}: {line.message}  {inputs}")
+    return "\n".join(shown)
+
+
+def losses(logs, *, begin=None, end=None):
+    """Requests without an answer between two times, Unix seconds.
+
+    Returns
+    -------
+    list of Loss
+    int
+        Requests that were answered in the same time.
+    """
+    lost = []
+    answered = 0
+    for line in logs.lines:
+        if (begin is not None and line.at < begin) or (end is not None and line.at >= end):
+            continue
+        ended = ENDED.fullmatch(line.message)
+        if ended is not None and ended["outcome"] in SERVED:
+            answered += 1
+        elif ended is not None:
+            lost.append(_loss(logs, line, ended["outcome"]))
+        elif line.message == REFUSED_EARLY:
+            lost.append(_loss(logs, line, str(line.fields.get("reason", UNKNOWN))))
+    return lost, answered
+
+
+def losses_text(lost, answered, *, key, logs):
+    """A table of the lost requests by ``key`` and cause, and how far it can be trusted."""
+    keys = ("cause",) if key == "cause" else (key, "cause")
+    counts = Counter(tuple(loss.value(each) for each in keys) for loss in lost)
+    ranked = sorted(counts.items()) if key == "second" else counts.most_common()
+    rows = [(*values, count) for values, count in ranked]
+    lines = [f"{len(lost)} lost, {answered} answered"]
+    if rows:
+        lines.append(table(header=(*(HEADING_BY_KEY[each] for each in keys), "requests"), rows=rows))
+    if logs.left_out:
+        lines.append(f"Routers left out {logs.left_out} lines under load: the counts are the least that were.")
+    if logs.unread:
+        lines.append(f"{logs.unread} lines were torn or no router's, and are not counted.")
+    return "\n".join(lines)
+
+
+def _loss(logs, line, cause):
+    return Loss(
+        at=line.at,
+        cause=cause,
+        tier=str(line.fields.get("tier", UNKNOWN)),
+        team=str(line.fields.get("team", "")) or UNKNOWN,
+        zone=logs.zone_by_router.get(line.router, UNKNOWN),
+    )
+
+
+def _clock_text(at, *, digits):
+    text = datetime.fromtimestamp(at, UTC).isoformat(timespec="milliseconds" if digits else "seconds")
+    return text.partition("T")[2].partition("+")[0]
