--- a/tests/test_engine_restart.py
+++ b/tests/test_engine_restart.py
@@ -5,6 +5,7 @@
 health are believed that were another process's. Its time of start tells, in its entry or its report.
 """
 
+import dataclasses
 import unittest
 
 from tests.utils.steward_fakes import Cell, ask, engine, report
@@ -38,9 +39,7 @@
         return self.cell.steward._runs.engines_by_name["e1"]
 
     def report(self, start_ms, **changes):
-        told = report(**changes)
-        object.__setattr__(told, "start_ms", start_ms)
-        self.cell.steward.on_load_report(told)
+        self.cell.steward.on_load_report(dataclasses.replace(report(**changes), start_ms=start_ms))
 
     def test_its_places_are_free_once_its_entry_tells(self):
         self.cell.receive(ask("c"), ask("d"))
--- a/wagtailtrestle/platform/store.py
+++ b/wagtailtrestle/platform/store.py
@@ -27,8 +27,6 @@
 WATCH_MARGIN_S = 0.7
 """How much later than its own limit a watch may be answered before it counts as silent."""
 MS_PER_S = 1000.0
-MOST_SHOWN = 120
-"""Characters of an object that can't be read, in its log line."""
 VM_FIELDS = ("role", "address", "zone", "admin")
 """What a router's announcement holds as text."""
 MOST_PAGES = 100
@@ -182,7 +180,8 @@
     metadata = body.get("metadata") if isinstance(body, dict) else None
     if isinstance(metadata, dict) and isinstance(metadata.get("name"), str):
         return isinstance(metadata.get("revision"), int)
-    logger.error("an object of the store can't be read: {}", repr(body)[:MOST_SHOWN])
+    # Without what it holds: that may be a configuration, with keys.
+    logger.error("an object of the store without a sound name or revision is passed over")
     return False
 
 
