A new steward awaits entries that still go by another one

Cause: tests.test_tier_order lost a question (502, engine_lost after 6.2 s). Traced from the request's id with grants and reports logged: the steward dies; router-2 is the next one and asks router-1 to register a few milliseconds before that one has heard of the death. router-1 answers by its own view with an empty registration (its steward is another), which was taken for 'runs nothing', so that the cautious time ended. router-2 granted 12 places on an engine of 16 on which router-1 ran 11 (reports: 16 running, 11 waiting). What waited in the engine's queue was given up as silent after two seconds, and a question lost its third and last run.

Ruled out: slowness of the machine (both engines decode all the while), lost messages and connections (each message is accounted for), the dead router's own runs (0 orphans).

Change: a registration says whether its entry goes by another steward; then what was held for it is let go and it stays awaited. Two tests; the first fails without the change.

An engine's queue hides behind the limit on silence; nothing but overfilling brings work there.

--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -9,7 +9,7 @@
 from wagtailtrestle.peers.rendezvous import Rendezvous
 
 HELD = Register(entry="a", cell="c1", waiting=(grant_request(),))
-NOTHING = Register(entry="a", cell="c1")
+NOTHING = Register(entry="a", cell="c1", elsewhere=True)
 
 
 class FakePeers:
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -262,6 +262,25 @@
         cell.receive(finished("x"))
         self.assertEqual(cell.entries.ids(Granted), ["r"])
 
+    def test_an_entry_that_still_goes_by_another_steward_is_awaited(self):
+        # The steward died, and r1 is the next one by its own view. It asks r2, which has not heard of the
+        # death yet and answers that its steward is another. Taken for "r2 runs nothing", that
+        # answer filled the engine twice over: what was granted too much waited in the engine's queue, was
+        # given up as silent after two seconds, and a question lost its last run.
+        cell = Cell(members=("r1", "r2"))
+        cell.receive(register("r1", waiting=[ask("r")]), register("r2", elsewhere=True))
+        self.assertEqual(cell.entries.ids(Granted), [])
+        self.assertEqual(cell.steward.awaited_entries, {"r2"})
+        cell.receive(register("r2", running=[running(ask("x", entry="r2")), running(ask("y", entry="r2"))]))
+        self.assertEqual(cell.entries.ids(Granted), [])
+
+    def test_an_entry_that_turned_to_another_steward_holds_nothing_here(self):
+        cell = Cell(slots=1, members=("r1", "r2"))
+        cell.receive(register("r1"), register("r2"), ask("x", entry="r2"), ask("r"))
+        self.assertEqual(cell.entries.ids(Granted), ["x"])
+        cell.receive(register("r2", elsewhere=True))
+        self.assertEqual(cell.entries.ids(Granted), ["x", "r"])
+
     def test_the_wait_is_bounded(self):
         cell = Cell(members=("r1", "silent"))
         cell.receive(register("r1", waiting=[ask("r")]))
--- a/wagtailtrestle/capacity/steward.py
+++ b/wagtailtrestle/capacity/steward.py
@@ -220,7 +220,10 @@
             self._runs.end(grant)
 
     def _on_register(self, message):
-        self._registration.registered(message.entry)
+        # An entry that has not heard of the former steward's death yet says that it holds nothing here.
+        # Were it no longer awaited, engines would be filled beside the runs that it tells of a moment later.
+        if not message.elsewhere:
+            self._registration.registered(message.entry)
         running_by_id = {record.request.request_id: record for record in message.running}
         asked_by_id = {request.request_id: request for request in message.waiting}
         for grant in self._runs.of_entry(message.entry):
--- a/wagtailtrestle/contracts/messages.py
+++ b/wagtailtrestle/contracts/messages.py
@@ -129,12 +129,20 @@
 
 @record
 class Register:
-    """Everything one entry holds for ``cell``; replaces what the steward knew of it."""
+    """Everything one entry holds for ``cell``; replaces what the steward knew of it.
+
+    Parameters
+    ----------
+    elsewhere : bool
+        Whether the entry goes by another steward. Then it holds nothing here, but the engines may well
+        run what it was granted there.
+    """
 
     entry: str
     cell: str
     waiting: tuple = ()
     running: tuple = ()
+    elsewhere: bool = False
 
 
 @record
--- a/wagtailtrestle/peers/directory.py
+++ b/wagtailtrestle/peers/directory.py
@@ -167,7 +167,7 @@
         self._steward_by_cell[cell] = steward
         if before in self._membership.view.everyone:
             # Without this a former steward that lives would hold this entry's places until told otherwise.
-            self._send(before, cell, Register(entry=self.name, cell=cell))
+            self._send(before, cell, Register(entry=self.name, cell=cell, elsewhere=True))
         if steward is not None:
             self._announce(steward, cell)
 
@@ -183,7 +183,7 @@
         """What this entry holds at ``asker``: nothing, if it has another steward for the cell."""
         if self.steward_of(cell) == asker:
             return self._register(cell)
-        return Register(entry=self.name, cell=cell)
+        return Register(entry=self.name, cell=cell, elsewhere=True)
 
     def _send(self, steward, cell, message):
         if steward == self.name:
