--- /dev/null
+++ b/tests/test_peer_configuration.py
@@ -0,0 +1,69 @@
+"""Declarations told among routers: from whoever told of them, and small on the way."""
+
+import asyncio
+import unittest
+from types import SimpleNamespace
+
+from wagtailtrestle.configuration.peer_configuration import MAX_ASKED, PeerConfiguration
+from wagtailtrestle.contracts.peer_messages import ConfigurationAsk, ConfigurationText
+
+NAMES = tuple(f"router-{number}" for number in range(24))
+TEXT = "".join(
+    f"{{name: route-{number}, host: h{number * 7919}.example, service: booking}}\n" for number in range(1400)
+)
+
+
+class Network:
+    """Routers of which those named hold a declaration; counts questions and bytes of the answers."""
+
+    def __init__(self, *, holders, generation=5):
+        self.asked = []
+        self.told_bytes = 0
+        self.answer_by_name = {}
+        self.by_name = {name: self._router(name, generation if name in holders else 0) for name in NAMES}
+
+    def _router(self, name, generation):
+        held = SimpleNamespace(generation=generation, text=TEXT) if generation else None
+
+        def on(message_type, handler):
+            if message_type is ConfigurationAsk:
+                self.answer_by_name[name] = handler
+
+        peers = SimpleNamespace(on=on, ask=self._ask)
+        return PeerConfiguration(peers=peers, members=lambda: NAMES, in_force=lambda: held)
+
+    async def _ask(self, name, message, timeout_s):
+        self.asked.append(name)
+        answer = self.answer_by_name[name](None, message, "")
+        self.told_bytes += len(answer.packed)
+        return answer
+
+
+class PeerConfigurationTest(unittest.TestCase):
+    def test_one_copy_is_fetched_from_who_told_of_it(self):
+        # A declaration of 1,400 routes comes to one router, which tells the others. Did each of them ask
+        # eight routers for all of it, a hundred megabytes would cross the links of a fleet of 195.
+        network = Network(holders=("router-3",))
+        answer = asyncio.run(network.by_name["router-9"].ask(5, "router-3"))
+        self.assertEqual((answer.generation, answer.text), (5, TEXT))
+        self.assertEqual(network.asked, ["router-3"])
+        self.assertLess(network.told_bytes, len(TEXT) / 5)
+
+    def test_others_are_asked_where_the_teller_has_gone_back(self):
+        # The teller restarted meanwhile and holds nothing.
+        network = Network(holders=NAMES[4:])
+        answer = asyncio.run(network.by_name["router-9"].ask(5, "router-3"))
+        self.assertEqual(answer.generation, 5)
+        self.assertEqual(len(network.asked), 1 + MAX_ASKED)
+
+    def test_what_cannot_be_unpacked_is_no_answer(self):
+        network = Network(holders=NAMES)
+        network.answer_by_name = {
+            name: lambda peer, message, cell: ConfigurationText(generation=5, packed=b"not packed") for name in NAMES
+        }
+        answer = asyncio.run(network.by_name["router-9"].ask(5, "router-3"))
+        self.assertEqual((answer.answered, answer.generation), (0, 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wagtailtrestle/configuration/configuration.py
+++ b/wagtailtrestle/configuration/configuration.py
@@ -12,7 +12,15 @@
 from wagtailtrestle.broken_invariant import report_broken
 from wagtailtrestle.configuration.applying import NO_GENERATION
 from wagtailtrestle.configuration.boot_clock import boot_time_s
-from wagtailtrestle.configuration.sources import OwnDeclarations, PeersAnswer, PeerSource, PlatformSource, Source
+from wagtailtrestle.configuration.sources import (
+    PEER_DELAY_S,
+    TOLD_DELAY_S,
+    OwnDeclarations,
+    PeersAnswer,
+    PeerSource,
+    PlatformSource,
+    Source,
+)
 from wagtailtrestle.contracts.declaration import Declaration
 from wagtailtrestle.record import record
 
@@ -53,8 +61,8 @@
     on_change : callable
         ``on_change(in_force)``, called on the loop after each change.
     ask_peers : callable
-        ``await ask_peers(generation)`` asks reachable peers for their declaration if it
-        is at least ``generation`` and gives a ``PeersAnswer``.
+        ``await ask_peers(generation, teller)`` asks reachable peers, ``teller`` first if not
+        ``None``, for their declaration if it is at least ``generation`` and gives a ``PeersAnswer``.
     executor : concurrent.futures.Executor, optional
         Where ``parse`` runs; on the loop itself when ``None``.
     poll_interval_s, watch_timeout_s : float
@@ -63,8 +71,10 @@
     jitter : random.Random, optional
     place : DeclarationPlace, optional
         Where the store holds the declaration; the product's own by default.
+    readers : StoreReaders, optional
+        Who reads the platform for others; without it every router watches and polls it.
     ask_confirmation : callable, optional
-        Asks a peer how lately the platform confirmed its declaration; without it each poll reads the platform.
+        Asks one of them how lately the platform confirmed its declaration.
     """
 
     def __init__(
@@ -80,6 +90,7 @@
         start_wait_s=DEFAULT_START_WAIT_S,
         jitter=None,
         place=None,
+        readers=None,
         ask_confirmation=None,
     ):
         self.in_force = None
@@ -97,11 +108,18 @@
             watch_timeout_s=watch_timeout_s,
             jitter=jitter,
             place=place or OwnDeclarations(),
+            readers=readers,
             ask_confirmation=ask_confirmation,
             generation=lambda: self.generation,
             heard=self.heard,
         )
-        self._peers = PeerSource(ask_peers=ask_peers, offer=self.offer, is_known=self._is_known, jitter=jitter)
+        self._peers = PeerSource(
+            ask_peers=ask_peers,
+            offer=self.offer,
+            is_known=self._is_known,
+            jitter=jitter,
+            delay_s=PEER_DELAY_S if readers is None else TOLD_DELAY_S,
+        )
         self._candidate = None
         self._highest_seen = NO_GENERATION
         self._faults_by_generation = {}
@@ -153,9 +171,9 @@
         self._candidate = _Candidate(generation=generation, text=text, source=source)
         self._has_candidate.set()
 
-    def heard(self, generation):
+    def heard(self, generation, peer=None):
         """Note the generation that a peer's heartbeat carries."""
-        self._peers.heard(generation)
+        self._peers.heard(generation, peer)
 
     def dump(self):
         """Return the state as a plain dict, without the text."""
--- a/wagtailtrestle/configuration/engine_list.py
+++ b/wagtailtrestle/configuration/engine_list.py
@@ -119,7 +119,7 @@
             news = await self._ask_store()
         if news is None:
             if self._relay is not None:
-                self._relay.store_failed()
+                self._relay.readers.pause_own()
             return False
         self._note_answer()
         self._take(news)
--- a/wagtailtrestle/configuration/engine_relay.py
+++ b/wagtailtrestle/configuration/engine_relay.py
@@ -16,7 +16,6 @@
 
 from wagtailtrestle.configuration.boot_clock import boot_time_s
 from wagtailtrestle.contracts.peer_messages import EngineEntry, EnginesAnswer, EnginesAsk
-from wagtailtrestle.peers.rendezvous import Rendezvous
 
 READ_WATCH_S = 0.7
 """Longest watch of a router that reads for others: each answer, also an empty one, proves its list anew."""
@@ -27,20 +26,10 @@
 MOST_AGE_S = 1.0
 """Oldest proof believed: a watch, and a slow reader's delays. Together with a question that gets no
 answer, a second one and a read of the store, an engine's leaving is known 1.9 s after the store accepted it."""
-PAUSE_S = 2.0
-"""How long a reader that failed is not asked again; the view has changed by then if it is gone."""
-MOST_ASKED = 2
-"""Readers asked before the store is: where the store refuses a third of the routers, one of two mostly knows."""
-ROUTERS_A_READER = 24
-"""At 2.5 questions a second each, some 60 a second for one reader: about a hundredth of a core."""
-LEAST_READERS = 2
-"""The second one answers while the first is being replaced, so that the store is not read by all."""
 MOST_HISTORY = 512
 """Changes kept for those who ask: minutes of them, while a question comes each half second."""
 MOST_ASKED_WAIT_S = 5.0
 """Longest wait that an asker may demand, so that a faulty one can't keep questions open without end."""
-READERS_KEY = "engine-readers"
-"""Key of the ranking by which all routers choose the same readers."""
 
 
 class EngineNews:
@@ -72,23 +61,20 @@
 
     Parameters
     ----------
-    name : str
-        This router.
     peers : Peers
-    members : callable
-        ``members()`` gives the names of the routers that live and stay, as a sorted tuple.
+    readers : StoreReaders
     clock : callable
         Seconds, pauses of the VM included.
+
+    Attributes
+    ----------
+    readers : StoreReaders
     """
 
-    def __init__(self, *, name, peers, members, clock=boot_time_s):
-        self._name = name
+    def __init__(self, *, peers, readers, clock=boot_time_s):
         self._peers = peers
-        self._members = members
+        self.readers = readers
         self._clock = clock
-        self._readers_ranking = Rendezvous()
-        self._own_ranking = Rendezvous()
-        self._paused_until_by_reader = {}
         self._version = 0
         self._proved_at = None
         self._text_by_name = {}
@@ -102,8 +88,7 @@
     def dump(self):
         """Return the state as a plain dict."""
         return {
-            "readers": list(self._readers()),
-            "reads_store": self._name in self._readers(),
+            **self.readers.dump(),
             "version": self._version,
             "proof_age_s": None if self._proved_at is None else round(self._clock() - self._proved_at, 3),
             "asked_total": self.asked_total,
@@ -121,7 +106,7 @@
             ``None`` if this router should read the store itself.
         """
         wait_s = WAIT_S
-        for reader in self._to_ask():
+        for reader in self.readers.to_ask():
             news = await self._ask_one(reader, version, wait_s)
             if news is not None:
                 return news
@@ -129,28 +114,6 @@
             wait_s = 0.0
         return None
 
-    def store_failed(self):
-        """Note that the store didn't answer this router, which should ask others for a while.
-
-        Where the store refuses some routers, a reader among them would go on asking it in vain
-        and hear nothing of engines that leave, though the other readers do.
-        """
-        self._pause(self._name)
-
-    def _to_ask(self):
-        """The readers to ask, in order; none if this router reads the store itself."""
-        now = self._clock()
-        ready = [name for name in self._readers() if self._paused_until_by_reader.get(name, now) <= now]
-        if self._name in ready:
-            return ()
-        ranked = self._own_ranking.ranked(key=self._name, members=tuple(sorted(ready)))
-        return ranked[:MOST_ASKED]
-
-    def _pause(self, name):
-        now = self._clock()
-        paused = {other: until for other, until in self._paused_until_by_reader.items() if until > now}
-        self._paused_until_by_reader = {**paused, name: now + PAUSE_S}
-
     async def _ask_one(self, reader, version, wait_s):
         """Ask one reader; ``None`` if its answer can't be believed."""
         self.asked_total += 1
@@ -164,7 +127,7 @@
             # while an engine that leaves goes on getting work; another one, or the store, tells at once.
             logger.bind(reader=reader, problem=problem).info("a router that reads engines' entries is not believed")
             self.failed_total += 1
-            self._pause(reader)
+            self.readers.pause(reader)
             return None
         return EngineNews(
             version=answer.version,
@@ -173,12 +136,6 @@
             age_s=answer.age_s + way_s,
         )
 
-    def _readers(self):
-        """The routers that read the store for all."""
-        members = self._members()
-        count = max(LEAST_READERS, math.ceil(len(members) / ROUTERS_A_READER))
-        return self._readers_ranking.ranked(key=READERS_KEY, members=members)[:count]
-
     # What this router tells.
 
     def confirm(self, *, version, age_s, changed):
--- a/wagtailtrestle/configuration/peer_configuration.py
+++ b/wagtailtrestle/configuration/peer_configuration.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import random
+import zlib
+
+from loguru import logger
 
 from wagtailtrestle.configuration.configuration import PeersAnswer
 from wagtailtrestle.contracts.peer_messages import (
@@ -13,6 +16,9 @@
 
 MAX_ASKED = 8
 ASK_TIMEOUT_S = 1.0
+PACKING_LEVEL = 6
+"""Of zlib: a declaration of 1,400 routes becomes a tenth, in a few milliseconds once for each generation. Unpacked
+it takes a link of 10 Mbit/s for seconds when all routers fetch it from the one that read it."""
 CONFIRM_TIMEOUT_S = 0.3
 """A peer answers within a few milliseconds; past this the platform itself is asked."""
 
@@ -32,7 +38,7 @@
     jitter : random.Random
     """
 
-    __slots__ = ("_peers", "_members", "_in_force", "_confirmed_age_s", "_jitter")
+    __slots__ = ("_peers", "_members", "_in_force", "_confirmed_age_s", "_jitter", "_packed")
 
     def __init__(self, *, peers, members, in_force, confirmed_age_s=lambda: None, jitter=None):
         self._confirmed_age_s = confirmed_age_s
@@ -40,11 +46,16 @@
         self._members = members
         self._in_force = in_force
         self._jitter = jitter or random.Random()
+        self._packed = ConfigurationText(generation=0, packed=b"")
         peers.on(ConfigurationAsk, self._answer)
         peers.on(ConfirmationAsk, self._confirm)
 
-    async def ask(self, generation):
-        """Ask a few routers; return the highest generation told, if at least ``generation``."""
+    async def ask(self, generation, teller=None):
+        """Ask ``teller``, else a few routers; return the highest generation told, if at least ``generation``."""
+        if teller is not None:
+            told = await self._ask_one(teller)
+            if told is not None and told.generation >= generation:
+                return told
         names = list(self._members())
         # Asking all of 370 routers for a whole declaration would flood the asker; a few
         # are enough since a heartbeat already told that the generation is about.
@@ -56,12 +67,9 @@
             return PeersAnswer(answered=len(held))
         return PeersAnswer(answered=len(held), generation=best.generation, text=best.text)
 
-    async def ask_confirmation(self):
-        """Ask one peer how lately the platform confirmed its configuration; a ``Confirmation`` or ``None``."""
-        names = list(self._members())
-        if not names:
-            return None
-        answer = await self._peers.ask(self._jitter.choice(names), ConfirmationAsk(), CONFIRM_TIMEOUT_S)
+    async def ask_confirmation(self, reader):
+        """Ask a router how lately the platform confirmed its configuration; a ``Confirmation`` or ``None``."""
+        answer = await self._peers.ask(reader, ConfirmationAsk(), CONFIRM_TIMEOUT_S)
         return answer if isinstance(answer, Confirmation) else None
 
     def _confirm(self, peer, message, cell):
@@ -73,10 +81,20 @@
 
     async def _ask_one(self, name):
         answer = await self._peers.ask(name, ConfigurationAsk(), ASK_TIMEOUT_S)
-        return answer if isinstance(answer, ConfigurationText) else None
+        if not isinstance(answer, ConfigurationText):
+            return None
+        try:
+            text = zlib.decompress(answer.packed).decode() if answer.generation else ""
+        except (zlib.error, UnicodeDecodeError) as error:
+            logger.bind(peer=name, problem=str(error)).error("a peer's declaration can't be unpacked")
+            return None
+        return PeersAnswer(answered=1, generation=answer.generation, text=text)
 
     def _answer(self, peer, message, cell):
         in_force = self._in_force()
         if in_force is None:
-            return ConfigurationText(generation=0, text="")
-        return ConfigurationText(generation=in_force.generation, text=in_force.text)
+            return ConfigurationText(generation=0, packed=b"")
+        if self._packed.generation != in_force.generation:
+            packed = zlib.compress(in_force.text.encode(), PACKING_LEVEL)
+            self._packed = ConfigurationText(generation=in_force.generation, packed=packed)
+        return self._packed
--- a/wagtailtrestle/configuration/sources.py
+++ b/wagtailtrestle/configuration/sources.py
@@ -20,10 +20,22 @@
 WATCH_MARGIN_S = 5.0
 # A peer's generation is mostly on its way to us by the watch as well.
 PEER_DELAY_S = 0.2
+TOLD_DELAY_S = 0.03
+"""The same where only a few routers have a watch: long enough for one fetch to serve several tellings."""
 PEER_TIMEOUT_S = 2.0
-CONFIRMED_ENOUGH_S = 1.0
-"""A peer's word counts if the platform confirmed its configuration so lately. About one poll in 2.7 then reads
-the platform (words age by uniform waits, summed), and the age that others rely on stays within about twice this."""
+READER_CHECK_S = 0.5
+"""How often a router looks whether it has become one that reads for others; their changes are rare, and the
+other readers watch meanwhile."""
+FETCH_WITHIN_S = 0.5
+"""A declaration of a thousand routes passes a slow link within so long."""
+FETCH_CHECK_S = 0.05
+READER_POLL_S = 1.5
+"""Time between two reads of a router that reads for others: two reads in three seconds for each such router, and
+no others while they last. A longer one leaves no time to ask a second reader before proofs of keys run out."""
+CONFIRMED_ENOUGH_S = 2.2
+"""A peer's word counts if the platform confirmed its configuration so lately: a reader's interval, and a read
+that had to be repeated on a new connection. With the asker's own interval a proof is at most 3.5 s old while one
+reader answers; operators grant a revoked key five."""
 # No object is ever at this version, so an update that asks for it never takes effect.
 NEVER_A_VERSION = 0
 
@@ -80,12 +92,14 @@
         ``offer(generation, text, source)``.
     poll_interval_s, watch_timeout_s : float
     jitter : random.Random
+    readers : StoreReaders, optional
+        Who reads the platform for others; without it every router does.
     ask_confirmation : callable, optional
-        ``await ask_confirmation()`` gives a peer's ``Confirmation`` or ``None``.
+        ``await ask_confirmation(reader)`` gives that router's ``Confirmation`` or ``None``.
     generation : callable, optional
         The generation in force.
     heard : callable, optional
-        ``heard(generation)`` notes a generation that a peer told.
+        ``heard(generation, peer)`` notes a generation that a peer told.
 
     Attributes
     ----------
@@ -98,6 +112,7 @@
         "last_read",
         "confirmed_at",
         "_place",
+        "_readers",
         "_ask_confirmation",
         "_generation",
         "_heard",
@@ -118,10 +133,12 @@
         watch_timeout_s,
         jitter,
         place,
+        readers=None,
         ask_confirmation=None,
         generation=None,
         heard=None,
     ):
+        self._readers = readers
         self._ask_confirmation = ask_confirmation
         self._generation = generation
         self._heard = heard
@@ -140,6 +157,11 @@
         """Wait for changes; a silent watch is given up, and polling covers the gap."""
         retry_s = WATCH_RETRY_S
         while True:
+            if not self._reads_platform():
+                # A watch of its own would cost each router a call for each change and each time it ends,
+                # and tell nothing that the readers' heartbeats don't.
+                await asyncio.sleep(READER_CHECK_S)
+                continue
             outcome = await self._watch_once()
             if isinstance(outcome, StoreHistoryGone):
                 # What changed since is nowhere to be had piece by piece: the whole is read, and the
@@ -170,33 +192,51 @@
     async def poll(self):
         """Read at a bounded interval: finds what a silent watch or a dropped event hid."""
         while True:
-            await asyncio.sleep(self._poll_interval_s * self._jitter.uniform(1 - POLL_JITTER, 1 + POLL_JITTER))
-            if await self._is_confirmed_by_peer():
+            await asyncio.sleep(self._poll_s() * self._jitter.uniform(1 - POLL_JITTER, 1 + POLL_JITTER))
+            if await self._is_confirmed_by_reader():
                 continue
             if await self._read(Source.POLL) is None:
                 # Whatever silenced the watch mostly silenced the poll's idle connection
                 # too, and that cost this poll its whole timeout. The store is on a new
                 # connection now; once more at once, and only once, keeps outages cheap.
                 await asyncio.sleep(POLL_RETRY_S * self._jitter.uniform(0.5, 1.0))
-                await self._read(Source.POLL)
+                if await self._read(Source.POLL) is None and self._readers is not None:
+                    self._readers.pause_own()
 
-    async def _is_confirmed_by_peer(self):
-        """Whether a peer's word spares a read of the platform."""
-        if self._ask_confirmation is None:
-            return False
-        # Counted from before the question: an answer that was long on its way is no fresher for it.
-        asked_at = boot_time_s()
-        confirmation = await self._ask_confirmation()
-        if confirmation is None:
-            return False
-        if confirmation.generation > self._generation():
-            self._heard(confirmation.generation)
-            return False
-        is_same = confirmation.generation == self._generation()
-        if not is_same or not 0.0 <= confirmation.age_s <= CONFIRMED_ENOUGH_S:
+    def _reads_platform(self):
+        return self._readers is None or self._readers.reads_store
+
+    def _poll_s(self):
+        shares = self._readers is not None and self._readers.reads_store
+        return max(READER_POLL_S, self._poll_interval_s) if shares else self._poll_interval_s
+
+    async def _is_confirmed_by_reader(self):
+        """Whether the word of a router that reads the platform spares a read of one's own."""
+        if self._readers is None:
             return False
-        self.confirmed_at = max(self.confirmed_at or 0.0, asked_at - confirmation.age_s)
-        return True
+        for reader in self._readers.to_ask():
+            # Counted from before the question: an answer that was long on its way is no fresher for it.
+            asked_at = boot_time_s()
+            confirmation = await self._ask_confirmation(reader)
+            if confirmation is None or not 0.0 <= confirmation.age_s <= CONFIRMED_ENOUGH_S:
+                self._readers.pause(reader)
+                continue
+            if confirmation.generation > self._generation():
+                self._heard(confirmation.generation, reader)
+                await self._until_in_force(confirmation.generation)
+            if confirmation.generation == self._generation():
+                self.confirmed_at = max(self.confirmed_at or 0.0, asked_at - confirmation.age_s)
+                return True
+        return False
+
+    async def _until_in_force(self, generation):
+        """Wait until a generation that a peer told is in force here, or for as long as fetching it mostly takes.
+
+        Were the platform read at once, each change would cost a read by every router.
+        """
+        until = boot_time_s() + FETCH_WITHIN_S
+        while self._generation() < generation and boot_time_s() < until:
+            await asyncio.sleep(FETCH_CHECK_S)
 
     async def _read(self, source):
         """Read the declaration; its version (``NEVER_A_VERSION`` if absent), or ``None`` if it can't be read."""
@@ -254,17 +294,22 @@
     Parameters
     ----------
     ask_peers : callable
-        ``await ask_peers(generation)`` gives a :class:`PeersAnswer`.
+        ``await ask_peers(generation, teller)`` gives a :class:`PeersAnswer`; ``teller`` is a peer that
+        has that generation, or ``None``.
     offer : callable
         ``offer(generation, text, source)``.
     is_known : callable
         ``is_known(generation)`` tells whether there is nothing to gain from it.
     jitter : random.Random
+    delay_s : float
+        Mean time between hearing of a declaration and fetching it.
     """
 
-    __slots__ = ("highest_heard", "_ask_peers", "_offer", "_is_known", "_jitter", "_has_heard")
+    __slots__ = ("highest_heard", "_ask_peers", "_offer", "_is_known", "_jitter", "_delay_s", "_teller", "_has_heard")
 
-    def __init__(self, *, ask_peers, offer, is_known, jitter):
+    def __init__(self, *, ask_peers, offer, is_known, jitter, delay_s=PEER_DELAY_S):
+        self._delay_s = delay_s
+        self._teller = None
         self.highest_heard = NO_GENERATION
         self._ask_peers = ask_peers
         self._offer = offer
@@ -272,15 +317,17 @@
         self._jitter = jitter
         self._has_heard = asyncio.Event()
 
-    def heard(self, generation):
+    def heard(self, generation, peer=None):
         """Note the generation that a peer's heartbeat carries."""
         if generation > self.highest_heard or not self._is_known(generation):
+            if generation >= self.highest_heard:
+                self._teller = peer
             self.highest_heard = max(generation, self.highest_heard)
             self._has_heard.set()
 
     async def ask_first(self):
         """Return once at least one peer that has a declaration in force has answered."""
-        while not await self._ask(NO_GENERATION + 1):
+        while not await self._ask(NO_GENERATION + 1, None):
             await asyncio.sleep(START_RETRY_S)
 
     async def follow(self):
@@ -288,16 +335,16 @@
         while True:
             await self._has_heard.wait()
             self._has_heard.clear()
-            await asyncio.sleep(PEER_DELAY_S * self._jitter.uniform(0.5, 1.5))
+            await asyncio.sleep(self._delay_s * self._jitter.uniform(0.5, 1.5))
             if not self._is_known(self.highest_heard):
                 # When no peer gives it, the next heartbeat asks again.
-                await self._ask(self.highest_heard)
+                await self._ask(self.highest_heard, self._teller)
 
-    async def _ask(self, generation):
+    async def _ask(self, generation, teller):
         """Ask for a declaration of at least ``generation``; whether one came."""
         try:
             async with asyncio.timeout(PEER_TIMEOUT_S):
-                answer = await self._ask_peers(generation)
+                answer = await self._ask_peers(generation, teller)
         except TimeoutError:
             return False
         if not answer.answered:
--- a/wagtailtrestle/contracts/peer_messages.py
+++ b/wagtailtrestle/contracts/peer_messages.py
@@ -122,10 +122,16 @@
 
 @record
 class ConfigurationText:
-    """A whole declaration; generation 0 means none is in force."""
+    """A whole declaration; generation 0 means none is in force.
+
+    Parameters
+    ----------
+    packed : bytes
+        Its text as UTF-8, compressed by zlib.
+    """
 
     generation: int
-    text: str
+    packed: bytes
 
 
 @record
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -17,6 +17,7 @@
 from wagtailtrestle.configuration.engine_list import EngineList
 from wagtailtrestle.configuration.engine_relay import EngineRelay
 from wagtailtrestle.configuration.peer_configuration import PeerConfiguration
+from wagtailtrestle.configuration.store_readers import StoreReaders
 from wagtailtrestle.contracts.declaration import LANGUAGE
 from wagtailtrestle.contracts.ledger_messages import ClaimAsk, NonceAsk, SettleAsk
 from wagtailtrestle.contracts.outcomes import Reason
@@ -117,6 +118,7 @@
             in_force=lambda: self._configuration.in_force,
             confirmed_age_s=lambda: self._configuration.confirmed_age_s(),
         )
+        readers = self._make_readers()
         self._configuration = Configuration(
             store=self._store,
             parse=self._adapter.parse,
@@ -124,7 +126,8 @@
             ask_peers=self._peer_configuration.ask,
             executor=self._parsing,
             place=self._adapter.place,
-            ask_confirmation=self._peer_configuration.ask_confirmation if self._adapter.shares_confirmations else None,
+            readers=readers,
+            ask_confirmation=self._peer_configuration.ask_confirmation,
             poll_interval_s=self._settings.configuration_poll_s,
         )
         self._engine_list = None
@@ -136,20 +139,20 @@
                 on_change=self._take_engines,
                 clock=self._loop.time,
                 return_grace_s=self._settings.engine_return_grace_s,
-                relay=self._make_engine_relay(),
+                relay=None if readers is None else EngineRelay(peers=self._peers, readers=readers),
             )
         self._vm_list = VMList(
             store=self._store, on_change=self._take_vms, interval_s=self._settings.vm_list_interval_s
         )
-        self._membership.on_generation(lambda peer, generation: self._configuration.heard(generation))
+        self._membership.on_generation(lambda peer, generation: self._configuration.heard(generation, peer))
         self._membership.on_view_change(self._end_questions)
         self._membership.on_trusted(self._has_begun)
 
-    def _make_engine_relay(self):
-        # Where reads may lag, a reader's list proves nothing about what the store holds now.
+    def _make_readers(self):
+        # Where reads may lag, what a reader tells proves nothing about what the store holds now.
         if not self._adapter.shares_confirmations:
             return None
-        return EngineRelay(name=self._settings.name, peers=self._peers, members=lambda: self._membership.view.members)
+        return StoreReaders(name=self._settings.name, members=lambda: self._membership.view.members)
 
     def _make_decisions(self):
         name = self._settings.name
