--- a/tests/test_engine_relay.py
+++ b/tests/test_engine_relay.py
@@ -6,7 +6,7 @@
 from tests.utils.memory_store import MemoryStore
 from tests.utils.paused_clock import on_paused_clock
 from wagtailtrestle.configuration.engine_list import EngineList
-from wagtailtrestle.configuration.engine_relay import READ_WATCH_S, EngineRelay
+from wagtailtrestle.configuration.engine_relay import EngineRelay, RelayLimits
 from wagtailtrestle.configuration.store_readers import LEAST_READERS, READERS_KEY, StoreReaders
 from wagtailtrestle.contracts.outcomes import StoreDone
 from wagtailtrestle.contracts.peer_messages import PeerUnreachable
@@ -18,6 +18,7 @@
 NAMES = tuple(f"router-{number}" for number in range(6))
 KNOWN_WITHIN_S = 1.9
 """Under the two seconds in which engines that leave may still get work."""
+READ_WATCH_S = RelayLimits().watch_s
 WAY_S = 0.001
 
 
@@ -72,12 +73,13 @@
 class Fleet:
     """Routers that follow one store, each by its own connection to it."""
 
-    def __init__(self, *, members=None):
+    def __init__(self, *, members=None, limits=None):
         self.network = Network()
         self.table = ObjectTable()
         self.members_by_router = members or dict.fromkeys(NAMES, NAMES)
         self.store_by_router = {name: MemoryStore(table=self.table) for name in self.members_by_router}
         self.operator = MemoryStore(table=self.table)
+        self.limits = limits
         self.relay_by_router = {}
         self.list_by_router = {name: self._list_of(name) for name in self.members_by_router}
 
@@ -86,6 +88,7 @@
         self.relay_by_router[name] = EngineRelay(
             peers=self.network.peers_of(name),
             readers=StoreReaders(name=name, members=lambda: self.members_by_router[name], clock=clock),
+            limits=self.limits,
             clock=clock,
         )
         return EngineList(
@@ -218,6 +221,24 @@
         self.assertEqual(asking - {refused}, {sound, replacement})
         await fleet.close()
 
+    @on_paused_clock
+    async def test_where_leaving_engines_serve_longer_the_store_is_asked_less(self):
+        # The operator lets engines that leave serve four seconds more instead of two.
+        calls_by_limit = {}
+        for within_s in (2.0, 4.0):
+            fleet = await self.started(limits=RelayLimits(known_within_s=within_s))
+            before = sum(fleet.calls().values())
+            await asyncio.sleep(20.0)
+            calls_by_limit[within_s] = sum(fleet.calls().values()) - before
+            for name in fleet.readers():
+                fleet.store_by_router[name].silent_watch = True
+            await asyncio.sleep(RelayLimits(known_within_s=within_s).watch_s)
+            await fleet.leave("i-1")
+            await asyncio.sleep(0.95 * within_s)
+            self.assertLessEqual(set(NAMES) - fleet.readers(), fleet.know_leaving("i-1"))
+            await fleet.close()
+        self.assertLess(calls_by_limit[4.0], 0.6 * calls_by_limit[2.0])
+
     @on_paused_clock
     async def test_readers_that_are_gone_are_forgotten(self):
         # Routers come and go for months, each under a name of its own.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -240,6 +240,29 @@
         self.assertEqual(changes, [["e1", "r1", "r2"], ["r1"]])
         await vm_list.close()
 
+    @on_paused_clock
+    async def test_a_list_that_stays_the_same_is_read_seldom(self):
+        # Routers of a fleet know each other within seconds and tell who comes and goes; a read of each router
+        # every second or two costs the store more than all its writes.
+        store = MemoryStore()
+        store.set_vms(VM_ITEMS)
+        changes = []
+        vm_list = VMList(
+            store=store, on_change=lambda by_id: changes.append(sorted(by_id)), interval_s=1.0, settled_s=10.0
+        )
+        vm_list.start()
+        await asyncio.sleep(6.0)
+        before = store.calls["reads"]
+        await asyncio.sleep(100.0)
+        self.assertLessEqual(store.calls["reads"] - before, 100.0 / (10.0 * 0.75))
+        before = store.calls["reads"]
+        store.set_vms(VM_ITEMS[:1])
+        await asyncio.sleep(17.0)
+        self.assertEqual(changes, [["e1", "r1", "r2"], ["r1"]])
+        # The read that showed the change, and at least three soon after it.
+        self.assertGreaterEqual(store.calls["reads"] - before, 4)
+        await vm_list.close()
+
 
 class StatusTests(unittest.IsolatedAsyncioTestCase):
     async def test_lagging_and_unreachable_routers_are_told_apart(self):
--- a/wagtailtrestle/configuration/engine_list.py
+++ b/wagtailtrestle/configuration/engine_list.py
@@ -10,7 +10,7 @@
 
 from loguru import logger
 
-from wagtailtrestle.configuration.engine_relay import READ_WATCH_S, EngineNews
+from wagtailtrestle.configuration.engine_relay import EngineNews
 from wagtailtrestle.contracts.outcomes import StoreDone
 
 WATCH_S = 2.0
@@ -165,7 +165,7 @@
         return self._kept_until is not None and now >= self._kept_until
 
     def _watch_s(self):
-        longest_s = WATCH_S if self._relay is None else READ_WATCH_S
+        longest_s = WATCH_S if self._relay is None else self._relay.limits.watch_s
         if self._kept_until is None:
             return longest_s
         return max(0.05, min(longest_s, self._kept_until - self._clock()))
--- a/wagtailtrestle/configuration/engine_relay.py
+++ b/wagtailtrestle/configuration/engine_relay.py
@@ -17,15 +17,14 @@
 from wagtailtrestle.configuration.boot_clock import boot_time_s
 from wagtailtrestle.contracts.peer_messages import EngineEntry, EnginesAnswer, EnginesAsk
 
-READ_WATCH_S = 0.7
-"""Longest watch of a router that reads for others: each answer, also an empty one, proves its list anew."""
-WAIT_S = 0.4
-"""How long a question waits for a change; shorter costs messages, longer finds a frozen reader later."""
+DEFAULT_KNOWN_WITHIN_S = 2.0
+MOST_KNOWN_WITHIN_S = 6.0
+"""Above this an engine that was cut off would be asked for longer than callers wait."""
+WATCH_SHARE = 0.35
+WAIT_SHARE = 0.2
+MOST_AGE_SHARE = 0.5
 ANSWER_WITHIN_S = 0.2
 """Beyond the wait: a hundred times the way between two zones."""
-MOST_AGE_S = 1.0
-"""Oldest proof believed: a watch, and a slow reader's delays. Together with a question that gets no
-answer, a second one and a read of the store, an engine's leaving is known 1.9 s after the store accepted it."""
 MOST_HISTORY = 512
 """Changes kept for those who ask: minutes of them, while a question comes each half second."""
 MOST_ASKED_WAIT_S = 5.0
@@ -56,6 +55,37 @@
         self.is_whole = is_whole
 
 
+class RelayLimits:
+    """Waits and ages that keep an engine's leaving known in time, as shares of that time.
+
+    Longer waits mean fewer calls to the store and fewer messages, and find a frozen reader later. The
+    oldest proof, a question that gets no answer, a second one and a read of the store together stay within
+    the time: 1.9 s of 2.
+
+    Parameters
+    ----------
+    known_within_s : float
+        Time within which every router has to know that an engine leaves.
+
+    Attributes
+    ----------
+    watch_s : float
+        Longest watch of a router that reads for others: each answer, also an empty one, proves its list anew.
+    wait_s : float
+        How long a question waits for a change.
+    most_age_s : float
+        Oldest proof believed: a watch, and a slow reader's delays.
+    """
+
+    __slots__ = ("watch_s", "wait_s", "most_age_s")
+
+    def __init__(self, *, known_within_s=DEFAULT_KNOWN_WITHIN_S):
+        within_s = min(known_within_s, MOST_KNOWN_WITHIN_S)
+        self.watch_s = WATCH_SHARE * within_s
+        self.wait_s = WAIT_SHARE * within_s
+        self.most_age_s = MOST_AGE_SHARE * within_s
+
+
 class EngineRelay:
     """One router's part in telling engines' entries: asks a reader, and answers who asks.
 
@@ -63,17 +93,20 @@
     ----------
     peers : Peers
     readers : StoreReaders
+    limits : RelayLimits, optional
     clock : callable
         Seconds, pauses of the VM included.
 
     Attributes
     ----------
     readers : StoreReaders
+    limits : RelayLimits
     """
 
-    def __init__(self, *, peers, readers, clock=boot_time_s):
+    def __init__(self, *, peers, readers, limits=None, clock=boot_time_s):
         self._peers = peers
         self.readers = readers
+        self.limits = limits or RelayLimits()
         self._clock = clock
         self._version = 0
         self._proved_at = None
@@ -105,7 +138,7 @@
         EngineNews or None
             ``None`` if this router should read the store itself.
         """
-        wait_s = WAIT_S
+        wait_s = self.limits.wait_s
         for reader in self.readers.to_ask():
             news = await self._ask_one(reader, version, wait_s)
             if news is not None:
@@ -121,7 +154,7 @@
         answer = await self._peers.ask(reader, EnginesAsk(version=version, wait_s=wait_s), wait_s + ANSWER_WITHIN_S)
         # All of the way counts as age: an answer held up on a link looks as fresh as when it left.
         way_s = max(0.0, self._clock() - asked_at - getattr(answer, "waited_s", 0.0))
-        problem = _problem(answer, way_s)
+        problem = self._problem(answer, way_s)
         if problem is not None:
             # The reader may be cut off from the store, frozen or gone. Asked again it may fail again,
             # while an engine that leaves goes on getting work; another one, or the store, tells at once.
@@ -176,7 +209,7 @@
         asked_at = self._clock()
         if self._proved_at is None:
             return EnginesAnswer(version=0, age_s=-1.0, waited_s=0.0, is_whole=False, entries=())
-        is_old = asked_at - self._proved_at > MOST_AGE_S
+        is_old = asked_at - self._proved_at > self.limits.most_age_s
         if not is_old and not self._entries_after(ask.version):
             await self._wait_for_change(min(ask.wait_s, MOST_ASKED_WAIT_S))
         is_whole = ask.version < self._history_from
@@ -203,13 +236,12 @@
             return self._all_entries()
         return [entry for changed_at, entry in self._history if changed_at > version]
 
-
-def _problem(answer, way_s):
-    """Why an answer can't be believed, or ``None``."""
-    if not isinstance(answer, EnginesAnswer):
-        return getattr(answer, "detail", "no answer")
-    if answer.age_s < 0.0:
-        return "it has no list yet"
-    if answer.age_s + way_s > MOST_AGE_S:
-        return f"its list was proved {answer.age_s + way_s:.1f} s ago"
-    return None
+    def _problem(self, answer, way_s):
+        """Why an answer can't be believed, or ``None``."""
+        if not isinstance(answer, EnginesAnswer):
+            return getattr(answer, "detail", "no answer")
+        if answer.age_s < 0.0:
+            return "it has no list yet"
+        if answer.age_s + way_s > self.limits.most_age_s:
+            return f"its list was proved {answer.age_s + way_s:.1f} s ago"
+        return None
--- a/wagtailtrestle/declarations/settings.py
+++ b/wagtailtrestle/declarations/settings.py
@@ -18,6 +18,8 @@
 DEFAULT_CONFIGURATION_POLL_S = 2.0
 DEFAULT_REPORT_INTERVAL_S = 0.5
 DEFAULT_VM_LIST_INTERVAL_S = 1.0
+DEFAULT_ENGINE_LEAVING_MS = 2000.0
+"""Engines mostly serve some seconds longer after they said that they leave."""
 DEFAULT_START_HOLD_S = 1.2
 """Twice the half second for which routers that started together refused. Past it something is amiss, and another
 router is the better choice."""
@@ -86,6 +88,10 @@
         Time between two reads of the declaration, beside the watch on it.
     vm_list_interval_s : float
         Time between two reads of the list of VMs.
+    vm_list_settled_s : float
+        The same once the list has not changed for some reads; 0 for the same time always.
+    engine_leaving_ms : float
+        Time within which every router has to know that an engine leaves.
     report_interval_s : float
         Time between two looks at an engine's load report, by the steward of its cell.
     balancer_grace_s : float
@@ -124,6 +130,8 @@
         "quota_slack",
         "configuration_poll_s",
         "vm_list_interval_s",
+        "vm_list_settled_s",
+        "engine_leaving_ms",
         "report_interval_s",
         "balancer_grace_s",
         "start_hold_s",
@@ -159,6 +167,8 @@
         quota_slack=0.0,
         configuration_poll_s=DEFAULT_CONFIGURATION_POLL_S,
         vm_list_interval_s=DEFAULT_VM_LIST_INTERVAL_S,
+        vm_list_settled_s=0.0,
+        engine_leaving_ms=DEFAULT_ENGINE_LEAVING_MS,
         report_interval_s=DEFAULT_REPORT_INTERVAL_S,
         balancer_grace_s=DEFAULT_BALANCER_GRACE_S,
         start_hold_s=DEFAULT_START_HOLD_S,
@@ -190,6 +200,8 @@
         self.quota_slack = quota_slack
         self.configuration_poll_s = configuration_poll_s
         self.vm_list_interval_s = vm_list_interval_s
+        self.vm_list_settled_s = vm_list_settled_s
+        self.engine_leaving_ms = engine_leaving_ms
         self.report_interval_s = report_interval_s
         self.balancer_grace_s = balancer_grace_s
         self.start_hold_s = start_hold_s
@@ -302,6 +314,10 @@
         "vm_list_interval_s": reader.value(
             "vm_list_interval_s", Number(least=0.05, most=60), default=DEFAULT_VM_LIST_INTERVAL_S
         ),
+        "vm_list_settled_s": reader.value("vm_list_settled_s", Number(least=0, most=600), default=0.0),
+        "engine_leaving_ms": reader.value(
+            "engine_leaving_ms", Number(least=100, most=600_000), default=DEFAULT_ENGINE_LEAVING_MS
+        ),
         "report_interval_s": reader.value(
             "report_interval_s", Number(least=0.05, most=60), default=DEFAULT_REPORT_INTERVAL_S
         ),
--- a/wagtailtrestle/membership/vm_list.py
+++ b/wagtailtrestle/membership/vm_list.py
@@ -7,6 +7,8 @@
 
 DEFAULT_INTERVAL_S = 1.0
 JITTER = 0.25
+SETTLED_READS = 3
+"""Reads that show the same before the list counts as settled: a copy that lags may repeat itself once or twice."""
 ROUTER = "router"
 ENGINE = "engine"
 
@@ -75,14 +77,19 @@
         ``on_change(by_id)``, called on the loop after each change.
     interval_s : float
         Mean time between reads.
+    settled_s : float
+        The same once the list has stayed as it was; 0 for ``interval_s`` always. Routers that know each other
+        tell who comes and goes, so that by then the list is read only for those whom nobody could tell of.
     jitter : random.Random, optional
     """
 
-    def __init__(self, *, store, on_change, interval_s=DEFAULT_INTERVAL_S, jitter=None):
+    def __init__(self, *, store, on_change, interval_s=DEFAULT_INTERVAL_S, settled_s=0.0, jitter=None):
         self.by_id = {}
         self._store = store
         self._on_change = on_change
         self._interval_s = interval_s
+        self._settled_s = max(settled_s, interval_s)
+        self._same_reads = 0
         self._jitter = jitter or random.Random()
         self._version = None
         self._last_read = None
@@ -111,7 +118,8 @@
     async def _poll(self):
         while True:
             await self._read()
-            await asyncio.sleep(self._interval_s * self._jitter.uniform(1 - JITTER, 1 + JITTER))
+            interval_s = self._settled_s if self._same_reads >= SETTLED_READS else self._interval_s
+            await asyncio.sleep(interval_s * self._jitter.uniform(1 - JITTER, 1 + JITTER))
 
     async def _read(self):
         # The whole list at full size is over 100 KB; unchanged it costs some 300 bytes.
@@ -122,9 +130,11 @@
         self._last_problem = ""
         self._last_read = asyncio.get_running_loop().time()
         self._version = outcome.version
+        self._same_reads += 1
         if outcome.value is None:
             return
         by_id = {vm.id: vm for vm in outcome.value}
         if by_id != self.by_id:
+            self._same_reads = 0
             self.by_id = by_id
             self._on_change(by_id)
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -15,7 +15,7 @@
 from wagtailtrestle.capacity.steward_set import StewardSet
 from wagtailtrestle.configuration.configuration import Configuration, InForce
 from wagtailtrestle.configuration.engine_list import EngineList
-from wagtailtrestle.configuration.engine_relay import EngineRelay
+from wagtailtrestle.configuration.engine_relay import EngineRelay, RelayLimits
 from wagtailtrestle.configuration.peer_configuration import PeerConfiguration
 from wagtailtrestle.configuration.store_readers import StoreReaders
 from wagtailtrestle.contracts.declaration import LANGUAGE
@@ -45,6 +45,7 @@
 from wagtailtrestle.quotas.shared import SharedQuotas
 
 TICK_S = 0.1
+MS_PER_S = 1000.0
 CONNECT_TIMEOUT_S = 1.0
 RETRY_EXTRA_MARGIN = 0.5
 """Part of the fleet's extra retries that is given out: budgets fade over the window in which the
@@ -139,13 +140,17 @@
                 on_change=self._take_engines,
                 clock=self._loop.time,
                 return_grace_s=self._settings.engine_return_grace_s,
-                relay=None if readers is None else EngineRelay(peers=self._peers, readers=readers),
+                relay=None if readers is None else self._make_engine_relay(readers),
             )
         self._vm_list = VMList(
-            store=self._store, on_change=self._take_vms, interval_s=self._settings.vm_list_interval_s
+            store=self._store,
+            on_change=self._take_vms,
+            interval_s=self._settings.vm_list_interval_s,
+            settled_s=self._settings.vm_list_settled_s,
         )
         self._membership.on_generation(lambda peer, generation: self._configuration.heard(generation, peer))
         self._membership.on_view_change(self._end_questions)
+        self._membership.on_view_change(lambda view: self._watch_engines())
         self._membership.on_trusted(self._has_begun)
 
     def _make_readers(self):
@@ -154,6 +159,10 @@
             return None
         return StoreReaders(name=self._settings.name, members=lambda: self._membership.view.members)
 
+    def _make_engine_relay(self, readers):
+        limits = RelayLimits(known_within_s=self._settings.engine_leaving_ms / MS_PER_S)
+        return EngineRelay(peers=self._peers, readers=readers, limits=limits)
+
     def _make_decisions(self):
         name = self._settings.name
         self._directory = Directory(
@@ -434,6 +443,8 @@
 
         A plain service has no load report: a call to it could be taken for work.
         """
+        if self._in_force is None:
+            return
         mine = {cell for cell in self._cells() if self._directory.steward_of(cell) == self._settings.name}
         declaration = self._declaration()
         polled = {
@@ -494,7 +505,6 @@
             for cell, steward in self._stewards.by_cell.items():
                 self._directory.ask_to_register(cell=cell, entries=steward.awaited_entries)
             if self._in_force is not None:
-                self._watch_engines()
                 self._quotas.tick()
 
 
