--- a/tests/test_engine_model.py
+++ b/tests/test_engine_model.py
@@ -108,10 +108,25 @@
 
 class PrefixCacheTest(unittest.TestCase):
     def test_leading_part_is_kept_longest(self):
-        cache = PrefixCacheIndex(capacity_blocks=3)
+        cache = PrefixCacheIndex(capacity_tokens=3 * BLOCK_TOKENS)
         cache.stored((1, 2, 3, 4))
         self.assertEqual(cache.cached_tokens((1, 2, 3, 4)), 3 * BLOCK_TOKENS)
         cache.removed((2,))
         self.assertEqual(cache.cached_tokens((1, 2, 3, 4)), BLOCK_TOKENS)
         cache.clear()
         self.assertEqual(cache.cached_tokens((1,)), 0)
+
+    def test_parts_of_unlike_sizes_count_by_their_tokens(self):
+        # Callers name the parts of a prompt with their sizes: a few instructions that all share and a
+        # conversation of five thousand tokens. Counted as blocks of one size, the conversation would weigh little.
+        cache = PrefixCacheIndex(capacity_tokens=6000)
+        cache.stored((1, 2), (500, 4870))
+        self.assertEqual(cache.cached_tokens((1, 2, 3)), 5370)
+        cache.stored((1, 4), (500, 900))
+        self.assertEqual(cache.cached_tokens((1, 4)), 1400)
+        self.assertEqual(cache.cached_tokens((1, 2)), 500)
+        cache.stored((1, 4), (500, 900))
+        cache.removed((1,))
+        cache.stored((5,), (5100,))
+        self.assertEqual(cache.cached_tokens((5,)), 5100)
+        self.assertEqual(cache.cached_tokens((4,)), 900)
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -12,7 +12,7 @@
     def __init__(self, name, *, step_s=0.004, rate=8000.0, running=0, pending=0, reported=0, slots=16, available=True):
         self.name = name
         self.model = EngineModel(slots=slots, step_s=step_s, prefill_tokens_per_s=rate)
-        self.cache = PrefixCacheIndex(capacity_blocks=1024)
+        self.cache = PrefixCacheIndex(capacity_tokens=1024 * 64)
         self.running = running
         self.pending_prefill_tokens = pending
         self.reported_running = reported
--- a/wagtailtrestle/capacity/run_book.py
+++ b/wagtailtrestle/capacity/run_book.py
@@ -87,7 +87,7 @@
         grant.deadline = deadline
         engine = self.engines_by_name[engine_name]
         engine.add(grant)
-        engine.cache.stored(request.prefix_blocks)
+        engine.cache.stored(request.prefix_blocks, request.block_tokens)
         return grant
 
     def hold_registered(self, record):
--- a/wagtailtrestle/contracts/exchange.py
+++ b/wagtailtrestle/contracts/exchange.py
@@ -30,7 +30,7 @@
         Estimated.
     output_tokens : int
         Upper limit asked for by the caller, or the service's default.
-    prefix_blocks : tuple of int
+    prefix_blocks, block_tokens : tuple of int
         See :class:`wagtailtrestle.contracts.messages.GrantRequest`.
     deadline : float
         Loop time by which the whole answer must be given.
@@ -59,6 +59,7 @@
         "prompt_tokens",
         "output_tokens",
         "prefix_blocks",
+        "block_tokens",
         "deadline",
         "max_runs",
         "first_token_within_s",
@@ -83,6 +84,7 @@
         output_tokens,
         prefix_blocks,
         deadline,
+        block_tokens=(),
         max_runs=None,
         first_token_within_s=None,
         pause_within_s=0.0,
@@ -101,6 +103,7 @@
         self.prompt_tokens = prompt_tokens
         self.output_tokens = output_tokens
         self.prefix_blocks = prefix_blocks
+        self.block_tokens = block_tokens
         self.deadline = deadline
         self.max_runs = max_runs
         self.first_token_within_s = first_token_within_s
--- a/wagtailtrestle/engines/prefix_cache.py
+++ b/wagtailtrestle/engines/prefix_cache.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 
 BLOCK_TOKENS = 64
-"""Tokens of one prefix block; the engines' cache events count in the same blocks."""
+"""Tokens of a prefix block of the usual size; the engines' cache events count in the same blocks."""
 
 
 class PrefixCacheIndex:
@@ -14,41 +14,57 @@
 
     Parameters
     ----------
-    capacity_blocks : int
-        Number of blocks the engine is believed to hold.
+    capacity_tokens : int
+        Tokens that the engine is believed to hold.
     """
 
-    __slots__ = ("_capacity", "_blocks")
+    __slots__ = ("_capacity", "_held", "_tokens_by_block")
 
-    def __init__(self, *, capacity_blocks):
-        self._capacity = capacity_blocks
-        self._blocks = OrderedDict()
+    def __init__(self, *, capacity_tokens):
+        self._capacity = capacity_tokens
+        self._held = 0
+        self._tokens_by_block = OrderedDict()
 
     def cached_tokens(self, prefix_blocks):
         """Tokens of the longest leading part of the prefix believed to be held."""
         held = 0
         for block in prefix_blocks:
-            if block not in self._blocks:
+            tokens = self._tokens_by_block.get(block)
+            if tokens is None:
                 break
-            held += 1
-        return held * BLOCK_TOKENS
+            held += tokens
+        return held
 
-    def stored(self, prefix_blocks):
-        """Note that the engine computed or used these blocks, oldest first."""
-        for block in reversed(prefix_blocks):
-            self._blocks[block] = None
-            self._blocks.move_to_end(block)
-        while len(self._blocks) > self._capacity:
-            self._blocks.popitem(last=False)
+    def stored(self, prefix_blocks, block_tokens=()):
+        """Note that the engine computed or used these blocks, oldest first.
+
+        Parameters
+        ----------
+        prefix_blocks : tuple of int
+        block_tokens : tuple of int
+            Tokens of each; of the usual size if left out.
+        """
+        sizes = block_tokens or (BLOCK_TOKENS,) * len(prefix_blocks)
+        for block, tokens in reversed(tuple(zip(prefix_blocks, sizes, strict=False))):
+            self._held += tokens - self._tokens_by_block.get(block, 0)
+            self._tokens_by_block[block] = tokens
+            self._tokens_by_block.move_to_end(block)
+        while self._held > self._capacity:
+            _, tokens = self._tokens_by_block.popitem(last=False)
+            self._held -= tokens
 
     def removed(self, blocks):
         """Note that the engine dropped these blocks."""
         for block in blocks:
-            self._blocks.pop(block, None)
+            self._held -= self._tokens_by_block.pop(block, 0)
 
     def clear(self):
         """Forget everything (the engine restarted)."""
-        self._blocks.clear()
+        self._tokens_by_block.clear()
+        self._held = 0
+
+    def __contains__(self, block):
+        return block in self._tokens_by_block
 
     def __len__(self):
-        return len(self._blocks)
+        return len(self._tokens_by_block)
--- a/wagtailtrestle/engines/state.py
+++ b/wagtailtrestle/engines/state.py
@@ -16,8 +16,8 @@
 DELAY_FACTOR = 1.0
 """Seconds by which a run is taken to be delayed for each second of another's prefill."""
 
-CACHE_BLOCKS = 4096
-"""Prefix blocks an engine is assumed to hold until its cache events say otherwise."""
+CACHE_TOKENS = 262_144
+"""Tokens of prefixes an engine is assumed to hold until its cache events say otherwise."""
 
 
 class EngineState:
@@ -41,6 +41,9 @@
         Which start of the engine this state is of, where engines tell; see ``DeclaredEngine``.
     kept_for : str or None
         Request that needs the engine to itself; until it runs there, nothing more is granted.
+    room : int
+        Places free now; none beside a suspect, whose crash would take its neighbours along. Kept up to date by what
+        changes it: each message of a steward asks all of its engines for it.
     """
 
     __slots__ = (
@@ -54,7 +57,8 @@
         "limit",
         "phantom",
         "health_share",
-        "kept_for",
+        "room",
+        "_kept_for",
         "start_ms",
         "_alone_runs",
         "_declared_leaving",
@@ -77,7 +81,7 @@
             step_s=declared.step_ms / 1000.0,
             prefill_tokens_per_s=declared.prefill_tokens_per_s,
         )
-        self.cache = PrefixCacheIndex(capacity_blocks=CACHE_BLOCKS)
+        self.cache = PrefixCacheIndex(capacity_tokens=CACHE_TOKENS)
         self.slots = declared.slots
         self.zone = declared.zone
         self.hardware = declared.hardware
@@ -85,7 +89,8 @@
         self.limit = 0
         self.phantom = 0
         self.health_share = 1.0
-        self.kept_for = None
+        self.room = 0
+        self._kept_for = None
         self.start_ms = declared.start_ms
         self._alone_runs = 0
         self._declared_leaving = declared.leaving
@@ -136,11 +141,14 @@
         return self._declared_leaving or self._marked_leaving or reported
 
     @property
-    def room(self):
-        """Places free now; none beside a suspect, whose crash would take its neighbours along."""
-        if self.kept_for is not None or self.runs_alone:
-            return 0
-        return max(0, self.limit - self.running)
+    def kept_for(self):
+        """Request that needs the engine to itself, or ``None``."""
+        return self._kept_for
+
+    @kept_for.setter
+    def kept_for(self, request_id):
+        self._kept_for = request_id
+        self._count_room()
 
     @property
     def runs_alone(self):
@@ -176,6 +184,7 @@
             prefill_s = self.model.prefill_s(grant.prefill_tokens)
             self._prefill_until = max(self._clock(), self._prefill_until) + prefill_s
             self._slacks = [(tier, slack_s - prefill_s) for tier, slack_s in self._slacks if slack_s > prefill_s]
+        self._count_room()
 
     def add_registered(self, grant: Grant):
         """Count a run an entry registered; a report that showed it no longer shows a phantom."""
@@ -198,6 +207,7 @@
         if not grant.started:
             self._unstarted_tokens -= grant.prefill_tokens
             self._prefill_until -= self.model.prefill_s(grant.prefill_tokens)
+        self._count_room()
 
     def distrust(self):
         """Believe no report from before now: this process may have been paused."""
@@ -228,14 +238,15 @@
         orphans = [grant for grant in self.grants_by_request_id.values() if _is_orphan_at(grant, report_at)]
         gone = orphans[: max(0, len(orphans) - max(0, unexplained))]
         self.phantom = max(0, unexplained - len(orphans))
+        self._count_room()
         return gone
 
     def tick(self, *, health_share):
         """Refresh what is computed seldom, and forget what no report can still speak of."""
         self.health_share = health_share
-        self._refresh_limit()
         if self.report_age_s > PHANTOM_KEPT_S:
             self.phantom = 0
+        self._refresh_limit()
         horizon = self._clock() - FINISHES_KEPT_S
         while self._finishes and self._finishes[0][0] < horizon:
             self._finishes.popleft()
@@ -292,6 +303,11 @@
     def _refresh_limit(self):
         usable = not self.leaving and not self._unreachable
         self.limit = math.ceil(self.model.concurrency_limit() * self.health_share) if usable else 0
+        self._count_room()
+
+    def _count_room(self):
+        is_for_one = self._kept_for is not None or self._alone_runs > 0
+        self.room = 0 if is_for_one else max(0, self.limit - len(self.grants_by_request_id) - self.phantom)
 
     def _known_at(self, at):
         """Runs of live entries that the engine held at that time, by this account."""
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -182,6 +182,7 @@
             remaining_s=max(self._remaining(), 0.0),
             done_tokens=self.done_tokens,
             prefix_blocks=request.prefix_blocks,
+            block_tokens=request.block_tokens,
             excluded_engines=tuple(sorted(self._excluded)),
             alone=self._alone,
             first_token_within_s=self._first_token_within_s(),
--- a/wagtailtrestle/measure/baseline_routers.py
+++ b/wagtailtrestle/measure/baseline_routers.py
@@ -40,7 +40,7 @@
             step_s=declared.step_ms / 1000.0,
             prefill_tokens_per_s=declared.prefill_tokens_per_s,
         )
-        self.cache = PrefixCacheIndex(capacity_blocks=0)
+        self.cache = PrefixCacheIndex(capacity_tokens=0)
         self.running = 0
         self.pending_prefill_tokens = 0
         self.reported_running = 0
--- a/wagtailtrestle/platform/callers.py
+++ b/wagtailtrestle/platform/callers.py
@@ -26,12 +26,10 @@
 GATEWAY_TIMEOUT = 504
 LEAST_RETRY_AFTER_S = 0.05
 KEY_HINT = "The key is missing or not known."
-BLOCK_TOKENS = 64
-"""Tokens of one prefix block, as the core counts them."""
 MOST_HINT_DIGITS = 9
 """Longer estimates are no number of tokens, and would not fit where they are passed on."""
-MOST_BLOCKS = 16
-"""Blocks told to a steward; see ``callers.prompt_shape``."""
+MOST_PARTS = 16
+"""Parts told to a steward, as many as blocks of a prompt given as text; see ``callers.prompt_shape``."""
 
 
 class PlatformCallers:
@@ -152,6 +150,7 @@
             team=team.name if team is not None else "",
             is_streamed=route.streaming,
         )
+        prefix_blocks, block_tokens = _prefix(environ.get("HTTP_PROMPT_PREFIX", ""))
         request = CallerRequest(
             request_id=arrival.request_id,
             service=service,
@@ -164,7 +163,8 @@
             body_digest=body_digest(method=call.method, path=call.target, body=body),
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
-            prefix_blocks=_prefix_blocks(environ.get("HTTP_PROMPT_PREFIX", "")),
+            prefix_blocks=prefix_blocks,
+            block_tokens=block_tokens,
             deadline=self._now() + self._allowed_s(arrival, route, environ),
             max_runs=route.max_runs,
             first_token_within_s=route.target_ms / MS_PER_S,
@@ -272,20 +272,23 @@
     return int(text) if text.isdecimal() and len(text) <= MOST_HINT_DIGITS else 0
 
 
-def _prefix_blocks(text):
-    """Chained hashes of the prompt's leading blocks, made from the ids of its parts."""
-    blocks = []
+def _prefix(text):
+    """Chained hashes of the prompt's leading parts, and the tokens of each.
+
+    A part is kept or dropped by an engine as a whole, whatever its size, so that one block stands for it.
+    Cut into blocks of the usual size, of which so many are told, a part of five thousand tokens looked
+    like one of a thousand: conversations went where it had to be read again.
+    """
+    blocks, sizes = [], []
     previous = b""
-    for part in text.split(","):
+    for part in text.split(",")[:MOST_PARTS]:
         part_id, _, tokens = part.strip().rpartition(":")
-        if not part_id or not tokens.isdecimal():
+        if not part_id or not tokens.isdecimal() or len(tokens) > MOST_HINT_DIGITS:
             break
-        for index in range(int(tokens) // BLOCK_TOKENS):
-            if len(blocks) == MOST_BLOCKS:
-                return tuple(blocks)
-            previous = hashlib.sha256(previous + f"{part_id}/{index}".encode()).digest()[:8]
-            blocks.append(int.from_bytes(previous, "big"))
-    return tuple(blocks)
+        previous = hashlib.sha256(previous + f"{part_id}:{tokens}".encode()).digest()[:8]
+        blocks.append(int.from_bytes(previous, "big"))
+        sizes.append(int(tokens))
+    return tuple(blocks), tuple(sizes)
 
 
 def _no_route():
