--- /dev/null
+++ b/tests/test_large_cell.py
@@ -0,0 +1,84 @@
+"""A cell of 78 engines under one steward: what is decided stays the same, what it costs stays flat.
+
+The pattern is a language service at full size, 270 requests a second and twice that in a flood, whose steward may have
+half of a core: two thousandths of a second for each request, all messages included. So a request is compared
+with a few likely engines, not with all; these tests hold that no place, and no engine that holds its
+conversation, is lost by it.
+"""
+
+import unittest
+
+from tests.utils.steward_fakes import Cell, ask, engine, finished
+from wagtailtrestle.capacity.steward import MOST_COMPARED
+from wagtailtrestle.contracts.messages import Granted
+
+ENGINES = 78
+SLOTS = 2
+HOPED_FOR_S = 0.8
+CONVERSATION = (11, 12)
+PART_TOKENS = (500, 5000)
+
+
+class LargeCellTest(unittest.TestCase):
+    def setUp(self):
+        self.cell = Cell(engines=())
+        by_name = {f"e{number:02}": engine(f"e{number:02}", slots=SLOTS) for number in range(ENGINES)}
+        for number, declared in enumerate(by_name.values()):
+            declared.step_ms = 4.0 + number % 4 * 4.0
+            declared.prefill_tokens_per_s = 60_000.0
+        self.cell.steward.set_engines(by_name)
+        self.cell.steward.tick()
+
+    def ask(self, request_id, **changes):
+        settings = {"prompt_tokens": 6000, "remaining_s": 12.0, "first_token_within_s": HOPED_FOR_S} | changes
+        self.cell.receive(ask(request_id, **settings))
+
+    def engine_of(self, request_id):
+        return next(granted.engine for granted in self.cell.entries.of(Granted) if granted.request_id == request_id)
+
+    def test_every_place_is_granted(self):
+        for number in range(ENGINES * SLOTS):
+            self.ask(f"r{number}", prompt_tokens=2000)
+        engines = [granted.engine for granted in self.cell.entries.of(Granted)]
+        self.assertEqual(len(engines), ENGINES * SLOTS)
+        self.assertEqual({engines.count(name) for name in set(engines)}, {SLOTS})
+
+    def test_a_conversation_goes_back_to_its_engine_wherever_that_stands(self):
+        # The engine that holds it is among the slower ones, past all that are compared first.
+        holder = "e03"
+        self.cell.steward._runs.engines_by_name[holder].cache.stored(CONVERSATION, PART_TOKENS)
+        ordered = list(self.cell.steward._runs.engines_by_name)
+        self.assertGreater(ordered.index(holder), MOST_COMPARED)
+        self.ask("r", prefix_blocks=CONVERSATION, block_tokens=PART_TOKENS, output_tokens=5)
+        self.assertEqual(self.engine_of("r"), holder)
+
+    def test_where_no_likely_engine_suits_another_one_is_found(self):
+        # The likeliest ones are reading long prompts, so that a first token there would come late.
+        for number in range(MOST_COMPARED):
+            self.ask(f"long-{number}", prompt_tokens=50_000, first_token_within_s=4.0)
+        busy = {granted.engine for granted in self.cell.entries.of(Granted)}
+        self.ask("r", first_token_within_s=0.4)
+        self.assertNotIn(self.engine_of("r"), busy)
+
+    def test_a_request_is_compared_with_few_engines(self):
+        compared = []
+        admission = self.cell.steward._admission
+        can_finish_now = admission.can_finish_now
+
+        class Counting:
+            def __getattr__(self, name):
+                return getattr(admission, name)
+
+            def can_finish_now(self, waiting, engine):
+                compared.append(engine.name)
+                return can_finish_now(waiting, engine)
+
+        self.cell.steward._admission = Counting()
+        for number in range(50):
+            self.ask(f"r{number}")
+            self.cell.receive(finished(f"r{number}", on=self.engine_of(f"r{number}")))
+        self.assertLessEqual(len(compared) / 50, MOST_COMPARED)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wagtailtrestle/capacity/admission.py
+++ b/wagtailtrestle/capacity/admission.py
@@ -149,6 +149,37 @@
         self._seconds = self._seconds * kept + GRANT_WINDOW_S * (1.0 - kept)
 
 
+class CellSpeed:
+    """Speeds of a cell's engines taken together, laid out seldom and read for each request.
+
+    Parameters
+    ----------
+    engines : iterable of EngineState
+    """
+
+    __slots__ = ("_prefill_s", "_decode_s", "_least_prefill_s", "_least_step_s")
+
+    def __init__(self, *, engines=()):
+        prefills, decodes, steps = [0.0], [0.0], [0.0]
+        if engines:
+            prefills = [engine.model.prefill_s(1) for engine in engines]
+            decodes = [engine.model.step_s(max(1, engine.limit)) / max(1, engine.limit) for engine in engines]
+            steps = [engine.model.step_s(1) for engine in engines]
+        self._prefill_s = sum(prefills) / len(prefills)
+        self._decode_s = sum(decodes) / len(decodes)
+        self._least_prefill_s = min(prefills)
+        self._least_step_s = min(steps)
+
+    def work_s(self, request):
+        """Engine-seconds that a request takes up on an engine of mean speed that holds nothing of its prompt."""
+        return (request.prompt_tokens + request.done_tokens) * self._prefill_s + request.output_tokens * self._decode_s
+
+    def shortest_run_s(self, request):
+        """Least seconds to its last token on the fastest engine, alone there."""
+        prompt_s = (request.prompt_tokens + request.done_tokens) * self._least_prefill_s
+        return prompt_s + request.output_tokens * self._least_step_s
+
+
 class Admission:
     """Judges requests against the engines' models and the queue.
 
@@ -157,15 +188,18 @@
     clock : callable
     queue : TierQueue
     lengths : OutputLengths
+    held : HeldByTier
     prefill_weight : float
         From 0 (start what may just finish) to 1 (start only what surely finishes).
     """
 
-    __slots__ = ("_clock", "_queue", "_lengths", "_margin", "_rates", "_granted", "_engines")
+    __slots__ = ("_clock", "_queue", "_lengths", "_held", "_margin", "_rates", "_granted", "_engines", "_speed")
 
-    def __init__(self, *, clock, queue, lengths, prefill_weight):
+    def __init__(self, *, clock, queue, lengths, held, prefill_weight):
         self._margin = finish_margin(prefill_weight)
         self._lengths = lengths
+        self._held = held
+        self._speed = CellSpeed()
         self._clock = clock
         self._queue = queue
         self._rates = ArrivalRates(clock=clock)
@@ -175,6 +209,11 @@
     def set_engines(self, engines):
         """Judge by these engines from now on."""
         self._engines = tuple(engines)
+        self.measure_speed()
+
+    def measure_speed(self):
+        """Lay out what the engines' models say now; their speeds change over seconds."""
+        self._speed = CellSpeed(engines=self._engines)
 
     def waiting(self, asked):
         """Build the queue's view of a request, with its expected output and predicted work."""
@@ -185,8 +224,9 @@
             asked_tokens=asked.output_tokens,
             arrived_at=now,
             deadline=now + request.remaining_s,
-            work_s=self._work_s(request),
-            shortest_run_s=min((shielded_run_s(request, engine, 1, 0) for engine in self._engines), default=0.0),
+            # An engine that must run nothing else is used up as a whole for as long as the run takes.
+            work_s=self._speed.shortest_run_s(request) if request.alone else self._speed.work_s(request),
+            shortest_run_s=self._speed.shortest_run_s(request),
         )
 
     def admit(self, waiting: WaitingRequest):
@@ -217,12 +257,11 @@
         repeatable run is left to be preempted; until then it stays, ahead of them.
         """
         request = waiting.request
-        possible = [engine for engine in self._engines if not engine.leaving]
-        possible = [engine for engine in possible if engine.name not in request.excluded_engines]
-        if not possible:
+        if not any(self._is_possible(engine, request) for engine in self._engines):
             return Reason.NO_ENGINE
         if request.first_token_within_s:
             return self._refusal_by_start(waiting)
+        possible = [engine for engine in self._engines if self._is_possible(engine, request)]
         if not any(self.could_finish(waiting, engine) for engine in possible):
             return Reason.DEADLINE_UNREACHABLE
         # Parked requests wait although places are free, as no engine with room suits them. What
@@ -254,14 +293,14 @@
         left_per_s = max(left_per_s, LEAST_SERVICE_SHARE * granted_per_s, MIN_RATE)
         # While runs of lower tiers end, their places go to this tier first: refused now, it would see
         # the next of them go to a lower one that came after it.
-        share = 1.0 if self._runs_lower(tier) else START_WAIT_SHARE
+        share = 1.0 if self._held.any_below(tier) else START_WAIT_SHARE
         if self._queue.work_ahead_s(waiting) / left_per_s > share * (waiting.latest_start - self._clock()):
             return Reason.OVERLOADED
         return None
 
-    def _runs_lower(self, tier):
-        grants = (grant for engine in self._engines for grant in engine.grants_by_request_id.values())
-        return any(grant.request.tier > tier for grant in grants)
+    @staticmethod
+    def _is_possible(engine, request):
+        return not engine.leaving and engine.name not in request.excluded_engines
 
     def could_finish(self, waiting: WaitingRequest, engine):
         """Whether the engine could finish it if all that may be preempted for it were gone."""
@@ -303,17 +342,6 @@
         spread = zlib.crc32(request.request_id.encode()) / 2**32
         return wait_s * (1.0 + RETRY_SPREAD * spread)
 
-    def _work_s(self, request):
-        if request.alone:
-            # It uses up a whole engine for as long as it runs, whatever it decodes.
-            return min((shielded_run_s(request, engine, 1, 0) for engine in self._engines), default=0.0)
-        costs = []
-        for engine in self._engines:
-            limit = max(1, engine.limit)
-            decode_s = request.output_tokens * engine.model.step_s(limit) / limit
-            costs.append(engine.model.prefill_s(uncached_tokens(request, engine)) + decode_s)
-        return sum(costs) / len(costs) if costs else 0.0
-
     def _service_rate(self, tier):
         capacity = sum(engine.health_share for engine in self._engines if engine.limit)
         left = capacity - self._rates.rate_above(tier)
@@ -326,12 +354,12 @@
         return self._rates.early_rate_above(tier) > CROWDED_LOAD * capacity
 
     def _places_free(self):
-        return any(engine.available for engine in self._engines)
+        return any(engine.room for engine in self._engines)
 
     def _holds_lower(self, tier):
         if any(rank > tier for rank in self._queue.waiting_by_tier()):
             return True
-        return any(_yields(grant, tier) for engine in self._engines for grant in engine.grants_by_request_id.values())
+        return self._held.any_yielding_below(tier)
 
     def _models_trusted(self):
         confidences = [engine.model.confidence() for engine in self._engines]
--- a/wagtailtrestle/capacity/grants.py
+++ b/wagtailtrestle/capacity/grants.py
@@ -1,6 +1,6 @@
 """What a steward holds for one request: its wait in the queue, then its grant."""
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 
 from wagtailtrestle.contracts.messages import GrantRequest
 
@@ -168,6 +168,34 @@
         return max(1.0, self._concurrency_sum / self._concurrency_samples)
 
 
+class HeldByTier:
+    """How many places each tier holds in a cell, so that nobody has to look through all runs for it."""
+
+    __slots__ = ("_count_by_tier", "_yielding_by_tier")
+
+    def __init__(self):
+        self._count_by_tier = Counter()
+        self._yielding_by_tier = Counter()
+
+    def add(self, request: GrantRequest):
+        """Count a place."""
+        self._count_by_tier[request.tier] += 1
+        self._yielding_by_tier[request.tier] += request.repeatable
+
+    def remove(self, request: GrantRequest):
+        """Count a place no more."""
+        self._count_by_tier[request.tier] -= 1
+        self._yielding_by_tier[request.tier] -= request.repeatable
+
+    def any_below(self, tier):
+        """Whether a lower tier holds a place."""
+        return any(count for other, count in self._count_by_tier.items() if other > tier)
+
+    def any_yielding_below(self, tier):
+        """Whether a lower tier holds a place that may be taken back."""
+        return any(count for other, count in self._yielding_by_tier.items() if other > tier)
+
+
 class EndedAsks:
     """The last asks that were settled, so that a late copy of one is recognised.
 
--- a/wagtailtrestle/capacity/run_book.py
+++ b/wagtailtrestle/capacity/run_book.py
@@ -2,7 +2,7 @@
 
 from loguru import logger
 
-from wagtailtrestle.capacity.grants import EndedAsks, Grant
+from wagtailtrestle.capacity.grants import EndedAsks, Grant, HeldByTier
 from wagtailtrestle.contracts.outcomes import RunDone, RunLost
 from wagtailtrestle.engines.health import EngineHealth
 from wagtailtrestle.engines.output_lengths import OutputLengths
@@ -23,6 +23,7 @@
     ----------
     engines_by_name : dict of str to EngineState
     grants_by_request_id : dict of str to Grant
+    held : HeldByTier
     ended : EndedAsks
     lengths : OutputLengths
     """
@@ -30,6 +31,7 @@
     __slots__ = (
         "engines_by_name",
         "grants_by_request_id",
+        "held",
         "ended",
         "lengths",
         "_declared_by_name",
@@ -41,6 +43,7 @@
         self.engines_by_name = {}
         self._declared_by_name = {}
         self.grants_by_request_id = {}
+        self.held = HeldByTier()
         self.ended = EndedAsks()
         self.lengths = OutputLengths()
         self._clock = clock
@@ -48,9 +51,14 @@
 
     @property
     def engines(self):
-        """The cell's engines."""
+        """The cell's engines, as they were ordered last."""
         return self.engines_by_name.values()
 
+    def order_by_pace(self):
+        """Put the engines on which the next run would get its tokens soonest first."""
+        ordered = sorted(self.engines, key=lambda engine: engine.model.pace_s(engine.running + 1))
+        self.engines_by_name = {engine.name: engine for engine in ordered}
+
     def declare(self, by_name):
         """Put the declared engines in force; what is known of those kept stays.
 
@@ -107,7 +115,8 @@
 
     def end(self, grant):
         """Free a grant's place."""
-        self.grants_by_request_id.pop(grant.request_id, None)
+        if self.grants_by_request_id.pop(grant.request_id, None) is not None:
+            self.held.remove(grant.request)
         self.ended.note(grant.request)
         engine = self.engines_by_name.get(grant.engine)
         if engine is not None:
@@ -127,14 +136,16 @@
             grant.orphaned_at = self._clock()
 
     def on_load_report(self, report):
-        """Correct an engine's account by its own report."""
+        """Correct an engine's account by its own report; whether it tells of another start of the engine."""
         engine = self.engines_by_name.get(report.engine)
         if engine is None or 0 < report.start_ms < engine.start_ms:
-            return  # Unknown, or a word of before its last start that was late on its way.
-        if report.start_ms > engine.start_ms:
+            return False  # Unknown, or a word of before its last start that was late on its way.
+        started_again = report.start_ms > engine.start_ms
+        if started_again:
             engine = self._started_again(engine, report.start_ms)
         for grant in engine.report(report):
             self.end(grant)
+        return started_again
 
     def _started_again(self, state, start_ms):
         """Begin anew with an engine whose report is the first to tell of its start."""
@@ -152,8 +163,9 @@
     def tick(self):
         """Refresh the engines, and free places whose end nobody told."""
         now = self._clock()
+        share_by_name = self._health.shares(now)
         for engine in self.engines:
-            engine.tick(health_share=self._health.share(engine.name, now))
+            engine.tick(health_share=share_by_name.get(engine.name, 1.0))
         for grant in list(self.grants_by_request_id.values()):
             if now > grant.deadline + GRANT_GRACE_S:
                 self.end(grant)
@@ -223,4 +235,5 @@
             ahead_tokens=engine.pending_prefill_tokens if engine else 0,
         )
         self.grants_by_request_id[request.request_id] = grant
+        self.held.add(request)
         return grant
--- a/wagtailtrestle/capacity/steward.py
+++ b/wagtailtrestle/capacity/steward.py
@@ -5,6 +5,8 @@
 can't make a request run twice.
 """
 
+import itertools
+
 from wagtailtrestle.capacity.admission import Admission
 from wagtailtrestle.capacity.isolation import Isolation
 from wagtailtrestle.capacity.preemption import LOOK_AHEAD, PreemptionPlanner
@@ -28,6 +30,11 @@
 TRIES_IN_A_ROW = 128
 """Waiting requests tried in one round, so that no message costs unbounded time."""
 
+MOST_COMPARED = 12
+"""Engines compared for one request, and as many more that hold half of its prompt's parts: those with room, in order
+of their pace. Comparing all of 78 took most of the steward's processor time, and what the thirteenth adds
+is less than the error of the predictions."""
+
 UNPARK_IN_A_ROW = 32
 """Parked requests tried again at each tick, as predictions change with time."""
 
@@ -71,7 +78,11 @@
         self._runs = RunBook(clock=clock)
         self._queue = TierQueue()
         self._admission = Admission(
-            clock=clock, queue=self._queue, lengths=self._runs.lengths, prefill_weight=prefill_weight
+            clock=clock,
+            queue=self._queue,
+            lengths=self._runs.lengths,
+            held=self._runs.held,
+            prefill_weight=prefill_weight,
         )
         self._planner = PreemptionPlanner(clock=clock, prefill_weight=prefill_weight)
         self._isolation = Isolation(clock=clock, queue=self._queue)
@@ -119,8 +130,8 @@
 
     def on_load_report(self, report):
         """Correct an engine's account by its own report."""
-        self._runs.on_load_report(report)
-        self._admission.set_engines(self._runs.engines)
+        if self._runs.on_load_report(report):
+            self._admission.set_engines(self._runs.engines)
         self._grant_ready()
 
     def on_cache_events(self, events):
@@ -162,6 +173,8 @@
         """Sweep deadlines, preempt, and grant what has become possible; about every 50 ms."""
         self._notice_pause()
         self._runs.tick()
+        self._runs.order_by_pace()
+        self._admission.measure_speed()
         for waiting in self._queue.pop_expired(self._clock()):
             self._refuse(waiting.request, Reason.OVERLOADED)
         self._queue.unpark_some(UNPARK_IN_A_ROW)
@@ -310,11 +323,11 @@
     def _open_engines(self):
         cautious = self._registration.cautious
         engines = self._runs.engines
-        return [engine for engine in engines if engine.available and (engine.reported or not cautious)]
+        return [engine for engine in engines if engine.room and (engine.reported or not cautious)]
 
     def _try(self, waiting, open_engines):
         """Grant the request on one of the engines with room, park it, or refuse it."""
-        suited = [engine for engine in open_engines if self._admission.can_finish_now(waiting, engine)]
+        suited = self._suited(waiting, open_engines)
         if not suited and waiting.request.first_token_within_s and not self._admission.waits_for_better(waiting):
             suited = open_engines
         engine = self._policy.choose(request=waiting.request, engines=suited, now=self._clock()) if suited else None
@@ -327,6 +340,25 @@
         else:
             self._refuse(waiting.request, Reason.DEADLINE_UNREACHABLE)
 
+    def _suited(self, waiting, open_engines):
+        """The engines among which to choose: of many, a few that are the likeliest, unless none of these suits."""
+        likely = self._likely(waiting.request, open_engines)
+        suited = [engine for engine in likely if self._admission.can_finish_now(waiting, engine)]
+        if suited or len(likely) == len(open_engines):
+            return suited
+        return [engine for engine in open_engines if self._admission.can_finish_now(waiting, engine)]
+
+    def _likely(self, request, open_engines):
+        if len(open_engines) <= MOST_COMPARED:
+            return open_engines
+        first = open_engines[:MOST_COMPARED]
+        blocks = request.prefix_blocks
+        if not blocks:
+            return first
+        middle = blocks[len(blocks) // 2]
+        holders = (engine for engine in open_engines[MOST_COMPARED:] if middle in engine.cache)
+        return first + list(itertools.islice(holders, MOST_COMPARED))
+
     def _grant(self, waiting, engine):
         self._admission.granted(waiting)
         grant = self._runs.hold(
--- a/wagtailtrestle/engines/health.py
+++ b/wagtailtrestle/engines/health.py
@@ -109,9 +109,15 @@
     def share(self, engine, now):
         """Share, from 0 to 1, of its concurrency that the engine may use."""
         judged = self._judged_by_name.get(engine)
-        if judged is None:
-            return 1.0
-        if engine in self._ejected(now):
+        return 1.0 if judged is None else self._share(engine, judged, self._ejected(now))
+
+    def shares(self, now):
+        """Shares of all engines by name; asked one by one, each would look through all of them again."""
+        ejected = self._ejected(now)
+        return {name: self._share(name, judged, ejected) for name, judged in self._judged_by_name.items()}
+
+    def _share(self, engine, judged, ejected):
+        if engine in ejected:
             return 0.0
         if judged.probing and self._within_bound(engine):
             return PROBE_SHARE
