--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,6 +8,7 @@
 from wagtailtrestle.contracts.peer_messages import MemberState, ViewEvent
 from wagtailtrestle.membership.member_table import MemberTable
 from wagtailtrestle.membership.partners import position_of
+from wagtailtrestle.membership.vm_list import VM
 from wagtailtrestle.peers.broadcast import Broadcast
 
 
@@ -46,6 +47,28 @@
         await asyncio.sleep(0.5)
         self.assertEqual([name for name in names if not self.net.by_name[name].trusted], [])
 
+    @on_fast_loop
+    async def test_a_large_fleet_that_starts_together_costs_each_router_little(self):
+        # Ninety routers lose power and start within a second, each with the list of those that announced
+        # themselves before it. Told to all of ten targets, a start comes nine times to each router, and a new view
+        # made for each piece of news costs more processor time than reading the program.
+        names = [f"r{number:03d}" for number in range(90)]
+        for number, name in enumerate(names):
+            await self.net.add(name)
+            self.net.by_name[name].observe_vms([self.vm(other) for other in names[:number]])
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(1.0)
+        self.assert_views(names)
+        self.assertLessEqual(len(self.net.changes) / len(names), 32)
+        self.assertLessEqual(sum(peers.sent for peers in self.net.peers_by_name.values()) / len(names), 3.6 * 90)
+        # And the death of one is still known to all within a second.
+        self.net.kill("r045")
+        await asyncio.sleep(1.0)
+        self.assert_views([name for name in names if name != "r045"], but=["r045"])
+
+    def vm(self, name):
+        return VM(id=name, role="router", zone="z", address=name, admin="", leaving=False)
+
     @on_fast_loop
     async def test_killed_router(self):
         # A steward is killed. Its peers see their connections end and new ones refused; within half a second
--- a/wagtailtrestle/membership/membership.py
+++ b/wagtailtrestle/membership/membership.py
@@ -28,6 +28,11 @@
 RING_HEARTBEAT_S = 0.4
 TICK_S = 0.1
 REFRESH_DELAY_S = 0.005
+REFRESH_DELAY_A_MEMBER_S = 0.0002
+"""News is gathered for so much longer for each member: a view of 195 costs some two milliseconds to make and act on,
+and where they all start together each hears of 194 others. 45 ms there are little beside a lost router's 0.25 s."""
+RELAY_FINGERS = 2
+"""With both neighbours a fan-out of three beside who told: four or five hops for some two hundred routers."""
 LATE_TICK_S = 0.25
 FROZEN_GAP_S = 0.8
 TRUST_WITHIN_S = 0.25
@@ -289,7 +294,15 @@
         self._refresh_soon()
 
     def _gossip(self, event, but=None):
-        for name in self.broadcast_targets():
+        """Tell an event of this router's own, or pass on what ``but`` told first.
+
+        What is passed on goes to both neighbours, so that it reaches all along the ring whoever drops it, and to a
+        few fingers. Passed to all fingers by each router, one event of a start of 195 came nine times to each.
+        """
+        fingers = sorted(self._fingers - self._partners)
+        if but is not None and len(fingers) > RELAY_FINGERS:
+            fingers = self._jitter.sample(fingers, RELAY_FINGERS)
+        for name in (*self._partners, *fingers):
             if name != but:
                 self._peers.send(name, event)
 
@@ -387,7 +400,8 @@
     def _refresh_soon(self):
         # When a zone fails, or a fleet starts, news comes by the dozen: one new view for all of a batch.
         if self._refreshing is None:
-            self._refreshing = self._loop.call_later(REFRESH_DELAY_S, self._refresh)
+            delay_s = REFRESH_DELAY_S + REFRESH_DELAY_A_MEMBER_S * len(self._table.by_name)
+            self._refreshing = self._loop.call_later(delay_s, self._refresh)
 
     def _refresh(self):
         if self._refreshing is not None:
