A router that is steward again begins anew, and reckons with the runs of a router that died

Change: who becomes steward of a cell takes its account over anew: it waits for all who have not registered within half a second, and believes no report from before. Where engines go on with the runs of routers that died (our own engines do, the users' platform's don't) and one died within ten seconds, an engine is granted nothing until it has reported, for 1.5 s at most.

Tests: a steward that takes over again waits anew; who registered just before is not awaited; runs of a router that died are reckoned with; an engine that never reports is used; a router that becomes steward again begins anew.

--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -56,7 +56,7 @@
 
 
 class DirectoryTest(unittest.IsolatedAsyncioTestCase):
-    def make(self, *members):
+    def make(self, *members, **more):
         self.peers, self.membership = FakePeers(), FakeMembership(*members)
         self.to_steward, self.members_told = [], []
         self.directory = Directory(
@@ -69,6 +69,7 @@
             register=lambda cell: HELD,
             cells=lambda: ["c1"],
             set_members=self.members_told.append,
+            **more,
         )
 
     def send(self):
@@ -89,6 +90,16 @@
         self.membership.change("c", draining=["b"])
         self.assertEqual(self.peers.sent[2:], [("b", "c1", NOTHING), ("c", "c1", HELD)])
 
+    async def test_a_router_that_becomes_steward_again_begins_anew(self):
+        # What a steward of before holds says nothing of what the one between granted.
+        begun = []
+        self.make("a", begin_cell=begun.append)
+        self.directory.refresh()
+        self.membership.change("b")
+        self.assertEqual(begun, ["c1"])
+        self.membership.change("a")
+        self.assertEqual(begun, ["c1", "c1"])
+
     async def test_own_cell_needs_no_peer(self):
         self.make("a")
         self.send()
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -274,6 +274,48 @@
         cell.receive(register("r2", running=[running(ask("x", entry="r2")), running(ask("y", entry="r2"))]))
         self.assertEqual(cell.entries.ids(Granted), [])
 
+    def test_a_steward_that_takes_over_again_waits_anew(self):
+        # This router was steward when the fleet started, then another one was, and now that one has died. That
+        # everybody registered long ago says nothing of what the other granted since: the engine is full.
+        cell = Cell(slots=2, members=("r1", "r2"))
+        cell.receive(register("r1"), register("r2"))
+        cell.advance(10.0)
+        cell.steward.take_over()
+        cell.receive(register("r1", waiting=[ask("r")]))
+        self.assertEqual(cell.entries.ids(Granted), [])
+        cell.receive(register("r2", running=[running(ask("x", entry="r2")), running(ask("y", entry="r2"))]))
+        self.assertEqual(cell.entries.ids(Granted), [])
+
+    def test_who_registered_just_before_the_steward_knew_is_not_awaited(self):
+        cell = Cell(slots=2, members=("r1", "r2"))
+        cell.receive(register("r1"), register("r2"))
+        cell.advance(10.0)
+        cell.receive(register("r2", running=[running(ask("x", entry="r2"))]))
+        cell.steward.take_over()
+        self.assertEqual(cell.steward.awaited_entries, {"r1"})
+        cell.receive(register("r1", waiting=[ask("r")]))
+        self.assertEqual(cell.entries.ids(Granted), ["r"])
+
+    def test_runs_of_a_router_that_died_are_reckoned_with_before_they_are_reported(self):
+        # The steward died, and with it the entry whose runs the engine still goes on with. All who live have
+        # registered, and nobody speaks for these runs: granting at once filled the engine twice over, and a
+        # question in the engine's queue was given up as silent.
+        cell = Cell(slots=2)
+        cell.steward.expect_orphans()
+        cell.steward.set_members(frozenset({"r1"}))
+        cell.receive(register("r1", waiting=[ask("r"), ask("s")]))
+        self.assertEqual(cell.entries.ids(Granted), [])
+        cell.steward.on_load_report(report(running=1))
+        self.assertEqual(cell.entries.ids(Granted), ["r"])
+
+    def test_an_engine_that_never_reports_is_used_after_the_wait(self):
+        cell = Cell(slots=2)
+        cell.steward.expect_orphans()
+        cell.steward.set_members(frozenset({"r1"}))
+        cell.receive(register("r1", waiting=[ask("r")]))
+        cell.advance(CAUTION_S + 0.1)
+        self.assertEqual(cell.entries.ids(Granted), ["r"])
+
     def test_an_entry_that_turned_to_another_steward_holds_nothing_here(self):
         cell = Cell(slots=1, members=("r1", "r2"))
         cell.receive(register("r1"), register("r2"), ask("x", entry="r2"), ask("r"))
--- a/wagtailtrestle/capacity/registration.py
+++ b/wagtailtrestle/capacity/registration.py
@@ -5,6 +5,10 @@
 CAUTION_S = 1.5
 """Longest time a steward waits for the registration of every member."""
 
+JUST_NOW_S = 0.5
+"""Members hear of a steward's death within so long of each other; who hears first registers with the next one before
+that one knows that it is."""
+
 FREEZE_GAP_S = 1.0
 """A pause between two looks at the clock after which the process counts as frozen."""
 
@@ -17,7 +21,7 @@
     clock : callable
     """
 
-    __slots__ = ("awaited", "_clock", "_until", "_looked_at", "_members")
+    __slots__ = ("awaited", "_clock", "_until", "_looked_at", "_members", "_expects_orphans", "_registered_at_by_entry")
 
     def __init__(self, *, clock):
         self.awaited = frozenset()
@@ -25,17 +29,29 @@
         self._until = -math.inf
         self._looked_at = clock()
         self._members = frozenset()
+        self._expects_orphans = False
+        self._registered_at_by_entry = {}
 
     @property
     def cautious(self):
         """Whether grants must stay within what engines' own reports show free."""
-        return bool(self.awaited) and self._clock() < self._until
+        return (bool(self.awaited) or self._expects_orphans) and self._clock() < self._until
+
+    def expect_orphans(self):
+        """Take it that engines still run what a router that died had sent them.
+
+        Nobody registers these runs. A steward that grants as soon as all who live have registered puts its
+        grants on top of them; what waits in an engine's queue for two seconds is given up as silent.
+        """
+        self._expects_orphans = True
 
     def set_members(self, members):
         """Take in the live view; the first one begins the cautious time."""
         first = not self._members
         self._members = frozenset(members)
         self.awaited &= self._members
+        for entry in self._registered_at_by_entry.keys() - self._members:
+            del self._registered_at_by_entry[entry]
         if first and self._members:
             self.begin()
 
@@ -44,9 +60,19 @@
         self.awaited = self._members
         self._until = self._clock() + CAUTION_S
 
+    def take_over(self):
+        """Wait for every member that has not registered just now: another router was steward meanwhile.
+
+        What was registered before says nothing of what that router granted.
+        """
+        self.begin()
+        since = self._clock() - JUST_NOW_S
+        self.awaited -= {entry for entry, at in self._registered_at_by_entry.items() if at >= since}
+
     def registered(self, entry):
         """Note that this member registered."""
         self.awaited -= {entry}
+        self._registered_at_by_entry[entry] = self._clock()
 
     def woke(self):
         """Whether the process was paused since the last look, as the gap in its clock shows.
--- a/wagtailtrestle/capacity/steward.py
+++ b/wagtailtrestle/capacity/steward.py
@@ -112,6 +112,15 @@
         """Put the declared shares of teams in force."""
         self._queue.set_shares(share_by_name)
 
+    def expect_orphans(self):
+        """Begin with what the engines themselves report: a router died lately, whose runs nobody registers."""
+        self._registration.expect_orphans()
+
+    def take_over(self):
+        """Begin anew: this router is steward again, after another one was."""
+        self._registration.take_over()
+        self._runs.distrust()
+
     def set_members(self, entries):
         """Take in the live view of routers; what those that left hold is let go."""
         gone = self._members - frozenset(entries)
--- a/wagtailtrestle/capacity/steward_set.py
+++ b/wagtailtrestle/capacity/steward_set.py
@@ -1,8 +1,13 @@
 """The stewards that this router holds, one for each cell whose messages reach it."""
 
+import math
+
 from wagtailtrestle.capacity.steward import Steward
 from wagtailtrestle.engines.policies import PredictedFinish
 
+ORPHANS_S = 10.0
+"""How long after the loss of a router its runs may still be on engines: they cancel what nobody follows, or end it."""
+
 
 class StewardSet:
     """Creates stewards when their first message comes and keeps them up to date.
@@ -12,14 +17,28 @@
     clock : Callable
         The loop's time, seconds.
     entries : EntryLink
+    runs_outlive_routers : bool
+        Whether engines go on with the runs of a router that died.
     """
 
-    __slots__ = ("by_cell", "_clock", "_entries", "_declaration", "_members", "_leaving", "_granting")
-
-    def __init__(self, *, clock, entries):
+    __slots__ = (
+        "by_cell",
+        "_clock",
+        "_entries",
+        "_runs_outlive_routers",
+        "_declaration",
+        "_members",
+        "_lost_at",
+        "_leaving",
+        "_granting",
+    )
+
+    def __init__(self, *, clock, entries, runs_outlive_routers=False):
         self.by_cell = {}
         self._clock = clock
         self._entries = entries
+        self._runs_outlive_routers = runs_outlive_routers
+        self._lost_at = -math.inf
         self._declaration = None
         self._members = frozenset()
         self._leaving = frozenset()
@@ -31,6 +50,13 @@
         if steward is not None:
             steward.receive(message)
 
+    def begin(self, cell):
+        """Take over a cell of which another router was steward; one never held begins with its first message."""
+        steward = self.by_cell.get(cell)
+        if steward is not None:
+            self._expect_orphans(steward)
+            steward.take_over()
+
     def set_declaration(self, declaration):
         """Put a newly accepted declaration in force for every steward."""
         self._declaration = declaration
@@ -42,6 +68,8 @@
 
     def set_members(self, names):
         """Tell every steward which entries live."""
+        if not self._members <= frozenset(names):
+            self._lost_at = self._clock()
         self._members = frozenset(names)
         for steward in self.by_cell.values():
             steward.set_members(self._members)
@@ -91,6 +119,10 @@
         """Plain data for the state dump."""
         return {cell: steward.dump() for cell, steward in self.by_cell.items()}
 
+    def _expect_orphans(self, steward):
+        if self._runs_outlive_routers and self._clock() - self._lost_at < ORPHANS_S:
+            steward.expect_orphans()
+
     def _create(self, cell):
         engines = self._engines_of(cell)
         if not engines:
@@ -104,6 +136,7 @@
             prefill_weight=service.prefill_weight,
         )
         self.by_cell[cell] = steward
+        self._expect_orphans(steward)
         steward.set_members(self._members)
         self._update(steward)
         if not self._granting:
--- a/wagtailtrestle/peers/directory.py
+++ b/wagtailtrestle/peers/directory.py
@@ -64,6 +64,8 @@
         ``() -> iterable of str``: the cells of the configuration in force.
     set_members : callable, optional
         ``(tuple of str)``: names of all entries alive, told to the local stewards.
+    begin_cell : callable, optional
+        ``(cell)``: this router has become steward of the cell.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         register,
         cells,
         set_members=None,
+        begin_cell=None,
     ):
         self.name = name
         self._membership = membership
@@ -89,6 +92,7 @@
         self._register = register
         self._cells = cells
         self._set_members = set_members or (lambda members: None)
+        self._begin_cell = begin_cell or (lambda cell: None)
         self._rendezvous = Rendezvous()
         self._steward_by_cell = {}
         self._incarnations_by_name = dict(membership.view.incarnations_by_name)
@@ -165,6 +169,10 @@
 
     def _change_steward(self, cell, before, steward):
         self._steward_by_cell[cell] = steward
+        if steward == self.name:
+            # A steward of before still holds that everybody has registered, and would grant at once beside
+            # all that was granted since: engines filled twice over.
+            self._begin_cell(cell)
         if before in self._membership.view.everyone:
             # Without this a former steward that lives would hold this entry's places until told otherwise.
             self._send(before, cell, Register(entry=self.name, cell=cell, elsewhere=True))
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -175,8 +175,13 @@
             register=lambda cell: self._entry.register(cell),
             cells=self._cells,
             set_members=lambda names: self._stewards.set_members(names),
+            begin_cell=lambda cell: self._stewards.begin(cell),
+        )
+        self._stewards = StewardSet(
+            clock=self._loop.time,
+            entries=self._directory.entry_link,
+            runs_outlive_routers=self._adapter.ended_call is not None,
         )
-        self._stewards = StewardSet(clock=self._loop.time, entries=self._directory.entry_link)
         self._stewards.set_members(self._membership.view.everyone)
         self._crashes = CrashWatch(
             book=CrashBook(clock=self._loop.time, reporter=name),
