A declaration that is still being checked is no proof of the one in force

Cause: read as a newcomer, the source of the configuration took the time of each read as proof of what is in force, also while the declaration that it had just read was still being checked (0.3 s for a thousand routes, seconds on an eighth of a core). A router that reads for others then vouched for a key that the new declaration takes away, to itself and to all that ask it; were it lost at that moment, the key could run past the operator's limit. Change: a read proves what is in force only once the newest declaration taken is in force, or was refused as faulty. Ruled out: telling no age while anything is checked (a faulty declaration would stop all keys). Test: what is read proves nothing before it is in force, also not by a second read (fails before).

--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+from types import SimpleNamespace
 
 from tests.utils.memory_store import MemoryStore
 from tests.utils.paused_clock import on_paused_clock
@@ -123,6 +124,38 @@
         self.assertEqual(await source.reads_in(10.0), 0)
         self.assertLess(boot_time_s() - source.source.confirmed_at, 2.0)
 
+    @on_paused_clock
+    async def test_what_is_read_proves_nothing_before_it_is_in_force(self):
+        # A declaration that takes a key away is read, and checked for a second by a slow router. Meanwhile the
+        # old one is in force: vouched for as the newest, it would let the key run past the operator's limit
+        # here and at every router that asks this one.
+        source = Source(None)
+        in_force = {GENERATION}
+        source.source._is_settled = lambda generation: generation in in_force
+        source.source._place = SimpleNamespace(
+            kind="config",
+            name="main",
+            reads_are_newest=True,
+            accepted=lambda version, value: SimpleNamespace(generation=value, text=""),
+        )
+        await source.store.create(kind="config", name="main", value=GENERATION)
+        await source.source._read("poll")
+        proved_at = source.source.confirmed_at
+        self.assertIsNotNone(proved_at)
+        await asyncio.sleep(1.0)
+        await source.store.update(kind="config", name="main", value=GENERATION + 1, if_version=1)
+        await source.source._read("poll")
+        self.assertEqual(source.source.confirmed_at, proved_at)
+        await asyncio.sleep(1.0)
+        # A further read finds nothing new, and proves no more while the new one is being checked.
+        await source.source._read("poll")
+        read_at = boot_time_s()
+        self.assertEqual(source.source.confirmed_at, proved_at)
+        await asyncio.sleep(1.0)
+        in_force.add(GENERATION + 1)
+        self.assertLessEqual(source.source.confirmed_at, read_at)
+        self.assertGreater(source.source.confirmed_at, proved_at)
+
     @on_paused_clock
     async def test_a_reader_reads_by_itself(self):
         source = Source(None)
--- a/wagtailtrestle/configuration/configuration.py
+++ b/wagtailtrestle/configuration/configuration.py
@@ -112,6 +112,7 @@
             ask_confirmation=ask_confirmation,
             generation=lambda: self.generation,
             heard=self.heard,
+            is_settled=self._is_settled,
         )
         self._peers = PeerSource(
             ask_peers=ask_peers,
@@ -236,6 +237,10 @@
         for generation in sorted(self._faults_by_generation)[:-KEPT_REJECTED]:
             del self._faults_by_generation[generation]
 
+    def _is_settled(self, generation):
+        """Whether a declaration is in force, or was refused and never will be."""
+        return generation <= self.generation or generation in self._faults_by_generation
+
     def _is_known(self, generation):
         """Whether there is nothing to gain from a declaration of this generation."""
         newest = self._candidate.generation if self._candidate else NO_GENERATION
--- a/wagtailtrestle/configuration/sources.py
+++ b/wagtailtrestle/configuration/sources.py
@@ -100,17 +100,17 @@
         The generation in force.
     heard : callable, optional
         ``heard(generation, peer)`` notes a generation that a peer told.
-
-    Attributes
-    ----------
-    confirmed_at : float or None
-        Time since boot at which the newest read began: every declaration accepted before then is known.
+    is_settled : callable, optional
+        ``is_settled(generation)`` tells whether a generation that was read is in force, or can't be.
     """
 
     __slots__ = (
         "known_version",
         "last_read",
-        "confirmed_at",
+        "_confirmed_at",
+        "_unsettled",
+        "_newest_taken",
+        "_is_settled",
         "_place",
         "_readers",
         "_ask_confirmation",
@@ -137,14 +137,18 @@
         ask_confirmation=None,
         generation=None,
         heard=None,
+        is_settled=lambda generation: True,
     ):
+        self._is_settled = is_settled
         self._readers = readers
         self._ask_confirmation = ask_confirmation
         self._generation = generation
         self._heard = heard
         self.known_version = NEVER_A_VERSION
         self.last_read = None
-        self.confirmed_at = None
+        self._confirmed_at = None
+        self._unsettled = None
+        self._newest_taken = NO_GENERATION
         self._place = place
         self._watched_version = NEVER_A_VERSION
         self._store = store
@@ -153,6 +157,21 @@
         self._watch_timeout_s = watch_timeout_s
         self._jitter = jitter
 
+    @property
+    def confirmed_at(self):
+        """Time since boot at which the newest read began of which all is in force here, or ``None``.
+
+        A declaration that was read and is still being checked takes keys away that the one in force holds. Were its
+        read a proof already, this router would vouch for such a key, to itself and to all that ask it.
+        """
+        if self._unsettled is not None and self._is_settled(self._unsettled[0]):
+            self._confirm(self._unsettled[1])
+            self._unsettled = None
+        return self._confirmed_at
+
+    def _confirm(self, at):
+        self._confirmed_at = at if self._confirmed_at is None else max(self._confirmed_at, at)
+
     async def watch(self):
         """Wait for changes; a silent watch is given up, and polling covers the gap."""
         retry_s = WATCH_RETRY_S
@@ -225,7 +244,7 @@
                 self._heard(confirmation.generation, reader)
                 await self._until_in_force(confirmation.generation)
             if confirmation.generation == self._generation():
-                self.confirmed_at = max(self.confirmed_at or 0.0, asked_at - confirmation.age_s)
+                self._confirm(asked_at - confirmation.age_s)
                 return True
         return False
 
@@ -248,9 +267,12 @@
         if not isinstance(outcome, StoreDone):
             return None
         self.last_read = asyncio.get_running_loop().time()
-        self.confirmed_at = began_at
         if outcome.value is not None:
             self._take(outcome.version, outcome.value, source)
+        if self._is_settled(self._newest_taken):
+            self._confirm(began_at)
+        else:
+            self._unsettled = (self._newest_taken, began_at)
         return outcome.version
 
     def _take(self, version, value, source):
@@ -260,6 +282,7 @@
             return
         # Only upwards: a stale read must not make the watch tell everything again.
         self.known_version = max(self.known_version, version)
+        self._newest_taken = max(self._newest_taken, accepted.generation)
         self._offer(accepted.generation, accepted.text, source)
 
     async def confirm(self):
