A router that was started again no longer frees the places of its predecessor's runs

Cause: the steward keeps the places of a dead router's runs until a report shows them gone, but the registration of the new process, which holds nothing, ended them at once. The log showed granted=8 unknown=2 places=8 1.5 to 2 s after the restart. tests.test_new_steward plays it and failed.

Change: a run that lost its router is ended by a report or its deadline, where engines report and go on with such runs; elsewhere the registration decides as before. A second death of the entry doesn't move the time since which its runs are without one.

--- a/wagtailtrestle/capacity/run_book.py
+++ b/wagtailtrestle/capacity/run_book.py
@@ -133,7 +133,9 @@
         would overfill them.
         """
         for grant in self.of_entry(entry):
-            grant.orphaned_at = self._clock()
+            # Where the entry dies twice, a report from between still speaks of the first one's runs.
+            if grant.orphaned_at is None:
+                grant.orphaned_at = self._clock()
 
     def on_load_report(self, report):
         """Correct an engine's account by its own report; whether it tells of another start of the engine."""
--- a/wagtailtrestle/capacity/steward.py
+++ b/wagtailtrestle/capacity/steward.py
@@ -53,6 +53,8 @@
         Carries answers back.
     prefill_weight : float
         From 0 (goodput by tier) to 1 (no prefill thrown away).
+    runs_outlive_routers : bool
+        Whether engines go on with the runs of a router that died, and report them.
     """
 
     __slots__ = (
@@ -69,11 +71,13 @@
         "_members",
         "_granting",
         "_notes",
+        "_runs_outlive_routers",
         "_handlers_by_type",
     )
 
-    def __init__(self, *, cell, policy, clock, entries, prefill_weight=0.5):
+    def __init__(self, *, cell, policy, clock, entries, prefill_weight=0.5, runs_outlive_routers=False):
         self.cell = cell
+        self._runs_outlive_routers = runs_outlive_routers
         self._policy = policy
         self._clock = clock
         self._entries = entries
@@ -264,7 +268,7 @@
             record = running_by_id.get(grant.request_id)
             held = record is not None and record.engine == grant.engine
             if not in_flight and not held:
-                self._runs.end(grant)
+                self._let_go(grant)
         for waiting in self._waiting_of(message.entry):
             if waiting.request_id not in asked_by_id:
                 self._queue.remove(waiting.request_id)
@@ -273,6 +277,13 @@
         for request in message.waiting:
             self._on_registered_ask(request)
 
+    def _let_go(self, grant):
+        # A router that was started again registers without what its predecessor had sent to engines, and these go on
+        # with it. Were the places free at once, runs granted there would wait in the engine's queue, up to their
+        # deadline. A report shows when the runs are gone; where engines report nothing, the router's word decides.
+        if grant.orphaned_at is None or not self._runs_outlive_routers:
+            self._runs.end(grant)
+
     def _on_registered_ask(self, request):
         # The entry says it still waits, so an answer to this ask was lost on the way.
         if self._runs.ended.holds(request):
--- a/wagtailtrestle/capacity/steward_set.py
+++ b/wagtailtrestle/capacity/steward_set.py
@@ -123,12 +123,13 @@
         return {cell: steward.dump() for cell, steward in self.by_cell.items()}
 
     def _expect_orphans(self, steward):
-        if not self._runs_outlive_routers or self._clock() - self._lost_at >= ORPHANS_S:
-            return
-        # Engines of a plain service report nothing: the wait, 1.5 s, would end without having shown anything.
-        if self._service_of(steward.cell).kind == LANGUAGE:
+        if self._reports_orphans(steward.cell) and self._clock() - self._lost_at < ORPHANS_S:
             steward.expect_orphans()
 
+    def _reports_orphans(self, cell):
+        # Engines of a plain service report nothing: whoever waits for their word waits in vain.
+        return self._runs_outlive_routers and self._service_of(cell).kind == LANGUAGE
+
     def _create(self, cell):
         engines = self._engines_of(cell)
         if not engines:
@@ -140,6 +141,7 @@
             clock=self._clock,
             entries=self._entries,
             prefill_weight=service.prefill_weight,
+            runs_outlive_routers=self._reports_orphans(cell),
         )
         self.by_cell[cell] = steward
         self._expect_orphans(steward)
