--- a/tests/utils/platform_world.py
+++ b/tests/utils/platform_world.py
@@ -66,11 +66,28 @@
         handler.wfile.write(body)
 
 
+class Copy:
+    """What the store held at one revision."""
+
+    def __init__(self, *, revision, objects, log):
+        self.revision = revision
+        self.objects = objects
+        self.log = log
+
+
 class Store(Server):
-    """Objects by kind and name with revisions, watches and an outage on request."""
+    """Objects by kind and name with revisions, watches, an outage and a return from a copy on request.
+
+    Attributes
+    ----------
+    down : bool
+    era : int
+        Told in each answer; 0 for a store that tells none.
+    """
 
     def __init__(self):
         self.down = False
+        self.era = 1
         self.calls = 0
         self._objects = {}
         self._log = []
@@ -91,6 +108,27 @@
         with self._changed:
             return {name: item["specification"] for (of, name), item in self._objects.items() if of == kind}
 
+    def copy(self):
+        """Keep what the store holds now."""
+        with self._changed:
+            return Copy(revision=self._revision, objects=dict(self._objects), log=list(self._log))
+
+    def return_from(self, copy):
+        """Go on from a copy: what was written since is gone, and its revisions are given out again."""
+        with self._changed:
+            self._objects, self._log, self._revision = dict(copy.objects), list(copy.log), copy.revision
+            self.era += 1
+            self.down = False
+            self._changed.notify_all()
+
+    def drill(self, copy, *, away_s=0.5):
+        """Be away for a moment and come back from a copy."""
+        self.down = True
+        with self._changed:
+            self._changed.notify_all()
+        time.sleep(away_s)
+        self.return_from(copy)
+
     def _write(self, kind, name, value):
         self._revision += 1
         item = {
@@ -111,13 +149,17 @@
         if self.down:
             handler.close_connection = True
             return
+        era = self.era
         parts = urlsplit(handler.path)
         _, _, _, kind, *rest = parts.path.split("/")
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         name = rest[0] if rest else None
         with self._changed:
             status, body = getattr(self, f"_{handler.command.lower()}")(kind, name, query, handler.body)
-        self.reply(handler, status, json.dumps(body).encode(), [("Content-Type", "application/json")])
+        heads = [("Content-Type", "application/json")]
+        if self.era:
+            heads.append(("Store-Era", str(era)))
+        self.reply(handler, status, json.dumps(body).encode(), heads)
 
     def _get(self, kind, name, query, body):
         if name is not None:
@@ -130,7 +172,10 @@
 
     def _watch(self, kind, revision, wait_s):
         until = time.monotonic() + wait_s
+        era = self.era
         while True:
+            if self.era != era or revision > self._revision:
+                return 410, {"error": "gone"}
             events = [event for at, of, event in self._log if of == kind and at > revision]
             left_s = until - time.monotonic()
             if events or left_s <= 0 or self.down:
