--- /dev/null
+++ b/tests/test_store_epoch.py
@@ -0,0 +1,368 @@
+"""The epoch of the platform's store: versions, what it proves, and what engines' entries are worth after a return."""
+
+import asyncio
+import json
+import random
+import threading
+import unittest
+from http.server import BaseHTTPRequestHandler, HTTPServer
+
+from tests.utils.paused_clock import on_paused_clock
+from wagtailtrestle.configuration import sources
+from wagtailtrestle.configuration.earlier_word import BELIEVED_S, EarlierWord
+from wagtailtrestle.configuration.engine_list import EngineList
+from wagtailtrestle.configuration.sources import PlatformSource
+from wagtailtrestle.configuration.store_epoch import RESTORED_S, StoreEpoch, epoch_of, revision_of, version_in
+from wagtailtrestle.contracts.declaration import DeclaredEngine
+from wagtailtrestle.contracts.outcomes import StoreConflict, StoreDone, StoreHistoryGone, StoreUnavailable, StoreUnknown
+from wagtailtrestle.platform.declarations import PlatformDeclarations
+from wagtailtrestle.platform.store import PlatformStore
+
+GRACE_S = 2.0
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+def engine(name, *, leaving=False, start_ms=0):
+    return DeclaredEngine(
+        name=name,
+        service="booking",
+        cell="booking",
+        zone="a",
+        hardware="h",
+        address="10.0.0.1:80",
+        slots=4,
+        step_ms=1.0,
+        prefill_tokens_per_s=1000.0,
+        leaving=leaving,
+        start_ms=start_ms,
+    )
+
+
+class VersionTest(unittest.TestCase):
+    def test_version_of_a_later_epoch_is_greater_whatever_its_revision(self):
+        self.assertGreater(version_in(2, 3), version_in(1, 900))
+        self.assertEqual((epoch_of(version_in(7, 12)), revision_of(version_in(7, 12))), (7, 12))
+        self.assertEqual(version_in(0, 12), 12)
+
+
+class StoreEpochTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.epoch = StoreEpoch(clock=self.clock)
+        self.returns = []
+        self.epoch.on_return(lambda: self.returns.append(self.epoch.number))
+
+    def test_store_that_tells_none_is_whole(self):
+        self.assertTrue(self.epoch.is_settled)
+
+    def test_first_epoch_is_no_return_and_not_settled(self):
+        self.assertTrue(self.epoch.observe(4))
+        self.assertEqual(self.returns, [])
+        self.assertFalse(self.epoch.is_settled)
+        self.clock.now += RESTORED_S
+        self.assertTrue(self.epoch.is_settled)
+
+    def test_peer_that_has_known_it_for_long_settles_it(self):
+        self.epoch.observe(4)
+        self.epoch.hear(4, 30.0)
+        self.assertTrue(self.epoch.is_settled)
+
+    def test_routers_that_know_different_epochs_agree_on_the_higher(self):
+        self.epoch.observe(4)
+        self.epoch.hear(5, 0.5)
+        self.epoch.hear(4, 30.0)
+        self.assertEqual((self.epoch.number, self.returns), (5, [5]))
+        self.assertFalse(self.epoch.is_settled)
+
+    def test_answer_of_a_former_epoch_is_told_apart(self):
+        self.epoch.observe(5)
+        self.assertFalse(self.epoch.observe(4))
+        self.assertEqual(self.epoch.number, 5)
+
+
+class EarlierWordTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.earlier = EarlierWord(clock=self.clock)
+
+    def corrected(self, *listed):
+        return self.earlier.corrected({engine.name: engine for engine in listed})
+
+    def test_before_a_return_the_list_is_taken_as_it_is(self):
+        self.earlier.note_gone(["i-1"])
+        self.assertEqual(set(self.corrected(engine("i-1"))), {"i-1"})
+
+    def test_engine_that_had_left_stays_gone(self):
+        self.earlier.note_gone(["i-1"])
+        self.earlier.begin({"i-2": engine("i-2")})
+        self.assertEqual(set(self.corrected(engine("i-1"), engine("i-2"))), {"i-2"})
+
+    def test_engine_that_drained_drains_on(self):
+        self.earlier.begin({"i-1": engine("i-1", leaving=True)})
+        self.assertTrue(self.corrected(engine("i-1"))["i-1"].leaving)
+
+    def test_engine_that_began_to_drain_while_the_store_was_away_drains(self):
+        self.earlier.begin({"i-1": engine("i-1")})
+        self.assertTrue(self.corrected(engine("i-1", leaving=True))["i-1"].leaving)
+
+    def test_engine_that_started_again_since_the_copy_is_not_known_by_its_former_start(self):
+        self.earlier.begin({"i-1": engine("i-1", start_ms=2000)})
+        self.assertEqual(self.corrected(engine("i-1", start_ms=1000))["i-1"].start_ms, 2000)
+
+    def test_entry_written_since_the_return_counts(self):
+        self.earlier.note_gone(["i-1"])
+        self.earlier.begin({})
+        self.earlier.note_written(["i-1"])
+        self.assertEqual(set(self.corrected(engine("i-1"))), {"i-1"})
+
+    def test_after_a_while_the_list_counts_alone(self):
+        self.earlier.begin({"i-1": engine("i-1", leaving=True)})
+        self.clock.now += BELIEVED_S
+        self.assertFalse(self.corrected(engine("i-1"))["i-1"].leaving)
+
+    def test_second_return_keeps_what_was_known_before_the_first(self):
+        self.earlier.begin({"i-1": engine("i-1", leaving=True)})
+        self.earlier.begin({})
+        self.assertTrue(self.corrected(engine("i-1"))["i-1"].leaving)
+
+
+class ReturnedStore:
+    """Answers lists and watches of one kind by versions that the test sets.
+
+    Attributes
+    ----------
+    listed : StoreDone
+    is_gone : bool
+        The next watch finds its history gone.
+    """
+
+    def __init__(self, listed):
+        self.listed = listed
+        self.is_gone = False
+        self.lists = 0
+
+    async def list(self, *, kind):
+        self.lists += 1
+        return self.listed
+
+    async def watch(self, *, kind, from_version, timeout_s):
+        for _ in range(int(timeout_s / 0.01)):
+            if self.is_gone:
+                self.is_gone = False
+                return StoreHistoryGone()
+            await asyncio.sleep(0.01)
+        return StoreDone(version=from_version, value=())
+
+
+def done(epoch, revision, **revision_by_name):
+    value = {name: (version_in(epoch, at), {"name": name}) for name, at in revision_by_name.items()}
+    return StoreDone(version=version_in(epoch, revision), value=value)
+
+
+class ReturnedListTest(unittest.TestCase):
+    async def follow(self, store):
+        self.list = EngineList(
+            store=store,
+            kind="engines",
+            read_entry=lambda name, value: engine(name),
+            on_change=lambda by_name: None,
+            clock=asyncio.get_running_loop().time,
+            return_grace_s=GRACE_S,
+        )
+        self.list.start()
+        await asyncio.sleep(0.1)
+
+    @on_paused_clock
+    async def test_engine_that_the_copy_lacks_is_used_until_it_could_have_written_again(self):
+        # Callers are served by an engine that started since the copy. It is missing from the first list after the
+        # return, writes its entry within two seconds, or is taken for gone after them.
+        store = ReturnedStore(done(1, 90, old=10, new=80))
+        await self.follow(store)
+        store.listed, store.is_gone = done(2, 40, old=10), True
+        await asyncio.sleep(GRACE_S / 2)
+        self.assertEqual(set(self.list.by_name), {"old", "new"})
+        await asyncio.sleep(GRACE_S)
+        self.assertEqual(set(self.list.by_name), {"old"})
+        await self.list.close()
+
+    @on_paused_clock
+    async def test_lists_of_the_new_epoch_are_taken_though_their_revisions_are_lower(self):
+        store = ReturnedStore(done(1, 90, old=10))
+        await self.follow(store)
+        store.listed, store.is_gone = done(2, 40, old=10, fresh=40), True
+        await asyncio.sleep(0.1)
+        self.assertEqual(set(self.list.by_name), {"old", "fresh"})
+        await self.list.close()
+
+
+class ProofTest(unittest.TestCase):
+    """What a read of the configuration proves about keys."""
+
+    def source(self, store, epoch):
+        return PlatformSource(
+            store=store,
+            offer=lambda *offered: None,
+            poll_interval_s=1.0,
+            watch_timeout_s=1.0,
+            jitter=random.Random(1),
+            place=PlatformDeclarations(),
+            epoch=epoch,
+        )
+
+    def setUp(self):
+        self.clock = Clock()
+        self.addCleanup(setattr, sources, "boot_time_s", sources.boot_time_s)
+        sources.boot_time_s = self.clock
+        self.epoch = StoreEpoch(clock=self.clock)
+        self.store = ReadStore()
+
+    def read(self, source, *, epoch, revision, generation=1):
+        self.epoch.observe(epoch)
+        self.store.outcome = StoreDone(version=version_in(epoch, revision), value={"version": generation})
+        asyncio.run(source._read(sources.Source.POLL))
+
+    def test_router_that_starts_after_a_return_proves_nothing_by_the_copy(self):
+        # A key that was taken away is in the copy. Until the operator could have written again, a read of it shows
+        # what was, and the router refuses rather than guesses.
+        source = self.source(self.store, self.epoch)
+        self.read(source, epoch=2, revision=5)
+        self.assertIsNone(source.confirmed_at)
+        self.clock.now += RESTORED_S
+        self.assertIsNone(source.confirmed_at)
+        self.read(source, epoch=2, revision=5)
+        self.assertEqual(source.confirmed_at, self.clock.now)
+
+    def test_what_the_operator_writes_after_the_return_proves_itself(self):
+        source = self.source(self.store, self.epoch)
+        self.read(source, epoch=2, revision=5)
+        self.read(source, epoch=2, revision=9, generation=2)
+        self.assertEqual(source.confirmed_at, self.clock.now)
+
+    def test_router_that_stayed_goes_on(self):
+        # It was proved a second before, so it knows at least what the copy lacks: no caller is refused for the return.
+        source = self.source(self.store, self.epoch)
+        self.read(source, epoch=1, revision=50)
+        self.epoch.settle()
+        self.assertIsNotNone(source.confirmed_at)
+        self.clock.now += 1.0
+        self.read(source, epoch=2, revision=5)
+        self.assertEqual(source.confirmed_at, self.clock.now)
+
+    def test_router_that_was_cut_off_for_long_before_the_return_does_not(self):
+        source = self.source(self.store, self.epoch)
+        self.read(source, epoch=1, revision=50)
+        self.epoch.settle()
+        proved_at = source.confirmed_at
+        self.clock.now += sources.CARRIED_S + 1.0
+        self.read(source, epoch=2, revision=5)
+        self.assertEqual(source.confirmed_at, proved_at)
+
+
+class ReadStore:
+    outcome = None
+
+    async def get(self, *, kind, name, unless_version=None):
+        return self.outcome
+
+
+class EraServer(HTTPServer):
+    """Answers each call with the next era and body of a script."""
+
+    def __init__(self):
+        self.script = []
+        self.paths = []
+        outer = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def answer(self):
+                outer.paths.append(self.path)
+                length = int(self.headers.get("Content-Length") or 0)
+                self.rfile.read(length)
+                era, status, body = outer.script.pop(0)
+                data = json.dumps(body).encode()
+                self.send_response(status)
+                self.send_header("Store-Era", era)
+                self.send_header("Content-Length", str(len(data)))
+                self.end_headers()
+                self.wfile.write(data)
+
+            do_GET = do_PUT = do_POST = answer
+
+            def log_message(self, *args):
+                return None
+
+        super().__init__(("127.0.0.1", 0), Handler)
+        threading.Thread(target=self.serve_forever, kwargs={"poll_interval": 0.01}, daemon=True).start()
+
+
+def stored(revision):
+    return {"metadata": {"name": "main", "revision": revision}, "specification": {}}
+
+
+class PlatformStoreEraTest(unittest.TestCase):
+    def setUp(self):
+        self.server = EraServer()
+        self.addCleanup(self.server.server_close)
+        self.addCleanup(self.server.shutdown)
+        self.epoch = StoreEpoch()
+        self.store = PlatformStore(url=f"http://127.0.0.1:{self.server.server_port}", epoch=self.epoch)
+        self.store.start()
+        self.addCleanup(self.store.close)
+
+    def call(self, step):
+        return asyncio.run(step)
+
+    def test_same_revision_of_two_epochs_is_two_versions(self):
+        # A configuration written after the return bears the revision of the one that is known. Taken for the same
+        # content, it was never put in force.
+        self.server.script = [("1", 200, stored(5)), ("2", 200, stored(5))]
+        first = self.call(self.store.get(kind="config", name="main"))
+        second = self.call(self.store.get(kind="config", name="main", unless_version=first.version))
+        self.assertNotEqual(first.version, second.version)
+        self.assertIsNotNone(second.value)
+
+    def test_refused_call_tells_the_epoch_too(self):
+        self.server.script = [("3", 503, {})]
+        self.assertIsInstance(self.call(self.store.get(kind="config", name="main")), StoreUnavailable)
+        self.assertEqual(self.epoch.number, 3)
+
+    def test_watch_from_a_former_epoch_is_not_sent(self):
+        # Its revision may have been given out again: the watch would go on from another change.
+        self.epoch.observe(2)
+        outcome = self.call(self.store.watch(kind="servers", from_version=version_in(1, 7), timeout_s=0.1))
+        self.assertIsInstance(outcome, StoreHistoryGone)
+        self.assertEqual(self.server.paths, [])
+
+    def test_watch_over_a_return_tells_nothing(self):
+        self.epoch.observe(1)
+        self.server.script = [("2", 200, {"events": [], "store_revision": 9})]
+        outcome = self.call(self.store.watch(kind="servers", from_version=version_in(1, 7), timeout_s=0.1))
+        self.assertIsInstance(outcome, StoreHistoryGone)
+
+    def test_write_under_a_version_of_a_former_epoch_is_not_sent(self):
+        self.epoch.observe(2)
+        update = self.store.update(kind="config", name="main", value={}, if_version=version_in(1, 7))
+        self.assertIsInstance(self.call(update), StoreConflict)
+        self.assertEqual(self.server.paths, [])
+
+    def test_late_answer_of_a_former_epoch_is_none(self):
+        # The era is seen to fall: a write was acknowledged before the return, and may be lost; a read may have
+        # changed since.
+        self.epoch.observe(2)
+        self.server.script = [("1", 200, stored(7)), ("1", 200, stored(7))]
+        write = self.store.update(kind="config", name="main", value={}, if_version=version_in(2, 7))
+        self.assertIsInstance(self.call(write), StoreUnknown)
+        self.assertIsInstance(self.call(self.store.get(kind="config", name="main")), StoreUnavailable)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -4,7 +4,9 @@
 import unittest
 
 from tests.utils.platform_world import KEY, Engine, World, configuration, wait_until
+from wagtailtrestle.configuration.epoch_note import NOTE_NAME
 
+NOTE_KIND = "wagtailtrestle-epochs"
 OTHER_KEY = "example-key-of-another"
 SEEN_S = 1.5
 """By then all routers have heard of a change: engines are watched for less than a second."""
@@ -14,9 +16,12 @@
 
 class StoreRestoredTest(unittest.TestCase):
     def start(self, *, routers=3):
-        world = World(routers=routers, key_revocation_ms=int(REVOKED_S * 1000)).start()
+        world = World(routers=routers, key_revocation_ms=int(REVOKED_S * 1000))
+        world.store.era = 1
+        # The fleet has known this epoch for long.
+        world.store.put(NOTE_KIND, NOTE_NAME, {"epoch": 1})
         self.addCleanup(world.close)
-        return world
+        return world.start()
 
     def ask_all(self, world, *, count=ASKS, name="r", key=KEY):
         """Ask in turn through all routers; the answers' statuses."""
@@ -156,6 +161,43 @@
         wait_until(lambda: set(self.ask_all(world, count=6)) == {200}, "all serve after the operator wrote again")
         self.assertEqual(set(self.ask_all(world, count=9, key=OTHER_KEY)), {401})
 
+    def test_all_that_start_in_the_gap_refuse_rather_than_guess(self):
+        # A key is taken away, then all routers are killed and the store comes back from a copy that holds it. Nobody
+        # is left who knows better: callers are told 503, not run, until the operator has written again.
+        world = self.start()
+        world.store.put("config", "main", configuration(2, keys=(KEY, OTHER_KEY)))
+        time.sleep(SEEN_S)
+        copy = world.store.copy()
+        self.age(world)
+        world.store.put("config", "main", configuration(3))
+        time.sleep(SEEN_S)
+        for router in world.routers:
+            router.kill()
+        world.store.drill(copy)
+        for router in world.routers:
+            router.start()
+        for router in world.routers:
+            router.wait_ready()
+        self.assertEqual(set(self.ask_all(world, count=15, key=OTHER_KEY)), {503})
+        world.store.put("config", "main", configuration(3))
+        wait_until(lambda: set(self.ask_all(world, count=6)) == {200}, "all serve after the operator wrote again")
+        self.assertEqual(set(self.ask_all(world, count=9, key=OTHER_KEY)), {401})
+
+    def test_all_that_start_later_serve_at_once(self):
+        # All routers are killed and start again, long after the store came back: its note tells them so, and no
+        # caller is refused for it.
+        world = self.start()
+        world.store.drill(world.store.copy())
+        wait_until(lambda: world.store.objects(NOTE_KIND)[NOTE_NAME] == {"epoch": 2}, "the epoch is noted")
+        for router in world.routers:
+            router.kill()
+        for router in world.routers:
+            router.start()
+        for router in world.routers:
+            router.wait_ready()
+        time.sleep(0.3)
+        self.assertEqual(set(self.ask_all(world, count=9)), {200})
+
     def test_announcements_that_the_copy_lacks_are_back_within_a_second(self):
         # A router that starts finds the others by their entries. Those of routers that started since the copy are
         # gone with it; nobody writes them again but the routers themselves.
@@ -169,7 +211,7 @@
         self.assertEqual(len(world.store.objects(kind)), 3)
 
     def test_second_drill(self):
-        # Two drills in a row, the second from a copy that the first one left: nothing of the first is mistaken for news.
+        # Two drills in a row, the second from a copy that the first one left: nothing of the first counts as news.
         world = self.start()
         copy = world.store.copy()
         self.age(world)
--- a/tests/utils/platform_world.py
+++ b/tests/utils/platform_world.py
@@ -87,7 +87,7 @@
 
     def __init__(self):
         self.down = False
-        self.era = 1
+        self.era = 0
         self.calls = 0
         self._objects = {}
         self._log = []
--- a/wagtailtrestle/adapters.py
+++ b/wagtailtrestle/adapters.py
@@ -27,6 +27,8 @@
         reads are never stale.
     engine_kind : str or None
         Kind of the objects by which engines list themselves; ``None`` where they are declared.
+    epoch_kind : str or None
+        Kind of the fleet's note of the store's epoch; ``None`` where the store tells none.
     """
 
     place: object
@@ -34,10 +36,11 @@
     ended_call: object
     router_kind: str | None
     engine_kind: str | None
+    epoch_kind: str | None
     shares_confirmations: bool
 
-    def open_store(self, url: str):
-        """Return an ``ObjectStore`` that is not started yet."""
+    def open_store(self, url: str, epoch):
+        """Return an ``ObjectStore`` that is not started yet; it tells ``epoch`` what its answers bear."""
 
     def parse(self, text: str):
         """Return a ``Declaration``, or an object whose ``faults`` say why it can't be read."""
@@ -57,10 +60,11 @@
     ended_call = CANCELLABLE
     router_kind = None
     engine_kind = None
+    epoch_kind = None
     shares_confirmations = False
 
-    def open_store(self, url):
-        """Return the client of the product's own object API."""
+    def open_store(self, url, epoch):
+        """Return the client of the product's own object API, which bears no epoch."""
         return HttpObjectStore(url=url)
 
     def parse(self, text):
--- a/wagtailtrestle/configuration/configuration.py
+++ b/wagtailtrestle/configuration/configuration.py
@@ -75,6 +75,8 @@
         Who reads the platform for others; without it every router watches and polls it.
     ask_confirmation : callable, optional
         Asks one of them how lately the platform confirmed its declaration.
+    epoch : StoreEpoch, optional
+        Of the platform's store.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         place=None,
         readers=None,
         ask_confirmation=None,
+        epoch=None,
     ):
         self.in_force = None
         self._parse = parse
@@ -113,6 +116,7 @@
             generation=lambda: self.generation,
             heard=self.heard,
             is_settled=self._is_settled,
+            epoch=epoch,
         )
         self._peers = PeerSource(
             ask_peers=ask_peers,
--- a/wagtailtrestle/configuration/engine_list.py
+++ b/wagtailtrestle/configuration/engine_list.py
@@ -10,8 +10,10 @@
 
 from loguru import logger
 
+from wagtailtrestle.configuration.earlier_word import EarlierWord
 from wagtailtrestle.configuration.engine_relay import EngineNews
-from wagtailtrestle.contracts.outcomes import StoreDone
+from wagtailtrestle.configuration.store_epoch import epoch_of
+from wagtailtrestle.contracts.outcomes import StoreDone, StoreHistoryGone
 
 WATCH_S = 2.0
 """Longest wait of one watch: a connection gone silent is found so much later, and a little more. With the
@@ -73,7 +75,9 @@
         self._clock = clock
         self._return_grace_s = return_grace_s
         self._jitter = jitter or random.Random()
+        self._earlier = EarlierWord(clock=clock)
         self._version = 0
+        self._first_version = 0
         self._listed_at = None
         self._answered_at = None
         self._kept_until = None
@@ -137,20 +141,15 @@
 
     async def _ask_store(self):
         """List or watch once; ``None`` if the store didn't answer."""
-        began_at = self._clock()
         if self._is_list_due():
-            outcome = await self._store.list(kind=self._kind)
-            if not isinstance(outcome, StoreDone):
-                return None
-            self._listed_at = self._clock()
-            value_by_name = {name: value for name, (_, value) in outcome.value.items()}
-            # What a list tells held when it was asked for; held up on its way, it is no younger for that.
-            age_s = self._listed_at - began_at
-            return EngineNews(version=outcome.version, value_by_name=value_by_name, is_whole=True, age_s=age_s)
+            return await self._read_whole()
+        began_at = self._clock()
         watch_s = self._watch_s()
         outcome = await self._store.watch(kind=self._kind, from_version=self._version, timeout_s=watch_s)
+        if isinstance(outcome, StoreHistoryGone):
+            return await self._read_whole()
         if not isinstance(outcome, StoreDone):
-            # Silence, a refusal or a lost history: only a whole read tells what was missed.
+            # Silence or a refusal: only a whole read tells what was missed.
             self._listed_at = None
             return None
         value_by_name = {name: value for name, _, value in outcome.value}
@@ -158,6 +157,28 @@
         age_s = 0.0 if value_by_name else max(0.0, self._clock() - began_at - watch_s)
         return EngineNews(version=outcome.version, value_by_name=value_by_name, is_whole=False, age_s=age_s)
 
+    async def _read_whole(self):
+        began_at = self._clock()
+        self._listed_at = None
+        outcome = await self._store.list(kind=self._kind)
+        if not isinstance(outcome, StoreDone):
+            return None
+        self._listed_at = self._clock()
+        return EngineNews(
+            version=outcome.version,
+            value_by_name={name: value for name, (_, value) in outcome.value.items()},
+            is_whole=True,
+            # What a list tells held when it was asked for; held up on its way, it is no younger for that.
+            age_s=self._listed_at - began_at,
+            written_names=self._written_since_return(outcome),
+        )
+
+    def _written_since_return(self, outcome):
+        """Of a whole list, the entries that are certainly later than the copy from which the store came back."""
+        if epoch_of(outcome.version) != epoch_of(self._first_version):
+            return frozenset()
+        return frozenset(name for name, (version, _) in outcome.value.items() if version > self._first_version)
+
     def _is_list_due(self):
         now = self._clock()
         if self._listed_at is None or now - self._listed_at > RELIST_S:
@@ -180,11 +201,15 @@
     def _take(self, news):
         if news.is_whole and news.version < self._version:
             return  # An older whole than what is known here.
+        if epoch_of(news.version) != epoch_of(self._version):
+            self._begin_epoch(news)
         self._version = max(self._version, news.version)
         gone = {name for name, value in news.value_by_name.items() if value is None}
         read = {name: self._read_entry(name, value) for name, value in news.value_by_name.items() if value is not None}
         listed = {name: engine for name, engine in read.items() if engine is not None}
         unfit = read.keys() - listed.keys()
+        self._earlier.note_written(news.written_names if news.is_whole else listed.keys())
+        listed = self._earlier.corrected(listed)
         by_name = self._from_whole(listed) if news.is_whole else self._from_changes(listed, gone)
         # Whatever wrote over an engine's entry, the engine does not vouch for it any more. Its next
         # word of itself brings it back.
@@ -192,6 +217,16 @@
         self.is_known = True
         self._put(by_name, news)
 
+    def _begin_epoch(self, news):
+        """The store came back from a copy: engines that started since need a moment to list themselves again."""
+        self._first_version = news.version
+        if not self.is_known:
+            return
+        self._earlier.begin(self.by_name)
+        if not news.is_relayed:
+            # Who reads the store waits for them; to the others it tells what it keeps.
+            self._kept_until = self._clock() + self._return_grace_s
+
     def _from_whole(self, listed):
         """The engines after a whole list; those that expired in an outage are kept for a while."""
         if self._kept_until is not None and self._clock() < self._kept_until:
@@ -208,6 +243,7 @@
         return by_name
 
     def _put(self, by_name, news):
+        self._earlier.note_gone(self.by_name.keys() - by_name.keys())
         known, facts = _facts(self.by_name), _facts(by_name)
         changed = {name for name in known.keys() | facts.keys() if known.get(name) != facts.get(name)}
         if self._relay is not None:
--- a/wagtailtrestle/configuration/engine_relay.py
+++ b/wagtailtrestle/configuration/engine_relay.py
@@ -15,6 +15,7 @@
 from loguru import logger
 
 from wagtailtrestle.configuration.boot_clock import boot_time_s
+from wagtailtrestle.configuration.store_epoch import epoch_of
 from wagtailtrestle.contracts.peer_messages import EngineEntry, EnginesAnswer, EnginesAsk
 
 DEFAULT_KNOWN_WITHIN_S = 2.0
@@ -44,12 +45,18 @@
         Whether these are all entries instead of those that changed.
     age_s : float
         Time since the store itself showed this.
+    written_names : frozenset of str
+        Of a whole list, the engines whose entries were certainly written in the store's present epoch.
+    is_relayed : bool
+        Whether another router told it.
     """
 
-    __slots__ = ("version", "value_by_name", "is_whole", "age_s")
+    __slots__ = ("version", "value_by_name", "is_whole", "age_s", "written_names", "is_relayed")
 
-    def __init__(self, *, version, value_by_name, is_whole, age_s=0.0):
+    def __init__(self, *, version, value_by_name, is_whole, age_s=0.0, written_names=frozenset(), is_relayed=False):
+        self.is_relayed = is_relayed
         self.age_s = age_s
+        self.written_names = written_names
         self.version = version
         self.value_by_name = value_by_name
         self.is_whole = is_whole
@@ -154,7 +161,7 @@
         answer = await self._peers.ask(reader, EnginesAsk(version=version, wait_s=wait_s), wait_s + ANSWER_WITHIN_S)
         # All of the way counts as age: an answer held up on a link looks as fresh as when it left.
         way_s = max(0.0, self._clock() - asked_at - getattr(answer, "waited_s", 0.0))
-        problem = self._problem(answer, way_s)
+        problem = self._problem(answer, way_s, version)
         if problem is not None:
             # The reader may be cut off from the store, frozen or gone. Asked again it may fail again,
             # while an engine that leaves goes on getting work; another one, or the store, tells at once.
@@ -167,6 +174,7 @@
             value_by_name={entry.name: json.loads(entry.value) if entry.value else None for entry in answer.entries},
             is_whole=answer.is_whole,
             age_s=answer.age_s + way_s,
+            is_relayed=True,
         )
 
     # What this router tells.
@@ -188,12 +196,21 @@
             self._history_from = version
             self._proved_at = -math.inf
         self._proved_at = max(self._proved_at, self._clock() - age_s)
+        if epoch_of(version) > epoch_of(self._version):
+            # Who asks by a version of the former epoch may know changes that the store has lost and that never came
+            # here: such an asker gets the whole list.
+            self._history.clear()
+            self._history_from = version
+            self._wake_askers()
         self._version = max(self._version, version)
         for name, value in changed.items():
             self._note_change(name, value)
         if changed:
-            self._changed.set()
-            self._changed = asyncio.Event()
+            self._wake_askers()
+
+    def _wake_askers(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
 
     def _note_change(self, name, value):
         text = "" if value is None else json.dumps(value)
@@ -236,12 +253,14 @@
             return self._all_entries()
         return [entry for changed_at, entry in self._history if changed_at > version]
 
-    def _problem(self, answer, way_s):
+    def _problem(self, answer, way_s, version):
         """Why an answer can't be believed, or ``None``."""
         if not isinstance(answer, EnginesAnswer):
             return getattr(answer, "detail", "no answer")
         if answer.age_s < 0.0:
             return "it has no list yet"
+        if epoch_of(answer.version) < epoch_of(version):
+            return "its list is from before the store came back from a copy"
         if answer.age_s + way_s > self.limits.most_age_s:
             return f"its list was proved {answer.age_s + way_s:.1f} s ago"
         return None
--- a/wagtailtrestle/configuration/sources.py
+++ b/wagtailtrestle/configuration/sources.py
@@ -7,6 +7,7 @@
 
 from wagtailtrestle.configuration.applying import DECLARATION_KIND, DECLARATION_NAME, NO_GENERATION, accepted_from_value
 from wagtailtrestle.configuration.boot_clock import boot_time_s
+from wagtailtrestle.configuration.store_epoch import StoreEpoch, epoch_of
 from wagtailtrestle.contracts.outcomes import StoreAbsent, StoreConflict, StoreDone, StoreHistoryGone
 from wagtailtrestle.record import record
 
@@ -36,6 +37,8 @@
 """A peer's word counts if the platform confirmed its configuration so lately: a reader's interval, and a read
 that had to be repeated on a new connection. With the asker's own interval a proof is at most 3.5 s old while one
 reader answers; operators grant a revoked key five."""
+CARRIED_S = 5.0
+"""Age up to which a proof holds over a return of the store from a copy."""
 # No object is ever at this version, so an update that asks for it never takes effect.
 NEVER_A_VERSION = 0
 
@@ -102,12 +105,17 @@
         ``heard(generation, peer)`` notes a generation that a peer told.
     is_settled : callable, optional
         ``is_settled(generation)`` tells whether a generation that was read is in force, or can't be.
+    epoch : StoreEpoch, optional
+        While it is not settled, a read of the store proves nothing.
     """
 
     __slots__ = (
         "known_version",
         "last_read",
         "_confirmed_at",
+        "_epoch",
+        "_proving_epoch",
+        "_first_version",
         "_unsettled",
         "_newest_taken",
         "_is_settled",
@@ -138,8 +146,13 @@
         generation=None,
         heard=None,
         is_settled=lambda generation: True,
+        epoch=None,
     ):
         self._is_settled = is_settled
+        self._epoch = epoch or StoreEpoch()
+        self._proving_epoch = 0
+        self._first_version = NEVER_A_VERSION
+        self._epoch.on_return(self._carry)
         self._readers = readers
         self._ask_confirmation = ask_confirmation
         self._generation = generation
@@ -164,11 +177,26 @@
         A declaration that was read and is still being checked takes keys away that the one in force holds. Were its
         read a proof already, this router would vouch for such a key, to itself and to all that ask it.
         """
-        if self._unsettled is not None and self._is_settled(self._unsettled[0]):
-            self._confirm(self._unsettled[1])
+        unsettled = self._unsettled
+        if unsettled is not None and self._is_proof(*unsettled):
+            self._confirm(unsettled[1])
             self._unsettled = None
         return self._confirmed_at
 
+    def _is_proof(self, generation, read_at):
+        """Whether a read that began at ``read_at`` and showed ``generation`` proves what is in force here."""
+        # A store that came back from a copy may have lost the newest configuration, which the operator writes again
+        # some seconds later. A router that starts meanwhile can't tell: taken for the newest, what the copy holds
+        # would prove a key that was taken away.
+        is_whole = read_at >= self._epoch.settled_at or self._proving_epoch == self._epoch.number
+        return is_whole and self._is_settled(generation)
+
+    def _carry(self):
+        """The store came back: who was proved up to date just before knows at least what the copy lacks."""
+        confirmed_at = self.confirmed_at
+        if confirmed_at is not None and boot_time_s() - confirmed_at <= CARRIED_S:
+            self._proving_epoch = self._epoch.number
+
     def _confirm(self, at):
         self._confirmed_at = at if self._confirmed_at is None else max(self._confirmed_at, at)
 
@@ -193,6 +221,7 @@
                 continue
             retry_s = WATCH_RETRY_S
             self._watched_version = max(self._watched_version, outcome.version)
+            self._note_epoch(outcome.version)
             for name, version, value in outcome.value:
                 if name == self._place.name and value is not None:
                     self._take(version, value, Source.WATCH)
@@ -233,7 +262,7 @@
         """Whether the word of a router that reads the platform spares a read of one's own."""
         if self._readers is None:
             return False
-        for reader in self._readers.to_ask():
+        for reader in self._readers.to_ask() or self._readers_that_stayed():
             # Counted from before the question: an answer that was long on its way is no fresher for it.
             asked_at = boot_time_s()
             confirmation = await self._ask_confirmation(reader)
@@ -248,6 +277,11 @@
                 return True
         return False
 
+    def _readers_that_stayed(self):
+        """Other readers, for one that reads the store itself and can't tell yet whether it is whole."""
+        is_whole = self._epoch.is_settled or self._proving_epoch == self._epoch.number
+        return () if is_whole else self._readers.others()
+
     async def _until_in_force(self, generation):
         """Wait until a generation that a peer told is in force here, or for as long as fetching it mostly takes.
 
@@ -267,19 +301,29 @@
         if not isinstance(outcome, StoreDone):
             return None
         self.last_read = asyncio.get_running_loop().time()
+        self._note_epoch(outcome.version)
         if outcome.value is not None:
             self._take(outcome.version, outcome.value, source)
-        if self._is_settled(self._newest_taken):
+        if self._is_proof(self._newest_taken, began_at):
             self._confirm(began_at)
         else:
             self._unsettled = (self._newest_taken, began_at)
         return outcome.version
 
+    def _note_epoch(self, version):
+        """Note the version that the store's first answer in an epoch bears; what is later was written in it."""
+        if epoch_of(version) != epoch_of(self._first_version):
+            self._first_version = version
+
     def _take(self, version, value, source):
         accepted = self._place.accepted(version=version, value=value)
         if accepted is None:
             logger.error("the object {}/{} is not a declaration", self._place.kind, self._place.name)
             return
+        if version > self._first_version:
+            # Written in this epoch, so that nothing that the copy lacks is newer. Reads before it are no proof of it.
+            self._proving_epoch = epoch_of(version)
+            self._unsettled = None
         # Only upwards: a stale read must not make the watch tell everything again.
         self.known_version = max(self.known_version, version)
         self._newest_taken = max(self._newest_taken, accepted.generation)
--- a/wagtailtrestle/configuration/store_readers.py
+++ b/wagtailtrestle/configuration/store_readers.py
@@ -69,6 +69,10 @@
         ranked = self._own_ranking.ranked(key=self._name, members=tuple(sorted(names)))
         return ranked[:MOST_ASKED]
 
+    def others(self):
+        """The readers but for this router."""
+        return tuple(name for name in self.names() if name != self._name)
+
     def pause(self, name):
         """Pass over a reader that failed."""
         now = self._clock()
--- a/wagtailtrestle/contracts/peer_messages.py
+++ b/wagtailtrestle/contracts/peer_messages.py
@@ -59,6 +59,10 @@
         Generation of the configuration it has in force, 0 for none.
     view_digest : int
         Equal for equal views.
+    store_epoch : int
+        Epoch of the platform's store as the router knows it, 0 for none.
+    store_epoch_known_s : float
+        How long the router, or any that told it, has known this epoch.
     """
 
     incarnation: int
@@ -66,6 +70,8 @@
     generation: int
     draining: bool
     view_digest: int
+    store_epoch: int = 0
+    store_epoch_known_s: float = 0.0
 
 
 @record
--- a/wagtailtrestle/membership/announcement.py
+++ b/wagtailtrestle/membership/announcement.py
@@ -9,6 +9,9 @@
 
 RETRY_S = 0.3
 MOST_RETRY_S = 2.0
+SPREAD_S = 0.6
+"""Time over which routers write their entries again when the store came back from a copy, so that hundreds don't do so
+in the same moment."""
 WITHDRAW_TIMEOUT_S = 1.0
 """Longest time that a leaving router spends on its entry: the others see it go by their heartbeats."""
 
@@ -22,11 +25,16 @@
     kind, name : str
     value : dict
     jitter : random.Random, optional
+    epoch : StoreEpoch, optional
+        The entry is written again when the store came back from a copy, which may lack it.
     """
 
-    __slots__ = ("_store", "_kind", "_name", "_value", "_version", "_jitter", "_task")
+    __slots__ = ("_store", "_kind", "_name", "_value", "_version", "_jitter", "_task", "_is_withdrawn")
 
-    def __init__(self, *, store, kind, name, value, jitter=None):
+    def __init__(self, *, store, kind, name, value, jitter=None, epoch=None):
+        self._is_withdrawn = False
+        if epoch is not None:
+            epoch.on_return(self._announce_again)
         self._store = store
         self._kind = kind
         self._name = name
@@ -47,6 +55,7 @@
 
     async def withdraw(self):
         """Delete the entry of a router that leaves."""
+        self._is_withdrawn = True
         await self.close()
         if self._version is None:
             return
@@ -56,7 +65,14 @@
         except TimeoutError:
             logger.warning("the entry of this router stays in the store: no answer in {} s", WITHDRAW_TIMEOUT_S)
 
-    async def _announce(self):
+    def _announce_again(self):
+        if self._task is None or self._is_withdrawn:
+            return
+        self._task.cancel()
+        self._task = asyncio.get_running_loop().create_task(self._announce(after_s=SPREAD_S * self._jitter.random()))
+
+    async def _announce(self, *, after_s=0.0):
+        await asyncio.sleep(after_s)
         retry_s = RETRY_S
         while not await self._write():
             await asyncio.sleep(retry_s * self._jitter.uniform(0.5, 1.0))
--- a/wagtailtrestle/membership/membership.py
+++ b/wagtailtrestle/membership/membership.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from wagtailtrestle.configuration.store_epoch import StoreEpoch
 from wagtailtrestle.contracts.peer_messages import (
     Heartbeat,
     Hello,
@@ -57,6 +58,8 @@
     heartbeat_s : float
         Time between heartbeats to one partner; at least ``RING_HEARTBEAT_S`` beyond a full mesh.
     jitter : random.Random, optional
+    epoch : StoreEpoch, optional
+        Of the platform's store; heartbeats carry it.
 
     Attributes
     ----------
@@ -66,8 +69,21 @@
         this process, until a peer told what happened meanwhile.
     """
 
-    def __init__(self, *, name, zone, incarnation, peers, loop, seeds=None, heartbeat_s=HEARTBEAT_S, jitter=None):
+    def __init__(
+        self,
+        *,
+        name,
+        zone,
+        incarnation,
+        peers,
+        loop,
+        seeds=None,
+        heartbeat_s=HEARTBEAT_S,
+        jitter=None,
+        epoch=None,
+    ):
         self.name = name
+        self._epoch = epoch or StoreEpoch()
         self.zone = zone
         self.generation = 0
         self.trusted = False
@@ -161,6 +177,10 @@
         half a minute around a ring of hundreds.
         """
         self.generation = generation
+        self.tell_at_once()
+
+    def tell_at_once(self):
+        """Send a heartbeat out of turn, for what it carries is news."""
         for peer in self.broadcast_targets():
             self._peers.send(peer, self._heartbeat())
 
@@ -242,6 +262,7 @@
         else:
             self._heard_directly(member)
         self._note_generation(member, heartbeat.generation)
+        self._epoch.hear(heartbeat.store_epoch, heartbeat.store_epoch_known_s)
         self._sync.compare(peer, own=self._digest, other=heartbeat.view_digest)
 
     def _heard_directly(self, member):
@@ -389,6 +410,8 @@
             generation=self.generation,
             draining=own.draining,
             view_digest=self._digest,
+            store_epoch=self._epoch.number,
+            store_epoch_known_s=self._epoch.known_s,
         )
 
     def _replace_silent(self):
--- a/wagtailtrestle/membership/vm_list.py
+++ b/wagtailtrestle/membership/vm_list.py
@@ -115,6 +115,10 @@
             "interval_s": self._interval_s,
         }
 
+    def read_soon(self):
+        """Read at the shorter interval again: the list may have changed without anybody telling."""
+        self._same_reads = 0
+
     async def _poll(self):
         while True:
             await self._read()
--- a/wagtailtrestle/platform/adapter.py
+++ b/wagtailtrestle/platform/adapter.py
@@ -4,7 +4,7 @@
 from wagtailtrestle.platform.declarations import PlatformDeclarations
 from wagtailtrestle.platform.engine_entries import read_engine
 from wagtailtrestle.platform.engines import PlatformReports
-from wagtailtrestle.platform.kinds import ENGINE_KIND, ROUTER_KIND
+from wagtailtrestle.platform.kinds import ENGINE_KIND, EPOCH_KIND, ROUTER_KIND
 from wagtailtrestle.platform.store import PlatformStore
 
 
@@ -16,11 +16,12 @@
     ended_call = None
     router_kind = ROUTER_KIND
     engine_kind = ENGINE_KIND
+    epoch_kind = EPOCH_KIND
     shares_confirmations = True
 
-    def open_store(self, url):
+    def open_store(self, url, epoch):
         """Return the client of the users' store."""
-        return PlatformStore(url=url)
+        return PlatformStore(url=url, epoch=epoch)
 
     def parse(self, text):
         """Decode the operator's configuration."""
--- a/wagtailtrestle/platform/headers.py
+++ b/wagtailtrestle/platform/headers.py
@@ -17,6 +17,8 @@
 ENGINE_ID = "Instance-Id"
 NOT_RUN = "Not-Executed"
 """On an engine's answer: it certainly did not run the request."""
+STORE_ERA = "Store-Era"
+"""On the store's answers: rises by one each time the store comes back from a copy."""
 SIGNATURE = "Response-Stamp"
 """The engine's signature of its answer; without it an answer is nobody's."""
 
--- a/wagtailtrestle/platform/store.py
+++ b/wagtailtrestle/platform/store.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from wagtailtrestle.configuration.store_epoch import epoch_of, revision_of, version_in
 from wagtailtrestle.contracts.outcomes import (
     StoreAbsent,
     StoreConflict,
@@ -15,8 +16,9 @@
     StoreUnknown,
 )
 from wagtailtrestle.membership.vm_list import vm_from_json
+from wagtailtrestle.platform.headers import STORE_ERA
 from wagtailtrestle.platform.kinds import ROUTER_KIND
-from wagtailtrestle.store.http_lane import Lane, describe
+from wagtailtrestle.store.http_lane import Answer, Lane, describe
 
 WATCH_THREADS = 3
 CALL_THREADS = 4
@@ -38,17 +40,20 @@
 class PlatformStore:
     """``ObjectStore`` over the users' store.
 
-    An object's version is the store's revision at which it last changed; its value is what the
-    platform calls its specification.
+    An object's version is the store's revision at which it last changed, within the store's epoch; its value
+    is what the platform calls its specification.
 
     Parameters
     ----------
     url : str
         ``http://HOST:PORT``.
+    epoch : StoreEpoch
+        Told of each answer; versions of an earlier one are never sent.
     """
 
-    def __init__(self, *, url):
+    def __init__(self, *, url, epoch):
         self._url = urlsplit(url)
+        self._epoch = epoch
         self._calls = None
         self._watches = None
 
@@ -67,7 +72,7 @@
         answer = await self._call("GET", _path(kind, name))
         match answer.status:
             case HTTPStatus.OK if _is_object(answer.body):
-                version = _version(answer.body)
+                version = self._version(answer.body)
                 value = None if version == unless_version else _value(answer.body)
                 return StoreDone(version=version, value=value)
             case HTTPStatus.NOT_FOUND:
@@ -81,25 +86,35 @@
     async def create(self, *, kind, name, value):
         """Create an object that must not exist yet."""
         body = {"metadata": {"name": name}, "specification": value}
-        return _write_outcome(await self._call("POST", _path(kind), body=body))
+        return self._write_outcome(await self._call("POST", _path(kind), body=body))
 
     async def update(self, *, kind, name, value, if_version):
         """Replace an object that must be at ``if_version``."""
-        body = {"metadata": {"name": name, "revision": if_version}, "specification": value}
-        return _write_outcome(await self._call("PUT", _path(kind, name), body=body))
+        if self._is_of_former_epoch(if_version):
+            return StoreConflict()
+        body = {"metadata": {"name": name, "revision": revision_of(if_version)}, "specification": value}
+        return self._write_outcome(await self._call("PUT", _path(kind, name), body=body))
 
     async def delete(self, *, kind, name, if_version):
         """Delete an object that must be at ``if_version``."""
-        return _write_outcome(await self._call("DELETE", f"{_path(kind, name)}?revision={if_version}"))
+        if self._is_of_former_epoch(if_version):
+            return StoreConflict()
+        path = f"{_path(kind, name)}?revision={revision_of(if_version)}"
+        return self._write_outcome(await self._call("DELETE", path))
 
     async def watch(self, *, kind, from_version, timeout_s):
         """Wait for changes after ``from_version``; a deleted object's value is ``None``."""
-        path = f"{_path(kind)}?watch={from_version}&wait_ms={int(timeout_s * MS_PER_S)}"
-        answer = await self._watches.call(method="GET", path=path, wait_s=timeout_s + WATCH_MARGIN_S)
+        if self._is_of_former_epoch(from_version):
+            return StoreHistoryGone()
+        path = f"{_path(kind)}?watch={revision_of(from_version)}&wait_ms={int(timeout_s * MS_PER_S)}"
+        answer = self._told(await self._watches.call(method="GET", path=path, wait_s=timeout_s + WATCH_MARGIN_S))
+        # The revision may have been given out again while the watch waited; what came before it is then unknown.
+        if self._is_of_former_epoch(from_version):
+            return StoreHistoryGone()
         match answer.status:
             case HTTPStatus.OK if _is_list(answer.body, "events"):
-                events = tuple(_event(event) for event in answer.body["events"] if _is_event(event))
-                return StoreDone(version=answer.body["store_revision"], value=events)
+                events = tuple(self._event(event) for event in answer.body["events"] if _is_event(event))
+                return StoreDone(version=self._store_version(answer.body), value=events)
             case HTTPStatus.GONE:
                 return StoreHistoryGone()
         return StoreUnavailable(detail=describe(answer))
@@ -115,14 +130,18 @@
     async def _list(self, kind, *, is_stale_enough):
         by_name = {}
         after = ""
+        epoch = self._epoch.number
         for _ in range(MOST_PAGES):
             answer = await self._call("GET", _path(kind) + _query(after=after, is_stale_enough=is_stale_enough))
+            if after and epoch != self._epoch.number:
+                return StoreUnavailable(detail="the store came back from a copy between two pages of a list")
+            epoch = self._epoch.number
             if answer.status != HTTPStatus.OK or not _is_list(answer.body, "items"):
                 return StoreUnavailable(detail=describe(answer))
             items = [item for item in answer.body["items"] if _is_object(item)]
-            by_name.update((_name(item), (_version(item), _value(item))) for item in items)
+            by_name.update((_name(item), (self._version(item), _value(item))) for item in items)
             if not answer.body.get("has_more") or not items:
-                return StoreDone(version=answer.body["store_revision"], value=by_name)
+                return StoreDone(version=self._store_version(answer.body), value=by_name)
             # Named a revision on the wire, but it takes the name of the last object read.
             after = _name(items[-1])
         return StoreUnavailable(detail=f"the list of {kind} did not end after {MOST_PAGES} pages")
@@ -130,7 +149,52 @@
     async def _call(self, method, path, *, body=None):
         encoded = None if body is None else json.dumps(body).encode()
         headers = {} if body is None else {"Content-Type": "application/json"}
-        return await self._calls.call(method=method, path=path, wait_s=READ_TIMEOUT_S, headers=headers, body=encoded)
+        call = self._calls.call(method=method, path=path, wait_s=READ_TIMEOUT_S, headers=headers, body=encoded)
+        return self._told(await call)
+
+    # Epochs.
+
+    def _told(self, answer):
+        """Take in the epoch that an answer bears; one of a former epoch counts as none."""
+        number = _era(answer)
+        if number is None or self._epoch.observe(number):
+            return answer
+        # Acknowledged before the store came back: what it says was read may have changed since, and what it says
+        # was written may be lost.
+        return Answer(detail="an answer from before the store came back from a copy")
+
+    def _is_of_former_epoch(self, version):
+        return version != 0 and epoch_of(version) != self._epoch.number
+
+    def _version(self, item):
+        return version_in(self._epoch.number, item["metadata"]["revision"])
+
+    def _store_version(self, body):
+        return version_in(self._epoch.number, body["store_revision"])
+
+    def _event(self, event):
+        """Name, version and value of one change."""
+        changed = event["object"]
+        return _name(changed), self._version(changed), None if event.get("deleted") else _value(changed)
+
+    def _write_outcome(self, answer):
+        """Outcome of a write: without an answer it may have taken effect, or do so seconds later."""
+        match answer.status:
+            case HTTPStatus.OK | HTTPStatus.CREATED if _is_object(answer.body):
+                return StoreDone(version=self._version(answer.body))
+            case HTTPStatus.OK | HTTPStatus.CREATED:
+                return StoreDone(version=0)
+            case HTTPStatus.CONFLICT:
+                if not _is_object(answer.body):
+                    return StoreConflict()
+                return StoreConflict(version=self._version(answer.body), value=_value(answer.body))
+            case HTTPStatus.NOT_FOUND:
+                return StoreAbsent()
+            case status if status in NOT_TAKEN_UP:
+                return StoreUnavailable(detail=describe(answer))
+        if answer.was_sent:
+            return StoreUnknown(detail=describe(answer))
+        return StoreUnavailable(detail=describe(answer))
 
     def _make_lane(self, *, threads, name):
         return Lane(
@@ -142,30 +206,10 @@
         )
 
 
-def _write_outcome(answer):
-    """Outcome of a write: without an answer it may have taken effect, or do so seconds later."""
-    match answer.status:
-        case HTTPStatus.OK | HTTPStatus.CREATED if _is_object(answer.body):
-            return StoreDone(version=_version(answer.body))
-        case HTTPStatus.OK | HTTPStatus.CREATED:
-            return StoreDone(version=0)
-        case HTTPStatus.CONFLICT:
-            if not _is_object(answer.body):
-                return StoreConflict()
-            return StoreConflict(version=_version(answer.body), value=_value(answer.body))
-        case HTTPStatus.NOT_FOUND:
-            return StoreAbsent()
-        case status if status in NOT_TAKEN_UP:
-            return StoreUnavailable(detail=describe(answer))
-    if answer.was_sent:
-        return StoreUnknown(detail=describe(answer))
-    return StoreUnavailable(detail=describe(answer))
-
-
-def _event(event):
-    """Name, version and value of one change."""
-    changed = event["object"]
-    return _name(changed), _version(changed), None if event.get("deleted") else _value(changed)
+def _era(answer):
+    """The epoch that an answer bears, or ``None`` where it bears none."""
+    text = answer.headers.get(STORE_ERA, "")
+    return int(text) if text.isascii() and text.isdigit() else None
 
 
 def _is_list(body, name):
@@ -200,10 +244,6 @@
     return item["metadata"]["name"]
 
 
-def _version(item):
-    return item["metadata"]["revision"]
-
-
 def _value(item):
     return item.get("specification")
 
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -16,7 +16,9 @@
 from wagtailtrestle.configuration.configuration import Configuration, InForce
 from wagtailtrestle.configuration.engine_list import EngineList
 from wagtailtrestle.configuration.engine_relay import EngineRelay, RelayLimits
+from wagtailtrestle.configuration.epoch_note import EpochNote
 from wagtailtrestle.configuration.peer_configuration import PeerConfiguration
+from wagtailtrestle.configuration.store_epoch import StoreEpoch
 from wagtailtrestle.configuration.store_readers import StoreReaders
 from wagtailtrestle.contracts.declaration import LANGUAGE
 from wagtailtrestle.contracts.ledger_messages import ClaimAsk, NonceAsk, SettleAsk
@@ -83,7 +85,8 @@
         self._metrics = Metrics()
         self._adapter = adapter_of(settings)
         self._in_force = None
-        self._store = self._adapter.open_store(settings.platform_url)
+        self._store_epoch = StoreEpoch()
+        self._store = self._adapter.open_store(settings.platform_url, self._store_epoch)
         self._engine_client = EngineClient(connect_timeout_s=CONNECT_TIMEOUT_S, ended_call=self._adapter.ended_call)
         self._make_peers()
         self._make_configuration()
@@ -109,7 +112,9 @@
             loop=self._loop,
             seeds=dict(settings.peers),
             heartbeat_s=settings.peer_heartbeat_s,
+            epoch=self._store_epoch,
         )
+        self._store_epoch.on_return(self._membership.tell_at_once)
         self._broadcast = Broadcast(peers=self._peers, targets=self._membership.broadcast_targets)
 
     def _make_configuration(self):
@@ -130,6 +135,7 @@
             readers=readers,
             ask_confirmation=self._peer_configuration.ask_confirmation,
             poll_interval_s=self._settings.configuration_poll_s,
+            epoch=self._store_epoch,
         )
         self._engine_list = None
         if self._adapter.engine_kind is not None:
@@ -142,12 +148,22 @@
                 return_grace_s=self._settings.engine_return_grace_s,
                 relay=None if readers is None else self._make_engine_relay(readers),
             )
+        self._epoch_note = None
+        if readers is not None and self._adapter.epoch_kind is not None:
+            self._epoch_note = EpochNote(
+                store=self._store,
+                kind=self._adapter.epoch_kind,
+                epoch=self._store_epoch,
+                is_writer=lambda: readers.reads_store,
+            )
         self._vm_list = VMList(
             store=self._store,
             on_change=self._take_vms,
             interval_s=self._settings.vm_list_interval_s,
             settled_s=self._settings.vm_list_settled_s,
         )
+        self._store_epoch.on_return(self._vm_list.read_soon)
+        self._store_epoch.on_return(lambda: self._metrics.count("store_returns"))
         self._membership.on_generation(lambda peer, generation: self._configuration.heard(generation, peer))
         self._membership.on_view_change(self._end_questions)
         self._membership.on_view_change(lambda view: self._watch_engines())
@@ -299,6 +315,9 @@
         if self._engine_list is not None:
             self._engine_list.start()
             self._started.push_async_callback(self._engine_list.close)
+        if self._epoch_note is not None:
+            self._epoch_note.start()
+            self._started.push_async_callback(self._epoch_note.close)
         self._started.push_async_callback(self._ledger.close)
         self._reports.start()
         self._started.push_async_callback(self._in_thread, self._reports.close)
@@ -324,6 +343,7 @@
                 "admin": f"http://{self._settings.admin_address}",
                 "state": "live",
             },
+            epoch=self._store_epoch,
         )
         announcement.start()
         self._started.push_async_callback(announcement.close)
@@ -380,6 +400,7 @@
             "draining": self._draining,
             "configuration": self._configuration.dump(),
             "membership": self._membership.dump(),
+            "store_epoch": self._store_epoch.dump(),
             "vm_list": self._vm_list.dump(),
             "engine_list": None if self._engine_list is None else self._engine_list.dump(),
             "quotas": self._quotas.dump(),
--- a/wagtailtrestle/store/http_lane.py
+++ b/wagtailtrestle/store/http_lane.py
@@ -31,13 +31,14 @@
     """One HTTP answer as a thread hands it to the event loop.
 
     ``status`` is 0 when there is none: ``was_sent`` then tells whether the request may
-    have reached the platform.
+    have reached the platform. ``headers`` is a mapping that ignores case.
     """
 
-    __slots__ = ("status", "body", "was_sent", "detail")
+    __slots__ = ("status", "headers", "body", "was_sent", "detail")
 
-    def __init__(self, *, status=0, body=None, was_sent=True, detail=""):
+    def __init__(self, *, status=0, headers=None, body=None, was_sent=True, detail=""):
         self.status = status
+        self.headers = headers or {}
         self.body = body
         self.was_sent = was_sent
         self.detail = detail
@@ -107,7 +108,8 @@
                 retries=NO_RETRIES,
                 redirect=False,
             )
-            return Answer(status=response.status, body=_decoded(response.data) if response.data else None)
+            body = _decoded(response.data) if response.data else None
+            return Answer(status=response.status, headers=response.headers, body=body)
         except NOT_SENT_ERRORS as error:
             return Answer(was_sent=False, detail=_short(error))
         except urllib3.exceptions.ReadTimeoutError as error:
