--- /dev/null
+++ b/tests/test_rollouts.py
@@ -0,0 +1,129 @@
+"""A service moves to another version: engines of it are tried with few requests, then get all, or nothing more."""
+
+import os
+import time
+import unittest
+
+from tests.utils.platform_world import wait_until
+from tests.utils.rollout_world import BOOK_PATH, SHARE, SLACK, Callers, RolloutWorld, fails
+
+DURATION_S = 12.0
+RATE_PER_S = 60.0
+ROLLBACK_S = 5.0
+BAD_ANSWERS = 50
+REPEATS = int(os.environ.get("ROLLOUT_REPEATS", "1"))
+"""By hand, ``ROLLOUT_REPEATS=20 python -m unittest tests.test_rollouts``."""
+
+
+class RolloutTest(unittest.TestCase):
+    def play(self, *, after_order=None, duration_s=DURATION_S, end="completed", **version):
+        """Order a version and wait until the roll-out ends; the world and the callers' answers by status."""
+        world = RolloutWorld(**version)
+        self.addCleanup(world.close)
+        world.start()
+        callers = Callers(world=world, rate_per_s=RATE_PER_S).start()
+        time.sleep(1.0)
+        world.order(duration_s=duration_s)
+        if after_order is not None:
+            after_order(world)
+        until = world.ordered_at + duration_s + 1.0
+        while world.state() not in ("completed", "rolled_back") and time.monotonic() < until:
+            time.sleep(0.05)
+        time.sleep(1.5)
+        counts = callers.stop()
+        new, old = len(world.arrivals(world.new)), len(world.arrivals(world.old))
+        ended_s = None if world.ended_at is None else round(world.ended_at - world.ordered_at, 1)
+        print(f"{world.state()} after {ended_s} s, {new} of {new + old} on the new version, answers {dict(counts)}")
+        self.assertEqual(world.state(), end)
+        self.assertLess(world.ended_at, world.ordered_at + duration_s)
+        return world, counts
+
+    def assert_exposed_little(self, world):
+        """The bad version got no more than its part, and nothing five seconds after its fiftieth bad answer."""
+        new, old = world.arrivals(world.new), world.arrivals(world.old)
+        self.assertLessEqual(len(new), SHARE * (len(new) + len(old)) + SLACK)
+        bad = sorted(at for engine in world.new for at in engine.bad_at)
+        if len(bad) >= BAD_ANSWERS:
+            self.assertLess(new[-1], bad[BAD_ANSWERS - 1] + ROLLBACK_S)
+        self.assertLess(new[-1], world.ended_at + 0.5)
+
+    def test_good_version_is_completed_and_no_caller_notices(self):
+        # All callers get their answers. The old engines stop at the moment at which the roll-out is told as completed,
+        # so nothing may run on them then, nor be sent to them after it.
+        for _ in range(REPEATS):
+            world, counts = self.play()
+            self.assertEqual(set(counts), {200})
+            self.assertLess(world.arrivals(world.old)[-1], world.ended_at)
+
+    def test_version_that_fails_half_of_its_runs_is_rolled_back(self):
+        # Few callers see a failure: calls that may be repeated go to the old version, bookings keep the engine's answer.
+        for _ in range(REPEATS):
+            world, _ = self.play(is_bad=fails(0.5), end="rolled_back")
+            self.assert_exposed_little(world)
+
+    def test_version_that_fails_a_fifth_on_one_route_later_only_is_rolled_back(self):
+        for _ in range(REPEATS):
+            world, _ = self.play(is_bad=fails(0.5, path=BOOK_PATH, after_s=3.0), end="rolled_back")
+            self.assert_exposed_little(world)
+
+    def test_version_that_fails_only_when_full_is_rolled_back(self):
+        # Thinly spread, the few requests of an untested version would never fill an engine.
+        for _ in range(REPEATS):
+            world, _ = self.play(is_bad=fails(0.5, when_full=True), slow_by=lambda engine, path: 1.0, end="rolled_back")
+            self.assert_exposed_little(world)
+
+    def test_version_that_is_four_times_slower_is_rolled_back(self):
+        for _ in range(REPEATS):
+            world, _ = self.play(slow_by=lambda engine, path: 4.0, end="rolled_back")
+            self.assert_exposed_little(world)
+
+    def test_bad_version_is_rolled_back_though_the_steward_dies(self):
+        # The router that counts the exposure and judges the version is killed two seconds after the order. The next
+        # one goes on from what all were told, and neither begins to expose anew nor forgets the order.
+        def kill_steward(world):
+            time.sleep(2.0)
+            coordinators = [router for router in world.routers if world.coordinates(router)]
+            self.assertEqual(len(coordinators), 1)
+            coordinators[0].kill()
+
+        world, _ = self.play(is_bad=fails(0.3), after_order=kill_steward, end="rolled_back")
+        self.assert_exposed_little(world)
+
+
+class OrderTest(unittest.TestCase):
+    def start(self):
+        world = RolloutWorld()
+        self.addCleanup(world.close)
+        return world.start()
+
+    def test_running_is_told_at_once(self):
+        world = self.start()
+        world.order(duration_s=DURATION_S)
+        wait_until(lambda: world.state() == "running", "the roll-out is told as running")
+
+    def test_engines_listed_before_their_order_get_nothing(self):
+        # The callers are served by the old version. Engines of a new one list themselves, and nobody has ordered
+        # anything yet that routers could have read: the store does not answer them.
+        world = self.start()
+        time.sleep(0.5)
+        for engine in world.new:
+            world.store.put("servers", engine.name, engine.entry())
+            world.engines[engine.name] = engine
+        world.ordered_at = time.monotonic()
+        world.store.put("rollouts", "booking", {"service": "booking", "target": "v2", "duration_s": DURATION_S})
+        time.sleep(0.5)
+        statuses = {world.ask("GET", "/status/1", request_id=f"q-{number}").status for number in range(10)}
+        self.assertEqual(statuses, {200})
+        self.assertLessEqual(len(world.arrivals(world.new)), 1)
+
+    def test_unreadable_orders_are_not_followed(self):
+        world = self.start()
+        for order in ("v2", {"service": "other", "target": "v2", "duration_s": 3}, {"service": "booking", "target": 7}):
+            world.store.put("rollouts", "booking", order)
+            time.sleep(0.2)
+        self.assertIsNone(world.state())
+        self.assertEqual(world.ask("GET", "/status/1", request_id="q").status, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/utils/platform_world.py
+++ b/tests/utils/platform_world.py
@@ -108,6 +108,12 @@
         with self._changed:
             return {name: item["specification"] for (of, name), item in self._objects.items() if of == kind}
 
+    def status(self, kind, name):
+        """What the system told of an object."""
+        with self._changed:
+            item = self._objects.get((kind, name))
+            return item["status"] if item else None
+
     def copy(self):
         """Keep what the store holds now."""
         with self._changed:
@@ -129,12 +135,12 @@
         time.sleep(away_s)
         self.return_from(copy)
 
-    def _write(self, kind, name, value):
+    def _write(self, kind, name, value, status=None):
         self._revision += 1
         item = {
             "metadata": {"name": name, "revision": self._revision, "created": 1, "finalizers": [], "deleting": False},
             "specification": value,
-            "status": None,
+            "status": status,
         }
         if value is None:
             self._objects.pop((kind, name), None)
@@ -155,7 +161,10 @@
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         name = rest[0] if rest else None
         with self._changed:
-            status, body = getattr(self, f"_{handler.command.lower()}")(kind, name, query, handler.body)
+            if rest[1:] == ["status"]:
+                status, body = self._put_status(kind, name, handler.body)
+            else:
+                status, body = getattr(self, f"_{handler.command.lower()}")(kind, name, query, handler.body)
         heads = [("Content-Type", "application/json")]
         if self.era:
             heads.append(("Store-Era", str(era)))
@@ -198,6 +207,15 @@
             return 409, item
         return 200, self._write(kind, name, document["specification"])
 
+    def _put_status(self, kind, name, body):
+        document = json.loads(body)
+        item = self._objects.get((kind, name))
+        if item is None:
+            return 404, {"error": "absent"}
+        if document["metadata"].get("revision", item["metadata"]["revision"]) != item["metadata"]["revision"]:
+            return 409, item
+        return 200, self._write(kind, name, item["specification"], status=document["status"])
+
     def _delete(self, kind, name, query, body):
         item = self._objects.get((kind, name))
         if item is None:
--- a/wagtailtrestle/adapters.py
+++ b/wagtailtrestle/adapters.py
@@ -22,6 +22,8 @@
         See :class:`wagtailtrestle.engines.client.EngineClient`.
     router_kind : str or None
         Kind of the objects by which routers find each other; ``None`` where the store lists VMs.
+    rollout_kind : str or None
+        Kind of the objects by which operators order roll-outs; ``None`` where they can't.
     shares_confirmations : bool
         Whether a peer's word that the platform confirmed the configuration spares a read: only where
         reads are never stale.
@@ -37,6 +39,7 @@
     router_kind: str | None
     engine_kind: str | None
     epoch_kind: str | None
+    rollout_kind: str | None
     shares_confirmations: bool
 
     def open_store(self, url: str, epoch):
@@ -61,6 +64,7 @@
     router_kind = None
     engine_kind = None
     epoch_kind = None
+    rollout_kind = None
     shares_confirmations = False
 
     def open_store(self, url, epoch):
--- a/wagtailtrestle/capacity/run_book.py
+++ b/wagtailtrestle/capacity/run_book.py
@@ -54,6 +54,17 @@
         """The cell's engines, as they were ordered last."""
         return self.engines_by_name.values()
 
+    @property
+    def usable_engines(self):
+        """Those that no roll-out holds back."""
+        return [engine for engine in self.engines if not engine.held_back]
+
+    def hold_back(self, names):
+        """Keep these engines, and no others, from being chosen."""
+        for engine in self.engines:
+            if engine.held_back != (engine.name in names):
+                engine.hold_back(engine.name in names)
+
     def order_by_pace(self):
         """Put the engines on which the next run would get its tokens soonest first."""
         ordered = sorted(self.engines, key=lambda engine: engine.model.pace_s(engine.running + 1))
--- a/wagtailtrestle/capacity/steward.py
+++ b/wagtailtrestle/capacity/steward.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+from collections import Counter
 
 from wagtailtrestle.capacity.admission import Admission
 from wagtailtrestle.capacity.isolation import Isolation
@@ -72,12 +73,16 @@
         "_granting",
         "_notes",
         "_runs_outlive_routers",
+        "_rollout",
+        "_held_back",
         "_handlers_by_type",
     )
 
     def __init__(self, *, cell, policy, clock, entries, prefill_weight=0.5, runs_outlive_routers=False):
         self.cell = cell
         self._runs_outlive_routers = runs_outlive_routers
+        self._rollout = None
+        self._held_back = frozenset()
         self._policy = policy
         self._clock = clock
         self._entries = entries
@@ -101,7 +106,7 @@
             Withdraw: self._on_withdraw,
             RunStarted: self._runs.on_started,
             RunProgress: self._runs.on_progress,
-            RunFinished: self._runs.on_finished,
+            RunFinished: self._on_finished,
             Register: self._on_register,
         }
 
@@ -110,11 +115,36 @@
     def set_engines(self, by_name):
         """Put the declared engines of this cell in force; what is known of kept ones stays."""
         self._runs.declare(by_name)
-        self._admission.set_engines(self._runs.engines)
+        self._runs.hold_back(self._held_back)
+        self._admission.set_engines(self._runs.usable_engines)
         if self._registration.cautious:
             self._runs.distrust()
         self._grant_ready()
 
+    def set_rollout(self, rollout, held_back):
+        """Have a roll-out, or ``None``, send requests to engines that are held back from all others.
+
+        Parameters
+        ----------
+        rollout : Rollout or None
+        held_back : frozenset of str
+            Names of engines.
+        """
+        self._rollout = rollout
+        if held_back == self._held_back:
+            return
+        self._held_back = held_back
+        self._runs.hold_back(held_back)
+        self._admission.set_engines(self._runs.usable_engines)
+        self._grant_ready()
+
+    def runs_by_version(self):
+        """How many runs the engines of each version hold."""
+        counts = Counter()
+        for engine in self._runs.engines:
+            counts[engine.version] += engine.running
+        return counts
+
     def set_teams(self, share_by_name):
         """Put the declared shares of teams in force."""
         self._queue.set_shares(share_by_name)
@@ -147,7 +177,8 @@
     def on_load_report(self, report):
         """Correct an engine's account by its own report."""
         if self._runs.on_load_report(report):
-            self._admission.set_engines(self._runs.engines)
+            self._runs.hold_back(self._held_back)
+            self._admission.set_engines(self._runs.usable_engines)
         self._grant_ready()
 
     def on_cache_events(self, events):
@@ -242,6 +273,16 @@
         self._queue.remove(request.request_id)
         self._consider(request)
 
+    def _on_finished(self, message):
+        grant = self._runs.grants_by_request_id.get(message.request_id)
+        if self._rollout is not None and grant is not None and grant.engine == message.engine and message.duration_s:
+            engine = self._runs.engines_by_name.get(grant.engine)
+            if engine is not None:
+                self._rollout.note_end(
+                    request=grant.request, engine=engine.name, version=engine.version, finished=message
+                )
+        self._runs.on_finished(message)
+
     def _on_withdraw(self, message):
         waiting = self._queue.remove(message.request_id)
         if waiting is not None:
@@ -330,7 +371,7 @@
         open_engines = self._open_engines()
         self._queue.unpark({engine.name for engine in open_engines})
         for _ in range(TRIES_IN_A_ROW):
-            if not open_engines:
+            if not open_engines and self._rollout is None:
                 return
             waiting = self._queue.pop()
             if waiting is None:
@@ -357,6 +398,10 @@
 
     def _try(self, waiting, open_engines):
         """Grant the request on one of the engines with room, park it, or refuse it."""
+        exposed = self._exposed_engine(waiting.request)
+        if exposed is not None:
+            self._grant(waiting, exposed)
+            return
         suited = self._suited(waiting, open_engines)
         if not suited and waiting.request.first_token_within_s and not self._admission.waits_for_better(waiting):
             suited = open_engines
@@ -364,12 +409,23 @@
         if engine is not None:
             self._grant(waiting, engine)
             return
-        others = [engine for engine in self._runs.engines if not engine.leaving]
+        others = [engine for engine in self._runs.usable_engines if not engine.leaving]
         if any(self._admission.could_finish(waiting, engine) for engine in others):
             self._queue.park(waiting, tried_engines=frozenset(engine.name for engine in open_engines))
         else:
             self._refuse(waiting.request, Reason.DEADLINE_UNREACHABLE)
 
+    def _exposed_engine(self, request):
+        """The engine on which a roll-out tries this request, or ``None``: the fullest, so that it is seen full."""
+        if self._rollout is None or not self._rollout.wants(request):
+            return None
+        tried = [
+            engine
+            for engine in self._runs.engines
+            if engine.held_back and self._rollout.is_target(engine.version) and engine.spare
+        ]
+        return max(tried, key=lambda engine: (engine.running, engine.name), default=None)
+
     def _suited(self, waiting, open_engines):
         """The engines among which to choose: of many, a few that are the likeliest, unless none of these suits."""
         likely = self._likely(waiting.request, open_engines)
@@ -397,6 +453,8 @@
             engine_name=engine.name,
             deadline=waiting.deadline,
         )
+        if self._rollout is not None:
+            self._rollout.note_grant(waiting.request, engine.version)
         self._tell_granted(grant)
 
     def _tell_granted(self, grant):
--- a/wagtailtrestle/capacity/steward_set.py
+++ b/wagtailtrestle/capacity/steward_set.py
@@ -28,6 +28,7 @@
         "_declaration",
         "_members",
         "_lost_at",
+        "_rollouts_by_cell",
         "_leaving",
         "_granting",
     )
@@ -43,6 +44,7 @@
         # first report.
         self._lost_at = clock()
         self._declaration = None
+        self._rollouts_by_cell = {}
         self._members = frozenset()
         self._leaving = frozenset()
         self._granting = True
@@ -89,6 +91,17 @@
                 # would stand as the list's for ever, also once the declaration takes it back.
                 steward.mark_leaving(engine, False)
 
+    def set_rollout(self, cell, rollout, held_back):
+        """Tell a cell's steward of the roll-out in its service; see :meth:`Steward.set_rollout`."""
+        self._rollouts_by_cell[cell] = (rollout, held_back)
+        if cell in self.by_cell:
+            self.by_cell[cell].set_rollout(rollout, held_back)
+
+    def runs_by_version(self, cell):
+        """Runs that the engines of each version in a cell hold, as far as its steward here knows."""
+        steward = self.by_cell.get(cell)
+        return {} if steward is None else steward.runs_by_version()
+
     def on_load_report(self, report):
         """Give an engine's load report to the steward that holds the engine."""
         steward = self._steward_of(report.engine)
@@ -145,6 +158,7 @@
         )
         self.by_cell[cell] = steward
         self._expect_orphans(steward)
+        steward.set_rollout(*self._rollouts_by_cell.get(cell, (None, frozenset())))
         steward.set_members(self._members)
         self._update(steward)
         if not self._granting:
--- a/wagtailtrestle/configuration/engine_list.py
+++ b/wagtailtrestle/configuration/engine_list.py
@@ -268,6 +268,14 @@
 def _facts(by_name):
     """What of the engines matters to whoever uses them; entries change for less."""
     return {
-        name: (engine.service, engine.address, engine.zone, engine.slots, engine.leaving, engine.start_ms)
+        name: (
+            engine.service,
+            engine.address,
+            engine.zone,
+            engine.slots,
+            engine.leaving,
+            engine.start_ms,
+            engine.version,
+        )
         for name, engine in by_name.items()
     }
--- a/wagtailtrestle/contracts/declaration.py
+++ b/wagtailtrestle/contracts/declaration.py
@@ -268,6 +268,8 @@
     start_ms : int
         When it started, Unix milliseconds, where engines tell: one that starts again under its name
         holds nothing of before. 0 where they don't.
+    version : str
+        Version of what it runs, where engines tell; roll-outs move a service from one to another.
     """
 
     __slots__ = (
@@ -283,6 +285,7 @@
         "checks_fencing",
         "leaving",
         "start_ms",
+        "version",
     )
 
     def __init__(
@@ -300,6 +303,7 @@
         checks_fencing=False,
         leaving=False,
         start_ms=0,
+        version="",
     ):
         self.name = name
         self.service = service
@@ -313,6 +317,7 @@
         self.checks_fencing = checks_fencing
         self.leaving = leaving
         self.start_ms = start_ms
+        self.version = version
 
 
 class Declaration:
--- a/wagtailtrestle/contracts/messages.py
+++ b/wagtailtrestle/contracts/messages.py
@@ -48,6 +48,8 @@
         Tokens that the engine puts into one event.
     hinted_tokens : int
         The caller's own estimate of its whole output, often far off; 0 without one.
+    route : str
+        The route by which the caller asked.
     """
 
     request_id: str
@@ -70,6 +72,7 @@
     hinted_tokens: int = 0
     pause_within_s: float = 0.0
     event_tokens: int = 1
+    route: str = ""
 
 
 @record
--- a/wagtailtrestle/contracts/ports.py
+++ b/wagtailtrestle/contracts/ports.py
@@ -22,6 +22,9 @@
     async def update(self, *, kind: str, name: str, value, if_version: int) -> StoreOutcome:
         """Replace an object that must be at ``if_version``."""
 
+    async def update_status(self, *, kind: str, name: str, value, if_version: int) -> StoreOutcome:
+        """Replace what the system tells of an object that must be at ``if_version``."""
+
     async def delete(self, *, kind: str, name: str, if_version: int) -> StoreOutcome:
         """Delete an object that must be at ``if_version``."""
 
--- a/wagtailtrestle/declarations/settings.py
+++ b/wagtailtrestle/declarations/settings.py
@@ -102,6 +102,10 @@
         How long it still serves calls of plain services; at least ``balancer_grace_s`` counts.
     engine_return_grace_s : float
         How long an engine that is missing from the list is kept after an outage of the store.
+    rollout_share : float
+        Part of a service's requests that an untested version may get; 0 where no roll-outs are ordered.
+    rollout_slack : float
+        Requests that it may get besides.
     """
 
     __slots__ = (
@@ -137,6 +141,8 @@
         "start_hold_s",
         "plain_grace_s",
         "engine_return_grace_s",
+        "rollout_share",
+        "rollout_slack",
     )
 
     def __init__(
@@ -174,6 +180,8 @@
         start_hold_s=DEFAULT_START_HOLD_S,
         plain_grace_s=0.0,
         engine_return_grace_s=DEFAULT_ENGINE_RETURN_GRACE_S,
+        rollout_share=0.0,
+        rollout_slack=0.0,
     ):
         self.name = name
         self.zone = zone
@@ -207,6 +215,8 @@
         self.start_hold_s = start_hold_s
         self.plain_grace_s = plain_grace_s
         self.engine_return_grace_s = engine_return_grace_s
+        self.rollout_share = rollout_share
+        self.rollout_slack = rollout_slack
 
     @property
     def key_freshness_s(self):
@@ -325,6 +335,8 @@
         "start_hold_s": reader.value("start_hold_s", seconds, default=DEFAULT_START_HOLD_S),
         "plain_grace_s": reader.value("plain_grace_s", seconds, default=0.0),
         "engine_return_grace_s": reader.value("engine_return_grace_s", seconds, default=DEFAULT_ENGINE_RETURN_GRACE_S),
+        "rollout_share": reader.value("rollout_share", Number(least=0, most=1), default=0.0),
+        "rollout_slack": reader.value("rollout_slack", Number(least=0, most=1_000_000), default=0.0),
     }
 
 
--- a/wagtailtrestle/engines/state.py
+++ b/wagtailtrestle/engines/state.py
@@ -39,6 +39,10 @@
         Share of its concurrency that its health allows.
     start_ms : int
         Which start of the engine this state is of, where engines tell; see ``DeclaredEngine``.
+    version : str
+        Version of what it runs.
+    held_back : bool
+        Whether requests go there only one by one, by the choice of a roll-out: it has no room for others.
     kept_for : str or None
         Request that needs the engine to itself; until it runs there, nothing more is granted.
     room : int
@@ -60,6 +64,8 @@
         "room",
         "_kept_for",
         "start_ms",
+        "version",
+        "held_back",
         "_alone_runs",
         "_declared_leaving",
         "_marked_leaving",
@@ -92,6 +98,8 @@
         self.room = 0
         self._kept_for = None
         self.start_ms = declared.start_ms
+        self.version = declared.version
+        self.held_back = False
         self._alone_runs = 0
         self._declared_leaving = declared.leaving
         self._marked_leaving = False
@@ -170,6 +178,18 @@
         self._marked_leaving = leaving
         self._refresh_limit()
 
+    def hold_back(self, held_back):
+        """Keep it from being chosen for whoever has no word of a roll-out, or no longer."""
+        self.held_back = held_back
+        self._refresh_limit()
+
+    @property
+    def spare(self):
+        """Places free now for a request that a roll-out sends here."""
+        if self.leaving or self._unreachable or self._kept_for is not None or self._alone_runs > 0:
+            return 0
+        return max(0, self.model.concurrency_limit() - self.running)
+
     def mark_unreachable(self):
         """Grant nothing until the engine reports again."""
         self._unreachable = True
@@ -301,7 +321,7 @@
         }
 
     def _refresh_limit(self):
-        usable = not self.leaving and not self._unreachable
+        usable = not self.leaving and not self._unreachable and not self.held_back
         self.limit = math.ceil(self.model.concurrency_limit() * self.health_share) if usable else 0
         self._count_room()
 
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -185,6 +185,7 @@
             hinted_tokens=request.hinted_tokens,
             pause_within_s=request.pause_within_s,
             event_tokens=request.event_tokens,
+            route=request.route,
         )
 
     def running_record(self):
--- a/wagtailtrestle/peers/codec.py
+++ b/wagtailtrestle/peers/codec.py
@@ -8,9 +8,10 @@
 from enum import Enum
 from typing import get_type_hints
 
-from wagtailtrestle.contracts import ledger_messages, messages, peer_messages, quota_messages
+from wagtailtrestle.contracts import ledger_messages, messages, peer_messages, quota_messages, rollout_messages
 from wagtailtrestle.contracts.outcomes import Reason
 from wagtailtrestle.contracts.peer_messages import MemberState
+from wagtailtrestle.contracts.rollout_messages import RolloutState
 from wagtailtrestle.entry import poison
 from wagtailtrestle.generated import peers_pb2 as pb
 
@@ -50,6 +51,7 @@
     poison.CrashReport: ("crash_report", pb.CrashReport),
     poison.CrashClearance: ("crash_clearance", pb.CrashClearance),
     quota_messages.QuotaAsk: ("quota_ask", pb.QuotaAsk),
+    rollout_messages.RolloutWord: ("rollout_word", pb.RolloutWord),
     quota_messages.QuotaGrant: ("quota_grant", pb.QuotaGrant),
 }
 
@@ -58,7 +60,11 @@
 
 # What an enumeration's unknown value from a newer peer is read as. A refusal for a reason this router
 # doesn't know is still a refusal: dropping it would leave its request waiting for ever.
-UNKNOWN_BY_ENUM = {Reason: Reason.OVERLOADED, MemberState: MemberState.ALIVE}
+UNKNOWN_BY_ENUM = {
+    Reason: Reason.OVERLOADED,
+    MemberState: MemberState.ALIVE,
+    RolloutState: RolloutState.RUNNING,
+}
 
 
 class _Converter:
--- a/wagtailtrestle/platform/adapter.py
+++ b/wagtailtrestle/platform/adapter.py
@@ -4,7 +4,8 @@
 from wagtailtrestle.platform.declarations import PlatformDeclarations
 from wagtailtrestle.platform.engine_entries import read_engine
 from wagtailtrestle.platform.engines import PlatformReports
-from wagtailtrestle.platform.kinds import ENGINE_KIND, EPOCH_KIND, ROUTER_KIND
+from wagtailtrestle.platform.kinds import ENGINE_KIND, EPOCH_KIND, ROLLOUT_KIND, ROUTER_KIND
+from wagtailtrestle.platform.rollouts import read_rollout, rollout_status
 from wagtailtrestle.platform.store import PlatformStore
 
 
@@ -17,6 +18,7 @@
     router_kind = ROUTER_KIND
     engine_kind = ENGINE_KIND
     epoch_kind = EPOCH_KIND
+    rollout_kind = ROLLOUT_KIND
     shares_confirmations = True
 
     def open_store(self, url, epoch):
@@ -31,6 +33,14 @@
         """Decode an engine's own entry."""
         return read_engine(name, value)
 
+    def read_rollout(self, name, version, value):
+        """Decode the operator's order of a roll-out."""
+        return read_rollout(name, version, value)
+
+    def rollout_status(self, target, state):
+        """Return what the store is told of a roll-out."""
+        return rollout_status(target, state)
+
     def make_dialect(self, **parts):
         """Return the callers' HTTP of the platform."""
         return PlatformCallers(**parts)
--- a/wagtailtrestle/platform/engine_entries.py
+++ b/wagtailtrestle/platform/engine_entries.py
@@ -81,6 +81,7 @@
         prefill_tokens_per_s=PRIOR_PREFILL_TOKENS_PER_S,
         leaving=_state(value) == DRAINING,
         start_ms=start_ms(value),
+        version=_text(value, "version"),
     )
 
 
--- a/wagtailtrestle/platform/kinds.py
+++ b/wagtailtrestle/platform/kinds.py
@@ -3,6 +3,7 @@
 DECLARATION_KIND = "config"
 DECLARATION_NAME = "main"
 ENGINE_KIND = "servers"
+ROLLOUT_KIND = "rollouts"
 ROUTER_KIND = "wagtailtrestle-routers"
 """Our own: where each router listens for its peers."""
 EPOCH_KIND = "wagtailtrestle-epochs"
--- /dev/null
+++ b/wagtailtrestle/platform/rollouts.py
@@ -0,0 +1,49 @@
+"""The operator's orders to move a service to another version, decoded strictly, and the status told of them."""
+
+from loguru import logger
+
+from wagtailtrestle.contracts.rollout_messages import RolloutOrder, RolloutState
+
+MOST_TEXT = 256
+MOST_DURATION_S = 86_400.0
+WORD_BY_STATE = {
+    RolloutState.RUNNING: "running",
+    RolloutState.COMPLETED: "completed",
+    RolloutState.ROLLED_BACK: "rolled_back",
+}
+STATE_BY_WORD = {word: state for state, word in WORD_BY_STATE.items()}
+
+
+def read_rollout(name, version, value):
+    """Build an order from an object of the store; ``None`` if no operator wrote such a one."""
+    order = value.get("specification")
+    if not isinstance(order, dict) or order.get("service") != name:
+        return _unread(name, "its service is not its name")
+    target, duration_s = order.get("target"), order.get("duration_s")
+    if not isinstance(target, str) or not 0 < len(target) <= MOST_TEXT:
+        return _unread(name, "its target is no version")
+    if not isinstance(duration_s, int | float) or isinstance(duration_s, bool) or not 0 < duration_s <= MOST_DURATION_S:
+        return _unread(name, "its duration is no time")
+    return RolloutOrder(
+        service=name,
+        target=target,
+        duration_s=float(duration_s),
+        store_version=version,
+        state=_state(value.get("status"), target),
+    )
+
+
+def rollout_status(target, state):
+    """What the store holds of an order that stands so."""
+    return {"state": WORD_BY_STATE[state], "target": target}
+
+
+def _state(status, target):
+    """The state told of this target; one of an earlier order is none."""
+    if not isinstance(status, dict) or status.get("target") != target:
+        return None
+    return STATE_BY_WORD.get(status.get("state"))
+
+
+def _unread(name, problem):
+    logger.error("the order of a roll-out of {} is not followed: {}", repr(name)[:80], problem)
--- a/wagtailtrestle/platform/store.py
+++ b/wagtailtrestle/platform/store.py
@@ -17,7 +17,7 @@
 )
 from wagtailtrestle.membership.vm_list import vm_from_json
 from wagtailtrestle.platform.headers import STORE_ERA
-from wagtailtrestle.platform.kinds import ROUTER_KIND
+from wagtailtrestle.platform.kinds import ROLLOUT_KIND, ROUTER_KIND
 from wagtailtrestle.store.http_lane import Answer, Lane, describe
 
 WATCH_THREADS = 3
@@ -41,7 +41,7 @@
     """``ObjectStore`` over the users' store.
 
     An object's version is the store's revision at which it last changed, within the store's epoch; its value
-    is what the platform calls its specification.
+    is what the platform calls its specification; that of an order, which has a status of ours, is both.
 
     Parameters
     ----------
@@ -73,7 +73,7 @@
         match answer.status:
             case HTTPStatus.OK if _is_object(answer.body):
                 version = self._version(answer.body)
-                value = None if version == unless_version else _value(answer.body)
+                value = None if version == unless_version else _value(kind, answer.body)
                 return StoreDone(version=version, value=value)
             case HTTPStatus.NOT_FOUND:
                 return StoreAbsent()
@@ -95,6 +95,13 @@
         body = {"metadata": {"name": name, "revision": revision_of(if_version)}, "specification": value}
         return self._write_outcome(await self._call("PUT", _path(kind, name), body=body))
 
+    async def update_status(self, *, kind, name, value, if_version):
+        """Replace the status of an object that must be at ``if_version``."""
+        if self._is_of_former_epoch(if_version):
+            return StoreConflict()
+        body = {"metadata": {"name": name, "revision": revision_of(if_version)}, "status": value}
+        return self._write_outcome(await self._call("PUT", f"{_path(kind, name)}/status", body=body))
+
     async def delete(self, *, kind, name, if_version):
         """Delete an object that must be at ``if_version``."""
         if self._is_of_former_epoch(if_version):
@@ -113,7 +120,7 @@
             return StoreHistoryGone()
         match answer.status:
             case HTTPStatus.OK if _is_list(answer.body, "events"):
-                events = tuple(self._event(event) for event in answer.body["events"] if _is_event(event))
+                events = tuple(self._event(kind, event) for event in answer.body["events"] if _is_event(event))
                 return StoreDone(version=self._store_version(answer.body), value=events)
             case HTTPStatus.GONE:
                 return StoreHistoryGone()
@@ -139,7 +146,7 @@
             if answer.status != HTTPStatus.OK or not _is_list(answer.body, "items"):
                 return StoreUnavailable(detail=describe(answer))
             items = [item for item in answer.body["items"] if _is_object(item)]
-            by_name.update((_name(item), (self._version(item), _value(item))) for item in items)
+            by_name.update((_name(item), (self._version(item), _value(kind, item))) for item in items)
             if not answer.body.get("has_more") or not items:
                 return StoreDone(version=self._store_version(answer.body), value=by_name)
             # Named a revision on the wire, but it takes the name of the last object read.
@@ -172,10 +179,10 @@
     def _store_version(self, body):
         return version_in(self._epoch.number, body["store_revision"])
 
-    def _event(self, event):
+    def _event(self, kind, event):
         """Name, version and value of one change."""
         changed = event["object"]
-        return _name(changed), self._version(changed), None if event.get("deleted") else _value(changed)
+        return _name(changed), self._version(changed), None if event.get("deleted") else _value(kind, changed)
 
     def _write_outcome(self, answer):
         """Outcome of a write: without an answer it may have taken effect, or do so seconds later."""
@@ -187,7 +194,7 @@
             case HTTPStatus.CONFLICT:
                 if not _is_object(answer.body):
                     return StoreConflict()
-                return StoreConflict(version=self._version(answer.body), value=_value(answer.body))
+                return StoreConflict(version=self._version(answer.body), value=answer.body.get("specification"))
             case HTTPStatus.NOT_FOUND:
                 return StoreAbsent()
             case status if status in NOT_TAKEN_UP:
@@ -244,7 +251,9 @@
     return item["metadata"]["name"]
 
 
-def _value(item):
+def _value(kind, item):
+    if kind == ROLLOUT_KIND:
+        return {"specification": item.get("specification"), "status": item.get("status")}
     return item.get("specification")
 
 
--- /dev/null
+++ b/wagtailtrestle/rollouts/coordinator.py
@@ -0,0 +1,360 @@
+"""The roll-outs of the services of which this router is steward: orders in, verdicts out.
+
+The steward of a service decides its roll-out, since it grants nearly all of its runs and hears how each ended. It
+tells all routers how the roll-out stands each second, so that whoever is steward next goes on from there, and at
+once when it has ended. The state in the store is written on condition that the order is as it was read; a final
+state there is never replaced.
+"""
+
+import asyncio
+import random
+
+from loguru import logger
+
+from wagtailtrestle.contracts.outcomes import StoreDone, StoreHistoryGone
+from wagtailtrestle.contracts.rollout_messages import RolloutState, RolloutWord
+from wagtailtrestle.rollouts.rollout import Phase, Rollout
+from wagtailtrestle.rollouts.versions import held_names
+
+WATCH_S = 20.0
+RETRY_S = 0.2
+MOST_RETRY_S = 1.0
+IDLE_S = 0.5
+"""Between two looks at whether this router has become steward of a service."""
+WORD_S = 1.0
+
+
+class Coordinator:
+    """Follows the operator's orders and ends them.
+
+    Parameters
+    ----------
+    store : ObjectStore
+    adapter : Adapter
+        Its ``rollout_kind`` and how its objects read.
+    stewards : StewardSet
+    broadcast : Broadcast
+    own_services : callable
+        ``own_services()`` gives the services of which this router is steward.
+    engines : callable
+        ``engines()`` gives the engines by name, as they are listed.
+    share : float
+        Part of a service's requests that an untested version may get.
+    slack : int
+        Requests that it may get besides.
+    clock : callable
+        The loop's time, seconds.
+    jitter : random.Random, optional
+    """
+
+    __slots__ = (
+        "rollout_by_service",
+        "_store",
+        "_adapter",
+        "_stewards",
+        "_broadcast",
+        "_own_services",
+        "_engines",
+        "_share",
+        "_slack",
+        "_clock",
+        "_jitter",
+        "_order_by_service",
+        "_word_by_service",
+        "_stopped_by_service",
+        "_seen_at_by_version",
+        "_read_at",
+        "_version",
+        "_is_list_due",
+        "_wake",
+        "_told_at_by_service",
+        "_writing_by_service",
+        "_task",
+    )
+
+    def __init__(self, *, store, adapter, stewards, broadcast, own_services, engines, share, slack, clock, jitter=None):
+        self.rollout_by_service = {}
+        self._store = store
+        self._adapter = adapter
+        self._stewards = stewards
+        self._broadcast = broadcast
+        self._own_services = own_services
+        self._engines = engines
+        self._share = share
+        self._slack = slack
+        self._clock = clock
+        self._jitter = jitter or random.Random()
+        self._order_by_service = {}
+        self._word_by_service = {}
+        self._stopped_by_service = {}
+        self._seen_at_by_version = {}
+        self._read_at = None
+        self._version = 0
+        self._is_list_due = True
+        self._wake = asyncio.Event()
+        self._told_at_by_service = {}
+        self._writing_by_service = {}
+        self._task = None
+        broadcast.on(RolloutWord, key=_word_key, handler=self.hear)
+
+    def start(self):
+        """Begin to follow orders; must be called on the running event loop."""
+        self._task = asyncio.get_running_loop().create_task(self._follow())
+
+    async def close(self):
+        """Stop; what is decided is with the other routers."""
+        tasks = [self._task, *self._writing_by_service.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def dump(self):
+        """Return the state as a plain dict."""
+        return {
+            "read_age_s": None if self._read_at is None else round(self._clock() - self._read_at, 3),
+            "orders": {name: order.target for name, order in self._order_by_service.items()},
+            "words": {name: f"{word.target} {word.state}" for name, word in self._word_by_service.items()},
+            "rollouts": {name: rollout.dump() for name, rollout in self.rollout_by_service.items()},
+        }
+
+    # What others tell.
+
+    def hear(self, word):
+        """Take in how another router says that a roll-out stands."""
+        known = self._word_by_service.get(word.service)
+        if known is not None and known.target == word.target and known.state.is_final:
+            return
+        self._word_by_service[word.service] = word
+        rollout = self.rollout_by_service.get(word.service)
+        if word.state.is_final and rollout is not None and rollout.order.target == word.target:
+            rollout.end_as(word.state)
+        self.refresh()
+
+    def words(self):
+        """What is known of each service's roll-out, for a router that has just come."""
+        return tuple(self._word_by_service.values())
+
+    # Versions and engines.
+
+    def refresh(self):
+        """Hold back the engines that a roll-out, or the lack of an order that was read, keeps from use."""
+        engines_by_service = {}
+        for engine in self._engines().values():
+            engines_by_service.setdefault(engine.service, []).append(engine)
+        self._note_versions(engines_by_service)
+        for service in self._own_services():
+            engines = engines_by_service.get(service, [])
+            rollout = self._rollout_of(service, engines)
+            self._stewards.set_rollout(service, rollout, self._held(service, engines, rollout))
+
+    def _note_versions(self, engines_by_service):
+        now = self._clock()
+        present = {(service, engine.version) for service, engines in engines_by_service.items() for engine in engines}
+        for key in self._seen_at_by_version.keys() - present:
+            del self._seen_at_by_version[key]
+        for key in present - self._seen_at_by_version.keys():
+            self._seen_at_by_version[key] = now
+            # Whether a version that is new here was ordered is read anew: the order may have been missed.
+            self._is_list_due = True
+            self._wake.set()
+
+    def _held(self, service, engines, rollout):
+        state = self._state_of(service)
+        unread = {
+            version
+            for (of, version), at in self._seen_at_by_version.items()
+            if of == service and (self._read_at is None or at >= self._read_at)
+        }
+        return held_names(
+            engines,
+            target=self._target_of(service),
+            state=state,
+            is_shifting=rollout is not None and rollout.phase is Phase.SHIFT,
+            unread_versions=unread,
+            stopped_names=self._stopped(service, engines, state),
+        )
+
+    def _stopped(self, service, engines, state):
+        """Names of the old engines of a completed roll-out: they stop at once, and may still be listed."""
+        target = self._target_of(service)
+        if state is not RolloutState.COMPLETED:
+            self._stopped_by_service.pop(service, None)
+            return frozenset()
+        if service not in self._stopped_by_service:
+            old = frozenset(engine.name for engine in engines if engine.version != target)
+            self._stopped_by_service[service] = old
+        return self._stopped_by_service[service]
+
+    def _target_of(self, service):
+        order = self._order_by_service.get(service)
+        if order is not None:
+            return order.target
+        word = self._word_by_service.get(service)
+        return None if word is None else word.target
+
+    def _state_of(self, service):
+        """How the service's present order stands, by all that is known here; a final state outweighs others."""
+        target = self._target_of(service)
+        if target is None:
+            return None
+        order = self._order_by_service.get(service)
+        word = self._word_by_service.get(service)
+        rollout = self.rollout_by_service.get(service)
+        states = [
+            order.state if order is not None else None,
+            word.state if word is not None and word.target == target else None,
+            rollout.state if rollout is not None and rollout.order.target == target else None,
+        ]
+        final = [state for state in states if state is not None and state.is_final]
+        return final[0] if final else RolloutState.RUNNING
+
+    def _rollout_of(self, service, engines):
+        """The roll-out that this router coordinates, or ``None``."""
+        order = self._order_by_service.get(service)
+        if order is None or self._state_of(service).is_final:
+            return self._ended(service)
+        rollout = self.rollout_by_service.get(service)
+        if rollout is None or rollout.order.target != order.target:
+            word = self._word_by_service.get(service)
+            rollout = self.rollout_by_service[service] = Rollout(
+                order=order,
+                share=self._share,
+                slack=self._slack,
+                clock=self._clock,
+                word=word if word is not None and word.target == order.target else None,
+            )
+            logger.bind(service=service, target=order.target, duration_s=order.duration_s).info("a roll-out begins")
+        return rollout
+
+    def _ended(self, service):
+        rollout = self.rollout_by_service.get(service)
+        return rollout if rollout is not None and rollout.phase is Phase.ENDED else None
+
+    # Time.
+
+    def tick(self):
+        """Let the roll-outs go on; about every 100 ms."""
+        own = set(self._own_services())
+        for service in self.rollout_by_service.keys() - own:
+            del self.rollout_by_service[service]
+        for service, rollout in self.rollout_by_service.items():
+            was = (rollout.phase, rollout.state)
+            if rollout.phase is not Phase.ENDED:
+                self._step(service, rollout)
+            if (rollout.phase, rollout.state) != was or self._is_untold(service, rollout):
+                self._tell(service, rollout)
+                self.refresh()
+            self._write_if_due(service, rollout)
+
+    def _step(self, service, rollout):
+        places = {True: 0, False: 0}
+        for engine in self._engines().values():
+            if engine.service == service and not engine.leaving:
+                places[rollout.is_target(engine.version)] += engine.slots
+        runs = self._stewards.runs_by_version(service)
+        old_runs = sum(count for version, count in runs.items() if not rollout.is_target(version))
+        rollout.step(old_places=places[False], target_places=places[True], old_runs=old_runs)
+
+    def _is_untold(self, service, rollout):
+        word = self._word_by_service.get(service)
+        if rollout.state.is_final:
+            return word is None or word.target != rollout.order.target or not word.state.is_final
+        return self._clock() - self._told_at_by_service.get(service, -WORD_S) >= WORD_S
+
+    def _tell(self, service, rollout):
+        word = rollout.word()
+        self._told_at_by_service[service] = self._clock()
+        self._word_by_service[service] = word
+        self._broadcast.send(word)
+
+    # The store.
+
+    async def _follow(self):
+        retry_s = RETRY_S
+        while True:
+            if not self._own_services():
+                self._is_list_due = True
+                await asyncio.sleep(IDLE_S)
+                continue
+            if await self._step_store():
+                retry_s = RETRY_S
+                self.refresh()
+            else:
+                await asyncio.sleep(retry_s * self._jitter.uniform(0.5, 1.0))
+                retry_s = min(MOST_RETRY_S, 2 * retry_s)
+
+    async def _step_store(self):
+        """Read or watch the orders once; whether the store answered."""
+        if not self._is_list_due:
+            outcome = await self._watch()
+            if isinstance(outcome, StoreDone):
+                self._take({name: (version, value) for name, version, value in outcome.value})
+                self._version = max(self._version, outcome.version)
+                return True
+            if not isinstance(outcome, StoreHistoryGone) and not self._is_list_due:
+                self._is_list_due = True
+                return False
+        began_at = self._clock()
+        outcome = await self._store.list(kind=self._adapter.rollout_kind)
+        if not isinstance(outcome, StoreDone):
+            return False
+        self._is_list_due = False
+        self._read_at = began_at
+        self._version = outcome.version
+        gone = {name: (0, None) for name in self._order_by_service.keys() - outcome.value.keys()}
+        self._take({**gone, **outcome.value})
+        return True
+
+    async def _watch(self):
+        """Wait for a change of the orders; ended early when they have to be read anew."""
+        self._wake.clear()
+        watch = asyncio.create_task(
+            self._store.watch(kind=self._adapter.rollout_kind, from_version=self._version, timeout_s=WATCH_S)
+        )
+        woken = asyncio.create_task(self._wake.wait())
+        try:
+            await asyncio.wait((watch, woken), return_when=asyncio.FIRST_COMPLETED)
+            return watch.result() if watch.done() else None
+        finally:
+            watch.cancel()
+            woken.cancel()
+
+    def _take(self, found_by_name):
+        for name, (version, value) in found_by_name.items():
+            order = None if value is None else self._adapter.read_rollout(name, version, value)
+            if order is None:
+                self._order_by_service.pop(name, None)
+                if value is None:
+                    self._word_by_service.pop(name, None)
+                    self.rollout_by_service.pop(name, None)
+                continue
+            self._order_by_service[order.service] = order
+            rollout = self.rollout_by_service.get(order.service)
+            if rollout is not None and rollout.order.target == order.target and order.state is not None:
+                rollout.end_as(order.state)
+
+    def _write_if_due(self, service, rollout):
+        order = self._order_by_service.get(service)
+        is_due = order is not None and order.target == rollout.order.target and order.state is not rollout.state
+        if is_due and service not in self._writing_by_service:
+            task = asyncio.get_running_loop().create_task(self._write(order, rollout.state))
+            self._writing_by_service[service] = task
+            task.add_done_callback(lambda _: self._writing_by_service.pop(service, None))
+
+    async def _write(self, order, state):
+        outcome = await self._store.update_status(
+            kind=self._adapter.rollout_kind,
+            name=order.service,
+            value=self._adapter.rollout_status(order.target, state),
+            if_version=order.store_version,
+        )
+        if isinstance(outcome, StoreDone):
+            logger.bind(service=order.service, target=order.target, state=str(state)).info("roll-out told to the store")
+        # Whatever came of it, what stands there now is read: an answer may be lost, another steward may have written.
+        self._is_list_due = True
+        self._wake.set()
+        await asyncio.sleep(RETRY_S * self._jitter.uniform(0.5, 1.0))
+
+
+def _word_key(word):
+    return word.service, word.target, str(word.state), round(word.elapsed_s, 1)
--- /dev/null
+++ b/wagtailtrestle/rollouts/judgement.py
@@ -0,0 +1,159 @@
+"""Whether a version is worse than the one that it is to replace.
+
+Each run on the target is compared with what the old version shows on the same route: a service may answer a
+seventh of one route's calls with failures of its own, with any version. A cumulative sum of log likelihood ratios
+(CUSUM), one for each route and one over all, grows with bad runs and never falls below zero, so that a version which
+turns bad after a good beginning is found as soon as one that always was.
+"""
+
+import math
+from collections import deque
+
+BAD_EXTRA = 0.12
+"""Least extra part of bad runs that is looked for."""
+
+THRESHOLD = 7.5
+"""Sum at which a version counts as bad; natural logarithm."""
+
+LEAST_BAD = 3
+"""A single crash or a slow moment is not a version's fault."""
+
+PRIOR_RUNS = 20.0
+PRIOR_BAD = 2.0
+"""What is believed of a route of which the old version has shown little: one bad run in ten."""
+
+SLOW_FACTOR = 2.5
+"""Times its usual pace from which a run counts as slow; engines of one version alone differ fourfold, so that each is
+set against its own pace and against the slowest of the old ones."""
+
+PACES_KEPT = 64
+PACES_NEEDED = 4
+CUT_PAUSE_S = 1.0
+"""A crash ends all runs of its engine at once: of those within so long one counts."""
+
+FAILED = "RunFailed"
+CUT_RESULTS = frozenset({"RunCut", "RunSilent", "RunLost"})
+DONE = "RunDone"
+
+
+class _Route:
+    """What both versions showed on one route."""
+
+    __slots__ = ("old_runs", "old_bad", "total")
+
+    def __init__(self):
+        self.old_runs = 0
+        self.old_bad = 0
+        self.total = 0.0
+
+
+class _Paces:
+    """The last paces of one engine on one route."""
+
+    __slots__ = ("_last",)
+
+    def __init__(self):
+        self._last = deque(maxlen=PACES_KEPT)
+
+    def add(self, pace):
+        self._last.append(pace)
+
+    @property
+    def usual(self):
+        """Pace of its faster runs, or ``None`` while too few are known."""
+        if len(self._last) < PACES_NEEDED:
+            return None
+        return sorted(self._last)[len(self._last) // 4]
+
+
+class Judgement:
+    """The evidence on one target.
+
+    Attributes
+    ----------
+    target_runs, target_bad : int
+    """
+
+    __slots__ = ("target_runs", "target_bad", "_route_by_name", "_all_total", "_paces_by_key", "_cut_at_by_engine")
+
+    def __init__(self):
+        self.target_runs = 0
+        self.target_bad = 0
+        self._route_by_name = {}
+        self._all_total = 0.0
+        self._paces_by_key = {}
+        self._cut_at_by_engine = {}
+
+    @property
+    def is_bad(self):
+        """Whether the target is worse than the old version."""
+        if self.target_bad < LEAST_BAD:
+            return False
+        return max([self._all_total, *(route.total for route in self._route_by_name.values())]) >= THRESHOLD
+
+    def note(self, *, route, engine, is_target, result, pace, now):
+        """Take in how a run ended.
+
+        Parameters
+        ----------
+        route, engine : str
+        is_target : bool
+        result : str
+            The class name of the outcome.
+        pace : float
+            Seconds, or seconds a token; 0 where the run shows none.
+        now : float
+        """
+        bad = self._is_bad_run(route, engine, is_target, result, pace, now)
+        if bad is None:
+            return
+        seen = self._route_by_name.setdefault(route, _Route())
+        if is_target:
+            self._add(seen, bad)
+        else:
+            seen.old_runs += 1
+            seen.old_bad += bad
+
+    def dump(self):
+        """Return the state as a plain dict."""
+        return {
+            "target_runs": self.target_runs,
+            "target_bad": self.target_bad,
+            "total": round(self._all_total, 2),
+            "total_by_route": {name: round(route.total, 2) for name, route in self._route_by_name.items()},
+        }
+
+    def _is_bad_run(self, route, engine, is_target, result, pace, now):
+        """Whether a run was bad; ``None`` if it tells nothing."""
+        if result == FAILED:
+            return True
+        if result in CUT_RESULTS:
+            is_first = now - self._cut_at_by_engine.get(engine, -math.inf) > CUT_PAUSE_S
+            self._cut_at_by_engine[engine] = now
+            return True if is_first else None
+        if result != DONE:
+            return None
+        return pace > 0.0 and self._is_slow(route, engine, is_target, pace)
+
+    def _is_slow(self, route, engine, is_target, pace):
+        own = self._paces_by_key.setdefault((route, engine, is_target), _Paces())
+        known = [own.usual]
+        if is_target:
+            old = [
+                paces.usual
+                for (of, _, of_target), paces in self._paces_by_key.items()
+                if of == route and not of_target and paces.usual is not None
+            ]
+            known.append(max(old, default=None))
+        own.add(pace)
+        usual = min((each for each in known if each is not None), default=None)
+        return usual is not None and pace > SLOW_FACTOR * usual
+
+    def _add(self, seen, bad):
+        self.target_runs += 1
+        self.target_bad += bad
+        usual = (seen.old_bad + PRIOR_BAD) / (seen.old_runs + PRIOR_RUNS)
+        worse = usual + BAD_EXTRA * (1.0 - usual)
+        step = math.log(worse / usual) if bad else math.log((1.0 - worse) / (1.0 - usual))
+        seen.total = max(0.0, seen.total + step)
+        self._all_total = max(0.0, self._all_total + step)
--- /dev/null
+++ b/wagtailtrestle/rollouts/rollout.py
@@ -0,0 +1,199 @@
+"""One roll-out at its coordinator, the steward of the service: trial, ramp, shift, verdict.
+
+Trial: the old version serves; the target gets a small share and is judged by it. Ramp: judged good so far, it gets
+the rest of what an untested version may get, in a row. Shift: it gets everything, while what runs on the old engines
+ends, since these stop without a drain once the roll-out is told as completed. The verdict is told only then. A
+target that turns out to be bad in any phase gets nothing more from that moment.
+"""
+
+from enum import StrEnum
+
+from loguru import logger
+
+from wagtailtrestle.contracts.rollout_messages import RolloutState, RolloutWord
+from wagtailtrestle.rollouts.exposure import Exposure
+from wagtailtrestle.rollouts.judgement import Judgement
+
+TRIAL_PART = 0.5
+"""Part of the time for the trial, if the target has run enough by then."""
+LONGEST_TRIAL_PART = 0.7
+ENOUGH_RUNS = 30
+"""Runs on the target by which one that fails a fifth of them is found."""
+RAMP_RUNS = 25
+"""Runs in a row that it has to end before everything goes to it."""
+LONGEST_RAMP_PART = 0.8
+END_ROOM_S = 1.0
+"""Time before the end of the roll-out at which it is told as completed, whatever still runs."""
+LEAST_CAPACITY = 0.5
+"""Part of the old engines' places that the target's must have to take over."""
+
+
+class Phase(StrEnum):
+    """What happens to the service's requests."""
+
+    TRIAL = "trial"
+    RAMP = "ramp"
+    SHIFT = "shift"
+    ENDED = "ended"
+
+
+class Rollout:
+    """Decides which version a request goes to, and how the roll-out ends.
+
+    Parameters
+    ----------
+    order : RolloutOrder
+    share : float
+    slack : int
+        See :class:`wagtailtrestle.rollouts.exposure.Exposure`.
+    clock : callable
+        The loop's time, seconds.
+    word : RolloutWord, optional
+        What the former coordinator told last.
+
+    Attributes
+    ----------
+    phase : Phase
+    state : RolloutState
+    """
+
+    __slots__ = ("order", "phase", "state", "exposure", "judgement", "_clock", "_began_at", "_ramp_runs")
+
+    def __init__(self, *, order, share, slack, clock, word=None):
+        now = clock()
+        elapsed_s = word.elapsed_s if word is not None else 0.0
+        self.order = order
+        self.phase = Phase.TRIAL
+        self.state = RolloutState.RUNNING
+        self.judgement = Judgement()
+        self.exposure = Exposure(
+            share=share,
+            slack=slack,
+            now=now,
+            granted=word.granted if word is not None else 0,
+            exposed=word.exposed if word is not None else 0,
+        )
+        self._clock = clock
+        self._began_at = now - elapsed_s
+        self._ramp_runs = 0
+
+    @property
+    def elapsed_s(self):
+        """Time since the order was seen first."""
+        return self._clock() - self._began_at
+
+    def is_target(self, version):
+        """Whether engines of this version are the ones to move to."""
+        return version == self.order.target
+
+    def wants(self, request):
+        """Whether a request goes to the target."""
+        if self.phase not in (Phase.TRIAL, Phase.RAMP):
+            return False
+        # What an engine failed already is not tried on the untested version, nor what is suspected of crashes.
+        if request.excluded_engines or request.alone or request.done_tokens:
+            return False
+        return self.exposure.may_expose(request.route, self._clock())
+
+    def note_grant(self, request, version):
+        """Count a run that was granted."""
+        self.exposure.note_grant(request.route, is_target=self.is_target(version), now=self._clock())
+
+    def note_end(self, *, request, engine, version, finished):
+        """Take in how a run ended."""
+        if self.phase is Phase.ENDED:
+            return
+        self.judgement.note(
+            route=request.route,
+            engine=engine,
+            is_target=self.is_target(version),
+            result=finished.result,
+            pace=_pace(finished),
+            now=self._clock(),
+        )
+        if self.judgement.is_bad:
+            self._end(RolloutState.ROLLED_BACK)
+
+    def step(self, *, old_places, target_places, old_runs):
+        """Go on as time passes.
+
+        Parameters
+        ----------
+        old_places, target_places : int
+            Places of the engines of either version.
+        old_runs : int
+            Runs that the old engines hold.
+        """
+        part = self.elapsed_s / self.order.duration_s
+        can_bear = target_places > 0 and target_places >= LEAST_CAPACITY * old_places
+        if self.phase is Phase.TRIAL and can_bear and self._trial_is_over(part):
+            self._ramp()
+        elif self.phase is Phase.RAMP and self._ramp_is_over(part):
+            self._shift()
+        elif self.phase is Phase.SHIFT:
+            has_room = self.elapsed_s < self.order.duration_s - END_ROOM_S
+            if not (has_room and old_runs):
+                self._end(RolloutState.COMPLETED)
+
+    def end_as(self, state):
+        """Take over the final state that another router told; the running state changes nothing."""
+        if state.is_final and not self.state.is_final:
+            self._end(state)
+
+    def word(self):
+        """How it stands, for others."""
+        return RolloutWord(
+            service=self.order.service,
+            target=self.order.target,
+            state=self.state,
+            elapsed_s=self.elapsed_s,
+            duration_s=self.order.duration_s,
+            granted=self.exposure.granted,
+            exposed=self.exposure.exposed,
+        )
+
+    def dump(self):
+        """Return the state as a plain dict."""
+        return {
+            "target": self.order.target,
+            "phase": str(self.phase),
+            "state": str(self.state),
+            "elapsed_s": round(self.elapsed_s, 3),
+            "duration_s": self.order.duration_s,
+            "granted": self.exposure.granted,
+            "exposed": self.exposure.exposed,
+            **self.judgement.dump(),
+        }
+
+    def _trial_is_over(self, part):
+        if part >= LONGEST_TRIAL_PART:
+            return True
+        return part >= TRIAL_PART and self.judgement.target_runs >= ENOUGH_RUNS
+
+    def _ramp(self):
+        self.phase = Phase.RAMP
+        self._ramp_runs = self.judgement.target_runs + RAMP_RUNS
+        self.exposure.widen()
+        self._log("nothing speaks against the target; it gets as much as it may untested")
+
+    def _ramp_is_over(self, part):
+        return part >= LONGEST_RAMP_PART or self.judgement.target_runs >= self._ramp_runs
+
+    def _shift(self):
+        self.phase = Phase.SHIFT
+        self._log("the target is as good as the old version; all requests go to it")
+
+    def _end(self, state):
+        self.phase = Phase.ENDED
+        self.state = state
+        self._log(f"the roll-out is {state.replace('_', ' ')}")
+
+    def _log(self, text):
+        logger.bind(service=self.order.service, **self.dump()).info("roll-out of {}: {}", self.order.service, text)
+
+
+def _pace(finished):
+    """Seconds a token where there are tokens enough, else of the whole run."""
+    if finished.output_tokens >= 8:
+        return (finished.duration_s - finished.first_token_s) / finished.output_tokens
+    return 0.0 if finished.output_tokens else finished.duration_s
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -45,6 +45,7 @@
 from wagtailtrestle.peers.rendezvous import Rendezvous
 from wagtailtrestle.quotas.owner import Tolerance
 from wagtailtrestle.quotas.shared import SharedQuotas
+from wagtailtrestle.rollouts.coordinator import Coordinator
 
 TICK_S = 0.1
 MS_PER_S = 1000.0
@@ -208,6 +209,7 @@
         self._broadcast.on(CrashClearance, key=lambda clearance: clearance, handler=self._crashes.merge_clearance)
         self._peers.on_reconnect(self._tell_crashes)
         self._make_ledger()
+        self._make_rollouts()
         self._entry = Entry(
             name=name,
             stewards=self._directory.steward_link,
@@ -231,6 +233,24 @@
             tolerance=self._tolerance,
         )
 
+    def _make_rollouts(self):
+        self._rollouts = None
+        if self._adapter.rollout_kind is None or not self._settings.rollout_share:
+            return
+        self._rollouts = Coordinator(
+            store=self._store,
+            adapter=self._adapter,
+            stewards=self._stewards,
+            broadcast=self._broadcast,
+            own_services=self._own_cells,
+            engines=lambda: self._engine_list.by_name,
+            share=self._settings.rollout_share,
+            slack=self._settings.rollout_slack,
+            clock=self._loop.time,
+        )
+        self._peers.on_reconnect(self._tell_rollouts)
+        self._membership.on_view_change(lambda view: self._rollouts.refresh())
+
     def _make_ledger(self):
         self._ledger = Ledger(
             name=self._settings.name,
@@ -319,6 +339,9 @@
             self._epoch_note.start()
             self._started.push_async_callback(self._epoch_note.close)
         self._started.push_async_callback(self._ledger.close)
+        if self._rollouts is not None:
+            self._rollouts.start()
+            self._started.push_async_callback(self._rollouts.close)
         self._reports.start()
         self._started.push_async_callback(self._in_thread, self._reports.close)
         self._ticking = self._loop.create_task(self._tick())
@@ -411,6 +434,7 @@
             "callers": self._callers.dump(),
             "ledger": self._ledger.dump(),
             "crashes": self._crashes.dump(),
+            "rollouts": None if self._rollouts is None else self._rollouts.dump(),
             "retry_budgets": {name: budget.dump() for name, budget in self._budget_by_service.items()},
         }
 
@@ -440,6 +464,9 @@
 
     def _use_declaration(self, in_force):
         """Go by a declaration, with the engines that list themselves where there are such."""
+        if self._rollouts is not None:
+            # First, so that no engine is used before it is known whether its version may be.
+            self._rollouts.refresh()
         declaration = in_force.declaration
         if self._engine_list is not None:
             declaration = declaration.with_engines(self._engine_list.by_name)
@@ -471,7 +498,7 @@
         """
         if self._in_force is None:
             return
-        mine = {cell for cell in self._cells() if self._directory.steward_of(cell) == self._settings.name}
+        mine = self._own_cells()
         declaration = self._declaration()
         polled = {
             engine.name: engine.address
@@ -480,6 +507,10 @@
         }
         self._reports.set_engines(polled)
 
+    def _own_cells(self):
+        """Cells that this router is steward of."""
+        return {cell for cell in self._cells() if self._directory.steward_of(cell) == self._settings.name}
+
     def _take_report(self, report):
         match report:
             case LoadReport():
@@ -508,6 +539,11 @@
         for report in self._crashes.reports():
             self._peers.send(peer, report)
 
+    def _tell_rollouts(self, peer):
+        # A router that starts may be steward next, and would send an untested version its full part.
+        for word in self._rollouts.words():
+            self._peers.send(peer, word)
+
     async def _ask(self, peer, message, timeout_s):
         if peer == self._settings.name:
             return await self._ledger.handle(message)
@@ -532,6 +568,8 @@
                 self._directory.ask_to_register(cell=cell, entries=steward.awaited_entries)
             if self._in_force is not None:
                 self._quotas.tick()
+            if self._rollouts is not None:
+                self._rollouts.tick()
 
 
 async def _stopped(task):
