A configuration that can't be read no longer drops the proof of keys

Callers would have seen: 503, keys_stale, for up to a reader's interval (1.5 s) after a start, or after a configuration that can't be read.

A newer configuration that the watch brings dropped the pending proof also where the epoch was proved already, or where the store tells none.

Change: dropped only with the first write that proves an epoch.

--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -15,11 +15,13 @@
 from tests.test_engine_list import Followed, entry
 from tests.utils.paused_clock import on_paused_clock
 from wagtailtrestle.configuration.engine_list import RELIST_S, WATCH_S
+from wagtailtrestle.configuration.store_epoch import StoreEpoch
 from wagtailtrestle.contracts.declaration import DeclaredEngine
 from wagtailtrestle.platform.declarations import PlatformDeclarations
 from wagtailtrestle.platform.engine_entries import STATES, Unfit, read_engine
 from wagtailtrestle.platform.engines import PlatformReports
-from wagtailtrestle.platform.store import _event, _is_event, _is_list, _is_object
+from wagtailtrestle.platform.rollouts import read_rollout
+from wagtailtrestle.platform.store import PlatformStore, _is_event, _is_list, _is_object
 from wagtailtrestle.store.http_lane import _decoded
 
 FOREIGN = {
@@ -83,13 +85,21 @@
     @steady
     @given(VALUES)
     def test_objects_and_events_that_cannot_be_read_are_passed_over(self, value):
+        store = PlatformStore(url="http://127.0.0.1:1", epoch=StoreEpoch())
         for item in (value, {"metadata": value}, {"metadata": {"name": "a", "revision": value}}):
             _is_object(item)
             event = {"object": item, "deleted": False}
             if _is_event(event):
-                _event(event)
+                store._event("config", event)
         self.assertFalse(_is_list({"items": value, "store_revision": "5"}, "items"))
 
+    @steady
+    @given(VALUES, VALUES)
+    def test_orders_that_cannot_be_read_are_not_followed(self, order, status):
+        for specification in (order, {"service": "s", "target": order, "duration_s": order}):
+            found = read_rollout("s", 1, {"specification": specification, "status": status})
+            self.assertTrue(found is None or found.duration_s > 0)
+
     def test_bytes_that_are_no_text_spoil_only_their_own_object(self):
         data = b'{"items":[{"specification":"\xff\xfe\x01"},{"specification":"sound"}],"store_revision":5}'
         self.assertEqual(_decoded(data)["items"][1], {"specification": "sound"})
--- a/wagtailtrestle/configuration/sources.py
+++ b/wagtailtrestle/configuration/sources.py
@@ -320,7 +320,7 @@
         if accepted is None:
             logger.error("the object {}/{} is not a declaration", self._place.kind, self._place.name)
             return
-        if version > self._first_version:
+        if version > self._first_version and self._proving_epoch != epoch_of(version):
             # Written in this epoch, so that nothing that the copy lacks is newer. Reads before it are no proof of it.
             self._proving_epoch = epoch_of(version)
             self._unsettled = None
