--- a/wagtailtrestle/engines/state.py
+++ b/wagtailtrestle/engines/state.py
@@ -171,6 +171,7 @@
     def declare(self, declared):
         """Put what a newer declaration says of it in force."""
         self._declared_leaving = declared.leaving
+        self.version = declared.version
         self._refresh_limit()
 
     def mark_leaving(self, leaving):
--- /dev/null
+++ b/wagtailtrestle/measure/rollout_ways.py
@@ -0,0 +1,196 @@
+"""Two ways to judge a version, on simulated roll-outs: sequentially by route, and once by a count at the end.
+
+Each seed draws a service of two routes, one of which fails a seventh of its calls with any version, and a target
+that is good or bad in one way. Runs are drawn, not played: only the judgement differs between the ways.
+``python -m wagtailtrestle.measure.rollout_ways`` prints a table.
+"""
+
+import math
+import random
+from types import SimpleNamespace
+
+from loguru import logger
+
+from wagtailtrestle.contracts.rollout_messages import RolloutOrder, RolloutState
+from wagtailtrestle.output.table import table
+from wagtailtrestle.rollouts.judgement import DONE, FAILED
+from wagtailtrestle.rollouts.rollout import Phase, Rollout
+
+SEEDS = 400
+RATE_PER_S = 60.0
+DURATION_S = 12.0
+SHARE = 0.1
+SLACK = 50
+GOOD = "good"
+USUAL_FAILURES = {"read": 0.14, "book": 0.004}
+MEAN_RUN_S = 0.04
+SPREAD = 0.3
+LEVEL_Z = 3.09
+"""Of the count at the end: one false roll-back in a thousand."""
+
+
+class SimpleClock:
+    """Time that the simulation moves."""
+
+    __slots__ = ("now",)
+
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        """Return the simulated time."""
+        return self.now
+
+
+class Version:
+    """How a target behaves.
+
+    Parameters
+    ----------
+    share : float
+        Part of its runs that fail besides what any version fails.
+    route : str or None
+        The only route on which they do.
+    after_s : float
+        From this time on.
+    slower : float
+        Times by which all runs are slower.
+    """
+
+    __slots__ = ("share", "route", "after_s", "slower")
+
+    def __init__(self, *, share=0.0, route=None, after_s=0.0, slower=1.0):
+        self.share = share
+        self.route = route
+        self.after_s = after_s
+        self.slower = slower
+
+    def fails(self, route, at_s):
+        """Part of the runs of a route that fail at a time."""
+        extra = self.share if route == (self.route or route) and at_s >= self.after_s else 0.0
+        return USUAL_FAILURES[route] + extra * (1.0 - USUAL_FAILURES[route])
+
+
+VERSIONS_BY_NAME = {
+    GOOD: Version(),
+    "fails half": Version(share=0.5),
+    "fails a fifth": Version(share=0.2),
+    "fails a fifth on one route": Version(share=0.2, route="book"),
+    "fails half from 3 s on": Version(share=0.5, after_s=3.0),
+    "three times slower": Version(slower=3.0),
+}
+
+
+class CountAtEnd:
+    """The other way: failures of both versions, and their mean times, compared once after the trial."""
+
+    def __init__(self):
+        self._runs = {True: [], False: []}
+
+    def note(self, *, is_target, bad, pace):
+        """Take in a run."""
+        self._runs[is_target].append((bad, pace))
+
+    @property
+    def is_bad(self):
+        """Whether failures or times differ by more than chance would give."""
+        old, new = self._runs[False], self._runs[True]
+        if not old or not new:
+            return False
+        return self._z([bad for bad, _ in old], [bad for bad, _ in new]) > LEVEL_Z or self._slower(old, new)
+
+    def _z(self, old, new):
+        part = (sum(old) + sum(new)) / (len(old) + len(new))
+        spread = math.sqrt(max(1e-9, part * (1.0 - part) * (1.0 / len(old) + 1.0 / len(new))))
+        return (sum(new) / len(new) - sum(old) / len(old)) / spread
+
+    def _slower(self, old, new):
+        return _mean([pace for _, pace in new]) > 2.0 * _mean([pace for _, pace in old])
+
+
+def _mean(values):
+    return sum(values) / len(values)
+
+
+class Played:
+    """What came of one roll-out.
+
+    Attributes
+    ----------
+    found_at_s : float or None
+        When the sequential way rolled it back.
+    exposed, granted : int
+        Runs on the target until then or the end, and all runs until the end.
+    found_at_end : bool
+        Whether the count after the trial rolls it back.
+    """
+
+    __slots__ = ("found_at_s", "exposed", "granted", "found_at_end")
+
+    def __init__(self, *, found_at_s, exposed, granted, found_at_end):
+        self.found_at_s = found_at_s
+        self.exposed = exposed
+        self.granted = granted
+        self.found_at_end = found_at_end
+
+    @property
+    def is_within_bound(self):
+        """Whether the target got no more than an untested version may."""
+        return self.exposed <= SHARE * self.granted + SLACK
+
+
+def play(version, seed):
+    """Draw one roll-out; every run ends at once."""
+    chance = random.Random(seed)
+    clock = SimpleClock()
+    order = RolloutOrder(service="s", target="new", duration_s=DURATION_S, store_version=1)
+    rollout = Rollout(order=order, share=SHARE, slack=SLACK, clock=clock)
+    at_end = CountAtEnd()
+    found_at_s = None
+    granted = exposed = 0
+    while clock.now < DURATION_S:
+        clock.now += chance.expovariate(RATE_PER_S)
+        route = "read" if chance.random() < 2 / 3 else "book"
+        request = SimpleNamespace(route=route, excluded_engines=(), alone=False, done_tokens=0)
+        is_target = rollout.phase is Phase.SHIFT or rollout.wants(request)
+        granted += 1
+        exposed += is_target
+        version_name = "new" if is_target else "old"
+        rollout.note_grant(request, version_name)
+        behaviour = version if is_target else VERSIONS_BY_NAME[GOOD]
+        bad = chance.random() < behaviour.fails(route, clock.now)
+        pace = MEAN_RUN_S * behaviour.slower * math.exp(chance.gauss(0.0, SPREAD))
+        if rollout.phase is Phase.TRIAL:
+            at_end.note(is_target=is_target, bad=bad, pace=pace)
+        finished = SimpleNamespace(result=FAILED if bad else DONE, duration_s=pace, output_tokens=0, first_token_s=0.0)
+        engine = f"{version_name}-{chance.randint(1, 2)}"
+        rollout.note_end(request=request, engine=engine, version=version_name, finished=finished)
+        if found_at_s is None and rollout.state is RolloutState.ROLLED_BACK:
+            found_at_s = clock.now
+        # The old engines hold something until the end, so that the shift is as long as it may be.
+        rollout.step(old_places=12, target_places=12, old_runs=1)
+    return Played(found_at_s=found_at_s, exposed=exposed, granted=granted, found_at_end=at_end.is_bad)
+
+
+def summary(name, seeds=SEEDS):
+    """A row of the table."""
+    played = [play(VERSIONS_BY_NAME[name], seed) for seed in range(seeds)]
+    times = sorted(each.found_at_s for each in played if each.found_at_s is not None)
+    return [
+        f"{len(times) / seeds:.3f}",
+        f"{times[len(times) // 2]:.1f}" if times else "-",
+        f"{times[-1]:.1f}" if times else "-",
+        "-" if name == GOOD else f"{sum(not each.is_within_bound for each in played)}",
+        f"{sum(each.found_at_end for each in played) / seeds:.3f}",
+    ]
+
+
+def main():
+    """Print the table."""
+    logger.remove()
+    header = ("version", "by route: rolled back", "median s", "last s", "over the bound", "at the end: rolled back")
+    print(table(header=header, rows=[[name, *summary(name)] for name in VERSIONS_BY_NAME]))
+
+
+if __name__ == "__main__":
+    main()
--- a/wagtailtrestle/rollouts/judgement.py
+++ b/wagtailtrestle/rollouts/judgement.py
@@ -9,12 +9,15 @@
 import math
 from collections import deque
 
-BAD_EXTRA = 0.12
+BAD_EXTRA = 0.16
 """Least extra part of bad runs that is looked for."""
 
-THRESHOLD = 7.5
+THRESHOLD = 5.5
 """Sum at which a version counts as bad; natural logarithm."""
 
+SHIFT_THRESHOLD = 12.0
+"""The same once it gets everything: ten times the runs give chance ten times the occasions."""
+
 LEAST_BAD = 3
 """A single crash or a slow moment is not a version's fault."""
 
@@ -71,12 +74,23 @@
 
     Attributes
     ----------
+    threshold : float
+        Sum at which the target counts as bad.
     target_runs, target_bad : int
     """
 
-    __slots__ = ("target_runs", "target_bad", "_route_by_name", "_all_total", "_paces_by_key", "_cut_at_by_engine")
+    __slots__ = (
+        "threshold",
+        "target_runs",
+        "target_bad",
+        "_route_by_name",
+        "_all_total",
+        "_paces_by_key",
+        "_cut_at_by_engine",
+    )
 
     def __init__(self):
+        self.threshold = THRESHOLD
         self.target_runs = 0
         self.target_bad = 0
         self._route_by_name = {}
@@ -87,9 +101,14 @@
     @property
     def is_bad(self):
         """Whether the target is worse than the old version."""
+        return self.suspicion >= self.threshold
+
+    @property
+    def suspicion(self):
+        """The largest of the sums; 0 while too few runs were bad."""
         if self.target_bad < LEAST_BAD:
-            return False
-        return max([self._all_total, *(route.total for route in self._route_by_name.values())]) >= THRESHOLD
+            return 0.0
+        return max([self._all_total, *(route.total for route in self._route_by_name.values())])
 
     def note(self, *, route, engine, is_target, result, pace, now):
         """Take in how a run ended.
@@ -152,8 +171,17 @@
     def _add(self, seen, bad):
         self.target_runs += 1
         self.target_bad += bad
-        usual = (seen.old_bad + PRIOR_BAD) / (seen.old_runs + PRIOR_RUNS)
+        usual = _usual(seen.old_bad + PRIOR_BAD, seen.old_runs + PRIOR_RUNS)
         worse = usual + BAD_EXTRA * (1.0 - usual)
         step = math.log(worse / usual) if bad else math.log((1.0 - worse) / (1.0 - usual))
         seen.total = max(0.0, seen.total + step)
         self._all_total = max(0.0, self._all_total + step)
+
+
+def _usual(bad, runs):
+    """Part of the runs that are bad with any version, one standard deviation above what was seen.
+
+    Taken as seen, chance among the old version's runs alone would make a good target look worse.
+    """
+    part = bad / runs
+    return part + math.sqrt(part * (1.0 - part) / runs)
--- a/wagtailtrestle/rollouts/rollout.py
+++ b/wagtailtrestle/rollouts/rollout.py
@@ -6,22 +6,26 @@
 target that turns out to be bad in any phase gets nothing more from that moment.
 """
 
+from collections import deque
 from enum import StrEnum
 
 from loguru import logger
 
 from wagtailtrestle.contracts.rollout_messages import RolloutState, RolloutWord
 from wagtailtrestle.rollouts.exposure import Exposure
-from wagtailtrestle.rollouts.judgement import Judgement
+from wagtailtrestle.rollouts.judgement import SHIFT_THRESHOLD, Judgement
 
 TRIAL_PART = 0.5
 """Part of the time for the trial, if the target has run enough by then."""
 LONGEST_TRIAL_PART = 0.7
 ENOUGH_RUNS = 30
 """Runs on the target by which one that fails a fifth of them is found."""
-RAMP_RUNS = 25
-"""Runs in a row that it has to end before everything goes to it."""
-LONGEST_RAMP_PART = 0.8
+LEAST_RAMP_END, MOST_RAMP_END = 0.55, 0.8
+"""Parts of the time between which the ramp ends, the sooner the longer the service's runs are: what the old engines
+hold then has to end before they stop."""
+LONG_RUN_QUANTILE = 0.95
+LONG_RUNS = 1.5
+RUNS_KEPT = 200
 END_ROOM_S = 1.0
 """Time before the end of the roll-out at which it is told as completed, whatever still runs."""
 LEAST_CAPACITY = 0.5
@@ -57,7 +61,7 @@
     state : RolloutState
     """
 
-    __slots__ = ("order", "phase", "state", "exposure", "judgement", "_clock", "_began_at", "_ramp_runs")
+    __slots__ = ("order", "phase", "state", "exposure", "judgement", "_clock", "_began_at", "_durations")
 
     def __init__(self, *, order, share, slack, clock, word=None):
         now = clock()
@@ -75,7 +79,7 @@
         )
         self._clock = clock
         self._began_at = now - elapsed_s
-        self._ramp_runs = 0
+        self._durations = deque(maxlen=RUNS_KEPT)
 
     @property
     def elapsed_s(self):
@@ -103,6 +107,7 @@
         """Take in how a run ended."""
         if self.phase is Phase.ENDED:
             return
+        self._durations.append(finished.duration_s)
         self.judgement.note(
             route=request.route,
             engine=engine,
@@ -172,15 +177,20 @@
 
     def _ramp(self):
         self.phase = Phase.RAMP
-        self._ramp_runs = self.judgement.target_runs + RAMP_RUNS
         self.exposure.widen()
         self._log("nothing speaks against the target; it gets as much as it may untested")
 
     def _ramp_is_over(self, part):
-        return part >= LONGEST_RAMP_PART or self.judgement.target_runs >= self._ramp_runs
+        needed_s = END_ROOM_S + LONG_RUNS * self._long_run_s()
+        return part >= min(MOST_RAMP_END, max(LEAST_RAMP_END, 1.0 - needed_s / self.order.duration_s))
+
+    def _long_run_s(self):
+        durations = sorted(self._durations)
+        return durations[int(LONG_RUN_QUANTILE * len(durations))] if durations else 0.0
 
     def _shift(self):
         self.phase = Phase.SHIFT
+        self.judgement.threshold = SHIFT_THRESHOLD
         self._log("the target is as good as the old version; all requests go to it")
 
     def _end(self, state):
