Targets of former orders stay untested: held back until a roll-out completes them

Callers would have seen: a version that was rolled back, or given up for a newer order, gets its full part of all requests as soon as the next version is ordered, while its engines drain. Found by reading; the tests of it (held_names, and a newer order with processes) fail without.

--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -158,7 +158,8 @@
             made = engine(f"e{number}")
             made.version = version
             engines.append(made)
-        given = {"target": None, "state": None, "is_shifting": False, "unread_versions": set(), "stopped_names": ()}
+        given = {"target": None, "state": None, "is_shifting": False, "unread_versions": set()}
+        given |= {"untested_versions": set(), "stopped_names": ()}
         return set(held_names(engines, **{**given, **more}))
 
     def test_without_an_order_all_versions_are_used(self):
@@ -175,6 +176,11 @@
         self.assertEqual(self.held("v1", "v2", **order), {"e1"})
         self.assertEqual(self.held("v1", "v2", is_shifting=True, **order), {"e0"})
 
+    def test_target_of_a_former_order_gets_nothing_either(self):
+        # A version was rolled back, and its engines still drain when the operator orders the next one.
+        order = {"target": "v3", "state": RolloutState.RUNNING, "untested_versions": {"v2"}}
+        self.assertEqual(self.held("v1", "v2", "v3", **order), {"e1", "e2"})
+
     def test_rolled_back_target_gets_nothing_and_a_third_version_is_used(self):
         self.assertEqual(self.held("v1", "v2", "v3", target="v2", state=RolloutState.ROLLED_BACK), {"e1"})
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -96,6 +96,42 @@
         world, _ = self.play(is_bad=fails(0.3), after_order=kill_steward, end="rolled_back")
         self.assert_exposed_little(world)
 
+    def test_store_that_comes_back_from_a_copy_does_not_turn_the_verdict(self):
+        # The store loses the status of a version that was rolled back. It is told again, and its engines get nothing
+        # meanwhile.
+        world = RolloutWorld(is_bad=fails(0.5))
+        self.addCleanup(world.close)
+        world.store.era = 1
+        world.store.put("wagtailtrestle-epochs", "main", {"epoch": 1})
+        world.start()
+        callers = Callers(world=world, rate_per_s=RATE_PER_S).start()
+        world.order(duration_s=DURATION_S)
+        wait_until(lambda: world.state() == "running", "the roll-out is told as running")
+        copy = world.store.copy()
+        wait_until(lambda: world.state() == "rolled_back", "the version is rolled back")
+        ended_at = time.monotonic()
+        world.store.drill(copy)
+        wait_until(lambda: world.state() == "rolled_back", "the verdict is told again")
+        time.sleep(1.0)
+        callers.stop()
+        self.assertLess(world.arrivals(world.new)[-1], ended_at + 0.5)
+
+    def test_newer_order_before_the_former_one_ended(self):
+        # The operator orders another version while one is tried. The former target is as untested as the new one; taken
+        # for any other version, it would get its full part of all requests.
+        world = RolloutWorld()
+        self.addCleanup(world.close)
+        world.start()
+        callers = Callers(world=world, rate_per_s=RATE_PER_S).start()
+        world.order(duration_s=DURATION_S)
+        time.sleep(2.0)
+        before = len(world.arrivals(world.new))
+        world.store.put("rollouts", "booking", {"service": "booking", "target": "v3", "duration_s": DURATION_S})
+        time.sleep(2.0)
+        callers.stop()
+        self.assertLessEqual(len(world.arrivals(world.new)) - before, 3)
+        self.assertEqual(world.store.status("rollouts", "booking"), {"state": "running", "target": "v3"})
+
 
 class OrderTest(unittest.TestCase):
     def start(self):
--- a/wagtailtrestle/rollouts/coordinator.py
+++ b/wagtailtrestle/rollouts/coordinator.py
@@ -62,6 +62,7 @@
         "_order_by_service",
         "_word_by_service",
         "_stopped_by_service",
+        "_targets_by_service",
         "_seen_at_by_version",
         "_read_at",
         "_version",
@@ -87,6 +88,7 @@
         self._order_by_service = {}
         self._word_by_service = {}
         self._stopped_by_service = {}
+        self._targets_by_service = {}
         self._seen_at_by_version = {}
         self._read_at = None
         self._version = 0
@@ -125,6 +127,7 @@
         if known is not None and known.target == word.target and known.state.is_final:
             return
         self._word_by_service[word.service] = word
+        self._targets_by_service.setdefault(word.service, set()).add(word.target)
         rollout = self.rollout_by_service.get(word.service)
         if word.state.is_final and rollout is not None and rollout.order.target == word.target:
             rollout.end_as(word.state)
@@ -171,9 +174,20 @@
             state=state,
             is_shifting=rollout is not None and rollout.phase is Phase.SHIFT,
             unread_versions=unread,
+            untested_versions=self._untested(service, state),
             stopped_names=self._stopped(service, engines, state),
         )
 
+    def _untested(self, service, state):
+        """Targets of former orders that no roll-out completed; their engines may be there for a while."""
+        targets = self._targets_by_service.setdefault(service, set())
+        target = self._target_of(service)
+        if target is not None:
+            targets.add(target)
+        if state is RolloutState.COMPLETED:
+            targets.discard(target)
+        return targets - {target}
+
     def _stopped(self, service, engines, state):
         """Names of the old engines of a completed roll-out: they stop at once, and may still be listed."""
         target = self._target_of(service)
--- a/wagtailtrestle/rollouts/versions.py
+++ b/wagtailtrestle/rollouts/versions.py
@@ -5,7 +5,7 @@
 from wagtailtrestle.contracts.rollout_messages import RolloutState
 
 
-def held_names(engines, *, target, state, is_shifting, unread_versions, stopped_names):
+def held_names(engines, *, target, state, is_shifting, unread_versions, untested_versions, stopped_names):
     """Names of the engines to hold back.
 
     Parameters
@@ -20,6 +20,8 @@
         Whether all requests go to the target though the roll-out has not ended.
     unread_versions : set of str
         Versions that appeared since the orders were read last.
+    untested_versions : set of str
+        Targets of earlier orders that were not completed; rolled back, or given up for a newer order.
     stopped_names : frozenset of str
         Engines that stop without a drain, for their roll-out is completed.
 
@@ -27,7 +29,7 @@
     -------
     frozenset of str
     """
-    held = set(stopped_names)
+    held = set(stopped_names) | {engine.name for engine in engines if engine.version in untested_versions}
     if state is RolloutState.RUNNING:
         held |= {engine.name for engine in engines if (engine.version == target) != is_shifting}
     elif state is RolloutState.ROLLED_BACK:
