--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -131,7 +131,7 @@
         # here and at every router that asks this one.
         source = Source(None)
         in_force = {GENERATION}
-        source.source._is_settled = lambda generation: generation in in_force
+        source.source.proof._is_settled = lambda generation: generation in in_force
         source.source._place = SimpleNamespace(
             kind="config",
             name="main",
--- a/tests/test_store_epoch.py
+++ b/tests/test_store_epoch.py
@@ -11,6 +11,7 @@
 from wagtailtrestle.configuration import sources
 from wagtailtrestle.configuration.earlier_word import BELIEVED_S, EarlierWord
 from wagtailtrestle.configuration.engine_list import EngineList
+from wagtailtrestle.configuration.proof import CARRIED_S, Proof
 from wagtailtrestle.configuration.sources import PlatformSource
 from wagtailtrestle.configuration.store_epoch import RESTORED_S, StoreEpoch, epoch_of, revision_of, version_in
 from wagtailtrestle.contracts.declaration import DeclaredEngine
@@ -206,15 +207,16 @@
     """What a read of the configuration proves about keys."""
 
     def source(self, store, epoch):
-        return PlatformSource(
+        source = PlatformSource(
             store=store,
             offer=lambda *offered: None,
             poll_interval_s=1.0,
             watch_timeout_s=1.0,
             jitter=random.Random(1),
             place=PlatformDeclarations(),
-            epoch=epoch,
         )
+        source.proof = Proof(is_settled=lambda generation: True, epoch=epoch, clock=self.clock)
+        return source
 
     def setUp(self):
         self.clock = Clock()
@@ -260,7 +262,7 @@
         self.read(source, epoch=1, revision=50)
         self.epoch.settle()
         proved_at = source.confirmed_at
-        self.clock.now += sources.CARRIED_S + 1.0
+        self.clock.now += CARRIED_S + 1.0
         self.read(source, epoch=2, revision=5)
         self.assertEqual(source.confirmed_at, proved_at)
 
--- a/tests/test_store_readers.py
+++ b/tests/test_store_readers.py
@@ -115,7 +115,7 @@
     def start(self):
         loop = asyncio.get_running_loop()
         # Every router reads once by itself when it starts.
-        self.source._confirm(boot_time_s())
+        self.source.proof.confirm(boot_time_s())
         return [loop.create_task(self.source.watch()), loop.create_task(self.source.poll())]
 
     def calls(self):
--- a/wagtailtrestle/configuration/sources.py
+++ b/wagtailtrestle/configuration/sources.py
@@ -7,7 +7,8 @@
 
 from wagtailtrestle.configuration.applying import DECLARATION_KIND, DECLARATION_NAME, NO_GENERATION, accepted_from_value
 from wagtailtrestle.configuration.boot_clock import boot_time_s
-from wagtailtrestle.configuration.store_epoch import StoreEpoch, epoch_of
+from wagtailtrestle.configuration.proof import Proof
+from wagtailtrestle.configuration.store_epoch import StoreEpoch
 from wagtailtrestle.contracts.outcomes import StoreAbsent, StoreConflict, StoreDone, StoreHistoryGone
 from wagtailtrestle.record import record
 
@@ -37,8 +38,6 @@
 """A peer's word counts if the platform confirmed its configuration so lately: a reader's interval, and a read
 that had to be repeated on a new connection. With the asker's own interval a proof is at most 3.5 s old while one
 reader answers; operators grant a revoked key five."""
-CARRIED_S = 5.0
-"""Age up to which a proof holds over a return of the store from a copy."""
 # No object is ever at this version, so an update that asks for it never takes effect.
 NEVER_A_VERSION = 0
 
@@ -106,19 +105,17 @@
     is_settled : callable, optional
         ``is_settled(generation)`` tells whether a generation that was read is in force, or can't be.
     epoch : StoreEpoch, optional
-        While it is not settled, a read of the store proves nothing.
+        Of the store.
+
+    Attributes
+    ----------
+    proof : Proof
     """
 
     __slots__ = (
         "known_version",
         "last_read",
-        "_confirmed_at",
-        "_epoch",
-        "_proving_epoch",
-        "_first_version",
-        "_unsettled",
-        "_newest_taken",
-        "_is_settled",
+        "proof",
         "_place",
         "_readers",
         "_ask_confirmation",
@@ -148,20 +145,13 @@
         is_settled=lambda generation: True,
         epoch=None,
     ):
-        self._is_settled = is_settled
-        self._epoch = epoch or StoreEpoch()
-        self._proving_epoch = 0
-        self._first_version = NEVER_A_VERSION
-        self._epoch.on_return(self._carry)
+        self.proof = Proof(is_settled=is_settled, epoch=epoch or StoreEpoch())
         self._readers = readers
         self._ask_confirmation = ask_confirmation
         self._generation = generation
         self._heard = heard
         self.known_version = NEVER_A_VERSION
         self.last_read = None
-        self._confirmed_at = None
-        self._unsettled = None
-        self._newest_taken = NO_GENERATION
         self._place = place
         self._watched_version = NEVER_A_VERSION
         self._store = store
@@ -172,33 +162,8 @@
 
     @property
     def confirmed_at(self):
-        """Time since boot at which the newest read began of which all is in force here, or ``None``.
-
-        A declaration that was read and is still being checked takes keys away that the one in force holds. Were its
-        read a proof already, this router would vouch for such a key, to itself and to all that ask it.
-        """
-        unsettled = self._unsettled
-        if unsettled is not None and self._is_proof(*unsettled):
-            self._confirm(unsettled[1])
-            self._unsettled = None
-        return self._confirmed_at
-
-    def _is_proof(self, generation, read_at):
-        """Whether a read that began at ``read_at`` and showed ``generation`` proves what is in force here."""
-        # A store that came back from a copy may have lost the newest configuration, which the operator writes again
-        # some seconds later. A router that starts meanwhile can't tell: taken for the newest, what the copy holds
-        # would prove a key that was taken away.
-        is_whole = read_at >= self._epoch.settled_at or self._proving_epoch == self._epoch.number
-        return is_whole and self._is_settled(generation)
-
-    def _carry(self):
-        """The store came back: who was proved up to date just before knows at least what the copy lacks."""
-        confirmed_at = self.confirmed_at
-        if confirmed_at is not None and boot_time_s() - confirmed_at <= CARRIED_S:
-            self._proving_epoch = self._epoch.number
-
-    def _confirm(self, at):
-        self._confirmed_at = at if self._confirmed_at is None else max(self._confirmed_at, at)
+        """See :attr:`Proof.confirmed_at`."""
+        return self.proof.confirmed_at
 
     async def watch(self):
         """Wait for changes; a silent watch is given up, and polling covers the gap."""
@@ -221,7 +186,7 @@
                 continue
             retry_s = WATCH_RETRY_S
             self._watched_version = max(self._watched_version, outcome.version)
-            self._note_epoch(outcome.version)
+            self.proof.note_answer(outcome.version)
             for name, version, value in outcome.value:
                 if name == self._place.name and value is not None:
                     self._take(version, value, Source.WATCH)
@@ -273,14 +238,13 @@
                 self._heard(confirmation.generation, reader)
                 await self._until_in_force(confirmation.generation)
             if confirmation.generation == self._generation():
-                self._confirm(asked_at - confirmation.age_s)
+                self.proof.confirm(asked_at - confirmation.age_s)
                 return True
         return False
 
     def _readers_that_stayed(self):
         """Other readers, for one that reads the store itself and can't tell yet whether it is whole."""
-        is_whole = self._epoch.is_settled or self._proving_epoch == self._epoch.number
-        return () if is_whole else self._readers.others()
+        return () if self.proof.counts_own_reads else self._readers.others()
 
     async def _until_in_force(self, generation):
         """Wait until a generation that a peer told is in force here, or for as long as fetching it mostly takes.
@@ -301,32 +265,20 @@
         if not isinstance(outcome, StoreDone):
             return None
         self.last_read = asyncio.get_running_loop().time()
-        self._note_epoch(outcome.version)
+        self.proof.note_answer(outcome.version)
         if outcome.value is not None:
             self._take(outcome.version, outcome.value, source)
-        if self._is_proof(self._newest_taken, began_at):
-            self._confirm(began_at)
-        else:
-            self._unsettled = (self._newest_taken, began_at)
+        self.proof.note_read(began_at)
         return outcome.version
 
-    def _note_epoch(self, version):
-        """Note the version that the store's first answer in an epoch bears; what is later was written in it."""
-        if epoch_of(version) != epoch_of(self._first_version):
-            self._first_version = version
-
     def _take(self, version, value, source):
         accepted = self._place.accepted(version=version, value=value)
         if accepted is None:
             logger.error("the object {}/{} is not a declaration", self._place.kind, self._place.name)
             return
-        if version > self._first_version and self._proving_epoch != epoch_of(version):
-            # Written in this epoch, so that nothing that the copy lacks is newer. Reads before it are no proof of it.
-            self._proving_epoch = epoch_of(version)
-            self._unsettled = None
+        self.proof.note_declaration(version, accepted.generation)
         # Only upwards: a stale read must not make the watch tell everything again.
         self.known_version = max(self.known_version, version)
-        self._newest_taken = max(self._newest_taken, accepted.generation)
         self._offer(accepted.generation, accepted.text, source)
 
     async def confirm(self):
