--- /dev/null
+++ b/tests/test_caller_watch.py
@@ -0,0 +1,87 @@
+"""The thread that notices callers who left, while numbers of connections are used again."""
+
+import os
+import socket
+import threading
+import time
+import unittest
+
+from wagtailtrestle.callers.watch import CHECK_S, CallerWatch
+
+SEEN_S = 3 * CHECK_S
+
+
+class HookedEpoll:
+    """An epoll that runs a hook between the first event that it finds and its being told."""
+
+    def __init__(self, *, epoll, hook):
+        self._epoll = epoll
+        self._hook = hook
+        self._is_used = False
+
+    def __getattr__(self, name):
+        return getattr(self._epoll, name)
+
+    def poll(self, *arguments):
+        events = self._epoll.poll(*arguments)
+        if events and not self._is_used:
+            self._is_used = True
+            self._hook()
+        return events
+
+
+class CallerWatchTest(unittest.TestCase):
+    def setUp(self):
+        self.watch = CallerWatch(timeout_s=10.0, crowd=100)
+        self.gone = []
+        self.events = {name: threading.Event() for name in ("former", "next")}
+
+    def start(self):
+        self.watch.start()
+        self.addCleanup(self.watch.close)
+
+    def on_gone(self, name):
+        self.gone.append(name)
+        self.events[name].set()
+
+    def pair(self):
+        ours, theirs = socket.socketpair()
+        self.addCleanup(theirs.close)
+        return ours, theirs
+
+    def test_caller_that_leaves_is_noticed(self):
+        ours, theirs = self.pair()
+        self.addCleanup(ours.close)
+        self.start()
+        self.watch.watch(fd=ours.fileno(), on_gone=lambda: self.on_gone("former"))
+        theirs.close()
+        self.assertTrue(self.events["former"].wait(SEEN_S))
+
+    def test_caller_whose_connection_has_the_number_of_one_that_ended_is_not_taken_for_gone(self):
+        # A living caller's request ends after 3 ms, not run. The caller before it on that number left just as its
+        # answer was sent: the kernel's word of that was on its way through this thread while the request was
+        # forgotten, its connection closed, and the next one accepted under the same number and watched.
+        ours, theirs = self.pair()
+        fd = ours.fileno()
+        next_ours, next_theirs = self.pair()
+
+        def use_again():
+            self.watch.forget(fd=fd)
+            os.dup2(next_ours.fileno(), fd)
+            self.watch.watch(fd=fd, on_gone=lambda: self.on_gone("next"))
+
+        self.watch.watch(fd=fd, on_gone=lambda: self.on_gone("former"))
+        self.watch._epoll = HookedEpoll(epoll=self.watch._epoll, hook=use_again)
+        self.start()
+        theirs.close()
+        time.sleep(SEEN_S)
+        self.assertEqual(self.gone, [])
+        next_theirs.close()
+        self.assertTrue(self.events["next"].wait(SEEN_S))
+        self.watch.forget(fd=fd)
+        ours.close()
+        next_ours.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
