A caller is taken for gone only by what the kernel tells under the lock

Cause: between the kernel's event and the lock, the request ended, its connection was closed and another accepted under the same number; that one's caller was told.

Ruled out: roll-outs (the request was queued, no engine was involved); limits and quotas (no such line).

Before: tests.test_caller_watch fails.

--- a/wagtailtrestle/callers/watch.py
+++ b/wagtailtrestle/callers/watch.py
@@ -88,13 +88,19 @@
 
     def _run(self):
         while not self._closing.is_set():
-            for fd, _ in self._epoll.poll(CHECK_S):
-                with self._lock:
-                    callback = self._drop(fd)
-                if callback is not None:
-                    callback()
+            if self._epoll.poll(CHECK_S):
+                for on_gone in self._take_gone():
+                    on_gone()
             self._stop_slow_senders()
 
+    def _take_gone(self):
+        # What was found before the lock was taken may be of a connection that has ended since, whose number another
+        # one bears by now: its caller, who waits, was told that the request is given up. Asked again under the lock,
+        # the kernel tells of the connections that are watched now.
+        with self._lock:
+            dropped = [self._drop(fd) for fd, _ in self._epoll.poll(0)]
+        return [on_gone for on_gone in dropped if on_gone is not None]
+
     def _drop(self, fd):
         callback = self._callback_by_fd.pop(fd, None)
         if callback is not None:
