Roll-outs: orders of the store are a class of their own; a verdict outlives its coordinator

Callers and operators would have seen: the coordinator tells all routers that a version is rolled back and dies before the store has it; nobody wrote it, the operator's platform went on with the bad version's engines and the roll-out ended without a status. By reading; the new test of the coordinator fails without. Each steward now tells the store whatever final state it knows of its service's order. Also: own services are looked up when something changes, not ten times a second.

--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -1,13 +1,18 @@
 """Exposure, judgement and phases of a roll-out, without network: the pattern is a version that is bad in one way."""
 
+import asyncio
 import random
 import unittest
 
+from tests.utils.paused_clock import on_paused_clock
 from tests.utils.steward_fakes import Cell, ask, engine, finished, report
 from wagtailtrestle.contracts.messages import Granted, Preempt, Refused
+from wagtailtrestle.contracts.outcomes import StoreDone
 from wagtailtrestle.contracts.rollout_messages import RolloutOrder, RolloutState, RolloutWord
 from wagtailtrestle.measure.rollout_ways import GOOD, VERSIONS_BY_NAME, play
+from wagtailtrestle.platform.adapter import PlatformAdapter
 from wagtailtrestle.platform.rollouts import read_rollout, rollout_status
+from wagtailtrestle.rollouts.coordinator import Coordinator
 from wagtailtrestle.rollouts.exposure import Exposure
 from wagtailtrestle.rollouts.judgement import CUT_PAUSE_S, DONE, Judgement
 from wagtailtrestle.rollouts.rollout import Phase, Rollout
@@ -242,6 +247,109 @@
         self.assertEqual(self.cell.entries.ids(Refused) + self.cell.entries.ids(Preempt), [])
 
 
+class OrderStore:
+    """Holds one order and keeps what it is told of it."""
+
+    def __init__(self, *, status=None):
+        self.status = status
+        self.told = []
+
+    async def list(self, *, kind):
+        value = {"specification": {"service": "s", "target": "v2", "duration_s": 10.0}, "status": self.status}
+        return StoreDone(version=5, value={"s": (5, value)})
+
+    async def watch(self, *, kind, from_version, timeout_s):
+        await asyncio.sleep(timeout_s)
+        return StoreDone(version=from_version, value=())
+
+    async def update_status(self, *, kind, name, value, if_version):
+        self.told.append(value["state"])
+        self.status = value
+        return StoreDone(version=6)
+
+
+class Stewards:
+    """Keeps what each service is told of its roll-out."""
+
+    def __init__(self):
+        self.held_by_service = {}
+
+    def set_rollout(self, service, rollout, held_back):
+        self.held_by_service[service] = held_back
+
+    def runs_by_version(self, service):
+        return {}
+
+
+class Silent:
+    """A broadcast that nobody hears."""
+
+    def on(self, message_type, *, key, handler):
+        self.hear = handler
+
+    def send(self, message):
+        pass
+
+
+class CoordinatorTest(unittest.TestCase):
+    def start(self, store):
+        self.stewards, self.broadcast = Stewards(), Silent()
+        old, new = engine("e1"), engine("e2")
+        old.service = new.service = "s"
+        old.version, new.version = "v1", "v2"
+        coordinator = Coordinator(
+            store=store,
+            adapter=PlatformAdapter(),
+            stewards=self.stewards,
+            broadcast=self.broadcast,
+            own_services=lambda: {"s"},
+            engines=lambda: {"e1": old, "e2": new},
+            share=SHARE,
+            slack=SLACK,
+            clock=asyncio.get_running_loop().time,
+        )
+        coordinator.refresh()
+        coordinator.start()
+        return coordinator
+
+    async def pass_time(self, coordinator, seconds):
+        for _ in range(int(seconds / 0.1)):
+            await asyncio.sleep(0.1)
+            coordinator.tick()
+
+    @on_paused_clock
+    async def test_target_gets_nothing_before_its_order_is_read_nor_after(self):
+        coordinator = self.start(OrderStore())
+        self.assertEqual(self.stewards.held_by_service["s"], {"e2"})
+        await self.pass_time(coordinator, 1.0)
+        self.assertEqual(self.stewards.held_by_service["s"], {"e2"})
+        await coordinator.close()
+
+    @on_paused_clock
+    async def test_verdict_of_a_coordinator_that_died_is_written_by_the_next(self):
+        # The former coordinator told all routers that the version is rolled back and died before the store had it: the
+        # operator's platform went on running the bad version, and its time ran out without a status.
+        store = OrderStore(status={"state": "running", "target": "v2"})
+        coordinator = self.start(store)
+        self.broadcast.hear(RolloutWord(service="s", target="v2", state=RolloutState.ROLLED_BACK))
+        await self.pass_time(coordinator, 1.0)
+        self.assertEqual(store.told, ["rolled_back"])
+        self.assertEqual(self.stewards.held_by_service["s"], {"e2"})
+        await coordinator.close()
+
+    @on_paused_clock
+    async def test_final_state_in_the_store_is_never_replaced(self):
+        # Another steward, of which this one has not heard, has written that the version is completed.
+        store = OrderStore(status={"state": "completed", "target": "v2"})
+        coordinator = self.start(store)
+        await self.pass_time(coordinator, 1.0)
+        self.broadcast.hear(RolloutWord(service="s", target="v2", state=RolloutState.ROLLED_BACK))
+        await self.pass_time(coordinator, 1.0)
+        self.assertEqual(store.told, [])
+        self.assertEqual(self.stewards.held_by_service["s"], {"e1"})
+        await coordinator.close()
+
+
 class OrderTest(unittest.TestCase):
     def read(self, specification, status=None):
         return read_rollout("s", 7, {"specification": specification, "status": status})
--- a/wagtailtrestle/rollouts/coordinator.py
+++ b/wagtailtrestle/rollouts/coordinator.py
@@ -6,21 +6,13 @@
 state there is never replaced.
 """
 
-import asyncio
-import random
-
 from loguru import logger
 
-from wagtailtrestle.contracts.outcomes import StoreDone, StoreHistoryGone
 from wagtailtrestle.contracts.rollout_messages import RolloutState, RolloutWord
+from wagtailtrestle.rollouts.orders import Orders
 from wagtailtrestle.rollouts.rollout import Phase, Rollout
 from wagtailtrestle.rollouts.versions import held_names
 
-WATCH_S = 20.0
-RETRY_S = 0.2
-MOST_RETRY_S = 1.0
-IDLE_S = 0.5
-"""Between two looks at whether this router has become steward of a service."""
 WORD_S = 1.0
 
 
@@ -44,13 +36,16 @@
         Requests that it may get besides.
     clock : callable
         The loop's time, seconds.
-    jitter : random.Random, optional
+
+    Attributes
+    ----------
+    rollout_by_service : dict of str to Rollout
     """
 
     __slots__ = (
         "rollout_by_service",
-        "_store",
-        "_adapter",
+        "_orders",
+        "_own",
         "_stewards",
         "_broadcast",
         "_own_services",
@@ -58,25 +53,23 @@
         "_share",
         "_slack",
         "_clock",
-        "_jitter",
-        "_order_by_service",
         "_word_by_service",
         "_stopped_by_service",
         "_targets_by_service",
         "_seen_at_by_version",
-        "_read_at",
-        "_version",
-        "_is_list_due",
-        "_wake",
         "_told_at_by_service",
-        "_writing_by_service",
-        "_task",
     )
 
-    def __init__(self, *, store, adapter, stewards, broadcast, own_services, engines, share, slack, clock, jitter=None):
+    def __init__(self, *, store, adapter, stewards, broadcast, own_services, engines, share, slack, clock):
         self.rollout_by_service = {}
-        self._store = store
-        self._adapter = adapter
+        self._own = frozenset()
+        self._orders = Orders(
+            store=store,
+            adapter=adapter,
+            is_needed=lambda: bool(self._own),
+            on_change=self._take_orders,
+            clock=clock,
+        )
         self._stewards = stewards
         self._broadcast = broadcast
         self._own_services = own_services
@@ -84,37 +77,26 @@
         self._share = share
         self._slack = slack
         self._clock = clock
-        self._jitter = jitter or random.Random()
-        self._order_by_service = {}
         self._word_by_service = {}
         self._stopped_by_service = {}
         self._targets_by_service = {}
         self._seen_at_by_version = {}
-        self._read_at = None
-        self._version = 0
-        self._is_list_due = True
-        self._wake = asyncio.Event()
         self._told_at_by_service = {}
-        self._writing_by_service = {}
-        self._task = None
         broadcast.on(RolloutWord, key=_word_key, handler=self.hear)
 
     def start(self):
         """Begin to follow orders; must be called on the running event loop."""
-        self._task = asyncio.get_running_loop().create_task(self._follow())
+        self._orders.start()
 
     async def close(self):
         """Stop; what is decided is with the other routers."""
-        tasks = [self._task, *self._writing_by_service.values()]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._orders.close()
 
     def dump(self):
         """Return the state as a plain dict."""
         return {
-            "read_age_s": None if self._read_at is None else round(self._clock() - self._read_at, 3),
-            "orders": {name: order.target for name, order in self._order_by_service.items()},
+            "read_age_s": None if self._orders.read_at is None else round(self._clock() - self._orders.read_at, 3),
+            "orders": {name: order.target for name, order in self._orders.by_service.items()},
             "words": {name: f"{word.target} {word.state}" for name, word in self._word_by_service.items()},
             "rollouts": {name: rollout.dump() for name, rollout in self.rollout_by_service.items()},
         }
@@ -137,15 +119,27 @@
         """What is known of each service's roll-out, for a router that has just come."""
         return tuple(self._word_by_service.values())
 
+    def _take_orders(self):
+        """The store answered: what it holds of roll-outs here ends them, or is gone with its order."""
+        for service, rollout in list(self.rollout_by_service.items()):
+            order = self._orders.by_service.get(service)
+            if order is not None and order.target == rollout.order.target and order.state is not None:
+                rollout.end_as(order.state)
+        self.refresh()
+
     # Versions and engines.
 
     def refresh(self):
-        """Hold back the engines that a roll-out, or the lack of an order that was read, keeps from use."""
+        """Hold back the engines that a roll-out, or the lack of an order that was read, keeps from use.
+
+        To be called when engines, routers, the configuration or orders have changed.
+        """
+        self._own = frozenset(self._own_services())
         engines_by_service = {}
         for engine in self._engines().values():
             engines_by_service.setdefault(engine.service, []).append(engine)
         self._note_versions(engines_by_service)
-        for service in self._own_services():
+        for service in self._own:
             engines = engines_by_service.get(service, [])
             rollout = self._rollout_of(service, engines)
             self._stewards.set_rollout(service, rollout, self._held(service, engines, rollout))
@@ -158,15 +152,14 @@
         for key in present - self._seen_at_by_version.keys():
             self._seen_at_by_version[key] = now
             # Whether a version that is new here was ordered is read anew: the order may have been missed.
-            self._is_list_due = True
-            self._wake.set()
+            self._orders.read_again()
 
     def _held(self, service, engines, rollout):
         state = self._state_of(service)
         unread = {
             version
             for (of, version), at in self._seen_at_by_version.items()
-            if of == service and (self._read_at is None or at >= self._read_at)
+            if of == service and (self._orders.read_at is None or at >= self._orders.read_at)
         }
         return held_names(
             engines,
@@ -200,7 +193,7 @@
         return self._stopped_by_service[service]
 
     def _target_of(self, service):
-        order = self._order_by_service.get(service)
+        order = self._orders.by_service.get(service)
         if order is not None:
             return order.target
         word = self._word_by_service.get(service)
@@ -211,7 +204,7 @@
         target = self._target_of(service)
         if target is None:
             return None
-        order = self._order_by_service.get(service)
+        order = self._orders.by_service.get(service)
         word = self._word_by_service.get(service)
         rollout = self.rollout_by_service.get(service)
         states = [
@@ -224,7 +217,7 @@
 
     def _rollout_of(self, service, engines):
         """The roll-out that this router coordinates, or ``None``."""
-        order = self._order_by_service.get(service)
+        order = self._orders.by_service.get(service)
         if order is None or self._state_of(service).is_final:
             return self._ended(service)
         rollout = self.rollout_by_service.get(service)
@@ -248,8 +241,7 @@
 
     def tick(self):
         """Let the roll-outs go on; about every 100 ms."""
-        own = set(self._own_services())
-        for service in self.rollout_by_service.keys() - own:
+        for service in self.rollout_by_service.keys() - self._own:
             del self.rollout_by_service[service]
         for service, rollout in self.rollout_by_service.items():
             was = (rollout.phase, rollout.state)
@@ -258,7 +250,9 @@
             if (rollout.phase, rollout.state) != was or self._is_untold(service, rollout):
                 self._tell(service, rollout)
                 self.refresh()
-            self._write_if_due(service, rollout)
+        for service in self._own & self._orders.by_service.keys():
+            # Also the verdict of a coordinator that died before the store had it.
+            self._orders.tell(service, self._target_of(service), self._state_of(service))
 
     def _step(self, service, rollout):
         places = {True: 0, False: 0}
@@ -281,94 +275,6 @@
         self._word_by_service[service] = word
         self._broadcast.send(word)
 
-    # The store.
-
-    async def _follow(self):
-        retry_s = RETRY_S
-        while True:
-            if not self._own_services():
-                self._is_list_due = True
-                await asyncio.sleep(IDLE_S)
-                continue
-            if await self._step_store():
-                retry_s = RETRY_S
-                self.refresh()
-            else:
-                await asyncio.sleep(retry_s * self._jitter.uniform(0.5, 1.0))
-                retry_s = min(MOST_RETRY_S, 2 * retry_s)
-
-    async def _step_store(self):
-        """Read or watch the orders once; whether the store answered."""
-        if not self._is_list_due:
-            outcome = await self._watch()
-            if isinstance(outcome, StoreDone):
-                self._take({name: (version, value) for name, version, value in outcome.value})
-                self._version = max(self._version, outcome.version)
-                return True
-            if not isinstance(outcome, StoreHistoryGone) and not self._is_list_due:
-                self._is_list_due = True
-                return False
-        began_at = self._clock()
-        outcome = await self._store.list(kind=self._adapter.rollout_kind)
-        if not isinstance(outcome, StoreDone):
-            return False
-        self._is_list_due = False
-        self._read_at = began_at
-        self._version = outcome.version
-        gone = {name: (0, None) for name in self._order_by_service.keys() - outcome.value.keys()}
-        self._take({**gone, **outcome.value})
-        return True
-
-    async def _watch(self):
-        """Wait for a change of the orders; ended early when they have to be read anew."""
-        self._wake.clear()
-        watch = asyncio.create_task(
-            self._store.watch(kind=self._adapter.rollout_kind, from_version=self._version, timeout_s=WATCH_S)
-        )
-        woken = asyncio.create_task(self._wake.wait())
-        try:
-            await asyncio.wait((watch, woken), return_when=asyncio.FIRST_COMPLETED)
-            return watch.result() if watch.done() else None
-        finally:
-            watch.cancel()
-            woken.cancel()
-
-    def _take(self, found_by_name):
-        for name, (version, value) in found_by_name.items():
-            order = None if value is None else self._adapter.read_rollout(name, version, value)
-            if order is None:
-                self._order_by_service.pop(name, None)
-                if value is None:
-                    self._word_by_service.pop(name, None)
-                    self.rollout_by_service.pop(name, None)
-                continue
-            self._order_by_service[order.service] = order
-            rollout = self.rollout_by_service.get(order.service)
-            if rollout is not None and rollout.order.target == order.target and order.state is not None:
-                rollout.end_as(order.state)
-
-    def _write_if_due(self, service, rollout):
-        order = self._order_by_service.get(service)
-        is_due = order is not None and order.target == rollout.order.target and order.state is not rollout.state
-        if is_due and service not in self._writing_by_service:
-            task = asyncio.get_running_loop().create_task(self._write(order, rollout.state))
-            self._writing_by_service[service] = task
-            task.add_done_callback(lambda _: self._writing_by_service.pop(service, None))
-
-    async def _write(self, order, state):
-        outcome = await self._store.update_status(
-            kind=self._adapter.rollout_kind,
-            name=order.service,
-            value=self._adapter.rollout_status(order.target, state),
-            if_version=order.store_version,
-        )
-        if isinstance(outcome, StoreDone):
-            logger.bind(service=order.service, target=order.target, state=str(state)).info("roll-out told to the store")
-        # Whatever came of it, what stands there now is read: an answer may be lost, another steward may have written.
-        self._is_list_due = True
-        self._wake.set()
-        await asyncio.sleep(RETRY_S * self._jitter.uniform(0.5, 1.0))
-
 
 def _word_key(word):
     return word.service, word.target, str(word.state), round(word.elapsed_s, 1)
--- /dev/null
+++ b/wagtailtrestle/rollouts/orders.py
@@ -0,0 +1,172 @@
+"""The operator's orders as the platform's store holds them, followed by the routers that have to act on them."""
+
+import asyncio
+import random
+
+from loguru import logger
+
+from wagtailtrestle.contracts.outcomes import StoreDone, StoreHistoryGone
+
+WATCH_S = 20.0
+RETRY_S = 0.2
+MOST_RETRY_S = 1.0
+IDLE_S = 0.5
+"""Between two looks at whether this router has to follow the orders."""
+
+
+class Orders:
+    """Reads and watches the orders, and tells the store how each stands.
+
+    Parameters
+    ----------
+    store : ObjectStore
+    adapter : Adapter
+        Its ``rollout_kind`` and how its objects read.
+    is_needed : callable
+        Whether this router follows them.
+    on_change : callable
+        ``on_change()``, called on the loop after each answer of the store.
+    clock : callable
+        The loop's time, seconds.
+    jitter : random.Random, optional
+
+    Attributes
+    ----------
+    by_service : dict of str to RolloutOrder
+    read_at : float or None
+        When the last whole read began.
+    """
+
+    __slots__ = (
+        "by_service",
+        "read_at",
+        "_store",
+        "_adapter",
+        "_is_needed",
+        "_on_change",
+        "_clock",
+        "_jitter",
+        "_version",
+        "_is_list_due",
+        "_wake",
+        "_writing_by_service",
+        "_task",
+    )
+
+    def __init__(self, *, store, adapter, is_needed, on_change, clock, jitter=None):
+        self.by_service = {}
+        self.read_at = None
+        self._store = store
+        self._adapter = adapter
+        self._is_needed = is_needed
+        self._on_change = on_change
+        self._clock = clock
+        self._jitter = jitter or random.Random()
+        self._version = 0
+        self._is_list_due = True
+        self._wake = asyncio.Event()
+        self._writing_by_service = {}
+        self._task = None
+
+    def start(self):
+        """Begin to follow; must be called on the running event loop."""
+        self._task = asyncio.get_running_loop().create_task(self._follow())
+
+    async def close(self):
+        """Stop; a write under way may have taken effect."""
+        tasks = [self._task, *self._writing_by_service.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def read_again(self):
+        """Read all orders at once, whatever the watch waits for."""
+        self._is_list_due = True
+        self._wake.set()
+
+    def tell(self, service, target, state):
+        """Have the store hold this state of the order for ``target``; one write of a service at a time."""
+        order = self.by_service.get(service)
+        if order is None or order.target != target or order.state is state or service in self._writing_by_service:
+            return
+        task = asyncio.get_running_loop().create_task(self._write(order, state))
+        self._writing_by_service[service] = task
+        task.add_done_callback(lambda _: self._writing_by_service.pop(service, None))
+
+    async def _follow(self):
+        retry_s = RETRY_S
+        while True:
+            if not self._is_needed():
+                self._is_list_due = True
+                await asyncio.sleep(IDLE_S)
+            elif await self._step():
+                retry_s = RETRY_S
+                self._on_change()
+            else:
+                await asyncio.sleep(retry_s * self._jitter.uniform(0.5, 1.0))
+                retry_s = min(MOST_RETRY_S, 2 * retry_s)
+
+    async def _step(self):
+        """Watch or read once; whether the store answered."""
+        if not self._is_list_due:
+            outcome = await self._watch()
+            if isinstance(outcome, StoreDone):
+                self._take({name: (version, value) for name, version, value in outcome.value})
+                self._version = max(self._version, outcome.version)
+                return True
+            if not isinstance(outcome, StoreHistoryGone) and not self._is_list_due:
+                self._is_list_due = True
+                return False
+        return await self._read()
+
+    async def _read(self):
+        began_at = self._clock()
+        # Cleared before the read: what asks for another one meanwhile gets it.
+        self._is_list_due = False
+        outcome = await self._store.list(kind=self._adapter.rollout_kind)
+        if not isinstance(outcome, StoreDone):
+            self._is_list_due = True
+            return False
+        self.read_at = began_at
+        self._version = outcome.version
+        gone = {name: (0, None) for name in self.by_service.keys() - outcome.value.keys()}
+        self._take({**gone, **outcome.value})
+        return True
+
+    async def _watch(self):
+        """Wait for a change; ``None`` if the orders have to be read anew meanwhile."""
+        self._wake.clear()
+        watch = asyncio.create_task(
+            self._store.watch(kind=self._adapter.rollout_kind, from_version=self._version, timeout_s=WATCH_S)
+        )
+        woken = asyncio.create_task(self._wake.wait())
+        try:
+            await asyncio.wait((watch, woken), return_when=asyncio.FIRST_COMPLETED)
+            return watch.result() if watch.done() else None
+        finally:
+            watch.cancel()
+            woken.cancel()
+
+    def _take(self, found_by_name):
+        for name, (version, value) in found_by_name.items():
+            order = None if value is None else self._adapter.read_rollout(name, version, value)
+            if order is None:
+                self.by_service.pop(name, None)
+            else:
+                self.by_service[name] = order
+
+    async def _write(self, order, state):
+        outcome = await self._store.update_status(
+            kind=self._adapter.rollout_kind,
+            name=order.service,
+            value=self._adapter.rollout_status(order.target, state),
+            if_version=order.store_version,
+        )
+        log = logger.bind(service=order.service, target=order.target, state=str(state))
+        if isinstance(outcome, StoreDone):
+            log.info("roll-out told to the store")
+        else:
+            log.bind(outcome=type(outcome).__name__).warning("the store could not be told of a roll-out")
+        # Whatever came of it, what stands there now is read: an answer may be lost, another steward may have written.
+        self.read_again()
+        await asyncio.sleep(RETRY_S * self._jitter.uniform(0.5, 1.0))
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -464,13 +464,13 @@
 
     def _use_declaration(self, in_force):
         """Go by a declaration, with the engines that list themselves where there are such."""
-        if self._rollouts is not None:
-            # First, so that no engine is used before it is known whether its version may be.
-            self._rollouts.refresh()
         declaration = in_force.declaration
         if self._engine_list is not None:
             declaration = declaration.with_engines(self._engine_list.by_name)
         self._in_force = InForce(generation=in_force.generation, declaration=declaration, text=in_force.text)
+        if self._rollouts is not None:
+            # First, so that no engine is used before it is known whether its version may be.
+            self._rollouts.refresh()
         self._stewards.set_declaration(declaration)
         self._directory.refresh()
         self._watch_engines()
