Roll-outs: what was judged is told with each word; nothing is completed that nobody judged

The word carries the runs judged and what speaks against the target, and everything moves only after 15 judged runs or a quarter of all.

--- a/wagtailtrestle/contracts/rollout_messages.py
+++ b/wagtailtrestle/contracts/rollout_messages.py
@@ -55,6 +55,10 @@
     duration_s : float
     granted, exposed : int
         Runs granted in the service since then, and those of them on the target.
+    target_runs, target_bad : int
+        Runs on the target that were judged, and those of them that were bad.
+    suspicion : float
+        How much speaks against the target; see ``Judgement``.
     """
 
     service: str
@@ -64,3 +68,6 @@
     duration_s: float = 0.0
     granted: int = 0
     exposed: int = 0
+    target_runs: int = 0
+    target_bad: int = 0
+    suspicion: float = 0.0
--- a/wagtailtrestle/rollouts/judgement.py
+++ b/wagtailtrestle/rollouts/judgement.py
@@ -72,6 +72,11 @@
 class Judgement:
     """The evidence on one target.
 
+    Parameters
+    ----------
+    word : RolloutWord, optional
+        What a former coordinator told; what it knew of each route is lost with it.
+
     Attributes
     ----------
     threshold : float
@@ -89,12 +94,12 @@
         "_cut_at_by_engine",
     )
 
-    def __init__(self):
+    def __init__(self, *, word=None):
         self.threshold = THRESHOLD
-        self.target_runs = 0
-        self.target_bad = 0
+        self.target_runs = 0 if word is None else word.target_runs
+        self.target_bad = 0 if word is None else word.target_bad
         self._route_by_name = {}
-        self._all_total = 0.0
+        self._all_total = 0.0 if word is None else word.suspicion
         self._paces_by_key = {}
         self._cut_at_by_engine = {}
 
--- a/wagtailtrestle/rollouts/rollout.py
+++ b/wagtailtrestle/rollouts/rollout.py
@@ -20,6 +20,10 @@
 LONGEST_TRIAL_PART = 0.7
 ENOUGH_RUNS = 30
 """Runs on the target by which one that fails a fifth of them is found."""
+LEAST_RUNS = 15
+LEAST_RUNS_PART = 0.25
+"""Runs on the target, and part of all runs; either is enough for everything to move there. A coordinator that took over
+late never completes a roll-out of which it has seen nothing."""
 LEAST_RAMP_END, MOST_RAMP_END = 0.55, 0.8
 """Parts of the time between which the ramp ends, the sooner the longer the service's runs are: what the old engines
 hold then has to end before they stop."""
@@ -28,6 +32,7 @@
 RUNS_KEPT = 200
 END_ROOM_S = 1.0
 """Time before the end of the roll-out at which it is told as completed, whatever still runs."""
+PACED_TOKENS = 8
 LEAST_CAPACITY = 0.5
 """Part of the old engines' places that the target's must have to take over."""
 
@@ -69,7 +74,7 @@
         self.order = order
         self.phase = Phase.TRIAL
         self.state = RolloutState.RUNNING
-        self.judgement = Judgement()
+        self.judgement = Judgement(word=word)
         self.exposure = Exposure(
             share=share,
             slack=slack,
@@ -155,6 +160,9 @@
             duration_s=self.order.duration_s,
             granted=self.exposure.granted,
             exposed=self.exposure.exposed,
+            target_runs=self.judgement.target_runs,
+            target_bad=self.judgement.target_bad,
+            suspicion=self.judgement.suspicion,
         )
 
     def dump(self):
@@ -181,6 +189,8 @@
         self._log("nothing speaks against the target; it gets as much as it may untested")
 
     def _ramp_is_over(self, part):
+        if self.judgement.target_runs < min(LEAST_RUNS, LEAST_RUNS_PART * self.exposure.granted):
+            return False
         needed_s = END_ROOM_S + LONG_RUNS * self._long_run_s()
         return part >= min(MOST_RAMP_END, max(LEAST_RAMP_END, 1.0 - needed_s / self.order.duration_s))
 
@@ -204,6 +214,6 @@
 
 def _pace(finished):
     """Seconds a token where there are tokens enough, else of the whole run."""
-    if finished.output_tokens >= 8:
+    if finished.output_tokens >= PACED_TOKENS:
         return (finished.duration_s - finished.first_token_s) / finished.output_tokens
     return 0.0 if finished.output_tokens else finished.duration_s
