Roll-outs: after a restart of all routers the slack counts as spent

Callers would have seen: a bad version gets the operator's slack once more with each restart of all routers in a roll-out.

Cause: exposure is counted by the coordinator and told each second; nobody keeps it where all start at once. Ruled out: fields of our own in the order's status (that object's shape is the operator's).

Change: an order that the store says is running, of which nobody told a count, begins with its slack spent. Before: the new test of the coordinator fails (exposed although it had nothing left).

--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -364,6 +364,25 @@
         self.assertEqual(self.stewards.held_by_service["s"], {"e2"})
         await coordinator.close()
 
+    @on_paused_clock
+    async def test_restart_of_all_routers_does_not_give_an_untested_version_its_slack_again(self):
+        # All routers lose power while a version is tried. Nobody is left who counted what it got; the store says that
+        # the roll-out runs. Counted from nothing, a bad version would get the slack once more with each restart.
+        for status, most in ((None, SLACK), ({"state": "running", "target": "v2"}, 0)):
+            with self.subTest(status=status):
+                coordinator = self.start(OrderStore(status=status))
+                await self.pass_time(coordinator, 1.0)
+                exposure = coordinator.rollout_by_service["s"].exposure
+                exposed = 0
+                for _ in range(SLACK):
+                    now = asyncio.get_running_loop().time()
+                    is_target = exposure.may_expose("r", now)
+                    exposure.note_grant("r", is_target=is_target, now=now)
+                    exposed += is_target
+                self.assertLessEqual(exposed, SHARE * SLACK + most)
+                self.assertEqual(exposed > 0, most > 0)
+                await coordinator.close()
+
     @on_paused_clock
     async def test_final_state_in_the_store_is_never_replaced(self):
         # Another steward, of which this one has not heard, has written that the version is completed.
--- a/wagtailtrestle/rollouts/coordinator.py
+++ b/wagtailtrestle/rollouts/coordinator.py
@@ -6,6 +6,8 @@
 state there is never replaced.
 """
 
+import math
+
 from loguru import logger
 
 from wagtailtrestle.contracts.rollout_messages import RolloutState, RolloutWord
@@ -141,7 +143,7 @@
         self._note_versions(engines_by_service)
         for service in self._own:
             engines = engines_by_service.get(service, [])
-            rollout = self._rollout_of(service, engines)
+            rollout = self._rollout_of(service)
             self._stewards.set_rollout(service, rollout, self._held(service, engines, rollout))
 
     def _note_versions(self, engines_by_service):
@@ -215,24 +217,40 @@
         final = [state for state in states if state is not None and state.is_final]
         return final[0] if final else RolloutState.RUNNING
 
-    def _rollout_of(self, service, engines):
+    def _rollout_of(self, service):
         """The roll-out that this router coordinates, or ``None``."""
         order = self._orders.by_service.get(service)
         if order is None or self._state_of(service).is_final:
             return self._ended(service)
         rollout = self.rollout_by_service.get(service)
         if rollout is None or rollout.order.target != order.target:
-            word = self._word_by_service.get(service)
             rollout = self.rollout_by_service[service] = Rollout(
                 order=order,
                 share=self._share,
                 slack=self._slack,
                 clock=self._clock,
-                word=word if word is not None and word.target == order.target else None,
+                word=self._last_word(order),
             )
             logger.bind(service=service, target=order.target, duration_s=order.duration_s).info("a roll-out begins")
         return rollout
 
+    def _last_word(self, order):
+        """What is known of a roll-out that others have begun; ``None`` for one that begins now."""
+        word = self._word_by_service.get(order.service)
+        if word is not None and word.target == order.target:
+            return word
+        if order.state is not RolloutState.RUNNING:
+            return None
+        # The store says that it runs, and nobody told what the target got: all routers started again. Counted from
+        # nothing, a bad version would get the slack once more with each such start; taken as spent, it never does.
+        return RolloutWord(
+            service=order.service,
+            target=order.target,
+            state=RolloutState.RUNNING,
+            duration_s=order.duration_s,
+            exposed=math.ceil(self._slack),
+        )
+
     def _ended(self, service):
         rollout = self.rollout_by_service.get(service)
         return rollout if rollout is not None and rollout.phase is Phase.ENDED else None
