--- a/tests/test_store_epoch.py
+++ b/tests/test_store_epoch.py
@@ -10,7 +10,7 @@
 from tests.utils.paused_clock import on_paused_clock
 from wagtailtrestle.configuration import sources
 from wagtailtrestle.configuration.earlier_word import BELIEVED_S, EarlierWord
-from wagtailtrestle.configuration.engine_list import EngineList
+from wagtailtrestle.configuration.engine_list import RETRY_S, EngineList
 from wagtailtrestle.configuration.proof import CARRIED_S, Proof
 from wagtailtrestle.configuration.sources import PlatformSource
 from wagtailtrestle.configuration.store_epoch import RESTORED_S, StoreEpoch, epoch_of, revision_of, version_in
@@ -167,7 +167,7 @@
     return StoreDone(version=version_in(epoch, revision), value=value)
 
 
-class ReturnedListTest(unittest.TestCase):
+class FollowedListCase(unittest.TestCase):
     async def follow(self, store):
         self.list = EngineList(
             store=store,
@@ -180,6 +180,8 @@
         self.list.start()
         await asyncio.sleep(0.1)
 
+
+class ReturnedListTest(FollowedListCase):
     @on_paused_clock
     async def test_engine_that_the_copy_lacks_is_used_until_it_could_have_written_again(self):
         # Callers are served by an engine that started since the copy. It is missing from the first list after the
@@ -203,6 +205,32 @@
         await self.list.close()
 
 
+class ForgetfulStore(ReturnedStore):
+    """Keeps no history at all: each watch finds it gone, at once."""
+
+    async def watch(self, *, kind, from_version, timeout_s):
+        await asyncio.sleep(0.004)
+        return StoreHistoryGone()
+
+    async def list(self, *, kind):
+        await asyncio.sleep(0.004)
+        return await super().list(kind=kind)
+
+
+class ForgetfulStoreTest(FollowedListCase):
+    @on_paused_clock
+    async def test_store_that_keeps_no_history_is_not_asked_without_a_pause(self):
+        # Every call is paid for. The history before a version that was read a moment ago is gone again: read anew at
+        # once each time, one router would ask a hundred times a second for as long as that lasts.
+        store = ForgetfulStore(done(1, 90, old=10))
+        await self.follow(store)
+        before = store.lists
+        await asyncio.sleep(1.0)
+        self.assertLessEqual(store.lists - before, 1.0 / (0.5 * RETRY_S))
+        self.assertEqual(set(self.list.by_name), {"old"})
+        await self.list.close()
+
+
 class ProofTest(unittest.TestCase):
     """What a read of the configuration proves about keys."""
 
