Epochs are the core's: EpochStore makes versions of the revisions that an adapter reads

Cause: platform/store.py decided which calls of a former epoch are sent, what a late answer is worth and how versions are made; that folder is to translate only (found by reading the diff). update_status stood in the port that the own API doesn't serve.

Ruled out: leaving it with a comment; another API that tells epochs would write it again.

Change: platform/store.py reads revisions and epochs off the wire (RevisionStore), configuration/epoch_store.py decides; StatusStore is a port of its own. No behaviour.

Conclusion: one notion in one place; an API that bears epochs needs only to tell them.

--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -15,13 +15,12 @@
 from tests.test_engine_list import Followed, entry
 from tests.utils.paused_clock import on_paused_clock
 from wagtailtrestle.configuration.engine_list import RELIST_S, WATCH_S
-from wagtailtrestle.configuration.store_epoch import StoreEpoch
 from wagtailtrestle.contracts.declaration import DeclaredEngine
 from wagtailtrestle.platform.declarations import PlatformDeclarations
 from wagtailtrestle.platform.engine_entries import STATES, Unfit, read_engine
 from wagtailtrestle.platform.engines import PlatformReports
 from wagtailtrestle.platform.rollouts import read_rollout
-from wagtailtrestle.platform.store import PlatformStore, _is_event, _is_list, _is_object
+from wagtailtrestle.platform.store import _event, _is_event, _is_list, _is_object
 from wagtailtrestle.store.http_lane import _decoded
 
 FOREIGN = {
@@ -85,12 +84,11 @@
     @steady
     @given(VALUES)
     def test_objects_and_events_that_cannot_be_read_are_passed_over(self, value):
-        store = PlatformStore(url="http://127.0.0.1:1", epoch=StoreEpoch())
         for item in (value, {"metadata": value}, {"metadata": {"name": "a", "revision": value}}):
             _is_object(item)
             event = {"object": item, "deleted": False}
             if _is_event(event):
-                store._event("config", event)
+                _event("config", event)
         self.assertFalse(_is_list({"items": value, "store_revision": "5"}, "items"))
 
     @steady
--- a/wagtailtrestle/contracts/ports.py
+++ b/wagtailtrestle/contracts/ports.py
@@ -22,9 +22,6 @@
     async def update(self, *, kind: str, name: str, value, if_version: int) -> StoreOutcome:
         """Replace an object that must be at ``if_version``."""
 
-    async def update_status(self, *, kind: str, name: str, value, if_version: int) -> StoreOutcome:
-        """Replace what the system tells of an object that must be at ``if_version``."""
-
     async def delete(self, *, kind: str, name: str, if_version: int) -> StoreOutcome:
         """Delete an object that must be at ``if_version``."""
 
@@ -38,6 +35,13 @@
         """Read the lagging list of VMs: a tuple of ``VM``, ``None`` if it is still at ``unless_version``."""
 
 
+class StatusStore(ObjectStore, Protocol):
+    """An object API whose objects hold, beside what their writer says, what the system tells of them."""
+
+    async def update_status(self, *, kind: str, name: str, value, if_version: int) -> StoreOutcome:
+        """Replace what the system tells of an object that must be at ``if_version``."""
+
+
 class DeclarationPlace(Protocol):
     """Where a store holds the declaration, and how its object is read.
 
--- a/wagtailtrestle/platform/adapter.py
+++ b/wagtailtrestle/platform/adapter.py
@@ -1,5 +1,6 @@
 """The users' platform as an ``Adapter``."""
 
+from wagtailtrestle.configuration.epoch_store import EpochStore
 from wagtailtrestle.platform.callers import PlatformCallers
 from wagtailtrestle.platform.declarations import PlatformDeclarations
 from wagtailtrestle.platform.engine_entries import read_engine
@@ -23,7 +24,7 @@
 
     def open_store(self, url, epoch):
         """Return the client of the users' store."""
-        return PlatformStore(url=url, epoch=epoch)
+        return EpochStore(store=PlatformStore(url=url), epoch=epoch)
 
     def parse(self, text):
         """Decode the operator's configuration."""
--- a/wagtailtrestle/platform/store.py
+++ b/wagtailtrestle/platform/store.py
@@ -1,4 +1,4 @@
-"""The users' object store as an ``ObjectStore``."""
+"""The users' object store as a ``RevisionStore``."""
 
 import json
 from http import HTTPStatus
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from wagtailtrestle.configuration.store_epoch import epoch_of, revision_of, version_in
+from wagtailtrestle.configuration.epoch_store import RevisionAnswer
 from wagtailtrestle.contracts.outcomes import (
     StoreAbsent,
     StoreConflict,
@@ -18,7 +18,7 @@
 from wagtailtrestle.membership.vm_list import vm_from_json
 from wagtailtrestle.platform.headers import STORE_ERA
 from wagtailtrestle.platform.kinds import ROLLOUT_KIND, ROUTER_KIND
-from wagtailtrestle.store.http_lane import Answer, Lane, describe
+from wagtailtrestle.store.http_lane import Lane, describe
 
 WATCH_THREADS = 3
 CALL_THREADS = 4
@@ -38,22 +38,19 @@
 
 
 class PlatformStore:
-    """``ObjectStore`` over the users' store.
+    """``RevisionStore`` over the users' store.
 
-    An object's version is the store's revision at which it last changed, within the store's epoch; its value
-    is what the platform calls its specification; that of an order, which has a status of ours, is both.
+    An object's value is what the platform calls its specification; that of an order, whose status the system tells, is
+    both.
 
     Parameters
     ----------
     url : str
         ``http://HOST:PORT``.
-    epoch : StoreEpoch
-        Told of each answer; versions of an earlier one are never sent.
     """
 
-    def __init__(self, *, url, epoch):
+    def __init__(self, *, url):
         self._url = urlsplit(url)
-        self._epoch = epoch
         self._calls = None
         self._watches = None
 
@@ -67,141 +64,84 @@
         self._calls.close()
         self._watches.close()
 
-    async def get(self, *, kind, name, unless_version=None):
-        """Read one object; ``value`` is ``None`` if it is still at ``unless_version``."""
+    async def get(self, *, kind, name):
+        """Read one object."""
         answer = await self._call("GET", _path(kind, name))
         match answer.status:
             case HTTPStatus.OK if _is_object(answer.body):
-                version = self._version(answer.body)
-                value = None if version == unless_version else _value(kind, answer.body)
-                return StoreDone(version=version, value=value)
+                return _told(answer, StoreDone(version=_revision(answer.body), value=_value(kind, answer.body)))
             case HTTPStatus.NOT_FOUND:
-                return StoreAbsent()
-        return StoreUnavailable(detail=describe(answer))
+                return _told(answer, StoreAbsent())
+        return _unread(answer)
 
     async def list(self, *, kind):
-        """Read all objects of a kind: ``value`` maps name to ``(version, value)``."""
+        """Read all objects of a kind: ``value`` maps name to ``(revision, value)``."""
         return await self._list(kind, is_stale_enough=False)
 
     async def create(self, *, kind, name, value):
         """Create an object that must not exist yet."""
         body = {"metadata": {"name": name}, "specification": value}
-        return self._write_outcome(await self._call("POST", _path(kind), body=body))
-
-    async def update(self, *, kind, name, value, if_version):
-        """Replace an object that must be at ``if_version``."""
-        if self._is_of_former_epoch(if_version):
-            return StoreConflict()
-        body = {"metadata": {"name": name, "revision": revision_of(if_version)}, "specification": value}
-        return self._write_outcome(await self._call("PUT", _path(kind, name), body=body))
-
-    async def update_status(self, *, kind, name, value, if_version):
-        """Replace the status of an object that must be at ``if_version``."""
-        if self._is_of_former_epoch(if_version):
-            return StoreConflict()
-        body = {"metadata": {"name": name, "revision": revision_of(if_version)}, "status": value}
-        return self._write_outcome(await self._call("PUT", f"{_path(kind, name)}/status", body=body))
-
-    async def delete(self, *, kind, name, if_version):
-        """Delete an object that must be at ``if_version``."""
-        if self._is_of_former_epoch(if_version):
-            return StoreConflict()
-        path = f"{_path(kind, name)}?revision={revision_of(if_version)}"
-        return self._write_outcome(await self._call("DELETE", path))
-
-    async def watch(self, *, kind, from_version, timeout_s):
-        """Wait for changes after ``from_version``; a deleted object's value is ``None``."""
-        if self._is_of_former_epoch(from_version):
-            return StoreHistoryGone()
-        path = f"{_path(kind)}?watch={revision_of(from_version)}&wait_ms={int(timeout_s * MS_PER_S)}"
-        answer = self._told(await self._watches.call(method="GET", path=path, wait_s=timeout_s + WATCH_MARGIN_S))
-        # The revision may have been given out again while the watch waited; what came before it is then unknown.
-        if self._is_of_former_epoch(from_version):
-            return StoreHistoryGone()
+        return _written(await self._call("POST", _path(kind), body=body))
+
+    async def update(self, *, kind, name, value, if_revision):
+        """Replace an object that must be at ``if_revision``."""
+        body = {"metadata": {"name": name, "revision": if_revision}, "specification": value}
+        return _written(await self._call("PUT", _path(kind, name), body=body))
+
+    async def update_status(self, *, kind, name, value, if_revision):
+        """Replace the status of an object that must be at ``if_revision``."""
+        body = {"metadata": {"name": name, "revision": if_revision}, "status": value}
+        return _written(await self._call("PUT", f"{_path(kind, name)}/status", body=body))
+
+    async def delete(self, *, kind, name, if_revision):
+        """Delete an object that must be at ``if_revision``."""
+        return _written(await self._call("DELETE", f"{_path(kind, name)}?revision={if_revision}"))
+
+    async def watch(self, *, kind, from_revision, timeout_s):
+        """Wait for changes after ``from_revision``; a deleted object's value is ``None``."""
+        path = f"{_path(kind)}?watch={from_revision}&wait_ms={int(timeout_s * MS_PER_S)}"
+        answer = await self._watches.call(method="GET", path=path, wait_s=timeout_s + WATCH_MARGIN_S)
         match answer.status:
             case HTTPStatus.OK if _is_list(answer.body, "events"):
-                events = tuple(self._event(kind, event) for event in answer.body["events"] if _is_event(event))
-                return StoreDone(version=self._store_version(answer.body), value=events)
+                events = tuple(_event(kind, event) for event in answer.body["events"] if _is_event(event))
+                return _told(answer, StoreDone(version=answer.body["store_revision"], value=events))
             case HTTPStatus.GONE:
-                return StoreHistoryGone()
-        return StoreUnavailable(detail=describe(answer))
+                return _told(answer, StoreHistoryGone())
+        return _unread(answer)
 
-    async def vms(self, *, unless_version=None):
+    async def vms(self):
         """Read the routers that announced themselves; seconds old at a tenth of the price."""
-        outcome = await self._list(ROUTER_KIND, is_stale_enough=True)
+        answer = await self._list(ROUTER_KIND, is_stale_enough=True)
+        outcome = answer.outcome
         if not isinstance(outcome, StoreDone):
-            return outcome
+            return answer
         vms = tuple(_vm(name, value) for name, (_, value) in sorted(outcome.value.items()) if _is_vm(value))
-        return StoreDone(version=outcome.version, value=vms)
+        return RevisionAnswer(outcome=StoreDone(version=outcome.version, value=vms), epoch=answer.epoch)
 
     async def _list(self, kind, *, is_stale_enough):
         by_name = {}
         after = ""
-        epoch = self._epoch.number
+        epoch = None
         for _ in range(MOST_PAGES):
             answer = await self._call("GET", _path(kind) + _query(after=after, is_stale_enough=is_stale_enough))
-            if after and epoch != self._epoch.number:
-                return StoreUnavailable(detail="the store came back from a copy between two pages of a list")
-            epoch = self._epoch.number
             if answer.status != HTTPStatus.OK or not _is_list(answer.body, "items"):
-                return StoreUnavailable(detail=describe(answer))
+                return _unread(answer)
+            if after and _epoch(answer) != epoch:
+                # The store came back from a copy between two pages: together they are a list of nothing.
+                return _told(answer, StoreUnavailable(detail="two pages of a list are of different epochs"))
+            epoch = _epoch(answer)
             items = [item for item in answer.body["items"] if _is_object(item)]
-            by_name.update((_name(item), (self._version(item), _value(kind, item))) for item in items)
+            by_name.update((_name(item), (_revision(item), _value(kind, item))) for item in items)
             if not answer.body.get("has_more") or not items:
-                return StoreDone(version=self._store_version(answer.body), value=by_name)
+                return _told(answer, StoreDone(version=answer.body["store_revision"], value=by_name))
             # Named a revision on the wire, but it takes the name of the last object read.
             after = _name(items[-1])
-        return StoreUnavailable(detail=f"the list of {kind} did not end after {MOST_PAGES} pages")
+        return RevisionAnswer(outcome=StoreUnavailable(detail=f"the list of {kind} has over {MOST_PAGES} pages"))
 
     async def _call(self, method, path, *, body=None):
         encoded = None if body is None else json.dumps(body).encode()
         headers = {} if body is None else {"Content-Type": "application/json"}
-        call = self._calls.call(method=method, path=path, wait_s=READ_TIMEOUT_S, headers=headers, body=encoded)
-        return self._told(await call)
-
-    # Epochs.
-
-    def _told(self, answer):
-        """Take in the epoch that an answer bears; one of a former epoch counts as none."""
-        number = _era(answer)
-        if number is None or self._epoch.observe(number):
-            return answer
-        # Acknowledged before the store came back: what it says was read may have changed since, and what it says
-        # was written may be lost.
-        return Answer(detail="an answer from before the store came back from a copy")
-
-    def _is_of_former_epoch(self, version):
-        return version != 0 and epoch_of(version) != self._epoch.number
-
-    def _version(self, item):
-        return version_in(self._epoch.number, item["metadata"]["revision"])
-
-    def _store_version(self, body):
-        return version_in(self._epoch.number, body["store_revision"])
-
-    def _event(self, kind, event):
-        """Name, version and value of one change."""
-        changed = event["object"]
-        return _name(changed), self._version(changed), None if event.get("deleted") else _value(kind, changed)
-
-    def _write_outcome(self, answer):
-        """Outcome of a write: without an answer it may have taken effect, or do so seconds later."""
-        match answer.status:
-            case HTTPStatus.OK | HTTPStatus.CREATED if _is_object(answer.body):
-                return StoreDone(version=self._version(answer.body))
-            case HTTPStatus.OK | HTTPStatus.CREATED:
-                return StoreDone(version=0)
-            case HTTPStatus.CONFLICT:
-                if not _is_object(answer.body):
-                    return StoreConflict()
-                return StoreConflict(version=self._version(answer.body), value=answer.body.get("specification"))
-            case HTTPStatus.NOT_FOUND:
-                return StoreAbsent()
-            case status if status in NOT_TAKEN_UP:
-                return StoreUnavailable(detail=describe(answer))
-        if answer.was_sent:
-            return StoreUnknown(detail=describe(answer))
-        return StoreUnavailable(detail=describe(answer))
+        return await self._calls.call(method=method, path=path, wait_s=READ_TIMEOUT_S, headers=headers, body=encoded)
 
     def _make_lane(self, *, threads, name):
         return Lane(
@@ -213,12 +153,45 @@
         )
 
 
-def _era(answer):
+def _epoch(answer):
     """The epoch that an answer bears, or ``None`` where it bears none."""
     text = answer.headers.get(STORE_ERA, "")
     return int(text) if text.isascii() and text.isdigit() else None
 
 
+def _told(answer, outcome):
+    return RevisionAnswer(outcome=outcome, epoch=_epoch(answer))
+
+
+def _unread(answer):
+    return _told(answer, StoreUnavailable(detail=describe(answer)))
+
+
+def _written(answer):
+    """Answer to a write: without one it may have taken effect, or do so seconds later."""
+    match answer.status:
+        case HTTPStatus.OK | HTTPStatus.CREATED if _is_object(answer.body):
+            return _told(answer, StoreDone(version=_revision(answer.body)))
+        case HTTPStatus.OK | HTTPStatus.CREATED:
+            return _told(answer, StoreDone(version=0))
+        case HTTPStatus.CONFLICT if _is_object(answer.body):
+            found = StoreConflict(version=_revision(answer.body), value=answer.body.get("specification"))
+            return _told(answer, found)
+        case HTTPStatus.CONFLICT:
+            return _told(answer, StoreConflict())
+        case HTTPStatus.NOT_FOUND:
+            return _told(answer, StoreAbsent())
+        case status if status in NOT_TAKEN_UP:
+            return _unread(answer)
+    return _told(answer, StoreUnknown(detail=describe(answer))) if answer.was_sent else _unread(answer)
+
+
+def _event(kind, event):
+    """Name, revision and value of one change."""
+    changed = event["object"]
+    return _name(changed), _revision(changed), None if event.get("deleted") else _value(kind, changed)
+
+
 def _is_list(body, name):
     """Whether an answer is a list of the store's: ``name`` is the field that holds it."""
     return isinstance(body, dict) and isinstance(body.get(name), list) and isinstance(body.get("store_revision"), int)
@@ -251,6 +224,10 @@
     return item["metadata"]["name"]
 
 
+def _revision(item):
+    return item["metadata"]["revision"]
+
+
 def _value(kind, item):
     if kind == ROLLOUT_KIND:
         return {"specification": item.get("specification"), "status": item.get("status")}
--- a/wagtailtrestle/rollouts/coordinator.py
+++ b/wagtailtrestle/rollouts/coordinator.py
@@ -23,7 +23,7 @@
 
     Parameters
     ----------
-    store : ObjectStore
+    store : StatusStore
     adapter : Adapter
         Its ``rollout_kind`` and how its objects read.
     stewards : StewardSet
--- a/wagtailtrestle/rollouts/orders.py
+++ b/wagtailtrestle/rollouts/orders.py
@@ -19,7 +19,7 @@
 
     Parameters
     ----------
-    store : ObjectStore
+    store : StatusStore
     adapter : Adapter
         Its ``rollout_kind`` and how its objects read.
     is_needed : callable
--- a/wagtailtrestle/rollouts/rollout.py
+++ b/wagtailtrestle/rollouts/rollout.py
@@ -28,7 +28,8 @@
 """Parts of the time between which the ramp ends, the sooner the longer the service's runs are: what the old engines
 hold then has to end before they stop."""
 LONG_RUN_QUANTILE = 0.95
-LONG_RUNS = 1.5
+LONG_RUN_TIMES = 1.5
+"""Long runs for which there has to be time between the end of the ramp and the old engines' stop."""
 RUNS_KEPT = 200
 END_ROOM_S = 1.0
 """Time before the end of the roll-out at which it is told as completed, whatever still runs."""
@@ -191,7 +192,7 @@
     def _ramp_is_over(self, part):
         if self.judgement.target_runs < min(LEAST_RUNS, LEAST_RUNS_PART * self.exposure.granted):
             return False
-        needed_s = END_ROOM_S + LONG_RUNS * self._long_run_s()
+        needed_s = END_ROOM_S + LONG_RUN_TIMES * self._long_run_s()
         return part >= min(MOST_RAMP_END, max(LEAST_RAMP_END, 1.0 - needed_s / self.order.duration_s))
 
     def _long_run_s(self):
