--- a/tests/test_platform_router.py
+++ b/tests/test_platform_router.py
@@ -9,7 +9,8 @@
 
 import yaml
 
-from tests.utils.platform_world import KEY, SIGNATURE, TEAM, World, configuration, wait_until
+from tests.utils.platform_world import KEY, TEAM, World, configuration, wait_until
+from tests.utils.world_engine import SIGNATURE
 
 FORGED = {"Tenant": "another", "Hold": "h1", "Pin_Milliseconds": "5", "Kv_From": "10.0.0.1:1/x"}
 
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -3,7 +3,8 @@
 import time
 import unittest
 
-from tests.utils.platform_world import KEY, Engine, World, configuration, wait_until
+from tests.utils.platform_world import KEY, World, configuration, wait_until
+from tests.utils.world_engine import Engine
 from wagtailtrestle.configuration.epoch_note import NOTE_NAME
 
 NOTE_KIND = "wagtailtrestle-epochs"
@@ -35,6 +36,11 @@
     def ran(self, world, engine, name):
         return [seen for seen in world.engines[engine].seen if seen["request-id"].startswith(f"{name}-")]
 
+    def drain(self, world, engine):
+        """An engine says that it drains, and all routers hear it."""
+        world.store.put("servers", engine, world.engines[engine].entry("draining"))
+        time.sleep(SEEN_S)
+
     def age(self, world, revisions=60):
         """Let the store write as many revisions as a copy is behind."""
         for number in range(revisions):
@@ -47,8 +53,7 @@
         world = self.start()
         copy = world.store.copy()
         self.age(world)
-        world.store.put("servers", "b-1", world.engines["b-1"].entry("draining"))
-        time.sleep(SEEN_S)
+        self.drain(world, "b-1")
         world.store.delete("servers", "b-1")
         time.sleep(SEEN_S)
         world.store.drill(copy)
@@ -64,8 +69,7 @@
         self.age(world)
         time.sleep(SEEN_S)
         world.store.drill(copy)
-        world.store.put("servers", "b-1", world.engines["b-1"].entry("draining"))
-        time.sleep(SEEN_S)
+        self.drain(world, "b-1")
         self.assertEqual(set(self.ask_all(world, name="drained")), {200})
         self.assertEqual(len(self.ran(world, "b-1", "drained")), 0)
         world.store.delete("servers", "b-1")
@@ -93,8 +97,7 @@
         world = self.start()
         copy = world.store.copy()
         self.age(world)
-        world.store.put("servers", "b-1", world.engines["b-1"].entry("draining"))
-        time.sleep(SEEN_S)
+        self.drain(world, "b-1")
         world.store.drill(copy)
         time.sleep(SEEN_S)
         self.ask_all(world, name="after")
@@ -215,8 +218,7 @@
         world = self.start()
         copy = world.store.copy()
         self.age(world)
-        world.store.put("servers", "b-1", world.engines["b-1"].entry("draining"))
-        time.sleep(SEEN_S)
+        self.drain(world, "b-1")
         world.store.drill(copy)
         time.sleep(0.3)
         world.store.drill(copy, away_s=0.2)
--- a/tests/utils/rollout_world.py
+++ b/tests/utils/rollout_world.py
@@ -8,7 +8,8 @@
 
 import yaml
 
-from tests.utils.platform_world import Engine, World
+from tests.utils.platform_world import World
+from tests.utils.world_engine import Engine
 
 SERVICE = "booking"
 OLD, NEW = "v1", "v2"
--- /dev/null
+++ b/tests/utils/world_engine.py
@@ -0,0 +1,116 @@
+"""An engine of the users' platform in small, with answers as a test scripts them."""
+
+import json
+import threading
+import time
+
+from tests.utils.world_server import Server
+
+SIGNATURE = "signed"
+
+
+class Engine(Server):
+    """Streams events or answers whole; ``script`` names how the next requests are answered.
+
+    Attributes
+    ----------
+    seen : list of dict
+        Headers of the requests that it ran, by lower-case name, with ``path`` and ``body``.
+    events : int
+    script : list of str
+        ``full``, ``cut``, ``torn``, ``fail``, ``coded``, ``crossed`` or ``unsigned``; one is used up
+        by each request, then all are answered well.
+    """
+
+    def __init__(self, *, name, service, events=6, pause_s=0.005):
+        self.name = name
+        self.service = service
+        self.events = events
+        self.pause_s = pause_s
+        self.script = []
+        self.seen = []
+        self.gone = threading.Event()
+        super().__init__()
+
+    def entry(self, state="ready"):
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+        }
+
+    def serve(self, handler):
+        if handler.path == "/v1/report":
+            body = json.dumps({"stage": "both", "waiting": 0, "running": 0, "kv_used": 0, "kv_total": 1}).encode()
+            self.reply(handler, 200, body)
+            return
+        expected = handler.headers.get("Expect-Instance")
+        if expected and expected != self.name:
+            self.reply(handler, 421, headers=[("Instance-Id", self.name)])
+            return
+        how = self.script.pop(0) if self.script else "well"
+        if how == "full":
+            self.reply(handler, 503, headers=[("Not-Executed", "1")])
+            return
+        headers = {name.lower(): value for name, value in handler.headers.items()}
+        self.seen.append(headers | {"path": handler.path, "body": handler.body})
+        if how == "fail":
+            self.reply(handler, 500, b"broken", self._heads(handler))
+        elif "stream" in handler.path:
+            self._stream(handler, how)
+        else:
+            self._whole(handler, how)
+
+    def _heads(self, handler, how="well"):
+        request_id = "another" if how == "crossed" else handler.headers["Request-Id"]
+        heads = [("Request-Id", request_id)]
+        if how != "unsigned":
+            heads.append(("Response-Stamp", f"{SIGNATURE}-{self.name}"))
+        if how == "coded":
+            heads.append(("Content-Encoding", "gzip"))
+        return heads
+
+    def _whole(self, handler, how):
+        body = f"whole from {self.name}".encode()
+        handler.send_response(200)
+        for name, value in self._heads(handler, how):
+            handler.send_header(name, value)
+        handler.send_header("Content-Length", str(len(body)))
+        handler.end_headers()
+        if how == "cut":
+            handler.wfile.write(body[:3])
+            handler.close_connection = True
+        else:
+            handler.wfile.write(body)
+
+    def _stream(self, handler, how):
+        handler.send_response(200)
+        for name, value in [*self._heads(handler, how), ("Content-Type", "text/event-stream")]:
+            handler.send_header(name, value)
+        handler.send_header("Transfer-Encoding", "chunked")
+        handler.end_headers()
+        first = int(handler.headers.get("Last-Event-Id") or 0) + 1
+        try:
+            for number in range(first, self.events + 1):
+                event = f"id: {number}\ndata: {self.name}\n\n".encode()
+                if how in ("cut", "torn") and number == first + 2:
+                    self._chunk(handler, event[:7] if how == "torn" else b"")
+                    handler.close_connection = True
+                    return
+                self._chunk(handler, event)
+                time.sleep(self.pause_s)
+            handler.wfile.write(b"0\r\n\r\n")
+        except OSError:
+            handler.close_connection = True
+            self.gone.set()
+
+    @staticmethod
+    def _chunk(handler, data):
+        if data:
+            handler.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
+            handler.wfile.flush()
--- /dev/null
+++ b/tests/utils/world_server.py
@@ -0,0 +1,50 @@
+"""An HTTP server of a test's world."""
+
+import threading
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+from wagtailtrestle.standins.local_ports import HOST
+
+
+class Server:
+    """An HTTP server in threads; ``serve(handler)`` answers one request."""
+
+    def __init__(self):
+        outer = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def answer(self):
+                length = int(self.headers.get("Content-Length") or 0)
+                self.body = self.rfile.read(length) if length else b""
+                outer.serve(self)
+
+            do_GET = do_POST = do_PUT = do_DELETE = answer
+
+            def log_message(self, *args):
+                return None
+
+        self.server = ThreadingHTTPServer((HOST, 0), Handler)
+        # A router that ends cuts its watches: what their answers run into says nothing.
+        self.server.handle_error = lambda request, client_address: None
+        self.server.daemon_threads = True
+        self.address = f"{HOST}:{self.server.server_port}"
+        self._thread = threading.Thread(target=self.server.serve_forever, kwargs={"poll_interval": 0.02}, daemon=True)
+        self._thread.start()
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+    def serve(self, handler):
+        raise NotImplementedError
+
+    @staticmethod
+    def reply(handler, status, body=b"", headers=()):
+        handler.send_response(status)
+        for name, value in headers:
+            handler.send_header(name, value)
+        handler.send_header("Content-Length", str(len(body)))
+        handler.end_headers()
+        handler.wfile.write(body)
--- /dev/null
+++ b/tests/utils/world_store.py
@@ -0,0 +1,168 @@
+"""The users' store in small, which can go away and come back from a copy."""
+
+import json
+import threading
+import time
+from urllib.parse import parse_qs, urlsplit
+
+from tests.utils.world_server import Server
+
+
+class Copy:
+    """What the store held at one revision."""
+
+    def __init__(self, *, revision, objects, log):
+        self.revision = revision
+        self.objects = objects
+        self.log = log
+
+
+class Store(Server):
+    """Objects by kind and name with revisions, watches, an outage and a return from a copy on request.
+
+    Attributes
+    ----------
+    down : bool
+    era : int
+        Told in each answer; 0 for a store that tells none.
+    """
+
+    def __init__(self):
+        self.down = False
+        self.era = 0
+        self.calls = 0
+        self._objects = {}
+        self._log = []
+        self._revision = 10
+        self._changed = threading.Condition()
+        super().__init__()
+
+    def put(self, kind, name, value):
+        """Write as the operator or an engine does."""
+        with self._changed:
+            self._write(kind, name, value)
+
+    def delete(self, kind, name):
+        with self._changed:
+            self._write(kind, name, None)
+
+    def objects(self, kind):
+        with self._changed:
+            return {name: item["specification"] for (of, name), item in self._objects.items() if of == kind}
+
+    def status(self, kind, name):
+        """What the system told of an object."""
+        with self._changed:
+            item = self._objects.get((kind, name))
+            return item["status"] if item else None
+
+    def copy(self):
+        """Keep what the store holds now."""
+        with self._changed:
+            return Copy(revision=self._revision, objects=dict(self._objects), log=list(self._log))
+
+    def return_from(self, copy):
+        """Go on from a copy: what was written since is gone, and its revisions are given out again."""
+        with self._changed:
+            self._objects, self._log, self._revision = dict(copy.objects), list(copy.log), copy.revision
+            self.era += 1
+            self.down = False
+            self._changed.notify_all()
+
+    def drill(self, copy, *, away_s=0.5):
+        """Be away for a moment and come back from a copy."""
+        self.down = True
+        with self._changed:
+            self._changed.notify_all()
+        time.sleep(away_s)
+        self.return_from(copy)
+
+    def _write(self, kind, name, value, status=None):
+        self._revision += 1
+        item = {
+            "metadata": {"name": name, "revision": self._revision, "created": 1, "finalizers": [], "deleting": False},
+            "specification": value,
+            "status": status,
+        }
+        if value is None:
+            self._objects.pop((kind, name), None)
+        else:
+            self._objects[kind, name] = item
+        self._log.append((self._revision, kind, {"object": item, "deleted": value is None}))
+        self._changed.notify_all()
+        return item
+
+    def serve(self, handler):
+        self.calls += 1
+        if self.down:
+            handler.close_connection = True
+            return
+        era = self.era
+        parts = urlsplit(handler.path)
+        _, _, _, kind, *rest = parts.path.split("/")
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        name = rest[0] if rest else None
+        with self._changed:
+            if rest[1:] == ["status"]:
+                status, body = self._put_status(kind, name, handler.body)
+            else:
+                status, body = getattr(self, f"_{handler.command.lower()}")(kind, name, query, handler.body)
+        heads = [("Content-Type", "application/json")]
+        if self.era:
+            heads.append(("Store-Era", str(era)))
+        self.reply(handler, status, json.dumps(body).encode(), heads)
+
+    def _get(self, kind, name, query, body):
+        if name is not None:
+            item = self._objects.get((kind, name))
+            return (200, item) if item else (404, {"error": "absent"})
+        if "watch" in query:
+            return self._watch(kind, int(query["watch"]), float(query["wait_ms"]) / 1000.0)
+        items = [item for (of, _), item in sorted(self._objects.items()) if of == kind]
+        return 200, {"items": items, "has_more": False, "store_revision": self._revision}
+
+    def _watch(self, kind, revision, wait_s):
+        until = time.monotonic() + wait_s
+        era = self.era
+        while True:
+            if self.era != era or revision > self._revision:
+                return 410, {"error": "gone"}
+            events = [event for at, of, event in self._log if of == kind and at > revision]
+            left_s = until - time.monotonic()
+            if events or left_s <= 0 or self.down:
+                return 200, {"events": events, "store_revision": self._revision}
+            self._changed.wait(left_s)
+
+    def _post(self, kind, name, query, body):
+        document = json.loads(body)
+        name = document["metadata"]["name"]
+        if (kind, name) in self._objects:
+            return 409, self._objects[kind, name]
+        return 200, self._write(kind, name, document["specification"])
+
+    def _put(self, kind, name, query, body):
+        document = json.loads(body)
+        item = self._objects.get((kind, name))
+        if item is None:
+            return 404, {"error": "absent"}
+        if document["metadata"].get("revision", item["metadata"]["revision"]) != item["metadata"]["revision"]:
+            return 409, item
+        return 200, self._write(kind, name, document["specification"])
+
+    def _put_status(self, kind, name, body):
+        document = json.loads(body)
+        item = self._objects.get((kind, name))
+        if item is None:
+            return 404, {"error": "absent"}
+        if document["metadata"].get("revision", item["metadata"]["revision"]) != item["metadata"]["revision"]:
+            return 409, item
+        return 200, self._write(kind, name, item["specification"], status=document["status"])
+
+    def _delete(self, kind, name, query, body):
+        item = self._objects.get((kind, name))
+        if item is None:
+            return 404, {"error": "absent"}
+        if int(query.get("revision", item["metadata"]["revision"])) != item["metadata"]["revision"]:
+            return 409, item
+        self._write(kind, name, None)
+        return 200, item
