Limits that engines name in their answers are heard, logged and dumped

Each dialect now reads the notice where the request's id shows that the answer is that engine's; the entry logs each change and shows what it heard in its dump. An answer without a limit is told only where the engine named one before.

--- a/wagtailtrestle/contracts/exchange.py
+++ b/wagtailtrestle/contracts/exchange.py
@@ -6,6 +6,7 @@
 
 from typing import Protocol
 
+from wagtailtrestle.contracts.messages import EngineNotice
 from wagtailtrestle.contracts.outcomes import Refusal, RunOutcome
 from wagtailtrestle.record import record
 
@@ -129,6 +130,8 @@
         received, over a new connection; the engine starts no second run.
     first_token_deadline_s, progress_deadline_s, overall_s : float
         Limits on silence before the first token and between tokens, and on the run.
+    was_limited : bool
+        Whether the engine named a rate limit lately: then an answer that names none is told too.
     """
 
     run_id: str
@@ -138,6 +141,7 @@
     progress_deadline_s: float
     overall_s: float
     attach: bool = False
+    was_limited: bool = False
 
 
 @record
@@ -203,7 +207,7 @@
     """The caller closed its connection before its answer was complete."""
 
 
-CallerEvent = RunBegan | RunAdvanced | RunEnded | CallerGone
+CallerEvent = RunBegan | RunAdvanced | RunEnded | CallerGone | EngineNotice
 
 
 class CallerLink(Protocol):
--- a/wagtailtrestle/contracts/messages.py
+++ b/wagtailtrestle/contracts/messages.py
@@ -5,6 +5,8 @@
 never a clock reading: clocks of two processes are not comparable.
 """
 
+import math
+
 from wagtailtrestle.contracts.outcomes import Reason
 from wagtailtrestle.record import record
 
@@ -123,6 +125,29 @@
     output_tokens: int = 0
 
 
+@record
+class EngineNotice:
+    """What an engine said of itself in the head of an answer.
+
+    Parameters
+    ----------
+    engine : str
+    limit_per_s : float
+        Requests a second that it takes from all routers together; infinite if it named no limit.
+    age_s : float
+        How long ago the head was read.
+    """
+
+    engine: str
+    limit_per_s: float = math.inf
+    age_s: float = 0.0
+
+    @property
+    def names_limit(self):
+        """Whether the engine named a limit."""
+        return self.limit_per_s != math.inf
+
+
 @record
 class RunningRecord:
     """One run an entry holds, told to a new steward."""
--- a/wagtailtrestle/engines/dialect.py
+++ b/wagtailtrestle/engines/dialect.py
@@ -3,6 +3,7 @@
 from dataclasses import field
 from typing import Protocol
 
+from wagtailtrestle.contracts.messages import EngineNotice
 from wagtailtrestle.contracts.outcomes import RunOutcome
 from wagtailtrestle.record import record
 
@@ -40,5 +41,8 @@
             As the connection does; the exchange turns them into outcomes.
         """
 
+    def notice(self, exchange) -> EngineNotice | None:
+        """What the head of the answer says of its engine; ``None`` unless it is surely that engine's."""
+
     def cancel_path(self, run_id: str) -> str | None:
         """Where the engine is told to cancel a run; ``None`` where closing the connection is all there is."""
--- a/wagtailtrestle/engines/run_exchange.py
+++ b/wagtailtrestle/engines/run_exchange.py
@@ -73,6 +73,7 @@
         "reached",
         "received",
         "response",
+        "_on_event",
         "_aborted",
         "_connect_timeout_s",
         "_connection",
@@ -85,6 +86,7 @@
         self.call = call
         self.received = received
         self.on_token = on_token
+        self._on_event = on_event
         self.progress = RunProgress(command=command, received=received, on_event=on_event)
         self.reached = command.attach
         self.held = False
@@ -233,6 +235,9 @@
         except BrokenPipeError:
             pass  # The engine stopped reading; it may have answered why before it did.
         self.response = self._connection.getresponse()
+        notice = self.call.notice(self)
+        if notice is not None and (notice.names_limit or self.command.was_limited):
+            self._on_event(notice)
         return self.call.read(self)
 
     # Ends.
--- a/wagtailtrestle/entry/entry.py
+++ b/wagtailtrestle/entry/entry.py
@@ -8,8 +8,9 @@
 
 from wagtailtrestle.broken_invariant import report_broken
 from wagtailtrestle.contracts.exchange import AnswerRefusal
-from wagtailtrestle.contracts.messages import Granted, Register, RunFinished, Withdraw
+from wagtailtrestle.contracts.messages import EngineNotice, Granted, Register, RunFinished, Withdraw
 from wagtailtrestle.contracts.outcomes import Executed, Reason, RunNotSent
+from wagtailtrestle.engines.notices import EngineNotices
 from wagtailtrestle.entry.cells import cells_of, choose_cell
 from wagtailtrestle.entry.final_answers import refusal_of
 from wagtailtrestle.entry.request_task import Displaced, RequestState, RequestTask
@@ -29,13 +30,15 @@
         Maps a service's name to its :class:`wagtailtrestle.entry.retry_budget.RetryBudget`.
     declaration : Callable
         Gives the declaration in force.
+    notices : EngineNotices
+        What engines said of themselves to this router.
     now : Callable
         The loop's clock, seconds.
     """
 
-    __slots__ = ("name", "claims", "crashes", "retry_budget", "now", "_stewards", "_declaration")
+    __slots__ = ("name", "claims", "crashes", "retry_budget", "now", "_stewards", "_declaration", "_notices")
 
-    def __init__(self, *, name, stewards, claims, crashes, budget_by_service, declaration, now):
+    def __init__(self, *, name, stewards, claims, crashes, budget_by_service, declaration, notices, now):
         self.name = name
         self.claims = claims
         self.crashes = crashes
@@ -43,6 +46,7 @@
         self.now = now
         self._stewards = stewards
         self._declaration = declaration
+        self._notices = notices
 
     def send(self, cell, message):
         """Send to the cell's steward; a lost message is made good by registering."""
@@ -58,6 +62,10 @@
         declared = self._declaration().engines_by_name.get(engine)
         return declared is not None and not declared.leaving
 
+    def names_limit(self, engine):
+        """Whether an engine named a rate limit when this router last heard of it."""
+        return self._notices.names_limit(engine)
+
     def service(self, name):
         """What is declared of a service now, or ``None``."""
         return self._declaration().services_by_name.get(name)
@@ -75,13 +83,14 @@
     loop : asyncio.AbstractEventLoop
     """
 
-    __slots__ = ("name", "tasks_by_id", "_context", "_declaration", "_loop", "_running_by_id", "_idle")
+    __slots__ = ("name", "tasks_by_id", "_context", "_declaration", "_loop", "_notices", "_running_by_id", "_idle")
 
     def __init__(self, *, name, stewards, claims, crashes, budget_by_service, declaration, loop):
         self.name = name
         self.tasks_by_id = {}
         self._declaration = declaration
         self._loop = loop
+        self._notices = EngineNotices(clock=loop.time)
         self._running_by_id = {}
         self._idle = asyncio.Event()
         self._idle.set()
@@ -92,6 +101,7 @@
             crashes=crashes,
             budget_by_service=budget_by_service,
             declaration=declaration,
+            notices=self._notices,
             now=loop.time,
         )
 
@@ -111,6 +121,9 @@
 
     def post(self, request_id, event):
         """Give a caller's event to its request; late ones are dropped."""
+        if isinstance(event, EngineNotice):
+            self._notices.take(event)
+            return
         task = self.tasks_by_id.get(request_id)
         if task is not None:
             task.post(event)
@@ -154,6 +167,7 @@
         """Plain data for the state dump."""
         now = self._loop.time()
         return {
+            "notices": self._notices.dump(),
             "requests": [
                 {
                     "request_id": task.request.request_id,
@@ -169,7 +183,7 @@
                     "remaining_s": round(task.request.deadline - now, 3),
                 }
                 for task in self.tasks_by_id.values()
-            ]
+            ],
         }
 
     def _return_grant(self, task, granted):
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -311,6 +311,7 @@
                 progress_deadline_s=overall_s if is_last else max(floor_s, granted.progress_deadline_s),
                 overall_s=overall_s,
                 attach=attach,
+                was_limited=self.context.names_limit(granted.engine),
             )
         )
 
