Failing test: an engine that names a rate limit is sent its usual load

Four routers, two engines of a plain service, 40 requests a second; one engine names 2.3 a second for all routers together. Users allow 18.8 in some 4 s from a second after the naming; it gets 81. No caller is refused or fails.

The world's engines can name a limit and keep when requests arrived.

--- /dev/null
+++ b/tests/utils/steady_callers.py
@@ -0,0 +1,73 @@
+"""Callers that send at a steady rate, whatever becomes of what they sent before."""
+
+import itertools
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+THREADS = 48
+
+
+class SteadyCallers:
+    """Requests at a steady rate to a world's routers in turn.
+
+    Parameters
+    ----------
+    world : World
+    paths : list of (str, str)
+        Method and path, sent in turn.
+    per_s : float
+    routers : sequence of int, optional
+        Routers that are asked; all by default.
+
+    Attributes
+    ----------
+    answers : list of Answer
+        ``None`` stands for one that got no answer.
+    """
+
+    def __init__(self, *, world, paths, per_s, routers=None):
+        self.answers = []
+        self._world = world
+        self._paths = paths
+        self._per_s = per_s
+        self._routers = tuple(range(len(world.routers))) if routers is None else tuple(routers)
+        self._ending = threading.Event()
+        self._pool = ThreadPoolExecutor(max_workers=THREADS)
+        self._thread = threading.Thread(target=self._send_on, daemon=True)
+
+    def start(self):
+        self._thread.start()
+        return self
+
+    def close(self):
+        """Send no more, and wait for what was sent."""
+        self._ending.set()
+        self._thread.join()
+        self._pool.shutdown()
+
+    def statuses(self):
+        return [None if answer is None else answer.status for answer in self.answers]
+
+    def _send_on(self):
+        due_at = time.monotonic()
+        for number in itertools.count():
+            if self._ending.wait(max(0.0, due_at - time.monotonic())):
+                return
+            self._pool.submit(self._send, number)
+            due_at += 1.0 / self._per_s
+
+    def _send(self, number):
+        method, path = self._paths[number % len(self._paths)]
+        router = self._routers[number % len(self._routers)]
+        try:
+            answer = self._world.ask(method, path, router=router, request_id=f"steady-{number}")
+        except OSError:
+            answer = None
+        self.answers.append(answer)
+
+
+def most_within(times, window_s):
+    """The most of these times that fall within one span of ``window_s``."""
+    times = sorted(times)
+    return max((sum(first <= at <= first + window_s for at in times[n:]) for n, first in enumerate(times)), default=0)
--- a/tests/utils/world_engine.py
+++ b/tests/utils/world_engine.py
@@ -16,6 +16,12 @@
     ----------
     seen : list of dict
         Headers of the requests that it ran, by lower-case name, with ``path`` and ``body``.
+    arrivals : list of float
+        Times, by the steady clock, at which requests arrived, also those that it did not run.
+    limit : str or None
+        The rate limit that it names in its answers.
+    work_s : float
+        Time before it answers.
     events : int
     script : list of str
         ``full``, ``cut``, ``torn``, ``fail``, ``coded``, ``crossed`` or ``unsigned``; one is used up
@@ -29,6 +35,9 @@
         self.pause_s = pause_s
         self.script = []
         self.seen = []
+        self.arrivals = []
+        self.limit = None
+        self.work_s = 0.0
         self.gone = threading.Event()
         super().__init__()
 
@@ -49,14 +58,17 @@
             body = json.dumps({"stage": "both", "waiting": 0, "running": 0, "kv_used": 0, "kv_total": 1}).encode()
             self.reply(handler, 200, body)
             return
+        self.arrivals.append(time.monotonic())
         expected = handler.headers.get("Expect-Instance")
         if expected and expected != self.name:
             self.reply(handler, 421, headers=[("Instance-Id", self.name)])
             return
         how = self.script.pop(0) if self.script else "well"
         if how == "full":
-            self.reply(handler, 503, headers=[("Not-Executed", "1")])
+            heads = [("Not-Executed", "1"), ("Request-Id", handler.headers["Request-Id"]), *self._words()]
+            self.reply(handler, 503, headers=heads)
             return
+        time.sleep(self.work_s)
         headers = {name.lower(): value for name, value in handler.headers.items()}
         self.seen.append(headers | {"path": handler.path, "body": handler.body})
         if how == "fail":
@@ -68,13 +80,17 @@
 
     def _heads(self, handler, how="well"):
         request_id = "another" if how == "crossed" else handler.headers["Request-Id"]
-        heads = [("Request-Id", request_id)]
+        heads = [("Request-Id", request_id), *self._words()]
         if how != "unsigned":
             heads.append(("Response-Stamp", f"{SIGNATURE}-{self.name}"))
         if how == "coded":
             heads.append(("Content-Encoding", "gzip"))
         return heads
 
+    def _words(self):
+        """What it says of itself in each answer."""
+        return [] if self.limit is None else [("Server-Limit", self.limit)]
+
     def _whole(self, handler, how):
         body = f"whole from {self.name}".encode()
         handler.send_response(200)
