A steward places within the rate limit that an engine names

What callers saw: nothing at once; an engine in need that had asked for 1.6 requests a second got 26 in 4 s (15 allowed), its full load, until it fails.

Cause: what an engine says in an answer's head had no way to whoever decides. Class: a signal that is read at one place and needed at another.

Now the entry tells the steward of the cell, which grants from a token bucket with a window of 4 s over all it gave, also before a limit was lowered. Every way to an engine passes that place: second tries, resumed streams, suspects, roll-outs. Entries tell a new steward what they heard in the last 10 s, and hand back a place granted by one that hasn't heard yet. A limit is raised from two answers in a row that don't name it and doubles each second; without answers it stays. Limited places are no capacity in predictions, and no run is preempted for them.

Ruled out: a bucket at each router (nine times the limit in sum, or a ninth for each while one has all the callers); taking one answer without the header for the end (engines may name it in some answers only).

--- a/tests/test_counted_runs.py
+++ b/tests/test_counted_runs.py
@@ -50,11 +50,11 @@
         self.caller = FakeCaller()
         self.entry.submit(caller_request("r1", deadline=now() + TIME_S, **fields), self.caller)
 
-    async def grant(self, name):
+    async def grant(self, name, **fields):
         await asyncio.sleep(STEP_S)
         task = self.entry.tasks_by_id["r1"]
         limits = {"progress_deadline_s": GRANTED_SILENCE_S, "first_token_deadline_s": GRANTED_SILENCE_S}
-        self.entry.on_steward_message(Granted(request_id="r1", attempt=task.attempt, engine=name, **limits))
+        self.entry.on_steward_message(Granted(request_id="r1", attempt=task.attempt, engine=name, **limits, **fields))
         await asyncio.sleep(STEP_S)
 
     async def end(self, outcome):
--- a/tests/test_engine_limits.py
+++ b/tests/test_engine_limits.py
@@ -12,6 +12,8 @@
 HEARD_S = 1.0
 """Time in which every router has answered callers from the engine, and has been told."""
 HELD_S = 8.0
+BACK_S = 7.0
+"""Time after which an engine that names no limit any more has its share again."""
 WORK_S = 0.03
 PER_S = 40.0
 BOOKINGS = [("GET", "/status/1")]
@@ -32,8 +34,8 @@
         for engine in (self.limited, self.other):
             engine.work_s = WORK_S
 
-    def call(self, *, per_s=PER_S, paths=BOOKINGS):
-        callers = SteadyCallers(world=self.world, paths=paths, per_s=per_s).start()
+    def call(self, *, per_s=PER_S, paths=BOOKINGS, routers=None):
+        callers = SteadyCallers(world=self.world, paths=paths, per_s=per_s, routers=routers).start()
         self.addCleanup(callers.close)
         return callers
 
@@ -56,6 +58,69 @@
         callers.close()
         self.assertEqual(set(callers.statuses()), {200})
 
+    # Guards against a limit that every engine names and that is kept engine by engine only at each router.
+    def test_all_engines_limited_keep_their_share_and_refusals_are_told_when_to_return(self):
+        callers = self.call()
+        time.sleep(1.0)
+        engines = (self.limited, self.other)
+        for engine in engines:
+            engine.limit = "2.3"
+        named_at = time.monotonic()
+        time.sleep(HEARD_S + HELD_S)
+        for engine in engines:
+            arrivals = self.check_limit(engine, named_at + HEARD_S, 2.3)
+            self.assertGreaterEqual(len(arrivals), 0.5 * 2.3 * HELD_S)
+        callers.close()
+        refused = [answer for answer in callers.answers if answer.status != 200]
+        self.assertEqual({answer.status for answer in refused} - {429, 503}, set())
+        self.assertTrue(all(float(answer.headers["Retry-After"]) > 0.0 for answer in refused))
+
+    # Guards against a load that stays away, or comes back at once, when an engine names its limit no more.
+    def test_an_engine_that_names_no_limit_any_more_gets_its_share_again(self):
+        callers = self.call()
+        self.limited.limit = "2.3"
+        time.sleep(4.0)
+        self.limited.limit = None
+        time.sleep(BACK_S)
+        since = time.monotonic()
+        time.sleep(2.0)
+        callers.close()
+        mine, others = (sum(at > since for at in engine.arrivals) for engine in (self.limited, self.other))
+        self.assertGreater(mine, 0.5 * others)
+        self.assertEqual(set(callers.statuses()), {200})
+
+
+class LimitedStreamsTest(LimitCase):
+    SERVICE = "assistant"
+
+    # Guards against streams that are counted when they end instead of when their engine gets them.
+    def test_streams_that_outlast_the_window_keep_to_the_limit(self):
+        for engine in (self.limited, self.other):
+            engine.pause_s = 0.1
+        callers = self.call(paths=[("POST", "/stream/x"), ("POST", "/stream-once/x")], per_s=15.0)
+        time.sleep(1.0)
+        self.limited.limit = "1.6"
+        named_at = time.monotonic()
+        time.sleep(HEARD_S + HELD_S)
+        arrivals = self.check_limit(self.limited, named_at + HEARD_S, 1.6)
+        self.assertGreaterEqual(len(arrivals), 0.5 * 1.6 * HELD_S)
+        callers.close()
+
+
+class StewardLostTest(LimitCase):
+    # Guards against a limit that is known to the steward alone and dies with it.
+    def test_the_next_steward_keeps_the_limit(self):
+        steward = self.world.steward_of(self.SERVICE)
+        callers = self.call(routers=[number for number in range(self.ROUTERS) if number != steward])
+        time.sleep(1.0)
+        self.limited.limit = "2.3"
+        named_at = time.monotonic()
+        time.sleep(3.0)
+        self.world.routers[steward].kill()
+        time.sleep(HELD_S)
+        self.check_limit(self.limited, named_at + HEARD_S, 2.3)
+        callers.close()
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/test_rate_limit.py
@@ -0,0 +1,210 @@
+"""Decisions under a rate limit that an engine names: pace, changes, a new steward, entries that heard it first."""
+
+import asyncio
+import math
+import unittest
+
+from tests.test_counted_runs import OneRequest
+from tests.utils.paused_clock import on_paused_clock
+from tests.utils.steady_callers import most_within
+from tests.utils.steward_fakes import Cell, Clock, ask, finished, register
+from wagtailtrestle.contracts.messages import EngineNotice, Granted, GrantRequest, Refused
+from wagtailtrestle.engines.rate_limit import KEPT_S, RateLimit
+
+WINDOW_S = 4.0
+STEP_S = 0.05
+
+
+def notice(limit_per_s, *, on="e1", age_s=0.0):
+    return EngineNotice(engine=on, limit_per_s=limit_per_s, age_s=age_s)
+
+
+class LoadedCell(Cell):
+    """A cell in which requests always wait, and each run ends after ``run_s``."""
+
+    def __init__(self, *, engines=("e1",), run_s=0.1, tiers=(1,), waiting=6, slots=8):
+        super().__init__(engines=engines, slots=slots, members=("r1",))
+        self.receive(register("r1"))
+        self.run_s = run_s
+        self.tiers = tiers
+        self.waiting = waiting
+        self.asked = 0
+        self.granted = []
+        self.ends = []
+
+    def play(self, seconds, *, each_answer=None):
+        """Let time pass; ``each_answer(engine)`` gives the notice that each answer bears."""
+        until = self.clock.now + seconds
+        while self.clock.now < until:
+            self.clock.now += STEP_S
+            self.steward.tick()
+            self._end_runs(each_answer)
+            self._ask_again()
+            self._take_grants()
+
+    def times(self, engine, *, since=-math.inf):
+        return [at for at, name, _ in self.granted if name == engine and at >= since]
+
+    def _ask_again(self):
+        while len(self.steward._queue) < self.waiting:
+            self.asked += 1
+            tier = self.tiers[self.asked % len(self.tiers)]
+            self.receive(ask(f"q{self.asked}", tier=tier, remaining_s=60.0, output_tokens=5, prompt_tokens=5))
+            if len(self.entries.of(Refused)):
+                break
+
+    def _take_grants(self):
+        for message in self.entries.of(Granted):
+            self.granted.append((self.clock.now, message.engine, message.request_id))
+            self.ends.append((self.clock.now + self.run_s, message))
+        self.entries.sent.clear()
+
+    def _end_runs(self, each_answer):
+        due = [message for at, message in self.ends if at <= self.clock.now]
+        self.ends = [(at, message) for at, message in self.ends if at > self.clock.now]
+        for message in due:
+            if each_answer is not None:
+                self.receive(each_answer(message.engine))
+            self.receive(finished(message.request_id, on=message.engine, duration_s=self.run_s))
+
+
+class PaceTest(unittest.TestCase):
+    # Guards against grants in clumps: a second without requests must not be made up for in the next.
+    def test_callers_that_always_wait_get_what_the_engine_takes(self):
+        for limit_per_s in (0.5, 1.6, 2.3, 12.0):
+            with self.subTest(limit_per_s=limit_per_s):
+                cell = LoadedCell()
+                cell.play(2.0)
+                named_at = cell.clock.now
+                cell.receive(notice(limit_per_s))
+                cell.play(20.0, each_answer=lambda engine, per_s=limit_per_s: notice(per_s))
+                times = cell.times("e1", since=named_at + STEP_S)
+                self.assertLessEqual(most_within(times, WINDOW_S), limit_per_s * WINDOW_S + 1)
+                self.assertGreaterEqual(len(times), 0.5 * limit_per_s * 20.0)
+
+    # Guards against an engine that names 0 and is never asked again, so that it can't tell the end of its limit.
+    def test_an_engine_that_takes_nothing_is_tried_now_and_then(self):
+        cell = LoadedCell()
+        cell.receive(notice(0.0))
+        cell.play(30.0, each_answer=lambda engine: notice(0.0))
+        self.assertIn(len(cell.times("e1")), (2, 3))
+
+    # Guards against idle places of the other engines, or a tier below served first, beside a limited engine.
+    def test_other_engines_are_filled_and_tiers_kept(self):
+        cell = LoadedCell(engines=("e1", "e2"), tiers=(1, 3), slots=2)
+        cell.receive(notice(1.0))
+        cell.play(10.0, each_answer=lambda engine: notice(1.0 if engine == "e1" else math.inf, on=engine))
+        self.assertLessEqual(len(cell.times("e1")), 12)
+        self.assertGreater(len(cell.times("e2")), 100)
+
+
+class ChangedLimitTest(unittest.TestCase):
+    # Guards against an engine in growing need that gets, after it names less, what its former limit had saved up.
+    def test_a_lower_limit_counts_what_was_given_before(self):
+        cell = LoadedCell()
+        cell.receive(notice(10.0))
+        cell.play(10.0, each_answer=lambda engine: notice(10.0))
+        lowered_at = cell.clock.now
+        cell.receive(notice(2.0))
+        cell.play(12.0, each_answer=lambda engine: notice(2.0))
+        times = cell.times("e1", since=lowered_at + STEP_S)
+        self.assertLessEqual(most_within(times, WINDOW_S), 2.0 * WINDOW_S + 1)
+        self.assertGreaterEqual(len(times), 0.5 * 2.0 * 12.0)
+
+    # Guards against a limit taken for lifted since one answer of several doesn't bear it.
+    def test_a_limit_named_in_some_answers_only_stays(self):
+        cell = LoadedCell()
+        answers = iter(range(10_000))
+        cell.receive(notice(3.0))
+        cell.play(30.0, each_answer=lambda engine: notice(3.0 if next(answers) % 3 == 0 else math.inf))
+        self.assertLessEqual(most_within(cell.times("e1"), WINDOW_S), 1.5 * 3.0 * WINDOW_S + 5)
+
+    # Guards against a burst, and against seconds of idle places, once an engine names no limit any more.
+    def test_the_load_comes_back_over_some_seconds(self):
+        cell = LoadedCell()
+        cell.receive(notice(2.0))
+        cell.play(8.0, each_answer=lambda engine: notice(2.0))
+        lifted_at = cell.clock.now
+        cell.play(8.0, each_answer=lambda engine: notice(math.inf))
+        times = cell.times("e1", since=lifted_at)
+        self.assertLessEqual(sum(at < lifted_at + 2.0 for at in times), 8)
+        self.assertGreater(sum(at > lifted_at + 6.0 for at in times), 50)
+
+    # Guards against four seconds' worth at once when requests come back after a time without any.
+    def test_a_limit_outlasts_a_time_without_requests(self):
+        clock = Clock()
+        limit = RateLimit(clock=clock)
+        limit.hear(4.0)
+        clock.now += 60.0
+        self.assertEqual(limit.free(), 2)
+
+    # Guards against a word that was late on its way and undoes a later one.
+    def test_a_later_word_stands(self):
+        clock = Clock()
+        limit = RateLimit(clock=clock)
+        limit.hear(2.0)
+        limit.hear(50.0, age_s=1.0)
+        self.assertEqual(limit.per_s(), 2.0)
+
+
+class NewStewardTest(unittest.TestCase):
+    # Guards against a steward that takes over while a limit holds, and fills the engine.
+    def test_entries_tell_a_new_steward_what_they_heard(self):
+        cell = LoadedCell()
+        cell.receive(register("r1", notices=(notice(2.0, age_s=1.0),)))
+        cell.play(8.0, each_answer=lambda engine: notice(2.0))
+        self.assertLessEqual(most_within(cell.times("e1"), WINDOW_S), 2.0 * WINDOW_S + 1)
+
+
+class HeardFirstTest(unittest.TestCase):
+    # Guards against a place granted by a steward that the word hasn't reached: the entry that heard it is bound.
+    @on_paused_clock
+    async def test_an_uninformed_grant_goes_back_and_the_steward_is_told(self):
+        request = OneRequest()
+        await asyncio.sleep(0.0)
+        request.stewards.sent.clear()
+        request.entry.post("r1", notice(2.0))
+        (told,) = [message for message in request.stewards.sent if isinstance(message, EngineNotice)]
+        self.assertEqual((told.engine, told.limit_per_s), ("e1", 2.0))
+        request.stewards.sent.clear()
+        await request.grant("e1")
+        self.assertEqual(request.caller.starts, [])
+        kinds = [type(message) for message in request.stewards.sent]
+        self.assertEqual(kinds[0], EngineNotice)
+        self.assertEqual(kinds[-1], GrantRequest)
+        self.assertEqual(request.asks[-1].excluded_engines, ())
+        await request.grant("e1", limit_age_s=0.01)
+        self.assertEqual(len(request.caller.starts), 1)
+
+    # Guards against a limit that ended unheard by this entry: an old word must not give back what the steward grants.
+    @on_paused_clock
+    async def test_an_old_word_binds_nobody(self):
+        request = OneRequest()
+        request.entry.post("r1", notice(2.0))
+        self.assertEqual(len(request.entry.register("asistente").notices), 1)
+        await asyncio.sleep(KEPT_S)
+        self.assertEqual(request.entry.register("asistente").notices, ())
+        await request.grant("e1")
+        self.assertEqual(len(request.caller.starts), 1)
+
+
+class SuspectTest(unittest.TestCase):
+    # Guards against a request that runs alone, or that a roll-out places, beside the limit of its engine.
+    def test_a_suspect_waits_for_the_limit(self):
+        cell = Cell(members=("r1",))
+        cell.receive(register("r1"), notice(1.0), ask("s", alone=True))
+        self.assertEqual(cell.entries.of(Granted), [])
+        cell.advance(1.1)
+        self.assertEqual(cell.entries.ids(Granted), ["s"])
+
+    def test_places_for_a_roll_out_keep_to_the_limit(self):
+        cell = Cell(members=("r1",))
+        cell.receive(register("r1"), notice(1.0))
+        (engine,) = cell.steward._runs.engines
+        self.assertEqual(engine.spare, 0)
+        cell.advance(1.1)
+        self.assertEqual(engine.spare, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/utils/platform_world.py
+++ b/tests/utils/platform_world.py
@@ -1,6 +1,7 @@
 """The users' platform in small: a store, engines, and routers as processes of their own."""
 
 import http.client
+import json
 import os
 import tempfile
 import time
@@ -160,6 +161,21 @@
         """Requests that engines of a service ran, oldest first for each engine."""
         return [seen for engine in self.engines.values() if engine.service == service for seen in engine.seen]
 
+    def state(self, router=0):
+        """A router's state dump."""
+        connection = http.client.HTTPConnection(self.routers[router].values["admin_address"], timeout=WAIT_S)
+        try:
+            connection.request("GET", "/state")
+            return json.loads(connection.getresponse().read())
+        finally:
+            connection.close()
+
+    def steward_of(self, cell):
+        """Number of the router that is steward of a cell, by the first router that runs."""
+        asked = next(number for number, router in enumerate(self.routers) if router.is_running())
+        name = self.state(asked)["stewards_by_cell"][cell]
+        return next(number for number, router in enumerate(self.routers) if router.values["name"] == name)
+
     def connect(self, router=0):
         return http.client.HTTPConnection(self.routers[router].values["callers_address"], timeout=WAIT_S)
 
--- a/tests/utils/steward_fakes.py
+++ b/tests/utils/steward_fakes.py
@@ -68,8 +68,15 @@
     return RunFinished(request_id=request_id, engine=on, result=result, duration_s=duration_s, **changes)
 
 
-def register(entry, *, waiting=(), running=(), elsewhere=False):
-    return Register(entry=entry, cell="asistente", waiting=tuple(waiting), running=tuple(running), elsewhere=elsewhere)
+def register(entry, *, waiting=(), running=(), elsewhere=False, notices=()):
+    return Register(
+        entry=entry,
+        cell="asistente",
+        waiting=tuple(waiting),
+        running=tuple(running),
+        elsewhere=elsewhere,
+        notices=notices,
+    )
 
 
 def running(request, *, on="e1", elapsed_s=0.5, output_tokens=10):
--- a/wagtailtrestle/capacity/admission.py
+++ b/wagtailtrestle/capacity/admission.py
@@ -120,11 +120,12 @@
     What it really takes up is seen in its grants.
     """
 
-    __slots__ = ("_clock", "_work_s", "_seconds", "_at")
+    __slots__ = ("_clock", "_work_s", "_grants", "_seconds", "_at")
 
     def __init__(self, *, clock):
         self._clock = clock
         self._work_s = 0.0
+        self._grants = 0.0
         self._seconds = 0.0
         self._at = clock()
 
@@ -132,6 +133,11 @@
         """Count a grant."""
         self._fade()
         self._work_s += work_s
+        self._grants += 1.0
+
+    def mean_work_s(self):
+        """Mean work of a grant; 0 before the first."""
+        return self._work_s / self._grants if self._grants else 0.0
 
     def per_s(self):
         """Present rate; ``None`` until there is a window's worth of it."""
@@ -146,6 +152,7 @@
         self._at = now
         kept = math.exp(-elapsed_s / GRANT_WINDOW_S)
         self._work_s *= kept
+        self._grants *= kept
         self._seconds = self._seconds * kept + GRANT_WINDOW_S * (1.0 - kept)
 
 
@@ -288,6 +295,8 @@
         granted_per_s = self._granted.per_s()
         if granted_per_s is None:
             return None
+        # Right after an engine names a limit the rate of grants still tells what it took before.
+        granted_per_s = min(granted_per_s, self._capacity()) if self._is_limited() else granted_per_s
         tier = waiting.request.tier
         left_per_s = granted_per_s - self._rates.rate_above(tier)
         left_per_s = max(left_per_s, LEAST_SERVICE_SHARE * granted_per_s, MIN_RATE)
@@ -314,7 +323,9 @@
         """Whether a request that no free place suits had better wait for one that does, for a moment."""
         if self._clock() >= waiting.choosy_until:
             return False
-        return any(engine.limit and suits_empty(waiting, engine) for engine in self._engines)
+        return any(
+            engine.limit and not engine.rate_limit.in_force and suits_empty(waiting, engine) for engine in self._engines
+        )
 
     def can_finish_now(self, waiting: WaitingRequest, engine):
         """Whether the engine would finish it in time if it were granted there now, and those there too."""
@@ -343,16 +354,29 @@
         return wait_s * (1.0 + RETRY_SPREAD * spread)
 
     def _service_rate(self, tier):
-        capacity = sum(engine.health_share for engine in self._engines if engine.limit)
+        capacity = self._capacity()
         left = capacity - self._rates.rate_above(tier)
         return max(left, LEAST_SERVICE_SHARE * max(1.0, capacity))
 
     def _crowded(self, tier):
         # A cell that starts under overload has idle engines for a second. Long prompts of the
         # lowest tier begun then are cancelled soon for those above, and their prefill is lost.
-        capacity = sum(engine.health_share for engine in self._engines if engine.limit)
+        capacity = self._capacity()
         return self._rates.early_rate_above(tier) > CROWDED_LOAD * capacity
 
+    def _capacity(self):
+        """Engine-seconds of work that the cell can take up a second."""
+        return sum(self._capacity_of(engine) for engine in self._engines if engine.limit)
+
+    def _capacity_of(self, engine):
+        # Counted as free, the places that a rate limit leaves empty would have requests queue for them in vain.
+        if not engine.rate_limit.in_force:
+            return engine.health_share
+        return min(engine.health_share, engine.rate_limit.per_s() * self._granted.mean_work_s())
+
+    def _is_limited(self):
+        return any(engine.rate_limit.in_force for engine in self._engines)
+
     def _places_free(self):
         return any(engine.room for engine in self._engines)
 
--- a/wagtailtrestle/capacity/run_book.py
+++ b/wagtailtrestle/capacity/run_book.py
@@ -168,6 +168,12 @@
         self.engines_by_name[state.name] = fresh
         return fresh
 
+    def on_notice(self, notice):
+        """Take in what an engine said of itself in an answer; a line tells when its limit begins or ends."""
+        engine = self.engines_by_name.get(notice.engine)
+        if engine is not None:
+            engine.hear(notice)
+
     def distrust(self):
         """Believe no engine's report from before now."""
         for engine in self.engines:
--- a/wagtailtrestle/capacity/steward.py
+++ b/wagtailtrestle/capacity/steward.py
@@ -16,6 +16,7 @@
 from wagtailtrestle.capacity.steward_notes import StewardNotes
 from wagtailtrestle.capacity.tier_queue import TierQueue
 from wagtailtrestle.contracts.messages import (
+    EngineNotice,
     GrantRequest,
     Preempt,
     Refused,
@@ -108,6 +109,7 @@
             RunProgress: self._runs.on_progress,
             RunFinished: self._on_finished,
             Register: self._on_register,
+            EngineNotice: self._runs.on_notice,
         }
 
     # What is declared and seen.
@@ -222,6 +224,7 @@
         self._notes.note_caution()
         self._runs.tick()
         self._notes.note_overfull()
+        self._notes.note_limited()
         self._runs.order_by_pace()
         self._admission.measure_speed()
         for waiting in self._queue.pop_expired(self._clock()):
@@ -301,6 +304,8 @@
             self._drop_entry(message.entry)
             return
         self._registration.registered(message.entry)
+        for notice in message.notices:
+            self._runs.on_notice(notice)
         running_by_id = {record.request.request_id: record for record in message.running}
         asked_by_id = {request.request_id: request for request in message.waiting}
         for grant in self._runs.of_entry(message.entry):
@@ -480,8 +485,11 @@
         if not self._granting or not len(self._queue) or self._holds_unconfirmed():
             return
         first = self._queue.first(LOOK_AHEAD)
-        # Places that free on an engine kept for a suspect are not for those who wait.
-        engines = [engine for engine in self._runs.engines if engine.kept_for is None]
+        # Places that free on an engine kept for a suspect are not for those who wait, and a run that yields
+        # on an engine with a rate limit makes no room for another.
+        engines = [
+            engine for engine in self._runs.engines if engine.kept_for is None and not engine.rate_limit.in_force
+        ]
         for grant in self._planner.victims(waiting=first, engines=engines):
             if self._tell_preempt(grant):
                 grant.preempted_at = self._clock()
--- a/wagtailtrestle/capacity/steward_notes.py
+++ b/wagtailtrestle/capacity/steward_notes.py
@@ -4,7 +4,7 @@
 
 
 class StewardNotes:
-    """Tells when a steward begins or ends to be cautious, and when an engine becomes overfull: a line a change.
+    """Tells when a steward is cautious, and when an engine becomes overfull or names a rate limit: a line a change.
 
     Parameters
     ----------
@@ -13,7 +13,7 @@
     registration : Registration
     """
 
-    __slots__ = ("_cell", "_runs", "_registration", "_was_cautious", "_overfull")
+    __slots__ = ("_cell", "_runs", "_registration", "_was_cautious", "_overfull", "_limited")
 
     def __init__(self, *, cell, runs, registration):
         self._cell = cell
@@ -21,6 +21,7 @@
         self._registration = registration
         self._was_cautious = False
         self._overfull = frozenset()
+        self._limited = frozenset()
 
     def note_caution(self):
         """Tell of a change, with what the steward knows then."""
@@ -42,6 +43,14 @@
             self._tell_overfull(self._runs.engines_by_name[name])
         self._overfull = overfull
 
+    def note_limited(self):
+        """Tell of engines whose rate limit has come into force, or ended."""
+        limited = frozenset(engine.name for engine in self._runs.engines if engine.rate_limit.in_force)
+        for name in sorted(limited ^ self._limited):
+            limit = self._runs.engines_by_name[name].rate_limit.dump() if name in limited else None
+            logger.bind(cell=self._cell, engine=name, rate_limit=limit).info("the rate limit of an engine changed")
+        self._limited = limited
+
     def _tell_overfull(self, engine):
         logger.bind(
             cell=self._cell,
--- a/wagtailtrestle/contracts/messages.py
+++ b/wagtailtrestle/contracts/messages.py
@@ -167,6 +167,8 @@
     elsewhere : bool
         Whether the entry goes by another steward. Then it holds nothing here, but the engines may well
         run what it was granted there.
+    notices : tuple of EngineNotice
+        What engines of the cell said of themselves to this entry lately.
     """
 
     entry: str
@@ -174,17 +176,25 @@
     waiting: tuple = ()
     running: tuple = ()
     elsewhere: bool = False
+    notices: tuple = ()
 
 
 @record
 class Granted:
-    """A place on ``engine`` is this request's until it ends or is withdrawn."""
+    """A place on ``engine`` is this request's until it ends or is withdrawn.
+
+    Parameters
+    ----------
+    limit_age_s : float
+        How long ago the engine named a rate limit, as far as the steward heard; infinite if it didn't lately.
+    """
 
     request_id: str
     attempt: int
     engine: str
     progress_deadline_s: float
     first_token_deadline_s: float
+    limit_age_s: float = math.inf
 
 
 @record
@@ -205,5 +215,5 @@
     engine: str
 
 
-EntryMessage = GrantRequest | Withdraw | RunStarted | RunProgress | RunFinished | Register
+EntryMessage = GrantRequest | Withdraw | RunStarted | RunProgress | RunFinished | Register | EngineNotice
 StewardMessage = Granted | Refused | Preempt
--- a/wagtailtrestle/engines/notices.py
+++ b/wagtailtrestle/engines/notices.py
@@ -4,7 +4,11 @@
 
 from loguru import logger
 
-from wagtailtrestle.contracts.messages import EngineNotice
+from wagtailtrestle.contracts.messages import EngineNotice, Granted
+from wagtailtrestle.engines.rate_limit import KEPT_S
+
+HEARD_SLACK_S = 0.5
+"""How much older than this router's own word a steward's may be: grants that were on their way are used."""
 
 
 def read_limit(text):
@@ -19,7 +23,7 @@
 
 
 class EngineNotices:
-    """The last notice of each engine that this router's answers came from.
+    """What engines said lately in answers that this router read.
 
     Parameters
     ----------
@@ -35,32 +39,57 @@
 
     def take(self, notice: EngineNotice):
         """Take in a notice that was read just now."""
+        self._forget_old()
         before = self._heard_by_engine.get(notice.engine)
         limit_per_s = math.inf if before is None else before.limit_per_s
         if notice.limit_per_s != limit_per_s:
             logger.bind(
                 engine=notice.engine, limit_per_s=_shown(notice.limit_per_s), before_per_s=_shown(limit_per_s)
             ).info("an engine names another rate limit in its answers")
-        if notice.names_limit or before is not None:
+        if notice.names_limit:
             self._heard_by_engine[notice.engine] = Heard(limit_per_s=notice.limit_per_s, at=self._clock())
+        else:
+            self._heard_by_engine.pop(notice.engine, None)
 
-    def names_limit(self, engine):
+    def is_limited(self, engine) -> bool:
         """Whether the engine named a limit when it was last heard."""
-        heard = self._heard_by_engine.get(engine)
-        return heard is not None and heard.limit_per_s != math.inf
+        return self._age_s(engine) < KEPT_S
+
+    def are_unknown_to(self, granted: Granted) -> bool:
+        """Whether a steward granted a place on an engine without having heard of the limit that it names."""
+        age_s = self._age_s(granted.engine)
+        return age_s < KEPT_S and granted.limit_age_s > age_s + HEARD_SLACK_S
+
+    def of(self, engines):
+        """Notices of these engines to tell a steward, with their age."""
+        now = self._clock()
+        return tuple(
+            EngineNotice(engine=engine, limit_per_s=heard.limit_per_s, age_s=now - heard.at)
+            for engine, heard in self._heard_by_engine.items()
+            if engine in engines and now - heard.at < KEPT_S
+        )
 
     def dump(self):
         """Plain data for the state dump."""
         return {engine: heard.dump(now=self._clock()) for engine, heard in self._heard_by_engine.items()}
 
+    def _age_s(self, engine):
+        heard = self._heard_by_engine.get(engine)
+        return math.inf if heard is None else self._clock() - heard.at
+
+    def _forget_old(self):
+        horizon = self._clock() - KEPT_S
+        for engine in [engine for engine, heard in self._heard_by_engine.items() if heard.at < horizon]:
+            del self._heard_by_engine[engine]
+
 
 class Heard:
-    """A notice and when it was heard.
+    """A limit that an engine named, and when it was heard.
 
     Parameters
     ----------
     limit_per_s : float
-        Requests a second, infinite without a limit.
+        Requests a second.
     at : float
         Time on the router's clock.
     """
@@ -73,7 +102,7 @@
 
     def dump(self, *, now):
         """Plain data for the state dump."""
-        return {"limit_per_s": _shown(self.limit_per_s), "age_s": round(now - self.at, 3)}
+        return {"limit_per_s": self.limit_per_s, "age_s": round(now - self.at, 3)}
 
 
 def _shown(limit_per_s):
--- /dev/null
+++ b/wagtailtrestle/engines/rate_limit.py
@@ -0,0 +1,151 @@
+"""How many requests an engine may be given while it names a rate limit in its answers."""
+
+import math
+
+WINDOW_S = 4.0
+"""Span over which the limit holds in sum, also across a change of the limit."""
+
+BURST_S = 0.5
+"""Requests given at once are at most what the limit allows in this time: an engine in need gains nothing by
+a second without requests that is made up for in the next."""
+
+LEAST_PER_S = 0.1
+"""Rate kept up under any limit, 0 included: only an engine that answers can tell that its limit is lifted."""
+
+ANSWERS_TO_LIFT = 2
+"""Answers in a row without a limit before it is raised: an engine may name it in some answers only."""
+
+LEAST_TO_LIFT_S = 1.0
+"""Least time from the last answer that names a limit until it is raised."""
+
+DOUBLED_EACH_S = 1.0
+"""Time in which a limit that is no longer named doubles."""
+
+KEPT_S = 10.0
+"""Time for which a limit that was named is told on: older, it may have been lifted unheard."""
+
+LIFTED_FACTOR = 16.0
+"""Growth from which the limit counts as lifted: its engine gets its load back over some seconds, not at once."""
+
+
+class RateLimit:
+    """The limit that one engine names, and what was given under it.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns the loop's time in seconds.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_per_s",
+        "_named_at",
+        "_heard_at",
+        "_unnamed",
+        "_raised_since",
+        "_tokens",
+        "_filled_at",
+        "_given_at",
+    )
+
+    def __init__(self, *, clock):
+        self._clock = clock
+        self._per_s = math.inf
+        self._named_at = -math.inf
+        self._heard_at = -math.inf
+        self._unnamed = 0
+        self._raised_since = math.inf
+        self._tokens = 0.0
+        self._filled_at = 0.0
+        self._given_at = []
+
+    @property
+    def in_force(self):
+        """Whether a limit holds now."""
+        return self._per_s != math.inf
+
+    @property
+    def age_s(self):
+        """Time since an answer last named a limit; infinite if none did, or long ago."""
+        age_s = self._clock() - self._named_at
+        return age_s if self.in_force or age_s < KEPT_S else math.inf
+
+    def hear(self, per_s, *, age_s=0.0):
+        """Take in what an answer named that was read ``age_s`` ago; ``per_s`` is infinite without a limit."""
+        at = self._clock() - age_s
+        if at < self._heard_at:
+            return
+        self._heard_at = at
+        if per_s == math.inf:
+            self._hear_none(at)
+            return
+        if not self.in_force:
+            self._tokens = 0.0
+            self._filled_at = self._clock()
+        self._fill()
+        self._per_s = max(LEAST_PER_S, per_s)
+        self._tokens = min(self._tokens, self._burst())
+        self._named_at = at
+        self._unnamed = 0
+        self._raised_since = math.inf
+
+    def note_given(self):
+        """Count a request that is given to the engine now."""
+        if self.in_force:
+            self._fill()
+            self._tokens -= 1.0
+            self._given_at.append(self._clock())
+
+    def note_former(self, given_at):
+        """Count a request that the engine was given before: it fills the window, and uses up no token."""
+        if self.in_force:
+            self._given_at.append(given_at)
+
+    def free(self):
+        """Requests that may be given now; ``None`` without a limit."""
+        self._fill()
+        if not self.in_force:
+            return None
+        horizon = self._clock() - WINDOW_S
+        self._given_at = [at for at in self._given_at if at > horizon]
+        left_in_window = 1.0 + self._rate() * WINDOW_S - len(self._given_at)
+        return max(0, math.floor(min(self._tokens, left_in_window)))
+
+    def per_s(self):
+        """Requests a second that may be given at present; infinite without a limit."""
+        return self._rate() if self.in_force else math.inf
+
+    def dump(self):
+        """Plain data for the state dump; ``None`` without a limit."""
+        if not self.in_force:
+            return None
+        return {"named_per_s": self._per_s, "per_s": round(self._rate(), 3), "age_s": round(self.age_s, 3)}
+
+    def _hear_none(self, at):
+        if not self.in_force:
+            return
+        self._unnamed += 1
+        is_proved = self._unnamed >= ANSWERS_TO_LIFT and at - self._named_at > LEAST_TO_LIFT_S
+        if is_proved and self._raised_since == math.inf:
+            self._fill()
+            self._raised_since = self._clock()
+
+    def _rate(self):
+        raised_s = max(0.0, self._clock() - self._raised_since)
+        return self._per_s * 2.0 ** (raised_s / DOUBLED_EACH_S)
+
+    def _burst(self):
+        return max(1.0, self._rate() * BURST_S)
+
+    def _fill(self):
+        """Bring the tokens up to now, and end a limit that has grown enough."""
+        if not self.in_force:
+            return
+        now = self._clock()
+        self._tokens = min(self._burst(), self._tokens + self._rate() * (now - self._filled_at))
+        self._filled_at = now
+        if self._rate() >= LIFTED_FACTOR * self._per_s:
+            self._per_s = math.inf
+            self._raised_since = math.inf
+            self._given_at.clear()
--- a/wagtailtrestle/engines/silence_limits.py
+++ b/wagtailtrestle/engines/silence_limits.py
@@ -30,4 +30,5 @@
         engine=grant.engine,
         progress_deadline_s=max(PROGRESS_FLOOR_S, SILENCE_FACTOR * step_s),
         first_token_deadline_s=max(FIRST_TOKEN_FLOOR_S, SILENCE_FACTOR * first_token_s),
+        limit_age_s=engine.rate_limit.age_s,
     )
--- a/wagtailtrestle/engines/state.py
+++ b/wagtailtrestle/engines/state.py
@@ -6,6 +6,7 @@
 from wagtailtrestle.capacity.grants import Grant
 from wagtailtrestle.engines.model import EngineModel
 from wagtailtrestle.engines.prefix_cache import PrefixCacheIndex
+from wagtailtrestle.engines.rate_limit import RateLimit
 
 FINISHES_KEPT_S = 10.0
 """How long ended grants are remembered to be set against late load reports."""
@@ -43,6 +44,8 @@
         Version of what it runs.
     held_back : bool
         Whether requests go there only one by one, by the choice of a roll-out: it has no room for others.
+    rate_limit : RateLimit
+        What it takes a second from all routers, where its answers say so.
     kept_for : str or None
         Request that needs the engine to itself; until it runs there, nothing more is granted.
     room : int
@@ -62,6 +65,7 @@
         "phantom",
         "health_share",
         "room",
+        "rate_limit",
         "_kept_for",
         "start_ms",
         "version",
@@ -96,6 +100,7 @@
         self.phantom = 0
         self.health_share = 1.0
         self.room = 0
+        self.rate_limit = RateLimit(clock=clock)
         self._kept_for = None
         self.start_ms = declared.start_ms
         self.version = declared.version
@@ -189,7 +194,22 @@
         """Places free now for a request that a roll-out sends here."""
         if self.leaving or self._unreachable or self._kept_for is not None or self._alone_runs > 0:
             return 0
-        return max(0, self.model.concurrency_limit() - self.running)
+        return self._within_rate(self.model.concurrency_limit() - self.running)
+
+    @property
+    def may_begin(self):
+        """Whether its rate limit allows one more request now."""
+        return self._within_rate(1) > 0
+
+    def hear(self, notice):
+        """Take in what it said of itself in an answer."""
+        was_limited = self.rate_limit.in_force
+        self.rate_limit.hear(notice.limit_per_s, age_s=notice.age_s)
+        if self.rate_limit.in_force and not was_limited:
+            # What it was given lately is more than it takes already.
+            for grant in self.grants_by_request_id.values():
+                self.rate_limit.note_former(grant.granted_at)
+        self._count_room()
 
     def mark_unreachable(self):
         """Grant nothing until the engine reports again."""
@@ -197,7 +217,11 @@
         self._refresh_limit()
 
     def add(self, grant: Grant):
-        """Count a grant against this engine."""
+        """Count a grant that is made now against this engine."""
+        self.rate_limit.note_given()
+        self._hold(grant)
+
+    def _hold(self, grant):
         self.grants_by_request_id[grant.request_id] = grant
         self._alone_runs += grant.request.alone
         if not grant.started:
@@ -211,7 +235,8 @@
         """Count a run an entry registered; a report that showed it no longer shows a phantom."""
         if grant.granted_at <= self._report_at:
             self.phantom = max(0, self.phantom - 1)
-        self.add(grant)
+        self.rate_limit.note_former(grant.granted_at)
+        self._hold(grant)
 
     def start(self, grant: Grant):
         """Note that the grant's run gave its first token."""
@@ -312,6 +337,7 @@
             "phantom": self.phantom,
             "kept_for": self.kept_for,
             "limit": self.limit,
+            "rate_limit": self.rate_limit.dump(),
             "pending_prefill_tokens": self.pending_prefill_tokens,
             "reported_running": self.reported_running,
             "report_age_s": round(self.report_age_s, 3) if self._report else None,
@@ -328,7 +354,11 @@
 
     def _count_room(self):
         is_for_one = self._kept_for is not None or self._alone_runs > 0
-        self.room = 0 if is_for_one else max(0, self.limit - len(self.grants_by_request_id) - self.phantom)
+        self.room = 0 if is_for_one else self._within_rate(self.limit - self.running)
+
+    def _within_rate(self, places):
+        free = self.rate_limit.free()
+        return max(0, places if free is None else min(places, free))
 
     def _known_at(self, at):
         """Runs of live entries that the engine held at that time, by this account."""
--- a/wagtailtrestle/entry/entry.py
+++ b/wagtailtrestle/entry/entry.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 
 from wagtailtrestle.broken_invariant import report_broken
 from wagtailtrestle.contracts.exchange import AnswerRefusal
@@ -62,9 +63,26 @@
         declared = self._declaration().engines_by_name.get(engine)
         return declared is not None and not declared.leaving
 
-    def names_limit(self, engine):
-        """Whether an engine named a rate limit when this router last heard of it."""
-        return self._notices.names_limit(engine)
+    def was_limited(self, granted):
+        """Whether an engine named a rate limit lately, as this router or the steward heard."""
+        return self._notices.is_limited(granted.engine) or granted.limit_age_s != math.inf
+
+    def is_uninformed(self, granted):
+        """Whether the steward granted a place without having heard what the engine told this router.
+
+        It is told once more, so that its next grant can be used.
+        """
+        if not self._notices.are_unknown_to(granted):
+            return False
+        for notice in self._notices.of((granted.engine,)):
+            self.tell(notice)
+        return True
+
+    def tell(self, notice):
+        """Tell the steward what one of its engines said."""
+        engine = self._declaration().engines_by_name.get(notice.engine)
+        if engine is not None:
+            self.send(engine.cell, notice)
 
     def service(self, name):
         """What is declared of a service now, or ``None``."""
@@ -123,6 +141,7 @@
         """Give a caller's event to its request; late ones are dropped."""
         if isinstance(event, EngineNotice):
             self._notices.take(event)
+            self._context.tell(event)
             return
         task = self.tasks_by_id.get(request_id)
         if task is not None:
@@ -146,7 +165,14 @@
         tasks = [task for task in self.tasks_by_id.values() if task.cell == cell]
         waiting = [task.grant_request() for task in tasks if task.state is RequestState.QUEUED and task.attempt]
         running = [task.running_record() for task in tasks if task.state is RequestState.DISPATCHED]
-        return Register(entry=self.name, cell=cell, waiting=tuple(waiting), running=tuple(running))
+        engines = {name for name, engine in self._declaration().engines_by_name.items() if engine.cell == cell}
+        return Register(
+            entry=self.name,
+            cell=cell,
+            waiting=tuple(waiting),
+            running=tuple(running),
+            notices=self._notices.of(engines),
+        )
 
     def cells_held(self):
         """Cells for which a request waits or runs."""
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -243,7 +243,8 @@
                 case Refused(attempt=self.attempt, reason=reason, retry_after_s=retry_after_s):
                     return self._take_refusal(reason, retry_after_s)
                 case Granted(attempt=self.attempt):
-                    if self.context.takes_work(message.engine):
+                    is_usable = self.context.takes_work(message.engine)
+                    if is_usable and not self.context.is_uninformed(message):
                         self.state = RequestState.GRANTED
                         return message
                     # The steward may be cut off from the platform, and not know yet that an
@@ -251,7 +252,8 @@
                     # request would be lost with the engine: the place goes back, and the next
                     # ask leaves the engine out.
                     self._reports.gave_back(message.engine)
-                    self._excluded.add(message.engine)
+                    if not is_usable:
+                        self._excluded.add(message.engine)
                     self.attempt += 1
                     self.context.send(self.cell, self.grant_request())
 
@@ -311,7 +313,7 @@
                 progress_deadline_s=overall_s if is_last else max(floor_s, granted.progress_deadline_s),
                 overall_s=overall_s,
                 attach=attach,
-                was_limited=self.context.names_limit(granted.engine),
+                was_limited=self.context.was_limited(granted),
             )
         )
 
--- a/wagtailtrestle/peers/codec.py
+++ b/wagtailtrestle/peers/codec.py
@@ -39,6 +39,7 @@
     messages.RunProgress: ("run_progress", pb.RunProgress),
     messages.RunFinished: ("run_finished", pb.RunFinished),
     messages.Register: ("register", pb.Register),
+    messages.EngineNotice: ("engine_notice", pb.EngineNotice),
     messages.Granted: ("granted", pb.Granted),
     messages.Refused: ("refused", pb.Refused),
     messages.Preempt: ("preempt", pb.Preempt),
--- a/wagtailtrestle/peers/directory.py
+++ b/wagtailtrestle/peers/directory.py
@@ -19,6 +19,7 @@
 """
 
 from wagtailtrestle.contracts.messages import (
+    EngineNotice,
     Granted,
     GrantRequest,
     Preempt,
@@ -33,7 +34,7 @@
 from wagtailtrestle.peers.rendezvous import Rendezvous
 from wagtailtrestle.peers.routes import PeerRoutes
 
-ENTRY_MESSAGES = (GrantRequest, Withdraw, RunStarted, RunProgress, RunFinished, Register)
+ENTRY_MESSAGES = (GrantRequest, Withdraw, RunStarted, RunProgress, RunFinished, Register, EngineNotice)
 STEWARD_MESSAGES = (Granted, Refused, Preempt)
 
 # Up to so many routers each entry registers also for the cells it holds nothing for, so that a new steward
@@ -181,7 +182,7 @@
 
     def _announce(self, steward, cell):
         registration = self._register(cell)
-        is_empty = not registration.waiting and not registration.running
+        is_empty = not registration.waiting and not registration.running and not registration.notices
         is_stranger = steward != self.name and not self._peers.connected(steward)
         if is_empty and is_stranger and len(self._membership.view.everyone) > ANNOUNCE_LIMIT:
             return
