Limits that are no longer named double each half second; the test engine's delay has a name of its own

After the naming ends, an engine had its load back only after 5 s.

A limit that two answers in a row don't name now doubles each 0.5 s instead of each second. Limits named in a third of the answers stay within what is allowed (tests.test_rate_limit).

The world's engine had been given an attribute work_s, which replaced that of the roll-outs' engines: their runs took no time. It is called delay_s now.

--- a/tests/test_engine_limits.py
+++ b/tests/test_engine_limits.py
@@ -32,7 +32,7 @@
         super().setUp()
         self.limited, self.other = (engine for engine in self.world.engines.values() if engine.service == self.SERVICE)
         for engine in (self.limited, self.other):
-            engine.work_s = WORK_S
+            engine.delay_s = WORK_S
 
     def call(self, *, per_s=PER_S, paths=BOOKINGS, routers=None):
         callers = SteadyCallers(world=self.world, paths=paths, per_s=per_s, routers=routers).start()
--- a/tests/utils/world_engine.py
+++ b/tests/utils/world_engine.py
@@ -20,7 +20,7 @@
         Times, by the steady clock, at which requests arrived, also those that it did not run.
     limit : str or None
         The rate limit that it names in its answers.
-    work_s : float
+    delay_s : float
         Time before it answers.
     events : int
     script : list of str
@@ -37,7 +37,7 @@
         self.seen = []
         self.arrivals = []
         self.limit = None
-        self.work_s = 0.0
+        self.delay_s = 0.0
         self.gone = threading.Event()
         super().__init__()
 
@@ -68,7 +68,7 @@
             heads = [("Not-Executed", "1"), ("Request-Id", handler.headers["Request-Id"]), *self._words()]
             self.reply(handler, 503, headers=heads)
             return
-        time.sleep(self.work_s)
+        time.sleep(self.delay_s)
         headers = {name.lower(): value for name, value in handler.headers.items()}
         self.seen.append(headers | {"path": handler.path, "body": handler.body})
         if how == "fail":
--- a/wagtailtrestle/engines/rate_limit.py
+++ b/wagtailtrestle/engines/rate_limit.py
@@ -18,7 +18,7 @@
 LEAST_TO_LIFT_S = 1.0
 """Least time from the last answer that names a limit until it is raised."""
 
-DOUBLED_EACH_S = 1.0
+DOUBLED_EACH_S = 0.5
 """Time in which a limit that is no longer named doubles."""
 
 KEPT_S = 10.0
