An engine's word in an answer that it leaves is heard and logged

What callers saw: a request that reached a leaving engine 2.5 s after its router had passed that word on is lost with the engine if it outlasts it.

The dialects now read it with the limit, and the entry logs it. Nothing decides by it.

--- a/wagtailtrestle/contracts/messages.py
+++ b/wagtailtrestle/contracts/messages.py
@@ -136,11 +136,14 @@
         Requests a second that it takes from all routers together; infinite if it named no limit.
     age_s : float
         How long ago the head was read.
+    leaving : bool
+        Whether it said that it leaves.
     """
 
     engine: str
     limit_per_s: float = math.inf
     age_s: float = 0.0
+    leaving: bool = False
 
     @property
     def names_limit(self):
--- a/wagtailtrestle/engines/notices.py
+++ b/wagtailtrestle/engines/notices.py
@@ -11,8 +11,28 @@
 """How much older than this router's own word a steward's may be: grants that were on their way are used."""
 
 
-def read_limit(text):
-    """Requests a second that a header names; infinite without one, ``None`` if it can't be read."""
+def read_notice(engine, *, limit, leaving):
+    """Build the notice of an answer's head.
+
+    Parameters
+    ----------
+    engine : str
+    limit : str or None
+        Requests a second, as the engine wrote them.
+    leaving : bool
+
+    Returns
+    -------
+    EngineNotice or None
+        ``None`` if nothing can be told from it: a limit that can't be read neither holds nor ends.
+    """
+    limit_per_s = _read_limit(limit)
+    if limit_per_s is None and not leaving:
+        return None
+    return EngineNotice(engine=engine, limit_per_s=math.inf if limit_per_s is None else limit_per_s, leaving=leaving)
+
+
+def _read_limit(text):
     if text is None:
         return math.inf
     try:
@@ -50,6 +70,8 @@
             self._heard_by_engine[notice.engine] = Heard(limit_per_s=notice.limit_per_s, at=self._clock())
         else:
             self._heard_by_engine.pop(notice.engine, None)
+        if notice.leaving:
+            logger.bind(engine=notice.engine).info("an engine says in an answer that it leaves")
 
     def is_limited(self, engine) -> bool:
         """Whether the engine named a limit when it was last heard."""
--- a/wagtailtrestle/engines/own_call.py
+++ b/wagtailtrestle/engines/own_call.py
@@ -4,11 +4,10 @@
 from urllib.parse import quote
 
 from wagtailtrestle.contracts.declaration import LANGUAGE
-from wagtailtrestle.contracts.messages import EngineNotice
 from wagtailtrestle.contracts.outcomes import RunCancelled, RunDone, RunLost, RunNotSent, RunRejected
 from wagtailtrestle.engines.answer_check import AnswerCheck
 from wagtailtrestle.engines.dialect import CallHead
-from wagtailtrestle.engines.notices import read_limit
+from wagtailtrestle.engines.notices import read_notice
 from wagtailtrestle.engines.run_exchange import MOST_ERROR_BYTES, MOST_PLAIN_BYTES
 
 NO_CONTENT = 204
@@ -22,6 +21,9 @@
 CALLER_ID_HEADER = "X-Caller-Request-Id"
 RATE_LIMIT_HEADER = "X-Rate-Limit"
 """On an answer: requests a second that the engine takes from all routers together."""
+LEAVING_HEADER = "X-Leaving"
+"""On an answer, with ``yes``: the engine leaves."""
+LEAVING_YES = "yes"
 # The run's own id and length are set here; the others concern one connection only, and the
 # bearer key is the callers' secret with this system, not with the engine.
 UNFORWARDED = frozenset(
@@ -99,10 +101,13 @@
     def notice(self, exchange):
         """What the answer's head says of its engine; a stray answer bears another run's id."""
         headers = exchange.response.headers
-        limit_per_s = read_limit(headers.get(RATE_LIMIT_HEADER))
-        if headers.get(RUN_ID_HEADER) != exchange.command.run_id or limit_per_s is None:
+        if headers.get(RUN_ID_HEADER) != exchange.command.run_id:
             return None
-        return EngineNotice(engine=exchange.command.engine, limit_per_s=limit_per_s)
+        return read_notice(
+            exchange.command.engine,
+            limit=headers.get(RATE_LIMIT_HEADER),
+            leaving=headers.get(LEAVING_HEADER) == LEAVING_YES,
+        )
 
     def read(self, exchange):
         """Read the answer to its end."""
--- a/wagtailtrestle/platform/engines.py
+++ b/wagtailtrestle/platform/engines.py
@@ -1,10 +1,9 @@
 """What engines and plain services of the users' platform are sent, and how their answers read."""
 
-from wagtailtrestle.contracts.messages import EngineNotice
 from wagtailtrestle.contracts.outcomes import RunDone, RunFailed, RunNotSent, RunRejected
 from wagtailtrestle.contracts.report_messages import LoadReport
 from wagtailtrestle.engines.dialect import CallHead
-from wagtailtrestle.engines.notices import read_limit
+from wagtailtrestle.engines.notices import read_notice
 from wagtailtrestle.engines.run_exchange import MOST_PLAIN_BYTES
 from wagtailtrestle.platform import headers as names
 from wagtailtrestle.platform.engine_entries import DRAINING, Unfit, start_ms, whole
@@ -104,10 +103,11 @@
         response = exchange.response
         if response.status == MISDIRECTED or response.headers.get(names.REQUEST_ID) != self.request_id:
             return None
-        limit_per_s = read_limit(response.headers.get(names.RATE_LIMIT))
-        if limit_per_s is None:
-            return None
-        return EngineNotice(engine=exchange.command.engine, limit_per_s=limit_per_s)
+        return read_notice(
+            exchange.command.engine,
+            limit=response.headers.get(names.RATE_LIMIT),
+            leaving=response.headers.get(names.LEAVING) == names.LEAVING_YES,
+        )
 
     def read(self, exchange):
         """Read the answer to its end."""
