Failing test: engines that say in their answers that they leave

Four routers, two engines, 40 requests a second. The log shows that the routers heard, so that the word is neither unread nor overridden: nobody decides by it.

--- /dev/null
+++ b/tests/test_engine_leaving.py
@@ -0,0 +1,59 @@
+"""Engines that say in their answers that they leave, before anybody else tells it."""
+
+import time
+import unittest
+
+from tests.test_platform_router import WorldCase
+from tests.utils.steady_callers import SteadyCallers
+
+PER_S = 40.0
+TOLD_S = 1.0
+"""Time in which every router has answered callers from the engine, and has been told."""
+DRAIN_S = 2.0
+"""Time after which a router that was told sends nothing more."""
+WATCHED_S = 3.0
+WORK_S = 0.03
+
+
+class LeavingAnswersTest(WorldCase):
+    ROUTERS = 4
+    SERVICE = "booking"
+    PATHS = (("GET", "/status/1"), ("POST", "/book/1"))
+
+    def setUp(self):
+        super().setUp()
+        self.leaving, self.other = (engine for engine in self.world.engines.values() if engine.service == self.SERVICE)
+        for engine in (self.leaving, self.other):
+            engine.delay_s = WORK_S
+        self.callers = SteadyCallers(world=self.world, paths=self.PATHS, per_s=PER_S).start()
+        self.addCleanup(self.callers.close)
+        time.sleep(1.0)
+
+    def check_nothing_arrives(self):
+        told_at = time.monotonic()
+        time.sleep(TOLD_S + DRAIN_S + WATCHED_S)
+        late = [at for at in self.leaving.arrivals if at > told_at + TOLD_S + DRAIN_S]
+        self.assertEqual(len(late), 0)
+        self.callers.close()
+        self.assertEqual(set(self.callers.statuses()), {200})
+
+    # Guards against work for an engine whose word reached its routers while the store, which they asked, was away.
+    def test_an_engine_that_leaves_while_the_store_is_away_gets_nothing_more(self):
+        self.world.store.down = True
+        self.leaving.leaving = True
+        self.check_nothing_arrives()
+
+    # Guards against an entry that still says ready and is believed before the engine itself.
+    def test_an_engine_whose_entry_says_ready_all_the_while_gets_nothing_more(self):
+        self.leaving.leaving = True
+        self.check_nothing_arrives()
+
+
+class LeavingStreamsTest(LeavingAnswersTest):
+    # The same for an engine that reports its load, and whose reports don't tell that it leaves.
+    SERVICE = "assistant"
+    PATHS = (("POST", "/stream/x"), ("POST", "/stream-once/x"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/utils/world_engine.py
+++ b/tests/utils/world_engine.py
@@ -20,6 +20,8 @@
         Times, by the steady clock, at which requests arrived, also those that it did not run.
     limit : str or None
         The rate limit that it names in its answers.
+    leaving : bool
+        Whether it says in its answers that it leaves.
     delay_s : float
         Time before it answers.
     events : int
@@ -37,6 +39,7 @@
         self.seen = []
         self.arrivals = []
         self.limit = None
+        self.leaving = False
         self.delay_s = 0.0
         self.gone = threading.Event()
         super().__init__()
@@ -89,7 +92,8 @@
 
     def _words(self):
         """What it says of itself in each answer."""
-        return [] if self.limit is None else [("Server-Limit", self.limit)]
+        words = [] if self.limit is None else [("Server-Limit", self.limit)]
+        return [*words, ("Server-Leaving", "1")] if self.leaving else words
 
     def _whole(self, handler, how):
         body = f"whole from {self.name}".encode()
