An engine that says in an answer that it leaves gets nothing more

What callers saw: requests sent up to 2.8 s after their router had passed that word on reached the engine; what outlasts the engine is lost with it.

Cause: routers learned of it from the engine's entry in the store alone, which was away for 12 s. Class: a signal read at one place and needed at another, as with rate limits; reports of load tell it only for language engines, late. Evidence: the entry's log names the engine while 53 to 62 requests reach it in the 3 s after the bound, with the store away or there.

The word now goes to the steward by the same way as limits, and to the next one with the registration. A router that heard it gives back what is granted there and asks again without the engine. The engine's own word stands against an entry that says ready, however often that is read: it is newer, and a store may come back from a copy. It ends when the engine tells another start, or after five minutes. Answers with another request's id, or of another engine at the address, bind nobody.

Ruled out: withdrawing the word when a report doesn't repeat it (reports are over a second old); a broadcast to all routers: whom the steward grants nothing needs no word.

--- a/tests/test_engine_leaving.py
+++ b/tests/test_engine_leaving.py
@@ -48,6 +48,33 @@
         self.leaving.leaving = True
         self.check_nothing_arrives()
 
+    # Guards against a word that dies with the steward, while the store can't be asked.
+    def test_the_next_steward_knows_it(self):
+        self.world.store.down = True
+        self.leaving.leaving = True
+        time.sleep(TOLD_S)
+        steward = self.world.steward_of(self.SERVICE)
+        self.world.routers[steward].kill()
+        killed_at = time.monotonic()
+        time.sleep(DRAIN_S + WATCHED_S)
+        self.assertEqual([at for at in self.leaving.arrivals if at > killed_at + DRAIN_S], [])
+        since = [at for at in self.other.arrivals if at > killed_at + DRAIN_S]
+        self.assertGreater(len(since), 0.5 * WATCHED_S * PER_S)
+
+
+class StrayWordTest(WorldCase):
+    # Guards against an answer that isn't this engine's, and takes it out of use.
+    def test_an_answer_with_another_id_takes_no_engine_out(self):
+        engines = [engine for engine in self.world.engines.values() if engine.service == "booking"]
+        for engine in engines:
+            engine.leaving = True
+            engine.script = ["crossed"] * 2
+        for number in range(2):
+            self.world.ask("GET", "/status/1", request_id=f"r-{number}")
+        for engine in engines:
+            engine.leaving, engine.script = False, []
+        self.assertEqual(self.world.ask("GET", "/status/1", request_id="r-9").status, 200)
+
 
 class LeavingStreamsTest(LeavingAnswersTest):
     # The same for an engine that reports its load, and whose reports don't tell that it leaves.
--- a/wagtailtrestle/contracts/exchange.py
+++ b/wagtailtrestle/contracts/exchange.py
@@ -130,6 +130,8 @@
         received, over a new connection; the engine starts no second run.
     first_token_deadline_s, progress_deadline_s, overall_s : float
         Limits on silence before the first token and between tokens, and on the run.
+    start_ms : int
+        Which start of the engine it is sent to; see ``DeclaredEngine``.
     was_limited : bool
         Whether the engine named a rate limit lately: then an answer that names none is told too.
     """
@@ -141,6 +143,7 @@
     progress_deadline_s: float
     overall_s: float
     attach: bool = False
+    start_ms: int = 0
     was_limited: bool = False
 
 
--- a/wagtailtrestle/contracts/messages.py
+++ b/wagtailtrestle/contracts/messages.py
@@ -138,12 +138,15 @@
         How long ago the head was read.
     leaving : bool
         Whether it said that it leaves.
+    start_ms : int
+        Which start of the engine said so; see ``DeclaredEngine``.
     """
 
     engine: str
     limit_per_s: float = math.inf
     age_s: float = 0.0
     leaving: bool = False
+    start_ms: int = 0
 
     @property
     def names_limit(self):
--- a/wagtailtrestle/engines/notices.py
+++ b/wagtailtrestle/engines/notices.py
@@ -4,19 +4,25 @@
 
 from loguru import logger
 
+from wagtailtrestle.contracts.declaration import DeclaredEngine
 from wagtailtrestle.contracts.messages import EngineNotice, Granted
 from wagtailtrestle.engines.rate_limit import KEPT_S
 
 HEARD_SLACK_S = 0.5
 """How much older than this router's own word a steward's may be: grants that were on their way are used."""
 
+LEAVING_KEPT_S = 300.0
+"""Time for which an engine's word that it leaves holds, unless it starts again: it is gone before, and one that only
+its name tells from its former start is used again then."""
 
-def read_notice(engine, *, limit, leaving):
+
+def read_notice(command, *, limit, leaving):
     """Build the notice of an answer's head.
 
     Parameters
     ----------
-    engine : str
+    command : StartRun
+        What was answered.
     limit : str or None
         Requests a second, as the engine wrote them.
     leaving : bool
@@ -29,7 +35,12 @@
     limit_per_s = _read_limit(limit)
     if limit_per_s is None and not leaving:
         return None
-    return EngineNotice(engine=engine, limit_per_s=math.inf if limit_per_s is None else limit_per_s, leaving=leaving)
+    return EngineNotice(
+        engine=command.engine,
+        limit_per_s=math.inf if limit_per_s is None else limit_per_s,
+        leaving=leaving,
+        start_ms=command.start_ms,
+    )
 
 
 def _read_limit(text):
@@ -60,73 +71,110 @@
     def take(self, notice: EngineNotice):
         """Take in a notice that was read just now."""
         self._forget_old()
-        before = self._heard_by_engine.get(notice.engine)
-        limit_per_s = math.inf if before is None else before.limit_per_s
-        if notice.limit_per_s != limit_per_s:
-            logger.bind(
-                engine=notice.engine, limit_per_s=_shown(notice.limit_per_s), before_per_s=_shown(limit_per_s)
-            ).info("an engine names another rate limit in its answers")
-        if notice.names_limit:
-            self._heard_by_engine[notice.engine] = Heard(limit_per_s=notice.limit_per_s, at=self._clock())
-        else:
-            self._heard_by_engine.pop(notice.engine, None)
+        heard = self._heard_by_engine.get(notice.engine)
+        if heard is None or is_of_before(heard.start_ms, notice.start_ms):
+            heard = self._heard_by_engine[notice.engine] = Heard(start_ms=notice.start_ms)
+        if is_of_before(notice.start_ms, heard.start_ms):
+            return
+        self._take_limit(notice, heard)
         if notice.leaving:
-            logger.bind(engine=notice.engine).info("an engine says in an answer that it leaves")
+            if heard.leaving_at == -math.inf:
+                logger.bind(engine=notice.engine).info("an engine says in an answer that it leaves")
+            heard.leaving_at = self._clock()
 
     def is_limited(self, engine) -> bool:
         """Whether the engine named a limit when it was last heard."""
-        return self._age_s(engine) < KEPT_S
+        return self._limit_age_s(engine) < KEPT_S
+
+    def is_leaving(self, engine: DeclaredEngine) -> bool:
+        """Whether the engine said that it leaves, and hasn't started again since."""
+        heard = self._heard_by_engine.get(engine.name)
+        if heard is None or is_of_before(heard.start_ms, engine.start_ms):
+            return False
+        return self._clock() - heard.leaving_at < LEAVING_KEPT_S
 
     def are_unknown_to(self, granted: Granted) -> bool:
         """Whether a steward granted a place on an engine without having heard of the limit that it names."""
-        age_s = self._age_s(granted.engine)
+        age_s = self._limit_age_s(granted.engine)
         return age_s < KEPT_S and granted.limit_age_s > age_s + HEARD_SLACK_S
 
     def of(self, engines):
         """Notices of these engines to tell a steward, with their age."""
         now = self._clock()
-        return tuple(
-            EngineNotice(engine=engine, limit_per_s=heard.limit_per_s, age_s=now - heard.at)
-            for engine, heard in self._heard_by_engine.items()
-            if engine in engines and now - heard.at < KEPT_S
-        )
+        notices = []
+        for engine, heard in self._heard_by_engine.items():
+            if engine not in engines:
+                continue
+            told = {"engine": engine, "start_ms": heard.start_ms}
+            if now - heard.limit_at < KEPT_S:
+                notices.append(EngineNotice(**told, limit_per_s=heard.limit_per_s, age_s=now - heard.limit_at))
+            if now - heard.leaving_at < LEAVING_KEPT_S:
+                notices.append(EngineNotice(**told, leaving=True, age_s=now - heard.leaving_at))
+        return tuple(notices)
 
     def dump(self):
         """Plain data for the state dump."""
         return {engine: heard.dump(now=self._clock()) for engine, heard in self._heard_by_engine.items()}
 
-    def _age_s(self, engine):
+    def _take_limit(self, notice, heard):
+        if notice.limit_per_s != heard.limit_per_s:
+            logger.bind(
+                engine=notice.engine, limit_per_s=_shown(notice.limit_per_s), before_per_s=_shown(heard.limit_per_s)
+            ).info("an engine names another rate limit in its answers")
+        heard.limit_per_s = notice.limit_per_s
+        heard.limit_at = self._clock() if notice.names_limit else -math.inf
+
+    def _limit_age_s(self, engine):
         heard = self._heard_by_engine.get(engine)
-        return math.inf if heard is None else self._clock() - heard.at
+        return math.inf if heard is None else self._clock() - heard.limit_at
 
     def _forget_old(self):
-        horizon = self._clock() - KEPT_S
-        for engine in [engine for engine, heard in self._heard_by_engine.items() if heard.at < horizon]:
-            del self._heard_by_engine[engine]
+        now = self._clock()
+        self._heard_by_engine = {
+            engine: heard
+            for engine, heard in self._heard_by_engine.items()
+            if now - heard.limit_at < KEPT_S or now - heard.leaving_at < LEAVING_KEPT_S
+        }
 
 
 class Heard:
-    """A limit that an engine named, and when it was heard.
+    """What one start of an engine said lately.
 
     Parameters
     ----------
+    start_ms : int
+        See ``DeclaredEngine``.
+
+    Attributes
+    ----------
     limit_per_s : float
-        Requests a second.
-    at : float
-        Time on the router's clock.
+        Requests a second; infinite without a limit.
+    limit_at, leaving_at : float
+        When it named the limit, and when it said that it leaves, on the router's clock; minus infinity if it didn't.
     """
 
-    __slots__ = ("limit_per_s", "at")
+    __slots__ = ("start_ms", "limit_per_s", "limit_at", "leaving_at")
 
-    def __init__(self, *, limit_per_s, at):
-        self.limit_per_s = limit_per_s
-        self.at = at
+    def __init__(self, *, start_ms):
+        self.start_ms = start_ms
+        self.limit_per_s = math.inf
+        self.limit_at = -math.inf
+        self.leaving_at = -math.inf
 
     def dump(self, *, now):
         """Plain data for the state dump."""
-        return {"limit_per_s": self.limit_per_s, "age_s": round(now - self.at, 3)}
+        return {
+            "limit_per_s": _shown(self.limit_per_s),
+            "limit_age_s": _shown(now - self.limit_at),
+            "leaving_age_s": _shown(now - self.leaving_at),
+        }
+
+
+def is_of_before(start_ms, other_ms):
+    """Whether a start of an engine came before another; unknown starts are taken for the same."""
+    return 0 < start_ms < other_ms
 
 
-def _shown(limit_per_s):
+def _shown(number):
     # JSON has no infinity.
-    return None if limit_per_s == math.inf else limit_per_s
+    return None if number == math.inf else round(number, 3)
--- a/wagtailtrestle/engines/own_call.py
+++ b/wagtailtrestle/engines/own_call.py
@@ -104,7 +104,7 @@
         if headers.get(RUN_ID_HEADER) != exchange.command.run_id:
             return None
         return read_notice(
-            exchange.command.engine,
+            exchange.command,
             limit=headers.get(RATE_LIMIT_HEADER),
             leaving=headers.get(LEAVING_HEADER) == LEAVING_YES,
         )
--- a/wagtailtrestle/engines/state.py
+++ b/wagtailtrestle/engines/state.py
@@ -5,6 +5,7 @@
 
 from wagtailtrestle.capacity.grants import Grant
 from wagtailtrestle.engines.model import EngineModel
+from wagtailtrestle.engines.notices import LEAVING_KEPT_S, is_of_before
 from wagtailtrestle.engines.prefix_cache import PrefixCacheIndex
 from wagtailtrestle.engines.rate_limit import RateLimit
 
@@ -73,6 +74,7 @@
         "_alone_runs",
         "_declared_leaving",
         "_marked_leaving",
+        "_said_leaving_at",
         "_unreachable",
         "_trusted_after",
         "_clock",
@@ -108,6 +110,7 @@
         self._alone_runs = 0
         self._declared_leaving = declared.leaving
         self._marked_leaving = False
+        self._said_leaving_at = -math.inf
         self._unreachable = False
         self._trusted_after = -math.inf
         self._clock = clock
@@ -151,7 +154,8 @@
     def leaving(self):
         """Whether anyone said so: the declaration, the list, or the engine itself."""
         reported = self._report is not None and self._report.leaving
-        return self._declared_leaving or self._marked_leaving or reported
+        said = self._clock() - self._said_leaving_at < LEAVING_KEPT_S
+        return self._declared_leaving or self._marked_leaving or reported or said
 
     @property
     def kept_for(self):
@@ -203,6 +207,12 @@
 
     def hear(self, notice):
         """Take in what it said of itself in an answer."""
+        if is_of_before(notice.start_ms, self.start_ms):
+            return
+        if notice.leaving:
+            self._said_leaving_at = max(self._said_leaving_at, self._clock() - notice.age_s)
+            self._refresh_limit()
+            return
         was_limited = self.rate_limit.in_force
         self.rate_limit.hear(notice.limit_per_s, age_s=notice.age_s)
         if self.rate_limit.in_force and not was_limited:
--- a/wagtailtrestle/entry/entry.py
+++ b/wagtailtrestle/entry/entry.py
@@ -58,25 +58,31 @@
         declared = self._declaration().engines_by_name.get(engine)
         return declared.address if declared else None
 
+    def start_of(self, engine):
+        """Which start of a declared engine is known here; 0 where engines don't tell."""
+        declared = self._declaration().engines_by_name.get(engine)
+        return declared.start_ms if declared else 0
+
     def takes_work(self, engine):
-        """Whether an engine is known here and does not leave, as far as this router knows."""
+        """Whether an engine is known here and does not leave, as far as this router knows.
+
+        Its own word goes before its entry's, which may be of before: the store can be away, or come back from a copy.
+        """
         declared = self._declaration().engines_by_name.get(engine)
-        return declared is not None and not declared.leaving
+        return declared is not None and not declared.leaving and not self._notices.is_leaving(declared)
 
     def was_limited(self, granted):
         """Whether an engine named a rate limit lately, as this router or the steward heard."""
         return self._notices.is_limited(granted.engine) or granted.limit_age_s != math.inf
 
-    def is_uninformed(self, granted):
-        """Whether the steward granted a place without having heard what the engine told this router.
+    def is_informed(self, granted):
+        """Whether the steward that granted a place has heard of the limit that the engine told this router."""
+        return not self._notices.are_unknown_to(granted)
 
-        It is told once more, so that its next grant can be used.
-        """
-        if not self._notices.are_unknown_to(granted):
-            return False
-        for notice in self._notices.of((granted.engine,)):
+    def tell_again(self, engine):
+        """Tell the steward what an engine said lately, so that its next grant can be used."""
+        for notice in self._notices.of((engine,)):
             self.tell(notice)
-        return True
 
     def tell(self, notice):
         """Tell the steward what one of its engines said."""
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -243,16 +243,17 @@
                 case Refused(attempt=self.attempt, reason=reason, retry_after_s=retry_after_s):
                     return self._take_refusal(reason, retry_after_s)
                 case Granted(attempt=self.attempt):
-                    is_usable = self.context.takes_work(message.engine)
-                    if is_usable and not self.context.is_uninformed(message):
+                    takes_work = self.context.takes_work(message.engine)
+                    if takes_work and self.context.is_informed(message):
                         self.state = RequestState.GRANTED
                         return message
                     # The steward may be cut off from the platform, and not know yet that an
                     # engine leaves, or know one that this router does not. Sent there, the
                     # request would be lost with the engine: the place goes back, and the next
                     # ask leaves the engine out.
+                    self.context.tell_again(message.engine)
                     self._reports.gave_back(message.engine)
-                    if not is_usable:
+                    if not takes_work:
                         self._excluded.add(message.engine)
                     self.attempt += 1
                     self.context.send(self.cell, self.grant_request())
@@ -313,6 +314,7 @@
                 progress_deadline_s=overall_s if is_last else max(floor_s, granted.progress_deadline_s),
                 overall_s=overall_s,
                 attach=attach,
+                start_ms=self.context.start_of(granted.engine),
                 was_limited=self.context.was_limited(granted),
             )
         )
--- a/wagtailtrestle/platform/engines.py
+++ b/wagtailtrestle/platform/engines.py
@@ -104,7 +104,7 @@
         if response.status == MISDIRECTED or response.headers.get(names.REQUEST_ID) != self.request_id:
             return None
         return read_notice(
-            exchange.command.engine,
+            exchange.command,
             limit=response.headers.get(names.RATE_LIMIT),
             leaving=response.headers.get(names.LEAVING) == names.LEAVING_YES,
         )
