An engine's wish for a rest is heard and logged

What callers saw: requests went to engines that had just turned their router away, were turned away again, and ended refused after 3 s or at the deadline.

The log of a run that an engine turned away doesn't tell the time that it asked for, so that an unread header, one forgotten with the request and one that the steward doesn't know look the same. Retry-After of a 503 is now read with the notice, where the request's id is the answer's, and logged. Nothing decides by it.

--- a/wagtailtrestle/contracts/messages.py
+++ b/wagtailtrestle/contracts/messages.py
@@ -140,6 +140,8 @@
         Whether it said that it leaves.
     start_ms : int
         Which start of the engine said so; see ``DeclaredEngine``.
+    rest_s : float
+        Time from now in which it wants nothing from the router that it answered.
     """
 
     engine: str
@@ -147,12 +149,18 @@
     age_s: float = 0.0
     leaving: bool = False
     start_ms: int = 0
+    rest_s: float = 0.0
 
     @property
     def names_limit(self):
         """Whether the engine named a limit."""
         return self.limit_per_s != math.inf
 
+    @property
+    def asks_something(self):
+        """Whether the engine asks for anything but its usual load."""
+        return self.names_limit or self.leaving or self.rest_s > 0.0
+
 
 @record
 class RunningRecord:
--- a/wagtailtrestle/engines/notices.py
+++ b/wagtailtrestle/engines/notices.py
@@ -11,12 +11,15 @@
 HEARD_SLACK_S = 0.5
 """How much older than this router's own word a steward's may be: grants that were on their way are used."""
 
+MOST_REST_S = 3600.0
+"""Longest rest that an engine is granted."""
+
 LEAVING_KEPT_S = 300.0
 """Time for which an engine's word that it leaves holds, unless it starts again: it is gone before, and one that only
 its name tells from its former start is used again then."""
 
 
-def read_notice(command, *, limit, leaving):
+def read_notice(command, *, limit, leaving, retry_after=None):
     """Build the notice of an answer's head.
 
     Parameters
@@ -26,31 +29,34 @@
     limit : str or None
         Requests a second, as the engine wrote them.
     leaving : bool
+    retry_after : str or None
+        Seconds, of an answer by which the engine turned the request away.
 
     Returns
     -------
     EngineNotice or None
         ``None`` if nothing can be told from it: a limit that can't be read neither holds nor ends.
     """
-    limit_per_s = _read_limit(limit)
-    if limit_per_s is None and not leaving:
+    limit_per_s = math.inf if limit is None else _read_number(limit)
+    rest_s = 0.0 if retry_after is None else min(MOST_REST_S, _read_number(retry_after) or 0.0)
+    if limit_per_s is None and not leaving and not rest_s:
         return None
     return EngineNotice(
         engine=command.engine,
         limit_per_s=math.inf if limit_per_s is None else limit_per_s,
         leaving=leaving,
         start_ms=command.start_ms,
+        rest_s=rest_s,
     )
 
 
-def _read_limit(text):
-    if text is None:
-        return math.inf
+def _read_number(text):
+    """Return the decimal number that a header holds, or ``None`` if that is none, or below 0."""
     try:
-        limit_per_s = float(text)
+        number = float(text)
     except ValueError:
         return None
-    return limit_per_s if math.isfinite(limit_per_s) and limit_per_s >= 0.0 else None
+    return number if math.isfinite(number) and number >= 0.0 else None
 
 
 class EngineNotices:
@@ -77,6 +83,8 @@
         if is_of_before(notice.start_ms, heard.start_ms):
             return
         self._take_limit(notice, heard)
+        if notice.rest_s:
+            logger.bind(engine=notice.engine, rest_s=notice.rest_s).info("an engine asks this router for a rest")
         if notice.leaving:
             if heard.leaving_at == -math.inf:
                 logger.bind(engine=notice.engine).info("an engine says in an answer that it leaves")
--- a/wagtailtrestle/engines/own_call.py
+++ b/wagtailtrestle/engines/own_call.py
@@ -21,6 +21,7 @@
 CALLER_ID_HEADER = "X-Caller-Request-Id"
 RATE_LIMIT_HEADER = "X-Rate-Limit"
 """On an answer: requests a second that the engine takes from all routers together."""
+RETRY_AFTER_HEADER = "Retry-After"
 LEAVING_HEADER = "X-Leaving"
 """On an answer, with ``yes``: the engine leaves."""
 LEAVING_YES = "yes"
@@ -107,6 +108,7 @@
             exchange.command,
             limit=headers.get(RATE_LIMIT_HEADER),
             leaving=headers.get(LEAVING_HEADER) == LEAVING_YES,
+            retry_after=headers.get(RETRY_AFTER_HEADER) if exchange.response.status == UNAVAILABLE else None,
         )
 
     def read(self, exchange):
--- a/wagtailtrestle/engines/run_exchange.py
+++ b/wagtailtrestle/engines/run_exchange.py
@@ -236,7 +236,7 @@
             pass  # The engine stopped reading; it may have answered why before it did.
         self.response = self._connection.getresponse()
         notice = self.call.notice(self)
-        if notice is not None and (notice.names_limit or notice.leaving or self.command.was_limited):
+        if notice is not None and (notice.asks_something or self.command.was_limited):
             self._on_event(notice)
         return self.call.read(self)
 
--- a/wagtailtrestle/platform/engines.py
+++ b/wagtailtrestle/platform/engines.py
@@ -11,6 +11,7 @@
 
 MS_PER_S = 1000.0
 MISDIRECTED = 421
+UNAVAILABLE = 503
 FIRST_ERROR_STATUS = 400
 FIRST_FAILURE_STATUS = 500
 NO_BODY_STATUSES = frozenset({204, 304})
@@ -107,6 +108,7 @@
             exchange.command,
             limit=response.headers.get(names.RATE_LIMIT),
             leaving=response.headers.get(names.LEAVING) == names.LEAVING_YES,
+            retry_after=response.headers.get(names.RETRY_AFTER) if response.status == UNAVAILABLE else None,
         )
 
     def read(self, exchange):
