Failing test: engines that ask a router for a rest are asked on

Four routers, two engines, 40 requests a second, both turn all away with a Retry-After of 3 s: one gets 25 requests from one router between half a second and the end of a rest; two are allowed. With one of two engines it holds: three failures in a row eject it for two seconds and more, which is the health check's doing and not the rest's. Each router logs the rests, so they are read and bind nobody.

--- /dev/null
+++ b/tests/test_engine_rest.py
@@ -0,0 +1,78 @@
+"""Engines that turn a request away and ask the router that sent it for a rest."""
+
+import time
+import unittest
+from collections import defaultdict
+
+from tests.test_platform_router import WorldCase
+from tests.utils.steady_callers import SteadyCallers
+
+PER_S = 40.0
+REST_S = 3.0
+SLACK_S = 0.5
+"""Time after the answer in which what was on its way may still arrive."""
+MOST_IN_A_REST = 2
+WATCHED_S = 8.0
+WORK_S = 0.03
+
+
+class RestCase(WorldCase):
+    ROUTERS = 4
+    SERVICE = "booking"
+    PATHS = (("GET", "/status/1"), ("POST", "/book/1"))
+
+    def setUp(self):
+        super().setUp()
+        self.engines = [engine for engine in self.world.engines.values() if engine.service == self.SERVICE]
+        for engine in self.engines:
+            engine.delay_s = WORK_S
+        self.callers = SteadyCallers(world=self.world, paths=self.PATHS, per_s=PER_S).start()
+        self.addCleanup(self.callers.close)
+        time.sleep(1.0)
+
+    def turn_away(self, engines):
+        """Let these engines turn all requests away."""
+        for engine in engines:
+            engine.rest = str(REST_S)
+            engine.script = ["full"] * 10_000
+
+    def check_rests(self, engine):
+        """No router sent more than it may between half a second after an answer and the end of the rest."""
+        times_by_router = defaultdict(list)
+        for at, router in engine.turned_away:
+            times_by_router[router].append(at)
+        for times in times_by_router.values():
+            for asked_at in times:
+                within = [at for at in times if asked_at + SLACK_S < at < asked_at + REST_S]
+                self.assertLessEqual(len(within), MOST_IN_A_REST)
+        self.assertGreater(len(engine.turned_away), 0)
+
+
+class RestTest(RestCase):
+    # Guards against a router that sends on to an engine that asked it for a rest.
+    def test_one_engine_gets_its_rest_and_nobody_is_refused(self):
+        self.turn_away(self.engines[:1])
+        time.sleep(WATCHED_S)
+        self.check_rests(self.engines[0])
+        self.callers.close()
+        self.assertEqual(set(self.callers.statuses()), {200})
+
+    # Guards against the same where all engines ask for it, so that there is nowhere else to send.
+    def test_all_engines_get_their_rest_and_callers_are_told_when_to_return(self):
+        self.turn_away(self.engines)
+        time.sleep(WATCHED_S)
+        for engine in self.engines:
+            self.check_rests(engine)
+            engine.script = []
+        time.sleep(REST_S + 1.0)
+        answered = len(self.callers.answers)
+        time.sleep(1.0)
+        self.callers.close()
+        refused = [answer for answer in self.callers.answers if answer.status != 200]
+        self.assertEqual({answer.status for answer in refused} - {429, 503}, set())
+        self.assertTrue(all(float(answer.headers["Retry-After"]) > 0.0 for answer in refused))
+        self.assertEqual(set(self.callers.statuses()[answered:]), {200})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/utils/steady_callers.py
+++ b/tests/utils/steady_callers.py
@@ -61,7 +61,7 @@
         method, path = self._paths[number % len(self._paths)]
         router = self._routers[number % len(self._routers)]
         try:
-            answer = self._world.ask(method, path, router=router, request_id=f"steady-{number}")
+            answer = self._world.ask(method, path, router=router, request_id=f"steady-{number}", X_Router=str(router))
         except OSError:
             answer = None
         self.answers.append(answer)
--- a/tests/utils/world_engine.py
+++ b/tests/utils/world_engine.py
@@ -18,8 +18,12 @@
         Headers of the requests that it ran, by lower-case name, with ``path`` and ``body``.
     arrivals : list of float
         Times, by the steady clock, at which requests arrived, also those that it did not run.
+    turned_away : list of (float, str)
+        When it answered 503, and through which router, as callers say in ``X-Router``.
     limit : str or None
         The rate limit that it names in its answers.
+    rest : str or None
+        ``Retry-After`` of the answers by which it turns requests away.
     leaving : bool
         Whether it says in its answers that it leaves.
     delay_s : float
@@ -38,8 +42,10 @@
         self.script = []
         self.seen = []
         self.arrivals = []
+        self.turned_away = []
         self.limit = None
         self.leaving = False
+        self.rest = None
         self.delay_s = 0.0
         self.gone = threading.Event()
         super().__init__()
@@ -69,7 +75,8 @@
         how = self.script.pop(0) if self.script else "well"
         if how == "full":
             heads = [("Not-Executed", "1"), ("Request-Id", handler.headers["Request-Id"]), *self._words()]
-            self.reply(handler, 503, headers=heads)
+            self.reply(handler, 503, headers=heads if self.rest is None else [*heads, ("Retry-After", self.rest)])
+            self.turned_away.append((time.monotonic(), handler.headers.get("X-Router")))
             return
         time.sleep(self.delay_s)
         headers = {name.lower(): value for name, value in handler.headers.items()}
