A router keeps to the rest that an engine asks it for

What callers saw: requests sent on to engines that had just turned their router away came back, and ended refused after 3 s or at their deadline.

Cause: the answer became an outcome without its Retry-After. Only three failures in a row, over all routers, keep work from an engine; where several engines turn away, the bound on ejection keeps the others in use. Class: as with limits and leaving, a signal that is read and not decided by. Evidence: the log names the rests while 25 requests of one router come within one.

The rest is the router's own. It gives back a place granted within one, and tells its steward, which places its requests elsewhere and lets others use the engine; the engine isn't excluded for good. A request that can wait for the first rest to end waits, any other is refused at once and told that time. Registrations carry rests; the longest one holds; a value that is no number of seconds is none, and an hour is the most.

Ruled out: asking with resting engines excluded (with all engines resting the steward would refuse for want of engines, and what waits would never get one back); resting for all routers (an engine that turns a share away would lose all).

--- /dev/null
+++ b/tests/test_rest_notices.py
@@ -0,0 +1,131 @@
+"""Decisions on an engine that asks one router for a rest, while others may go on sending to it."""
+
+import asyncio
+import unittest
+
+from tests.test_counted_runs import OneRequest
+from tests.utils.paused_clock import on_paused_clock
+from tests.utils.steward_fakes import Cell, ask, register
+from wagtailtrestle.contracts.exchange import StartRun
+from wagtailtrestle.contracts.messages import EngineNotice, Granted, GrantRequest, Refused
+from wagtailtrestle.contracts.outcomes import RunNotSent
+from wagtailtrestle.engines.notices import MOST_REST_S, read_notice
+
+REST_S = 3.0
+
+
+def rests(*, on="e1", entry="r1", rest_s=REST_S):
+    return EngineNotice(engine=on, rest_s=rest_s, entry=entry)
+
+
+class StewardTest(unittest.TestCase):
+    def setUp(self):
+        self.cell = Cell(engines=("e1", "e2"), members=("r1", "r2"))
+        self.cell.receive(register("r1"), register("r2"))
+
+    def granted(self):
+        return {(message.request_id[0], message.engine) for message in self.cell.entries.of(Granted)}
+
+    # Guards against grants that come back one by one, and against a rest that is taken for every router's.
+    def test_the_entry_gets_other_engines_and_other_entries_get_this_one(self):
+        self.cell.receive(rests(), ask("a1"), ask("a2"), ask("b1", entry="r2"), ask("b2", entry="r2"))
+        self.assertEqual(self.granted(), {("a", "e2"), ("b", "e1")})
+
+    # Guards against a request that is refused, or sent, though the last rest ends before it must begin.
+    def test_a_request_with_time_waits_for_the_first_rest_to_end(self):
+        self.cell.receive(rests(), rests(on="e2", rest_s=2 * REST_S), ask("a", remaining_s=20.0))
+        self.assertEqual(self.cell.entries.sent, [])
+        self.cell.advance(REST_S + 0.2)
+        self.assertEqual(self.granted(), {("a", "e1")})
+
+    # Guards against a wait that can't help, and a time to come back that is too early.
+    def test_a_request_without_that_time_is_refused_at_once_and_told_when(self):
+        self.cell.receive(rests(), rests(on="e2", rest_s=2 * REST_S), ask("a", first_token_within_s=1.0))
+        (refused,) = self.cell.entries.of(Refused)
+        self.assertGreaterEqual(refused.retry_after_s, REST_S)
+        self.assertLess(refused.retry_after_s, 2 * REST_S)
+
+    # Guards against a steward that is new and grants what its entries must give back.
+    def test_a_registration_tells_of_rests(self):
+        self.cell.receive(register("r1", notices=(rests(),)), ask("a1"), ask("a2"), ask("a3"))
+        self.assertEqual(self.granted(), {("a", "e2")})
+
+    # Guards against a suspect that runs alone on an engine that wants a rest.
+    def test_a_suspect_leaves_the_engine_out(self):
+        self.cell.receive(rests(), ask("s", alone=True))
+        self.cell.advance(0.2)
+        self.assertEqual(self.granted(), {("s", "e2")})
+
+
+class EntryTest(unittest.TestCase):
+    # Guards against a place granted by a steward that doesn't know; the engine is left out for the rest, not for good.
+    @on_paused_clock
+    async def test_a_grant_within_a_rest_goes_back_and_one_after_it_is_used(self):
+        request = OneRequest()
+        await asyncio.sleep(0.0)
+        request.entry.post("r1", rests(entry=""))
+        request.stewards.sent.clear()
+        await request.grant("e1")
+        self.assertEqual(request.caller.starts, [])
+        told, *_, again = request.stewards.sent
+        self.assertEqual((told.engine, told.entry), ("e1", request.entry.name))
+        self.assertIsInstance(again, GrantRequest)
+        self.assertEqual(again.excluded_engines, ())
+        await asyncio.sleep(REST_S)
+        await request.grant("e1")
+        self.assertEqual(len(request.caller.starts), 1)
+
+    # Guards against a shorter rest, asked for in an answer that came later, that ends a longer one.
+    @on_paused_clock
+    async def test_the_longest_rest_holds(self):
+        request = OneRequest()
+        request.entry.post("r1", rests())
+        request.entry.post("r1", rests(rest_s=0.1))
+        await asyncio.sleep(1.0)
+        await request.grant("e1")
+        self.assertEqual(request.caller.starts, [])
+
+    # Guards against callers who are told to come back while every engine that turned them away still rests.
+    @on_paused_clock
+    async def test_who_is_given_up_on_is_told_when_the_first_rest_ends(self):
+        request = OneRequest()
+        for name in ("e1", "e2"):
+            request.entry.post("r1", rests(on=name))
+        self.assertGreaterEqual(request.entry._context.retry_after_s("asistente"), REST_S - 0.1)
+
+
+class ReadingTest(unittest.TestCase):
+    def rest_s(self, text):
+        command = StartRun(
+            run_id="r",
+            engine="e1",
+            address="",
+            first_token_deadline_s=1.0,
+            progress_deadline_s=1.0,
+            overall_s=1.0,
+        )
+        return read_notice(command, limit=None, leaving=False, retry_after=text).rest_s
+
+    # Guards against a header that nobody can read, or that would keep an engine out for good.
+    def test_only_a_number_of_seconds_asks_for_a_rest(self):
+        for text in ("", "0", "-3", "nan", "inf", "soon", "Wed, 21 Oct 2026 07:28:00 GMT"):
+            with self.subTest(text=text):
+                self.assertEqual(self.rest_s(text), 0.0)
+        self.assertEqual(self.rest_s("2.5"), 2.5)
+        self.assertEqual(self.rest_s("90000"), MOST_REST_S)
+
+
+class TurnedAwayTest(unittest.TestCase):
+    # Guards against an answer that asks for a rest and ends its request, though another engine has room.
+    @on_paused_clock
+    async def test_the_request_goes_to_another_engine(self):
+        request = OneRequest(repeatable=False)
+        await request.grant("e1")
+        request.entry.post("r1", rests())
+        await request.end(RunNotSent(detail="503", arrived=True))
+        await request.grant("e2")
+        self.assertEqual([start.engine for start in request.caller.starts], ["e1", "e2"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wagtailtrestle/capacity/admission.py
+++ b/wagtailtrestle/capacity/admission.py
@@ -266,6 +266,9 @@
         request = waiting.request
         if not any(self._is_possible(engine, request) for engine in self._engines):
             return Reason.NO_ENGINE
+        rest_s = self._rest_s(request)
+        if rest_s and rest_s > waiting.latest_start - self._clock():
+            return Reason.OVERLOADED
         if request.first_token_within_s:
             return self._refusal_by_start(waiting)
         possible = [engine for engine in self._engines if self._is_possible(engine, request)]
@@ -273,7 +276,7 @@
             return Reason.DEADLINE_UNREACHABLE
         # Parked requests wait although places are free, as no engine with room suits them. What
         # arrives behind them takes nothing from them; refused, it would find engines idle.
-        if self._places_free() and not self._queue.ready:
+        if self._places_free(request) and not self._queue.ready:
             return None
         if self._holds_lower(request.tier):
             return None
@@ -290,7 +293,7 @@
     def _refusal_by_start(self, waiting):
         # A request that only has to begin soon is not judged by its predicted finish: its deadline is
         # many times its run. What it can't do is wait, and told so at once its caller loses least.
-        if self._places_free():
+        if self._places_free(waiting.request):
             return None
         granted_per_s = self._granted.per_s()
         if granted_per_s is None:
@@ -349,7 +352,7 @@
         """Time until what waits now in this tier and above would be served."""
         ahead = sum(work for tier, work in self._queue.work_by_tier().items() if tier <= request.tier)
         least_s = LEAST_RETRY_AFTER_S if not request.first_token_within_s else LEAST_QUICK_RETRY_S
-        wait_s = max(least_s, ahead / self._service_rate(request.tier))
+        wait_s = max(least_s, ahead / self._service_rate(request.tier), self._rest_s(request))
         spread = zlib.crc32(request.request_id.encode()) / 2**32
         return wait_s * (1.0 + RETRY_SPREAD * spread)
 
@@ -377,8 +380,13 @@
     def _is_limited(self):
         return any(engine.rate_limit.in_force for engine in self._engines)
 
-    def _places_free(self):
-        return any(engine.room for engine in self._engines)
+    def _places_free(self, request):
+        return any(engine.room and not engine.rest_s(request.entry) for engine in self._engines)
+
+    def _rest_s(self, request):
+        """Time until some engine takes a request of this entry again."""
+        rests = [engine.rest_s(request.entry) for engine in self._engines if not engine.leaving]
+        return min(rests, default=0.0)
 
     def _holds_lower(self, tier):
         if any(rank > tier for rank in self._queue.waiting_by_tier()):
--- a/wagtailtrestle/capacity/isolation.py
+++ b/wagtailtrestle/capacity/isolation.py
@@ -124,8 +124,12 @@
 
 
 def _usable(waiting, engines):
-    excluded = waiting.request.excluded_engines
-    return [engine for engine in engines if engine.limit and engine.name not in excluded]
+    request = waiting.request
+    return [
+        engine
+        for engine in engines
+        if engine.limit and engine.name not in request.excluded_engines and not engine.rest_s(request.entry)
+    ]
 
 
 def _empty_s(engine):
--- a/wagtailtrestle/capacity/preemption.py
+++ b/wagtailtrestle/capacity/preemption.py
@@ -152,7 +152,7 @@
         heapq.heappush(self._places, (place.free_at, next(self._sequence), place))
 
     def _run_s(self, waiting, engine):
-        if engine.name in waiting.request.excluded_engines:
+        if engine.name in waiting.request.excluded_engines or engine.rest_s(waiting.request.entry):
             return float("inf")
         return run_s(waiting.request, engine, engine.limit, 0)
 
@@ -204,7 +204,7 @@
     def _would_save(self, waiting, engine, free_at):
         # The same promise as at the grant: a place that the request would then not be
         # given goes to another, and the next round would cancel another run for it.
-        if engine.name in waiting.request.excluded_engines:
+        if engine.name in waiting.request.excluded_engines or engine.rest_s(waiting.request.entry):
             return False
         duration_s = promised_s(waiting, engine, engine.limit, engine.pending_prefill_tokens, self._planner.margin)
         return free_at + duration_s <= self._now + tolerance(engine) * (waiting.deadline - self._now)
--- a/wagtailtrestle/capacity/steward.py
+++ b/wagtailtrestle/capacity/steward.py
@@ -403,6 +403,7 @@
 
     def _try(self, waiting, open_engines):
         """Grant the request on one of the engines with room, park it, or refuse it."""
+        open_engines = [engine for engine in open_engines if not engine.rest_s(waiting.request.entry)]
         exposed = self._exposed_engine(waiting.request)
         if exposed is not None:
             self._grant(waiting, exposed)
@@ -427,7 +428,10 @@
         tried = [
             engine
             for engine in self._runs.engines
-            if engine.held_back and self._rollout.is_target(engine.version) and engine.spare
+            if engine.held_back
+            and self._rollout.is_target(engine.version)
+            and engine.spare
+            and not engine.rest_s(request.entry)
         ]
         return max(tried, key=lambda engine: (engine.running, engine.name), default=None)
 
--- a/wagtailtrestle/contracts/messages.py
+++ b/wagtailtrestle/contracts/messages.py
@@ -142,6 +142,8 @@
         Which start of the engine said so; see ``DeclaredEngine``.
     rest_s : float
         Time from now in which it wants nothing from the router that it answered.
+    entry : str
+        That router, once it has taken the notice in.
     """
 
     engine: str
@@ -150,6 +152,7 @@
     leaving: bool = False
     start_ms: int = 0
     rest_s: float = 0.0
+    entry: str = ""
 
     @property
     def names_limit(self):
--- a/wagtailtrestle/engines/notices.py
+++ b/wagtailtrestle/engines/notices.py
@@ -64,13 +64,16 @@
 
     Parameters
     ----------
+    router : str
+        This router's name.
     clock : callable
         Returns the loop's time in seconds.
     """
 
-    __slots__ = ("_clock", "_heard_by_engine")
+    __slots__ = ("_clock", "_heard_by_engine", "_router")
 
-    def __init__(self, *, clock):
+    def __init__(self, *, router, clock):
+        self._router = router
         self._clock = clock
         self._heard_by_engine = {}
 
@@ -85,6 +88,7 @@
         self._take_limit(notice, heard)
         if notice.rest_s:
             logger.bind(engine=notice.engine, rest_s=notice.rest_s).info("an engine asks this router for a rest")
+            heard.rest_until = max(heard.rest_until, self._clock() + notice.rest_s)
         if notice.leaving:
             if heard.leaving_at == -math.inf:
                 logger.bind(engine=notice.engine).info("an engine says in an answer that it leaves")
@@ -101,6 +105,13 @@
             return False
         return self._clock() - heard.leaving_at < LEAVING_KEPT_S
 
+    def rest_s(self, engine: DeclaredEngine) -> float:
+        """Time left in which the engine wants nothing from this router; not positive without a rest."""
+        heard = self._heard_by_engine.get(engine.name)
+        if heard is None or is_of_before(heard.start_ms, engine.start_ms):
+            return 0.0
+        return heard.rest_until - self._clock()
+
     def are_unknown_to(self, granted: Granted) -> bool:
         """Whether a steward granted a place on an engine without having heard of the limit that it names."""
         age_s = self._limit_age_s(granted.engine)
@@ -113,11 +124,13 @@
         for engine, heard in self._heard_by_engine.items():
             if engine not in engines:
                 continue
-            told = {"engine": engine, "start_ms": heard.start_ms}
+            told = {"engine": engine, "start_ms": heard.start_ms, "entry": self._router}
             if now - heard.limit_at < KEPT_S:
                 notices.append(EngineNotice(**told, limit_per_s=heard.limit_per_s, age_s=now - heard.limit_at))
             if now - heard.leaving_at < LEAVING_KEPT_S:
                 notices.append(EngineNotice(**told, leaving=True, age_s=now - heard.leaving_at))
+            if heard.rest_until > now:
+                notices.append(EngineNotice(**told, rest_s=heard.rest_until - now))
         return tuple(notices)
 
     def dump(self):
@@ -141,7 +154,7 @@
         self._heard_by_engine = {
             engine: heard
             for engine, heard in self._heard_by_engine.items()
-            if now - heard.limit_at < KEPT_S or now - heard.leaving_at < LEAVING_KEPT_S
+            if now - heard.limit_at < KEPT_S or now - heard.leaving_at < LEAVING_KEPT_S or heard.rest_until > now
         }
 
 
@@ -159,15 +172,18 @@
         Requests a second; infinite without a limit.
     limit_at, leaving_at : float
         When it named the limit, and when it said that it leaves, on the router's clock; minus infinity if it didn't.
+    rest_until : float
+        Time until which it wants nothing from this router.
     """
 
-    __slots__ = ("start_ms", "limit_per_s", "limit_at", "leaving_at")
+    __slots__ = ("start_ms", "limit_per_s", "limit_at", "leaving_at", "rest_until")
 
     def __init__(self, *, start_ms):
         self.start_ms = start_ms
         self.limit_per_s = math.inf
         self.limit_at = -math.inf
         self.leaving_at = -math.inf
+        self.rest_until = -math.inf
 
     def dump(self, *, now):
         """Plain data for the state dump."""
@@ -175,6 +191,7 @@
             "limit_per_s": _shown(self.limit_per_s),
             "limit_age_s": _shown(now - self.limit_at),
             "leaving_age_s": _shown(now - self.leaving_at),
+            "rest_s": _shown(max(0.0, self.rest_until - now)),
         }
 
 
--- a/wagtailtrestle/engines/state.py
+++ b/wagtailtrestle/engines/state.py
@@ -75,6 +75,7 @@
         "_declared_leaving",
         "_marked_leaving",
         "_said_leaving_at",
+        "_rest_until_by_entry",
         "_unreachable",
         "_trusted_after",
         "_clock",
@@ -111,6 +112,7 @@
         self._declared_leaving = declared.leaving
         self._marked_leaving = False
         self._said_leaving_at = -math.inf
+        self._rest_until_by_entry = {}
         self._unreachable = False
         self._trusted_after = -math.inf
         self._clock = clock
@@ -209,6 +211,9 @@
         """Take in what it said of itself in an answer."""
         if is_of_before(notice.start_ms, self.start_ms):
             return
+        if notice.rest_s:
+            until = self._clock() + notice.rest_s
+            self._rest_until_by_entry[notice.entry] = max(until, self._rest_until_by_entry.get(notice.entry, until))
         if notice.leaving:
             self._said_leaving_at = max(self._said_leaving_at, self._clock() - notice.age_s)
             self._refresh_limit()
@@ -221,6 +226,12 @@
                 self.rate_limit.note_former(grant.granted_at)
         self._count_room()
 
+    def rest_s(self, entry):
+        """Time left in which it wants nothing from an entry; 0 without a rest."""
+        if not self._rest_until_by_entry:
+            return 0.0
+        return max(0.0, self._rest_until_by_entry.get(entry, 0.0) - self._clock())
+
     def mark_unreachable(self):
         """Grant nothing until the engine reports again."""
         self._unreachable = True
@@ -303,6 +314,7 @@
         if self.report_age_s > PHANTOM_KEPT_S:
             self.phantom = 0
         self._refresh_limit()
+        self._forget_rests()
         horizon = self._clock() - FINISHES_KEPT_S
         while self._finishes and self._finishes[0][0] < horizon:
             self._finishes.popleft()
@@ -314,6 +326,11 @@
             if slack_s > 0.0:
                 self._slacks.append((grant.request.tier, slack_s))
 
+    def _forget_rests(self):
+        now = self._clock()
+        for entry in [entry for entry, until in self._rest_until_by_entry.items() if until <= now]:
+            del self._rest_until_by_entry[entry]
+
     def would_delay(self, *, prefill_s, tier):
         """Whether a prefill this long would make a run of this tier or above late.
 
@@ -348,6 +365,7 @@
             "kept_for": self.kept_for,
             "limit": self.limit,
             "rate_limit": self.rate_limit.dump(),
+            "rest_s_by_entry": {entry: round(self.rest_s(entry), 3) for entry in self._rest_until_by_entry},
             "pending_prefill_tokens": self.pending_prefill_tokens,
             "reported_running": self.reported_running,
             "report_age_s": round(self.report_age_s, 3) if self._report else None,
--- a/wagtailtrestle/entry/entry.py
+++ b/wagtailtrestle/entry/entry.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import math
 
 from wagtailtrestle.broken_invariant import report_broken
@@ -13,7 +14,7 @@
 from wagtailtrestle.contracts.outcomes import Executed, Reason, RunNotSent
 from wagtailtrestle.engines.notices import EngineNotices
 from wagtailtrestle.entry.cells import cells_of, choose_cell
-from wagtailtrestle.entry.final_answers import refusal_of
+from wagtailtrestle.entry.final_answers import DEFAULT_RETRY_AFTER_S, refusal_of
 from wagtailtrestle.entry.request_task import Displaced, RequestState, RequestTask
 
 
@@ -63,7 +64,7 @@
         declared = self._declaration().engines_by_name.get(engine)
         return declared.start_ms if declared else 0
 
-    def takes_work(self, engine):
+    def is_in_use(self, engine):
         """Whether an engine is known here and does not leave, as far as this router knows.
 
         Its own word goes before its entry's, which may be of before: the store can be away, or come back from a copy.
@@ -76,8 +77,15 @@
         return self._notices.is_limited(granted.engine) or granted.limit_age_s != math.inf
 
     def is_informed(self, granted):
-        """Whether the steward that granted a place has heard of the limit that the engine told this router."""
-        return not self._notices.are_unknown_to(granted)
+        """Whether the steward that granted a place has heard of the limit or rest that the engine told this router."""
+        declared = self._declaration().engines_by_name[granted.engine]
+        return self._notices.rest_s(declared) <= 0.0 and not self._notices.are_unknown_to(granted)
+
+    def retry_after_s(self, service):
+        """Time until some engine of a service takes a request of this router again."""
+        engines = self._declaration().engines_by_name.values()
+        rests = [self._notices.rest_s(engine) for engine in engines if engine.service == service]
+        return max(DEFAULT_RETRY_AFTER_S, min(rests, default=0.0))
 
     def tell_again(self, engine):
         """Tell the steward what an engine said lately, so that its next grant can be used."""
@@ -114,7 +122,7 @@
         self.tasks_by_id = {}
         self._declaration = declaration
         self._loop = loop
-        self._notices = EngineNotices(clock=loop.time)
+        self._notices = EngineNotices(router=name, clock=loop.time)
         self._running_by_id = {}
         self._idle = asyncio.Event()
         self._idle.set()
@@ -147,7 +155,7 @@
         """Give a caller's event to its request; late ones are dropped."""
         if isinstance(event, EngineNotice):
             self._notices.take(event)
-            self._context.tell(event)
+            self._context.tell(dataclasses.replace(event, entry=self.name))
             return
         task = self.tasks_by_id.get(request_id)
         if task is not None:
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -243,8 +243,8 @@
                 case Refused(attempt=self.attempt, reason=reason, retry_after_s=retry_after_s):
                     return self._take_refusal(reason, retry_after_s)
                 case Granted(attempt=self.attempt):
-                    takes_work = self.context.takes_work(message.engine)
-                    if takes_work and self.context.is_informed(message):
+                    is_in_use = self.context.is_in_use(message.engine)
+                    if is_in_use and self.context.is_informed(message):
                         self.state = RequestState.GRANTED
                         return message
                     # The steward may be cut off from the platform, and not know yet that an
@@ -253,7 +253,7 @@
                     # ask leaves the engine out.
                     self.context.tell_again(message.engine)
                     self._reports.gave_back(message.engine)
-                    if not takes_work:
+                    if not is_in_use:
                         self._excluded.add(message.engine)
                     self.attempt += 1
                     self.context.send(self.cell, self.grant_request())
@@ -427,7 +427,7 @@
         if self._reach.maybe and not self.request.repeatable:
             return self._lost()
         if self._not_sent >= MAX_NOT_SENT:
-            return self._refuse(Reason.NO_ENGINE)
+            return self._refuse(Reason.NO_ENGINE, retry_after_s=self.context.retry_after_s(self.request.service))
         # What an engine refused cost it a connection and a look: sent on and on to full engines,
         # the refusals alone would keep them busy.
         if outcome.arrived and not self._budget().allow():
