Notices: an entry looks only at engines that said something

No caller sees a difference. A registration went through all declared engines, and each arrival at a steward asked every engine for its rest; both now stop at what was heard, and at the first engine without a rest. Ruled out: nothing else is changed; the tests of decisions pass (rest, rate limit, leaving, steward).

--- a/wagtailtrestle/capacity/admission.py
+++ b/wagtailtrestle/capacity/admission.py
@@ -384,9 +384,14 @@
         return any(engine.room and not engine.rest_s(request.entry) for engine in self._engines)
 
     def _rest_s(self, request):
-        """Time until some engine takes a request of this entry again."""
-        rests = [engine.rest_s(request.entry) for engine in self._engines if not engine.leaving]
-        return min(rests, default=0.0)
+        """Time until some engine takes a request of this entry again; 0 if one does now."""
+        least_s = math.inf
+        for engine in self._engines:
+            if not engine.leaving:
+                least_s = min(least_s, engine.rest_s(request.entry))
+            if not least_s:
+                break
+        return 0.0 if least_s == math.inf else least_s
 
     def _holds_lower(self, tier):
         if any(rank > tier for rank in self._queue.waiting_by_tier()):
--- a/wagtailtrestle/engines/notices.py
+++ b/wagtailtrestle/engines/notices.py
@@ -117,12 +117,18 @@
         age_s = self._limit_age_s(granted.engine)
         return age_s < KEPT_S and granted.limit_age_s > age_s + HEARD_SLACK_S
 
+    @property
+    def engines(self):
+        """Names of the engines that asked for something lately."""
+        return tuple(self._heard_by_engine)
+
     def of(self, engines):
         """Notices of these engines to tell a steward, with their age."""
         now = self._clock()
         notices = []
-        for engine, heard in self._heard_by_engine.items():
-            if engine not in engines:
+        for engine in engines:
+            heard = self._heard_by_engine.get(engine)
+            if heard is None:
                 continue
             told = {"engine": engine, "start_ms": heard.start_ms, "entry": self._router}
             if now - heard.limit_at < KEPT_S:
--- a/wagtailtrestle/entry/entry.py
+++ b/wagtailtrestle/entry/entry.py
@@ -179,15 +179,19 @@
         tasks = [task for task in self.tasks_by_id.values() if task.cell == cell]
         waiting = [task.grant_request() for task in tasks if task.state is RequestState.QUEUED and task.attempt]
         running = [task.running_record() for task in tasks if task.state is RequestState.DISPATCHED]
-        engines = {name for name, engine in self._declaration().engines_by_name.items() if engine.cell == cell}
         return Register(
             entry=self.name,
             cell=cell,
             waiting=tuple(waiting),
             running=tuple(running),
-            notices=self._notices.of(engines),
+            notices=self._notices_of(cell),
         )
 
+    def _notices_of(self, cell):
+        declared = self._declaration().engines_by_name
+        heard = [engine for engine in self._notices.engines if engine in declared]
+        return self._notices.of([engine for engine in heard if declared[engine].cell == cell])
+
     def cells_held(self):
         """Cells for which a request waits or runs."""
         return {task.cell for task in self.tasks_by_id.values()}
