Seeded test: engines that ask, in series with routers that die or pause

Four routers, four engines, 60 requests a second; seven events of a seeded plan: limits, rests, an engine that leaves, routers killed or paused, the store away. Checks the three bounds from the engines' own record, router by router, and that routers to which nothing happened answer 200, 429 or 503 only.

--- /dev/null
+++ b/tests/test_asking_engines.py
@@ -0,0 +1,133 @@
+"""Engines name limits, ask for rests and leave in series, while routers die and pause and the store goes away."""
+
+import os
+import random
+import threading
+import time
+import unittest
+
+from tests.utils.asking_engines import AskingEngine, Excuses, after_leaving, over_limit, within_rests
+from tests.utils.platform_world import World
+from tests.utils.steady_callers import SteadyCallers
+
+SEEDS = [int(seed) for seed in os.environ.get("ASKING_SEEDS", "1 4").split()]
+"""By hand, ``ASKING_SEEDS="1 2 3" python -m unittest tests.test_asking_engines``."""
+ROUTERS = 4
+ENGINES = 4
+PER_S = 60.0
+PLAY_S = 14.0
+LAST_EVENT_S = 9.0
+EVENTS = 7
+REST_S = 2.5
+ANSWERS = {200, 429, 503}
+
+
+def plan(seed):
+    """Events in order of their times: (time, what, on, value, duration)."""
+    chance = random.Random(seed)
+    events = []
+    leaves = False
+    for _ in range(EVENTS):
+        what = chance.choice(("limit", "limit", "rest", "leave", "kill", "pause", "store"))
+        if what == "leave" and leaves:
+            what = "rest"
+        leaves = leaves or what == "leave"
+        on = chance.randrange(ROUTERS if what in ("kill", "pause") else ENGINES)
+        value = round(chance.uniform(0.5, 6.0), 1) if what == "limit" else chance.choice((0.3, 0.6, 1.0))
+        events.append((chance.uniform(0.0, LAST_EVENT_S), what, on, value, chance.uniform(1.0, 4.0)))
+    return sorted(events)
+
+
+class Play:
+    """A world with its callers, disturbed by a plan."""
+
+    def __init__(self, *, seed):
+        self.events = plan(seed)
+        self.excuses = Excuses()
+        self.world = World(routers=ROUTERS)
+        for name in ("b-1", "b-2"):
+            self.world.engines.pop(name).close()
+        self.engines = [AskingEngine(name=f"n-{number}", service="booking", seed=seed) for number in range(ENGINES)]
+        for engine in self.engines:
+            engine.rest = str(REST_S)
+            self.world.engines[engine.name] = engine
+        self._busy_by_router = [threading.Lock() for _ in range(ROUTERS)]
+
+    def run(self):
+        """Play all events, and return the answers."""
+        self.world.start()
+        paths = [("GET", "/status/1"), ("POST", "/book/1")]
+        callers = SteadyCallers(world=self.world, paths=paths, per_s=PER_S).start()
+        time.sleep(1.0)
+        began_at = time.monotonic()
+        timers = []
+        for at, what, on, value, for_s in self.events:
+            time.sleep(max(0.0, began_at + at - time.monotonic()))
+            timers.append(threading.Thread(target=self._happen, args=(what, on, value, for_s), daemon=True))
+            timers[-1].start()
+        time.sleep(max(0.0, began_at + PLAY_S - time.monotonic()))
+        for timer in timers:
+            timer.join()
+        callers.close()
+        return callers.answers_by_router
+
+    def _happen(self, what, on, value, for_s):
+        match what:
+            case "limit" if self.engines[on].limit is None:
+                self.engines[on].name_limit(value, for_s + 3.0)
+            case "rest":
+                self.engines[on].ask_for_rests(REST_S, value, for_s)
+            case "leave":
+                self.engines[on].leaving = True
+            case "store":
+                self.world.store.down = True
+                time.sleep(for_s)
+                self.world.store.down = False
+            case "kill" | "pause":
+                self._disturb(what, on, for_s)
+
+    def _disturb(self, what, on, for_s):
+        router = self.world.routers[on]
+        with self._busy_by_router[on]:
+            self.excuses.note(str(on))
+            if what == "pause":
+                router.freeze()
+                time.sleep(for_s)
+                router.resume()
+            else:
+                router.kill()
+                time.sleep(0.3 * for_s)
+                router.start()
+                router.wait_ready()
+            self.excuses.note(str(on))
+
+
+class AskingEnginesTest(unittest.TestCase):
+    # Guards against a limit, rest or leaving that is kept alone, and lost beside another or with a router that dies.
+    def test_what_engines_ask_for_is_kept_whatever_else_happens(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.play(seed)
+
+    def play(self, seed):
+        play = Play(seed=seed)
+        try:
+            answers_by_router = play.run()
+        finally:
+            play.world.close()
+        told = f"seed {seed}: {[(round(at, 1), what, on, value) for at, what, on, value, _ in play.events]}"
+        for engine in play.engines:
+            for check in (over_limit, after_leaving, within_rests):
+                self.assertEqual(check(engine, play.excuses), [], f"{check.__name__} {engine.name}, {told}")
+        statuses = {
+            None if answer is None else answer.status
+            for router, answers in answers_by_router.items()
+            if not play.excuses.times_by_router[str(router)]
+            for answer in answers
+        }
+        self.assertLessEqual(statuses, ANSWERS, told)
+        print(f"{told}: {[len(engine.got) for engine in play.engines]} requests")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/utils/asking_engines.py
@@ -0,0 +1,140 @@
+"""Engines that name limits, ask for rests and leave by a seeded plan, and what the users allow them to get."""
+
+import random
+import threading
+import time
+from collections import defaultdict
+
+from tests.utils.world_engine import Engine
+
+WINDOW_S = 4.0
+EXCESS_RATIO = 1.5
+EXCESS = 5
+CONTACT_S = 3.0
+"""Time from the first naming of a limit from which it counts."""
+TOLD_S = 0.5
+"""Time after which a router that was told is bound."""
+DRAIN_S = 2.0
+MOST_IN_A_REST = 2
+WORK_S = 0.03
+
+
+class AskingEngine(Engine):
+    """An engine that keeps what reached it and what it told whom.
+
+    Attributes
+    ----------
+    rest_share : float
+        Part of the requests that it turns away while it asks for rests.
+    got : list of (float, str, float)
+        Arrival, router, and when the caller sent it, by the steady clock.
+    told_limit, told_leaving : list of (float, str)
+        When a router was told, and which.
+    limits : list of (float, float, float)
+        Beginning, end and requests a second of each limit.
+    """
+
+    def __init__(self, *, name, service, seed):
+        self.rest_share = 0.0
+        self.got = []
+        self.told_limit = []
+        self.told_leaving = []
+        self.limits = []
+        self._chance = random.Random(f"{seed} {name}")
+        self._lock = threading.Lock()
+        super().__init__(name=name, service=service)
+        self.delay_s = WORK_S
+
+    def serve(self, handler):
+        router = handler.headers.get("X-Router")
+        if router is None:
+            super().serve(handler)
+            return
+        with self._lock:
+            self.got.append((time.monotonic(), router, float(handler.headers["X-Sent-At"])))
+            if self._chance.random() < self.rest_share:
+                self.script.append("full")
+        limit, leaving = self.limit, self.leaving
+        super().serve(handler)
+        if limit is not None and self.limit == limit:
+            self.told_limit.append((time.monotonic(), router))
+        if leaving:
+            self.told_leaving.append((time.monotonic(), router))
+
+    def name_limit(self, limit_per_s, for_s):
+        """Name a limit for a time."""
+        self.limit = str(limit_per_s)
+        began_at = time.monotonic()
+        self.limits.append((began_at, began_at + for_s, limit_per_s))
+        threading.Timer(for_s, self._end_limit).start()
+
+    def ask_for_rests(self, rest_s, share, for_s):
+        """Turn a share away for a time, and ask their routers for a rest."""
+        self.rest = str(rest_s)
+        self.rest_share = share
+        threading.Timer(for_s, self._end_rests).start()
+
+    def _end_limit(self):
+        self.limit = None
+
+    def _end_rests(self):
+        self.rest_share = 0.0
+
+
+class Excuses:
+    """Times at which routers were killed, paused or started."""
+
+    def __init__(self):
+        self.times_by_router = defaultdict(list)
+
+    def note(self, router):
+        self.times_by_router[router].append(time.monotonic())
+
+    def holds(self, router, since, until):
+        """Whether something happened to the router in that time."""
+        return any(since <= at <= until for at in self.times_by_router[router])
+
+
+def over_limit(engine, excuses):
+    """Spans in which an engine got more than its limit allows, as (limit, requests)."""
+    found = []
+    for began_at, ended_at, limit_per_s in engine.limits:
+        told_at = {}
+        for at, router in engine.told_limit:
+            if began_at <= at <= ended_at:
+                told_at.setdefault(router, at)
+        bound = [
+            at
+            for at, router, _ in engine.got
+            if router in told_at
+            and told_at[router] + TOLD_S <= at <= ended_at
+            and not excuses.holds(router, told_at[router], at)
+        ]
+        for last in bound:
+            count = sum(last - WINDOW_S <= at <= last for at in bound)
+            if last >= began_at + CONTACT_S and count > EXCESS_RATIO * limit_per_s * WINDOW_S + EXCESS:
+                found.append((limit_per_s, count))
+    return found
+
+
+def after_leaving(engine, excuses):
+    """Requests that reached an engine too late after it had told their router that it leaves."""
+    told_at = {}
+    for at, router in engine.told_leaving:
+        told_at.setdefault(router, at)
+    return [
+        (router, round(sent_at - told_at[router], 3))
+        for at, router, sent_at in engine.got
+        if router in told_at and sent_at > told_at[router] + DRAIN_S and not excuses.holds(router, told_at[router], at)
+    ]
+
+
+def within_rests(engine, excuses):
+    """Rests within which an engine got more than it may, as (router, requests)."""
+    found = []
+    for asked_at, router in engine.turned_away:
+        until = asked_at + float(engine.rest)
+        times = [at for at, by, _ in engine.got if by == router and asked_at + TOLD_S < at < until]
+        if len(times) > MOST_IN_A_REST and not excuses.holds(router, asked_at, until):
+            found.append((router, len(times)))
+    return found
--- a/tests/utils/steady_callers.py
+++ b/tests/utils/steady_callers.py
@@ -3,6 +3,7 @@
 import itertools
 import threading
 import time
+from collections import defaultdict
 from concurrent.futures import ThreadPoolExecutor
 
 THREADS = 48
@@ -24,10 +25,12 @@
     ----------
     answers : list of Answer
         ``None`` stands for one that got no answer.
+    answers_by_router : dict of int to list of Answer
     """
 
     def __init__(self, *, world, paths, per_s, routers=None):
         self.answers = []
+        self.answers_by_router = defaultdict(list)
         self._world = world
         self._paths = paths
         self._per_s = per_s
@@ -60,11 +63,13 @@
     def _send(self, number):
         method, path = self._paths[number % len(self._paths)]
         router = self._routers[number % len(self._routers)]
+        headers = {"X_Router": str(router), "X_Sent_At": repr(time.monotonic())}
         try:
-            answer = self._world.ask(method, path, router=router, request_id=f"steady-{number}", X_Router=str(router))
+            answer = self._world.ask(method, path, router=router, request_id=f"steady-{number}", **headers)
         except OSError:
             answer = None
         self.answers.append(answer)
+        self.answers_by_router[router].append(answer)
 
 
 def most_within(times, window_s):
