A rest that is told again doesn't end a rate limit

What callers saw: nothing yet; found by reading. An engine under a limit that also asks for a rest could get its whole load back while the limit holds.

Cause: a registration and a second telling bear the rest without the limit, and the steward counted each as an answer that names no limit any more. Only a notice without a rest proves that now. Ruled out: a flag for what is told again (the rest's own answer says little of the limit either way).

tests.test_rest_notices test_a_rest_told_again_ends_no_limit failed before: no limit in force after nine registrations, 2.0 a second is due.

--- a/tests/test_rest_notices.py
+++ b/tests/test_rest_notices.py
@@ -50,6 +50,14 @@
         self.cell.receive(register("r1", notices=(rests(),)), ask("a1"), ask("a2"), ask("a3"))
         self.assertEqual(self.granted(), {("a", "e2")})
 
+    # Guards against a rest that is told again, taken for answers that name no limit any more.
+    def test_a_rest_told_again_ends_no_limit(self):
+        self.cell.receive(EngineNotice(engine="e1", limit_per_s=2.0))
+        self.cell.advance(2.0)
+        self.cell.receive(*[register("r1", notices=(rests(),)) for _ in range(9)])
+        self.cell.advance(3.0)
+        self.assertEqual(self.cell.steward._runs.engines_by_name["e1"].rate_limit.per_s(), 2.0)
+
     # Guards against a suspect that runs alone on an engine that wants a rest.
     def test_a_suspect_leaves_the_engine_out(self):
         self.cell.receive(rests(), ask("s", alone=True))
--- a/wagtailtrestle/engines/state.py
+++ b/wagtailtrestle/engines/state.py
@@ -218,6 +218,8 @@
             self._said_leaving_at = max(self._said_leaving_at, self._clock() - notice.age_s)
             self._refresh_limit()
             return
+        if notice.rest_s and not notice.names_limit:
+            return  # It may be told again and again: no answer that proves the end of a limit.
         was_limited = self.rate_limit.in_force
         self.rate_limit.hear(notice.limit_per_s, age_s=notice.age_s)
         if self.rate_limit.in_force and not was_limited:
