A place is given back once for what a steward doesn't know, not without end

What callers saw: nothing yet; found by reading. A steward that learned from a report that an engine started again ignores notices of its former start. An entry that hasn't heard of it gave each place there back and was granted the same again, as fast as messages go, for as long as the rest or limit held.

The second time the request leaves the engine out. Ruled out: using the second grant (it would send within a rest); asking the declaration for the start alone (that is what lags).

tests.test_rest_notices test_a_second_grant_within_the_rest_leaves_the_engine_out failed before: nothing excluded.

--- a/tests/test_rest_notices.py
+++ b/tests/test_rest_notices.py
@@ -83,6 +83,16 @@
         await request.grant("e1")
         self.assertEqual(len(request.caller.starts), 1)
 
+    # Guards against a place given back without end: the steward may know a later start of the engine than this entry.
+    @on_paused_clock
+    async def test_a_second_grant_within_the_rest_leaves_the_engine_out(self):
+        request = OneRequest()
+        request.entry.post("r1", rests())
+        await request.grant("e1")
+        self.assertEqual(request.asks[-1].excluded_engines, ())
+        await request.grant("e1")
+        self.assertEqual(request.asks[-1].excluded_engines, ("e1",))
+
     # Guards against a shorter rest, asked for in an answer that came later, that ends a longer one.
     @on_paused_clock
     async def test_the_longest_rest_holds(self):
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -104,6 +104,7 @@
         "_inbox",
         "_reports",
         "_excluded",
+        "_given_back",
         "_reach",
         "_not_sent",
         "_attaches",
@@ -132,6 +133,7 @@
         self._inbox = asyncio.Queue()
         self._reports = RunReports(request_id=request.request_id, send=lambda message: context.send(self.cell, message))
         self._excluded = set()
+        self._given_back = set()
         self._reach = Reach()
         self._not_sent = 0
         self._attaches = Attaches()
@@ -253,8 +255,10 @@
                     # ask leaves the engine out.
                     self.context.tell_again(message.engine)
                     self._reports.gave_back(message.engine)
-                    if not is_in_use:
+                    # A steward that grants it again after it was told may know a later start of the engine.
+                    if not is_in_use or message.engine in self._given_back:
                         self._excluded.add(message.engine)
+                    self._given_back.add(message.engine)
                     self.attempt += 1
                     self.context.send(self.cell, self.grant_request())
 
