--- a/wagtailtrestle/capacity/run_book.py
+++ b/wagtailtrestle/capacity/run_book.py
@@ -169,7 +169,7 @@
         return fresh
 
     def on_notice(self, notice):
-        """Take in what an engine said of itself in an answer; a line tells when its limit begins or ends."""
+        """Take in what an engine said of itself in an answer."""
         engine = self.engines_by_name.get(notice.engine)
         if engine is not None:
             engine.hear(notice)
--- a/wagtailtrestle/engines/notices.py
+++ b/wagtailtrestle/engines/notices.py
@@ -9,14 +9,14 @@
 from wagtailtrestle.engines.rate_limit import KEPT_S
 
 HEARD_SLACK_S = 0.5
-"""How much older than this router's own word a steward's may be: grants that were on their way are used."""
+"""How much older than this router's own notice a steward's may be: grants that were on their way are used."""
 
 MOST_REST_S = 3600.0
 """Longest rest that an engine is granted."""
 
 LEAVING_KEPT_S = 300.0
-"""Time for which an engine's word that it leaves holds, unless it starts again: it is gone before, and one that only
-its name tells from its former start is used again then."""
+"""Time for which a notice of leaving holds unless the engine tells another start; one that starts again under its name
+without telling so is used again after it."""
 
 
 def read_notice(command, *, limit, leaving, retry_after=None):
--- a/wagtailtrestle/entry/entry.py
+++ b/wagtailtrestle/entry/entry.py
@@ -67,7 +67,8 @@
     def is_in_use(self, engine):
         """Whether an engine is known here and does not leave, as far as this router knows.
 
-        Its own word goes before its entry's, which may be of before: the store can be away, or come back from a copy.
+        Its own notice takes precedence over its entry, which may be older: the store can be unreachable, or restored
+        from a copy.
         """
         declared = self._declaration().engines_by_name.get(engine)
         return declared is not None and not declared.leaving and not self._notices.is_leaving(declared)
