Tests of what is read from an answer's head, in both dialects

Trust and rubbish: another engine's or request's answer says nothing, a limit that can't be read neither holds nor ends, Retry-After counts only where the request was turned away. The two new modules join those that import no I/O.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -27,6 +27,8 @@
     "engines.prefix_cache",
     "engines.policies",
     "engines.health",
+    "engines.notices",
+    "engines.rate_limit",
     "membership.membership",
     "peers.rendezvous",
     "configuration.applying",
--- /dev/null
+++ b/tests/test_notice_reading.py
@@ -0,0 +1,73 @@
+"""What is read from the head of an answer, in the product's own dialect and in the platform's."""
+
+import math
+import unittest
+from types import SimpleNamespace
+
+from tests.utils.engines import plain_call
+from wagtailtrestle.contracts.exchange import StartRun
+from wagtailtrestle.platform.engines import PlatformCall
+
+RUN_ID, REQUEST_ID = "r.1", "caller-1"
+START_MS = 1000
+
+
+def answer(headers, *, status=200):
+    command = StartRun(
+        run_id=RUN_ID,
+        engine="e1",
+        address="",
+        first_token_deadline_s=1.0,
+        progress_deadline_s=1.0,
+        overall_s=1.0,
+        start_ms=START_MS,
+    )
+    return SimpleNamespace(command=command, response=SimpleNamespace(status=status, headers=headers))
+
+
+class OwnDialectTest(unittest.TestCase):
+    def read(self, *, run_id=RUN_ID, status=200, **headers):
+        headers = {name.replace("_", "-"): value for name, value in headers.items()}
+        return plain_call().notice(answer({"X-Request-Id": run_id} | headers, status=status))
+
+    def test_all_that_an_engine_may_ask_for(self):
+        notice = self.read(status=503, X_Rate_Limit="2.3", X_Leaving="yes", Retry_After="3")
+        self.assertEqual((notice.engine, notice.start_ms), ("e1", START_MS))
+        self.assertEqual((notice.limit_per_s, notice.leaving, notice.rest_s), (2.3, True, 3.0))
+
+    # Guards against a service's Retry-After on an answer to a request that it ran.
+    def test_only_an_answer_that_turns_away_asks_for_a_rest(self):
+        self.assertFalse(self.read(status=200, Retry_After="3").asks_something)
+
+    # Guards against another run's answer, read on this connection, that binds this engine.
+    def test_a_stray_answer_says_nothing(self):
+        self.assertIsNone(self.read(run_id="r.2", X_Leaving="yes"))
+
+
+class PlatformDialectTest(unittest.TestCase):
+    def read(self, *, request_id=REQUEST_ID, status=200, **headers):
+        call = PlatformCall(
+            method="GET", target="/", headers={}, body=b"", request_id=REQUEST_ID, team="", is_streamed=False
+        )
+        headers = {name.replace("_", "-"): value for name, value in headers.items()}
+        return call.notice(answer({"Request-Id": request_id} | headers, status=status))
+
+    def test_all_that_an_engine_may_ask_for(self):
+        notice = self.read(status=503, Server_Limit="2.3", Server_Leaving="1", Retry_After="3")
+        self.assertEqual((notice.limit_per_s, notice.leaving, notice.rest_s), (2.3, True, 3.0))
+
+    # Guards against another engine at the address, or another request's answer, that takes this engine out of use.
+    def test_an_answer_of_another_engine_or_request_says_nothing(self):
+        self.assertIsNone(self.read(status=421, Server_Leaving="1"))
+        self.assertIsNone(self.read(request_id="another", Server_Leaving="1"))
+
+    # Guards against a limit that nobody can read and that ends the one before it.
+    def test_a_limit_that_cannot_be_read_neither_holds_nor_ends(self):
+        for text in ("", "many", "-1", "nan", "inf"):
+            with self.subTest(text=text):
+                self.assertIsNone(self.read(Server_Limit=text))
+        self.assertEqual(self.read().limit_per_s, math.inf)
+
+
+if __name__ == "__main__":
+    unittest.main()
