Tests of engines that ask: a failure tells what callers read

Its message told only that the sets differ, so that the cause is not known. The checks are as strict as before, and now show the status, Retry-After and body, or the connection's error.

--- a/tests/test_asking_engines.py
+++ b/tests/test_asking_engines.py
@@ -120,7 +120,7 @@
             for check in (over_limit, after_leaving, within_rests):
                 self.assertEqual(check(engine, play.excuses), [], f"{check.__name__} {engine.name}, {told}")
         statuses = {
-            None if answer is None else answer.status
+            answer.status
             for router, answers in answers_by_router.items()
             if not play.excuses.times_by_router[str(router)]
             for answer in answers
--- a/tests/test_engine_leaving.py
+++ b/tests/test_engine_leaving.py
@@ -35,7 +35,7 @@
         late = [at for at in self.leaving.arrivals if at > told_at + TOLD_S + DRAIN_S]
         self.assertEqual(len(late), 0)
         self.callers.close()
-        self.assertEqual(set(self.callers.statuses()), {200})
+        self.assertEqual((self.callers.not_served(), set(self.callers.statuses())), ([], {200}))
 
     # Guards against work for an engine whose word reached its routers while the store, which they asked, was away.
     def test_an_engine_that_leaves_while_the_store_is_away_gets_nothing_more(self):
--- a/tests/test_engine_limits.py
+++ b/tests/test_engine_limits.py
@@ -56,7 +56,7 @@
         arrivals = self.check_limit(self.limited, named_at + HEARD_S, 2.3)
         self.assertGreaterEqual(len(arrivals), 0.5 * 2.3 * HELD_S)
         callers.close()
-        self.assertEqual(set(callers.statuses()), {200})
+        self.assertEqual((callers.not_served(), set(callers.statuses())), ([], {200}))
 
     # Guards against a limit that every engine names and that is kept engine by engine only at each router.
     def test_all_engines_limited_keep_their_share_and_refusals_are_told_when_to_return(self):
@@ -87,7 +87,7 @@
         callers.close()
         mine, others = (sum(at > since for at in engine.arrivals) for engine in (self.limited, self.other))
         self.assertGreater(mine, 0.5 * others)
-        self.assertEqual(set(callers.statuses()), {200})
+        self.assertEqual((callers.not_served(), set(callers.statuses())), ([], {200}))
 
 
 class LimitedStreamsTest(LimitCase):
--- a/tests/test_engine_rest.py
+++ b/tests/test_engine_rest.py
@@ -55,7 +55,7 @@
         time.sleep(WATCHED_S)
         self.check_rests(self.engines[0])
         self.callers.close()
-        self.assertEqual(set(self.callers.statuses()), {200})
+        self.assertEqual((self.callers.not_served(), set(self.callers.statuses())), ([], {200}))
 
     # Guards against the same where all engines ask for it, so that there is nowhere else to send.
     def test_all_engines_get_their_rest_and_callers_are_told_when_to_return(self):
--- a/tests/utils/steady_callers.py
+++ b/tests/utils/steady_callers.py
@@ -9,6 +9,15 @@
 THREADS = 48
 
 
+class NoAnswer:
+    """Stands for the answer of a request whose connection failed."""
+
+    status = None
+
+    def __init__(self, error):
+        self.error = error
+
+
 class SteadyCallers:
     """Requests at a steady rate to a world's routers in turn.
 
@@ -23,9 +32,8 @@
 
     Attributes
     ----------
-    answers : list of Answer
-        ``None`` stands for one that got no answer.
-    answers_by_router : dict of int to list of Answer
+    answers : list of Answer or NoAnswer
+    answers_by_router : dict of int to list of Answer or NoAnswer
     """
 
     def __init__(self, *, world, paths, per_s, routers=None):
@@ -50,7 +58,15 @@
         self._pool.shutdown()
 
     def statuses(self):
-        return [None if answer is None else answer.status for answer in self.answers]
+        return [answer.status for answer in self.answers]
+
+    def not_served(self):
+        """What those read that got no 200: status, Retry-After and body, or what the connection came to."""
+        return [
+            repr(answer.error) if answer.status is None else (answer.status, answer.headers["Retry-After"], answer.body)
+            for answer in self.answers
+            if answer.status != 200
+        ]
 
     def _send_on(self):
         due_at = time.monotonic()
@@ -66,8 +82,8 @@
         headers = {"X_Router": str(router), "X_Sent_At": repr(time.monotonic())}
         try:
             answer = self._world.ask(method, path, router=router, request_id=f"steady-{number}", **headers)
-        except OSError:
-            answer = None
+        except OSError as error:
+            answer = NoAnswer(error)
         self.answers.append(answer)
         self.answers_by_router[router].append(answer)
 
