--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -207,7 +207,7 @@
 
 
 class SuspectTest(unittest.TestCase):
-    # Guards against a request that runs alone, or that a roll-out places, beside the limit of its engine.
+    # Guards against a request that runs alone and is sent beside the limit of its engine.
     def test_a_suspect_waits_for_the_limit(self):
         cell = Cell(members=("r1",))
         cell.receive(register("r1"), notice(1.0), ask("s", alone=True))
@@ -215,6 +215,7 @@
         cell.advance(1.1)
         self.assertEqual(cell.entries.ids(Granted), ["s"])
 
+    # Guards against requests that a roll-out places beside the limit of their engine.
     def test_places_for_a_roll_out_keep_to_the_limit(self):
         cell = Cell(members=("r1",))
         cell.receive(register("r1"), notice(1.0))
