Admission: the rate of a calm time is not taken for what a cell can do

What callers saw: 429, "The service is full with work of this tier or higher.", Retry-After about 0.35, beside engines that had nothing to do a moment later.

Cause: a request that is to begin soon is refused on arrival when the work ahead of it, divided by the work granted per second, exceeds half of the time to its start. Grants were counted over all time. Below saturation they tell how much is asked for, not how much the cell can do; after a lull they tell less still. A burst, or what piles up while a machine stalls, then met a refusal although the places would have come free in time.

Evidence: a steward with two engines of eight places and runs of 0.03 s (some 530 a second), asked 40 times a second: the rate reads 1.10 of work, 0.69 after a lull of 1 s, and of 32 requests at once 6 are refused, all on arrival.

Ruled out: the limit itself (it comes without one, with more to spare), expiry in the queue (the refusals come on arrival), a rest (no engine asked for one), an overflow of the queue (at most 40 wait).

Now time counts for the rate only while no engine has room. A cell that was not full for most of the window has no rate, and nothing is refused by it: what is too much waits until its latest start, as in the first second of a cell's life.

--- a/tests/test_begin_soon.py
+++ b/tests/test_begin_soon.py
@@ -10,13 +10,16 @@
 
 HOPED_FOR_S = 1.0
 RUN_S = 1.1
+TOKENS = 100
 
 
 class Overload:
-    """One engine of two places, asked for many times what it can do."""
+    """Engines with few places, one of two by default, that are asked for many times what they can do."""
 
-    def __init__(self):
-        self.cell = Cell(slots=2)
+    def __init__(self, *, engines=("e1",), slots=2, run_s=RUN_S, tokens=TOKENS):
+        self._run_s = run_s
+        self._tokens = tokens
+        self.cell = Cell(engines=engines, slots=slots)
         self.cell.measure()
         self.asked_at = {}
         self.refused_at = {}
@@ -27,7 +30,8 @@
         self._number += 1
         request_id = f"q{self._number}"
         self.asked_at[request_id] = self.cell.clock.now
-        self.cell.receive(ask(request_id, tier=tier, first_token_within_s=HOPED_FOR_S, remaining_s=15.0))
+        tokens = {"prompt_tokens": self._tokens, "output_tokens": self._tokens}
+        self.cell.receive(ask(request_id, tier=tier, first_token_within_s=HOPED_FOR_S, remaining_s=15.0, **tokens))
         self._note()
         return request_id
 
@@ -39,17 +43,18 @@
 
     def step(self, seconds):
         self.cell.advance(seconds)
-        for request_id, ends_at in list(self._ends.items()):
+        for request_id, (engine, ends_at) in list(self._ends.items()):
             if ends_at <= self.cell.clock.now:
                 del self._ends[request_id]
-                self.cell.receive(finished(request_id, duration_s=RUN_S, output_tokens=100))
+                message = finished(request_id, on=engine, duration_s=self._run_s, output_tokens=self._tokens)
+                self.cell.receive(message)
         self._note()
 
     def _note(self):
         now = self.cell.clock.now
         for message in self.cell.entries.sent:
             if isinstance(message, Granted):
-                self._ends[message.request_id] = now + RUN_S
+                self._ends[message.request_id] = (message.engine, now + self._run_s)
             elif isinstance(message, Refused):
                 self.refused_at[message.request_id] = now
                 self.last_refusal = message
@@ -132,7 +137,38 @@
         self.assertGreaterEqual(above_lower, 1.5 * among_its_own)
 
 
+class BurstTest(unittest.TestCase):
+    SHORT_S = 0.03
+    SHORT_TOKENS = 3
+    CALM_PER_S = 40
+
+    # Guards against the rate of a calm time that is taken for all that the cell can do.
+    def test_a_burst_after_a_lull_is_not_refused_beside_engines_that_serve_it_in_time(self):
+        overload = Overload(engines=("e1", "e2"), slots=8, run_s=self.SHORT_S, tokens=self.SHORT_TOKENS)
+        overload.run(6.0, per_s=self.CALM_PER_S)
+        overload.step(1.0)
+        for _ in range(self.CALM_PER_S):
+            overload.ask()
+        for _ in range(100):
+            overload.step(0.01)
+        self.assertEqual(overload.refused_at, {})
+
+
 class GrantRateTest(unittest.TestCase):
+    def test_time_beside_free_places_tells_nothing(self):
+        now = [0.0]
+        rate = GrantRate(clock=lambda: now[0])
+        rate.note_full(False)
+        for _ in range(100):
+            now[0] += 0.1
+            rate.note(0.3)
+        self.assertIsNone(rate.per_s())
+        rate.note_full(True)
+        for _ in range(100):
+            now[0] += 0.1
+            rate.note(0.3)
+        self.assertAlmostEqual(rate.per_s(), 3.0, delta=0.3)
+
     def test_it_is_not_believed_before_its_window(self):
         now = [0.0]
         rate = GrantRate(clock=lambda: now[0])
--- a/wagtailtrestle/capacity/admission.py
+++ b/wagtailtrestle/capacity/admission.py
@@ -40,7 +40,7 @@
 GRANT_WINDOW_S = 1.5
 """Time over which grants are averaged: a few runs' length, so that a burst or a loss of engines shows at once."""
 GRANT_EVIDENCE = 0.6
-"""Part of the window that must have passed before its rate is believed."""
+"""Part of the window in which the cell must have been full before its rate is believed."""
 START_WAIT_SHARE = 0.5
 """Part of the time to its start that a request may be predicted to wait. The prediction leaves out what
 arrives above it meanwhile; and whoever will be refused in the end is better off told at once."""
@@ -114,16 +114,18 @@
 
 
 class GrantRate:
-    """Engine-seconds of work granted per second, over a fading window.
+    """Engine-seconds of work granted per second of a full cell, over a fading window.
 
     Judged by its engines' models, a cell looks faster than it is while engines are slow or broken.
-    What it really takes up is seen in its grants.
+    What it really takes up is seen in its grants, but only while it is full: beside free places they
+    tell how much was asked for.
     """
 
-    __slots__ = ("_clock", "_work_s", "_grants", "_seconds", "_at")
+    __slots__ = ("_clock", "_work_s", "_grants", "_seconds", "_at", "_is_full")
 
     def __init__(self, *, clock):
         self._clock = clock
+        self._is_full = True
         self._work_s = 0.0
         self._grants = 0.0
         self._seconds = 0.0
@@ -135,12 +137,17 @@
         self._work_s += work_s
         self._grants += 1.0
 
+    def note_full(self, is_full):
+        """Count the time from now on, or leave it out while places are free."""
+        self._fade()
+        self._is_full = is_full
+
     def mean_work_s(self):
         """Mean work of a grant; 0 before the first."""
         return self._work_s / self._grants if self._grants else 0.0
 
     def per_s(self):
-        """Present rate; ``None`` until there is a window's worth of it."""
+        """Present rate; ``None`` until the cell was full for most of a window."""
         self._fade()
         if self._seconds < GRANT_EVIDENCE * GRANT_WINDOW_S:
             return None
@@ -153,7 +160,9 @@
         kept = math.exp(-elapsed_s / GRANT_WINDOW_S)
         self._work_s *= kept
         self._grants *= kept
-        self._seconds = self._seconds * kept + GRANT_WINDOW_S * (1.0 - kept)
+        self._seconds *= kept
+        if self._is_full:
+            self._seconds += GRANT_WINDOW_S * (1.0 - kept)
 
 
 class CellSpeed:
@@ -244,6 +253,10 @@
         """Count a grant as work that the cell took up."""
         self._granted.note(waiting.work_s)
 
+    def note_places(self):
+        """Take in whether the cell is full; a few times within ``GRANT_WINDOW_S``."""
+        self._granted.note_full(not any(engine.room for engine in self._engines))
+
     def overflow(self) -> WaitingRequest | None:
         """Return a waiting request to give up as too many wait, or ``None``.
 
--- a/wagtailtrestle/capacity/steward.py
+++ b/wagtailtrestle/capacity/steward.py
@@ -232,6 +232,7 @@
         self._queue.unpark_some(UNPARK_IN_A_ROW)
         self._isolation.yield_to_urgent(self._runs.engines)
         self._grant_ready()
+        self._admission.note_places()
         self._preempt()
 
     # What is told.
