Admission: free places of an engine that rests don't make a cell look idle

What callers would see: under an overload beside one engine that asked for a rest, a refusal after 0.7 of the time to the hoped-for first token instead of at once.

An engine that rests keeps its room, as others may use it, so with every entry sent away the cell would never count as full.

--- a/tests/test_begin_soon.py
+++ b/tests/test_begin_soon.py
@@ -5,7 +5,7 @@
 from tests.utils.steward_fakes import Cell, ask, finished
 from wagtailtrestle.capacity.admission import LEAST_QUICK_RETRY_S, GrantRate
 from wagtailtrestle.capacity.grants import START_SHARE
-from wagtailtrestle.contracts.messages import Granted, Refused
+from wagtailtrestle.contracts.messages import EngineNotice, Granted, Refused
 from wagtailtrestle.contracts.outcomes import Reason
 
 HOPED_FOR_S = 1.0
@@ -79,7 +79,15 @@
     def test_under_overload_the_refusal_comes_at_once(self):
         # Ten requests a second for a cell that begins two. Each refused one that waited first was
         # kept from asking elsewhere for nothing.
-        overload = Overload()
+        self.check_refused_at_once(Overload())
+
+    # Guards against the free places of an engine that nobody may use, and that would make the cell look not full.
+    def test_under_overload_it_comes_at_once_beside_an_engine_that_rests(self):
+        overload = Overload(engines=("e1", "e2"))
+        overload.cell.receive(EngineNotice(engine="e2", entry="r1", rest_s=30.0))
+        self.check_refused_at_once(overload)
+
+    def check_refused_at_once(self, overload):
         overload.run(6.0, per_s=10)
         late = [request_id for request_id, at in overload.asked_at.items() if at > overload.cell.clock.now - 3.0]
         refused = [request_id for request_id in late if request_id in overload.refused_at]
--- a/wagtailtrestle/engines/state.py
+++ b/wagtailtrestle/engines/state.py
@@ -228,6 +228,11 @@
                 self.rate_limit.note_former(grant.granted_at)
         self._count_room()
 
+    @property
+    def rests(self):
+        """Whether it wants nothing from some entry."""
+        return bool(self._rest_until_by_entry)
+
     def rest_s(self, entry):
         """Time left in which it wants nothing from an entry; 0 without a rest."""
         if not self._rest_until_by_entry:
