Roll-outs: runs that fill their engine are judged by themselves

What callers saw: a version that fails half of its runs when its engine is full was completed, and then failed them at full load.

Cause: an untested version gets about a hundred runs, saved up and sent in a row; some ten find their engine full, three or four fail. The sums of log likelihood ratios, by route and over all, fall back to zero between them: each failure adds 2.77, each good run takes 0.17.

Ruled out: routes left out by the ramp (104 of 108 allowed were exposed, both routes among the failures), a verdict that comes too late (the sums were near zero, not near the threshold). Not ruled out: slow runs of the old version, which raise what counts as usual, add to it.

Now a grant tells whether it filled its engine, and these runs have a sum of their own, against what the old version shows on full engines, or on the route as long as it has shown little.

The judgement's test by itself: without the new sum these runs reach 2.8 of the 5.5 needed. The steward's test double takes the new argument.

--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -54,11 +54,17 @@
 
 
 class JudgementTest(unittest.TestCase):
-    def note(self, judgement, count, *, is_target, result=DONE, pace=0.04, at_s=0.0, gap_s=0.1):
+    def note(self, judgement, count, *, is_target, result=DONE, pace=0.04, at_s=0.0, gap_s=0.1, was_full=False):
         for number in range(count):
             name = "new" if is_target else "old"
             judgement.note(
-                route="r", engine=name, is_target=is_target, result=result, pace=pace, now=at_s + number * gap_s
+                route="r",
+                engine=name,
+                is_target=is_target,
+                result=result,
+                pace=pace,
+                now=at_s + number * gap_s,
+                was_full=was_full,
             )
 
     def test_crash_of_one_engine_is_not_a_versions_fault(self):
@@ -90,6 +96,29 @@
         self.assertFalse(judgement.is_bad)
 
 
+    # Guards against failures of full engines that are lost among the many runs of engines that aren't.
+    def test_version_that_fails_only_on_full_engines_is_bad(self):
+        judgement = Judgement()
+        self.note(judgement, 300, is_target=False)
+        for _ in range(4):
+            self.note(judgement, 22, is_target=True)
+            self.note(judgement, 1, is_target=True, was_full=True)
+            self.note(judgement, 1, is_target=True, was_full=True, result="RunFailed")
+        self.assertTrue(judgement.is_bad)
+
+    # Guards against a good version that is blamed for what the old one does on full engines too.
+    def test_what_both_versions_fail_on_full_engines_is_not_the_targets_fault(self):
+        judgement = Judgement()
+        self.note(judgement, 300, is_target=False)
+        self.note(judgement, 20, is_target=False, was_full=True)
+        self.note(judgement, 20, is_target=False, was_full=True, result="RunFailed")
+        for _ in range(4):
+            self.note(judgement, 22, is_target=True)
+            self.note(judgement, 1, is_target=True, was_full=True)
+            self.note(judgement, 1, is_target=True, was_full=True, result="RunFailed")
+        self.assertFalse(judgement.is_bad)
+
+
 class PlayedTest(unittest.TestCase):
     def test_good_version_is_never_rolled_back(self):
         found = [seed for seed in SEEDS if play(VERSIONS_BY_NAME[GOOD], seed).found_at_s is not None]
@@ -224,6 +253,7 @@
         self.is_open = True
         self.granted = []
         self.ended = []
+        self.full_by_request_id = {}
 
     def wants(self, request):
         return self.is_open
@@ -234,8 +264,9 @@
     def note_grant(self, request, version):
         self.granted.append(version)
 
-    def note_end(self, *, request, engine, version, finished):
+    def note_end(self, *, request, engine, version, finished, was_full):
         self.ended.append((engine, version, finished.result))
+        self.full_by_request_id[request.request_id] = was_full
 
 
 class StewardTest(unittest.TestCase):
@@ -261,6 +292,10 @@
         self.cell.receive(ask("a"), finished("a", on="e2", result="RunFailed"))
         self.assertEqual(self.rollout.ended, [("e2", "v2", "RunFailed")])
 
+    def test_end_of_a_run_tells_whether_its_engine_was_full(self):
+        self.cell.receive(ask("a"), ask("b"), finished("a", on="e2"), finished("b", on="e2"))
+        self.assertEqual(self.rollout.full_by_request_id, {"a": False, "b": True})
+
     def test_held_back_engine_that_is_full_leaves_the_request_to_others(self):
         self.cell.receive(ask("a"), ask("b"), ask("c"))
         self.assertEqual(self.engines_granted(), ["e2", "e2", "e1"])
--- a/wagtailtrestle/capacity/grants.py
+++ b/wagtailtrestle/capacity/grants.py
@@ -108,6 +108,8 @@
         When its place was taken back; the run is still to end.
     orphaned_at : float or None
         When its entry left the view; the engine may still run it.
+    filled : bool
+        Whether its engine was full with it when it was granted.
     """
 
     __slots__ = (
@@ -123,6 +125,7 @@
         "progress_at",
         "preempted_at",
         "orphaned_at",
+        "filled",
         "_concurrency_sum",
         "_concurrency_samples",
     )
@@ -142,6 +145,7 @@
         self.progress_at = granted_at
         self.preempted_at = None
         self.orphaned_at = None
+        self.filled = False
         self._concurrency_sum = 0
         self._concurrency_samples = 0
 
--- a/wagtailtrestle/capacity/run_book.py
+++ b/wagtailtrestle/capacity/run_book.py
@@ -106,6 +106,7 @@
         grant.deadline = deadline
         engine = self.engines_by_name[engine_name]
         engine.add(grant)
+        grant.filled = engine.is_full
         engine.cache.stored(request.prefix_blocks, request.block_tokens)
         return grant
 
--- a/wagtailtrestle/capacity/steward.py
+++ b/wagtailtrestle/capacity/steward.py
@@ -283,7 +283,11 @@
             engine = self._runs.engines_by_name.get(grant.engine)
             if engine is not None:
                 self._rollout.note_end(
-                    request=grant.request, engine=engine.name, version=engine.version, finished=message
+                    request=grant.request,
+                    engine=engine.name,
+                    version=engine.version,
+                    finished=message,
+                    was_full=grant.filled,
                 )
         self._runs.on_finished(message)
 
--- a/wagtailtrestle/engines/state.py
+++ b/wagtailtrestle/engines/state.py
@@ -129,6 +129,11 @@
         """Runs believed to be on the engine: the grants, and the phantom load."""
         return len(self.grants_by_request_id) + self.phantom
 
+    @property
+    def is_full(self):
+        """Whether it holds as many runs as keep it busy."""
+        return self.running >= self.model.concurrency_limit()
+
     @property
     def pending_prefill_tokens(self):
         """Prompt tokens the engine has still to compute for what was granted there."""
--- a/wagtailtrestle/rollouts/judgement.py
+++ b/wagtailtrestle/rollouts/judgement.py
@@ -2,8 +2,9 @@
 
 Each run on the target is compared with what the old version shows on the same route: a service may answer a
 seventh of one route's calls with failures of its own, with any version. A cumulative sum of log likelihood ratios
-(CUSUM), one for each route and one over all, grows with bad runs and never falls below zero, so that a version which
-turns bad after a good beginning is found as soon as one that always was.
+(CUSUM), one for each route, one over all and one over those begun on a full engine, grows with bad runs and never
+falls below zero, so that a version which turns bad after a good beginning is found as soon as one that always was.
+Few runs of an untested version find its engine full; among all others a failure that comes only then is too rare.
 """
 
 import math
@@ -39,8 +40,8 @@
 DONE = "RunDone"
 
 
-class _Route:
-    """What both versions showed on one route."""
+class _Seen:
+    """What both versions showed in one kind of runs, those of a route or those on full engines."""
 
     __slots__ = ("old_runs", "old_bad", "total")
 
@@ -49,6 +50,29 @@
         self.old_bad = 0
         self.total = 0.0
 
+    def note_old(self, bad):
+        """Count a run on the old version."""
+        self.old_runs += 1
+        self.old_bad += bad
+
+    def part(self, prior=PRIOR_BAD / PRIOR_RUNS):
+        """Part of the old version's runs that were bad, with so many believed beforehand."""
+        return (self.old_bad + PRIOR_RUNS * prior) / (self.old_runs + PRIOR_RUNS)
+
+    def usual(self, prior=PRIOR_BAD / PRIOR_RUNS):
+        """Part of the runs that are bad with any version, one standard deviation above what was seen.
+
+        Taken as seen, chance among the old version's runs alone would make a good target look worse.
+        """
+        part = self.part(prior)
+        return part + math.sqrt(part * (1.0 - part) / (self.old_runs + PRIOR_RUNS))
+
+    def add(self, bad, usual):
+        """Add the evidence of a run on the target where this part is bad with any version."""
+        worse = usual + BAD_EXTRA * (1.0 - usual)
+        step = math.log(worse / usual) if bad else math.log((1.0 - worse) / (1.0 - usual))
+        self.total = max(0.0, self.total + step)
+
 
 class _Paces:
     """The last paces of one engine on one route."""
@@ -89,7 +113,8 @@
         "target_runs",
         "target_bad",
         "_route_by_name",
-        "_all_total",
+        "_all",
+        "_full",
         "_paces_by_key",
         "_cut_at_by_engine",
     )
@@ -99,7 +124,9 @@
         self.target_runs = 0 if word is None else word.target_runs
         self.target_bad = 0 if word is None else word.target_bad
         self._route_by_name = {}
-        self._all_total = 0.0 if word is None else word.suspicion
+        self._all = _Seen()
+        self._all.total = 0.0 if word is None else word.suspicion
+        self._full = _Seen()
         self._paces_by_key = {}
         self._cut_at_by_engine = {}
 
@@ -113,9 +140,9 @@
         """The largest of the sums; 0 while too few runs were bad."""
         if self.target_bad < LEAST_BAD:
             return 0.0
-        return max([self._all_total, *(route.total for route in self._route_by_name.values())])
+        return max(seen.total for seen in (self._all, self._full, *self._route_by_name.values()))
 
-    def note(self, *, route, engine, is_target, result, pace, now):
+    def note(self, *, route, engine, is_target, result, pace, now, was_full=False):
         """Take in how a run ended.
 
         Parameters
@@ -127,23 +154,27 @@
         pace : float
             Seconds, or seconds a token; 0 where the run shows none.
         now : float
+        was_full : bool
+            Whether the engine was full with it when it began.
         """
         bad = self._is_bad_run(route, engine, is_target, result, pace, now)
         if bad is None:
             return
-        seen = self._route_by_name.setdefault(route, _Route())
+        seen = self._route_by_name.setdefault(route, _Seen())
         if is_target:
-            self._add(seen, bad)
-        else:
-            seen.old_runs += 1
-            seen.old_bad += bad
+            self._note_target(seen, bad, was_full)
+            return
+        seen.note_old(bad)
+        if was_full:
+            self._full.note_old(bad)
 
     def dump(self):
         """Return the state as a plain dict."""
         return {
             "target_runs": self.target_runs,
             "target_bad": self.target_bad,
-            "total": round(self._all_total, 2),
+            "total": round(self._all.total, 2),
+            "total_full": round(self._full.total, 2),
             "total_by_route": {name: round(route.total, 2) for name, route in self._route_by_name.items()},
         }
 
@@ -173,20 +204,11 @@
         usual = min((each for each in known if each is not None), default=None)
         return usual is not None and pace > SLOW_FACTOR * usual
 
-    def _add(self, seen, bad):
+    def _note_target(self, seen, bad, was_full):
         self.target_runs += 1
         self.target_bad += bad
-        usual = _usual(seen.old_bad + PRIOR_BAD, seen.old_runs + PRIOR_RUNS)
-        worse = usual + BAD_EXTRA * (1.0 - usual)
-        step = math.log(worse / usual) if bad else math.log((1.0 - worse) / (1.0 - usual))
-        seen.total = max(0.0, seen.total + step)
-        self._all_total = max(0.0, self._all_total + step)
-
-
-def _usual(bad, runs):
-    """Part of the runs that are bad with any version, one standard deviation above what was seen.
-
-    Taken as seen, chance among the old version's runs alone would make a good target look worse.
-    """
-    part = bad / runs
-    return part + math.sqrt(part * (1.0 - part) / runs)
+        usual = seen.usual()
+        seen.add(bad, usual)
+        self._all.add(bad, usual)
+        if was_full:
+            self._full.add(bad, max(usual, self._full.usual(prior=seen.part())))
--- a/wagtailtrestle/rollouts/rollout.py
+++ b/wagtailtrestle/rollouts/rollout.py
@@ -109,8 +109,8 @@
         """Count a run that was granted."""
         self.exposure.note_grant(request.route, is_target=self.is_target(version), now=self._clock())
 
-    def note_end(self, *, request, engine, version, finished):
-        """Take in how a run ended."""
+    def note_end(self, *, request, engine, version, finished, was_full=False):
+        """Take in how a run ended, and whether its engine was full with it when it began."""
         if self.phase is Phase.ENDED:
             return
         self._durations.append(finished.duration_s)
@@ -121,6 +121,7 @@
             result=finished.result,
             pace=_pace(finished),
             now=self._clock(),
+            was_full=was_full,
         )
         if self.judgement.is_bad:
             self._end(RolloutState.ROLLED_BACK)
