--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -95,7 +95,6 @@
         self.note(judgement, 50, is_target=True, pace=0.16)
         self.assertFalse(judgement.is_bad)
 
-
     # Guards against failures of full engines that are lost among the many runs of engines that aren't.
     def test_version_that_fails_only_on_full_engines_is_bad(self):
         judgement = Judgement()
