Limits: a test of streams that break and go on elsewhere

What it guards against: LIMIT counts requests, and a stream that breaks at one engine goes on at another by a second request.

Found by reading before: a second try asks for a place as the first does, so the steward counts it.

--- a/tests/test_engine_limits.py
+++ b/tests/test_engine_limits.py
@@ -106,6 +106,28 @@
         self.assertGreaterEqual(len(arrivals), 0.5 * 1.6 * HELD_S)
         callers.close()
 
+    # Guards against a stream that breaks and goes on at an engine past what its limit leaves.
+    def test_streams_that_break_and_go_on_elsewhere_keep_to_the_limit(self):
+        for engine in (self.limited, self.other):
+            engine.pause_s = 0.02
+            engine.script = ["cut", "well"] * 500
+        callers = self.call(paths=[("POST", "/stream/x")], per_s=15.0)
+        time.sleep(1.0)
+        for engine in (self.limited, self.other):
+            engine.limit = "1.6"
+        named_at = time.monotonic()
+        resumed_before = self.resumed()
+        time.sleep(HEARD_S + HELD_S)
+        for engine in (self.limited, self.other):
+            arrivals = self.check_limit(engine, named_at + HEARD_S, 1.6)
+            self.assertGreaterEqual(len(arrivals), 0.5 * 1.6 * HELD_S)
+        callers.close()
+        self.assertGreater(self.resumed(), resumed_before)
+
+    def resumed(self):
+        """Streams that went on at an engine after another one broke them off."""
+        return sum("last-event-id" in seen for engine in (self.limited, self.other) for seen in engine.seen)
+
 
 class StewardLostTest(LimitCase):
     # Guards against a limit that is known to the steward alone and dies with it.
