Comments: what the prior is, and why the rate of grants begins too high

Two docstrings that a newcomer could not follow; no code changes. The second one names a limit of the mend: the grants that fill a cell are in the window when its time begins to count.

--- a/wagtailtrestle/capacity/admission.py
+++ b/wagtailtrestle/capacity/admission.py
@@ -118,7 +118,7 @@
 
     Judged by its engines' models, a cell looks faster than it is while engines are slow or broken.
     What it really takes up is seen in its grants, but only while it is full: beside free places they
-    tell how much was asked for.
+    tell how much was asked for. What filled the places counts too, so the rate is too high at first.
     """
 
     __slots__ = ("_clock", "_work_s", "_grants", "_seconds", "_at", "_is_full")
--- a/wagtailtrestle/rollouts/judgement.py
+++ b/wagtailtrestle/rollouts/judgement.py
@@ -56,7 +56,7 @@
         self.old_bad += bad
 
     def part(self, prior=PRIOR_BAD / PRIOR_RUNS):
-        """Part of the old version's runs that were bad, with so many believed beforehand."""
+        """Part of the old version's runs that were bad; ``prior`` is what is believed before any is seen."""
         return (self.old_bad + PRIOR_RUNS * prior) / (self.old_runs + PRIOR_RUNS)
 
     def usual(self, prior=PRIOR_BAD / PRIOR_RUNS):
