Observability: what reaches engines beyond the first run, by cause

The logs couldn't tell the hypotheses of the incident apart: a repeat, its cause, what a budget held when it refused one, a run of a request that had crashed engines, a rest that was broken, a run that was sent long after its grant all looked alike or left no line.

Now counted by each router: runs{service,kind} (first, after a loss, after an engine's refusal, after preemption, attach), retries_refused, runs beyond a route's limit, runs of requests that were there when three or more engines crashed, requests within a rest. No decision changes.

--- a/tests/test_counted_runs.py
+++ b/tests/test_counted_runs.py
@@ -43,9 +43,9 @@
 class OneRequest:
     """One request, granted places and ended as the test says."""
 
-    def __init__(self, *, leaving=(), **fields):
+    def __init__(self, *, leaving=(), parts=None, **fields):
         self.entry, self.stewards = make_entry(
-            loop=asyncio.get_running_loop(), declaration=declaration(leaving=leaving)
+            loop=asyncio.get_running_loop(), declaration=declaration(leaving=leaving), **(parts or {})
         )
         self.caller = FakeCaller()
         self.entry.submit(caller_request("r1", deadline=now() + TIME_S, **fields), self.caller)
--- a/tests/utils/stewardship_replay.py
+++ b/tests/utils/stewardship_replay.py
@@ -194,6 +194,9 @@
     def runs_alone(self, body_digest):
         return False
 
+    def crashes_of(self, body_digest):
+        return 0
+
     def note(self, **_):
         return None
 
@@ -212,19 +215,15 @@
     )
 
 
-def make_entry(*, loop, claims=None, declaration=None):
-    """Make a real entry whose stewards and callers are fakes."""
+def make_entry(*, loop, claims=None, declaration=None, **parts):
+    """Make a real entry whose stewards and callers are fakes; ``parts`` go to the entry."""
     stewards = QuietStewards()
     declaration = declaration or small_declaration()
-    entry = Entry(
-        name="r1",
-        stewards=stewards,
-        claims=claims,
-        crashes=QuietCrashes(),
-        budget_by_service=lambda service: RetryBudget(clock=loop.time),
-        declaration=lambda: declaration,
-        loop=loop,
-    )
+    parts = {
+        "crashes": QuietCrashes(),
+        "budget_by_service": lambda service: RetryBudget(clock=loop.time),
+    } | parts
+    entry = Entry(name="r1", stewards=stewards, claims=claims, declaration=lambda: declaration, loop=loop, **parts)
     return entry, stewards
 
 
--- a/wagtailtrestle/engines/notices.py
+++ b/wagtailtrestle/engines/notices.py
@@ -88,6 +88,8 @@
         self._take_limit(notice, heard)
         if notice.rest_s:
             logger.bind(engine=notice.engine, rest_s=notice.rest_s).info("an engine asks this router for a rest")
+            if heard.rest_until <= self._clock():
+                heard.rest_from = self._clock()
             heard.rest_until = max(heard.rest_until, self._clock() + notice.rest_s)
         if notice.leaving:
             if heard.leaving_at == -math.inf:
@@ -112,6 +114,12 @@
             return 0.0
         return heard.rest_until - self._clock()
 
+    def rested_s(self, engine: DeclaredEngine) -> float:
+        """Time since the engine first asked for the rest that it is given; 0 without one."""
+        if self.rest_s(engine) <= 0.0:
+            return 0.0
+        return self._clock() - self._heard_by_engine[engine.name].rest_from
+
     def are_unknown_to(self, granted: Granted) -> bool:
         """Whether a steward granted a place on an engine without having heard of the limit that it names."""
         age_s = self._limit_age_s(granted.engine)
@@ -178,17 +186,18 @@
         Requests a second; infinite without a limit.
     limit_at, leaving_at : float
         When it named the limit, and when it said that it leaves, on the router's clock; minus infinity if it didn't.
-    rest_until : float
-        Time until which it wants nothing from this router.
+    rest_from, rest_until : float
+        Time in which it wants nothing from this router.
     """
 
-    __slots__ = ("start_ms", "limit_per_s", "limit_at", "leaving_at", "rest_until")
+    __slots__ = ("start_ms", "limit_per_s", "limit_at", "leaving_at", "rest_from", "rest_until")
 
     def __init__(self, *, start_ms):
         self.start_ms = start_ms
         self.limit_per_s = math.inf
         self.limit_at = -math.inf
         self.leaving_at = -math.inf
+        self.rest_from = -math.inf
         self.rest_until = -math.inf
 
     def dump(self, *, now):
--- a/wagtailtrestle/engines/run_exchange.py
+++ b/wagtailtrestle/engines/run_exchange.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 
+from loguru import logger
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError, NewConnectionError, ReadTimeoutError
 from urllib3.exceptions import TimeoutError as UrllibTimeoutError
@@ -27,6 +28,8 @@
 MOST_RECORDED_BYTES = 65536
 SHORTEST_TIMEOUT_S = 0.001
 OK = 200
+LATE_SEND_S = 0.25
+"""Time to connect beyond which what was decided when the run was granted may hold no more."""
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -216,6 +219,7 @@
 
     def _exchange(self):
         self.wait_at_most(self.progress.left_s(self.command.first_token_deadline_s))
+        self._log_late_send()
         # Neither retries nor redirects exist at this level of urllib3, on purpose: a hidden
         # second sending would be a second dispatch.
         head = self.call.head(self.command, self.received)
@@ -240,6 +244,13 @@
             self._on_event(notice)
         return self.call.read(self)
 
+    def _log_late_send(self):
+        waited_s = self.progress.duration_s
+        if waited_s > LATE_SEND_S:
+            logger.bind(run_id=self.command.run_id, engine=self.command.engine, waited_s=round(waited_s, 3)).info(
+                "a run was sent late: its engine was slow to take the connection"
+            )
+
     # Ends.
 
     def _close(self):
--- a/wagtailtrestle/entry/entry.py
+++ b/wagtailtrestle/entry/entry.py
@@ -12,10 +12,11 @@
 from wagtailtrestle.contracts.exchange import AnswerRefusal
 from wagtailtrestle.contracts.messages import EngineNotice, Granted, Register, RunFinished, Withdraw
 from wagtailtrestle.contracts.outcomes import Executed, Reason, RunNotSent
-from wagtailtrestle.engines.notices import EngineNotices
+from wagtailtrestle.engines.notices import HEARD_SLACK_S, EngineNotices
 from wagtailtrestle.entry.cells import cells_of, choose_cell
 from wagtailtrestle.entry.final_answers import DEFAULT_RETRY_AFTER_S, refusal_of
 from wagtailtrestle.entry.request_task import Displaced, RequestState, RequestTask
+from wagtailtrestle.entry.run_counts import RunCounts
 
 
 class RequestContext:
@@ -34,17 +35,29 @@
         Gives the declaration in force.
     notices : EngineNotices
         What engines said of themselves to this router.
+    run_counts : RunCounts
     now : Callable
         The loop's clock, seconds.
     """
 
-    __slots__ = ("name", "claims", "crashes", "retry_budget", "now", "_stewards", "_declaration", "_notices")
-
-    def __init__(self, *, name, stewards, claims, crashes, budget_by_service, declaration, notices, now):
+    __slots__ = (
+        "name",
+        "claims",
+        "crashes",
+        "retry_budget",
+        "run_counts",
+        "now",
+        "_stewards",
+        "_declaration",
+        "_notices",
+    )
+
+    def __init__(self, *, name, stewards, claims, crashes, budget_by_service, declaration, notices, run_counts, now):
         self.name = name
         self.claims = claims
         self.crashes = crashes
         self.retry_budget = budget_by_service
+        self.run_counts = run_counts
         self.now = now
         self._stewards = stewards
         self._declaration = declaration
@@ -114,16 +127,40 @@
     stewards, claims, crashes, budget_by_service, declaration
         See :class:`RequestContext`.
     loop : asyncio.AbstractEventLoop
+    count : callable, optional
+        See :class:`wagtailtrestle.entry.run_counts.RunCounts`.
     """
 
-    __slots__ = ("name", "tasks_by_id", "_context", "_declaration", "_loop", "_notices", "_running_by_id", "_idle")
-
-    def __init__(self, *, name, stewards, claims, crashes, budget_by_service, declaration, loop):
+    __slots__ = (
+        "name",
+        "tasks_by_id",
+        "_context",
+        "_declaration",
+        "_loop",
+        "_notices",
+        "_run_counts",
+        "_running_by_id",
+        "_idle",
+    )
+
+    def __init__(
+        self,
+        *,
+        name,
+        stewards,
+        claims,
+        crashes,
+        budget_by_service,
+        declaration,
+        loop,
+        count=lambda name, **labels: None,
+    ):
         self.name = name
         self.tasks_by_id = {}
         self._declaration = declaration
         self._loop = loop
         self._notices = EngineNotices(router=name, clock=loop.time)
+        self._run_counts = RunCounts(count=count)
         self._running_by_id = {}
         self._idle = asyncio.Event()
         self._idle.set()
@@ -135,6 +172,7 @@
             budget_by_service=budget_by_service,
             declaration=declaration,
             notices=self._notices,
+            run_counts=self._run_counts,
             now=loop.time,
         )
 
@@ -155,6 +193,7 @@
     def post(self, request_id, event):
         """Give a caller's event to its request; late ones are dropped."""
         if isinstance(event, EngineNotice):
+            self._count_broken_rest(event)
             self._notices.take(event)
             self._context.tell(dataclasses.replace(event, entry=self.name))
             return
@@ -162,6 +201,15 @@
         if task is not None:
             task.post(event)
 
+    def _count_broken_rest(self, notice):
+        engine = self._declaration().engines_by_name.get(notice.engine)
+        if engine is None or not notice.rest_s:
+            return
+        rested_s = self._notices.rested_s(engine)
+        # What was on its way when the engine first asked is no fault.
+        if rested_s > HEARD_SLACK_S:
+            self._run_counts.note_rest_broken(engine=notice.engine, rested_s=rested_s)
+
     def displace(self, request_id):
         """Give up a waiting request, for a higher tier needs its room in the router."""
         self.post(request_id, Displaced())
--- a/wagtailtrestle/entry/poison.py
+++ b/wagtailtrestle/entry/poison.py
@@ -206,6 +206,11 @@
         self._forget_old()
         return self._blame_by_fingerprint.get(fingerprint, 0.0) >= self._limit
 
+    def crashes_of(self, fingerprint) -> int:
+        """Crashes in which it ran and of which it was not cleared."""
+        self._forget_old()
+        return self._crashes_by_fingerprint.get(fingerprint, 0)
+
     def reports(self):
         """Everything known, for a router that starts or was cut off."""
         now = self._clock()
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -43,8 +43,10 @@
 )
 from wagtailtrestle.entry.attaches import UNREAD_PAUSE_S, Attaches
 from wagtailtrestle.entry.final_answers import DEFAULT_RETRY_AFTER_S, refusal_of, rejected_status
+from wagtailtrestle.entry.poison import CRASH_LIMIT
 from wagtailtrestle.entry.reach import Reach
 from wagtailtrestle.entry.request_claim import RequestClaim
+from wagtailtrestle.entry.run_counts import RunKind
 from wagtailtrestle.entry.run_reports import RunReports
 from wagtailtrestle.record import record
 
@@ -104,6 +106,8 @@
         "_inbox",
         "_reports",
         "_excluded",
+        "_next_kind",
+        "_losses",
         "_given_back",
         "_reach",
         "_not_sent",
@@ -133,6 +137,8 @@
         self._inbox = asyncio.Queue()
         self._reports = RunReports(request_id=request.request_id, send=lambda message: context.send(self.cell, message))
         self._excluded = set()
+        self._next_kind = RunKind.FIRST
+        self._losses = 0
         self._given_back = set()
         self._reach = Reach()
         self._not_sent = 0
@@ -302,6 +308,7 @@
             self._cancelling = False
             self._preempted = False
         self.state = RequestState.DISPATCHED
+        self._count_run(attach=attach)
         overall_s = max(self._remaining(), ATTACH_ROOM_S)
         # A run that is the last this request may have is not given up for silence: there is nothing
         # to gain, and an engine that only paused, or a service that turned slow, would have finished it: bookings
@@ -323,6 +330,15 @@
             )
         )
 
+    def _count_run(self, *, attach):
+        request, counts = self.request, self.context.run_counts
+        counts.note_sent(service=request.service, kind=RunKind.ATTACH if attach else self._next_kind)
+        if request.max_runs is not None and self._losses >= request.max_runs:
+            counts.note_beyond_limit(request_id=request.request_id, service=request.service, runs=self._losses + 1)
+        crashes = self.context.crashes.crashes_of(request.body_digest)
+        if crashes >= CRASH_LIMIT and not attach:
+            counts.note_crashing(request_id=request.request_id, service=request.service, crashes=crashes)
+
     async def _until_run_ends(self, granted):
         until = self.request.deadline
         while True:
@@ -404,6 +420,7 @@
                 return self._refuse(Reason.ENGINE_ERROR, status=rejected_status(status))
             case RunCancelled() if self._preempted:
                 self._keep_tokens(outcome)
+                self._next_kind = RunKind.AFTER_PREEMPTION
                 return False
             case _:
                 return self._after_loss(outcome)
@@ -434,8 +451,21 @@
             return self._refuse(Reason.NO_ENGINE, retry_after_s=self.context.retry_after_s(self.request.service))
         # What an engine refused cost it a connection and a look: sent on and on to full engines,
         # the refusals alone would keep them busy.
-        if outcome.arrived and not self._budget().allow():
-            return self._refuse(Reason.RETRY_BUDGET)
+        if outcome.arrived:
+            if not self._may_retry():
+                return self._refuse(Reason.RETRY_BUDGET)
+            self._next_kind = RunKind.AFTER_REFUSAL
+        return False
+
+    def _may_retry(self):
+        """Spend one retry of the service, if there is one."""
+        budget = self._budget()
+        if budget.allow():
+            return True
+        request = self.request
+        self.context.run_counts.note_retry_refused(
+            request_id=request.request_id, service=request.service, budget=budget
+        )
         return False
 
     def _may_go_elsewhere(self):
@@ -457,8 +487,10 @@
         # may not be repeated could charge a caller twice, so it ends here as unknown.
         if not self._may_run_again():
             return self._lost()
-        if not self._budget().allow():
+        if not self._may_retry():
             return self._refuse(Reason.RETRY_BUDGET)
+        self._next_kind = RunKind.AFTER_LOSS
+        self._losses += 1
         self._excluded.add(self.engine)
         self._attaches.begin_anew()
         self._preempted = False
--- /dev/null
+++ b/wagtailtrestle/entry/run_counts.py
@@ -0,0 +1,58 @@
+"""Counts what reaches engines beyond the first run of each request, by what led to it."""
+
+from enum import StrEnum
+
+from loguru import logger
+
+
+class RunKind(StrEnum):
+    """Why a run is sent."""
+
+    FIRST = "first"
+    AFTER_LOSS = "after_loss"
+    AFTER_REFUSAL = "after_refusal"
+    AFTER_PREEMPTION = "after_preemption"
+    ATTACH = "attach"
+
+
+class RunCounts:
+    """Counters of the runs that one router sends.
+
+    Parameters
+    ----------
+    count : callable
+        ``count(name, **labels)`` adds one to a counter.
+    """
+
+    __slots__ = ("_count",)
+
+    def __init__(self, *, count):
+        self._count = count
+
+    def note_sent(self, *, service, kind):
+        """Count a run that is sent to an engine."""
+        self._count("runs", service=service, kind=kind.value)
+
+    def note_beyond_limit(self, *, request_id, service, runs):
+        """Count a run beyond the number that its route allows."""
+        self._count("runs_beyond_limit", service=service)
+        logger.bind(request_id=request_id, service=service, runs=runs).error(
+            "a request has more runs than its route allows"
+        )
+
+    def note_crashing(self, *, request_id, service, crashes):
+        """Count a run of a request that was running when several engines crashed."""
+        self._count("runs_of_crashing_requests", service=service)
+        logger.bind(request_id=request_id, service=service, crashes=crashes).warning(
+            "a request runs again that was running when several engines crashed"
+        )
+
+    def note_rest_broken(self, *, engine, rested_s):
+        """Count a request that reached an engine within a rest that it had asked for."""
+        self._count("requests_within_rest", engine=engine)
+        logger.bind(engine=engine, rested_s=round(rested_s, 3)).warning("a request reached an engine that rests")
+
+    def note_retry_refused(self, *, request_id, service, budget):
+        """Count a retry for which the service's budget had no room."""
+        self._count("retries_refused", service=service)
+        logger.bind(request_id=request_id, service=service, **budget.dump()).info("no retry is left for a service")
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -218,6 +218,7 @@
             budget_by_service=self._budget_of,
             declaration=self._declaration,
             loop=self._loop,
+            count=self._metrics.count,
         )
         self._reports = EngineReports(
             interval_s=self._settings.report_interval_s,
