Reproduction: retries of all routers together, failing on the current code

tests.test_retry_fleet joins real entries, stewards, views and directories by fakes on one loop whose time jumps: 12 routers, 60 requests a second, a ratio of 0.2 and 24 extra retries in 10 s, so 144 repeats allowed.

--- /dev/null
+++ b/tests/test_retry_fleet.py
@@ -0,0 +1,66 @@
+"""Retries of all routers together, whatever happens to the routers: what engines get beyond the first runs."""
+
+import asyncio
+import unittest
+
+from tests.utils.paused_clock import on_paused_clock
+from tests.utils.retry_fleet import LOST, REFUSED, RetryFleet
+
+CALM_S = 25.0
+FAILING_S = 14.0
+RESTART_S = 0.3
+
+
+class RetryFleetTest(unittest.TestCase):
+    async def fleet(self, *, fail_share, failure=LOST):
+        """A fleet whose runs begin to fail after a calm time."""
+        fleet = RetryFleet()
+        await fleet.start()
+        await asyncio.sleep(CALM_S)
+        fleet.fail_share, fleet.failure = fail_share, failure
+        return fleet
+
+    async def check(self, fleet):
+        await fleet.close()
+        self.assertLessEqual(fleet.over_budget(), 0.0)
+
+    # Guards against the share of a calm time that is spent twice within one window.
+    @on_paused_clock
+    async def test_half_of_the_runs_fail_after_a_calm_time(self):
+        fleet = await self.fleet(fail_share=0.5)
+        await asyncio.sleep(FAILING_S)
+        await self.check(fleet)
+
+    # Guards against routers that see nobody and take the extra part of the whole fleet for themselves.
+    @on_paused_clock
+    async def test_routers_cut_off_from_each_other(self):
+        fleet = await self.fleet(fail_share=1.0, failure=REFUSED)
+        fleet.cut_all()
+        await asyncio.sleep(FAILING_S)
+        await self.check(fleet)
+
+    # Guards against routers that forget what they spent when they start again.
+    @on_paused_clock
+    async def test_most_routers_start_again_twice(self):
+        fleet = await self.fleet(fail_share=0.6)
+        names = sorted(fleet.routers_by_name)
+        for killed in (names[:8], names[4:]):
+            await asyncio.sleep(FAILING_S / 4)
+            await fleet.kill(*killed)
+            await asyncio.sleep(RESTART_S)
+            await fleet.restart(*killed)
+        await asyncio.sleep(FAILING_S / 2)
+        await self.check(fleet)
+
+    # Guards against a share that grows as routers die, though they spent theirs in the same window.
+    @on_paused_clock
+    async def test_most_routers_die_while_runs_fail(self):
+        fleet = await self.fleet(fail_share=0.6, failure=REFUSED)
+        await asyncio.sleep(FAILING_S / 7)
+        await fleet.kill(*sorted(fleet.routers_by_name)[3:])
+        await asyncio.sleep(FAILING_S)
+        await self.check(fleet)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/utils/fake_routers.py
+++ b/tests/utils/fake_routers.py
@@ -107,9 +107,12 @@
         if not self.connected(peer):
             self.dial(peer)
         if self.connected(peer):
-            self.loop.call_later(DELAY_S, self.net.deliver, self.name, peer, message)
+            self.loop.call_later(DELAY_S, self.net.deliver, self.name, peer, message, cell)
         return True
 
+    def unreachable_s(self, peer):
+        return None
+
     async def ask(self, peer, message, timeout_s):
         other = self.net.peers_by_name.get(peer)
         self.send(peer, message)
@@ -153,19 +156,19 @@
         await asyncio.sleep(4)
         return names
 
-    def deliver(self, source, target, message):
+    def deliver(self, source, target, message, cell):
         peers = self.peers_by_name.get(target)
         if peers is None or not peers.alive or self.is_cut(source, target):
             return
-        peers.loop.run(self.receive, peers, source, message)
+        peers.loop.run(self.receive, peers, source, message, cell)
 
-    def receive(self, peers, source, message):
+    def receive(self, peers, source, message, cell):
         if source not in peers.heard_at_by_peer:
             return  # as on TCP, nothing comes after the end of the connection
         peers.heard_at_by_peer[source] = self.loop.time()
         handler = peers.handlers_by_type.get(type(message))
         if handler is not None and type(message) is not Ping:
-            handler(source, message, "")
+            handler(source, message, cell)
 
     def kill(self, name):
         self.peers_by_name[name].alive = False
--- /dev/null
+++ b/tests/utils/retry_fleet.py
@@ -0,0 +1,223 @@
+"""Routers whose engines fail: real entries, stewards and views, joined by fakes on one loop whose time jumps."""
+
+import asyncio
+import itertools
+import random
+from bisect import bisect_right
+
+from tests.utils.fake_routers import FakeNet
+from tests.utils.paused_clock import now
+from tests.utils.steward_fakes import engine
+from tests.utils.stewardship_replay import QuietCrashes, caller_request
+from wagtailtrestle.capacity.steward_set import StewardSet
+from wagtailtrestle.contracts.declaration import PLAIN, Declaration, Service
+from wagtailtrestle.contracts.exchange import AnswerWhole, RunEnded, StartRun
+from wagtailtrestle.contracts.outcomes import RunCut, RunDone, RunNotSent
+from wagtailtrestle.entry.entry import Entry
+from wagtailtrestle.entry.retry_budget import RetryBudget
+from wagtailtrestle.peers.directory import Directory
+from wagtailtrestle.router import RETRY_EXTRA_MARGIN
+
+SERVICE = "asistente"
+RATIO = 0.2
+EXTRA = 24.0
+WINDOW_S = 10.0
+PER_S = 60.0
+WORK_S = 0.05
+DEADLINE_S = 6.0
+MAX_RUNS = 3
+TICK_S = 0.1
+LOST = RunCut(detail="cut", reached=True)
+REFUSED = RunNotSent(detail="full", arrived=True)
+NOT_CONNECTED = RunNotSent(detail="no connection")
+
+
+def declaration(*, engines):
+    service = Service(name=SERVICE, kind=PLAIN, routes_by_name={}, attachable=False, preemptable=False)
+    names = [f"e{number}" for number in range(engines)]
+    return Declaration(
+        organisation="",
+        zones_by_region={},
+        tiers_by_name={},
+        teams_by_name={},
+        services_by_name={SERVICE: service},
+        engines_by_name={name: engine(name, slots=100) for name in names},
+    )
+
+
+class FleetRouter:
+    """One router: its entry, its stewards and its directory."""
+
+    def __init__(self, *, fleet, name):
+        loop = asyncio.get_running_loop()
+        membership = fleet.net.by_name[name]
+        self.name = name
+        self.fleet = fleet
+        self.directory = Directory(
+            name=name,
+            membership=membership,
+            peers=fleet.net.peers_by_name[name],
+            loop=loop,
+            deliver_to_steward=lambda cell, message: self.stewards.deliver(cell, message),
+            deliver_to_entry=lambda message: self.entry.on_steward_message(message),
+            register=lambda cell: self.entry.register(cell),
+            cells=lambda: (SERVICE,),
+            set_members=lambda names: self.stewards.set_members(names),
+            begin_cell=lambda cell: self.stewards.begin(cell),
+        )
+        self.stewards = StewardSet(clock=loop.time, entries=self.directory.entry_link)
+        self.stewards.set_members(membership.view.everyone)
+        self.stewards.set_declaration(fleet.declaration)
+        self.budget = RetryBudget(clock=loop.time, share=RATIO)
+        self.entry = Entry(
+            name=name,
+            stewards=self.directory.steward_link,
+            claims=None,
+            crashes=QuietCrashes(),
+            budget_by_service=self._budget_of,
+            declaration=lambda: fleet.declaration,
+            loop=loop,
+        )
+        self.directory.refresh()
+        self.ticking = loop.create_task(self._tick())
+
+    def _budget_of(self, service):
+        routers = len(self.fleet.net.by_name[self.name].view.everyone)
+        self.budget.floor = RETRY_EXTRA_MARGIN * EXTRA / max(1, routers)
+        return self.budget
+
+    async def _tick(self):
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.stewards.tick()
+            for cell, steward in self.stewards.by_cell.items():
+                self.directory.ask_to_register(cell=cell, entries=steward.awaited_entries)
+
+    async def close(self):
+        self.ticking.cancel()
+        await self.entry.close()
+
+
+class FleetCaller:
+    """One request's caller, and the engines that its router sends it to."""
+
+    def __init__(self, *, fleet, router, request_id):
+        self.fleet = fleet
+        self.router = router
+        self.request_id = request_id
+        self.answer = None
+
+    def post(self, command):
+        if isinstance(command, StartRun):
+            outcome = self.fleet.outcome(self.request_id)
+            asyncio.get_running_loop().call_later(WORK_S, self._end, command, outcome)
+        else:
+            self.answer = command
+
+    def cancel_run(self, **_):
+        return None
+
+    def _end(self, command, outcome):
+        self.router.entry.post(self.request_id, RunEnded(run_id=command.run_id, outcome=outcome, duration_s=WORK_S))
+
+
+class RetryFleet:
+    """Routers that are sent requests at a steady rate.
+
+    Parameters
+    ----------
+    routers : int
+    seed : int
+    engines : int
+
+    Attributes
+    ----------
+    fail_share : float
+        Part of the runs that end as ``failure``.
+    failure : outcome
+    arrivals_by_id : dict of str to list of float
+        When runs reached engines.
+    """
+
+    def __init__(self, *, routers=12, seed=1, engines=6):
+        self.declaration = declaration(engines=engines)
+        self.routers_by_name = {}
+        self.net = None
+        self.fail_share = 0.0
+        self.failure = LOST
+        self.sent_at = []
+        self.arrivals_by_id = {}
+        self.callers = []
+        self._count = routers
+        self._chance = random.Random(seed)
+        self._incarnation = itertools.count(2)
+        self._sending = None
+
+    async def start(self):
+        self.net = FakeNet(asyncio.get_running_loop())
+        for name in await self.net.add_all(self._count):
+            self._run(name)
+        self._sending = asyncio.create_task(self._send_on())
+
+    async def close(self):
+        self._sending.cancel()
+        await asyncio.sleep(DEADLINE_S + 1.0)
+        for router in self.routers_by_name.values():
+            await router.close()
+
+    def outcome(self, request_id):
+        """What one run comes to, which reaches its engine now unless no connection is made."""
+        fails = self._chance.random() < self.fail_share
+        if fails and self.failure is NOT_CONNECTED:
+            return self.failure
+        self.arrivals_by_id.setdefault(request_id, []).append(now())
+        return self.failure if fails else RunDone()
+
+    async def kill(self, *names):
+        for name in names:
+            self.net.kill(name)
+            await self.routers_by_name.pop(name).close()
+
+    async def restart(self, *names):
+        for name in names:
+            # As a process whose start the others see before they could find it dead.
+            await self.net.add(name, incarnation=next(self._incarnation), seeds=self.net.by_name)
+            self._run(name)
+
+    def cut_all(self):
+        """Cut every router off from every other."""
+        self.net.cut = lambda one, other: one != other
+
+    def over_budget(self):
+        """The most by which the arrivals beyond the first go beyond what is allowed, in any window."""
+        repeats = sorted(at for times in self.arrivals_by_id.values() for at in times[1:])
+        return max((self._over(repeats, at) for at in repeats), default=0.0)
+
+    def served(self, since, until):
+        """Part of the requests sent in a span that got their whole answer."""
+        sent = [caller for at, caller in zip(self.sent_at, self.callers, strict=True) if since <= at < until]
+        return sum(isinstance(caller.answer, AnswerWhole) for caller in sent) / len(sent)
+
+    def _over(self, repeats, until):
+        spent = _between(repeats, until - WINDOW_S, until)
+        offsets_s = (0.0, WINDOW_S / 2, WINDOW_S)
+        requests = max(_between(self.sent_at, until - WINDOW_S - each, until - each) for each in offsets_s)
+        return spent - RATIO * requests - EXTRA
+
+    def _run(self, name):
+        self.routers_by_name[name] = FleetRouter(fleet=self, name=name)
+
+    async def _send_on(self):
+        for number in itertools.count():
+            await asyncio.sleep(1.0 / PER_S)
+            name = self._chance.choice(sorted(self.routers_by_name))
+            router = self.routers_by_name[name]
+            request_id = f"{name}-{number}"
+            caller = FleetCaller(fleet=self, router=router, request_id=request_id)
+            self.sent_at.append(now())
+            self.callers.append(caller)
+            router.entry.submit(caller_request(request_id, deadline=now() + DEADLINE_S, max_runs=MAX_RUNS), caller)
+
+
+def _between(times, after, until):
+    return bisect_right(times, until) - bisect_right(times, after)
