Retries: counted by the steward of a cell, over all routers

Cause: each router kept a budget of its own, and their shares added up to more than the fleet may spend. The budget faded, so that the share of a calm time was spent at once and again within the same window; the extra part was divided by the routers in this router's view, which a cut, deaths or a start make small; a router that started again had forgotten what it spent; and a retry was counted when it was decided, not when it was sent. Class of fault: a bound on all routers, kept by each from what it sees by itself.

Now the steward that grants places counts a retry when it grants it, within an exact window, and refuses one beyond the budget; retries that wait count as spent. Entries keep a record by the second and register it with a new steward. What a router earned is let go when it leaves the view, what it spent is kept. The extra is divided by the routers that are not known to have left (Membership.fleet_size), so a cut makes no share larger. What was forgotten by entries and steward that start together is taken for as much as what is known. The window is a setting (retry_window_s), it was fixed at 10 s. An engine's failure that is passed on earns no retries any more.

Ruled out: arrivals that bypass the budget; on the users' platform attaches and preemption are off, and 421 and Not-Executed went through it.

tests.test_retry_budget: its four checks stand, on the steward's budget. The fading one expected one retry less than the floor after three windows, since fading never ends; an exact window gives all of it back after one window and a second, which is what it checks now, and new checks hold that nothing comes back within the window.

--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -20,6 +20,7 @@
     "platform.address": "10.0.0.9:82",
     "bounds.retry_budget_ratio": "0.2",
     "bounds.budget_extra_retries": "58",
+    "bounds.budget_window_s": "8",
     "bounds.quota_window_s": "8",
     "bounds.quota_overage": "0.1",
     "bounds.quota_slack": "140000",
@@ -47,6 +48,7 @@
         self.assertNotIsInstance(settings, SettingsFaults, getattr(settings, "faults", ""))
         self.assertEqual(settings.adapter, "platform")
         self.assertEqual((settings.key_freshness_s, settings.longest_drain_s), (4.5, 0.84 * 8))
+        self.assertEqual((settings.retry_share, settings.retry_extra, settings.retry_window_s), (0.2, 58.0, 8.0))
 
     def test_a_deployment_without_some_bounds_starts_too(self):
         template = (ROOT / "deploy" / "router.yaml").read_text()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -11,7 +11,7 @@
     "entry.request_claim",
     "entry.reach",
     "entry.cells",
-    "entry.retry_budget",
+    "capacity.retry_budget",
     "entry.poison",
     "entry.crash_watch",
     "capacity.steward",
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -22,11 +22,16 @@
     return run
 
 
-class MembershipTest(unittest.TestCase):
+class MembershipCase(unittest.TestCase):
     async def run_with(self, loop, test):
         self.net = FakeNet(loop)
         await test(self)
 
+    def vm(self, name):
+        return VM(id=name, role="router", zone="z", address=name, admin="", leaving=False)
+
+
+class MembershipTest(MembershipCase):
     def assert_views(self, members, but=(), draining=()):
         for name, view in self.net.views(but).items():
             self.assertEqual((name, view.members, view.draining), (name, tuple(members), tuple(draining)))
@@ -66,9 +71,6 @@
         await asyncio.sleep(1.0)
         self.assert_views([name for name in names if name != "r045"], but=["r045"])
 
-    def vm(self, name):
-        return VM(id=name, role="router", zone="z", address=name, admin="", leaving=False)
-
     @on_fast_loop
     async def test_killed_router(self):
         # A steward is killed. Its peers see their connections end and new ones refused; within half a second
@@ -222,6 +224,40 @@
             self.assertLessEqual(set(left if name in left else right), set(view.everyone))
 
 
+class FleetSizeTest(MembershipCase):
+    def sizes(self, names):
+        return {self.net.by_name[name].fleet_size() for name in names}
+
+    # Guards against a router that is cut off and takes itself for the whole fleet.
+    @on_fast_loop
+    async def test_routers_that_cannot_be_reached_still_count(self):
+        names = await self.net.add_all(6)
+        self.net.cut = lambda one, other: one != other
+        await asyncio.sleep(30.0)
+        self.assertEqual({len(self.net.by_name[name].view.everyone) for name in names}, {1})
+        self.assertEqual(self.sizes(names), {6})
+
+    @on_fast_loop
+    async def test_routers_that_were_killed_count_and_those_that_left_do_not(self):
+        names = await self.net.add_all(6)
+        self.net.kill(names[0])
+        await asyncio.sleep(5.0)
+        self.assertEqual(self.sizes(names[1:]), {6})
+        await self.net.by_name[names[1]].close()
+        await asyncio.sleep(1.0)
+        self.net.kill(names[1])
+        await asyncio.sleep(5.0)
+        self.assertEqual(self.sizes(names[2:]), {5})
+
+    # Guards against a router that starts behind a cut and takes itself for the whole fleet.
+    @on_fast_loop
+    async def test_a_router_that_has_met_nobody_goes_by_the_list(self):
+        self.net.cut = lambda one, other: one != other
+        await self.net.add("r000", seeds=("r001",))
+        self.net.by_name["r000"].observe_vms([self.vm(f"r{number:03d}") for number in range(9)])
+        self.assertEqual(self.sizes(("r000",)), {9})
+
+
 class MemberTableTest(unittest.TestCase):
     def setUp(self):
         self.table = MemberTable(name="a", zone="z", incarnation=1, now=0.0)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,6 +14,7 @@
 from wagtailtrestle.contracts.messages import (
     GrantRequest,
     Register,
+    RetryHistory,
     RunFinished,
     RunningRecord,
     RunProgress,
@@ -273,6 +274,8 @@
             values[name] = list(hint)[-1]
         elif hint is tuple:
             values[name] = ()
+        elif hint is RetryHistory:
+            values[name] = RetryHistory(up_s=0.1, retries_by_age_s=(0, 7), successes_by_age_s=(7,))
         else:
             values[name] = {str: "é", int: 7, float: 0.1, bool: True, bytes: b"\xff"}[hint]
     return cls(**values)
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -1,39 +1,162 @@
-"""Retries as a share of successes."""
+"""Retries of a cell as a share of its successes, over all routers."""
 
 import unittest
 
 from tests.utils.steward_fakes import Clock
-from wagtailtrestle.entry.retry_budget import RETRY_FLOOR, RETRY_WINDOW_S, RetryBudget
+from wagtailtrestle.capacity.retry_budget import (
+    ARRIVAL_SPREAD_S,
+    LEAST_KNOWN_SHARE,
+    RETRY_EXTRA,
+    RETRY_WINDOW_S,
+    RetryBudget,
+    RetryLimits,
+)
+from wagtailtrestle.contracts.messages import RetryHistory
 
+ENTRIES = ("r1", "r2")
+
+
+class RetryBudgetCase(unittest.TestCase):
+    LIMITS = RetryLimits()
 
-class RetryBudgetTest(unittest.TestCase):
     def setUp(self):
         self.clock = Clock()
-        self.budget = RetryBudget(clock=self.clock)
+        self.budget = self.make()
+        self.settle()
+
+    def make(self):
+        return RetryBudget(clock=self.clock, limits=lambda: self.LIMITS)
+
+    def settle(self):
+        """Let the steward serve for so long that it knows all of the window."""
+        self.clock.now += 2 * RETRY_WINDOW_S
 
-    def allowed(self, tries):
-        return sum(self.budget.allow() for _ in range(tries))
+    def allowed(self, tries, *, entry="r1", entries=ENTRIES, budget=None):
+        budget = budget or self.budget
+        granted = 0
+        for number in range(tries):
+            if budget.has_room(waiting=0, entries=entries):
+                budget.spend(entry=entry, request_id=f"{entry}-{self.clock.now}-{number}")
+                granted += 1
+        return granted
 
-    def test_a_failing_service_gets_only_the_floor(self):
-        # Every engine fails. Without a bound each request would be sent again and again,
-        # and the retries alone would keep the engines down.
-        self.assertEqual(self.allowed(1000), RETRY_FLOOR)
+
+class ShareTest(RetryBudgetCase):
+    # Guards against retries that keep engines down, each request being sent again and again while all fail.
+    def test_a_failing_service_gets_only_the_extra(self):
+        self.assertEqual(self.allowed(1000), RETRY_EXTRA)
 
     def test_successes_earn_a_tenth(self):
         for _ in range(100):
-            self.budget.on_success()
-        self.assertEqual(self.allowed(1000), RETRY_FLOOR + 10)
+            self.budget.note_success("r1")
+        self.assertEqual(self.allowed(1000), RETRY_EXTRA + 10)
 
     def test_old_successes_earn_nothing(self):
         for _ in range(1000):
-            self.budget.on_success()
-        self.clock.now += 10 * RETRY_WINDOW_S
-        self.assertEqual(self.allowed(1000), RETRY_FLOOR)
+            self.budget.note_success("r1")
+        self.clock.now += RETRY_WINDOW_S + 0.1
+        self.assertEqual(self.allowed(1000), RETRY_EXTRA)
 
-    def test_the_floor_comes_back(self):
+    def test_the_extra_comes_back(self):
         self.allowed(10)
-        self.clock.now += 3 * RETRY_WINDOW_S
-        self.assertEqual(self.allowed(10), RETRY_FLOOR - 1)
+        self.clock.now += RETRY_WINDOW_S + ARRIVAL_SPREAD_S + 0.1
+        self.assertEqual(self.allowed(10), RETRY_EXTRA)
+
+    # Guards against a share that fades, so that it is spent once more within the same window.
+    def test_nothing_comes_back_within_the_window(self):
+        for _ in range(100):
+            self.budget.note_success("r1")
+        self.assertEqual(self.allowed(1000), RETRY_EXTRA + 10)
+        for _ in range(int(RETRY_WINDOW_S)):
+            self.clock.now += RETRY_WINDOW_S / 10 - 0.01
+            self.assertEqual(self.allowed(10), 0)
+
+    # Guards against retries that wait for a place and are sent together, beyond what may be sent.
+    def test_retries_that_wait_count(self):
+        self.assertTrue(self.budget.has_room(waiting=RETRY_EXTRA - 1, entries=ENTRIES))
+        self.assertFalse(self.budget.has_room(waiting=RETRY_EXTRA, entries=ENTRIES))
+
+    # Guards against retries that are lost to callers though no engine ever got them.
+    def test_a_retry_that_was_never_sent_is_taken_back(self):
+        self.allowed(10)
+        self.budget.spend(entry="r2", request_id="never-sent")
+        self.budget.take_back("never-sent")
+        self.budget.take_back("unknown")
+        self.clock.now += RETRY_WINDOW_S + ARRIVAL_SPREAD_S + 0.1
+        self.budget.spend(entry="r2", request_id="again")
+        self.budget.take_back("again")
+        self.assertEqual(self.allowed(10), RETRY_EXTRA)
+
+
+class RoutersTest(RetryBudgetCase):
+    LIMITS = RetryLimits(extra=40.0, routers=10)
+
+    # Guards against a router that is cut off and takes the extra of the whole fleet.
+    def test_whoever_sees_few_routers_has_their_part_of_the_extra(self):
+        self.assertEqual(self.allowed(1000, entries=("r1",)), 4)
+        self.assertEqual(self.allowed(1000, entries=ENTRIES), 4)
+
+    # Guards against what a router that is cut off earned, spent on both sides of the cut.
+    def test_successes_of_others_are_let_go(self):
+        for _ in range(100):
+            self.budget.note_success("r2")
+        self.budget.keep({"r1"})
+        self.assertEqual(self.allowed(1000, entries=("r1",)), 4)
+
+    # Guards against a router that dies and takes what it spent out of the account.
+    def test_what_a_router_spent_is_kept_when_it_dies(self):
+        self.allowed(1000, entry="r2")
+        self.budget.keep({"r1"})
+        self.assertEqual(self.allowed(1000, entries=("r1",)), 0)
+
+
+class HistoryTest(RetryBudgetCase):
+    LIMITS = RetryLimits(extra=20.0)
+
+    def history(self, *, up_s=100.0, retries=(), successes=()):
+        return RetryHistory(up_s=up_s, retries_by_age_s=tuple(retries), successes_by_age_s=tuple(successes))
+
+    # Guards against a new steward that gives out again what the former one gave out.
+    def test_a_new_steward_goes_on_from_what_entries_tell(self):
+        new = self.make()
+        new.take_history("r1", self.history(retries=(0, 3), successes=(50,)))
+        new.take_history("r2", self.history(retries=(0, 0, 4), successes=(0, 50)))
+        self.assertEqual(self.allowed(1000, budget=new), 20 + 10 - 7)
+
+    def test_what_is_told_twice_counts_once(self):
+        self.allowed(5)
+        for _ in range(3):
+            self.budget.take_history("r1", self.history(retries=(5,), successes=(100,)))
+        self.assertEqual(self.allowed(1000), 20 + 10 - 5)
+
+    # Guards against a router that is started again and whose steward takes its empty record for all that was spent.
+    def test_what_a_former_process_spent_is_kept(self):
+        self.allowed(15)
+        self.clock.now += 1.0
+        self.budget.take_history("r1", self.history(up_s=0.5))
+        self.assertEqual(self.allowed(1000), 5)
+
+    # Guards against a grant that is on its way while its router registers, and is forgotten.
+    def test_a_grant_on_its_way_counts(self):
+        self.allowed(3)
+        self.budget.take_history("r1", self.history(retries=(2,)))
+        self.assertEqual(self.allowed(1000), 20 - 3)
+
+    # Guards against a fleet that starts again as a whole and gives out its whole budget each time.
+    def test_routers_that_have_all_just_started_begin_with_a_part(self):
+        new = self.make()
+        for entry in ENTRIES:
+            new.take_history(entry, self.history(up_s=0.1))
+        self.assertEqual(self.allowed(1000, budget=new), LEAST_KNOWN_SHARE * 20)
+        self.clock.now += RETRY_WINDOW_S / 2
+        self.assertEqual(self.allowed(1000, budget=new), 10 - LEAST_KNOWN_SHARE * 20)
+
+    # Guards against what routers forgot that were started again together with the steward.
+    def test_what_nobody_knows_is_taken_for_as_much_as_what_is_known(self):
+        new = self.make()
+        new.take_history("r1", self.history(retries=(0, 8)))
+        new.take_history("r2", self.history(up_s=0.0))
+        self.assertEqual(self.allowed(1000, budget=new), 2)
 
 
 if __name__ == "__main__":
--- a/tests/test_run_counts.py
+++ b/tests/test_run_counts.py
@@ -5,12 +5,11 @@
 from collections import Counter
 
 from tests.test_counted_runs import OneRequest
-from tests.utils.paused_clock import now, on_paused_clock
+from tests.utils.paused_clock import on_paused_clock
 from tests.utils.stewardship_replay import QuietCrashes
-from wagtailtrestle.contracts.messages import EngineNotice
-from wagtailtrestle.contracts.outcomes import RunCut, RunNotSent
+from wagtailtrestle.contracts.messages import EngineNotice, Refused
+from wagtailtrestle.contracts.outcomes import Reason, RunCut, RunNotSent
 from wagtailtrestle.entry.poison import CRASH_LIMIT
-from wagtailtrestle.entry.retry_budget import RetryBudget
 
 LOST = RunCut(detail="cut", reached=True)
 REFUSED = RunNotSent(detail="full", arrived=True)
@@ -56,10 +55,15 @@
 
     @on_paused_clock
     async def test_a_retry_that_the_budget_refuses_is_counted(self):
-        spent = RetryBudget(clock=now, floor=0.0)
-        request = self.request(parts={"budget_by_service": lambda service: spent})
+        request = self.request()
         await request.grant("e1")
         await request.end(LOST)
+        asked = request.asks[-1]
+        self.assertTrue(asked.is_retry)
+        refused = {"reason": Reason.RETRY_BUDGET, "retry_after_s": 1.0}
+        request.entry.on_steward_message(Refused(request_id="r1", attempt=asked.attempt, **refused))
+        await asyncio.sleep(0.0)
+        self.assertEqual(request.caller.answer.refusal.reason, Reason.RETRY_BUDGET)
         self.assertEqual(self.counts[("retries_refused", "asistente")], 1)
 
     @on_paused_clock
--- a/tests/utils/retry_fleet.py
+++ b/tests/utils/retry_fleet.py
@@ -9,14 +9,13 @@
 from tests.utils.paused_clock import now
 from tests.utils.steward_fakes import engine
 from tests.utils.stewardship_replay import QuietCrashes, caller_request
+from wagtailtrestle.capacity.retry_budget import RetryLimits
 from wagtailtrestle.capacity.steward_set import StewardSet
 from wagtailtrestle.contracts.declaration import PLAIN, Declaration, Service
 from wagtailtrestle.contracts.exchange import AnswerWhole, RunEnded, StartRun
 from wagtailtrestle.contracts.outcomes import RunCut, RunDone, RunNotSent
 from wagtailtrestle.entry.entry import Entry
-from wagtailtrestle.entry.retry_budget import RetryBudget
 from wagtailtrestle.peers.directory import Directory
-from wagtailtrestle.router import RETRY_EXTRA_MARGIN
 
 SERVICE = "asistente"
 RATIO = 0.2
@@ -65,26 +64,23 @@
             set_members=lambda names: self.stewards.set_members(names),
             begin_cell=lambda cell: self.stewards.begin(cell),
         )
-        self.stewards = StewardSet(clock=loop.time, entries=self.directory.entry_link)
+        self.stewards = StewardSet(clock=loop.time, entries=self.directory.entry_link, retry_limits=self._retry_limits)
         self.stewards.set_members(membership.view.everyone)
         self.stewards.set_declaration(fleet.declaration)
-        self.budget = RetryBudget(clock=loop.time, share=RATIO)
         self.entry = Entry(
             name=name,
             stewards=self.directory.steward_link,
             claims=None,
             crashes=QuietCrashes(),
-            budget_by_service=self._budget_of,
             declaration=lambda: fleet.declaration,
             loop=loop,
         )
         self.directory.refresh()
         self.ticking = loop.create_task(self._tick())
 
-    def _budget_of(self, service):
-        routers = len(self.fleet.net.by_name[self.name].view.everyone)
-        self.budget.floor = RETRY_EXTRA_MARGIN * EXTRA / max(1, routers)
-        return self.budget
+    def _retry_limits(self):
+        routers = self.fleet.net.by_name[self.name].fleet_size()
+        return RetryLimits(share=RATIO, extra=EXTRA, window_s=WINDOW_S, routers=routers)
 
     async def _tick(self):
         while True:
--- a/tests/utils/stewardship_replay.py
+++ b/tests/utils/stewardship_replay.py
@@ -8,7 +8,6 @@
 from wagtailtrestle.contracts.messages import Granted, Preempt, Refused
 from wagtailtrestle.contracts.outcomes import Reason, RunCancelled, RunDone
 from wagtailtrestle.entry.entry import Entry
-from wagtailtrestle.entry.retry_budget import RetryBudget
 from wagtailtrestle.spec.monitor import Monitor
 from wagtailtrestle.spec.stewardship import HIGH, REPEATABLE, REQUESTS, TIER_BY_REQUEST
 
@@ -219,10 +218,7 @@
     """Make a real entry whose stewards and callers are fakes; ``parts`` go to the entry."""
     stewards = QuietStewards()
     declaration = declaration or small_declaration()
-    parts = {
-        "crashes": QuietCrashes(),
-        "budget_by_service": lambda service: RetryBudget(clock=loop.time),
-    } | parts
+    parts = {"crashes": QuietCrashes()} | parts
     entry = Entry(name="r1", stewards=stewards, claims=claims, declaration=lambda: declaration, loop=loop, **parts)
     return entry, stewards
 
--- /dev/null
+++ b/wagtailtrestle/capacity/recent_times.py
@@ -0,0 +1,49 @@
+"""Times of events within a sliding window."""
+
+from collections import deque
+
+
+class RecentTimes:
+    """When something happened lately, oldest first.
+
+    Parameters
+    ----------
+    times : iterable of float
+        On one clock, in any order.
+    """
+
+    __slots__ = ("_times",)
+
+    def __init__(self, times=()):
+        self._times = deque(sorted(times))
+
+    def __len__(self):
+        return len(self._times)
+
+    def __iter__(self):
+        return iter(self._times)
+
+    def note(self, at):
+        """Add the latest event."""
+        self._times.append(at)
+
+    def take_back(self):
+        """Drop the latest event, which did not happen after all."""
+        if self._times:
+            self._times.pop()
+
+    def forget_before(self, at):
+        """Drop the events up to a time."""
+        while self._times and self._times[0] <= at:
+            self._times.popleft()
+
+    def since(self, at):
+        """How many came after a time."""
+        return sum(time > at for time in self._times)
+
+    def by_age_s(self, now):
+        """How many came in each whole second before now, the last one first."""
+        counts = [0] * (int(now - self._times[0]) + 1 if self._times else 0)
+        for at in self._times:
+            counts[int(now - at)] += 1
+        return tuple(counts)
--- a/wagtailtrestle/capacity/steward.py
+++ b/wagtailtrestle/capacity/steward.py
@@ -12,6 +12,7 @@
 from wagtailtrestle.capacity.isolation import Isolation
 from wagtailtrestle.capacity.preemption import LOOK_AHEAD, PreemptionPlanner
 from wagtailtrestle.capacity.registration import Registration
+from wagtailtrestle.capacity.retry_budget import RetryBudget, RetryLimits
 from wagtailtrestle.capacity.run_book import RunBook
 from wagtailtrestle.capacity.steward_notes import StewardNotes
 from wagtailtrestle.capacity.tier_queue import TierQueue
@@ -26,7 +27,7 @@
     RunStarted,
     Withdraw,
 )
-from wagtailtrestle.contracts.outcomes import Reason
+from wagtailtrestle.contracts.outcomes import Reason, RunDone
 from wagtailtrestle.engines.silence_limits import granted_message
 from wagtailtrestle.entry.cells import CellDigest
 
@@ -57,6 +58,8 @@
         From 0 (goodput by tier) to 1 (no prefill thrown away).
     runs_outlive_routers : bool
         Whether engines go on with the runs of a router that died, and report them.
+    retry_limits : callable
+        Returns the present ``RetryLimits`` of this cell.
     """
 
     __slots__ = (
@@ -70,6 +73,9 @@
         "_planner",
         "_isolation",
         "_registration",
+        "_retries",
+        "_retries_used_up",
+        "_elsewhere",
         "_members",
         "_granting",
         "_notes",
@@ -79,7 +85,17 @@
         "_handlers_by_type",
     )
 
-    def __init__(self, *, cell, policy, clock, entries, prefill_weight=0.5, runs_outlive_routers=False):
+    def __init__(
+        self,
+        *,
+        cell,
+        policy,
+        clock,
+        entries,
+        prefill_weight=0.5,
+        runs_outlive_routers=False,
+        retry_limits=RetryLimits,
+    ):
         self.cell = cell
         self._runs_outlive_routers = runs_outlive_routers
         self._rollout = None
@@ -99,6 +115,9 @@
         self._planner = PreemptionPlanner(clock=clock, prefill_weight=prefill_weight)
         self._isolation = Isolation(clock=clock, queue=self._queue)
         self._registration = Registration(clock=clock)
+        self._retries = RetryBudget(clock=clock, limits=retry_limits)
+        self._retries_used_up = False
+        self._elsewhere = set()
         self._notes = StewardNotes(cell=cell, runs=self._runs, registration=self._registration)
         self._members = frozenset()
         self._granting = True
@@ -158,12 +177,15 @@
     def take_over(self):
         """Begin anew: this router is steward again, after another one was."""
         self._registration.take_over()
+        self._retries.begin()
         self._runs.distrust()
 
     def set_members(self, entries):
         """Take in the live view of routers; what those that left hold is let go."""
         gone = self._members - frozenset(entries)
         self._members = frozenset(entries)
+        self._elsewhere &= self._members
+        self._retries.keep(self._members)
         self._registration.set_members(self._members)
         if self._registration.cautious:
             self._runs.distrust()
@@ -227,6 +249,7 @@
         self._notes.note_limited()
         self._runs.order_by_pace()
         self._admission.measure_speed()
+        self._retries_used_up = not self._may_retry()
         for waiting in self._queue.pop_expired(self._clock()):
             self._refuse(waiting.request, Reason.OVERLOADED)
         self._queue.unpark_some(UNPARK_IN_A_ROW)
@@ -257,6 +280,7 @@
             "waiting_by_tier": self._queue.waiting_by_tier(),
             "work_by_tier": {tier: round(work, 3) for tier, work in self._queue.work_by_tier().items()},
             "running": {request_id: grant.engine for request_id, grant in self._runs.grants_by_request_id.items()},
+            "retries": self._retries.dump(),
             "engines": {name: engine.dump() for name, engine in self._runs.engines_by_name.items()},
         }
 
@@ -289,6 +313,10 @@
                     finished=message,
                     was_full=grant.filled,
                 )
+        if message.never_sent:
+            self._retries.take_back(message.request_id)
+        elif grant is not None and message.result == RunDone.__name__:
+            self._retries.note_success(grant.request.entry)
         self._runs.on_finished(message)
 
     def _on_withdraw(self, message):
@@ -306,9 +334,13 @@
             # Its runs go on, though another steward counts them now. Were their places free here, entries that
             # have not heard of the change yet got second runs on them: 29 on an engine of 16 places were seen, and
             # what waits in an engine's queue can't be moved. A report shows when they are gone.
+            self._elsewhere.add(message.entry)
+            self._retries.keep(self._members - self._elsewhere)
             self._drop_entry(message.entry)
             return
+        self._elsewhere.discard(message.entry)
         self._registration.registered(message.entry)
+        self._retries.take_history(message.entry, message.retries)
         for notice in message.notices:
             self._runs.on_notice(notice)
         running_by_id = {record.request.request_id: record for record in message.running}
@@ -351,6 +383,10 @@
     # Queue, grants, refusals.
 
     def _consider(self, request):
+        if request.is_retry and not self._may_retry():
+            self._notes.note_no_retry(request, self._retries)
+            self._refuse(request, Reason.RETRY_BUDGET)
+            return
         waiting = self._admission.waiting(request)
         reason = self._admission.refusal(waiting)
         if reason is not None:
@@ -365,6 +401,11 @@
             self._queue.remove(given_up.request_id)
             self._refuse(given_up.request, Reason.OVERLOADED)
 
+    def _may_retry(self):
+        queued = self._queue.waiting_by_request_id.values()
+        entries = self._members - self._elsewhere - self.awaited_entries
+        return self._retries.has_room(waiting=sum(waiting.request.is_retry for waiting in queued), entries=entries)
+
     def _set_aside(self, waiting):
         if not self._isolation.has_room():
             self._refuse(waiting.request, Reason.OVERLOADED)
@@ -467,6 +508,8 @@
             engine_name=engine.name,
             deadline=waiting.deadline,
         )
+        if waiting.request.is_retry:
+            self._retries.spend(entry=waiting.request.entry, request_id=waiting.request_id)
         if self._rollout is not None:
             self._rollout.note_grant(waiting.request, engine.version)
         self._tell_granted(grant)
@@ -475,7 +518,8 @@
         engine = self._runs.engines_by_name.get(grant.engine)
         if engine is None:
             return
-        if not self._entries.send(entry=grant.request.entry, message=granted_message(grant, engine)):
+        message = granted_message(grant, engine, retries_used_up=self._retries_used_up)
+        if not self._entries.send(entry=grant.request.entry, message=message):
             self._runs.end(grant)
 
     def _refuse(self, request, reason):
--- a/wagtailtrestle/capacity/steward_set.py
+++ b/wagtailtrestle/capacity/steward_set.py
@@ -1,8 +1,12 @@
 """The stewards that this router holds, one for each cell whose messages reach it."""
 
+import dataclasses
+
+from wagtailtrestle.capacity.retry_budget import RetryLimits
 from wagtailtrestle.capacity.steward import Steward
 from wagtailtrestle.contracts.declaration import LANGUAGE
 from wagtailtrestle.engines.policies import PredictedFinish
+from wagtailtrestle.entry.cells import cells_of
 
 ORPHANS_S = 10.0
 """How long after the loss of a router its runs may still be on engines: they cancel what nobody follows, or end it."""
@@ -18,12 +22,15 @@
     entries : EntryLink
     runs_outlive_routers : bool
         Whether engines go on with the runs of a router that died.
+    retry_limits : callable
+        Returns the present ``RetryLimits`` of each service.
     """
 
     __slots__ = (
         "by_cell",
         "_clock",
         "_entries",
+        "_retry_limits",
         "_runs_outlive_routers",
         "_declaration",
         "_members",
@@ -33,10 +40,11 @@
         "_granting",
     )
 
-    def __init__(self, *, clock, entries, runs_outlive_routers=False):
+    def __init__(self, *, clock, entries, runs_outlive_routers=False, retry_limits=RetryLimits):
         self.by_cell = {}
         self._clock = clock
         self._entries = entries
+        self._retry_limits = retry_limits
         self._runs_outlive_routers = runs_outlive_routers
         # What died before this process began it can't know, and the likeliest is the one whose name it has: what
         # that one had sent to engines goes on. Taken for nothing, a new steward granted one to three of an
@@ -155,6 +163,7 @@
             entries=self._entries,
             prefill_weight=service.prefill_weight,
             runs_outlive_routers=self._reports_orphans(cell),
+            retry_limits=lambda: self._retry_limits_of(cell),
         )
         self.by_cell[cell] = steward
         self._expect_orphans(steward)
@@ -172,6 +181,12 @@
         for engine in self._leaving:
             steward.mark_leaving(engine)
 
+    def _retry_limits_of(self, cell):
+        """Limits of one cell: the extra retries of a service are for all of its cells together."""
+        limits = self._retry_limits()
+        cells = len(cells_of(self._declaration, self._service_of(cell).name)) if self._engines_of(cell) else 1
+        return dataclasses.replace(limits, extra=limits.extra / cells)
+
     def _service_of(self, cell):
         engine = next(iter(self._engines_of(cell).values()))
         return self._declaration.services_by_name[engine.service]
--- a/wagtailtrestle/contracts/messages.py
+++ b/wagtailtrestle/contracts/messages.py
@@ -52,6 +52,8 @@
         The caller's own estimate of its whole output, often far off; 0 without one.
     route : str
         The route by which the caller asked.
+    is_retry : bool
+        Whether an engine got this request before, so that another run is a retry.
     """
 
     request_id: str
@@ -75,6 +77,7 @@
     pause_within_s: float = 0.0
     event_tokens: int = 1
     route: str = ""
+    is_retry: bool = False
 
 
 @record
@@ -113,6 +116,8 @@
         The class name of the outcome (``RunDone``, ``RunCut`` …).
     duration_s : float
         From dispatch to end.
+    never_sent : bool
+        Whether the engine certainly got nothing of it.
     """
 
     request_id: str
@@ -123,6 +128,7 @@
     prompt_tokens: int = 0
     cached_tokens: int = 0
     output_tokens: int = 0
+    never_sent: bool = False
 
 
 @record
@@ -175,6 +181,28 @@
     output_tokens: int
 
 
+@record
+class RetryHistory:
+    """What one router sent to a cell's engines a second time, and what it got answered.
+
+    Parameters
+    ----------
+    up_s : float
+        Time since the router's process started.
+    retries_by_age_s, successes_by_age_s : tuple of int
+        How many in each whole second before now, the last one first.
+    """
+
+    up_s: float = 0.0
+    retries_by_age_s: tuple = ()
+    successes_by_age_s: tuple = ()
+
+    @property
+    def is_empty(self):
+        """Whether there is nothing to tell."""
+        return not self.retries_by_age_s and not self.successes_by_age_s
+
+
 @record
 class Register:
     """Everything one entry holds for ``cell``; replaces what the steward knew of it.
@@ -186,6 +214,8 @@
         run what it was granted there.
     notices : tuple of EngineNotice
         What engines of the cell said of themselves to this entry lately.
+    retries : RetryHistory
+        Of this cell.
     """
 
     entry: str
@@ -194,6 +224,7 @@
     running: tuple = ()
     elsewhere: bool = False
     notices: tuple = ()
+    retries: RetryHistory = RetryHistory()
 
 
 @record
@@ -204,6 +235,8 @@
     ----------
     limit_age_s : float
         How long ago the engine named a rate limit, as far as the steward heard; infinite if it didn't lately.
+    retries_used_up : bool
+        Whether the cell's budget has no retry left.
     """
 
     request_id: str
@@ -212,6 +245,7 @@
     progress_deadline_s: float
     first_token_deadline_s: float
     limit_age_s: float = math.inf
+    retries_used_up: bool = False
 
 
 @record
--- a/wagtailtrestle/declarations/settings.py
+++ b/wagtailtrestle/declarations/settings.py
@@ -1,5 +1,6 @@
 """Checked settings of one process; its own file, apart from the declaration."""
 
+from wagtailtrestle.capacity.retry_budget import RETRY_WINDOW_S
 from wagtailtrestle.declarations.argument_types import Flag, HostPort, Integer, Name, Number, OneOf, Peer, Url
 from wagtailtrestle.declarations.field_reader import open_mapping
 from wagtailtrestle.declarations.yaml_source import Fault, FaultList, compose, read_file
@@ -71,9 +72,10 @@
     metrics_address : str or None
         ``IP:PORT`` of a second listener for metrics and state.
     retry_share : float
-        Retries allowed for each recent success of a service, on this router.
+        Retries allowed for each success of a service within the window, over all routers.
     retry_extra : float
-        Retries beyond that within ten seconds, over all routers.
+        Retries beyond that within the window, over all routers.
+    retry_window_s : float
     key_revocation_ms : float
         Time after which a revoked key may run nothing, wherever; 0 for no such bound.
     stop_grace_s : float
@@ -127,6 +129,7 @@
         "metrics_address",
         "retry_share",
         "retry_extra",
+        "retry_window_s",
         "key_revocation_ms",
         "stop_grace_s",
         "quota_window_s",
@@ -166,6 +169,7 @@
         metrics_address=None,
         retry_share=DEFAULT_RETRY_SHARE,
         retry_extra=DEFAULT_RETRY_EXTRA,
+        retry_window_s=RETRY_WINDOW_S,
         key_revocation_ms=0.0,
         stop_grace_s=0.0,
         quota_window_s=0.0,
@@ -201,6 +205,7 @@
         self.metrics_address = metrics_address
         self.retry_share = retry_share
         self.retry_extra = retry_extra
+        self.retry_window_s = retry_window_s
         self.key_revocation_ms = key_revocation_ms
         self.stop_grace_s = stop_grace_s
         self.quota_window_s = quota_window_s
@@ -313,6 +318,7 @@
         ),
         "retry_share": reader.value("retry_share", Number(least=0, most=10), default=DEFAULT_RETRY_SHARE),
         "retry_extra": reader.value("retry_extra", Number(least=0, most=1_000_000), default=DEFAULT_RETRY_EXTRA),
+        "retry_window_s": reader.value("retry_window_s", Number(least=0.1, most=3600), default=RETRY_WINDOW_S),
         "key_revocation_ms": reader.value("key_revocation_ms", Number(least=0, most=3_600_000), default=0.0),
         "stop_grace_s": reader.value("stop_grace_s", seconds, default=0.0),
         "quota_window_s": reader.value("quota_window_s", seconds, default=0.0),
--- a/wagtailtrestle/engines/silence_limits.py
+++ b/wagtailtrestle/engines/silence_limits.py
@@ -15,7 +15,7 @@
 """Prompt tokens of other runs that an engine may prefill between two tokens of one."""
 
 
-def granted_message(grant, engine):
+def granted_message(grant, engine, *, retries_used_up=False):
     """Tell the entry of its place on the engine, with the limits on its silence."""
     model = engine.model
     first_token_s = model.predict_first_token_s(
@@ -31,4 +31,5 @@
         progress_deadline_s=max(PROGRESS_FLOOR_S, SILENCE_FACTOR * step_s),
         first_token_deadline_s=max(FIRST_TOKEN_FLOOR_S, SILENCE_FACTOR * first_token_s),
         limit_age_s=engine.rate_limit.age_s,
+        retries_used_up=retries_used_up,
     )
--- a/wagtailtrestle/entry/entry.py
+++ b/wagtailtrestle/entry/entry.py
@@ -9,6 +9,7 @@
 import math
 
 from wagtailtrestle.broken_invariant import report_broken
+from wagtailtrestle.capacity.retry_budget import RETRY_WINDOW_S
 from wagtailtrestle.contracts.exchange import AnswerRefusal
 from wagtailtrestle.contracts.messages import EngineNotice, Granted, Register, RunFinished, Withdraw
 from wagtailtrestle.contracts.outcomes import Executed, Reason, RunNotSent
@@ -16,6 +17,7 @@
 from wagtailtrestle.entry.cells import cells_of, choose_cell
 from wagtailtrestle.entry.final_answers import DEFAULT_RETRY_AFTER_S, refusal_of
 from wagtailtrestle.entry.request_task import Displaced, RequestState, RequestTask
+from wagtailtrestle.entry.retry_record import RetryRecord
 from wagtailtrestle.entry.run_counts import RunCounts
 
 
@@ -29,8 +31,7 @@
     stewards : StewardLink
     claims : Claims
     crashes : CrashWatch
-    budget_by_service : Callable
-        Maps a service's name to its :class:`wagtailtrestle.entry.retry_budget.RetryBudget`.
+    retries : RetryRecord
     declaration : Callable
         Gives the declaration in force.
     notices : EngineNotices
@@ -44,7 +45,7 @@
         "name",
         "claims",
         "crashes",
-        "retry_budget",
+        "retries",
         "run_counts",
         "now",
         "_stewards",
@@ -52,11 +53,11 @@
         "_notices",
     )
 
-    def __init__(self, *, name, stewards, claims, crashes, budget_by_service, declaration, notices, run_counts, now):
+    def __init__(self, *, name, stewards, claims, crashes, retries, declaration, notices, run_counts, now):
         self.name = name
         self.claims = claims
         self.crashes = crashes
-        self.retry_budget = budget_by_service
+        self.retries = retries
         self.run_counts = run_counts
         self.now = now
         self._stewards = stewards
@@ -124,9 +125,11 @@
     ----------
     name : str
         This router's name.
-    stewards, claims, crashes, budget_by_service, declaration
+    stewards, claims, crashes, declaration
         See :class:`RequestContext`.
     loop : asyncio.AbstractEventLoop
+    retry_window_s : callable, optional
+        Returns the time for which retries count.
     count : callable, optional
         See :class:`wagtailtrestle.entry.run_counts.RunCounts`.
     """
@@ -138,6 +141,7 @@
         "_declaration",
         "_loop",
         "_notices",
+        "_retries",
         "_run_counts",
         "_running_by_id",
         "_idle",
@@ -150,9 +154,9 @@
         stewards,
         claims,
         crashes,
-        budget_by_service,
         declaration,
         loop,
+        retry_window_s=lambda: RETRY_WINDOW_S,
         count=lambda name, **labels: None,
     ):
         self.name = name
@@ -160,6 +164,7 @@
         self._declaration = declaration
         self._loop = loop
         self._notices = EngineNotices(router=name, clock=loop.time)
+        self._retries = RetryRecord(clock=loop.time, window_s=retry_window_s)
         self._run_counts = RunCounts(count=count)
         self._running_by_id = {}
         self._idle = asyncio.Event()
@@ -169,7 +174,7 @@
             stewards=stewards,
             claims=claims,
             crashes=crashes,
-            budget_by_service=budget_by_service,
+            retries=self._retries,
             declaration=declaration,
             notices=self._notices,
             run_counts=self._run_counts,
@@ -234,6 +239,7 @@
             waiting=tuple(waiting),
             running=tuple(running),
             notices=self._notices_of(cell),
+            retries=self._retries.history(cell),
         )
 
     def _notices_of(self, cell):
@@ -287,7 +293,11 @@
             self._withdraw(granted)
             return
         give_back = RunFinished(
-            request_id=granted.request_id, engine=granted.engine, result=RunNotSent.__name__, duration_s=0.0
+            request_id=granted.request_id,
+            engine=granted.engine,
+            result=RunNotSent.__name__,
+            duration_s=0.0,
+            never_sent=True,
         )
         if task.state is RequestState.DISPATCHED and task.engine != granted.engine:
             self._context.send(task.cell, give_back)
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -61,6 +61,10 @@
 """A hope that has passed: distinct from 0, which stands for none."""
 
 
+RETRIES = frozenset({RunKind.AFTER_LOSS, RunKind.AFTER_REFUSAL})
+"""Runs that count against the budget of retries; a run after a preemption was asked for by the steward."""
+
+
 class RequestState(StrEnum):
     """Where a request stands; the last three are final."""
 
@@ -108,6 +112,7 @@
         "_excluded",
         "_next_kind",
         "_losses",
+        "_retries_used_up",
         "_given_back",
         "_reach",
         "_not_sent",
@@ -139,6 +144,7 @@
         self._excluded = set()
         self._next_kind = RunKind.FIRST
         self._losses = 0
+        self._retries_used_up = False
         self._given_back = set()
         self._reach = Reach()
         self._not_sent = 0
@@ -194,6 +200,7 @@
             pause_within_s=request.pause_within_s,
             event_tokens=request.event_tokens,
             route=request.route,
+            is_retry=self._next_kind in RETRIES,
         )
 
     def running_record(self):
@@ -254,6 +261,7 @@
                     is_in_use = self.context.is_in_use(message.engine)
                     if is_in_use and self.context.is_informed(message):
                         self.state = RequestState.GRANTED
+                        self._retries_used_up = message.retries_used_up
                         return message
                     # The steward may be cut off from the platform, and not know yet that an
                     # engine leaves, or know one that this router does not. Sent there, the
@@ -275,6 +283,8 @@
     def _take_refusal(self, reason, retry_after_s):
         if self._preempted and reason in (Reason.OVERLOADED, Reason.DEADLINE_UNREACHABLE):
             reason = Reason.PREEMPTED
+        if reason is Reason.RETRY_BUDGET:
+            self.context.run_counts.note_retry_refused(service=self.request.service)
         self._refuse(reason, retry_after_s=retry_after_s)
 
     # Run.
@@ -307,6 +317,8 @@
             self.run_tokens = 0
             self._cancelling = False
             self._preempted = False
+            if self._next_kind in RETRIES:
+                self.context.retries.note_retry(self.cell)
         self.state = RequestState.DISPATCHED
         self._count_run(attach=attach)
         overall_s = max(self._remaining(), ATTACH_ROOM_S)
@@ -445,6 +457,8 @@
         self._excluded.add(self.engine)
         if not outcome.arrived:
             self.runs_begun -= 1
+            if self._next_kind in RETRIES:
+                self.context.retries.take_back(self.cell)
         if self._reach.maybe and not self.request.repeatable:
             return self._lost()
         if self._not_sent >= MAX_NOT_SENT:
@@ -452,25 +466,12 @@
         # What an engine refused cost it a connection and a look: sent on and on to full engines,
         # the refusals alone would keep them busy.
         if outcome.arrived:
-            if not self._may_retry():
-                return self._refuse(Reason.RETRY_BUDGET)
             self._next_kind = RunKind.AFTER_REFUSAL
         return False
 
-    def _may_retry(self):
-        """Spend one retry of the service, if there is one."""
-        budget = self._budget()
-        if budget.allow():
-            return True
-        request = self.request
-        self.context.run_counts.note_retry_refused(
-            request_id=request.request_id, service=request.service, budget=budget
-        )
-        return False
-
     def _may_go_elsewhere(self):
         """Whether giving a run up could gain its caller an answer of another engine now."""
-        return self._may_run_again() and self._budget().has_room()
+        return self._may_run_again() and not self._retries_used_up
 
     def _may_run_again(self):
         """Whether another engine may still be tried after one that ran the request."""
@@ -487,8 +488,6 @@
         # may not be repeated could charge a caller twice, so it ends here as unknown.
         if not self._may_run_again():
             return self._lost()
-        if not self._may_retry():
-            return self._refuse(Reason.RETRY_BUDGET)
         self._next_kind = RunKind.AFTER_LOSS
         self._losses += 1
         self._excluded.add(self.engine)
@@ -504,7 +503,8 @@
         self.done_tokens = max(self.done_tokens, tokens)
 
     def _answer_whole(self, ended):
-        self._budget().on_success()
+        if isinstance(ended.outcome, RunDone):
+            self.context.retries.note_success(self.cell)
         self._finish(AnswerWhole())
         self._key.finish(ended)
         return True
@@ -536,9 +536,6 @@
         except TimeoutError:
             return None
 
-    def _budget(self):
-        return self.context.retry_budget(self.request.service)
-
     def _service_can(self, ability):
         service = self.context.service(self.request.service)
         return service is not None and getattr(service, ability)
--- a/wagtailtrestle/entry/run_counts.py
+++ b/wagtailtrestle/entry/run_counts.py
@@ -52,7 +52,6 @@
         self._count("requests_within_rest", engine=engine)
         logger.bind(engine=engine, rested_s=round(rested_s, 3)).warning("a request reached an engine that rests")
 
-    def note_retry_refused(self, *, request_id, service, budget):
-        """Count a retry for which the service's budget had no room."""
+    def note_retry_refused(self, *, service):
+        """Count a retry for which the cell's budget had no room."""
         self._count("retries_refused", service=service)
-        logger.bind(request_id=request_id, service=service, **budget.dump()).info("no retry is left for a service")
--- a/wagtailtrestle/entry/run_reports.py
+++ b/wagtailtrestle/entry/run_reports.py
@@ -49,13 +49,21 @@
                 prompt_tokens=getattr(outcome, "prompt_tokens", 0),
                 cached_tokens=getattr(outcome, "cached_tokens", 0),
                 output_tokens=getattr(outcome, "output_tokens", 0),
+                never_sent=isinstance(outcome, RunNotSent) and not outcome.arrived,
             )
         )
 
     def gave_back(self, engine):
         """Give a place back that no run was begun in."""
-        result = RunNotSent.__name__
-        self._send(RunFinished(request_id=self._request_id, engine=engine, result=result, duration_s=0.0))
+        self._send(
+            RunFinished(
+                request_id=self._request_id,
+                engine=engine,
+                result=RunNotSent.__name__,
+                duration_s=0.0,
+                never_sent=True,
+            )
+        )
 
 
 def _result_of(outcome):
--- a/wagtailtrestle/measure/cluster.py
+++ b/wagtailtrestle/measure/cluster.py
@@ -6,7 +6,6 @@
 from wagtailtrestle.entry.crash_watch import CrashWatch
 from wagtailtrestle.entry.entry import Entry
 from wagtailtrestle.entry.poison import CrashBook, CrashDetector
-from wagtailtrestle.entry.retry_budget import RetryBudget
 from wagtailtrestle.measure.fake_caller import NETWORK_S, FakeCaller
 from wagtailtrestle.measure.run_parts import SentBy, SentTo
 
@@ -112,7 +111,6 @@
 
     def _entry(self, name):
         clock = self._loop.time
-        budget = RetryBudget(clock=clock)
         crashes = CrashWatch(
             book=CrashBook(clock=clock, reporter=name),
             detector=CrashDetector(clock=clock),
@@ -123,7 +121,6 @@
             stewards=SentBy(router=name, send=self._send_to_steward),
             claims=self._claims_by_router.get(name),
             crashes=crashes,
-            budget_by_service=lambda service: budget,
             declaration=lambda: self._setting.declaration,
             loop=self._loop,
         )
--- a/wagtailtrestle/membership/contacts.py
+++ b/wagtailtrestle/membership/contacts.py
@@ -31,6 +31,11 @@
         self._listed = None
         self._leaving = frozenset()
 
+    @property
+    def listed(self):
+        """Names of the other routers on the platform's list, as it was last read."""
+        return self._listed or frozenset()
+
     def start(self):
         """Greet a few of the seeds."""
         self._peers.set_addresses(self._addresses_by_name)
--- a/wagtailtrestle/membership/membership.py
+++ b/wagtailtrestle/membership/membership.py
@@ -200,6 +200,15 @@
         self._contacts.observe(vms)
         self._refresh()
 
+    def fleet_size(self):
+        """Routers that may be running: all that are not known to have left.
+
+        Whoever can't be reached may be cut off and go on serving, so a cut makes no fleet smaller.
+        """
+        by_name = self._table.by_name
+        left = {name for name, member in by_name.items() if member.state is MemberState.LEFT}
+        return len((by_name.keys() | self._contacts.listed) - left)
+
     def broadcast_targets(self):
         """Routers to which news for everybody is passed on."""
         return self._partners | self._fingers
--- a/wagtailtrestle/peers/codec.py
+++ b/wagtailtrestle/peers/codec.py
@@ -57,7 +57,11 @@
 }
 
 # Types that appear only inside others.
-PARTS = {messages.RunningRecord: pb.RunningRecord, peer_messages.EngineEntry: pb.EngineEntry}
+PARTS = {
+    messages.RunningRecord: pb.RunningRecord,
+    messages.RetryHistory: pb.RetryHistory,
+    peer_messages.EngineEntry: pb.EngineEntry,
+}
 
 # What an enumeration's unknown value from a newer peer is read as. A refusal for a reason this router
 # doesn't know is still a refusal: dropping it would leave its request waiting for ever.
--- a/wagtailtrestle/peers/directory.py
+++ b/wagtailtrestle/peers/directory.py
@@ -182,7 +182,8 @@
 
     def _announce(self, steward, cell):
         registration = self._register(cell)
-        is_empty = not registration.waiting and not registration.running and not registration.notices
+        holds_nothing = not registration.waiting and not registration.running and not registration.notices
+        is_empty = holds_nothing and registration.retries.is_empty
         is_stranger = steward != self.name and not self._peers.connected(steward)
         if is_empty and is_stranger and len(self._membership.view.everyone) > ANNOUNCE_LIMIT:
             return
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -12,6 +12,7 @@
 from wagtailtrestle.callers.authentication import KeyProof
 from wagtailtrestle.callers.limits import DEFAULT_BODY_BYTES, CallerLimits, held_for
 from wagtailtrestle.callers.server import CallersServer
+from wagtailtrestle.capacity.retry_budget import RetryLimits
 from wagtailtrestle.capacity.steward_set import StewardSet
 from wagtailtrestle.configuration.configuration import Configuration, InForce
 from wagtailtrestle.configuration.engine_list import EngineList
@@ -32,7 +33,6 @@
 from wagtailtrestle.entry.crash_watch import CrashWatch
 from wagtailtrestle.entry.entry import Entry
 from wagtailtrestle.entry.poison import CrashBook, CrashClearance, CrashDetector, CrashReport
-from wagtailtrestle.entry.retry_budget import RetryBudget
 from wagtailtrestle.ledger.ledger import Ledger
 from wagtailtrestle.membership.announcement import Announcement
 from wagtailtrestle.membership.membership import Membership
@@ -50,9 +50,6 @@
 TICK_S = 0.1
 MS_PER_S = 1000.0
 CONNECT_TIMEOUT_S = 1.0
-RETRY_EXTRA_MARGIN = 0.5
-"""Part of the fleet's extra retries that is given out: budgets fade over the window in which the
-operator counts, so that within one such window they may give out up to twice their floor."""
 ENGINE_ROLE = "engine"
 ROUTER_ROLE = "router"
 
@@ -79,7 +76,6 @@
         self._draining = False
         self._begun = False
         self._asked_members = set()
-        self._budget_by_service = {}
         self._rendezvous = Rendezvous()
         # A declaration of full size takes a third of a second to check, too long for the loop.
         self._parsing = ThreadPoolExecutor(max_workers=1, thread_name_prefix="parse")
@@ -198,6 +194,7 @@
             clock=self._loop.time,
             entries=self._directory.entry_link,
             runs_outlive_routers=self._adapter.ended_call is not None,
+            retry_limits=self._retry_limits,
         )
         self._stewards.set_members(self._membership.view.everyone)
         self._crashes = CrashWatch(
@@ -215,9 +212,9 @@
             stewards=self._directory.steward_link,
             claims=self._ledger,
             crashes=self._crashes,
-            budget_by_service=self._budget_of,
             declaration=self._declaration,
             loop=self._loop,
+            retry_window_s=lambda: self._settings.retry_window_s,
             count=self._metrics.count,
         )
         self._reports = EngineReports(
@@ -436,7 +433,6 @@
             "ledger": self._ledger.dump(),
             "crashes": self._crashes.dump(),
             "rollouts": None if self._rollouts is None else self._rollouts.dump(),
-            "retry_budgets": {name: budget.dump() for name, budget in self._budget_by_service.items()},
         }
 
     # What the parts tell each other.
@@ -521,15 +517,14 @@
             case CacheEvents():
                 self._stewards.on_cache_events(report)
 
-    def _budget_of(self, service):
-        budget = self._budget_by_service.get(service)
-        if budget is None:
-            budget = RetryBudget(clock=self._loop.time, share=self._settings.retry_share)
-            self._budget_by_service[service] = budget
-        # The operator's extra retries are for all routers together.
-        routers = max(1, len(self._membership.view.everyone))
-        budget.floor = RETRY_EXTRA_MARGIN * self._settings.retry_extra / routers
-        return budget
+    def _retry_limits(self):
+        settings = self._settings
+        return RetryLimits(
+            share=settings.retry_share,
+            extra=settings.retry_extra,
+            window_s=settings.retry_window_s,
+            routers=self._membership.fleet_size(),
+        )
 
     def _other_members(self):
         return [name for name in self._membership.view.everyone if name != self._settings.name]
--- a/wagtailtrestle/slopes/control_node.py
+++ b/wagtailtrestle/slopes/control_node.py
@@ -21,7 +21,6 @@
 from wagtailtrestle.entry.crash_watch import CrashWatch
 from wagtailtrestle.entry.entry import Entry
 from wagtailtrestle.entry.poison import CrashBook, CrashDetector
-from wagtailtrestle.entry.retry_budget import RetryBudget
 from wagtailtrestle.membership.view import View
 from wagtailtrestle.peers.directory import Directory
 from wagtailtrestle.peers.peers_grpc import Peers
@@ -148,7 +147,6 @@
         self._next()
 
     def _entry(self, stewards):
-        budget = RetryBudget(clock=self.loop.time)
         crashes = CrashWatch(
             book=CrashBook(clock=self.loop.time),
             detector=CrashDetector(clock=self.loop.time),
@@ -159,7 +157,6 @@
             stewards=stewards,
             claims=None,
             crashes=crashes,
-            budget_by_service=lambda service: budget,
             declaration=lambda: self.declaration,
             loop=self.loop,
         )
--- a/wagtailtrestle/slopes/entry.py
+++ b/wagtailtrestle/slopes/entry.py
@@ -11,7 +11,6 @@
 from wagtailtrestle.entry.crash_watch import CrashWatch
 from wagtailtrestle.entry.entry import Entry
 from wagtailtrestle.entry.poison import CrashBook, CrashDetector
-from wagtailtrestle.entry.retry_budget import RetryBudget
 from wagtailtrestle.slopes.line import Slope
 
 HELD_COUNTS = (0, 200, 1_000, 3_000)
@@ -73,7 +72,6 @@
     """Build an entry whose steward grants at once, before one service of that kind."""
     steward = InstantSteward(loop=loop)
     declaration = _declaration(kind)
-    budget = RetryBudget(clock=loop.time)
     entry = Entry(
         name="router-1",
         stewards=steward,
@@ -83,7 +81,6 @@
             detector=CrashDetector(clock=loop.time),
             broadcast=lambda report: None,
         ),
-        budget_by_service=lambda service: budget,
         declaration=lambda: declaration,
         loop=loop,
     )
