--- /dev/null
+++ b/tests/test_quiet_crashes.py
@@ -0,0 +1,66 @@
+"""A request that crashes engines, sent again and again to a service that nobody else uses."""
+
+import threading
+import time
+import unittest
+
+from tests.utils.crashing_engine import MARK, CrashingEngine
+from tests.utils.platform_world import World
+
+ROUTERS = 8
+ENGINES = 6
+AGAIN_S = 0.6
+WATCHED_S = 16.0
+CRASHES = 3
+CONTACT_S = 4.0
+"""Time after the third crash in which the fleet learns which request it is."""
+MOST_AFTER = 3
+
+
+class QuietCrashesTest(unittest.TestCase):
+    def setUp(self):
+        self.service = "assistant"
+        self.answers = []
+
+    def world(self):
+        names = [f"e-{number}" for number in range(ENGINES)]
+        world = World(
+            routers=ROUTERS,
+            make_engines=lambda store: {
+                name: CrashingEngine(name=name, service=self.service, store=store) for name in names
+            },
+        )
+        self.addCleanup(world.close)
+        return world.start()
+
+    def send(self, world, method, path, number):
+        self.answers.append(world.ask(method, path, router=number % ROUTERS, request_id=f"r{number}"))
+
+    def check(self, method, path):
+        """Send one request through each router in turn, and see how often it runs once it has crashed three engines."""
+        world = self.world()
+        senders = []
+        until = time.monotonic() + WATCHED_S
+        while time.monotonic() < until:
+            senders.append(threading.Thread(target=self.send, args=(world, method, path, len(senders))))
+            senders[-1].start()
+            time.sleep(AGAIN_S)
+        for sender in senders:
+            sender.join()
+        crashes = sorted(at for engine in world.engines.values() for at in engine.crashes)
+        arrivals = sorted(at for engine in world.engines.values() for at in engine.arrivals_of_poison)
+        after = [at for at in arrivals if at > crashes[CRASHES - 1] + CONTACT_S]
+        self.assertLessEqual(len(after), MOST_AFTER)
+
+    # Guards against a crash that no router tells from a broken connection, as each has one run on the engine.
+    def test_a_stream_that_crashes_engines(self):
+        self.check("POST", f"/stream/{MARK}")
+
+    # Guards against the same where engines report nothing, so that only their entries tell that they went down.
+    def test_a_call_that_crashes_engines(self):
+        self.service = "booking"
+        self.check("GET", f"/status/{MARK}")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/utils/platform_world.py
+++ b/tests/utils/platform_world.py
@@ -88,17 +88,28 @@
     Parameters
     ----------
     routers : int
+    make_engines : callable, optional
+        ``make_engines(store)`` gives the engines by name, in place of two of each service.
     settings : dict
         Further settings of every router.
     """
 
-    def __init__(self, *, routers=1, **settings):
+    def __init__(self, *, routers=1, make_engines=None, **settings):
         self._directory = tempfile.TemporaryDirectory()
         self.store = Store()
-        self.engines = {
-            name: Engine(name=name, service=service)
-            for name, service in (("a-1", "assistant"), ("a-2", "assistant"), ("b-1", "booking"), ("b-2", "booking"))
-        }
+        self.engines = (
+            make_engines(self.store)
+            if make_engines
+            else {
+                name: Engine(name=name, service=service)
+                for name, service in (
+                    ("a-1", "assistant"),
+                    ("a-2", "assistant"),
+                    ("b-1", "booking"),
+                    ("b-2", "booking"),
+                )
+            }
+        )
         self._reservations = []
         self.routers = [self._router(number, settings) for number in range(routers)]
 
--- a/tests/utils/world_server.py
+++ b/tests/utils/world_server.py
@@ -25,7 +25,26 @@
             def log_message(self, *args):
                 return None
 
-        self.server = ThreadingHTTPServer((HOST, 0), Handler)
+        self._handler_class = Handler
+        self._listen(port=0)
+
+    def close(self):
+        self.stop_listening()
+
+    def stop_listening(self):
+        """Refuse new connections."""
+        self.server.shutdown()
+        self.server.server_close()
+
+    def listen_again(self):
+        """Take connections again, at the same address unless somebody else has its port now."""
+        try:
+            self._listen(port=self.server.server_port)
+        except OSError:
+            self._listen(port=0)
+
+    def _listen(self, *, port):
+        self.server = ThreadingHTTPServer((HOST, port), self._handler_class)
         # A router that ends cuts its watches: what their answers run into says nothing.
         self.server.handle_error = lambda request, client_address: None
         self.server.daemon_threads = True
@@ -33,10 +52,6 @@
         self._thread = threading.Thread(target=self.server.serve_forever, kwargs={"poll_interval": 0.02}, daemon=True)
         self._thread.start()
 
-    def close(self):
-        self.server.shutdown()
-        self.server.server_close()
-
     def serve(self, handler):
         raise NotImplementedError
 
