Crashes: routers hear from the steward and the list that an engine went down

Callers saw: on a quiet service, a request that crashes the engines that run it went on crashing them; the service was down for everybody else.

Cause: a router tells a crash from a broken connection by a second sign of its own, another run cut within 0.5 s or a connection refused within 5 s. With more routers than runs each has one run on the engine and sends it nothing more, so nobody ever reported a crash. Class of fault, as with the retries: a decision for the fleet that each router takes from what it sees by itself.

The steward asks language engines for their load each second and hears of cuts from all entries: an engine that cut runs within 5 s and answers nobody is told to these entries as down. Where engines report nothing, an engine that leaves the list within 10 s of a cut counts as down. Blame, limits and clearances stay.

Ruled out: load. With 10 other requests a second or more the fault does not come, since another run soon finds the connection refused. Not taken: cuts seen by several routers at once as a sign, since lost answers would look like crashes of every engine.

--- /dev/null
+++ b/tests/test_crash_signs.py
@@ -0,0 +1,65 @@
+"""Crashes of engines that no router tells from a broken connection by itself."""
+
+import unittest
+
+from tests.utils.steward_fakes import Cell, Clock, ask, finished, register
+from wagtailtrestle.capacity.crash_signs import DOWN_WINDOW_S
+from wagtailtrestle.contracts.messages import EngineDown
+from wagtailtrestle.contracts.outcomes import RunCut, RunDone
+from wagtailtrestle.entry.crash_watch import CrashWatch
+from wagtailtrestle.entry.poison import CRASH_LIMIT, SAME_CRASH_S, TOLD_WINDOW_S, CrashBook, CrashDetector
+
+
+class StewardTest(unittest.TestCase):
+    def setUp(self):
+        self.cell = Cell(engines=("e1",), slots=4, members=("r1", "r2"))
+        self.cell.receive(register("r1"), register("r2"), ask("a"), ask("b", entry="r2"))
+
+    def told(self):
+        return [message.engine for message in self.cell.entries.of(EngineDown)]
+
+    # Guards against a crash that is taken for a broken connection, since each router had one run on the engine.
+    def test_entries_whose_runs_an_engine_cut_hear_once_that_it_is_down(self):
+        self.cell.receive(finished("a", result="RunCut"))
+        self.cell.steward.on_unreachable("e1")
+        self.cell.steward.on_unreachable("e1")
+        self.assertEqual(self.told(), ["e1"])
+
+    # Guards against runs that are blamed for an engine which went down long after it had cut them, or beside them.
+    def test_who_lost_no_run_lately_hears_nothing(self):
+        self.cell.receive(finished("a", result="RunCut"), finished("b"))
+        self.cell.advance(DOWN_WINDOW_S + 0.1)
+        self.cell.steward.on_unreachable("e1")
+        self.assertEqual(self.told(), [])
+
+
+class EntryTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.crashes = CrashWatch(
+            book=CrashBook(clock=self.clock), detector=CrashDetector(clock=self.clock), broadcast=lambda report: None
+        )
+
+    def cut(self, engine, body="poison", *, told_after_s=1.0):
+        self.crashes.note(engine=engine, body_digest=body, outcome=RunCut(detail="cut", reached=True), was_sent=False)
+        self.clock.now += told_after_s
+        self.crashes.note_down(engine)
+        self.clock.now += SAME_CRASH_S
+
+    def test_what_crashed_three_engines_that_went_down_is_refused(self):
+        for number in range(CRASH_LIMIT):
+            self.assertFalse(self.crashes.blocked("poison"))
+            self.cut(f"e{number}")
+        self.assertTrue(self.crashes.blocked("poison"))
+
+    # Guards against a request that is blamed for engines which left in order, or which it did not run on.
+    def test_an_engine_that_leaves_blames_nobody(self):
+        for number in range(CRASH_LIMIT):
+            self.crashes.note_down(f"e{number}")
+            self.crashes.note(engine=f"e{number}", body_digest="sound", outcome=RunDone(), was_sent=False)
+            self.cut(f"e{number}", "sound", told_after_s=TOLD_WINDOW_S + 1.0)
+        self.assertFalse(self.crashes.blocked("sound"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/utils/stewardship_replay.py
+++ b/tests/utils/stewardship_replay.py
@@ -199,6 +199,9 @@
     def note(self, **_):
         return None
 
+    def note_down(self, engine):
+        return None
+
 
 def small_declaration():
     """Declare one language service with one engine."""
--- a/wagtailtrestle/capacity/steward.py
+++ b/wagtailtrestle/capacity/steward.py
@@ -9,6 +9,7 @@
 from collections import Counter
 
 from wagtailtrestle.capacity.admission import Admission
+from wagtailtrestle.capacity.crash_signs import CrashSigns
 from wagtailtrestle.capacity.isolation import Isolation
 from wagtailtrestle.capacity.preemption import LOOK_AHEAD, PreemptionPlanner
 from wagtailtrestle.capacity.registration import Registration
@@ -17,6 +18,7 @@
 from wagtailtrestle.capacity.steward_notes import StewardNotes
 from wagtailtrestle.capacity.tier_queue import TierQueue
 from wagtailtrestle.contracts.messages import (
+    EngineDown,
     EngineNotice,
     GrantRequest,
     Preempt,
@@ -73,6 +75,7 @@
         "_planner",
         "_isolation",
         "_registration",
+        "_crash_signs",
         "_retries",
         "_retries_used_up",
         "_elsewhere",
@@ -115,6 +118,7 @@
         self._planner = PreemptionPlanner(clock=clock, prefill_weight=prefill_weight)
         self._isolation = Isolation(clock=clock, queue=self._queue)
         self._registration = Registration(clock=clock)
+        self._crash_signs = CrashSigns(clock=clock)
         self._retries = RetryBudget(clock=clock, limits=retry_limits)
         self._retries_used_up = False
         self._elsewhere = set()
@@ -136,6 +140,7 @@
     def set_engines(self, by_name):
         """Put the declared engines of this cell in force; what is known of kept ones stays."""
         self._runs.declare(by_name)
+        self._crash_signs.keep(by_name)
         self._runs.hold_back(self._held_back)
         self._admission.set_engines(self._runs.usable_engines)
         if self._registration.cautious:
@@ -220,6 +225,8 @@
         state = self._runs.engines_by_name.get(engine)
         if state is not None:
             state.mark_unreachable()
+        for entry in self._crash_signs.entries_cut_by(engine):
+            self._entries.send(entry=entry, message=EngineDown(engine=engine))
 
     def mark_leaving(self, engine, leaving=True):
         """Grant nothing more on this engine, or again if the platform's list takes it back."""
@@ -317,6 +324,8 @@
             self._retries.take_back(message.request_id)
         elif grant is not None and message.result == RunDone.__name__:
             self._retries.note_success(grant.request.entry)
+        if grant is not None:
+            self._crash_signs.note_end(engine=message.engine, entry=grant.request.entry, result=message.result)
         self._runs.on_finished(message)
 
     def _on_withdraw(self, message):
--- a/wagtailtrestle/contracts/messages.py
+++ b/wagtailtrestle/contracts/messages.py
@@ -266,5 +266,12 @@
     engine: str
 
 
+@record
+class EngineDown:
+    """An engine that had cut a run of this entry answers nobody any more."""
+
+    engine: str
+
+
 EntryMessage = GrantRequest | Withdraw | RunStarted | RunProgress | RunFinished | Register | EngineNotice
-StewardMessage = Granted | Refused | Preempt
+StewardMessage = Granted | Refused | Preempt | EngineDown
--- a/wagtailtrestle/entry/crash_watch.py
+++ b/wagtailtrestle/entry/crash_watch.py
@@ -1,7 +1,7 @@
 """Watches how runs end for engines that crash, and shares what it learns with all routers."""
 
 from wagtailtrestle.contracts.outcomes import RunCut, RunDone, RunLost, RunNotSent
-from wagtailtrestle.entry.poison import fingerprint_of
+from wagtailtrestle.entry.poison import TOLD_WINDOW_S, fingerprint_of
 
 
 class CrashWatch:
@@ -53,6 +53,10 @@
             case RunNotSent():
                 self._report(engine, self._detector.on_gone(engine, fingerprint if was_sent else None))
 
+    def note_down(self, engine):
+        """Take in that an engine went down, as the steward or the engines' list tells."""
+        self._report(engine, self._detector.on_gone(engine, within_s=TOLD_WINDOW_S))
+
     def merge(self, report):
         """Take in another router's report."""
         self._book.merge(report)
--- a/wagtailtrestle/entry/entry.py
+++ b/wagtailtrestle/entry/entry.py
@@ -11,7 +11,7 @@
 from wagtailtrestle.broken_invariant import report_broken
 from wagtailtrestle.capacity.retry_budget import RETRY_WINDOW_S
 from wagtailtrestle.contracts.exchange import AnswerRefusal
-from wagtailtrestle.contracts.messages import EngineNotice, Granted, Register, RunFinished, Withdraw
+from wagtailtrestle.contracts.messages import EngineDown, EngineNotice, Granted, Register, RunFinished, Withdraw
 from wagtailtrestle.contracts.outcomes import Executed, Reason, RunNotSent
 from wagtailtrestle.engines.notices import HEARD_SLACK_S, EngineNotices
 from wagtailtrestle.entry.cells import cells_of, choose_cell
@@ -220,7 +220,10 @@
         self.post(request_id, Displaced())
 
     def on_steward_message(self, message):
-        """Give a steward's message to its request."""
+        """Give a steward's message to its request; what it says of an engine is for all requests."""
+        if isinstance(message, EngineDown):
+            self._context.crashes.note_down(message.engine)
+            return
         task = self.tasks_by_id.get(message.request_id)
         if isinstance(message, Granted) and not _awaits(task, message):
             self._return_grant(task, message)
--- a/wagtailtrestle/entry/poison.py
+++ b/wagtailtrestle/entry/poison.py
@@ -42,6 +42,9 @@
 RESTART_WINDOW_S = 5.0
 """A run lost, or a connection refused, this soon after a cut shows that the engine went down."""
 
+TOLD_WINDOW_S = 10.0
+"""The same for word of it: an engine that is silent leaves the list only after some heartbeats."""
+
 
 def fingerprint_of(body_digest: str) -> str:
     """Name of a request body by which crashes are counted; the body can't be read from it."""
@@ -290,7 +293,7 @@
         recent = self._since(engine, CUT_WINDOW_S)
         return self._crash(engine, recent) if len(recent) >= CUTS_OF_A_CRASH else set()
 
-    def on_gone(self, engine, fingerprint=None):
+    def on_gone(self, engine, fingerprint=None, *, within_s=RESTART_WINDOW_S):
         """Note that the engine does not know a run, or refuses connections.
 
         After a cut this shows that the engine went down; without one it shows nothing
@@ -298,10 +301,10 @@
         """
         if fingerprint is not None:
             self._note(engine, fingerprint)
-        return self._crash(engine, self._since(engine, RESTART_WINDOW_S))
+        return self._crash(engine, self._since(engine, within_s))
 
     def _note(self, engine, fingerprint):
-        recent = self._since(engine, RESTART_WINDOW_S)
+        recent = self._since(engine, TOLD_WINDOW_S)
         cuts = self._cuts_by_engine.get(engine, {})
         kept = {name: at for name, at in cuts.items() if name in recent}
         self._cuts_by_engine[engine] = kept | {fingerprint: self._clock()}
--- a/wagtailtrestle/peers/directory.py
+++ b/wagtailtrestle/peers/directory.py
@@ -19,6 +19,7 @@
 """
 
 from wagtailtrestle.contracts.messages import (
+    EngineDown,
     EngineNotice,
     Granted,
     GrantRequest,
@@ -35,7 +36,7 @@
 from wagtailtrestle.peers.routes import PeerRoutes
 
 ENTRY_MESSAGES = (GrantRequest, Withdraw, RunStarted, RunProgress, RunFinished, Register, EngineNotice)
-STEWARD_MESSAGES = (Granted, Refused, Preempt)
+STEWARD_MESSAGES = (Granted, Refused, Preempt, EngineDown)
 
 # Up to so many routers each entry registers also for the cells it holds nothing for, so that a new steward
 # soon knows it has heard everybody. Beyond, that would be a connection from every router to every steward;
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -82,6 +82,7 @@
         self._metrics = Metrics()
         self._adapter = adapter_of(settings)
         self._in_force = None
+        self._listed_engines = frozenset()
         self._store_epoch = StoreEpoch()
         self._store = self._adapter.open_store(settings.platform_url, self._store_epoch)
         self._engine_client = EngineClient(connect_timeout_s=CONNECT_TIMEOUT_S, ended_call=self._adapter.ended_call)
@@ -456,6 +457,9 @@
             self._ledger_starting = self._loop.create_task(self._ledger.start())
 
     def _take_engines(self, by_name):
+        for name in self._listed_engines - by_name.keys():
+            self._crashes.note_down(name)
+        self._listed_engines = by_name.keys()
         if self._configuration.in_force is not None:
             self._use_declaration(self._configuration.in_force)
 
