Quotas: a router that sees few others gives out its part only

Cause: an owner reckons with routers that left its view for 20 s, since it can't tell dead ones from ones that are cut off. After that each router that sees nobody gave out the whole rate, and began with a quarter of the burst.

An owner that sees half of the fleet or fewer (Membership.fleet_size) goes on with its part, for as long as the others are not known to have left, and begins with that part of the burst. One that sees more than half takes the whole after 20 s as before: otherwise teams would lose the part of each router that died.

Left: of two sides of a long cut the larger takes the whole and the smaller its part, up to one and a half times the quota; a fleet that lost half of its routers for good gives out less until the platform's list drops them.

--- a/wagtailtrestle/quotas/owner.py
+++ b/wagtailtrestle/quotas/owner.py
@@ -112,15 +112,27 @@
     clock : callable
     members : callable
         Number of routers in the live view.
+    fleet_size : callable, optional
+        Number of routers that may be running, in the view or not.
     tolerance : callable
         Returns the ``Tolerance`` in force.
     """
 
-    __slots__ = ("_clock", "_members", "_tolerance", "_quota_by_team", "_bucket_by_team", "_owned_elsewhere", "_counts")
-
-    def __init__(self, *, clock, members, tolerance=Tolerance):
+    __slots__ = (
+        "_clock",
+        "_members",
+        "_fleet_size",
+        "_tolerance",
+        "_quota_by_team",
+        "_bucket_by_team",
+        "_owned_elsewhere",
+        "_counts",
+    )
+
+    def __init__(self, *, clock, members, fleet_size=lambda: 1, tolerance=Tolerance):
         self._clock = clock
         self._members = members
+        self._fleet_size = fleet_size
         self._tolerance = tolerance
         self._quota_by_team = {}
         self._bucket_by_team = {}
@@ -173,7 +185,7 @@
         bucket = self._bucket_by_team.get(team)
         if bucket is None:
             now = self._clock()
-            level = quota.burst * (TAKEOVER_SHARE if team in self._owned_elsewhere else 1.0)
+            level = quota.burst * (TAKEOVER_SHARE if team in self._owned_elsewhere else 1.0) * self._share()
             rate_per_s = self._tolerance().rate_per_s(quota)
             bucket = Bucket(rate_per_s=rate_per_s, burst=quota.burst, level=level, now=now)
             self._bucket_by_team[team] = bucket
@@ -184,6 +196,10 @@
         # rate beside it would exceed the quota by that share, so it is left out for a while.
         now = self._clock()
         present = max(1, self._members())
+        fleet_size = self._fleet_size()
+        if 2 * present <= fleet_size:
+            # It is likelier that this side is cut off than that most routers died: each other side may be as large.
+            return present / fleet_size
         while self._counts and now - self._counts[0][0] > ABSENT_KEPT_S:
             self._counts.popleft()
         if not self._counts or self._counts[-1][1] != present:
--- a/wagtailtrestle/quotas/shared.py
+++ b/wagtailtrestle/quotas/shared.py
@@ -35,7 +35,9 @@
         self._membership = membership
         self._loop = loop
         self._rendezvous = Rendezvous()
-        self._owner = QuotaOwner(clock=loop.time, members=self._count_members, tolerance=tolerance)
+        self._owner = QuotaOwner(
+            clock=loop.time, members=self._count_members, fleet_size=membership.fleet_size, tolerance=tolerance
+        )
         self.book = QuotaBook(
             clock=loop.time,
             call_soon=loop.call_soon_threadsafe,
