Retries: a place of another steward that goes back takes no retry back

Two stewards may grant one request for a moment; the place that is not used goes back. Read as the end of the run in use, it took that run's retry out of the account, so that the fleet might have sent one too many. Seen by reading, not in a run. The steward now takes only ends of its own grant. The number of a service's cells is reckoned once a declaration, not with each look at the budget. tests.test_retry_budget.StewardTest: four checks on the steward.

--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tests.utils.steward_fakes import Clock
+from tests.utils.steward_fakes import Cell, Clock, ask, finished, register
 from wagtailtrestle.capacity.retry_budget import (
     ARRIVAL_SPREAD_S,
     LEAST_KNOWN_SHARE,
@@ -11,7 +11,8 @@
     RetryBudget,
     RetryLimits,
 )
-from wagtailtrestle.contracts.messages import RetryHistory
+from wagtailtrestle.contracts.messages import Granted, Refused, RetryHistory
+from wagtailtrestle.contracts.outcomes import Reason
 
 ENTRIES = ("r1", "r2")
 
@@ -159,5 +160,41 @@
         self.assertEqual(self.allowed(1000, budget=new), 2)
 
 
+class StewardTest(unittest.TestCase):
+    def setUp(self):
+        self.cell = Cell(engines=("e1", "e2"), slots=20, members=("r1",))
+        self.cell.receive(register("r1"))
+        self.cell.advance(RETRY_WINDOW_S)
+
+    def ask(self, *request_ids):
+        self.cell.receive(*[ask(request_id, is_retry=True) for request_id in request_ids])
+        return self.cell.entries.ids(Granted), self.cell.entries.of(Refused)
+
+    # Guards against a request that waits for a retry which it can't have.
+    def test_a_retry_beyond_the_budget_is_refused_at_once(self):
+        granted, refused = self.ask("a", "b", "c", "d")
+        self.assertEqual(granted, ["a", "b", "c"])
+        self.assertEqual([(each.request_id, each.reason) for each in refused], [("d", Reason.RETRY_BUDGET)])
+
+    def test_a_first_run_is_no_retry(self):
+        self.ask("a", "b", "c")
+        self.cell.receive(ask("e"))
+        self.assertEqual(self.cell.entries.ids(Granted)[-1], "e")
+
+    def test_a_place_that_is_not_used_gives_its_retry_back(self):
+        self.ask("a", "b", "c")
+        engine = self.cell.entries.of(Granted)[-1].engine
+        self.cell.receive(finished("c", on=engine, result="RunNotSent", never_sent=True))
+        self.assertEqual(self.ask("d")[0][-1], "d")
+
+    # Guards against a retry in use that is taken back as another steward granted the same request elsewhere.
+    def test_a_place_of_another_steward_gives_no_retry_back(self):
+        self.ask("a", "b", "c")
+        engine = self.cell.entries.of(Granted)[-1].engine
+        other = "e2" if engine == "e1" else "e1"
+        self.cell.receive(finished("c", on=other, result="RunNotSent", never_sent=True))
+        self.assertEqual([each.request_id for each in self.ask("d")[1]], ["d"])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/wagtailtrestle/capacity/steward.py
+++ b/wagtailtrestle/capacity/steward.py
@@ -320,14 +320,17 @@
                     finished=message,
                     was_full=grant.filled,
                 )
-        if message.never_sent:
-            self._retries.take_back(message.request_id)
-        elif grant is not None and message.result == RunDone.__name__:
-            self._retries.note_success(grant.request.entry)
-        if grant is not None:
-            self._crash_signs.note_end(engine=message.engine, entry=grant.request.entry, result=message.result)
+        if grant is not None and grant.engine == message.engine:
+            self._note_end(grant.request, message)
         self._runs.on_finished(message)
 
+    def _note_end(self, request, finished):
+        if finished.never_sent:
+            self._retries.take_back(request.request_id)
+        elif finished.result == RunDone.__name__:
+            self._retries.note_success(request.entry)
+        self._crash_signs.note_end(engine=finished.engine, entry=request.entry, result=finished.result)
+
     def _on_withdraw(self, message):
         waiting = self._queue.remove(message.request_id)
         if waiting is not None:
--- a/wagtailtrestle/capacity/steward_set.py
+++ b/wagtailtrestle/capacity/steward_set.py
@@ -33,6 +33,7 @@
         "_retry_limits",
         "_runs_outlive_routers",
         "_declaration",
+        "_cells_by_service",
         "_members",
         "_lost_at",
         "_rollouts_by_cell",
@@ -52,6 +53,7 @@
         # first report.
         self._lost_at = clock()
         self._declaration = None
+        self._cells_by_service = {}
         self._rollouts_by_cell = {}
         self._members = frozenset()
         self._leaving = frozenset()
@@ -73,6 +75,8 @@
     def set_declaration(self, declaration):
         """Put a newly accepted declaration in force for every steward."""
         self._declaration = declaration
+        services = {engine.service for engine in declaration.engines_by_name.values()}
+        self._cells_by_service = {service: len(cells_of(declaration, service)) for service in services}
         for cell in list(self.by_cell):
             if not self._engines_of(cell):
                 del self.by_cell[cell]
@@ -163,7 +167,7 @@
             entries=self._entries,
             prefill_weight=service.prefill_weight,
             runs_outlive_routers=self._reports_orphans(cell),
-            retry_limits=lambda: self._retry_limits_of(cell),
+            retry_limits=lambda: self._retry_limits_of(service.name),
         )
         self.by_cell[cell] = steward
         self._expect_orphans(steward)
@@ -181,11 +185,10 @@
         for engine in self._leaving:
             steward.mark_leaving(engine)
 
-    def _retry_limits_of(self, cell):
+    def _retry_limits_of(self, service):
         """Limits of one cell: the extra retries of a service are for all of its cells together."""
         limits = self._retry_limits()
-        cells = len(cells_of(self._declaration, self._service_of(cell).name)) if self._engines_of(cell) else 1
-        return dataclasses.replace(limits, extra=limits.extra / cells)
+        return dataclasses.replace(limits, extra=limits.extra / self._cells_by_service.get(service, 1))
 
     def _service_of(self, cell):
         engine = next(iter(self._engines_of(cell).values()))
