--- a/tests/test_retry_fleet.py
+++ b/tests/test_retry_fleet.py
@@ -1,11 +1,16 @@
 """Retries of all routers together, whatever happens to the routers: what engines get beyond the first runs."""
 
 import asyncio
+import os
 import unittest
 
+import looptime
+
 from tests.utils.paused_clock import on_paused_clock
-from tests.utils.retry_fleet import LOST, REFUSED, RetryFleet
+from tests.utils.retry_fleet import LOST, REFUSED, Disturbances, RetryFleet
 
+SEEDS = tuple(int(seed) for seed in os.environ.get("RETRY_SEEDS", "1 2").split())
+"""By hand, ``RETRY_SEEDS="1 2 3" python -m unittest tests.test_retry_fleet``."""
 CALM_S = 25.0
 FAILING_S = 14.0
 RESTART_S = 0.3
@@ -62,5 +67,26 @@
         await self.check(fleet)
 
 
+class SeededSeriesTest(unittest.TestCase):
+    """Deaths, restarts and cuts in series that overlap, while runs fail in changing ways."""
+
+    async def play(self, seed):
+        fleet = RetryFleet(seed=seed)
+        await fleet.start()
+        await asyncio.sleep(CALM_S)
+        disturbances = Disturbances(fleet=fleet, seed=seed)
+        await disturbances.run(for_s=2 * FAILING_S)
+        await fleet.close()
+        return fleet.over_budget(), disturbances.told
+
+    # Guards against what none of the single disturbances shows.
+    def test_seeds(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                with asyncio.Runner(loop_factory=lambda: looptime.new_event_loop(start=0)) as runner:
+                    over, told = runner.run(self.play(seed))
+                self.assertLessEqual(over, 0.0, told)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/utils/retry_fleet.py
+++ b/tests/utils/retry_fleet.py
@@ -215,5 +215,72 @@
             router.entry.submit(caller_request(request_id, deadline=now() + DEADLINE_S, max_runs=MAX_RUNS), caller)
 
 
+class Disturbances:
+    """What happens to a fleet by a seed.
+
+    Parameters
+    ----------
+    fleet : RetryFleet
+    seed : int
+
+    Attributes
+    ----------
+    told : list of str
+        What was done, and when.
+    """
+
+    LONGEST_PAUSE_S = 2.5
+    LONGEST_S = 8.0
+
+    def __init__(self, *, fleet, seed):
+        self.told = []
+        self._fleet = fleet
+        self._chance = random.Random(f"{seed} disturbances")
+        self._tasks = []
+
+    async def run(self, *, for_s):
+        """Disturb the fleet for a time, and wait until what was begun has ended."""
+        until = now() + for_s
+        while now() < until:
+            await self._chance.choice((self._fail, self._kill, self._kill, self._cut))()
+            await asyncio.sleep(self._chance.uniform(0.0, self.LONGEST_PAUSE_S))
+        await asyncio.gather(*self._tasks)
+        self._fleet.fail_share = 0.0
+
+    async def _fail(self):
+        self._fleet.fail_share = self._chance.choice((0.1, 0.3, 0.5, 0.7, 1.0))
+        self._fleet.failure = self._chance.choice((LOST, REFUSED, NOT_CONNECTED))
+        self._tell(f"{self._fleet.fail_share} end as {type(self._fleet.failure).__name__}")
+
+    async def _kill(self):
+        names = sorted(self._fleet.routers_by_name)
+        some = self._chance.sample(names, self._chance.randint(1, max(1, len(names) - 2)))
+        self._tell(f"killed: {some}")
+        await self._fleet.kill(*some)
+        self._tasks.append(asyncio.create_task(self._restart(some, self._chance.uniform(0.0, self.LONGEST_S))))
+
+    async def _restart(self, names, after_s):
+        await asyncio.sleep(after_s)
+        self._tell(f"started again: {names}")
+        await self._fleet.restart(*names)
+
+    async def _cut(self):
+        some = frozenset(self._chance.sample(sorted(self._fleet.net.by_name), self._chance.randint(1, 8)))
+        inside = self._chance.random() < 0.5
+        self._tell(f"cut off, {'together' if inside else 'each'}: {sorted(some)}")
+        self._fleet.net.cut = lambda one, other: (
+            one != other and ((one in some) != (other in some) if inside else one in some or other in some)
+        )
+        self._tasks.append(asyncio.create_task(self._heal(self._chance.uniform(1.0, self.LONGEST_S))))
+
+    async def _heal(self, after_s):
+        await asyncio.sleep(after_s)
+        self._tell("healed")
+        self._fleet.net.cut = lambda one, other: False
+
+    def _tell(self, text):
+        self.told.append(f"{now():.1f} {text}")
+
+
 def _between(times, after, until):
     return bisect_right(times, until) - bisect_right(times, after)
