--- a/wagtailtrestle/capacity/admission.py
+++ b/wagtailtrestle/capacity/admission.py
@@ -7,6 +7,7 @@
 import math
 import zlib
 
+from wagtailtrestle.capacity.features import all_off
 from wagtailtrestle.capacity.grants import WaitingRequest
 from wagtailtrestle.contracts.outcomes import Reason
 
@@ -213,6 +214,8 @@
     held : HeldByTier
     prefill_weight : float
         From 0 (start what may just finish in time) to 1 (start only what finishes in time with a margin).
+    features : callable
+        Returns the ``Features`` in force.
     """
 
     __slots__ = (
@@ -225,9 +228,11 @@
         "_grant_rate",
         "_engines",
         "_speed",
+        "_features",
     )
 
-    def __init__(self, *, clock, queue, lengths, held, prefill_weight):
+    def __init__(self, *, clock, queue, lengths, held, prefill_weight, features=all_off):
+        self._features = features
         self._margin = finish_margin(prefill_weight)
         self._lengths = lengths
         self._held = held
--- a/wagtailtrestle/capacity/scheduler.py
+++ b/wagtailtrestle/capacity/scheduler.py
@@ -10,6 +10,7 @@
 
 from wagtailtrestle.capacity.admission import Admission
 from wagtailtrestle.capacity.crash_signs import CrashSigns
+from wagtailtrestle.capacity.features import all_off
 from wagtailtrestle.capacity.isolation import Isolation
 from wagtailtrestle.capacity.preemption import LOOK_AHEAD, PreemptionPlanner
 from wagtailtrestle.capacity.registration import Registration
@@ -62,6 +63,8 @@
         Whether engines continue the runs of a router that died, and report them.
     retry_limits : callable
         Returns the current ``RetryLimits`` of this cell.
+    features : callable
+        Returns the ``Features`` in force.
     """
 
     __slots__ = (
@@ -84,6 +87,7 @@
         "_log",
         "_runs_outlive_routers",
         "_rollout",
+        "_features",
         "_reserved",
         "_handlers_by_type",
     )
@@ -98,10 +102,12 @@
         prefill_weight=0.5,
         runs_outlive_routers=False,
         retry_limits=RetryLimits,
+        features=all_off,
     ):
         self.cell = cell
         self._runs_outlive_routers = runs_outlive_routers
         self._rollout = None
+        self._features = features
         self._reserved = frozenset()
         self._policy = policy
         self._clock = clock
@@ -114,6 +120,7 @@
             lengths=self._runs.lengths,
             held=self._runs.held,
             prefill_weight=prefill_weight,
+            features=features,
         )
         self._planner = PreemptionPlanner(clock=clock, prefill_weight=prefill_weight)
         self._isolation = Isolation(clock=clock, queue=self._queue)
--- a/wagtailtrestle/capacity/scheduler_set.py
+++ b/wagtailtrestle/capacity/scheduler_set.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from wagtailtrestle.capacity.features import all_off
 from wagtailtrestle.capacity.retry_budget import RetryLimits
 from wagtailtrestle.capacity.scheduler import Scheduler
 from wagtailtrestle.contracts.declaration import LANGUAGE
@@ -25,6 +26,8 @@
         Whether engines continue the runs of a router that died.
     retry_limits : callable
         Returns the current ``RetryLimits`` of each service.
+    features : callable
+        Returns the ``Features`` in force.
     """
 
     __slots__ = (
@@ -32,6 +35,7 @@
         "_clock",
         "_entries",
         "_retry_limits",
+        "_features",
         "_runs_outlive_routers",
         "_declaration",
         "_cells_by_service",
@@ -42,11 +46,12 @@
         "_granting",
     )
 
-    def __init__(self, *, clock, entries, runs_outlive_routers=False, retry_limits=RetryLimits):
+    def __init__(self, *, clock, entries, runs_outlive_routers=False, retry_limits=RetryLimits, features=all_off):
         self.by_cell = {}
         self._clock = clock
         self._entries = entries
         self._retry_limits = retry_limits
+        self._features = features
         self._runs_outlive_routers = runs_outlive_routers
         # This process can't know which routers died before it started; the likeliest is its own previous process, whose
         # runs engines continue. Without counting on them, a new scheduler granted one to three of an engine's eight
@@ -168,6 +173,7 @@
             prefill_weight=service.prefill_weight,
             runs_outlive_routers=self._reports_orphans(cell),
             retry_limits=lambda: self._retry_limits_of(service.name),
+            features=self._features,
         )
         self.by_cell[cell] = scheduler
         self._expect_orphans(scheduler)
--- a/wagtailtrestle/contracts/exchange.py
+++ b/wagtailtrestle/contracts/exchange.py
@@ -45,6 +45,8 @@
         Tokens per event of the stream.
     hinted_tokens : int
         The caller's estimate of the output's length, often inaccurate; 0 if it gave none.
+    patience_s : float
+        Time from the request's arrival for which the caller waits for the first event; 0 if unknown.
     """
 
     __slots__ = (
@@ -67,6 +69,7 @@
         "pause_within_s",
         "event_tokens",
         "hinted_tokens",
+        "patience_s",
     )
 
     def __init__(
@@ -91,6 +94,7 @@
         pause_within_s=0.0,
         event_tokens=1,
         hinted_tokens=0,
+        patience_s=0.0,
     ):
         self.request_id = request_id
         self.service = service
@@ -111,6 +115,7 @@
         self.pause_within_s = pause_within_s
         self.event_tokens = event_tokens
         self.hinted_tokens = hinted_tokens
+        self.patience_s = patience_s
 
 
 # Commands from the request's task to the caller's side.
--- a/wagtailtrestle/contracts/messages.py
+++ b/wagtailtrestle/contracts/messages.py
@@ -54,6 +54,10 @@
         Route that the request matched.
     is_retry : bool
         Whether the request was sent to an engine before, so that another run is a retry.
+    zone : str
+        Availability zone of the entry; empty if unknown.
+    patience_s : float
+        Time from now for which the caller waits for the first event; 0 if unknown.
     """
 
     request_id: str
@@ -78,6 +82,8 @@
     event_tokens: int = 1
     route: str = ""
     is_retry: bool = False
+    zone: str = ""
+    patience_s: float = 0.0
 
 
 @record
--- a/wagtailtrestle/contracts/peer_messages.py
+++ b/wagtailtrestle/contracts/peer_messages.py
@@ -24,12 +24,15 @@
         Increases with each start of the router of that name.
     address : str
         ``host:port`` on which the sender accepts connections.
+    cores : float
+        Processor capacity in usual cores; 0 if unknown.
     """
 
     name: str
     incarnation: int
     zone: str
     address: str
+    cores: float = 0.0
 
 
 @record
@@ -85,6 +88,7 @@
     version: int
     state: MemberState
     draining: bool = False
+    cores: float = 0.0
 
 
 @record
--- a/wagtailtrestle/declarations/settings.py
+++ b/wagtailtrestle/declarations/settings.py
@@ -33,6 +33,7 @@
 OWN_ADAPTER = "own"
 PLATFORM_ADAPTER = "platform"
 ADAPTERS = (OWN_ADAPTER, PLATFORM_ADAPTER)
+PLACEMENTS = ("hash", "capacity")
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -109,6 +110,25 @@
         Share of a service's requests that an untested version may get; 0 where no rollouts are ordered.
     rollout_slack : float
         Requests that an untested version may get in addition.
+    cpu_share : float
+        Share of a processor core that this process may use; 0 if unknown.
+    cpu_speed : float
+        Speed of that core, as a multiple of a usual one.
+    tight_target_ms : float
+        The settings below take effect only while the configuration has a streaming route with a target to its first
+        token of at most this; 0 for never. See ``capacity/features.py``.
+    placement : {"hash", "capacity"}
+        Whether schedulers and quota owners are chosen among all routers or among those with most capacity.
+    tier_floor : float
+        Share of a cell's work that each lower tier with waiting requests is entitled to.
+    late_service : bool
+        Whether requests that miss their target may wait on while their callers do.
+    engine_match : bool
+        Whether a request takes only engines on which it is predicted to finish in time.
+    zone_cost_ms : float
+        Cost of an engine in another zone, in the comparison of engines.
+    direct_after_ms : float
+        Time after which a plain call is dispatched without its silent scheduler; 0 for never.
     """
 
     __slots__ = (
@@ -147,6 +167,15 @@
         "engine_return_grace_s",
         "rollout_share",
         "rollout_slack",
+        "cpu_share",
+        "cpu_speed",
+        "tight_target_ms",
+        "placement",
+        "tier_floor",
+        "late_service",
+        "engine_match",
+        "zone_cost_ms",
+        "direct_after_ms",
     )
 
     def __init__(
@@ -187,6 +216,15 @@
         engine_return_grace_s=DEFAULT_ENGINE_RETURN_GRACE_S,
         rollout_share=0.0,
         rollout_slack=0.0,
+        cpu_share=0.0,
+        cpu_speed=1.0,
+        tight_target_ms=0.0,
+        placement="hash",
+        tier_floor=0.0,
+        late_service=False,
+        engine_match=False,
+        zone_cost_ms=0.0,
+        direct_after_ms=0.0,
     ):
         self.name = name
         self.zone = zone
@@ -223,6 +261,20 @@
         self.engine_return_grace_s = engine_return_grace_s
         self.rollout_share = rollout_share
         self.rollout_slack = rollout_slack
+        self.cpu_share = cpu_share
+        self.cpu_speed = cpu_speed
+        self.tight_target_ms = tight_target_ms
+        self.placement = placement
+        self.tier_floor = tier_floor
+        self.late_service = late_service
+        self.engine_match = engine_match
+        self.zone_cost_ms = zone_cost_ms
+        self.direct_after_ms = direct_after_ms
+
+    @property
+    def cores(self):
+        """Processor capacity in usual cores; 0 if unknown."""
+        return self.cpu_share * self.cpu_speed
 
     @property
     def key_freshness_s(self):
@@ -297,6 +349,7 @@
         "metrics_address": reader.value("metrics_address", address, default=None),
     }
     values |= _read_router_limits(reader)
+    values |= _read_tight_targets(reader)
     _check_addresses_differ(reader, values)
     return values
 
@@ -349,6 +402,21 @@
     }
 
 
+def _read_tight_targets(reader):
+    milliseconds = Number(minimum=0, maximum=60_000)
+    return {
+        "cpu_share": reader.value("cpu_share", Number(minimum=0, maximum=4096), default=0.0),
+        "cpu_speed": reader.value("cpu_speed", Number(minimum=0.01, maximum=1000), default=1.0),
+        "tight_target_ms": reader.value("tight_target_ms", milliseconds, default=0.0),
+        "placement": reader.value("placement", OneOf(words=PLACEMENTS), default="hash"),
+        "tier_floor": reader.value("tier_floor", Number(minimum=0, maximum=0.4), default=0.0),
+        "late_service": reader.value("late_service", Flag(), default=False),
+        "engine_match": reader.value("engine_match", Flag(), default=False),
+        "zone_cost_ms": reader.value("zone_cost_ms", milliseconds, default=0.0),
+        "direct_after_ms": reader.value("direct_after_ms", milliseconds, default=0.0),
+    }
+
+
 def _check_addresses_differ(reader, values):
     names_by_address = {}
     for name in ("callers_address", "peers_address", "admin_address", "metrics_address"):
--- a/wagtailtrestle/entry/entry.py
+++ b/wagtailtrestle/entry/entry.py
@@ -9,6 +9,7 @@
 import math
 
 from wagtailtrestle.broken_invariant import report_failed_task
+from wagtailtrestle.capacity.features import all_off
 from wagtailtrestle.capacity.retry_budget import RETRY_WINDOW_S
 from wagtailtrestle.contracts.exchange import AnswerRefusal
 from wagtailtrestle.contracts.messages import EngineDown, EngineNotice, Granted, Register, RunFinished, Withdraw
@@ -39,6 +40,10 @@
     run_counts : RunCounts
     now : Callable
         The loop's clock, seconds.
+    zone : str
+        This router's availability zone.
+    features : Callable
+        Returns the ``Features`` in force.
     """
 
     __slots__ = (
@@ -48,13 +53,19 @@
         "retries",
         "run_counts",
         "now",
+        "zone",
+        "features",
         "_schedulers",
         "_declaration",
         "_notices",
     )
 
-    def __init__(self, *, name, schedulers, claims, crashes, retries, declaration, notices, run_counts, now):
+    def __init__(
+        self, *, name, schedulers, claims, crashes, retries, declaration, notices, run_counts, now, zone, features
+    ):
         self.name = name
+        self.zone = zone
+        self.features = features
         self.claims = claims
         self.crashes = crashes
         self.retries = retries
@@ -132,6 +143,10 @@
         Returns the length of the retry budget's window.
     count : callable, optional
         See :class:`wagtailtrestle.entry.run_counts.RunCounts`.
+    zone : str
+        This router's availability zone.
+    features : callable, optional
+        Returns the ``Features`` in force.
     """
 
     __slots__ = (
@@ -158,6 +173,8 @@
         loop,
         retry_window_s=lambda: RETRY_WINDOW_S,
         count=lambda name, **labels: None,
+        zone="",
+        features=all_off,
     ):
         self.name = name
         self.tasks_by_id = {}
@@ -179,6 +196,8 @@
             notices=self._notices,
             run_counts=self._run_counts,
             now=loop.time,
+            zone=zone,
+            features=features,
         )
 
     def submit(self, request, caller):
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -201,6 +201,8 @@
             event_tokens=request.event_tokens,
             route=request.route,
             is_retry=self._next_kind in RETRIES,
+            zone=self.context.zone,
+            patience_s=self._patience_s(),
         )
 
     def running_record(self):
@@ -549,6 +551,13 @@
             return 0.0
         return max(MIN_FIRST_TOKEN_S, self._received_at + within_s - self.context.now())
 
+    def _patience_s(self):
+        """Time left for which the caller waits for the first event; 0 if unknown or if a run was started."""
+        patience_s = self.request.patience_s
+        if not patience_s or self.runs_started:
+            return 0.0
+        return max(MIN_FIRST_TOKEN_S, self._received_at + patience_s - self.context.now())
+
     def _remaining(self):
         return self.request.deadline - self.context.now()
 
--- a/wagtailtrestle/peers/directory.py
+++ b/wagtailtrestle/peers/directory.py
@@ -18,6 +18,7 @@
 scheduler in its own view, which is never itself.
 """
 
+from wagtailtrestle.capacity.features import all_off
 from wagtailtrestle.contracts.messages import (
     EngineDown,
     EngineNotice,
@@ -68,6 +69,8 @@
         ``(tuple of str)``: sets the names of all live entries at the local schedulers.
     begin_cell : callable, optional
         ``(cell)``: this router has become scheduler of the cell.
+    features : callable, optional
+        Returns the ``Features`` in force.
     """
 
     def __init__(
@@ -83,8 +86,10 @@
         cells,
         set_members=None,
         begin_cell=None,
+        features=all_off,
     ):
         self.name = name
+        self._features = features
         self._membership = membership
         self._peers = peers
         self._routes = PeerRoutes(name=name, peers=peers, members=lambda: membership.view.all_members, loop=loop)
--- a/wagtailtrestle/platform/callers.py
+++ b/wagtailtrestle/platform/callers.py
@@ -28,6 +28,11 @@
 KEY_HINT = "The key is missing or not known."
 MAX_HINT_DIGITS = 9
 """Longer numbers are not plausible token counts and would overflow the fields they are copied to."""
+MIN_PATIENCE_S = 2.0
+PATIENCE_TARGETS = 4
+PATIENCE_PAUSES = 8
+"""These callers give up on a stream after the longest of this time, so many targets and so many allowed pauses without
+an event."""
 MAX_PREFIX_PARTS = 16
 """Prompt parts reported to a scheduler, the same limit as for blocks of a text prompt; see ``callers.prompt_shape``."""
 
@@ -171,6 +176,7 @@
             pause_within_s=route.pause_ms / MS_PER_S,
             event_tokens=event_tokens,
             hinted_tokens=_length_hint(environ.get("HTTP_LENGTH_HINT", "")),
+            patience_s=_patience_s(route),
         )
         return PreparedRequest(
             request=request,
@@ -272,6 +278,14 @@
     return int(text) if text.isdecimal() and len(text) <= MAX_HINT_DIGITS else 0
 
 
+def _patience_s(route):
+    """Return the seconds without an event after which callers abandon a stream; 0 for other answers."""
+    if not route.streaming:
+        return 0.0
+    patience_s = max(PATIENCE_TARGETS * route.target_ms, PATIENCE_PAUSES * route.pause_ms) / MS_PER_S
+    return max(MIN_PATIENCE_S, patience_s)
+
+
 def _prefix(text):
     """Return chained hashes of the prompt's leading parts, and the tokens of each.
 
--- a/wagtailtrestle/quotas/shared.py
+++ b/wagtailtrestle/quotas/shared.py
@@ -2,6 +2,7 @@
 
 from loguru import logger
 
+from wagtailtrestle.capacity.features import all_off
 from wagtailtrestle.contracts.quota_messages import QuotaAsk, QuotaGrant
 from wagtailtrestle.peers.rendezvous import Rendezvous
 from wagtailtrestle.quotas.accounts import QuotaAccounts
@@ -20,6 +21,8 @@
     loop : asyncio.AbstractEventLoop
     tolerance : callable
         Returns the present ``Tolerance``.
+    features : callable, optional
+        Returns the ``Features`` in force.
 
     Attributes
     ----------
@@ -27,10 +30,11 @@
         Accounts to which requests are charged.
     """
 
-    __slots__ = ("accounts", "_name", "_peers", "_membership", "_loop", "_owner", "_rendezvous")
+    __slots__ = ("accounts", "_name", "_peers", "_membership", "_loop", "_owner", "_rendezvous", "_features")
 
-    def __init__(self, *, name, peers, membership, loop, tolerance):
+    def __init__(self, *, name, peers, membership, loop, tolerance, features=all_off):
         self._name = name
+        self._features = features
         self._peers = peers
         self._membership = membership
         self._loop = loop
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -12,6 +12,7 @@
 from wagtailtrestle.callers.authentication import KeyProof
 from wagtailtrestle.callers.limits import DEFAULT_BODY_BYTES, CallerLimits, max_held_requests
 from wagtailtrestle.callers.server import CallersServer
+from wagtailtrestle.capacity.features import ALL_OFF, features_in_force
 from wagtailtrestle.capacity.retry_budget import RetryLimits
 from wagtailtrestle.capacity.scheduler_set import SchedulerSet
 from wagtailtrestle.configuration.configuration import Configuration, InForce
@@ -82,6 +83,7 @@
         self._metrics = Metrics()
         self._adapter = make_adapter(settings)
         self._in_force = None
+        self._features = ALL_OFF
         self._listed_engines = frozenset()
         self._store_epoch = StoreEpoch()
         self._store = self._adapter.open_store(settings.platform_url, self._store_epoch)
@@ -192,12 +194,14 @@
             cells=self._cells,
             set_members=lambda names: self._schedulers.set_members(names),
             begin_cell=lambda cell: self._schedulers.begin(cell),
+            features=self._features_in_force,
         )
         self._schedulers = SchedulerSet(
             clock=self._loop.time,
             entries=self._directory.entry_link,
             runs_outlive_routers=self._adapter.ended_call is not None,
             retry_limits=self._retry_limits,
+            features=self._features_in_force,
         )
         self._schedulers.set_members(self._membership.view.all_members)
         self._crashes = CrashWatch(
@@ -219,6 +223,8 @@
             loop=self._loop,
             retry_window_s=lambda: self._settings.retry_window_s,
             count=self._metrics.count,
+            zone=self._settings.zone,
+            features=self._features_in_force,
         )
         self._reports = EngineReports(
             interval_s=self._settings.report_interval_s,
@@ -232,6 +238,7 @@
             membership=self._membership,
             loop=self._loop,
             tolerance=self._tolerance,
+            features=self._features_in_force,
         )
 
     def _make_rollouts(self):
@@ -451,15 +458,26 @@
         declaration = self._declaration()
         return {cell for service in declaration.services_by_name for cell in cells_of(declaration, service)}
 
+    def _features_in_force(self):
+        return self._features
+
     def _apply_configuration(self, in_force):
         self._membership.set_generation(in_force.generation)
         declaration = in_force.declaration
+        self._set_features(features_in_force(self._settings, declaration))
         self._quotas.set_declaration(declaration)
         self._apply_declaration(in_force)
         if self._ledger_start_task is None and declaration.ledger_shards:
             # The ledger's layout depends on the declared number of shards.
             self._ledger_start_task = self._loop.create_task(self._ledger.start())
 
+    def _set_features(self, features):
+        if features != self._features:
+            logger.bind(**{name: getattr(features, name) for name in features.__dataclass_fields__}).info(
+                "features for tight targets in force"
+            )
+        self._features = features
+
     def _apply_engine_list(self, by_name):
         for name in self._listed_engines - by_name.keys():
             self._crashes.record_engine_down(name)
