Routers announce their processor capacity in the view

Cause: no router knows which others have much processor capacity, so schedulers cannot be placed on those.

Change: Hello and ViewEvent carry RouterSettings.cores; the member table and View.cores_by_name store it. A capacity belongs to an incarnation and is constant within it. An event that only adds a missing capacity counts as news, because routers of an earlier version forward events without it. The digests include capacities only if some present router announces one; otherwise they are those of earlier versions.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -92,6 +92,17 @@
         await until(lambda: len(got_by_a) >= 300 and len(got_by_b) >= 300)
         self.assertEqual((got_by_a, got_by_b), (numbers, numbers))
 
+    async def test_capacity_is_announced_in_both_directions(self):
+        # Guards against a capacity that is lost on the wire: the router would never be chosen as scheduler.
+        a, b = await self.make("a", cores=2.15), await self.make("b", cores=0.361)
+        hellos = {}
+        for peers in (a, b):
+            peers.on(Hello, lambda peer, hello, cell: hellos.update({peer: hello.cores}))
+        a.set_addresses({"b": b.address})
+        a.send("b", Withdraw(request_id="x"))
+        await until(lambda: len(hellos) == 2)
+        self.assertEqual(hellos, {"a": 2.15, "b": 0.361})
+
     async def test_query(self):
         a, b = await self.pair()
         b.on(ConfigurationAsk, lambda peer, message, cell: ConfigurationText(generation=3, packed=b"x"))
--- a/tests/utils/fake_routers.py
+++ b/tests/utils/fake_routers.py
@@ -89,6 +89,7 @@
             incarnation=membership.view.incarnations_by_name[other.name],
             zone=membership.zone,
             address=other.name,
+            cores=membership.view.cores_by_name.get(other.name, 0.0),
         )
         self.loop.run(self.handlers_by_type[Hello], other.name, hello, "")
         for callback in self.connected_callbacks:
@@ -134,7 +135,7 @@
     def is_cut(self, one, other):
         return self.cut(one, other) or self.cut(other, one)
 
-    async def add(self, name, zone="z1", incarnation=1, seeds=()):
+    async def add(self, name, zone="z1", incarnation=1, seeds=(), cores=0.0):
         loop = FreezableLoop(self.loop)
         peers = self.peers_by_name[name] = FakePeers(self, name, loop)
         membership = self.by_name[name] = Membership(
@@ -145,14 +146,15 @@
             loop=loop,
             seeds={seed: seed for seed in seeds},
             jitter=random.Random(name),
+            cores=cores,
         )
         membership.on_view_change(lambda view: self.changes.append((self.loop.time(), name, view)))
         await membership.start()
 
-    async def add_all(self, count, zones=3):
+    async def add_all(self, count, zones=3, cores=lambda number: 0.0):
         names = [f"r{number:03}" for number in range(count)]
         for number, name in enumerate(names):
-            await self.add(name, zone=f"z{number % zones}", seeds=names[: min(count, 9)])
+            await self.add(name, zone=f"z{number % zones}", seeds=names[: min(count, 9)], cores=cores(number))
         await asyncio.sleep(4)
         return names
 
--- a/wagtailtrestle/membership/member.py
+++ b/wagtailtrestle/membership/member.py
@@ -19,6 +19,7 @@
 
     __slots__ = (
         "address",
+        "cores",
         "reported_dead",
         "draining",
         "flaps",
@@ -40,6 +41,7 @@
         self.name = name
         self.zone = ""
         self.address = ""
+        self.cores = 0.0
         self.incarnation = 0
         self.version = 0
         self.state = MemberState.DEAD
@@ -94,6 +96,7 @@
         """Reset for a new process of that name, which starts without its predecessor's suspicions and hold-down."""
         self.incarnation = incarnation
         self.version = 0
+        self.cores = 0.0
         self.state = MemberState.ALIVE
         self.state_since = now
         self.own_suspicion = self.reported_dead = self.draining = False
@@ -101,6 +104,17 @@
         self.suspect_backoff_s = 0.0
         self.hold_down_until = now
 
+    def learn_cores(self, cores):
+        """Store the capacity announced by the present process if it was unknown. Return ``True`` if it was.
+
+        Routers of an earlier version forward events without the capacity, and those may arrive first. The capacity is
+        constant within an incarnation, so the first announced value is kept.
+        """
+        if self.cores or not cores:
+            return False
+        self.cores = cores
+        return True
+
     def event(self):
         """View event with the state as currently known."""
         return ViewEvent(
@@ -111,6 +125,7 @@
             version=self.version,
             state=self.state,
             draining=self.draining,
+            cores=self.cores,
         )
 
     def dump(self, now):
@@ -120,6 +135,7 @@
             "state_age_s": round(now - self.state_since, 3),
             "zone": self.zone,
             "address": self.address,
+            "cores": self.cores,
             "incarnation": self.incarnation,
             "version": self.version,
             "generation": self.generation,
--- a/wagtailtrestle/membership/member_table.py
+++ b/wagtailtrestle/membership/member_table.py
@@ -17,14 +17,17 @@
     incarnation : int
     now : float
         Loop time, seconds.
+    cores : float
+        Processor capacity of this router; 0 if unknown.
     """
 
     __slots__ = ("by_name", "own")
 
-    def __init__(self, *, name, zone, incarnation, now):
+    def __init__(self, *, name, zone, incarnation, now, cores=0.0):
         self.own = Member(name=name, now=now)
         self.own.zone = zone
         self.own.restart(incarnation, now)
+        self.own.cores = cores
         self.by_name = {name: self.own}
 
     def get_or_add(self, name, now):
@@ -46,7 +49,7 @@
                 return False
             member = self.get_or_add(event.name, now)
         if event_key(event) <= member.key():
-            return False
+            return event.incarnation == member.incarnation and member.learn_cores(event.cores)
         if event.incarnation > member.incarnation:
             member.restart(event.incarnation, now)
         elif event.version > member.version:
@@ -54,6 +57,7 @@
             member.set_state(MemberState.ALIVE, now)
         member.zone = event.zone or member.zone
         member.address = event.address or member.address
+        member.learn_cores(event.cores)
         member.version = event.version
         member.draining = event.draining
         self._apply_state(member, event.state, now)
@@ -142,6 +146,7 @@
             members=[member.name for member in present if member.eligible(now)],
             draining=[member.name for member in present if not member.eligible(now)],
             incarnations_by_name={member.name: member.incarnation for member in present},
+            cores_by_name={member.name: member.cores for member in present if member.cores},
         )
 
     def next_hold_down_end(self, now):
@@ -155,5 +160,8 @@
 
     def digest(self):
         """Digest of the present members, equal on routers that agree on them. Hold-downs are not part of it."""
-        facts = [(member.name, member.incarnation, member.draining) for member in self.present()]
-        return digest_of(sorted(facts))
+        present = self.present()
+        facts = [(member.name, member.incarnation, member.draining) for member in present]
+        cores = sorted((member.name, member.cores) for member in present if member.cores)
+        # Without capacities the digest equals that of earlier versions, whose views would be pulled otherwise.
+        return digest_of(sorted(facts), cores) if cores else digest_of(sorted(facts))
--- a/wagtailtrestle/membership/membership.py
+++ b/wagtailtrestle/membership/membership.py
@@ -61,6 +61,8 @@
     jitter : random.Random, optional
     epoch : StoreEpoch, optional
         Epoch of the platform's store, sent with each heartbeat.
+    cores : float
+        Processor capacity of this router, announced to the others; 0 if unknown.
 
     Attributes
     ----------
@@ -82,6 +84,7 @@
         heartbeat_s=HEARTBEAT_S,
         jitter=None,
         epoch=None,
+        cores=0.0,
     ):
         self.name = name
         self._epoch = epoch or StoreEpoch()
@@ -93,7 +96,7 @@
         self._mesh_heartbeat_s = self._heartbeat_s = heartbeat_s
         self._max_silence_s = SILENT_HEARTBEATS * heartbeat_s
         self._jitter = jitter or random.Random()
-        self._table = MemberTable(name=name, zone=zone, incarnation=incarnation, now=loop.time())
+        self._table = MemberTable(name=name, zone=zone, incarnation=incarnation, now=loop.time(), cores=cores)
         self._suspicions = Suspicions(
             table=self._table,
             loop=loop,
@@ -240,7 +243,7 @@
         if hello.incarnation > member.incarnation:
             was_present = member.present
             member.restart(hello.incarnation, now)
-            member.zone, member.address = hello.zone, hello.address
+            member.zone, member.address, member.cores = hello.zone, hello.address, hello.cores
             self._contacts.update_address(peer, hello.address)
             self._gossip(member.event(), exclude=peer)
             if was_present:
@@ -250,6 +253,9 @@
             else:
                 self._refresh_soon()
         elif hello.incarnation == member.incarnation:
+            if member.learn_cores(hello.cores):
+                self._gossip(member.event(), exclude=peer)
+                self._refresh_soon()
             self._on_sign_of_life(member)
 
     def _on_connected(self, peer):
@@ -271,6 +277,7 @@
                 version=heartbeat.version,
                 state=MemberState.ALIVE,
                 draining=heartbeat.draining,
+                cores=member.cores,
             )
             self._on_view_event(peer, event, "")
         else:
--- a/wagtailtrestle/membership/view.py
+++ b/wagtailtrestle/membership/view.py
@@ -14,6 +14,8 @@
         Routers that are alive but not eligible: they are draining or leaving, or in hold-down after a return.
     incarnations_by_name : dict of str to int, optional
         Incarnation of each router in the view.
+    cores_by_name : dict of str to float, optional
+        Processor capacity of the routers in the view that announced it.
 
     Attributes
     ----------
@@ -23,14 +25,18 @@
         Equal for views of equal content, whichever router computed it.
     """
 
-    __slots__ = ("digest", "draining", "all_members", "incarnations_by_name", "members")
+    __slots__ = ("cores_by_name", "digest", "draining", "all_members", "incarnations_by_name", "members")
 
-    def __init__(self, *, members, draining=(), incarnations_by_name=None):
+    def __init__(self, *, members, draining=(), incarnations_by_name=None, cores_by_name=None):
         self.members = tuple(sorted(members))
         self.draining = tuple(sorted(draining))
         self.all_members = tuple(sorted(self.members + self.draining))
         self.incarnations_by_name = dict(incarnations_by_name or {})
-        self.digest = digest_of(self.members, self.draining, sorted(self.incarnations_by_name.items()))
+        self.cores_by_name = dict(cores_by_name or {})
+        parts = (self.members, self.draining, sorted(self.incarnations_by_name.items()))
+        if self.cores_by_name:
+            parts += (sorted(self.cores_by_name.items()),)
+        self.digest = digest_of(*parts)
 
 
 def digest_of(*parts):
--- a/wagtailtrestle/peers/links.py
+++ b/wagtailtrestle/peers/links.py
@@ -23,6 +23,8 @@
     listen_address : str
     advertised_address : str
         Address sent to peers; empty for ``listen_address``.
+    cores : float
+        Processor capacity sent to peers; 0 if unknown.
     loop : asyncio event loop
     state_of : callable
         ``(name) -> PeerState``, created if missing.
@@ -45,6 +47,7 @@
         incarnation,
         listen_address,
         advertised_address,
+        cores,
         loop,
         state_of,
         deliver,
@@ -57,6 +60,7 @@
         self._zone = zone
         self._incarnation = incarnation
         self._advertised_address = advertised_address
+        self._cores = cores
         self._listener = Listener(address=listen_address, accept=self._accept)
         self._loop = loop
         self._state_of = state_of
@@ -168,7 +172,13 @@
             self._link_ended(state, link)
 
     def _hello(self):
-        return Hello(name=self._name, incarnation=self._incarnation, zone=self._zone, address=self.address)
+        return Hello(
+            name=self._name,
+            incarnation=self._incarnation,
+            zone=self._zone,
+            address=self.address,
+            cores=self._cores,
+        )
 
     def _make_link(self, state, *, stream, hello, dialed_by):
         return Link(
--- a/wagtailtrestle/peers/peers_grpc.py
+++ b/wagtailtrestle/peers/peers_grpc.py
@@ -43,9 +43,13 @@
     zone : str
     advertised_address : str
         ``host:port`` sent to peers, if it differs from ``listen_address``.
+    cores : float
+        Processor capacity of this router, sent to peers; 0 if unknown.
     """
 
-    def __init__(self, *, name, incarnation, listen_address, loop, zone="", advertised_address="", seed=None):
+    def __init__(
+        self, *, name, incarnation, listen_address, loop, zone="", advertised_address="", seed=None, cores=0.0
+    ):
         self.name = name
         self._loop = loop
         self._states_by_name = {}
@@ -63,6 +67,7 @@
             incarnation=incarnation,
             listen_address=listen_address,
             advertised_address=advertised_address,
+            cores=cores,
             loop=loop,
             state_of=self._state,
             deliver=self._deliver,
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -103,6 +103,7 @@
             listen_address=settings.peers_address,
             loop=self._loop,
             zone=settings.zone,
+            cores=settings.cores,
         )
         self._membership = Membership(
             name=settings.name,
@@ -113,6 +114,7 @@
             seeds=dict(settings.peers),
             heartbeat_s=settings.peer_heartbeat_s,
             epoch=self._store_epoch,
+            cores=settings.cores,
         )
         self._store_epoch.on_restore(self._membership.send_heartbeats)
         self._broadcast = Broadcast(peers=self._peers, targets=self._membership.broadcast_targets)
