Place schedulers and quota owners by processor capacity

Cause: rendezvous hashing over names alone places most schedulers on routers with 0.361 cores, and all requests of their cells wait for them.

Change: while placement_by_capacity is in force, Directory and SharedQuotas choose among the members with at least half of the largest announced capacity (peers/placement.py). A change of the features moves cells through Directory.refresh, and quota owners then start with the share of the burst that a takeover grants. The state dump gets "placement"; changes of scheduler are logged while the part is in force. test_quota_fleet gets its declaration from a function, for reuse; its checks are unchanged.

--- a/tests/test_quota_fleet.py
+++ b/tests/test_quota_fleet.py
@@ -20,18 +20,23 @@
 """Longer than ``ABSENT_ROUTER_RETENTION_S``, the time for which a router that left the view still counts."""
 
 
+def quota_declaration():
+    """Return a declaration of one team with a quota."""
+    team = Team(name=TEAM, share=1.0, key_sha256=(), quota=TokenQuota(rate_per_s=RATE_PER_S, burst=BURST))
+    return Declaration(
+        organisation="",
+        zones_by_region={},
+        tiers_by_name={},
+        teams_by_name={TEAM: team},
+        services_by_name={},
+        engines_by_name={},
+    )
+
+
 class QuotaFleetTest(unittest.TestCase):
     async def routers(self, net, names):
         """Start the quotas of each router with one quota that all share."""
-        team = Team(name=TEAM, share=1.0, key_sha256=(), quota=TokenQuota(rate_per_s=RATE_PER_S, burst=BURST))
-        declaration = Declaration(
-            organisation="",
-            zones_by_region={},
-            tiers_by_name={},
-            teams_by_name={TEAM: team},
-            services_by_name={},
-            engines_by_name={},
-        )
+        declaration = quota_declaration()
         shared = [
             SharedQuotas(
                 name=name,
--- a/wagtailtrestle/peers/directory.py
+++ b/wagtailtrestle/peers/directory.py
@@ -18,6 +18,8 @@
 scheduler in its own view, which is never itself.
 """
 
+from loguru import logger
+
 from wagtailtrestle.capacity.features import all_off
 from wagtailtrestle.contracts.messages import (
     EngineDown,
@@ -33,7 +35,7 @@
     Withdraw,
 )
 from wagtailtrestle.contracts.peer_messages import RegisterAsk
-from wagtailtrestle.peers.rendezvous import Rendezvous
+from wagtailtrestle.peers.placement import Placement
 from wagtailtrestle.peers.routes import PeerRoutes
 
 ENTRY_MESSAGES = (GrantRequest, Withdraw, RunStarted, RunProgress, RunFinished, Register, EngineNotice)
@@ -89,7 +91,6 @@
         features=all_off,
     ):
         self.name = name
-        self._features = features
         self._membership = membership
         self._peers = peers
         self._routes = PeerRoutes(name=name, peers=peers, members=lambda: membership.view.all_members, loop=loop)
@@ -100,8 +101,9 @@
         self._cells = cells
         self._set_members = set_members or (lambda members: None)
         self._begin_cell = begin_cell or (lambda cell: None)
-        self._rendezvous = Rendezvous()
+        self._placement = Placement(membership=membership, features=features)
         self._scheduler_by_cell = {}
+        self._cores_by_cell = {}
         self._incarnations_by_name = dict(membership.view.incarnations_by_name)
         self._relayed_cells = set()
         self._registration_requested_at = {}
@@ -119,15 +121,19 @@
 
     def scheduler_of(self, cell):
         """Name of the router that is scheduler of a cell in the current view, or ``None``."""
-        return self._rendezvous.choose(key=cell, members=self._membership.view.members)
+        return self._placement.choose(cell)
 
     def refresh(self):
-        """Register the cells whose scheduler changed. Must also be called after a change of the configuration."""
+        """Register the cells whose scheduler changed.
+
+        Must also be called after a change of the configuration or of the features in force.
+        """
         if not self._membership.trusted:
             return
         cells = set(self._cells())
         for cell in set(self._scheduler_by_cell) - cells:
             del self._scheduler_by_cell[cell]
+            del self._cores_by_cell[cell]
         for cell in cells:
             self._check_scheduler(cell)
 
@@ -147,6 +153,10 @@
         """State for the state dump: the scheduler of each cell."""
         return {cell: self.scheduler_of(cell) for cell in sorted(self._cells())}
 
+    def dump_placement(self):
+        """State for the state dump: the routers' capacities, and which routers may be scheduler."""
+        return self._placement.dump()
+
     def send_to_scheduler(self, *, cell, message):
         """Send an entry's message; ``False`` if there is no scheduler now."""
         if not self._membership.trusted:
@@ -176,6 +186,7 @@
 
     def _change_scheduler(self, cell, before, scheduler):
         self._scheduler_by_cell[cell] = scheduler
+        self._log_change(cell, before, scheduler)
         if scheduler == self.name:
             # If this router was scheduler of the cell before, its old state still says that all entries have
             # registered. It would grant immediately on top of what was granted since, and fill engines twice.
@@ -186,6 +197,15 @@
         if scheduler is not None:
             self._send_registration(scheduler, cell)
 
+    def _log_change(self, cell, before, scheduler):
+        # The former scheduler's capacity is kept here, as it may have left the view.
+        cores_before = self._cores_by_cell.get(cell, 0.0)
+        cores = self._cores_by_cell[cell] = self._placement.cores_of(scheduler)
+        if self._placement.by_capacity:
+            logger.bind(cores=cores, before=before, cores_before=cores_before).info(
+                "scheduler of {} is {}", cell, scheduler
+            )
+
     def _send_registration(self, scheduler, cell):
         registration = self._register(cell)
         holds_nothing = not registration.waiting and not registration.running and not registration.notices
--- a/wagtailtrestle/quotas/owner.py
+++ b/wagtailtrestle/quotas/owner.py
@@ -177,6 +177,11 @@
         self._teams_owned_elsewhere.add(team)
         self._bucket_by_team.pop(team, None)
 
+    def mark_all_owned_elsewhere(self):
+        """Record that the owners of all teams change, so that new ones start with a share of the burst."""
+        for team in self._quota_by_team:
+            self.mark_owned_elsewhere(team)
+
     def drop_unowned(self, is_owner):
         """Drop the buckets of teams that another router now owns."""
         for team in list(self._bucket_by_team):
--- a/wagtailtrestle/quotas/shared.py
+++ b/wagtailtrestle/quotas/shared.py
@@ -4,7 +4,7 @@
 
 from wagtailtrestle.capacity.features import all_off
 from wagtailtrestle.contracts.quota_messages import QuotaAsk, QuotaGrant
-from wagtailtrestle.peers.rendezvous import Rendezvous
+from wagtailtrestle.peers.placement import Placement
 from wagtailtrestle.quotas.accounts import QuotaAccounts
 from wagtailtrestle.quotas.owner import QuotaOwner
 
@@ -30,15 +30,15 @@
         Accounts to which requests are charged.
     """
 
-    __slots__ = ("accounts", "_name", "_peers", "_membership", "_loop", "_owner", "_rendezvous", "_features")
+    __slots__ = ("accounts", "_name", "_peers", "_membership", "_loop", "_owner", "_placement", "_is_by_capacity")
 
     def __init__(self, *, name, peers, membership, loop, tolerance, features=all_off):
         self._name = name
-        self._features = features
         self._peers = peers
         self._membership = membership
         self._loop = loop
-        self._rendezvous = Rendezvous()
+        self._placement = Placement(membership=membership, features=features)
+        self._is_by_capacity = False
         self._owner = QuotaOwner(
             clock=loop.time, members=self._count_members, fleet_size=membership.fleet_size, tolerance=tolerance
         )
@@ -54,10 +54,14 @@
         peers.on(QuotaGrant, lambda peer, grant, cell: self.accounts.on_grant(grant))
 
     def set_declaration(self, declaration):
-        """Apply the quotas of a declaration."""
+        """Apply the quotas of a declaration, and the features that it switched on or off."""
         quotas = {team.name: team.quota for team in declaration.teams_by_name.values() if team.quota is not None}
         for team, quota in sorted(quotas.items()):
             logger.bind(team=team, rate_per_s=quota.rate_per_s, burst=quota.burst).info("quota in force")
+        if self._placement.by_capacity != self._is_by_capacity:
+            self._is_by_capacity = self._placement.by_capacity
+            # Most owners change, and the new ones don't know what the former ones granted.
+            self._owner.mark_all_owned_elsewhere()
         self._owner.set_quotas(quotas)
         self.accounts.set_quotas(quotas)
 
@@ -76,7 +80,7 @@
         self._peers.send(peer, self._owner.grant(request))
 
     def _owner_of(self, team):
-        return self._rendezvous.choose(key=f"quota/{team}", members=self._membership.view.members)
+        return self._placement.choose(f"quota/{team}")
 
     def _is_owner(self, team):
         return self._owner_of(team) == self._name
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -441,6 +441,7 @@
             "quotas": self._quotas.dump(),
             "peers": self._peers.dump(),
             "stewards_by_cell": self._directory.dump(),
+            "placement": self._directory.dump_placement(),
             "stewards": self._schedulers.dump(),
             "entry": self._entry.dump(),
             "callers": self._callers.dump(),
