Placement: a single large router holds all roles

With fewer than two eligible members the next largest were added, so a fleet with one large router gave half of the roles to a slow one. Eligibility is computed again for each view, so the second candidate bought nothing.

--- a/wagtailtrestle/peers/placement.py
+++ b/wagtailtrestle/peers/placement.py
@@ -10,7 +10,6 @@
 MIN_CAPACITY_SHARE = 0.5
 """Least capacity of an eligible member, as a share of the largest. Weights in proportion to capacity would still choose
 small routers more often than not where dozens of them face a few large ones."""
-MIN_ELIGIBLE = 2
 
 
 def eligible_members(members, cores_by_name):
@@ -26,18 +25,11 @@
     Returns
     -------
     tuple of str
-        In the order of ``members``: those with at least half of the largest capacity among them. If these are fewer
-        than two, the next largest that announced a capacity are added, those of equal capacity by name. All members
-        if no capacity is known.
+        In the order of ``members``: those with at least half of the largest capacity among them. All members if no
+        capacity is known.
     """
-    known = [name for name in members if cores_by_name.get(name, 0.0) > 0]
-    if not known:
-        return members
-    ranked = sorted(known, key=lambda name: (-cores_by_name[name], name))
-    least_cores = MIN_CAPACITY_SHARE * cores_by_name[ranked[0]]
-    large = sum(cores_by_name[name] >= least_cores for name in ranked)
-    chosen = frozenset(ranked[: max(MIN_ELIGIBLE, large)])
-    return tuple(name for name in members if name in chosen)
+    least_cores = MIN_CAPACITY_SHARE * max((cores_by_name.get(name, 0.0) for name in members), default=0.0)
+    return tuple(name for name in members if cores_by_name.get(name, 0.0) >= least_cores)
 
 
 class Placement:
