Engine selection by fit and zone

Cause: engines of one service differ fourfold in speed. A response of 900 tokens takes ten seconds and more on a slow engine, so it misses its deadline and its slot is lost for that time.

Change: a request with a target to its first token takes an engine only if the 0.9 quantile of its length finishes there in time, if any engine of the cell satisfies that, and otherwise the next lower quantile. Slow engines are kept for short responses, which prefer them while fast slots are scarce. Other requests take them while a quarter of their slots is free. Preemption frees no slot on an engine that the request would leave to short ones. Everything is off unless Features enable it.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -21,6 +21,7 @@
     "capacity.scheduler_set",
     "capacity.tier_queue",
     "capacity.admission",
+    "capacity.engine_match",
     "capacity.preemption",
     "capacity.isolation",
     "capacity.registration",
--- a/tests/utils/scheduler_fakes.py
+++ b/tests/utils/scheduler_fakes.py
@@ -1,5 +1,6 @@
 """A scheduler with a clock that tests advance and entries that record the messages sent to them."""
 
+from wagtailtrestle.capacity.features import all_off
 from wagtailtrestle.capacity.scheduler import Scheduler
 from wagtailtrestle.contracts.declaration import DeclaredEngine
 from wagtailtrestle.contracts.messages import GrantRequest, Register, RunFinished, RunningRecord
@@ -90,7 +91,7 @@
 class Cell:
     """A scheduler, its clock and its entries."""
 
-    def __init__(self, *, engines=("e1",), slots=2, members=(), prefill_weight=0.5):
+    def __init__(self, *, engines=("e1",), slots=2, members=(), prefill_weight=0.5, features=all_off):
         self.clock = Clock()
         self.entries = FakeEntries()
         self.scheduler = Scheduler(
@@ -99,6 +100,7 @@
             clock=self.clock,
             entries=self.entries,
             prefill_weight=prefill_weight,
+            features=features,
         )
         self.scheduler.set_members(frozenset(members))
         self.scheduler.set_engines({name: engine(name, slots=slots) for name in engines})
--- a/wagtailtrestle/capacity/preemption.py
+++ b/wagtailtrestle/capacity/preemption.py
@@ -67,6 +67,8 @@
     clock : callable
     prefill_weight : float
         From 0 (preempt early, for goodput) to 1 (preempt as late as possible, to save prefill).
+    passes_over : callable
+        Returns whether a waiting request would not take a slot that becomes free on an engine.
 
     Attributes
     ----------
@@ -74,9 +76,10 @@
         Factor on a predicted finish time, the same as for grants.
     """
 
-    __slots__ = ("margin", "_clock", "_safety_margin_s")
+    __slots__ = ("margin", "passes_over", "_clock", "_safety_margin_s")
 
-    def __init__(self, *, clock, prefill_weight):
+    def __init__(self, *, clock, prefill_weight, passes_over=lambda waiting, engine: False):
+        self.passes_over = passes_over
         self.margin = finish_margin(prefill_weight)
         self._clock = clock
         self._safety_margin_s = SAFETY_MARGIN_S + EAGER_SAFETY_MARGIN_S * (1.0 - prefill_weight)
@@ -172,6 +175,8 @@
     def _run_s(self, waiting, engine):
         if engine.name in waiting.request.excluded_engines or engine.rest_s(waiting.request.entry):
             return float("inf")
+        if self._planner.passes_over(waiting, engine):
+            return float("inf")
         return run_s(waiting.request, engine, engine.limit, 0)
 
     def _in_time(self, waiting, slot, duration_s):
@@ -223,6 +228,8 @@
         # to another one, and the next round would cancel another run for it.
         if engine.name in waiting.request.excluded_engines or engine.rest_s(waiting.request.entry):
             return False
+        if self._planner.passes_over(waiting, engine):
+            return False
         duration_s = conservative_run_s(
             waiting, engine, engine.limit, engine.pending_prefill_tokens, self._planner.margin
         )
--- a/wagtailtrestle/capacity/scheduler.py
+++ b/wagtailtrestle/capacity/scheduler.py
@@ -10,6 +10,7 @@
 
 from wagtailtrestle.capacity.admission import Admission
 from wagtailtrestle.capacity.crash_signs import CrashSigns
+from wagtailtrestle.capacity.engine_match import EngineMatch
 from wagtailtrestle.capacity.features import all_off
 from wagtailtrestle.capacity.isolation import Isolation
 from wagtailtrestle.capacity.preemption import LOOK_AHEAD, PreemptionPlanner
@@ -88,6 +89,9 @@
         "_runs_outlive_routers",
         "_rollout",
         "_features",
+        "_match",
+        "_zone_grants",
+        "_unfit_refusals",
         "_reserved",
         "_handlers_by_type",
     )
@@ -108,6 +112,9 @@
         self._runs_outlive_routers = runs_outlive_routers
         self._rollout = None
         self._features = features
+        self._match = EngineMatch(clock=clock, features=features)
+        self._zone_grants = Counter()
+        self._unfit_refusals = 0
         self._reserved = frozenset()
         self._policy = policy
         self._clock = clock
@@ -122,7 +129,9 @@
             prefill_weight=prefill_weight,
             features=features,
         )
-        self._planner = PreemptionPlanner(clock=clock, prefill_weight=prefill_weight)
+        self._planner = PreemptionPlanner(
+            clock=clock, prefill_weight=prefill_weight, passes_over=self._match.passes_over
+        )
         self._isolation = Isolation(clock=clock, queue=self._queue)
         self._registration = Registration(clock=clock)
         self._crash_signs = CrashSigns(clock=clock)
@@ -266,8 +275,10 @@
         self._log.log_rate_limits()
         self._runs.sort_by_speed()
         self._admission.measure_speed()
+        self._match.measure(self._runs.usable_engines)
         self._retries_used_up = not self._may_retry()
         for waiting in self._queue.pop_expired(self._clock()):
+            self._unfit_refusals += bool(waiting.tried_engines) and self._match.applies(waiting)
             self._refuse(waiting.request, Reason.OVERLOADED)
         self._queue.unpark_oldest(MAX_UNPARKED_PER_TICK)
         self._isolation.release_for_urgent(self._runs.engines)
@@ -298,6 +309,8 @@
             "work_by_tier": {tier: round(work, 3) for tier, work in self._queue.work_by_tier().items()},
             "running": {request_id: grant.engine for request_id, grant in self._runs.grants_by_request_id.items()},
             "retries": self._retries.dump(),
+            "zone_grants": dict(self._zone_grants),
+            "unfit_refusals": self._unfit_refusals,
             "engines": {name: engine.dump() for name, engine in self._runs.engines_by_name.items()},
         }
 
@@ -476,20 +489,35 @@
         if exposed is not None:
             self._grant(waiting, exposed)
             return
-        suitable = self._suitable(waiting, available_engines)
+        matched = self._match.applies(waiting)
+        permitted = self._match.permitted(waiting, available_engines) if matched else available_engines
+        if permitted is None:
+            self._unfit_refusals += 1
+            self._refuse(waiting.request, Reason.DEADLINE_UNREACHABLE)
+            return
+        suitable = self._suitable(waiting, permitted)
+        # The zone is compared only among engines that meet the targets, so it can't cause a target to be missed.
+        zone_cost_s = self._features().zone_cost_s if suitable and waiting.request.zone else 0.0
         if (
             not suitable
             and waiting.request.first_token_within_s
             and not self._admission.should_wait_for_suitable(waiting)
         ):
-            suitable = available_engines
-        engine = self._policy.choose(request=waiting.request, engines=suitable, now=self._clock()) if suitable else None
+            suitable = permitted
+        engine = None
+        if suitable:
+            engine = self._policy.choose(
+                request=waiting.request, engines=suitable, now=self._clock(), zone_cost_s=zone_cost_s
+            )
         if engine is not None:
             self._grant(waiting, engine)
             return
         others = [engine for engine in self._runs.usable_engines if not engine.leaving]
         if any(self._admission.could_finish(waiting, engine) for engine in others):
-            self._queue.park(waiting, tried_engines=frozenset(engine.name for engine in available_engines))
+            tried_engines = frozenset(engine.name for engine in available_engines)
+            if matched:
+                tried_engines |= self._match.unsuitable_names(waiting)
+            self._queue.park(waiting, tried_engines=tried_engines)
         else:
             self._refuse(waiting.request, Reason.DEADLINE_UNREACHABLE)
 
@@ -512,6 +540,13 @@
 
     def _suitable(self, waiting, available_engines):
         """Return the engines that can finish the request, from the shortlist or, failing that, from all."""
+        if self._match.applies(waiting):
+            preferred = self._match.preferred(waiting, available_engines)
+            if preferred is not available_engines:
+                shortlist = self._shortlist(waiting.request, preferred)
+                suitable = [engine for engine in shortlist if self._admission.can_finish_now(waiting, engine)]
+                if suitable:
+                    return suitable
         shortlist = self._shortlist(waiting.request, available_engines)
         suitable = [engine for engine in shortlist if self._admission.can_finish_now(waiting, engine)]
         if suitable or len(shortlist) == len(available_engines):
@@ -537,6 +572,8 @@
             engine_name=engine.name,
             deadline=waiting.deadline,
         )
+        if waiting.request.zone:
+            self._zone_grants["same" if engine.zone == waiting.request.zone else "other"] += 1
         if waiting.request.is_retry:
             self._retries.spend(entry=waiting.request.entry, request_id=waiting.request_id)
         if self._rollout is not None:
--- a/wagtailtrestle/engines/model.py
+++ b/wagtailtrestle/engines/model.py
@@ -197,6 +197,11 @@
         """Lowest concurrency that saturates the engine, at most its slots."""
         return self._limit
 
+    @property
+    def finished_runs(self):
+        """Number of complete runs measured."""
+        return self._finished_runs
+
     def confidence(self):
         """Degree, from 0 to 1, to which predictions rest on measurements rather than the declaration."""
         measured = min(self._step.weight, self._finished_runs)
--- a/wagtailtrestle/engines/policies.py
+++ b/wagtailtrestle/engines/policies.py
@@ -42,8 +42,10 @@
 class EnginePolicy(Protocol):
     """Chooses one of the available engines, or ``None`` if none is suitable."""
 
-    def choose(self, *, request: GrantRequest, engines: Sequence[EngineView], now: float) -> EngineView | None:
-        """Return the engine for ``request``."""
+    def choose(
+        self, *, request: GrantRequest, engines: Sequence[EngineView], now: float, zone_cost_s: float = 0.0
+    ) -> EngineView | None:
+        """Return the engine for ``request``; one in another zone costs ``zone_cost_s`` more, where costs count."""
 
 
 def candidates(request, engines):
@@ -65,9 +67,14 @@
     def __init__(self, *, prefill_weight):
         self._prefill_weight = prefill_weight
 
-    def choose(self, *, request, engines, now):
-        """Return the engine with the lowest :meth:`cost_s`."""
-        return min(candidates(request, engines), key=lambda engine: self.cost_s(request, engine), default=None)
+    def choose(self, *, request, engines, now, zone_cost_s=0.0):
+        """Return the engine with the lowest :meth:`cost_s`, plus ``zone_cost_s`` if it is in another zone."""
+
+        def cost_s(engine):
+            other_zone = zone_cost_s and engine.zone != request.zone
+            return self.cost_s(request, engine) + (zone_cost_s if other_zone else 0.0)
+
+        return min(candidates(request, engines), key=cost_s, default=None)
 
     def cost_s(self, request, engine):
         """Cost in seconds of running ``request`` on ``engine`` now."""
@@ -95,7 +102,7 @@
     def __init__(self):
         self._turn = 0
 
-    def choose(self, *, request, engines, now):
+    def choose(self, *, request, engines, now, zone_cost_s=0.0):
         """Return the next engine."""
         allowed = candidates(request, engines)
         if not allowed:
@@ -109,7 +116,7 @@
 
     __slots__ = ()
 
-    def choose(self, *, request, engines, now):
+    def choose(self, *, request, engines, now, zone_cost_s=0.0):
         """Return the engine with the lowest reported load."""
         return min(candidates(request, engines), key=reported_load, default=None)
 
@@ -127,7 +134,7 @@
     def __init__(self, *, seed):
         self._random = random.Random(seed)
 
-    def choose(self, *, request, engines, now):
+    def choose(self, *, request, engines, now, zone_cost_s=0.0):
         """Return the less loaded of two random engines."""
         allowed = candidates(request, engines)
         if not allowed:
