--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -22,6 +22,7 @@
     "capacity.tier_queue",
     "capacity.admission",
     "capacity.tier_floor",
+    "capacity.engine_match",
     "capacity.preemption",
     "capacity.isolation",
     "capacity.registration",
