--- a/wagtailtrestle/cli/router.py
+++ b/wagtailtrestle/cli/router.py
@@ -2,20 +2,25 @@
 
 import sys
 
-from fire.decorators import SetParseFn
-
 from wagtailtrestle.callers.listening import listen, listen_error_message
-from wagtailtrestle.cli.runner import run_program
 from wagtailtrestle.declarations.argument_types import split_address
 from wagtailtrestle.declarations.settings import SettingsFaults, load_router_settings
 from wagtailtrestle.environment import Environment
 from wagtailtrestle.exit_status import ExitStatus
 
 PROGRAM = "wagtailtrestle-router"
+SETTINGS_FLAG = "--settings"
 
 
 def run(environment, arguments):
     """Parse and run a ``wagtailtrestle-router`` command line in ``environment``."""
+    settings_file = _only_settings_file(arguments)
+    if settings_file is not None:
+        return start_router(environment, settings_file=settings_file)
+    # Imported only here: fire and its console package take 10 ms of processor time to load, at each start of a router.
+    from fire.decorators import SetParseFn
+
+    from wagtailtrestle.cli.runner import run_program
 
     def make_command(plan):
         @SetParseFn(str)
@@ -34,6 +39,14 @@
     return run_program(make_command, environment=environment, arguments=arguments)
 
 
+def _only_settings_file(arguments):
+    """Return the file of a command line that consists of ``--settings FILE``, or ``None`` for any other."""
+    match arguments:
+        case [flag, settings_file] if flag == SETTINGS_FLAG and settings_file and not settings_file.startswith("-"):
+            return settings_file
+    return None
+
+
 def start_router(environment, *, settings_file):
     """Run the router described by a settings file, and return its exit status."""
     settings = load_router_settings(settings_file)
