Do not let loguru prepare a sink that is removed at once

Cause: loguru adds a sink for standard error when it is imported; start_logs removes it before anything is logged. Change: main sets LOGURU_AUTOINIT, unless the environment does.

--- a/wagtailtrestle/cli/router.py
+++ b/wagtailtrestle/cli/router.py
@@ -1,6 +1,7 @@
 """``wagtailtrestle-router``: the daemon on every entry VM."""
 
 import gc
+import os
 import sys
 
 from wagtailtrestle.callers.listening import listen, listen_error_message
@@ -86,6 +87,8 @@
 
 def main():
     """Run the command line of this process and exit with its status."""
+    # Otherwise loguru prepares a sink that start_logs removes before anything is logged.
+    os.environ.setdefault("LOGURU_AUTOINIT", "False")
     sys.exit(run(Environment.of_process(program=PROGRAM), sys.argv[1:]))
 
 
