Test that a router's direct command line matches fire's

Both parsers get the same command lines, valid ones, values that fire could read as literals, separators and help, and must start the same router or print the same text. A second test guards against imports that load fire at each start.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,6 +2,8 @@
 
 import io
 import json
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -195,3 +197,25 @@
     def test_router_does_not_start_on_faulty_settings(self):
         self.assertEqual(self.call(router, "--settings", COMETAS), ExitStatus.USAGE)
         self.assertIn("The router was not started", self.err.getvalue())
+
+    def started(self, *arguments):
+        """Return the settings file with which the router starts, or ``None`` if it doesn't, and all output."""
+        with mock.patch.object(router, "start_router", return_value=ExitStatus.DONE) as start:
+            status = self.call(router, *arguments)
+        file = start.call_args.kwargs["settings_file"] if start.called else None
+        return status, file, self.out.getvalue(), self.err.getvalue()
+
+    def test_router_reads_its_usual_command_line_as_fire_does(self):
+        # Guards against a direct path for `--settings FILE` that accepts or reports anything else than fire does.
+        for values in (
+            *((COMETAS,), ("7",), ("[a]",), ("None",), ("a=b",), ("a b",), ("'quoted'",), ("",), ("-",), ("--",)),
+            *((), ("--help",), ("-h",), (COMETAS, "more"), (COMETAS, "--", "--help"), ("--settings", COMETAS)),
+        ):
+            found = self.started("--settings", *values)
+            with mock.patch.object(router, "_only_settings_file", return_value=None):
+                self.assertEqual(found, self.started("--settings", *values), values)
+
+    def test_router_starts_without_fire(self):
+        # Guards against an import that makes each start of a router load fire again.
+        program = "import sys, wagtailtrestle.cli.router, wagtailtrestle.core; sys.exit('fire' in sys.modules)"
+        self.assertEqual(subprocess.run([sys.executable, "-c", program], check=False).returncode, 0)
