--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -23,6 +23,8 @@
     "capacity.admission",
     "capacity.tier_floor",
     "capacity.engine_match",
+    "capacity.late_service",
+    "capacity.late_queue",
     "capacity.preemption",
     "capacity.isolation",
     "capacity.registration",
