Tell which engines a rollout may have reserved on every router

Cause: only the coordinator of a rollout knows which engines it reserves; an entry that chooses an engine itself must not use them. Change: Coordinator.unproven_engines returns, from what every router hears of orders, all engines of a service with several versions or a running order, and those of versions that are not known to be proven. The decisions of rollouts are unchanged.

--- a/wagtailtrestle/rollouts/coordinator.py
+++ b/wagtailtrestle/rollouts/coordinator.py
@@ -13,7 +13,7 @@
 from wagtailtrestle.contracts.rollout_messages import RolloutState, RolloutWord
 from wagtailtrestle.rollouts.order_watcher import OrderWatcher
 from wagtailtrestle.rollouts.rollout import Phase, Rollout
-from wagtailtrestle.rollouts.versions import reserved_names
+from wagtailtrestle.rollouts.versions import reserved_names, unproven_names
 
 PROGRESS_INTERVAL_S = 1.0
 
@@ -150,6 +150,19 @@
             rollout = self._rollout_of(service)
             self._schedulers.set_rollout(service, rollout, self._reserved(service, engines, rollout))
 
+    def unproven_engines(self, service, engines):
+        """Return the names of a service's engines that may be reserved, whichever router coordinates its rollout."""
+        target, versions = self._target_of(service), {engine.version for engine in engines}
+        trial_versions = set(self._targets_by_service.get(service, ()))
+        match self._state_of(service):
+            case RolloutState.RUNNING:
+                # Only the coordinator knows in which phase all requests go to the target.
+                trial_versions |= versions
+            case RolloutState.COMPLETED:
+                # Engines of other versions stop without a drain.
+                trial_versions = (trial_versions | versions) - {target}
+        return unproven_names(engines, trial_versions=trial_versions)
+
     def _update_versions(self, engines_by_service):
         now = self._clock()
         present = {(service, engine.version) for service, engines in engines_by_service.items() for engine in engines}
--- a/wagtailtrestle/rollouts/versions.py
+++ b/wagtailtrestle/rollouts/versions.py
@@ -37,6 +37,29 @@
     return frozenset(held | _unread(engines, unread_versions - {target}))
 
 
+def unproven_names(engines, *, trial_versions):
+    """Return the names of the engines that may be reserved, as seen by a router that does not coordinate the rollout.
+
+    Between two versions, only the coordinator knows which one may get requests and how many. The other routers learn
+    of the order a moment later, so they regard all engines of a service with several versions as reserved.
+
+    Parameters
+    ----------
+    engines : list of DeclaredEngine
+        Engines of one service.
+    trial_versions : set of str
+        Versions that may be on trial or about to stop.
+
+    Returns
+    -------
+    frozenset of str
+    """
+    versions = {engine.version for engine in engines}
+    if len(versions) > 1:
+        return frozenset(engine.name for engine in engines)
+    return frozenset(engine.name for engine in engines if engine.version in trial_versions)
+
+
 def _unread(engines, unread_versions):
     """Return the engines of versions whose order may not have been read yet.
 
