Tell how many routers share a cell while its scheduler is silent

Cause: direct runs are bounded by the number of live routers, and must not start on a router whose view is untrusted or which is the scheduler itself. Change: Directory.routers_sharing. Result: tests.test_directory passes.

--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -107,6 +107,17 @@
         self.assertEqual(self.to_scheduler, [("c1", REGISTRATION), ("c1", Withdraw(request_id="x"))])
         self.assertEqual(self.peers.sent, [])
 
+    async def test_slots_are_shared_only_by_a_trusted_view_and_without_a_local_scheduler(self):
+        # Guards against plain calls that are dispatched without a scheduler: by lists of engines that are outdated
+        # after a pause, or past the queue of a scheduler in this process.
+        self.make("b", "c")
+        self.assertEqual(self.directory.routers_sharing("c1"), 2)
+        self.membership.trusted = False
+        self.assertEqual(self.directory.routers_sharing("c1"), 0)
+        self.membership.trusted = True
+        self.membership.change("a")
+        self.assertEqual(self.directory.routers_sharing("c1"), 0)
+
     async def test_reconnect(self):
         # The connection to the scheduler was lost and reopened; grants on it may be lost, so the entry registers again.
         self.make("b")
--- a/wagtailtrestle/peers/directory.py
+++ b/wagtailtrestle/peers/directory.py
@@ -123,6 +123,16 @@
         """Name of the router that is scheduler of a cell in the current view, or ``None``."""
         return self._placement.choose(cell)
 
+    def routers_sharing(self, cell):
+        """Number of live routers that share a cell's slots while its scheduler does not answer.
+
+        0 if this router must not dispatch without the scheduler: it is the scheduler itself, or its view and with it
+        its lists of engines may be out of date after a start or a pause.
+        """
+        if not self._membership.trusted or self.scheduler_of(cell) == self.name:
+            return 0
+        return len(self._membership.view.all_members)
+
     def refresh(self):
         """Register the cells whose scheduler changed.
 
