Dispatch plain calls directly while the scheduler does not answer

Cause: a scheduler that is killed, frozen or partitioned is detected after about a second, so the plain calls of that time are lost although their engines are idle.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -9,6 +9,7 @@
     "entry.entry",
     "entry.request_task",
     "entry.request_claim",
+    "entry.direct_dispatch",
     "entry.execution_evidence",
     "entry.cells",
     "capacity.retry_budget",
--- a/wagtailtrestle/entry/entry.py
+++ b/wagtailtrestle/entry/entry.py
@@ -12,10 +12,19 @@
 from wagtailtrestle.capacity.features import all_off
 from wagtailtrestle.capacity.retry_budget import RETRY_WINDOW_S
 from wagtailtrestle.contracts.exchange import AnswerRefusal
-from wagtailtrestle.contracts.messages import EngineDown, EngineNotice, Granted, Register, RunFinished, Withdraw
+from wagtailtrestle.contracts.messages import (
+    EngineDown,
+    EngineNotice,
+    Granted,
+    Refused,
+    Register,
+    RunFinished,
+    Withdraw,
+)
 from wagtailtrestle.contracts.outcomes import Executed, Reason, RunNotSent
 from wagtailtrestle.engines.notices import NOTICE_AGE_TOLERANCE_S, EngineNotices
 from wagtailtrestle.entry.cells import cells_of, choose_cell
+from wagtailtrestle.entry.direct_dispatch import DirectDispatch
 from wagtailtrestle.entry.final_answers import DEFAULT_RETRY_AFTER_S, refusal_of
 from wagtailtrestle.entry.request_task import Displaced, RequestState, RequestTask
 from wagtailtrestle.entry.retry_record import RetryRecord
@@ -42,8 +51,8 @@
         The loop's clock, seconds.
     zone : str
         This router's availability zone.
-    features : Callable
-        Returns the ``Features`` in force.
+    direct : DirectDispatch
+        Decides on runs without a silent scheduler.
     """
 
     __slots__ = (
@@ -54,18 +63,18 @@
         "run_counts",
         "now",
         "zone",
-        "features",
+        "direct",
         "_schedulers",
         "_declaration",
         "_notices",
     )
 
     def __init__(
-        self, *, name, schedulers, claims, crashes, retries, declaration, notices, run_counts, now, zone, features
+        self, *, name, schedulers, claims, crashes, retries, declaration, notices, run_counts, now, zone, direct
     ):
         self.name = name
         self.zone = zone
-        self.features = features
+        self.direct = direct
         self.claims = claims
         self.crashes = crashes
         self.retries = retries
@@ -147,6 +156,11 @@
         This router's availability zone.
     features : callable, optional
         Returns the ``Features`` in force.
+    routers : callable, optional
+        ``routers(cell)`` returns the number of routers that share a cell's slots while its scheduler is silent; 0, the
+        default, if this entry may dispatch nothing there without it.
+    reserved_engines : callable, optional
+        ``reserved_engines(service, engines)`` returns the names of the engines that a rollout may have reserved.
     """
 
     __slots__ = (
@@ -154,6 +168,7 @@
         "tasks_by_id",
         "_context",
         "_declaration",
+        "_direct",
         "_loop",
         "_notices",
         "_retries",
@@ -175,6 +190,8 @@
         count=lambda name, **labels: None,
         zone="",
         features=all_off,
+        routers=lambda cell: 0,
+        reserved_engines=lambda service, engines: frozenset(),
     ):
         self.name = name
         self.tasks_by_id = {}
@@ -186,6 +203,15 @@
         self._running_by_id = {}
         self._idle = asyncio.Event()
         self._idle.set()
+        self._direct = DirectDispatch(
+            features=features,
+            declaration=declaration,
+            notices=self._notices,
+            occupancy=self._occupancy_of,
+            routers=routers,
+            reserved_engines=reserved_engines,
+            clock=loop.time,
+        )
         self._context = RequestContext(
             name=name,
             schedulers=schedulers,
@@ -197,7 +223,7 @@
             run_counts=self._run_counts,
             now=loop.time,
             zone=zone,
-            features=features,
+            direct=self._direct,
         )
 
     def submit(self, request, caller):
@@ -240,6 +266,7 @@
 
     def on_scheduler_message(self, message):
         """Deliver a scheduler's message to its request; a message about an engine concerns all requests."""
+        self._record_answer(message)
         if isinstance(message, EngineDown):
             self._context.crashes.record_engine_down(message.engine)
             return
@@ -250,6 +277,19 @@
         if task is not None:
             task.post(message)
 
+    def _record_answer(self, message):
+        task = None if isinstance(message, EngineDown) else self.tasks_by_id.get(message.request_id)
+        if task is not None:
+            self._direct.record_answer(task.cell, message)
+        elif not isinstance(message, Refused):
+            engine = self._declaration().engines_by_name.get(message.engine)
+            if engine is not None:
+                self._direct.record_answer(engine.cell, message)
+
+    def _occupancy_of(self, engine):
+        tasks = [task for task in self.tasks_by_id.values() if task.engine == engine and task.is_dispatched]
+        return math.inf if any(task.runs_alone for task in tasks) else len(tasks)
+
     def register(self, cell):
         """Build the registration of this entry's requests and notices of ``cell`` for a new scheduler."""
         tasks = [task for task in self.tasks_by_id.values() if task.cell == cell]
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from enum import StrEnum
 
 from loguru import logger
@@ -83,6 +84,11 @@
     retry_after_s: float = DEFAULT_RETRY_AFTER_S
 
 
+@record
+class DirectRunEnded:
+    """A direct run of this entry has ended, so this waiting request may have the next one."""
+
+
 class RequestTask:
     """Serves one request from its claim to its single final answer.
 
@@ -123,6 +129,7 @@
         "_caller_gone",
         "_address",
         "_alone",
+        "_direct_runs",
         "_received_at",
     )
 
@@ -155,8 +162,19 @@
         self._caller_gone = False
         self._address = ""
         self._alone = False
+        self._direct_runs = 0
         self._received_at = context.now()
 
+    @property
+    def is_dispatched(self):
+        """Whether the request is running on ``engine``."""
+        return self.state is RequestState.DISPATCHED
+
+    @property
+    def runs_alone(self):
+        """Whether no other run may be on the engine."""
+        return self._alone
+
     def post(self, message):
         """Queue a message to this task."""
         self._inbox.put_nowait(message)
@@ -169,7 +187,10 @@
             granted = await self._acquire_slot()
             if granted is None:
                 return
-            ended = await self._run_on_engine(granted)
+            try:
+                ended = await self._run_on_engine(granted)
+            finally:
+                self.context.direct.end_run(self.cell, self.request.request_id)
             if self._handle_run_end(ended):
                 return
 
@@ -246,12 +267,24 @@
 
     async def _acquire_slot(self):
         self.state = RequestState.QUEUED
-        self.attempt += 1
         self._alone = self.context.crashes.must_run_alone(self.request.body_digest)
-        self.context.send(self.cell, self.grant_request())
+        try:
+            return await self._wait_for_slot()
+        finally:
+            self.context.direct.end_wait(self.request.request_id)
+
+    async def _wait_for_slot(self):
+        wait = self._request_slot()
         while True:
-            message = await self._next_message(until=self.request.deadline)
+            direct_at = math.inf if wait is None else wait.check_at
+            message = await self._next_message(until=min(self.request.deadline, direct_at))
             match message:
+                case DirectRunEnded() | None if direct_at < self.request.deadline:
+                    granted = self._start_direct_run(wait)
+                    if granted is not None:
+                        return granted
+                case DirectRunEnded():
+                    continue
                 case None:
                     return self._withdraw_and_refuse(Reason.DEADLINE_EXCEEDED)
                 case CallerGone():
@@ -277,8 +310,41 @@
                     if not is_available or message.engine in self._declined_engines:
                         self._excluded_engines.add(message.engine)
                     self._declined_engines.add(message.engine)
-                    self.attempt += 1
-                    self.context.send(self.cell, self.grant_request())
+                    wait = self._request_slot()
+
+    def _request_slot(self):
+        """Send a grant request; return the wait after which the request may run directly, or ``None``."""
+        self.attempt += 1
+        grant_request = self.grant_request()
+        self.context.send(self.cell, grant_request)
+        return self.context.direct.begin_wait(
+            grant_request, direct_runs=self._direct_runs, wake=lambda: self.post(DirectRunEnded())
+        )
+
+    def _start_direct_run(self, wait):
+        """Take an engine without the silent scheduler, or return ``None`` to wait on."""
+        if not self._inbox.empty():
+            # A grant or the end of the request arrived together with the timer and takes precedence.
+            return None
+        engine = self.context.direct.start_run(wait)
+        if engine is None:
+            return None
+        # No message is awaited between the decision and the dispatch, so a grant that arrives from here on finds
+        # the request running and is returned.
+        self.context.send(self.cell, Withdraw(request_id=self.request.request_id))
+        self.state = RequestState.GRANTED
+        self._direct_runs += 1
+        self.context.run_counts.count_direct_run(service=self.request.service, now=self.context.now())
+        # The scheduler that would admit a retry is silent, so the run is not cut short in favour of one.
+        self._retries_used_up = True
+        remaining_s = self._remaining()
+        return Granted(
+            request_id=self.request.request_id,
+            attempt=self.attempt,
+            engine=engine,
+            progress_deadline_s=remaining_s,
+            first_token_deadline_s=remaining_s,
+        )
 
     def _withdraw_and_refuse(self, reason, retry_after_s=None):
         self.context.send(self.cell, Withdraw(request_id=self.request.request_id))
--- a/wagtailtrestle/entry/run_counts.py
+++ b/wagtailtrestle/entry/run_counts.py
@@ -1,9 +1,13 @@
 """Counters of the runs sent to engines, by their cause."""
 
+import math
 from enum import StrEnum
 
 from loguru import logger
 
+DIRECT_PAUSE_S = 10.0
+"""Time without direct runs after which the next one is logged again."""
+
 
 class RunKind(StrEnum):
     """Cause of a run."""
@@ -24,15 +28,23 @@
         ``count(name, **labels)`` adds one to a counter.
     """
 
-    __slots__ = ("_count",)
+    __slots__ = ("_count", "_direct_run_at")
 
     def __init__(self, *, count):
         self._count = count
+        self._direct_run_at = -math.inf
 
     def count_run(self, *, service, kind):
         """Count a run or attach that is sent to an engine."""
         self._count("runs", service=service, kind=kind.value)
 
+    def count_direct_run(self, *, service, now):
+        """Count a run dispatched without a silent scheduler; log the first one after a period without any."""
+        self._count("direct_runs", service=service)
+        if now - self._direct_run_at > DIRECT_PAUSE_S:
+            logger.bind(service=service).warning("the scheduler does not answer; plain calls are dispatched without it")
+        self._direct_run_at = now
+
     def count_run_beyond_limit(self, *, request_id, service, runs):
         """Count a run beyond the maximum of its route."""
         self._count("runs_beyond_limit", service=service)
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -227,6 +227,8 @@
             count=self._metrics.count,
             zone=self._settings.zone,
             features=self._features_in_force,
+            routers=self._directory.routers_sharing,
+            reserved_engines=self._reserved_engines,
         )
         self._reports = EngineReports(
             interval_s=self._settings.report_interval_s,
@@ -261,6 +263,9 @@
         self._peers.on_reconnect(self._send_rollout_states)
         self._membership.on_view_change(lambda view: self._rollouts.refresh())
 
+    def _reserved_engines(self, service, engines):
+        return frozenset() if self._rollouts is None else self._rollouts.unproven_engines(service, engines)
+
     def _make_ledger(self):
         self._ledger = Ledger(
             name=self._settings.name,
