Engines: read a chunked stream with one call per piece that arrives

Cause: urllib3 reads the size, the data and the line end of each chunk from a buffered file, about 25 calls for an event of 80 bytes, and the timeout of the socket was set after each event although it had hardly changed.

Change: ChunkedDecoder extracts the data of all chunks in one read of the socket; events that arrive together are forwarded together. A read timeout that changes by less than 10 ms is kept. EventSplitter returns the piece itself when it consists of complete new events.

--- a/wagtailtrestle/engines/run_exchange.py
+++ b/wagtailtrestle/engines/run_exchange.py
@@ -1,12 +1,13 @@
 """One HTTP exchange of a run with an engine, over its own connection, from sending to the outcome."""
 
 import http.client
+import math
 import socket
 import threading
 
 from loguru import logger
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError, NewConnectionError, ReadTimeoutError
+from urllib3.exceptions import HTTPError, NewConnectionError, ProtocolError, ReadTimeoutError
 from urllib3.exceptions import TimeoutError as UrllibTimeoutError
 
 from wagtailtrestle.contracts.exchange import RunEnded
@@ -20,13 +21,17 @@
     RunSilent,
 )
 from wagtailtrestle.declarations.argument_types import split_address
+from wagtailtrestle.engines.chunked_body import ChunkedDecoder
 from wagtailtrestle.engines.run_progress import RunProgress
 
 READ_BYTES = 65536
 MAX_ERROR_BYTES = 65536
 MAX_PLAIN_BYTES = 32 * 1024 * 1024
 MAX_RECORDED_BYTES = 65536
+CHUNK_READ_BYTES = 16384
 MIN_TIMEOUT_S = 0.001
+TIMEOUT_TOLERANCE_S = 0.01
+"""Change of a read timeout below which the socket keeps the previous one, as each change is a system call."""
 OK = 200
 LATE_SEND_THRESHOLD_S = 0.25
 """Connect time above which a late send is logged: the decision behind the grant may be out of date by then."""
@@ -80,6 +85,9 @@
         "_aborted",
         "_connect_timeout_s",
         "_connection",
+        "_method",
+        "_raw_response",
+        "_read_timeout_s",
         "_socket",
     )
 
@@ -97,6 +105,9 @@
         self._connect_timeout_s = connect_timeout_s
         self._aborted = False
         self._connection = None
+        self._method = ""
+        self._raw_response = None
+        self._read_timeout_s = -math.inf
         self._socket = None
 
     def run(self) -> RunEnded:
@@ -127,7 +138,7 @@
         return self.received.output_tokens
 
     def set_read_timeout(self, seconds):
-        """Set the timeout of the next read.
+        """Set the timeout of the next read, to within ``TIMEOUT_TOLERANCE_S``.
 
         Raises
         ------
@@ -136,15 +147,17 @@
         """
         if seconds <= 0:
             raise TimeoutError
+        if abs(seconds - self._read_timeout_s) < TIMEOUT_TOLERANCE_S:
+            return
+        self._read_timeout_s = seconds
         # ``getresponse`` sets the socket's timeout from the connection's.
         self._connection.timeout = seconds
         self._socket.settimeout(seconds)
 
     def chunks(self):
-        """Iterate over the body in chunks as they arrive."""
-        # Of urllib3's methods to read a chunked body, this one has the least overhead per chunk.
+        """Iterate over the body in pieces as they arrive."""
         if self.response.chunked:
-            return self.response.read_chunked(decode_content=False)
+            return self._read_chunked()
         return iter(lambda: self.response.read1(READ_BYTES, decode_content=False), b"")
 
     def read_body(self, length) -> bytes:
@@ -185,6 +198,26 @@
             output_tokens=self.output_tokens,
         )
 
+    def _read_chunked(self):
+        if self._method == "HEAD":
+            return
+        decoder = ChunkedDecoder()
+        # The first read returns what was received together with the head, if anything was. The file's buffer is
+        # smaller than the read, so it is empty afterwards.
+        data = self._raw_response.fp.read1(CHUNK_READ_BYTES)
+        while data:
+            if body := decoder.feed(data):
+                yield body
+            if decoder.is_complete:
+                return
+            data = self._socket.recv(CHUNK_READ_BYTES)
+        if not decoder.has_last_chunk:
+            raise ProtocolError("Response ended prematurely")
+
+    def _make_raw_response(self, sock, **options):
+        self._raw_response = http.client.HTTPResponse(sock, **options)
+        return self._raw_response
+
     # Connecting and sending.
 
     def _connect(self):
@@ -196,6 +229,7 @@
         host, port = split_address(self.command.address)
         timeout = max(min(self._connect_timeout_s, self.command.overall_s), MIN_TIMEOUT_S)
         self._connection = HTTPConnection(host, port, timeout=timeout)
+        self._connection.response_class = self._make_raw_response
         try:
             self._connection.connect()
         except (NewConnectionError, UrllibTimeoutError, OSError) as error:
@@ -223,6 +257,7 @@
         # This level of urllib3 is used because it neither retries nor follows redirects: a
         # hidden second send would be a second dispatch.
         head = self.call.head(self.command, self.received)
+        self._method = head.method
         try:
             self._connection.request(
                 head.method,
--- a/wagtailtrestle/platform/events.py
+++ b/wagtailtrestle/platform/events.py
@@ -52,7 +52,9 @@
 
     def feed(self, data):
         """Process bytes; return the new complete ``Events``, or an ``EventFault``."""
-        pieces = (self._partial + data).split(EVENT_END)
+        if self._partial:
+            data = self._partial + data
+        pieces = data.split(EVENT_END)
         self._partial = pieces.pop()
         if len(self._partial) > MAX_PARTIAL_BYTES:
             return EventFault(detail="an event does not end")
@@ -70,11 +72,15 @@
             kept.append(piece)
         if not kept:
             return Events(data=b"", count=0)
+        if len(kept) == len(pieces) and not self._partial:
+            return Events(data=data, count=len(kept))
         return Events(data=EVENT_END.join(kept) + EVENT_END, count=len(kept))
 
 
 def _event_id(piece):
-    for line in piece.split(b"\n"):
+    # Usually the first line: the others are then not looked at.
+    lines = [piece.partition(b"\n")[0]] if piece.startswith(ID_FIELD) else piece.split(b"\n")
+    for line in lines:
         if line.startswith(ID_FIELD):
             text = line[len(ID_FIELD) :].strip()
             return int(text) if text.isdigit() else None
