Callers: skip cheroot's checks of a response that has no length once its head is sent

Cause: for each event, cheroot's gateway compared lengths and asked whether the head had been sent, three calls.

Change: after the head, a part of a chunked response goes directly to the request.

--- a/wagtailtrestle/callers/wsgi.py
+++ b/wagtailtrestle/callers/wsgi.py
@@ -41,6 +41,13 @@
         environ[REQUEST_ENVIRON] = self.req
         return environ
 
+    def write(self, chunk):
+        """Send a part of the body; cheroot's checks are needed only before the head is sent or with a length."""
+        if self.req.sent_headers and self.remaining_bytes_out is None:
+            self.req.write(chunk)
+        else:
+            super().write(chunk)
+
 
 class SocketWriter:
     """Writes to a caller's socket without delay, a response's head together with the first part of its body.
