Entry: a light inbox for a request's task

Cause: asyncio.Queue under asyncio.timeout_at made about 30 calls for each message of a request's task: a context, a list of waiters, two loop handles.

Change: Inbox waits with one future and one timer.

--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -44,6 +44,7 @@
 from wagtailtrestle.entry.attaches import UNREAD_RETRY_DELAY_S, AttachAttempts
 from wagtailtrestle.entry.execution_evidence import ExecutionEvidence
 from wagtailtrestle.entry.final_answers import DEFAULT_RETRY_AFTER_S, refusal_of, rejected_status
+from wagtailtrestle.entry.inbox import Inbox
 from wagtailtrestle.entry.poison import CRASH_LIMIT
 from wagtailtrestle.entry.request_claim import RequestClaim
 from wagtailtrestle.entry.run_counts import RunKind
@@ -139,7 +140,7 @@
         self.dispatched_at = 0.0
         self.done_tokens = 0
         self.run_tokens = 0
-        self._inbox = asyncio.Queue()
+        self._inbox = Inbox()
         self._reports = RunReports(request_id=request.request_id, send=lambda message: context.send(self.cell, message))
         self._excluded_engines = set()
         self._next_kind = RunKind.FIRST
@@ -159,7 +160,7 @@
 
     def post(self, message):
         """Queue a message to this task."""
-        self._inbox.put_nowait(message)
+        self._inbox.put(message)
 
     async def serve(self):
         """Run the request to its final answer."""
@@ -250,7 +251,7 @@
         self._alone = self.context.crashes.must_run_alone(self.request.body_digest)
         self.context.send(self.cell, self.grant_request())
         while True:
-            message = await self._next_message(until=self.request.deadline)
+            message = await self._inbox.get(until=self.request.deadline)
             match message:
                 case None:
                     return self._withdraw_and_refuse(Reason.DEADLINE_EXCEEDED)
@@ -358,7 +359,7 @@
     async def _wait_for_run_end(self, granted):
         until = self.request.deadline
         while True:
-            message = await self._next_message(until=until)
+            message = await self._inbox.get(until=until)
             match message:
                 case None:
                     if self._cancelling:
@@ -530,16 +531,6 @@
 
     # Helpers.
 
-    async def _next_message(self, *, until):
-        """Return the next message, or ``None`` once ``until`` (loop time) has passed."""
-        if not self._inbox.empty():
-            return self._inbox.get_nowait()
-        try:
-            async with asyncio.timeout_at(until):
-                return await self._inbox.get()
-        except TimeoutError:
-            return None
-
     def _service_supports(self, ability):
         service = self.context.service(self.request.service)
         return service is not None and getattr(service, ability)
