Scheduler: list the available engines only while a request is ready for them

Cause: after each granted request the scheduler listed all engines of the cell again, although usually no other request waits; for each engine the list asked for the age of its report, which matters only during a recovery.

Change: the list is made again only if a request is ready; the age is asked for only during a recovery.

Measured with wagtailtrestle.slopes.scheduler at 56 engines: 2504 calls per request before, 2392 after (cProfile). The processor time differs by less than the spread of runs on the loaded machine.

--- a/wagtailtrestle/capacity/scheduler.py
+++ b/wagtailtrestle/capacity/scheduler.py
@@ -450,6 +450,8 @@
             if waiting is None:
                 return
             self._try_grant(waiting, available_engines)
+            if not self._queue.ready:
+                return
             available_engines = self._available_engines()
 
     def _serve_suspects(self):
@@ -467,7 +469,7 @@
     def _available_engines(self):
         recovering = self._registration.recovering
         engines = self._runs.engines
-        return [engine for engine in engines if engine.free_slots and (engine.reported or not recovering)]
+        return [engine for engine in engines if engine.free_slots and (not recovering or engine.reported)]
 
     def _try_grant(self, waiting, available_engines):
         """Grant the request on one of the engines with free slots, park it, or refuse it."""
