Logs: a cheaper queue and one JSON encoder for all lines

Cause: queue.Queue locks and notifies in Python for each line, and json.dumps with a default builds an encoder for each line.

Change: SimpleQueue with a check of its size, and one encoder.

--- a/wagtailtrestle/observe/log_writer.py
+++ b/wagtailtrestle/observe/log_writer.py
@@ -68,7 +68,8 @@
     def __init__(self, *, stream):
         self.dropped = 0
         self._stream = stream
-        self._lines = queue.Queue(maxsize=QUEUED_LINES)
+        # A SimpleQueue, as a Queue locks and notifies in Python for each line.
+        self._lines = queue.SimpleQueue()
         self._thread = threading.Thread(target=self._write, name="logs", daemon=True)
 
     def start(self):
@@ -77,17 +78,14 @@
 
     def close(self):
         """Write the queued lines, for a limited time."""
-        try:
-            self._lines.put(END, timeout=CLOSE_S)
-        except queue.Full:
-            return
+        self._lines.put(END)
         self._thread.join(CLOSE_S)
 
     def put(self, line):
-        """Queue one line without blocking."""
-        try:
-            self._lines.put_nowait(line)
-        except queue.Full:
+        """Queue one line without blocking; the limit may be exceeded by one line per logging thread."""
+        if self._lines.qsize() < QUEUED_LINES:
+            self._lines.put(line)
+        else:
             self.dropped += 1
 
     def _write(self):
--- a/wagtailtrestle/observe/logs.py
+++ b/wagtailtrestle/observe/logs.py
@@ -15,6 +15,7 @@
 HIDDEN = "(hidden)"
 MAX_TEXT_CHARS = 2000
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL")
+ENCODE_JSON = json.JSONEncoder(default=str).encode
 BEARER = re.compile(r"(bearer|basic)\s+[^\s'\",;]+", re.IGNORECASE)
 # Redacted by field name: the value of a key or prompt can't be distinguished from ordinary text.
 SECRET_NAMES = frozenset(
@@ -87,7 +88,7 @@
         fields.setdefault(name, _field(name, value))
     if record["exception"] is not None:
         fields["exception"] = _exception_text(record["exception"])
-    return json.dumps(fields, default=str)
+    return ENCODE_JSON(fields)
 
 
 def plain_line(record):
