Scheduler: floors of all lower tiers get at most half of the work

Each lower tier was entitled to tier_floor of the granted work, whatever their number: with six tiers and floors of 0.2, the highest tier received none of 1,000 grants while all tiers waited. Their sum is now limited to half, divided equally among the tiers active in the last 4 s; with two lower tiers and 0.2 nothing changes. In the same test the highest tier receives half and the others a tenth each.

--- a/tests/test_tier_floor.py
+++ b/tests/test_tier_floor.py
@@ -185,5 +185,33 @@
         self.assertEqual(floor.entitled([0, 2]), [2])
 
 
+class SumOfFloorsTest(unittest.TestCase):
+    # Guards against floors that replace the strict order: with six tiers, five floors of 0.2 are all of the work.
+    def test_lower_tiers_together_are_entitled_to_at_most_half(self):
+        floor = TierFloor(clock=lambda: 0.0, features=lambda: Features(tier_floor=FLOOR))
+        waiting_tiers = range(6)
+        work_by_tier = dict.fromkeys(waiting_tiers, 0.0)
+        floor.record(0, 1.0, by_floor=False)
+        for _ in range(1000):
+            tier = next(iter(floor.entitled(waiting_tiers)), 0)
+            floor.record(tier, 1.0, by_floor=tier > 0)
+            work_by_tier[tier] += 1.0
+        self.assertAlmostEqual(work_by_tier[0] / 1000, 0.5, delta=0.02)
+        for tier in range(1, 6):
+            self.assertAlmostEqual(work_by_tier[tier] / 1000, 0.1, delta=0.02)
+
+    # Guards against a lower floor for tiers that no longer receive anything.
+    def test_tiers_that_received_nothing_lately_do_not_reduce_the_floors(self):
+        now = [0.0]
+        floor = TierFloor(clock=lambda: now[0], features=lambda: Features(tier_floor=FLOOR))
+        for tier in range(6):
+            floor.record(tier, 1.0, by_floor=False)
+        self.assertAlmostEqual(floor.share, 0.1)
+        now[0] = 30.0
+        floor.record(0, 1.0, by_floor=False)
+        floor.entitled((0, 2))
+        self.assertEqual(floor.share, FLOOR)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/wagtailtrestle/capacity/tier_floor.py
+++ b/wagtailtrestle/capacity/tier_floor.py
@@ -11,6 +11,13 @@
 WINDOW_S = 2.0
 """Time constant over which granted work is averaged."""
 
+MAX_SUM_OF_FLOORS = 0.5
+"""Share of the granted work to which the floors of all lower tiers together are limited. Five floors of 0.2 left no
+work to the highest of six tiers."""
+
+ACTIVE_S = 2 * WINDOW_S
+"""Time after its last grant or waiting request for which a tier counts among those that divide the sum of floors."""
+
 
 class TierFloor:
     """Granted work by tier, and which tiers are entitled to be served next.
@@ -29,7 +36,16 @@
         Grants made because of the floor.
     """
 
-    __slots__ = ("grants_by_tier", "_clock", "_features", "_at", "_total_s", "_work_by_tier", "_last_by_tier")
+    __slots__ = (
+        "grants_by_tier",
+        "_clock",
+        "_features",
+        "_at",
+        "_total_s",
+        "_work_by_tier",
+        "_last_by_tier",
+        "_active_at_by_tier",
+    )
 
     def __init__(self, *, clock, features):
         self.grants_by_tier = Counter()
@@ -39,11 +55,17 @@
         self._total_s = 0.0
         self._work_by_tier = {}
         self._last_by_tier = {}
+        self._active_at_by_tier = {}
 
     @property
     def share(self):
         """Share of the granted work that each lower tier is entitled to; 0 without a floor."""
-        return self._features().tier_floor
+        floor = self._features().tier_floor
+        if floor * (len(self._active_at_by_tier) - 1) <= MAX_SUM_OF_FLOORS:
+            return floor
+        since = self._clock() - ACTIVE_S
+        active = sum(active_at >= since for active_at in self._active_at_by_tier.values())
+        return min(floor, MAX_SUM_OF_FLOORS / max(1, active - 1))
 
     def record(self, tier, work_s, *, by_floor):
         """Count a grant."""
@@ -55,6 +77,7 @@
         self._work_by_tier[tier] = self._work_by_tier.get(tier, 0.0) + work_s
         self._total_s = sum(self._work_by_tier.values())
         self._last_by_tier[tier] = work_s
+        self._active_at_by_tier[tier] = now
         if by_floor:
             self.grants_by_tier[tier] += 1
 
@@ -66,6 +89,9 @@
         waiting_tiers : iterable of int
             Tiers with waiting requests; the highest of them needs no floor.
         """
+        now = self._clock()
+        for tier in waiting_tiers:
+            self._active_at_by_tier[tier] = now
         due_s = self.share * self._total_s
         if not due_s:
             return []
