Scheduler: limit the vain tries of a floor in a round

A tier below its floor is popped first, and each request that no free slot suits costs a try. With 129 such requests waiting, all 128 tries of a round went to them: the free slot stayed empty until the next message or tick although a request of a higher tier could use it. After 16 vain tries the round continues in strict order.

--- a/tests/test_tier_floor.py
+++ b/tests/test_tier_floor.py
@@ -7,6 +7,7 @@
 from tests.utils.overloaded_cell import overloaded
 from tests.utils.scheduler_fakes import Cell, ask, finished, register
 from wagtailtrestle.capacity.features import Features
+from wagtailtrestle.capacity.scheduler import MAX_TRIES_PER_ROUND
 from wagtailtrestle.capacity.tier_floor import TierFloor
 from wagtailtrestle.contracts.messages import Granted, Preempt, Refused
 
@@ -114,6 +115,16 @@
         cell.receive(finished(on_e1, on="e1"))
         self.assertEqual(self.granted(cell)[-1], "c")
 
+    # Guards against a round whose tries are all used by a tier below its floor that no free engine suits.
+    def test_entitled_tier_without_a_usable_slot_does_not_use_up_the_tries_of_a_round(self):
+        cell = self.cell(engines=("e1", "e2"), slots=1)
+        cell.receive(ask("a", tier=0, remaining_s=300), ask("b", tier=0, remaining_s=300))
+        on_e1 = next(granted.request_id for granted in cell.entries.of(Granted) if granted.engine == "e1")
+        for number in range(MAX_TRIES_PER_ROUND + 1):
+            cell.receive(ask(f"low-{number}", tier=2, excluded_engines=("e1",), remaining_s=300))
+        cell.receive(ask("c", tier=0, remaining_s=300), finished(on_e1, on="e1"))
+        self.assertEqual(self.granted(cell)[-1], "c")
+
     # Guards against cancelled work: a run that the floor admits would be preempted by the next waiting request.
     def test_run_admitted_by_the_floor_is_not_preempted(self):
         cell = self.cell()
--- a/wagtailtrestle/capacity/scheduler.py
+++ b/wagtailtrestle/capacity/scheduler.py
@@ -40,6 +40,10 @@
 MAX_TRIES_PER_ROUND = 128
 """Limit of waiting requests tried in one round, so that handling a message takes bounded time."""
 
+MAX_FLOOR_FAILURES_PER_ROUND = 16
+"""Requests of tiers below their floor that may be tried in vain in one round before it continues in strict order.
+Otherwise a tier that no free slot suits could use up all tries, and the slots would stay empty until the next round."""
+
 MAX_COMPARED = 12
 """Engines with free slots compared for one request, fastest first, and as many more that have half of its prompt in
 their cache. Comparing all of 78 engines took four fifths of the scheduler's 2.4 ms of processor time per request,
@@ -479,20 +483,23 @@
         self._serve_suspects()
         available_engines = self._available_engines()
         self._queue.unpark({engine.name for engine in available_engines})
+        floor_failures = 0
         for _ in range(MAX_TRIES_PER_ROUND):
             if not available_engines and self._rollout is None:
                 return
-            waiting = self._pop_next() or self._pop_late()
+            use_floor = floor_failures < MAX_FLOOR_FAILURES_PER_ROUND
+            waiting = self._pop_next(use_floor=use_floor) or self._pop_late()
             if waiting is None:
                 return
             self._try_grant(waiting, available_engines)
+            floor_failures += waiting.by_floor and waiting.request_id not in self._runs.grants_by_request_id
             if not self._queue.ready:
                 return
             available_engines = self._available_engines()
 
-    def _pop_next(self):
+    def _pop_next(self, *, use_floor):
         """Remove and return the next request: of a tier below its floor, else in strict order of tiers."""
-        if self._floor.share:
+        if use_floor and self._floor.share:
             for tier in self._floor.entitled(self._queue.waiting_by_tier()):
                 waiting = self._queue.pop(tier=tier)
                 if waiting is not None:
