Scheduler: serve several late requests in one round

A round ended when no timely request was ready, so it served at most one late request: with two waiting and two slots that became free together, the second slot stayed empty until the next message or tick. The round now goes on while late requests are ready.

--- a/tests/test_late_service.py
+++ b/tests/test_late_service.py
@@ -129,6 +129,15 @@
             self.cell.receive(finished("a" if self.last_granted() == "b" else self.last_granted()))
         self.assertEqual(self.cell.entries.ids(Granted)[2:], ["timely", "first", "second", "low"])
 
+    # Guards against slots left empty until the next message or tick: a round ended after one late request.
+    def test_all_late_requests_that_have_a_slot_are_served_in_one_round(self):
+        for request_id in ("first", "second"):
+            self.submit(request_id)
+        self.cell.advance(0.8)
+        self.assertEqual(self.dump()["waiting"], 2)
+        self.cell.scheduler.set_engines({name: engine(name, slots=2) for name in ("e1", "e2")})
+        self.assertEqual(self.cell.entries.ids(Granted)[2:], ["first", "second"])
+
     def test_late_request_preempts_nothing(self):
         self.cell.receive(finished("a"), ask("low", tier=2, output_tokens=1500, remaining_s=60.0))
         self.submit("late", tier=0, within_s=MISSED_S, remaining_s=3.5, patience_s=3.4)
--- a/wagtailtrestle/capacity/late_queue.py
+++ b/wagtailtrestle/capacity/late_queue.py
@@ -25,6 +25,11 @@
     def __len__(self):
         return len(self.by_request_id)
 
+    @property
+    def ready(self):
+        """Number of requests that any free slot might serve."""
+        return len(self._ready)
+
     @property
     def parked(self):
         """Number of requests that are not ready."""
--- a/wagtailtrestle/capacity/scheduler.py
+++ b/wagtailtrestle/capacity/scheduler.py
@@ -493,7 +493,7 @@
                 return
             self._try_grant(waiting, available_engines)
             floor_failures += waiting.by_floor and waiting.request_id not in self._runs.grants_by_request_id
-            if not self._queue.ready:
+            if not self._queue.ready and not self._queue.late.ready:
                 return
             available_engines = self._available_engines()
 
