Scheduler: late requests take slow engines that timely ones refuse

With engine match, a timely long response waits parked for a fast engine. Any parked request with a target kept late ones from all slots, so slow engines with six free slots stayed idle although a late short response suited them. Late requests now take the slow engines on which no parked timely request would finish, also at its last chance.

--- a/tests/test_engine_match.py
+++ b/tests/test_engine_match.py
@@ -207,6 +207,53 @@
         self.assertEqual(granted[0], granted[1])
 
 
+class LateRequestTest(CellTest):
+    FEATURES = Features(engine_match=True, late_service=True)
+    MISSED_S = 0.001
+
+    def busy_cell(self):
+        cell = self.cell("fast", "slow", features=self.FEATURES)
+        self.fill(cell, "fast")
+        return cell
+
+    def late(self, make, request_id, **changes):
+        return make(request_id, **{"first_token_within_s": self.MISSED_S, "patience_s": 3.0} | changes)
+
+    # Guards against slow engines that stay idle because a timely request waits for a fast one.
+    def test_short_late_request_takes_a_slow_slot_beside_a_parked_long_one(self):
+        cell = self.busy_cell()
+        cell.receive(long_request("long", patience_s=3.0), self.late(short_request, "late"))
+        self.assertEqual([self.engine_of(cell, name) for name in ("long", "late")], [None, "slow"])
+        cell.receive(finished("fast-0", on="fast"))
+        self.assertEqual(self.engine_of(cell, "long"), "fast")
+
+    # Guards against a slot that a timely request takes at its last chance and a late one would occupy.
+    def test_late_request_leaves_the_slow_slots_to_a_request_that_may_still_take_one(self):
+        cell = self.busy_cell()
+        cell.receive(request("middle", prompt_tokens=600, hinted_tokens=600), self.late(short_request, "late"))
+        self.assertEqual([self.engine_of(cell, name) for name in ("middle", "late")], [None, None])
+        cell.advance(0.55)
+        self.assertEqual([self.engine_of(cell, name) for name in ("middle", "late")], ["slow", "slow"])
+
+    # Guards against a late run without benefit on a slow engine.
+    def test_long_late_request_waits_for_a_fast_engine(self):
+        cell = self.busy_cell()
+        cell.receive(self.late(long_request, "late"))
+        cell.advance(2.0)
+        self.assertIsNone(self.engine_of(cell, "late"))
+        cell.receive(finished("fast-0", on="fast"))
+        self.assertEqual(self.engine_of(cell, "late"), "fast")
+
+    # Guards against a late request that is kept beyond its caller's patience, or refused without being counted.
+    def test_long_late_request_is_refused_at_its_latest_late_start(self):
+        cell = self.busy_cell()
+        cell.receive(self.late(long_request, "late"))
+        cell.advance(3.0)
+        self.assertEqual(cell.entries.ids(Refused), ["late"])
+        dump = cell.scheduler.dump()
+        self.assertEqual([dump[name] for name in ("late_refusals", "unfit_refusals")], [1, 1])
+
+
 class ZoneTest(CellTest):
     FEATURES = Features(engine_match=True, zone_cost_s=0.02)
     ZONES = {"fast-0": "avila", "fast-1": "gijon"}
--- a/wagtailtrestle/capacity/engine_match.py
+++ b/wagtailtrestle/capacity/engine_match.py
@@ -182,6 +182,14 @@
         fastest = self._strictest(waiting)[1]
         return frozenset() if fastest is None or fastest.name in self.slow_names else self.slow_names
 
+    def refused_names(self, waiting):
+        """Return the engines that the request will not take even at its last chance, so that late ones may use them."""
+        names = self.unsuitable_names(waiting)
+        if not names:
+            return names
+        factor = min(LAST_CHANCE_LENGTH_FACTOR, self._strictest(waiting)[0])
+        return frozenset() if any(self._fits(waiting, engine, factor) for engine in self._slow.engines) else names
+
     def is_short(self, waiting):
         """Whether the response would certainly end on any slow engine within a part of the time left."""
         left_s = waiting.deadline - self._clock()
--- a/wagtailtrestle/capacity/grants.py
+++ b/wagtailtrestle/capacity/grants.py
@@ -40,6 +40,8 @@
     ----------
     tried_engines : frozenset of str
         While it is parked, the engines with free slots that were not suitable for it.
+    refused_engines : frozenset of str
+        While it is parked, the engines that it will not take even at its latest start.
     victims : int
         Runs preempted for it so far.
     by_floor : bool
@@ -56,6 +58,7 @@
         "work_s",
         "shortest_run_s",
         "tried_engines",
+        "refused_engines",
         "victims",
         "by_floor",
         "late_until",
@@ -69,6 +72,7 @@
         self.work_s = work_s
         self.shortest_run_s = shortest_run_s
         self.tried_engines = frozenset()
+        self.refused_engines = frozenset()
         self.victims = 0
         self.by_floor = False
         self.late_until = None
--- a/wagtailtrestle/capacity/scheduler.py
+++ b/wagtailtrestle/capacity/scheduler.py
@@ -512,7 +512,12 @@
 
     def _pop_late(self):
         """Remove and return the first late request if timely ones leave a slot to it."""
-        if not len(self._queue.late) or not has_slot_for_late(self._runs.engines):
+        if not self._queue.late.ready or not has_slot_for_late(self._runs.engines):
+            return None
+        open_names = self._queue.refused_by_timely()
+        if open_names is not None and not any(
+            engine.free_slots for engine in self._runs.engines if engine.name in open_names
+        ):
             return None
         waiting = self._queue.pop_late()
         if waiting is not None:
@@ -539,6 +544,11 @@
     def _try_grant(self, waiting, available_engines):
         """Grant the request on one of the engines with free slots, park it, or refuse it."""
         available_engines = [engine for engine in available_engines if not engine.rest_s(waiting.request.entry)]
+        tried_engines = frozenset(engine.name for engine in available_engines)
+        if waiting.is_late:
+            open_names = self._queue.refused_by_timely()
+            if open_names is not None:
+                available_engines = [engine for engine in available_engines if engine.name in open_names]
         exposed = self._exposed_engine(waiting.request)
         if exposed is not None:
             self._grant(waiting, exposed)
@@ -568,10 +578,12 @@
             return
         others = [engine for engine in self._runs.usable_engines if not engine.leaving]
         if any(self._admission.could_finish(waiting, engine) for engine in others):
-            tried_engines = frozenset(engine.name for engine in available_engines)
+            refused_engines = frozenset()
             if matched:
                 tried_engines |= self._match.unsuitable_names(waiting)
-            self._queue.park(waiting, tried_engines=tried_engines)
+                if not waiting.is_late:
+                    refused_engines = self._match.refused_names(waiting)
+            self._queue.park(waiting, tried_engines=tried_engines, refused_engines=refused_engines)
         else:
             self._refuse(waiting.request, Reason.DEADLINE_UNREACHABLE)
 
--- a/wagtailtrestle/capacity/tier_queue.py
+++ b/wagtailtrestle/capacity/tier_queue.py
@@ -126,16 +126,29 @@
         return None
 
     def pop_late(self):
-        """Remove and return the first late request; ``None`` if none is ready or a request may still be timely.
+        """Remove and return the first late request; ``None`` if none is ready."""
+        waiting = self.late.first()
+        return None if waiting is None else self.remove(waiting.request_id)
+
+    def refused_by_timely(self):
+        """Return the names of the engines that no timely request will take; ``None`` for all engines.
 
         A slot that does not suit a parked request now may be the one that it takes when it can wait no longer.
         """
-        waiting = self.late.first()
-        if waiting is None or self._holds_timely():
+        if self.ready:
+            return frozenset()
+        if len(self._parked_by_request_id) == self.late.parked:
             return None
-        return self.remove(waiting.request_id)
+        refused = None
+        for waiting in self._parked_by_request_id.values():
+            if waiting.is_late or not waiting.request.first_token_within_s:
+                continue
+            refused = waiting.refused_engines if refused is None else refused & waiting.refused_engines
+            if not refused:
+                break
+        return refused
 
-    def park(self, waiting: WaitingRequest, *, tried_engines):
+    def park(self, waiting: WaitingRequest, *, tried_engines, refused_engines=frozenset()):
         """Requeue a popped request for which none of these engines is suitable, until another has free slots.
 
         Its team is refunded what the pop charged it.
@@ -144,6 +157,7 @@
             team = self._team(waiting)
             self._set_virtual_start(team, waiting, team.virtual_start - waiting.work_s / self._share(team.name))
         waiting.tried_engines = tried_engines
+        waiting.refused_engines = refused_engines
         self._add(waiting)
         self._parked_by_request_id[waiting.request_id] = waiting
         self._parked_by_tried.setdefault(tried_engines, {})[waiting.request_id] = waiting
@@ -244,14 +258,6 @@
         """Engine-seconds that are served before a late request of this tier: all timely and some late work."""
         return self.work_s + self.late.work_ahead_s(tier)
 
-    def _holds_timely(self):
-        if self.ready:
-            return True
-        if len(self._parked_by_request_id) == self.late.parked:
-            return False
-        parked = self._parked_by_request_id.values()
-        return any(waiting.request.first_token_within_s and not waiting.is_late for waiting in parked)
-
     def _share(self, team_name):
         return self._share_by_team.get(team_name, DEFAULT_SHARE)
 
