Scheduler: free slots for calls of unknown patience that missed their target

A plain call has a target but no known patience. Without late service such a call takes a free slot; it does so now with late service too.

--- a/tests/test_late_service.py
+++ b/tests/test_late_service.py
@@ -185,6 +185,16 @@
 
 
 class SchedulerChangeTest(OneEngine):
+    # Guards against a plain call refused beside idle engines: its caller's patience is not known, only its deadline.
+    def test_registered_request_of_unknown_patience_takes_a_free_slot_after_its_target(self):
+        granted = []
+        for late_service in (False, True):
+            new = Cell(engines=("e1",), slots=2, features=lambda on=late_service: Features(late_service=on))
+            plain = ask("plain", first_token_within_s=MISSED_S, remaining_s=5.0)
+            new.receive(register("r1", waiting=[plain], running=[]))
+            granted.append(new.entries.ids(Granted))
+        self.assertEqual(granted, [["plain"], ["plain"]])
+
     # Guards against waiting requests lost with their scheduler: entries register them with what is left.
     def test_new_scheduler_serves_registered_requests_late(self):
         new = self.new_cell()
--- a/wagtailtrestle/capacity/admission.py
+++ b/wagtailtrestle/capacity/admission.py
@@ -408,8 +408,11 @@
 
     def _missed_target(self, waiting):
         # A request that another scheduler held registers with the time left to its target, which may be none. A timely
-        # request would otherwise wait behind it.
-        return self._features().late_service and waiting.request.first_token_within_s < self._speed.min_step_s
+        # request would otherwise wait behind it. Without a known patience it can't be late, but may take a free slot.
+        request = waiting.request
+        if not self._features().late_service or not request.patience_s:
+            return False
+        return request.first_token_within_s < self._speed.min_step_s
 
     def make_late(self, waiting: WaitingRequest):
         """Let a request that can't meet its target wait on as late, and return whether it is worth waiting."""
