--- a/tests/test_tier_floor.py
+++ b/tests/test_tier_floor.py
@@ -7,6 +7,7 @@
 from tests.utils.overloaded_cell import overloaded
 from tests.utils.scheduler_fakes import Cell, ask, finished, register
 from wagtailtrestle.capacity.features import Features
+from wagtailtrestle.capacity.scheduler import MAX_TRIES_PER_ROUND
 from wagtailtrestle.capacity.tier_floor import TierFloor
 from wagtailtrestle.contracts.messages import Granted, Preempt, Refused
 
@@ -114,6 +115,16 @@
         cell.receive(finished(on_e1, on="e1"))
         self.assertEqual(self.granted(cell)[-1], "c")
 
+    # Guards against a round whose tries are all used by a tier below its floor that no free engine suits.
+    def test_entitled_tier_without_a_usable_slot_does_not_use_up_the_tries_of_a_round(self):
+        cell = self.cell(engines=("e1", "e2"), slots=1)
+        cell.receive(ask("a", tier=0, remaining_s=300), ask("b", tier=0, remaining_s=300))
+        on_e1 = next(granted.request_id for granted in cell.entries.of(Granted) if granted.engine == "e1")
+        for number in range(MAX_TRIES_PER_ROUND + 1):
+            cell.receive(ask(f"low-{number}", tier=2, excluded_engines=("e1",), remaining_s=300))
+        cell.receive(ask("c", tier=0, remaining_s=300), finished(on_e1, on="e1"))
+        self.assertEqual(self.granted(cell)[-1], "c")
+
     # Guards against cancelled work: a run that the floor admits would be preempted by the next waiting request.
     def test_run_admitted_by_the_floor_is_not_preempted(self):
         cell = self.cell()
@@ -185,5 +196,33 @@
         self.assertEqual(floor.entitled([0, 2]), [2])
 
 
+class SumOfFloorsTest(unittest.TestCase):
+    # Guards against floors that replace the strict order: with six tiers, five floors of 0.2 are all of the work.
+    def test_lower_tiers_together_are_entitled_to_at_most_half(self):
+        floor = TierFloor(clock=lambda: 0.0, features=lambda: Features(tier_floor=FLOOR))
+        waiting_tiers = range(6)
+        work_by_tier = dict.fromkeys(waiting_tiers, 0.0)
+        floor.record(0, 1.0, by_floor=False)
+        for _ in range(1000):
+            tier = next(iter(floor.entitled(waiting_tiers)), 0)
+            floor.record(tier, 1.0, by_floor=tier > 0)
+            work_by_tier[tier] += 1.0
+        self.assertAlmostEqual(work_by_tier[0] / 1000, 0.5, delta=0.02)
+        for tier in range(1, 6):
+            self.assertAlmostEqual(work_by_tier[tier] / 1000, 0.1, delta=0.02)
+
+    # Guards against a lower floor for tiers that no longer receive anything.
+    def test_tiers_that_received_nothing_lately_do_not_reduce_the_floors(self):
+        now = [0.0]
+        floor = TierFloor(clock=lambda: now[0], features=lambda: Features(tier_floor=FLOOR))
+        for tier in range(6):
+            floor.record(tier, 1.0, by_floor=False)
+        self.assertAlmostEqual(floor.share, 0.1)
+        now[0] = 30.0
+        floor.record(0, 1.0, by_floor=False)
+        floor.entitled((0, 2))
+        self.assertEqual(floor.share, FLOOR)
+
+
 if __name__ == "__main__":
     unittest.main()
