Scheduler: grant all free slots to late requests in one round

Since the merge of the saving 'list the available engines only while a request is ready' with late service, a round ended after one grant if no timely request was ready, as the check looked at timely requests only. With two slots that became free together and three late requests waiting, one slot stayed free until the next message or tick. The round now goes on while a late request is ready.

The new test failed before (one grant instead of two).

--- a/tests/test_late_service.py
+++ b/tests/test_late_service.py
@@ -118,6 +118,15 @@
         self.assertEqual(self.cell.entries.of(Refused)[0].reason, Reason.OVERLOADED)
         self.assertEqual(self.dump(), {"waiting": 0, "grants": 0, "refusals": 1})
 
+    # Guards against slots that stay free until the next message or tick while several late requests wait.
+    def test_slots_that_become_free_together_are_all_used(self):
+        for request_id in ("first", "second", "third"):
+            self.submit(request_id, output_tokens=20)
+        self.cell.advance(0.8)
+        self.assertEqual(self.dump()["waiting"], 3)
+        self.cell.scheduler.set_engines({name: engine(name, slots=2) for name in ("e1", "e2")})
+        self.assertEqual(self.cell.entries.ids(Granted)[2:], ["first", "second"])
+
     def test_timely_requests_come_first_then_tiers_then_arrivals(self):
         for request_id, tier in (("low", 2), ("first", 1), ("second", 1)):
             self.submit(request_id, tier=tier, output_tokens=20)
--- a/wagtailtrestle/capacity/scheduler.py
+++ b/wagtailtrestle/capacity/scheduler.py
@@ -486,7 +486,7 @@
             if waiting is None:
                 return
             self._try_grant(waiting, available_engines)
-            if not self._queue.ready:
+            if not self._queue.ready and self._queue.late.first() is None:
                 return
             available_engines = self._available_engines()
 
