Callers: send nothing more after a write that failed

A write that timed out was dropped, and the last chunk of the response was still sent afterwards. If the caller had read on in the meantime, a stream whose events were lost ended with a valid last chunk. The writer now fails every later write, so the connection closes without it.

The new test, with a caller that reads on after the timeout, failed before.

--- a/tests/test_callers_socket.py
+++ b/tests/test_callers_socket.py
@@ -1,5 +1,6 @@
 """Reading from and writing to a caller's socket."""
 
+import contextlib
 import socket
 import unittest
 
@@ -37,6 +38,24 @@
         writer.write(b"")
         self.assertEqual(sock.sent, [b"head"])
 
+    def test_nothing_is_sent_after_a_write_that_failed(self):
+        # Otherwise the last chunk would follow a stream whose events were lost, which then looks complete.
+        ours, callers = socket.socketpair()
+        with ours, callers:
+            ours.settimeout(0.05)
+            writer = SocketWriter(sock=ours)
+            with self.assertRaises(TimeoutError):
+                while True:
+                    writer.write(bytes(65536))
+            callers.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                while callers.recv(65536):
+                    pass
+            with self.assertRaises(OSError):
+                writer.write(b"0\r\n\r\n")
+            with self.assertRaises(BlockingIOError):
+                callers.recv(65536)
+
 
 class SocketReaderTest(unittest.TestCase):
     def test_only_received_bytes_count_as_data(self):
--- a/wagtailtrestle/callers/wsgi.py
+++ b/wagtailtrestle/callers/wsgi.py
@@ -1,5 +1,6 @@
 """Cheroot's WSGI server adapted to callers: problem documents, connection limits, access to the connection."""
 
+import errno
 import io
 import socket
 import threading
@@ -98,25 +99,39 @@
         Head of a response, sent in front of the next bytes.
     """
 
-    __slots__ = ("head", "_send")
+    __slots__ = ("head", "_has_failed", "_send")
 
     def __init__(self, *, sock):
         self.head = b""
+        self._has_failed = False
         self._send = sock.send
 
     def write(self, data):
-        """Send all bytes; the socket's timeout applies to each part that the kernel accepts."""
+        """Send all bytes; the socket's timeout applies to each part that the kernel accepts.
+
+        Raises
+        ------
+        OSError
+            If a part can't be sent. All later writes fail too: bytes after a gap, such as the last chunk of a
+            response, would make it look complete.
+        """
         if self.head:
             data = self.head + data
             self.head = b""
         if not data:
             return
-        sent = self._send(data)
-        if sent == len(data):
-            return
-        rest = memoryview(data)[sent:]
-        while rest:
-            rest = rest[self._send(rest) :]
+        if self._has_failed:
+            raise BrokenPipeError(errno.EPIPE, "an earlier write to this connection failed")
+        try:
+            sent = self._send(data)
+            if sent == len(data):
+                return
+            rest = memoryview(data)[sent:]
+            while rest:
+                rest = rest[self._send(rest) :]
+        except OSError:
+            self._has_failed = True
+            raise
 
 
 class CallersRequest(http_server.HTTPRequest):
