Entry: direct runs only within the present wait and before the deadline

* A place for a direct run that was offered to an earlier wait of a request started a run for its next grant request at once: 9 ms after the scheduler's answer in the test, instead of the 40 ms set.
The offer now names the attempt that it is for, and a new grant request ends the earlier wait.
* If the timer of a direct run was processed after the deadline, by less than half the waiting time late, the call was dispatched although its caller had given up.
It is now refused as not executed.

Both new tests failed before.

--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -392,6 +392,38 @@
         clock.now = wait.check_at
         self.assertIsNotNone(direct.start_run(wait))
 
+    @on_paused_clock
+    async def test_place_offered_to_an_earlier_wait_does_not_shorten_the_next_one(self):
+        # Guards against a direct run beside a scheduler that has just answered: its grant was declined, and the
+        # request is waiting for the answer to its next grant request.
+        world = World(routers=30, work_s=0.05)
+        world.call("first")
+        waiting = world.call("second")
+        await asyncio.sleep(AFTER_S + MARGIN_S)
+        world.entry.post("", EngineNotice(engine="e0", entry="r1", age_s=0.0, leaving=True))
+        grant = Granted(
+            request_id="second", attempt=1, engine="e0", progress_deadline_s=1.0, first_token_deadline_s=1.0
+        )
+        await asyncio.sleep(AFTER_S)
+        world.entry.on_scheduler_message(grant)
+        asked_at = now()
+        while not waiting.starts:
+            await asyncio.sleep(0.001)
+        self.assertGreaterEqual(round(now() - asked_at, 6), AFTER_S)
+
+    @on_paused_clock
+    async def test_nothing_is_dispatched_after_the_deadline(self):
+        # Guards against a booking for a caller that has given up: the timer of the direct run, set shortly before the
+        # deadline, is processed after it.
+        loop = asyncio.get_running_loop()
+        clock, delays_s = loop.time, []
+        loop.time = lambda: clock() + sum(delays_s)
+        world = World()
+        caller = world.call(deadline=AFTER_S + 0.005)
+        loop.call_at(AFTER_S - 0.001, delays_s.append, 0.01)
+        await asyncio.sleep(0.2)
+        self.assertEqual((caller.starts, caller.answer.refusal.executed), ([], Executed.NO))
+
 
 class ExclusionTest(unittest.TestCase):
     async def engines_used(self, world, **fields):
--- a/wagtailtrestle/entry/direct_dispatch.py
+++ b/wagtailtrestle/entry/direct_dispatch.py
@@ -96,6 +96,7 @@
         DirectWait or None
             ``None`` if the request may not run directly.
         """
+        self.end_wait(grant_request.request_id)
         after_s = self._features().direct_after_s
         if not after_s:
             return None
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -87,7 +87,12 @@
 
 @record
 class DirectRunEnded:
-    """A direct run of this entry has ended, so this waiting request may have the next one."""
+    """A direct run of this entry has ended, so this waiting request may have the next one.
+
+    ``attempt`` is that of the grant request whose answer was overdue. A later grant request has its own wait.
+    """
+
+    attempt: int
 
 
 class RequestTask:
@@ -280,7 +285,9 @@
             direct_at = math.inf if wait is None else wait.check_at
             message = await self._inbox.get(until=min(self.request.deadline, direct_at))
             match message:
-                case DirectRunEnded() | None if direct_at < self.request.deadline:
+                case DirectRunEnded(attempt=self.attempt) | None if (
+                    direct_at < self.request.deadline and self._remaining() > 0
+                ):
                     granted = self._start_direct_run(wait)
                     if granted is not None:
                         return granted
@@ -319,7 +326,9 @@
         grant_request = self.grant_request()
         self.context.send(self.cell, grant_request)
         return self.context.direct.begin_wait(
-            grant_request, direct_runs=self._direct_runs, wake=lambda: self.post(DirectRunEnded())
+            grant_request,
+            direct_runs=self._direct_runs,
+            wake=lambda: self.post(DirectRunEnded(attempt=grant_request.attempt)),
         )
 
     def _start_direct_run(self, wait):
