--- a/tests/test_engine_http.py
+++ b/tests/test_engine_http.py
@@ -1,7 +1,9 @@
 """Runs over HTTP: each way in which one can end, compared with the stand-in's record."""
 
 import asyncio
+import contextlib
 import socket
+import threading
 import time
 import unittest
 
@@ -237,6 +239,31 @@
         self.assertEqual(sender.received.text, complete_answer(PROMPT, 300))
 
 
+class TestChunkedBody(unittest.TestCase):
+    def test_limit_holds_while_an_engine_sends_bytes_without_data(self):
+        # A size line or a trailer that never ends must not hold the run's thread and slot beyond the run's limits.
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for begin, repeated in ((b"5;", b"x"), (b"0\r\n", b"a: b\r\n")):
+            with self.subTest(begin=begin), socket.create_server(("127.0.0.1", 0)) as server:
+
+                def answer(server=server, pieces=(head + begin, *[repeated] * 40)):
+                    connection, _ = server.accept()
+                    with connection, contextlib.suppress(OSError):
+                        connection.recv(65536)
+                        for piece in pieces:
+                            connection.sendall(piece)
+                            time.sleep(0.05)
+
+                thread = threading.Thread(target=answer, daemon=True)
+                thread.start()
+                sender = RunSender(call=chat_call())
+                address = f"127.0.0.1:{server.getsockname()[1]}"
+                outcome = sender.send(address, first_s=SILENCE_LIMIT_S)
+                self.assertIsInstance(outcome, RunSilent)
+                self.assertLess(sender.ended.duration_s, 1.0)
+                thread.join()
+
+
 class TestPlainRun(unittest.TestCase):
     def setUp(self):
         self.service = start_service(self)
--- a/wagtailtrestle/engines/run_exchange.py
+++ b/wagtailtrestle/engines/run_exchange.py
@@ -210,6 +210,10 @@
                 yield body
             if decoder.is_complete:
                 return
+            if not body:
+                # The caller of this iterator sets the timeout only after data. Without this, an engine that sends a
+                # size line or a trailer byte by byte would hold the run beyond all its limits.
+                self.set_read_timeout(self.progress.time_left_for_token_s())
             data = self._socket.recv(CHUNK_READ_BYTES)
         if not decoder.has_last_chunk:
             raise ProtocolError("Response ended prematurely")
