A scheduler acknowledges plain calls that it queues

The scheduler of a plain service now sends Queued where direct dispatch is in force. The new test fails without it; test_direct_dispatch, test_peers, test_directory, test_spec_replay and test_layers pass.

--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -13,7 +13,15 @@
 from wagtailtrestle.capacity.scheduler import Scheduler
 from wagtailtrestle.contracts.declaration import LANGUAGE, PLAIN, Declaration, Service
 from wagtailtrestle.contracts.exchange import AnswerWhole, CallerGone, RunEnded, StartRun
-from wagtailtrestle.contracts.messages import EngineNotice, Granted, GrantRequest, Refused, Withdraw
+from wagtailtrestle.contracts.messages import (
+    EngineNotice,
+    Granted,
+    GrantRequest,
+    Refused,
+    Register,
+    RunFinished,
+    Withdraw,
+)
 from wagtailtrestle.contracts.outcomes import Executed, Reason, RunCut, RunDone, RunNotSent
 from wagtailtrestle.contracts.rollout_messages import RolloutState, RolloutWord
 from wagtailtrestle.engines.notices import EngineNotices
@@ -89,6 +97,8 @@
             clock=self.loop.time,
             entries=self,
             retry_limits=lambda: RetryLimits(share=0.2, extra=24.0, window_s=10.0, routers=1),
+            features=lambda: Features(direct_after_s=after_s),
+            serves_plain_calls=True,
         )
         self.scheduler.set_engines(self.declaration.engines_by_name)
         self.scheduler.set_members({"r1"})
@@ -108,6 +118,8 @@
 
     def send(self, *, entry, message):
         """Deliver a message of the scheduler to the entry, as the scheduler's ``EntryLink``."""
+        if entry != "r1":
+            return True
         self.loop.call_later(0.001, self.entry.on_scheduler_message, message)
         return True
 
@@ -374,6 +386,24 @@
         await asyncio.sleep(DEADLINE_S)
         self.assertEqual(caller.starts, [])
 
+    @on_paused_clock
+    async def test_call_queued_by_a_live_scheduler_waits_for_its_slot(self):
+        # Guards against a direct run, refused by the full engine, while the scheduler only waits for a free slot.
+        world = World(engines=1, slots=1)
+        world.thaw()
+        world.scheduler.set_members({"r1", "r2"})
+        world.scheduler.receive(Register(entry="r2", cell=CELL))
+        world.scheduler.receive(ask("other", entry="r2"))
+        world.running_by_engine["e0"] += 1
+        caller = world.call()
+        await asyncio.sleep(0.1)
+        self.assertIsNone(caller.answer)
+        world.running_by_engine["e0"] -= 1
+        world.scheduler.receive(RunFinished(request_id="other", engine="e0", result="RunDone", duration_s=0.1))
+        await asyncio.sleep(0.1)
+        self.assertIsInstance(caller.answer, AnswerWhole)
+        self.assertEqual(world.counts["direct_runs"], 0)
+
     def test_timers_delayed_by_this_process_do_not_count_as_silence(self):
         # Guards against direct runs on a router without processor time, whose answers are still unread.
         clock = Clock()
--- a/wagtailtrestle/capacity/scheduler.py
+++ b/wagtailtrestle/capacity/scheduler.py
@@ -26,6 +26,7 @@
     EngineNotice,
     GrantRequest,
     Preempt,
+    Queued,
     Refused,
     Register,
     RunFinished,
@@ -72,6 +73,8 @@
         Returns the current ``RetryLimits`` of this cell.
     features : callable
         Returns the ``Features`` in force.
+    serves_plain_calls : bool
+        Whether the cell's service is a plain one, whose calls entries may dispatch while the scheduler is silent.
     """
 
     __slots__ = (
@@ -95,6 +98,7 @@
         "_runs_outlive_routers",
         "_rollout",
         "_features",
+        "_serves_plain_calls",
         "_floor",
         "_match",
         "_zone_grants",
@@ -116,11 +120,13 @@
         runs_outlive_routers=False,
         retry_limits=RetryLimits,
         features=all_off,
+        serves_plain_calls=False,
     ):
         self.cell = cell
         self._runs_outlive_routers = runs_outlive_routers
         self._rollout = None
         self._features = features
+        self._serves_plain_calls = serves_plain_calls
         self._match = EngineMatch(clock=clock, features=features)
         self._zone_grants = Counter()
         self._unfit_refusals = 0
@@ -278,6 +284,8 @@
         self._handlers_by_type[type(message)](message)
         if not isinstance(message, RunStarted | RunProgress):
             self._grant_ready()
+        if isinstance(message, GrantRequest):
+            self._acknowledge_waiting(message)
 
     def tick(self):
         """Expire requests, preempt, and grant what has become possible; called about every 50 ms."""
@@ -497,6 +505,12 @@
                 return
             available_engines = self._available_engines()
 
+    def _acknowledge_waiting(self, request):
+        if not self._serves_plain_calls or not self._features().direct_after_s:
+            return
+        if request.request_id in self._queue.waiting_by_request_id:
+            self._entries.send(entry=request.entry, message=Queued(request_id=request.request_id))
+
     def _pop_next(self, *, use_floor):
         """Remove and return the next request: of a tier below its floor, else in strict order of tiers."""
         if use_floor and self._floor.share:
--- a/wagtailtrestle/capacity/scheduler_set.py
+++ b/wagtailtrestle/capacity/scheduler_set.py
@@ -5,7 +5,7 @@
 from wagtailtrestle.capacity.features import all_off
 from wagtailtrestle.capacity.retry_budget import RetryLimits
 from wagtailtrestle.capacity.scheduler import Scheduler
-from wagtailtrestle.contracts.declaration import LANGUAGE
+from wagtailtrestle.contracts.declaration import LANGUAGE, PLAIN
 from wagtailtrestle.engines.policies import PredictedFinish
 from wagtailtrestle.entry.cells import cells_of
 
@@ -174,6 +174,7 @@
             runs_outlive_routers=self._reports_orphans(cell),
             retry_limits=lambda: self._retry_limits_of(service.name),
             features=self._features,
+            serves_plain_calls=service.kind == PLAIN,
         )
         self.by_cell[cell] = scheduler
         self._expect_orphans(scheduler)
--- a/wagtailtrestle/contracts/messages.py
+++ b/wagtailtrestle/contracts/messages.py
@@ -284,5 +284,16 @@
     engine: str
 
 
+@record
+class Queued:
+    """Tells an entry that its :class:`GrantRequest` waits for a slot.
+
+    Without it an entry could not tell a scheduler with full engines from one that does not answer. Sent only where
+    entries dispatch requests without a silent scheduler.
+    """
+
+    request_id: str
+
+
 EntryMessage = GrantRequest | Withdraw | RunStarted | RunProgress | RunFinished | Register | EngineNotice
-SchedulerMessage = Granted | Refused | Preempt | EngineDown
+SchedulerMessage = Granted | Refused | Preempt | EngineDown | Queued
--- a/wagtailtrestle/entry/entry.py
+++ b/wagtailtrestle/entry/entry.py
@@ -16,6 +16,7 @@
     EngineDown,
     EngineNotice,
     Granted,
+    Queued,
     Refused,
     Register,
     RunFinished,
@@ -270,6 +271,8 @@
         if isinstance(message, EngineDown):
             self._context.crashes.record_engine_down(message.engine)
             return
+        if isinstance(message, Queued):
+            return
         task = self.tasks_by_id.get(message.request_id)
         if isinstance(message, Granted) and not _awaits(task, message):
             self._return_grant(task, message)
@@ -281,7 +284,7 @@
         task = None if isinstance(message, EngineDown) else self.tasks_by_id.get(message.request_id)
         if task is not None:
             self._direct.record_answer(task.cell, message)
-        elif not isinstance(message, Refused):
+        elif not isinstance(message, Refused | Queued):
             engine = self._declaration().engines_by_name.get(message.engine)
             if engine is not None:
                 self._direct.record_answer(engine.cell, message)
--- a/wagtailtrestle/peers/codec.py
+++ b/wagtailtrestle/peers/codec.py
@@ -44,6 +44,7 @@
     messages.Refused: ("refused", pb.Refused),
     messages.Preempt: ("preempt", pb.Preempt),
     messages.EngineDown: ("engine_down", pb.EngineDown),
+    messages.Queued: ("queued", pb.Queued),
     ledger_messages.ClaimAsk: ("claim_ask", pb.ClaimAsk),
     ledger_messages.ClaimAnswer: ("claim_answer", pb.ClaimAnswer),
     ledger_messages.SettleAsk: ("settle_ask", pb.SettleAsk),
--- a/wagtailtrestle/peers/directory.py
+++ b/wagtailtrestle/peers/directory.py
@@ -27,6 +27,7 @@
     Granted,
     GrantRequest,
     Preempt,
+    Queued,
     Refused,
     Register,
     RunFinished,
@@ -39,7 +40,7 @@
 from wagtailtrestle.peers.routes import PeerRoutes
 
 ENTRY_MESSAGES = (GrantRequest, Withdraw, RunStarted, RunProgress, RunFinished, Register, EngineNotice)
-SCHEDULER_MESSAGES = (Granted, Refused, Preempt, EngineDown)
+SCHEDULER_MESSAGES = (Granted, Refused, Preempt, EngineDown, Queued)
 
 # Up to this number of routers each entry also registers for cells for which it holds nothing, so that a new scheduler
 # soon knows that all entries have registered. In larger fleets this would need a connection from every router to every
