Observability: log when the scheduler stops using an engine, and count run ends

The logs could not tell whether a scheduler takes the failures of some routers' paths for failures of engines: neither an ejection nor an engine marked as unreachable left a line. Both are logged on change, and each router counts how runs end by outcome. Nothing is decided by it.

--- a/wagtailtrestle/capacity/scheduler.py
+++ b/wagtailtrestle/capacity/scheduler.py
@@ -294,6 +294,7 @@
         self._runs.tick()
         self._log.log_overfull()
         self._log.log_rate_limits()
+        self._log.log_unavailable()
         self._log.log_floor(self._floor.grants_by_tier, self._clock())
         self._runs.sort_by_speed()
         self._admission.measure_speed()
--- a/wagtailtrestle/capacity/scheduler_log.py
+++ b/wagtailtrestle/capacity/scheduler_log.py
@@ -4,12 +4,16 @@
 
 from loguru import logger
 
+AVAILABLE = "available"
+UNREACHABLE = "unreachable"
+EJECTED = "ejected"
+
 FLOOR_LOG_INTERVAL_S = 1.0
 """Interval between lines on the floor, which serves a tier many times a second while it is in use."""
 
 
 class SchedulerLog:
-    """Logs changes of a scheduler's recovery state, and of engines that become overfull or rate-limited.
+    """Logs changes of a scheduler's recovery state, and of engines that become overfull, rate-limited or unavailable.
 
     Parameters
     ----------
@@ -25,6 +29,7 @@
         "_was_recovering",
         "_overfull",
         "_limited",
+        "_unavailable",
         "_floor_grants_by_tier",
         "_floor_logged_at",
     )
@@ -36,6 +41,7 @@
         self._was_recovering = False
         self._overfull = frozenset()
         self._limited = frozenset()
+        self._unavailable = {}
         self._floor_grants_by_tier = {}
         self._floor_logged_at = -math.inf
 
@@ -67,6 +73,22 @@
             logger.bind(cell=self._cell, engine=name, rate_limit=limit).info("engine rate limit changed")
         self._limited = limited
 
+    def log_unavailable(self):
+        """Log engines that were marked as unreachable or ejected, and those that are used again."""
+        unavailable = {}
+        for engine in self._runs.engines:
+            if engine.is_unreachable:
+                unavailable[engine.name] = UNREACHABLE
+            elif not engine.health_share:
+                unavailable[engine.name] = EJECTED
+        for name in sorted(unavailable.keys() | self._unavailable.keys()):
+            state, before = unavailable.get(name, AVAILABLE), self._unavailable.get(name, AVAILABLE)
+            if state != before:
+                logger.bind(cell=self._cell, engine=name, state=state, before=before).info(
+                    "engine availability changed"
+                )
+        self._unavailable = unavailable
+
     def log_floor(self, grants_by_tier, now):
         """Log, at most once a second, the tiers that their floor served since the last line."""
         if now - self._floor_logged_at < FLOOR_LOG_INTERVAL_S or grants_by_tier == self._floor_grants_by_tier:
--- a/wagtailtrestle/engines/state.py
+++ b/wagtailtrestle/engines/state.py
@@ -201,6 +201,11 @@
         self.reserved = reserved
         self._refresh_limit()
 
+    @property
+    def is_unreachable(self):
+        """Whether it did not answer the last request for its load report."""
+        return self._unreachable
+
     @property
     def free_rollout_slots(self):
         """Free slots for requests that a rollout sends here."""
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -492,6 +492,7 @@
         """Report to the scheduler, then answer the caller or return ``False`` to request another slot."""
         self._reports.finished(self.engine, ended)
         outcome = ended.outcome
+        self.context.run_counts.count_run_end(service=self.request.service, outcome=outcome)
         if not isinstance(outcome, RunDone):
             self._log_early_end(ended)
         if isinstance(outcome, RunDone):
--- a/wagtailtrestle/entry/run_counts.py
+++ b/wagtailtrestle/entry/run_counts.py
@@ -38,6 +38,10 @@
         """Count a run or attach that is sent to an engine."""
         self._count("runs", service=service, kind=kind.value)
 
+    def count_run_end(self, *, service, outcome):
+        """Count the end of a run by the class of its outcome."""
+        self._count("run_ends", service=service, outcome=type(outcome).__name__)
+
     def count_direct_run(self, *, service, now):
         """Count a run dispatched without a silent scheduler; log the first one after a period without any."""
         self._count("direct_runs", service=service)
