--- a/tests/utils/platform_world.py
+++ b/tests/utils/platform_world.py
@@ -9,6 +9,7 @@
 
 import yaml
 
+from tests.utils.engine_links import EngineLinks
 from tests.utils.world_engine import Engine
 from tests.utils.world_store import Store
 from wagtailtrestle.demo.processes import LocalProcess
@@ -90,11 +91,13 @@
     routers : int
     make_engines : callable, optional
         ``make_engines(store)`` returns the engines by name; by default two of each service.
+    linked : bool
+        Whether each router reaches each engine through a link of ``links``, which can be cut.
     settings : dict
         Additional settings of every router.
     """
 
-    def __init__(self, *, routers=1, make_engines=None, **settings):
+    def __init__(self, *, routers=1, make_engines=None, linked=False, **settings):
         self._directory = tempfile.TemporaryDirectory()
         self.store = Store()
         self.engines = (
@@ -110,6 +113,10 @@
                 )
             }
         )
+        self.links = None
+        if linked:
+            addresses = {name: engine.address for name, engine in self.engines.items()}
+            self.links = EngineLinks(routers=routers, addresses_by_engine=addresses)
         self._reservations = []
         self.routers = [self._router(number, settings) for number in range(routers)]
 
@@ -134,18 +141,25 @@
         folder = Path(self._directory.name)
         settings_file = folder / f"router-{number}.yaml"
         settings_file.write_text(yaml.safe_dump(values))
+        module, arguments = "wagtailtrestle.cli.router", ["--settings", str(settings_file)]
+        if self.links is not None:
+            links_file = folder / f"links-{number}.json"
+            self.links.write_map(router=number, file=links_file)
+            module, arguments = "tests.utils.linked_router", [str(links_file), *arguments]
         return RouterProcess(
             values=values,
             settings_file=settings_file,
             name=f"router-{number}",
-            module="wagtailtrestle.cli.router",
-            arguments=["--settings", str(settings_file)],
+            module=module,
+            arguments=arguments,
             ready_url=f"http://{HOST}:{admin}/readyz",
             log_path=folder / f"router-{number}.log",
         )
 
     def start(self):
         try:
+            if self.links is not None:
+                self.links.start()
             self.store.put("config", "main", configuration())
             for engine in self.engines.values():
                 self.store.put("servers", engine.name, engine.entry())
@@ -164,6 +178,8 @@
                 router.kill()
         for server in (self.store, *self.engines.values()):
             server.close()
+        if self.links is not None:
+            self.links.close()
         for reservation in self._reservations:
             reservation.close()
         self._directory.cleanup()
--- a/tests/utils/steady_callers.py
+++ b/tests/utils/steady_callers.py
@@ -34,11 +34,13 @@
     ----------
     answers : list of Answer or NoAnswer
     answers_by_router : dict of int to list of Answer or NoAnswer
+    answers_by_sending_time : list of (float, Answer or NoAnswer)
     """
 
     def __init__(self, *, world, paths, per_s, routers=None):
         self.answers = []
         self.answers_by_router = defaultdict(list)
+        self.answers_by_sending_time = []
         self._world = world
         self._paths = paths
         self._per_s = per_s
@@ -79,13 +81,15 @@
     def _send(self, number):
         method, path = self._paths[number % len(self._paths)]
         router = self._routers[number % len(self._routers)]
-        headers = {"X_Router": str(router), "X_Sent_At": repr(time.monotonic())}
+        sent_at = time.monotonic()
+        headers = {"X_Router": str(router), "X_Sent_At": repr(sent_at)}
         try:
             answer = self._world.request(method, path, router=router, request_id=f"steady-{number}", **headers)
         except OSError as error:
             answer = NoAnswer(error)
         self.answers.append(answer)
         self.answers_by_router[router].append(answer)
+        self.answers_by_sending_time.append((sent_at, answer))
 
 
 def max_within(times, window_s):
