Engines: connect through another router when the own path is lost

On routers of the tests also the callers of sound routers were refused.

Cause: an entry has no path to an engine but its own, and each reader of a failed connection takes it as evidence of the engine. Each such run ends as not sent and excludes the engine; after four the caller gets no_engine.

Change: a connection that can't be made directly is made through another router, as a gRPC stream that carries bytes and nothing else. The run, its checks, deadlines, notices and cancellation stay with the entry, so it counts once and is sent once: no byte is written before the other router confirms its connection, and a tunnel that breaks ends the run as cut. A tunnel leads only to declared engines over the other router's own path, never into another tunnel. Load reports use the same connector. Only if other routers can't connect either does a run end as not sent. A lost path is probed beside the runs that need it, less often if it flaps; nothing is sent while paths are sound.

--- a/wagtailtrestle/callers/caller_exchange.py
+++ b/wagtailtrestle/callers/caller_exchange.py
@@ -33,7 +33,7 @@
     post_event : callable
         ``post_event(event)`` sends a ``CallerEvent`` to the request's task.
     cancel : callable
-        ``cancel(run_id=…, address=…)``, which must not block.
+        ``cancel(run_id=…, engine=…, address=…)``, which must not block.
     """
 
     __slots__ = ("request_id", "displaced", "runs", "post_event", "_cancel", "_commands", "disconnected", "_lock")
@@ -56,7 +56,7 @@
 
     def cancel_run(self, *, run_id: str, engine: str, address: str):
         """Request the engine to cancel the run; the thread still posts the run's end."""
-        self._cancel(run_id=run_id, address=address)
+        self._cancel(run_id=run_id, engine=engine, address=address)
 
     # Called by the worker thread and by the watching thread.
 
--- a/wagtailtrestle/callers/server.py
+++ b/wagtailtrestle/callers/server.py
@@ -353,8 +353,8 @@
         finally:
             self._watch.unwatch(fd=fd)
 
-    def _cancel(self, *, run_id, address):
-        self._cancel_pool.submit(self._engine_client.cancel, address=address, run_id=run_id)
+    def _cancel(self, *, run_id, engine, address):
+        self._cancel_pool.submit(self._engine_client.cancel, address=address, run_id=run_id, engine=engine)
 
 
 def _full_refusal(detail, *, retry_after_s):
--- a/wagtailtrestle/engines/client.py
+++ b/wagtailtrestle/engines/client.py
@@ -7,11 +7,10 @@
 import http.client
 import threading
 
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
 from wagtailtrestle.contracts.exchange import RunEnded
-from wagtailtrestle.declarations.argument_types import split_address
+from wagtailtrestle.engines.connector import CONNECT_ERRORS, DirectConnector
 from wagtailtrestle.engines.run_exchange import OK, RunExchange
 
 CANCEL_TIMEOUT_S = 1.0
@@ -30,11 +29,14 @@
     ended_call : EngineDialect, optional
         Used to cancel a run whose connection has ended on this side while the engine may go on;
         ``None`` where engines stop a run when its connection closes.
+    connector : Connector, optional
+        Opens the connections; direct ones by default.
     """
 
-    def __init__(self, *, connect_timeout_s, ended_call=None):
+    def __init__(self, *, connect_timeout_s, ended_call=None, connector=None):
         self._connect_timeout_s = connect_timeout_s
         self._ended_call = ended_call
+        self._connector = connector or DirectConnector()
         self._exchange_by_run_id = {}
         self._lock = threading.Lock()
 
@@ -69,6 +71,7 @@
             on_event=on_event,
             on_token=on_token,
             connect_timeout_s=self._connect_timeout_s,
+            connector=self._connector,
         )
         with self._lock:
             self._exchange_by_run_id[command.run_id] = exchange
@@ -78,7 +81,7 @@
             with self._lock:
                 self._exchange_by_run_id.pop(command.run_id, None)
 
-    def cancel(self, *, address, run_id) -> bool:
+    def cancel(self, *, address, run_id, engine="") -> bool:
         """Cancel a run: send a cancel to its engine, and stop reading its answer.
 
         The run's ``RunEnded`` follows within ``CANCEL_GRACE_S``, whether or not the engine answered: its
@@ -98,17 +101,18 @@
             if exchange is not None:
                 exchange.abort()
             return False
-        state = self._request_cancel(address, path)
+        state = self._request_cancel(engine, address, path)
         if exchange is not None:
             _await_end(exchange, is_finished=state == FINISHED_STATE)
         return state is not None
 
-    def _request_cancel(self, address, path):
+    def _request_cancel(self, engine, address, path):
         # A new connection, since a pooled one may have gone silent without being detected.
-        host, port = split_address(address)
-        connection = HTTPConnection(host, port, timeout=self._connect_timeout_s)
         try:
-            connection.connect()
+            connection = self._connector.connect(engine=engine, address=address, timeout_s=self._connect_timeout_s).http
+        except CONNECT_ERRORS:
+            return None
+        try:
             connection.timeout = CANCEL_TIMEOUT_S
             connection.sock.settimeout(CANCEL_TIMEOUT_S)
             connection.request("POST", path)
--- a/wagtailtrestle/engines/reports.py
+++ b/wagtailtrestle/engines/reports.py
@@ -10,13 +10,13 @@
 from collections.abc import Callable
 
 from loguru import logger
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
 from wagtailtrestle.contracts.report_messages import CacheEvents, EngineReport, LoadReport, LoadUnreachable
-from wagtailtrestle.declarations.argument_types import split_address
+from wagtailtrestle.engines.connector import DirectConnector
 
-CONNECT_TIMEOUT_S = 0.3
+CONNECT_TIMEOUT_S = 0.9
+"""Time for a connection on the direct path and, failing that, through another router."""
 READ_TIMEOUT_S = 0.5
 LOAD_POLLS_PER_CACHE_POLL = 4
 OK = 200
@@ -46,10 +46,13 @@
         Receives ``LoadReport``, ``LoadUnreachable`` and ``CacheEvents``.
     dialect : ReportDialect, optional
         Paths and parsing; native by default. With a ``cache_path`` of ``None``, cache events are not polled.
+    connector : Connector, optional
+        Opens the connections; direct ones by default.
     """
 
-    def __init__(self, *, interval_s, loop, on_report: Callable[[EngineReport], None], dialect=None):
+    def __init__(self, *, interval_s, loop, on_report: Callable[[EngineReport], None], dialect=None, connector=None):
         self._dialect = dialect or NativeReports()
+        self._connector = connector or DirectConnector()
         self._interval_s = interval_s
         self._loop = loop
         self._on_report = on_report
@@ -92,6 +95,7 @@
             interval_s=self._interval_s,
             deliver=self._deliver,
             dialect=self._dialect,
+            connector=self._connector,
         )
         poller.start()
         return poller
@@ -116,9 +120,11 @@
     deliver : callable
         ``deliver(report)``, called in the polling thread.
     dialect : ReportDialect
+    connector : Connector
     """
 
     __slots__ = (
+        "_connector",
         "_dialect",
         "_name",
         "_address",
@@ -135,7 +141,8 @@
         "_next_event",
     )
 
-    def __init__(self, *, name, address, initial_delay_s, interval_s, deliver, dialect):
+    def __init__(self, *, name, address, initial_delay_s, interval_s, deliver, dialect, connector):
+        self._connector = connector
         self._dialect = dialect
         self._name = name
         self._address = address
@@ -231,9 +238,8 @@
         return None, problem
 
     def _connect(self):
-        host, port = split_address(self._address)
-        connection = HTTPConnection(host, port, timeout=CONNECT_TIMEOUT_S)
-        connection.connect()
+        connected = self._connector.connect(engine=self._name, address=self._address, timeout_s=CONNECT_TIMEOUT_S)
+        connection = connected.http
         connection.timeout = READ_TIMEOUT_S
         self._connection = connection
 
--- a/wagtailtrestle/engines/run_exchange.py
+++ b/wagtailtrestle/engines/run_exchange.py
@@ -1,14 +1,13 @@
 """One HTTP exchange of a run with an engine, over its own connection, from sending to the outcome."""
 
+import dataclasses
 import http.client
 import math
 import socket
 import threading
 
 from loguru import logger
-from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError, NewConnectionError, ProtocolError, ReadTimeoutError
-from urllib3.exceptions import TimeoutError as UrllibTimeoutError
+from urllib3.exceptions import HTTPError, ProtocolError, ReadTimeoutError
 
 from wagtailtrestle.contracts.exchange import RunEnded
 from wagtailtrestle.contracts.outcomes import (
@@ -20,8 +19,8 @@
     RunRejected,
     RunSilent,
 )
-from wagtailtrestle.declarations.argument_types import split_address
 from wagtailtrestle.engines.chunked_body import ChunkedDecoder
+from wagtailtrestle.engines.connector import CONNECT_ERRORS
 from wagtailtrestle.engines.run_progress import RunProgress
 
 READ_BYTES = 65536
@@ -35,13 +34,6 @@
 OK = 200
 LATE_SEND_THRESHOLD_S = 0.25
 """Connect time above which a late send is logged: the decision behind the grant may be out of date by then."""
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
-"""An engine whose VM disappeared doesn't close its connections. With these TCP keepalive settings its run
-ends as cut after about three seconds, which leaves time to repeat it on another engine."""
-UNACKNOWLEDGED_TIMEOUT_MS = 3000
-"""The corresponding limit for unacknowledged data while the request is being written."""
 
 
 class RunExchange:
@@ -59,6 +51,7 @@
     on_event, on_token : callable
         See :meth:`wagtailtrestle.engines.client.EngineClient.run`.
     connect_timeout_s : float
+    connector : Connector
 
     Attributes
     ----------
@@ -85,13 +78,15 @@
         "_aborted",
         "_connect_timeout_s",
         "_connection",
+        "_connector",
+        "_engine_connection",
         "_method",
         "_raw_response",
         "_read_timeout_s",
         "_socket",
     )
 
-    def __init__(self, *, command, call, received, on_event, on_token, connect_timeout_s):
+    def __init__(self, *, command, call, received, on_event, on_token, connect_timeout_s, connector):
         self.ended = threading.Event()
         self.command = command
         self.call = call
@@ -103,8 +98,10 @@
         self.held = False
         self.response = None
         self._connect_timeout_s = connect_timeout_s
+        self._connector = connector
         self._aborted = False
         self._connection = None
+        self._engine_connection = None
         self._method = ""
         self._raw_response = None
         self._read_timeout_s = -math.inf
@@ -158,7 +155,7 @@
         """Iterate over the body in pieces as they arrive."""
         if self.response.chunked:
             return self._read_chunked()
-        return iter(lambda: self.response.read1(READ_BYTES, decode_content=False), b"")
+        return self._read_until_closed()
 
     def read_body(self, length) -> bytes:
         """Read a body of the declared length.
@@ -198,6 +195,14 @@
             output_tokens=self.output_tokens,
         )
 
+    def _read_until_closed(self):
+        while data := self.response.read1(READ_BYTES, decode_content=False):
+            yield data
+        if self._engine_connection.is_broken:
+            # To a reader, a tunnel that broke looks like an engine that closed its connection, and where the answer
+            # has no length that is its end.
+            raise ConnectionResetError("the path through another router was lost")
+
     def _read_chunked(self):
         if self._method == "HEAD":
             return
@@ -230,16 +235,16 @@
         # An engine that read the request and died looks the same, so the request could not be
         # sent again. A new connection costs one round trip, and if it fails, certainly nothing
         # was sent. It also means that no run starts on a connection that went silent while idle.
-        host, port = split_address(self.command.address)
-        timeout = max(min(self._connect_timeout_s, self.command.overall_s), MIN_TIMEOUT_S)
-        self._connection = HTTPConnection(host, port, timeout=timeout)
-        self._connection.response_class = self._make_raw_response
+        timeout_s = max(min(self._connect_timeout_s, self.command.overall_s), MIN_TIMEOUT_S)
         try:
-            self._connection.connect()
-        except (NewConnectionError, UrllibTimeoutError, OSError) as error:
+            self._engine_connection = self._connector.connect(
+                engine=self.command.engine, address=self.command.address, timeout_s=timeout_s
+            )
+        except CONNECT_ERRORS as error:
             return RunNotSent(detail=f"no connection: {type(error).__name__}")
+        self._connection = self._engine_connection.http
+        self._connection.response_class = self._make_raw_response
         self._socket = self._connection.sock
-        _enable_keepalive(self._socket)
         if self._aborted:
             return RunNotSent(detail="cancelled before it was sent")
         return None
@@ -281,6 +286,9 @@
         notice = self.call.notice(self)
         if notice is not None and (notice.restricts_load or self.command.was_limited):
             self._on_event(notice)
+            if notice.rest_s and self._engine_connection.via:
+                # To the engine the router that carries the connection is the one that it asked to back off.
+                self._on_event(dataclasses.replace(notice, entry=self._engine_connection.via))
         return self.call.read(self)
 
     def _log_late_send(self):
@@ -314,11 +322,3 @@
         body = received.body if len(received.body) <= MAX_RECORDED_BYTES else b""
         content_type = received.headers.get("Content-Type", "")
         return RunEnded(**ended, status=received.status or OK, content_type=content_type, body=body)
-
-
-def _enable_keepalive(sock):
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
--- a/wagtailtrestle/entry/entry.py
+++ b/wagtailtrestle/entry/entry.py
@@ -244,6 +244,10 @@
     def post(self, request_id, event):
         """Deliver an event of a caller's exchange to its request; events of a finished request are dropped."""
         if isinstance(event, EngineNotice):
+            if event.entry:
+                # Asked of another router, which only carried the connection.
+                self._context.forward_notice(event)
+                return
             self._count_broken_back_off(event)
             self._notices.process(event)
             self._context.forward_notice(dataclasses.replace(event, entry=self.name))
@@ -261,6 +265,16 @@
         if rested_s > NOTICE_AGE_TOLERANCE_S:
             self._run_counts.count_broken_back_off(engine=notice.engine, rested_s=rested_s)
 
+    def usable_address(self, engine):
+        """Address of an engine that runs may be sent to now, or ``None``.
+
+        Unlike for the runs of this entry, a back-off counts too: nobody else makes the engine's choice of router.
+        """
+        if not self._context.is_available(engine):
+            return None
+        declared = self._declaration().engines_by_name[engine]
+        return None if self._notices.rest_s(declared) > 0.0 else declared.address
+
     def displace(self, request_id):
         """Drop a waiting request to admit one of a higher tier."""
         self.post(request_id, Displaced())
--- a/wagtailtrestle/peers/connection.py
+++ b/wagtailtrestle/peers/connection.py
@@ -4,6 +4,7 @@
 import socket
 
 from grpclib.client import Channel
+from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server
 
@@ -109,12 +110,18 @@
 class _Service(PeersBase):
     """Adapter from the generated server base to a callable."""
 
-    def __init__(self, *, accept):
+    def __init__(self, *, accept, serve_tunnel):
         self._accept = accept
+        self._serve_tunnel = serve_tunnel
 
     async def Link(self, stream):  # noqa: N802 - name fixed by peers.proto
         await self._accept(stream)
 
+    async def Tunnel(self, stream):  # noqa: N802 - name fixed by peers.proto
+        if self._serve_tunnel is None:
+            raise GRPCError(Status.UNIMPLEMENTED, "this router serves no tunnels")
+        await self._serve_tunnel(stream)
+
 
 class Listener:
     """Accepts connections from other routers.
@@ -125,12 +132,18 @@
         ``host:port``; port 0 selects a free one.
     accept : coroutine function
         Called with the stream of each connection.
+
+    Attributes
+    ----------
+    serve_tunnel : coroutine function or None
+        Called with the stream of each tunnel; set before :meth:`start`.
     """
 
-    __slots__ = ("_accept", "_server", "address")
+    __slots__ = ("_accept", "_server", "address", "serve_tunnel")
 
     def __init__(self, *, address, accept):
         self.address = address
+        self.serve_tunnel = None
         self._accept = accept
         self._server = None
 
@@ -138,7 +151,7 @@
         """Listen; ``address`` then has the actual port."""
         host, _, port = self.address.rpartition(":")
         listener = _listening_socket(host=host, port=int(port))
-        self._server = Server([_Service(accept=self._accept)])
+        self._server = Server([_Service(accept=self._accept, serve_tunnel=self.serve_tunnel)])
         await self._server.start(sock=listener)
         self.address = f"{host}:{listener.getsockname()[1]}"
 
--- a/wagtailtrestle/peers/links.py
+++ b/wagtailtrestle/peers/links.py
@@ -81,6 +81,10 @@
     def address(self, address):
         self._advertised_address = address
 
+    def serve_tunnels(self, serve):
+        """Set the coroutine function that serves the stream of each tunnel; before :meth:`start`."""
+        self._listener.serve_tunnel = serve
+
     async def start(self):
         """Listen."""
         await self._listener.start()
--- a/wagtailtrestle/peers/peers_grpc.py
+++ b/wagtailtrestle/peers/peers_grpc.py
@@ -119,6 +119,15 @@
         """
         self._handlers_by_type[message_type] = handler
 
+    def serve_tunnels(self, serve):
+        """Set the coroutine function that serves the stream of each tunnel; before :meth:`start`."""
+        self._links.serve_tunnels(serve)
+
+    def address_of(self, peer):
+        """``host:port`` of a peer as last set, or ``None``."""
+        state = self._states_by_name.get(peer)
+        return None if state is None else state.address
+
     def on_reconnect(self, callback):
         """Register ``callback(peer)``, called after each new connection, whichever end opened it."""
         self._reconnect_callbacks.append(callback)
--- /dev/null
+++ b/wagtailtrestle/peers/tunnel_client.py
@@ -0,0 +1,202 @@
+"""Tunnels to engines through other routers, for a router that lost its own path."""
+
+import asyncio
+import socket
+
+from grpclib.client import Channel
+from grpclib.config import Configuration
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from loguru import logger
+
+from wagtailtrestle.generated import peers_pb2 as pb
+from wagtailtrestle.generated.peers_grpc import PeersStub
+from wagtailtrestle.peers.helper_choice import HelperChoice
+
+TRY_TIMEOUT_S = 0.4
+"""Time that one router has to connect to the engine: its own connect timeout and two transits."""
+MAX_TRIES = 4
+MAX_UNREACHABLE = 2
+"""Routers that could not reach an engine either, after which no other is asked while this router's other paths are
+sound: the engine is then at fault."""
+READ_BYTES = 65536
+WINDOW_BYTES = 65536
+"""Bytes that may wait here for a slow caller; beyond it the engine is slowed down, as on a direct connection."""
+TUNNEL_ERRORS = (OSError, GRPCError, StreamTerminatedError, TimeoutError, AttributeError)
+"""grpclib drops the transport of a lost connection, so its use raises ``AttributeError``."""
+CONFIGURATION = Configuration(
+    _keepalive_time=1.0,
+    _keepalive_timeout=2.0,
+    _http2_max_pings_without_data=0,
+    _http2_min_sent_ping_interval_without_data=0.5,
+    http2_connection_window_size=WINDOW_BYTES,
+    http2_stream_window_size=WINDOW_BYTES,
+)
+"""A router that helps and then freezes, or loses its links, is detected in about three seconds, as engines are."""
+
+
+class Tunnel:
+    """A connection to an engine through another router.
+
+    Parameters
+    ----------
+    via : str
+        Name of that router.
+    channel : grpclib.client.Channel
+        The tunnel's own connection to it.
+    stream : grpclib.client.Stream
+
+    Attributes
+    ----------
+    sock : socket.socket
+        The end to use in place of a connection to the engine, in any one thread.
+    is_broken : bool
+        Whether the tunnel ended otherwise than by the engine closing its connection.
+    """
+
+    __slots__ = ("via", "sock", "is_broken", "_near", "_channel", "_stream")
+
+    def __init__(self, *, via, channel, stream):
+        self.via = via
+        self.is_broken = False
+        self._channel = channel
+        self._stream = stream
+        self.sock, self._near = socket.socketpair()
+        self._near.setblocking(False)
+
+    async def carry(self):
+        """Carry bytes in both directions until one end closes."""
+        reader, writer = await asyncio.open_connection(sock=self._near)
+        sending = asyncio.ensure_future(self._send(reader))
+        receiving = asyncio.ensure_future(self._receive(writer))
+        try:
+            await asyncio.wait((sending, receiving), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            self.is_broken = not _succeeded(receiving)
+            for task in (sending, receiving):
+                task.cancel()
+            await asyncio.gather(sending, receiving, return_exceptions=True)
+            writer.close()
+            self._channel.close()
+
+    async def _send(self, reader):
+        while data := await reader.read(READ_BYTES):
+            await self._stream.send_message(pb.TunnelBytes(data=data))
+
+    async def _receive(self, writer):
+        while (message := await self._stream.recv_message()) is not None:
+            writer.write(message.data)
+            await writer.drain()
+        # Raises unless the other router ended the stream because the engine closed its connection.
+        await self._stream.recv_trailing_metadata()
+        await writer.drain()
+
+
+class TunnelClient:
+    """Opens tunnels; used in the event loop.
+
+    Parameters
+    ----------
+    name : str
+        This router.
+    members : callable
+        Returns the names of the routers that may be asked, this one included.
+    address_of : callable
+        ``address_of(router)`` returns a router's peers address, or ``None``.
+    loop : asyncio.AbstractEventLoop
+    """
+
+    __slots__ = ("_name", "_members", "_address_of", "_loop", "_choice", "_via_by_task", "_opened", "_failed")
+
+    def __init__(self, *, name, members, address_of, loop):
+        self._name = name
+        self._members = members
+        self._address_of = address_of
+        self._loop = loop
+        self._choice = HelperChoice(clock=loop.time)
+        self._via_by_task = {}
+        self._opened = 0
+        self._failed = 0
+
+    @property
+    def is_possible(self):
+        """Whether there are other routers to ask."""
+        return len(self._members()) > 1
+
+    async def open(self, engine, *, timeout_s, is_partitioned):
+        """Open a tunnel to an engine.
+
+        Parameters
+        ----------
+        engine : str
+        timeout_s : float
+        is_partitioned : bool
+            Whether this router lost its path to some engine, so that others may have too.
+
+        Returns
+        -------
+        Tunnel or None
+            ``None`` if no router that was asked could connect to the engine.
+        """
+        ends_at = self._loop.time() + timeout_s
+        unreachable = 0
+        for helper in self._choice.order(name for name in self._members() if name != self._name)[:MAX_TRIES]:
+            left_s = ends_at - self._loop.time()
+            if left_s <= 0.0 or (unreachable >= MAX_UNREACHABLE and not is_partitioned):
+                break
+            opened = await self._open_through(helper, engine, min(TRY_TIMEOUT_S, left_s))
+            if isinstance(opened, Tunnel):
+                self._choice.record_success(helper)
+                self._opened += 1
+                return opened
+            self._choice.record_failure(helper)
+            unreachable += opened is Status.UNAVAILABLE
+        self._failed += 1
+        return None
+
+    async def close(self):
+        """End all tunnels."""
+        tasks = list(self._via_by_task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def dump(self):
+        """Plain data for the state dump."""
+        return {"open_via": sorted(self._via_by_task.values()), "opened": self._opened, "failed": self._failed}
+
+    async def _open_through(self, helper, engine, timeout_s):
+        """Return a tunnel through one router, its status if it refused, or ``None`` if it did not answer."""
+        address = self._address_of(helper)
+        if address is None:
+            return None
+        host, _, port = address.rpartition(":")
+        channel = Channel(host.strip("[]"), int(port), config=CONFIGURATION)
+        try:
+            async with asyncio.timeout(timeout_s):
+                stream = await PeersStub(channel).Tunnel.open().__aenter__()
+                await stream.send_message(pb.TunnelBytes(router=self._name, engine=engine))
+                accepted = await stream.recv_message()
+        except TUNNEL_ERRORS as error:
+            channel.close()
+            logger.bind(engine=engine, via=helper, detail=str(error) or type(error).__name__).info(
+                "another router opened no tunnel to an engine"
+            )
+            return error.status if isinstance(error, GRPCError) else None
+        except BaseException:
+            channel.close()
+            raise
+        if accepted is None:
+            channel.close()
+            return None
+        return self._start(Tunnel(via=helper, channel=channel, stream=stream))
+
+    def _start(self, tunnel):
+        task = self._loop.create_task(tunnel.carry())
+        self._via_by_task[task] = tunnel.via
+        task.add_done_callback(lambda done: self._via_by_task.pop(done, None))
+        return tunnel
+
+
+def _succeeded(task):
+    return task.done() and not task.cancelled() and task.exception() is None
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -29,6 +29,8 @@
 from wagtailtrestle.contracts.report_messages import CacheEvents, LoadReport, LoadUnreachable
 from wagtailtrestle.declarations.argument_types import split_address
 from wagtailtrestle.engines.client import EngineClient
+from wagtailtrestle.engines.connector import PathConnector
+from wagtailtrestle.engines.paths import EnginePaths
 from wagtailtrestle.engines.reports import EngineReports
 from wagtailtrestle.entry.cells import cells_of
 from wagtailtrestle.entry.crash_watch import CrashWatch
@@ -44,6 +46,8 @@
 from wagtailtrestle.peers.directory import Directory
 from wagtailtrestle.peers.peers_grpc import Peers
 from wagtailtrestle.peers.rendezvous import Rendezvous
+from wagtailtrestle.peers.tunnel_client import TunnelClient
+from wagtailtrestle.peers.tunnel_server import TunnelServer
 from wagtailtrestle.quotas.owner import Tolerance
 from wagtailtrestle.quotas.shared import SharedQuotas
 from wagtailtrestle.rollouts.coordinator import Coordinator
@@ -87,8 +91,8 @@
         self._listed_engines = frozenset()
         self._store_epoch = StoreEpoch()
         self._store = self._adapter.open_store(settings.platform_url, self._store_epoch)
-        self._engine_client = EngineClient(connect_timeout_s=CONNECT_TIMEOUT_S, ended_call=self._adapter.ended_call)
         self._make_peers()
+        self._make_engine_client()
         self._make_configuration()
         self._make_scheduling()
         self._make_servers()
@@ -119,6 +123,33 @@
         self._store_epoch.on_restore(self._membership.send_heartbeats)
         self._broadcast = Broadcast(peers=self._peers, targets=self._membership.broadcast_targets)
 
+    def _make_engine_client(self):
+        self._tunnels = TunnelClient(
+            name=self._settings.name,
+            members=lambda: self._membership.view.members,
+            address_of=self._peers.address_of,
+            loop=self._loop,
+        )
+        self._connector = PathConnector(
+            paths=EnginePaths(clock=self._loop.time),
+            tunnels=self._tunnels,
+            loop=self._loop,
+            count=self._metrics.count,
+        )
+        self._tunnel_server = TunnelServer(
+            address_of=lambda engine: None if self._in_force is None else self._entry.usable_address(engine),
+            is_member=lambda router: router in self._membership.view.all_members,
+            is_lost=self._connector.is_lost,
+            count=self._metrics.count,
+        )
+        self._peers.serve_tunnels(self._tunnel_server.serve)
+        self._membership.on_view_change(lambda view: self._tunnel_server.close_departed(view.all_members))
+        self._engine_client = EngineClient(
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            ended_call=self._adapter.ended_call,
+            connector=self._connector,
+        )
+
     def _make_configuration(self):
         self._peer_configuration = PeerConfiguration(
             peers=self._peers,
@@ -235,6 +266,7 @@
             loop=self._loop,
             on_report=self._handle_report,
             dialect=self._adapter.reports,
+            connector=self._connector,
         )
         self._quotas = SharedQuotas(
             name=name,
@@ -340,6 +372,7 @@
             self._exit_stack.push_async_callback(self._in_thread, admin.close)
         await self._peers.start()
         self._exit_stack.push_async_callback(self._peers.close)
+        self._exit_stack.push_async_callback(self._tunnels.close)
         await self._membership.start()
         self._exit_stack.push_async_callback(self._membership.close)
         self._announcement = self._announce()
@@ -393,6 +426,7 @@
         """Stop accepting work, hand the cells over and finish the requests in flight."""
         self._draining = True
         self._membership.set_draining()
+        self._tunnel_server.drain()
         self._schedulers.stop_granting()
         try:
             async with asyncio.timeout(self._settings.max_drain_s):
@@ -400,6 +434,7 @@
                     grace_s=self._settings.balancer_grace_s, plain_grace_s=self._settings.plain_grace_s
                 )
                 await self._entry.drained()
+                await self._tunnel_server.drained()
         except TimeoutError:
             logger.error("requests were still in flight after {} s", self._settings.max_drain_s)
         if self._announcement is not None:
@@ -445,6 +480,7 @@
             "engine_list": None if self._engine_list is None else self._engine_list.dump(),
             "quotas": self._quotas.dump(),
             "peers": self._peers.dump(),
+            "engine_paths": self._connector.dump() | {"tunnels_served": self._tunnel_server.dump()},
             "stewards_by_cell": self._directory.dump(),
             "placement": self._directory.dump_placement(),
             "stewards": self._schedulers.dump(),
@@ -502,6 +538,7 @@
         if self._rollouts is not None:
             # First, so that no engine is used before it is known whether its version is permitted.
             self._rollouts.refresh()
+        self._connector.retain_engines(declaration.engines_by_name.keys())
         self._schedulers.set_declaration(declaration)
         self._directory.refresh()
         self._watch_engines()
