--- a/wagtailtrestle/peers/tunnel_client.py
+++ b/wagtailtrestle/peers/tunnel_client.py
@@ -1,21 +1,23 @@
 """Tunnels to engines through other routers, for a router that lost its own path."""
 
 import asyncio
+import math
 import socket
 
 from grpclib.client import Channel
 from grpclib.config import Configuration
-from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from loguru import logger
 
 from wagtailtrestle.generated import peers_pb2 as pb
 from wagtailtrestle.generated.peers_grpc import PeersStub
 from wagtailtrestle.peers.helper_choice import HelperChoice
+from wagtailtrestle.peers.tunnel_server import TunnelRefusal
 
 TRY_TIMEOUT_S = 0.4
 """Time that one router has to connect to the engine: its own connect timeout and two transits."""
 MAX_TRIES = 4
+REFUSAL_LOG_INTERVAL_S = 1.0
 MAX_UNREACHABLE = 2
 """Routers that could not reach an engine either, after which no other is asked while this router's other paths are
 sound: the engine is then at fault."""
@@ -85,11 +87,11 @@
 
     async def _receive(self, writer):
         while (message := await self._stream.recv_message()) is not None:
+            if message.closed:
+                return
             writer.write(message.data)
             await writer.drain()
-        # Raises unless the other router ended the stream because the engine closed its connection.
-        await self._stream.recv_trailing_metadata()
-        await writer.drain()
+        raise ConnectionResetError("the tunnel ended without the engine closing its connection")
 
 
 class TunnelClient:
@@ -106,7 +108,17 @@
     loop : asyncio.AbstractEventLoop
     """
 
-    __slots__ = ("_name", "_members", "_address_of", "_loop", "_choice", "_via_by_task", "_opened", "_failed")
+    __slots__ = (
+        "_name",
+        "_members",
+        "_address_of",
+        "_loop",
+        "_choice",
+        "_via_by_task",
+        "_opened",
+        "_failed",
+        "_refusal_logged_at",
+    )
 
     def __init__(self, *, name, members, address_of, loop):
         self._name = name
@@ -117,6 +129,7 @@
         self._via_by_task = {}
         self._opened = 0
         self._failed = 0
+        self._refusal_logged_at = -math.inf
 
     @property
     def is_possible(self):
@@ -149,8 +162,9 @@
                 self._choice.record_success(helper)
                 self._opened += 1
                 return opened
+            self._log_refusal(helper, engine, opened)
             self._choice.record_failure(helper)
-            unreachable += opened is Status.UNAVAILABLE
+            unreachable += opened == TunnelRefusal.UNREACHABLE
         self._failed += 1
         return None
 
@@ -166,31 +180,36 @@
         return {"open_via": sorted(self._via_by_task.values()), "opened": self._opened, "failed": self._failed}
 
     async def _open_through(self, helper, engine, timeout_s):
-        """Return a tunnel through one router, its status if it refused, or ``None`` if it did not answer."""
+        """Return a tunnel through one router, or a text that tells why there is none."""
         address = self._address_of(helper)
         if address is None:
-            return None
+            return "its address is not known"
         host, _, port = address.rpartition(":")
         channel = Channel(host.strip("[]"), int(port), config=CONFIGURATION)
         try:
             async with asyncio.timeout(timeout_s):
                 stream = await PeersStub(channel).Tunnel.open().__aenter__()
                 await stream.send_message(pb.TunnelBytes(router=self._name, engine=engine))
-                accepted = await stream.recv_message()
+                answer = await stream.recv_message()
         except TUNNEL_ERRORS as error:
             channel.close()
-            logger.bind(engine=engine, via=helper, detail=str(error) or type(error).__name__).info(
-                "another router opened no tunnel to an engine"
-            )
-            return error.status if isinstance(error, GRPCError) else None
+            return str(error) or type(error).__name__
         except BaseException:
             channel.close()
             raise
-        if accepted is None:
+        if answer is None or answer.refusal:
             channel.close()
-            return None
+            return "no answer" if answer is None else answer.refusal
         return self._start(Tunnel(via=helper, channel=channel, stream=stream))
 
+    def _log_refusal(self, helper, engine, detail):
+        now = self._loop.time()
+        if now - self._refusal_logged_at >= REFUSAL_LOG_INTERVAL_S:
+            self._refusal_logged_at = now
+            logger.bind(engine=engine, via=helper, detail=detail, failed=self._failed).info(
+                "another router opened no tunnel to an engine"
+            )
+
     def _start(self, tunnel):
         task = self._loop.create_task(tunnel.carry())
         self._via_by_task[task] = tunnel.via
--- a/wagtailtrestle/peers/tunnel_server.py
+++ b/wagtailtrestle/peers/tunnel_server.py
@@ -1,6 +1,7 @@
 """Serves tunnels to engines, for other routers that lost their own paths to them."""
 
 import asyncio
+from enum import StrEnum
 
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
@@ -16,6 +17,17 @@
 READ_BYTES = 65536
 
 
+class TunnelRefusal(StrEnum):
+    """Why a router opens no tunnel."""
+
+    NOT_A_MEMBER = "not_a_member"
+    DRAINING = "draining"
+    FULL = "full"
+    UNKNOWN_ENGINE = "unknown_engine"
+    PATH_LOST = "path_lost"
+    UNREACHABLE = "unreachable"
+
+
 class TunnelServer:
     """Connects other routers to engines that they can't reach.
 
@@ -33,7 +45,7 @@
         ``count(name, **labels)`` adds one to a counter.
     """
 
-    __slots__ = ("_address_of", "_is_member", "_is_lost", "_count", "_draining", "_idle", "_tasks_by_router")
+    __slots__ = ("_address_of", "_is_member", "_is_lost", "_count", "_draining", "_idle", "_closings_by_router")
 
     def __init__(self, *, address_of, is_member, is_lost, count):
         self._address_of = address_of
@@ -43,7 +55,7 @@
         self._draining = False
         self._idle = asyncio.Event()
         self._idle.set()
-        self._tasks_by_router = {}
+        self._closings_by_router = {}
 
     async def serve(self, stream):
         """Serve one tunnel on a stream that another router opened.
@@ -51,29 +63,31 @@
         Raises
         ------
         GRPCError
-            If no tunnel is opened, or if it ends otherwise than by the engine closing its connection.
+            If the tunnel ends otherwise than by the engine closing its connection.
         """
         try:
             async with asyncio.timeout(OPENING_TIMEOUT_S):
                 opening = await stream.recv_message()
         except TimeoutError as error:
             raise GRPCError(Status.DEADLINE_EXCEEDED, "no engine was named") from error
-        if opening is None or not self._is_member(opening.router):
-            raise GRPCError(Status.PERMISSION_DENIED, "tunnels are only served to routers in the view")
-        if self._draining:
-            raise GRPCError(Status.FAILED_PRECONDITION, "this router is draining")
-        if self._open_count() >= MAX_TUNNELS:
-            raise GRPCError(Status.RESOURCE_EXHAUSTED, "too many tunnels")
-        tasks = self._tasks_by_router.setdefault(opening.router, set())
-        tasks.add(asyncio.current_task())
+        if opening is None:
+            return
+        refusal = self._refusal(opening)
+        if refusal is not None:
+            # As a message, since grpclib resets a stream after an error status, which may overtake the status.
+            await stream.send_message(pb.TunnelBytes(refusal=refusal))
+            return
+        closing = asyncio.Event()
+        closings = self._closings_by_router.setdefault(opening.router, set())
+        closings.add(closing)
         self._idle.clear()
         try:
-            await self._serve_opened(stream, opening)
+            await self._serve_opened(stream, opening, closing)
         finally:
-            tasks.discard(asyncio.current_task())
-            if not tasks:
-                self._tasks_by_router.pop(opening.router, None)
-            if not self._tasks_by_router:
+            closings.discard(closing)
+            if not closings:
+                self._closings_by_router.pop(opening.router, None)
+            if not self._closings_by_router:
                 self._idle.set()
 
     def drain(self):
@@ -86,52 +100,64 @@
 
     def close_departed(self, members):
         """End the tunnels of routers that left the view: nobody reads them, and their runs would hold slots."""
-        for router in self._tasks_by_router.keys() - set(members):
-            for task in self._tasks_by_router[router]:
-                task.cancel()
+        for router in self._closings_by_router.keys() - set(members):
+            for closing in self._closings_by_router[router]:
+                closing.set()
 
     def dump(self):
         """Plain data for the state dump: open tunnels by router."""
-        return {router: len(tasks) for router, tasks in self._tasks_by_router.items()}
+        return {router: len(closings) for router, closings in self._closings_by_router.items()}
+
+    def _refusal(self, opening):
+        if not self._is_member(opening.router):
+            return TunnelRefusal.NOT_A_MEMBER
+        if self._draining:
+            return TunnelRefusal.DRAINING
+        if self._open_count() >= MAX_TUNNELS:
+            return TunnelRefusal.FULL
+        if self._address_of(opening.engine) is None:
+            return TunnelRefusal.UNKNOWN_ENGINE
+        if self._is_lost(opening.engine):
+            return TunnelRefusal.PATH_LOST
+        return None
 
     def _open_count(self):
-        return sum(len(tasks) for tasks in self._tasks_by_router.values())
+        return sum(len(closings) for closings in self._closings_by_router.values())
 
-    async def _serve_opened(self, stream, opening):
-        address = self._address_of(opening.engine)
-        if address is None:
-            raise GRPCError(Status.NOT_FOUND, "not an engine that this router uses")
-        if self._is_lost(opening.engine):
-            raise GRPCError(Status.UNAVAILABLE, "this router lost its path to the engine too")
-        host, port = split_address(address)
+    async def _serve_opened(self, stream, opening, closing):
+        host, port = split_address(self._address_of(opening.engine))
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(host, port)
-        except (OSError, TimeoutError) as error:
-            raise GRPCError(Status.UNAVAILABLE, f"no connection: {type(error).__name__}") from error
+        except (OSError, TimeoutError):
+            await stream.send_message(pb.TunnelBytes(refusal=TunnelRefusal.UNREACHABLE))
+            return
         self._count("tunnels_served", router=opening.router)
         try:
             enable_keepalive(writer.get_extra_info("socket"))
             await stream.send_message(pb.TunnelBytes())
-            await _carry(stream, reader, writer)
+            await _carry(stream, reader, writer, closing)
         finally:
             # Without this the engine would go on with a run whose reader has gone.
             writer.transport.abort()
 
 
-async def _carry(stream, reader, writer):
+async def _carry(stream, reader, writer, closing):
+    """Carry bytes in both directions until one end closes its connection or ``closing`` is set."""
     sending = asyncio.ensure_future(_send(stream, writer))
     receiving = asyncio.ensure_future(_receive(stream, reader))
+    closed = asyncio.ensure_future(closing.wait())
+    tasks = (sending, receiving, closed)
     try:
-        await asyncio.wait((sending, receiving), return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         if receiving.done():
             _raise_if_failed(receiving)
-        elif sending.done():
-            _raise_if_failed(sending)
+        elif closed.done():
+            raise GRPCError(Status.ABORTED, "the router that opened the tunnel left the view")
     finally:
-        for task in (sending, receiving):
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(sending, receiving, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 async def _send(stream, writer):
@@ -147,6 +173,7 @@
 async def _receive(stream, reader):
     while data := await reader.read(READ_BYTES):
         await stream.send_message(pb.TunnelBytes(data=data))
+    await stream.send_message(pb.TunnelBytes(closed=True))
 
 
 def _raise_if_failed(task):
