Paths: a tunnel requested before the path was back does not lose it again

The loss is now recorded only by an attempt whose own direct connection has just failed. The new test of tests.test_engine_paths failed with the former behaviour.

--- a/tests/test_engine_paths.py
+++ b/tests/test_engine_paths.py
@@ -26,14 +26,14 @@
         self.assertTrue(self.paths.is_unreachable("e1"))
         self.clock.now += UNREACHABLE_TTL_S
         self.assertFalse(self.paths.is_unreachable("e1"))
-        self.paths.record_tunnel("e1", via="r2")
+        self.paths.record_tunnel("e1", via="r2", direct_failed=True)
         self.assertTrue(self.paths.is_lost("e1"))
         self.assertFalse(self.paths.is_lost("e2"))
 
     # Guards against probes beside every run, and against none after the path is back.
     def test_one_probe_in_each_delay_while_the_path_is_lost(self):
         self.assertFalse(self.paths.claim_probe("e1"))
-        self.paths.record_tunnel("e1", via="r2")
+        self.paths.record_tunnel("e1", via="r2", direct_failed=True)
         self.assertFalse(self.paths.claim_probe("e1"))
         self.clock.now += FIRST_PROBE_DELAY_S
         self.assertEqual([self.paths.claim_probe("e1") for _ in range(3)], [True, False, False])
@@ -45,20 +45,27 @@
     # Guards against a flapping path that every return makes slow runs on again.
     def test_flapping_path_is_probed_less_often(self):
         for factor in (1, 2, 4):
-            self.paths.record_tunnel("e1", via="r2")
+            self.paths.record_tunnel("e1", via="r2", direct_failed=True)
             self.clock.now += factor * FIRST_PROBE_DELAY_S - 0.01
             self.assertFalse(self.paths.claim_probe("e1"))
             self.clock.now += 0.01
             self.assertTrue(self.paths.claim_probe("e1"))
             self.paths.record_direct("e1")
         self.clock.now += FLAP_WINDOW_S + 0.01
-        self.paths.record_tunnel("e1", via="r2")
+        self.paths.record_tunnel("e1", via="r2", direct_failed=True)
         self.clock.now += FIRST_PROBE_DELAY_S
         self.assertTrue(self.paths.claim_probe("e1"))
 
+    # Guards against a path that came back and is taken as lost again for a tunnel that was requested before.
+    def test_tunnel_requested_before_the_path_was_back(self):
+        self.paths.record_tunnel("e1", via="r2", direct_failed=True)
+        self.paths.record_direct("e1")
+        self.paths.record_tunnel("e1", via="r2", direct_failed=False)
+        self.assertFalse(self.paths.is_lost("e1"))
+
     # Guards against state that grows with every engine that ever was.
     def test_engines_that_are_gone_are_forgotten(self):
-        self.paths.record_tunnel("e1", via="r2")
+        self.paths.record_tunnel("e1", via="r2", direct_failed=True)
         self.paths.record_unreachable("e2")
         self.paths.retain_engines({"e3"})
         self.assertFalse(self.paths.any_lost)
--- a/wagtailtrestle/engines/connector.py
+++ b/wagtailtrestle/engines/connector.py
@@ -112,7 +112,7 @@
         ends_at = time.monotonic() + timeout_s
         if self.is_lost(engine):
             self._probe_if_due(engine, address)
-            connection = self._connect_by_tunnel(engine, address, ends_at)
+            connection = self._connect_by_tunnel(engine, address, ends_at, direct_failed=False)
             if connection is not None:
                 return connection
             return self._connect_directly(engine, address, min(DIRECT_TIMEOUT_S, timeout_s))
@@ -123,7 +123,7 @@
         except CONNECT_ERRORS:
             connection = None
             if not self._is_unreachable(engine):
-                connection = self._connect_by_tunnel(engine, address, ends_at)
+                connection = self._connect_by_tunnel(engine, address, ends_at, direct_failed=True)
             if connection is None:
                 raise
             return connection
@@ -153,7 +153,7 @@
             self._paths.record_direct(engine)
         return connection
 
-    def _connect_by_tunnel(self, engine, address, ends_at):
+    def _connect_by_tunnel(self, engine, address, ends_at, *, direct_failed):
         timeout_s = ends_at - time.monotonic()
         if timeout_s < MIN_TUNNEL_TIME_S:
             return None
@@ -164,7 +164,7 @@
             if tunnel is None:
                 self._paths.record_unreachable(engine)
                 return None
-            self._paths.record_tunnel(engine, via=tunnel.via)
+            self._paths.record_tunnel(engine, via=tunnel.via, direct_failed=direct_failed)
         self._count("tunnels_opened", via=tunnel.via)
         host, port = split_address(address)
         http = HTTPConnection(host, port, timeout=timeout_s)
--- a/wagtailtrestle/engines/paths.py
+++ b/wagtailtrestle/engines/paths.py
@@ -57,10 +57,20 @@
             "the path to an engine is back; runs connect to it directly again"
         )
 
-    def record_tunnel(self, engine, *, via):
-        """Record that another router connected to the engine after this one could not."""
+    def record_tunnel(self, engine, *, via, direct_failed):
+        """Record that another router connected to the engine.
+
+        Parameters
+        ----------
+        engine, via : str
+        direct_failed : bool
+            Whether this router has just failed to connect itself. Otherwise the path was lost when the tunnel was
+            requested, and may have come back meanwhile.
+        """
         self._unreachable_until_by_engine.pop(engine, None)
         lost = self._lost_by_engine.get(engine)
+        if lost is None and not direct_failed:
+            return
         if lost is None:
             lost = LostPath(since=self._clock(), probe_delay_s=self._first_probe_delay_s(engine))
             self._lost_by_engine[engine] = lost
