Entry: process notices that name this router; tests follow wider interfaces

Four, of tests.test_rest_notices and tests.test_direct_dispatch, were a fault of: the entry took any notice that names a router for one that only concerns the router of a tunnel, also its own. Two of tests.test_callers_http failed as their fake of the engine client did not accept the engine's name in cancel, which the tunnels need.

--- a/tests/utils/callers.py
+++ b/tests/utils/callers.py
@@ -130,7 +130,7 @@
         received.prompt_tokens, received.completion_tokens = 3, len(self.tokens)
         return self._ended(command, RunDone(output_tokens=len(self.tokens)), received)
 
-    def cancel(self, *, address, run_id):
+    def cancel(self, *, address, run_id, engine):
         self.cancelled.add(run_id)
         return True
 
--- a/wagtailtrestle/entry/entry.py
+++ b/wagtailtrestle/entry/entry.py
@@ -244,7 +244,7 @@
     def post(self, request_id, event):
         """Deliver an event of a caller's exchange to its request; events of a finished request are dropped."""
         if isinstance(event, EngineNotice):
-            if event.entry:
+            if event.entry not in ("", self.name):
                 # Asked of another router, which only carried the connection.
                 self._context.forward_notice(event)
                 return
