Engines: keep the rejections that brittle engines can bear

The header was read nowhere, and a scheduler that frees the slot of a rejected run grants the next waiting request there at once, so that a flood becomes a flood of rejections.

The header is read as a notice, reaches the cell's scheduler like a rate limit, goes with registrations to a new one, and is inherited by an engine that is back after a fall. Plain calls are not dispatched without the scheduler while engines of their cell state such a limit.

--- a/tests/utils/world_engine.py
+++ b/tests/utils/world_engine.py
@@ -26,6 +26,12 @@
         ``Retry-After`` of the answers by which it rejects requests.
     leaving : bool
         Whether its answers state that it is draining.
+    room : int or None
+        Requests that it runs at once; it rejects any more.
+    brittle : int or None
+        Rejections within a second that it survives, as stated in its answers.
+    falls : list of float
+        When it exceeded that number.
     delay_s : float
         Delay before it answers.
     events : int
@@ -45,6 +51,12 @@
         self.rejections = []
         self.limit = None
         self.leaving = False
+        self.room = None
+        self.brittle = None
+        self.falls = []
+        self._running = 0
+        self._rejected_at = []
+        self._lock = threading.Lock()
         self.retry_after = None
         self.delay_s = 0.0
         self.gone = threading.Event()
@@ -73,6 +85,32 @@
             self.reply(handler, 421, headers=[("Instance-Id", self.name)])
             return
         how = self.script.pop(0) if self.script else "well"
+        if not self._take_room():
+            self.reply(
+                handler,
+                503,
+                headers=[("Not-Executed", "1"), ("Request-Id", handler.headers["Request-Id"]), *self._status_headers()],
+            )
+            return
+        try:
+            self._answer(handler, how)
+        finally:
+            with self._lock:
+                self._running -= 1
+
+    def _take_room(self):
+        now = time.monotonic()
+        with self._lock:
+            if self.room is None or self._running < self.room:
+                self._running += 1
+                return True
+            self._rejected_at = [at for at in self._rejected_at if now - at < 1.0] + [now]
+            if self.brittle is not None and len(self._rejected_at) > self.brittle:
+                self.falls.append(now)
+                self._rejected_at = []
+            return False
+
+    def _answer(self, handler, how):
         if how == "full":
             answer_headers = [
                 ("Not-Executed", "1"),
@@ -110,6 +148,8 @@
     def _status_headers(self):
         """Return the headers about the engine itself, sent in each answer."""
         words = [] if self.limit is None else [("Server-Limit", self.limit)]
+        if self.brittle is not None:
+            words.append(("Server-Brittle", str(self.brittle)))
         return [*words, ("Server-Leaving", "1")] if self.leaving else words
 
     def _send_complete(self, handler, how):
--- a/wagtailtrestle/capacity/run_table.py
+++ b/wagtailtrestle/capacity/run_table.py
@@ -1,9 +1,11 @@
 """All runs that hold a slot in one cell, and what is learned from them about the engines."""
 
+import math
+
 from loguru import logger
 
 from wagtailtrestle.capacity.grants import EndedAttempts, Grant, HeldByTier
-from wagtailtrestle.contracts.outcomes import RunDone, RunLost
+from wagtailtrestle.contracts.outcomes import RunDone, RunLost, RunNotSent
 from wagtailtrestle.engines.health import EngineHealth
 from wagtailtrestle.engines.output_lengths import OutputLengths
 from wagtailtrestle.engines.state import EngineState
@@ -81,7 +83,7 @@
             if state is not None and self._shows_restart(declared, state):
                 self._discard_state(state)
                 state = None
-            states[name] = state or EngineState(declared=declared, clock=self._clock)
+            states[name] = state or self._new_state(declared)
             states[name].apply_declaration(declared)
         self._declared_by_name = dict(by_name)
         self.engines_by_name = states
@@ -163,11 +165,20 @@
     def _replace_restarted(self, state, start_ms):
         """Replace the state of an engine whose report is the first to reveal its restart."""
         self._discard_state(state)
-        fresh = EngineState(declared=self._declared_by_name[state.name], clock=self._clock)
+        fresh = self._new_state(self._declared_by_name[state.name])
         fresh.start_ms = start_ms
         self.engines_by_name[state.name] = fresh
         return fresh
 
+    def _new_state(self, declared):
+        """Build the state of an engine that has just been declared or has restarted."""
+        state = EngineState(declared=declared, clock=self._clock)
+        # Engines of a service state a limit on rejections together. One that is back after it fell over would fall
+        # again before its first answer could state the limit.
+        limits = [engine.rejection_limit.max_per_s for engine in self.engines]
+        state.rejection_limit.observe(min(limits, default=math.inf))
+        return state
+
     def on_notice(self, notice):
         """Apply what an engine announced about itself in an answer."""
         engine = self.engines_by_name.get(notice.engine)
@@ -216,6 +227,8 @@
             self._health.on_outcome(message.engine, message.result, self._clock())
             self._update_models(message, grant, engine)
         self.end(grant)
+        if engine is not None and message.result == RunNotSent.__name__ and not message.never_sent:
+            engine.record_rejection()
 
     def _update_models(self, message, grant, engine):
         if message.result == RunLost.__name__:
--- a/wagtailtrestle/contracts/exchange.py
+++ b/wagtailtrestle/contracts/exchange.py
@@ -138,7 +138,7 @@
     start_ms : int
         Start time of the engine process that it is meant for; see ``DeclaredEngine``.
     was_limited : bool
-        Whether the engine recently announced a rate limit: if so, an answer that announces none is reported too.
+        Whether the engine recently announced a limit: if so, an answer that announces none is reported too.
     """
 
     run_id: str
--- a/wagtailtrestle/contracts/messages.py
+++ b/wagtailtrestle/contracts/messages.py
@@ -139,7 +139,7 @@
 
 @record
 class EngineNotice:
-    """Rate limit, back-off or drain that an engine announced in the head of an answer.
+    """Limits, back-off or drain that an engine announced in the head of an answer.
 
     The router that received the answer sends it to the schedulers.
 
@@ -158,6 +158,8 @@
         Back-off: time from now in which the router that it answered must send it nothing.
     entry : str
         Name of that router, set once it has processed the notice.
+    max_rejections_per_s : float
+        Requests per second that it can reject for want of room without falling over; infinite if it announced none.
     """
 
     engine: str
@@ -167,6 +169,12 @@
     start_ms: int = 0
     rest_s: float = 0.0
     entry: str = ""
+    max_rejections_per_s: float = math.inf
+
+    @property
+    def limits_rejections(self):
+        """Whether the engine falls over if it has to reject too many requests."""
+        return self.max_rejections_per_s != math.inf
 
     @property
     def has_rate_limit(self):
@@ -175,8 +183,8 @@
 
     @property
     def restricts_load(self):
-        """Whether the notice announces a rate limit, a drain or a back-off."""
-        return self.has_rate_limit or self.leaving or self.rest_s > 0.0
+        """Whether the notice announces a limit, a drain or a back-off."""
+        return self.has_rate_limit or self.limits_rejections or self.leaving or self.rest_s > 0.0
 
 
 @record
@@ -248,6 +256,8 @@
         Time since the engine announced a rate limit, as far as the scheduler knows; infinite if it did not recently.
     retries_used_up : bool
         Whether the cell's retry budget is exhausted.
+    limits_rejections : bool
+        Whether the engine announced that it falls over if it has to reject too many requests.
     """
 
     request_id: str
@@ -257,6 +267,7 @@
     first_token_deadline_s: float
     limit_age_s: float = math.inf
     retries_used_up: bool = False
+    limits_rejections: bool = False
 
 
 @record
--- a/wagtailtrestle/engines/native_call.py
+++ b/wagtailtrestle/engines/native_call.py
@@ -20,6 +20,7 @@
 RUN_ID_HEADER = "X-Request-Id"
 CALLER_ID_HEADER = "X-Caller-Request-Id"
 RATE_LIMIT_HEADER = "X-Rate-Limit"
+MAX_REJECTIONS_HEADER = "X-Max-Rejections"
 """Of an answer: requests per second that the engine accepts from all routers together."""
 RETRY_AFTER_HEADER = "Retry-After"
 LEAVING_HEADER = "X-Leaving"
@@ -107,6 +108,7 @@
         return read_notice(
             exchange.command,
             limit=headers.get(RATE_LIMIT_HEADER),
+            max_rejections=headers.get(MAX_REJECTIONS_HEADER),
             leaving=headers.get(LEAVING_HEADER) == LEAVING_YES,
             retry_after=headers.get(RETRY_AFTER_HEADER) if exchange.response.status == UNAVAILABLE else None,
         )
--- a/wagtailtrestle/engines/notices.py
+++ b/wagtailtrestle/engines/notices.py
@@ -1,4 +1,4 @@
-"""Notices in the heads of engines' answers, as received by one router: rate limits, draining and back-off."""
+"""Notices in the heads of engines' answers, as received by one router: limits, draining and back-off."""
 
 import math
 
@@ -7,6 +7,7 @@
 from wagtailtrestle.contracts.declaration import DeclaredEngine
 from wagtailtrestle.contracts.messages import EngineNotice, Granted
 from wagtailtrestle.engines.rate_limit import LIMIT_NOTICE_TTL_S
+from wagtailtrestle.engines.rejection_limit import NOTICE_TTL_S as REJECTIONS_NOTICE_TTL_S
 
 NOTICE_AGE_TOLERANCE_S = 0.5
 """Amount by which a scheduler's notice may be older than this router's, so that grants in transit are used."""
@@ -19,7 +20,7 @@
 under the same name without reporting its start is used again."""
 
 
-def read_notice(command, *, limit, leaving, retry_after=None):
+def read_notice(command, *, limit, leaving, retry_after=None, max_rejections=None):
     """Build the notice in an answer's head.
 
     Parameters
@@ -31,6 +32,8 @@
     leaving : bool
     retry_after : str or None
         Seconds, as the header states them, in an answer that rejects the request.
+    max_rejections : str or None
+        Requests per second that the engine can reject without falling over, as the header states them.
 
     Returns
     -------
@@ -40,7 +43,9 @@
     """
     limit_per_s = math.inf if limit is None else _read_number(limit)
     rest_s = 0.0 if retry_after is None else min(MAX_BACK_OFF_S, _read_number(retry_after) or 0.0)
-    if limit_per_s is None and not leaving and not rest_s:
+    max_rejections_per_s = math.inf if max_rejections is None else _read_number(max_rejections)
+    has_invalid_limit = limit_per_s is None or max_rejections_per_s is None
+    if has_invalid_limit and not leaving and not rest_s:
         return None
     return EngineNotice(
         engine=command.engine,
@@ -48,6 +53,7 @@
         leaving=leaving,
         start_ms=command.start_ms,
         rest_s=rest_s,
+        max_rejections_per_s=math.inf if max_rejections_per_s is None else max_rejections_per_s,
     )
 
 
@@ -87,6 +93,7 @@
         if is_earlier_start(notice.start_ms, received.start_ms):
             return
         self._update_limit(notice, received)
+        self._update_max_rejections(notice, received)
         if notice.rest_s:
             logger.bind(engine=notice.engine, rest_s=notice.rest_s).info("an engine asked this router to back off")
             if received.back_off_until <= self._clock():
@@ -101,6 +108,11 @@
         """Whether the last answer of the engine stated a limit that has not expired."""
         return self._limit_age_s(engine) < LIMIT_NOTICE_TTL_S
 
+    def limits_rejections(self, engine) -> bool:
+        """Whether the engine's last answer stated that it can reject only so many requests."""
+        received = self._received_by_engine.get(engine)
+        return received is not None and self._has_max_rejections(received)
+
     def is_leaving(self, engine: DeclaredEngine) -> bool:
         """Whether the engine announced that it is draining and has not restarted since."""
         received = self._received_by_engine.get(engine.name)
@@ -140,9 +152,16 @@
             if received is None:
                 continue
             common_fields = {"engine": engine, "start_ms": received.start_ms, "entry": self._router}
-            if now - received.limit_at < LIMIT_NOTICE_TTL_S:
+            is_limited = now - received.limit_at < LIMIT_NOTICE_TTL_S
+            if is_limited or self._has_max_rejections(received):
+                # One notice for both limits, since a later notice without one of them would end it.
                 notices.append(
-                    EngineNotice(**common_fields, limit_per_s=received.limit_per_s, age_s=now - received.limit_at)
+                    EngineNotice(
+                        **common_fields,
+                        limit_per_s=received.limit_per_s if is_limited else math.inf,
+                        max_rejections_per_s=received.max_rejections_per_s,
+                        age_s=now - max(received.limit_at, received.max_rejections_at),
+                    )
                 )
             if now - received.leaving_at < LEAVING_NOTICE_TTL_S:
                 notices.append(EngineNotice(**common_fields, leaving=True, age_s=now - received.leaving_at))
@@ -164,6 +183,19 @@
         received.limit_per_s = notice.limit_per_s
         received.limit_at = self._clock() if notice.has_rate_limit else -math.inf
 
+    def _update_max_rejections(self, notice, received):
+        if notice.max_rejections_per_s != received.max_rejections_per_s:
+            logger.bind(
+                engine=notice.engine,
+                max_per_s=_json_number(notice.max_rejections_per_s),
+                before_per_s=_json_number(received.max_rejections_per_s),
+            ).info("an engine states another number of rejections that it can bear")
+        received.max_rejections_per_s = notice.max_rejections_per_s
+        received.max_rejections_at = self._clock() if notice.limits_rejections else -math.inf
+
+    def _has_max_rejections(self, received):
+        return self._clock() - received.max_rejections_at < REJECTIONS_NOTICE_TTL_S
+
     def _limit_age_s(self, engine):
         received = self._received_by_engine.get(engine)
         return math.inf if received is None else self._clock() - received.limit_at
@@ -175,6 +207,7 @@
             for engine, received in self._received_by_engine.items()
             if now - received.limit_at < LIMIT_NOTICE_TTL_S
             or now - received.leaving_at < LEAVING_NOTICE_TTL_S
+            or self._has_max_rejections(received)
             or received.back_off_until > now
         }
 
@@ -191,19 +224,32 @@
     ----------
     limit_per_s : float
         Requests per second; infinite without a limit.
-    limit_at, leaving_at : float
-        When it stated the limit and when it announced that it is draining, on the router's clock; minus infinity if it
-        did not.
+    max_rejections_per_s : float
+        Requests per second that it can reject; infinite without such a limit.
+    limit_at, max_rejections_at, leaving_at : float
+        When it stated these limits and when it announced that it is draining, on the router's clock; minus infinity if
+        it did not.
     back_off_from, back_off_until : float
         Start and end of the back-off that it asked of this router.
     """
 
-    __slots__ = ("start_ms", "limit_per_s", "limit_at", "leaving_at", "back_off_from", "back_off_until")
+    __slots__ = (
+        "start_ms",
+        "limit_per_s",
+        "limit_at",
+        "max_rejections_per_s",
+        "max_rejections_at",
+        "leaving_at",
+        "back_off_from",
+        "back_off_until",
+    )
 
     def __init__(self, *, start_ms):
         self.start_ms = start_ms
         self.limit_per_s = math.inf
         self.limit_at = -math.inf
+        self.max_rejections_per_s = math.inf
+        self.max_rejections_at = -math.inf
         self.leaving_at = -math.inf
         self.back_off_from = -math.inf
         self.back_off_until = -math.inf
@@ -213,6 +259,7 @@
         return {
             "limit_per_s": _json_number(self.limit_per_s),
             "limit_age_s": _json_number(now - self.limit_at),
+            "max_rejections_per_s": _json_number(self.max_rejections_per_s),
             "leaving_age_s": _json_number(now - self.leaving_at),
             "rest_s": _json_number(max(0.0, self.back_off_until - now)),
         }
--- a/wagtailtrestle/engines/silence_limits.py
+++ b/wagtailtrestle/engines/silence_limits.py
@@ -32,4 +32,5 @@
         first_token_deadline_s=max(MIN_FIRST_TOKEN_DEADLINE_S, SILENCE_TOLERANCE_FACTOR * first_token_s),
         limit_age_s=engine.rate_limit.age_s,
         retries_used_up=retries_used_up,
+        limits_rejections=engine.rejection_limit.in_force,
     )
--- a/wagtailtrestle/engines/state.py
+++ b/wagtailtrestle/engines/state.py
@@ -8,6 +8,7 @@
 from wagtailtrestle.engines.notices import LEAVING_NOTICE_TTL_S, is_earlier_start
 from wagtailtrestle.engines.prefix_cache import PrefixCacheIndex
 from wagtailtrestle.engines.rate_limit import RateLimit
+from wagtailtrestle.engines.rejection_limit import RejectionLimit
 
 ENDED_GRANTS_RETENTION_S = 10.0
 """Retention of ended grants; a load report that arrives late may still count their runs."""
@@ -48,6 +49,8 @@
         Whether a rollout has reserved the engine: only requests chosen by the rollout are sent there.
     rate_limit : RateLimit
         Requests per second that it accepts from all routers together, if its answers state a limit.
+    rejection_limit : RejectionLimit
+        Requests per second that it can reject without falling over, if its answers state such a limit.
     kept_for : str or None
         Request that must run alone on the engine; until it has started, nothing else is granted there.
     free_slots : int
@@ -68,6 +71,7 @@
         "health_share",
         "free_slots",
         "rate_limit",
+        "rejection_limit",
         "_kept_for",
         "start_ms",
         "version",
@@ -105,6 +109,7 @@
         self.health_share = 1.0
         self.free_slots = 0
         self.rate_limit = RateLimit(clock=clock)
+        self.rejection_limit = RejectionLimit(clock=clock)
         self._kept_for = None
         self.start_ms = declared.start_ms
         self.version = declared.version
@@ -211,12 +216,12 @@
         """Free slots for requests that a rollout sends here."""
         if self.leaving or self._unreachable or self._kept_for is not None or self._alone_runs > 0:
             return 0
-        return self._cap_by_rate_limit(self.model.concurrency_limit() - self.running)
+        return self._cap_by_limits(self.model.concurrency_limit() - self.running)
 
     @property
     def within_rate_limit(self):
-        """Whether the rate limit allows one more request now."""
-        return self._cap_by_rate_limit(1) > 0
+        """Whether the limits that the engine states allow one more request now."""
+        return self._cap_by_limits(1) > 0
 
     def apply_notice(self, notice):
         """Apply a notice that the engine sent in the head of an answer."""
@@ -227,6 +232,8 @@
             self._back_off_until_by_entry[notice.entry] = max(
                 until, self._back_off_until_by_entry.get(notice.entry, until)
             )
+        if notice.limits_rejections or not notice.rest_s:
+            self.rejection_limit.observe(notice.max_rejections_per_s, age_s=notice.age_s)
         if notice.leaving:
             self._leaving_notice_at = max(self._leaving_notice_at, self._clock() - notice.age_s)
             self._refresh_limit()
@@ -261,6 +268,7 @@
     def add(self, grant: Grant):
         """Add a grant that is made now."""
         self.rate_limit.record_request()
+        self.rejection_limit.record_grant()
         self._add_run(grant)
 
     def _add_run(self, grant):
@@ -297,6 +305,11 @@
             self._prefill_until -= self.model.prefill_s(grant.prefill_tokens)
         self._update_free_slots()
 
+    def record_rejection(self):
+        """Record that the engine rejected a run, whose grant has ended."""
+        self.rejection_limit.record_rejection(running=self.running)
+        self._update_free_slots()
+
     def invalidate_reports(self):
         """Treat earlier reports as out of date: this process may have been paused."""
         self._reports_valid_from = self._clock()
@@ -386,6 +399,7 @@
             "kept_for": self.kept_for,
             "limit": self.limit,
             "rate_limit": self.rate_limit.dump(),
+            "rejection_limit": self.rejection_limit.dump(),
             "rest_s_by_entry": {entry: round(self.rest_s(entry), 3) for entry in self._back_off_until_by_entry},
             "pending_prefill_tokens": self.pending_prefill_tokens,
             "reported_running": self.reported_running,
@@ -403,11 +417,13 @@
 
     def _update_free_slots(self):
         serves_one_request = self._kept_for is not None or self._alone_runs > 0
-        self.free_slots = 0 if serves_one_request else self._cap_by_rate_limit(self.limit - self.running)
+        self.free_slots = 0 if serves_one_request else self._cap_by_limits(self.limit - self.running)
 
-    def _cap_by_rate_limit(self, places):
-        available_requests = self.rate_limit.available_requests()
-        return max(0, places if available_requests is None else min(places, available_requests))
+    def _cap_by_limits(self, places):
+        for available in (self.rate_limit.available_requests(), self.rejection_limit.available(self.running)):
+            if available is not None:
+                places = min(places, available)
+        return max(0, int(places))
 
     def _accounted_runs_at(self, at):
         """Runs of live entries that were on the engine at that time, by the grants recorded here."""
--- a/wagtailtrestle/entry/direct_dispatch.py
+++ b/wagtailtrestle/entry/direct_dispatch.py
@@ -12,6 +12,7 @@
 from wagtailtrestle.contracts.declaration import PLAIN
 from wagtailtrestle.contracts.messages import Granted
 from wagtailtrestle.engines.rate_limit import LIMIT_NOTICE_TTL_S
+from wagtailtrestle.engines.rejection_limit import NOTICE_TTL_S
 
 MAX_DIRECT_RUNS = 2
 """Direct runs per request. The second one follows a connection that could not be made."""
@@ -53,6 +54,7 @@
         "_clock",
         "_answers_by_cell",
         "_limited_until_by_engine",
+        "_limits_rejections_until_by_cell",
         "_ids_by_cell",
         "_waits_by_id",
     )
@@ -67,6 +69,7 @@
         self._clock = clock
         self._answers_by_cell = defaultdict(int)
         self._limited_until_by_engine = {}
+        self._limits_rejections_until_by_cell = {}
         self._ids_by_cell = defaultdict(set)
         self._waits_by_id = {}
 
@@ -77,6 +80,8 @@
         self._answers_by_cell[cell] += 1
         if isinstance(message, Granted) and message.limit_age_s < LIMIT_NOTICE_TTL_S:
             self._limited_until_by_engine[message.engine] = self._clock() + LIMIT_NOTICE_TTL_S - message.limit_age_s
+        if isinstance(message, Granted) and message.limits_rejections:
+            self._limits_rejections_until_by_cell[cell] = self._clock() + NOTICE_TTL_S
 
     # Waiting requests.
 
@@ -159,11 +164,17 @@
 
     def _has_place(self, cell):
         routers = self._routers(cell)
-        if routers < 1:
+        if routers < 1 or self._limits_rejections(cell):
             return False
         slots = sum(engine.slots for engine in self._engines_of(cell) if not self._is_leaving(engine))
         return len(self._ids_by_cell[cell]) < math.ceil(slots / routers)
 
+    def _limits_rejections(self, cell):
+        """Whether engines of the cell fall over if they reject too many requests, which only its scheduler counts."""
+        if self._clock() < self._limits_rejections_until_by_cell.get(cell, -math.inf):
+            return True
+        return any(self._notices.limits_rejections(engine.name) for engine in self._engines_of(cell))
+
     def _choose_engine(self, request):
         engines = [
             engine for engine in self._declaration().engines_by_name.values() if engine.service == request.service
--- a/wagtailtrestle/entry/entry.py
+++ b/wagtailtrestle/entry/entry.py
@@ -109,8 +109,13 @@
         return declared is not None and not declared.leaving and not self._notices.is_leaving(declared)
 
     def was_limited(self, granted):
-        """Whether this router or the scheduler recently received a rate limit from an engine."""
-        return self._notices.is_limited(granted.engine) or granted.limit_age_s != math.inf
+        """Whether this router or the scheduler recently received a limit from an engine."""
+        return (
+            self._notices.is_limited(granted.engine)
+            or self._notices.limits_rejections(granted.engine)
+            or granted.limit_age_s != math.inf
+            or granted.limits_rejections
+        )
 
     def scheduler_is_informed(self, granted):
         """Whether the scheduler knew of the rate limit or back-off that the granted engine sent to this router."""
--- a/wagtailtrestle/platform/engines.py
+++ b/wagtailtrestle/platform/engines.py
@@ -116,6 +116,7 @@
         return read_notice(
             exchange.command,
             limit=response.headers.get(names.RATE_LIMIT),
+            max_rejections=response.headers.get(names.MAX_REJECTIONS),
             leaving=response.headers.get(names.LEAVING) == names.LEAVING_YES,
             retry_after=response.headers.get(names.RETRY_AFTER) if response.status == UNAVAILABLE else None,
         )
