--- a/tests/test_run_counts.py
+++ b/tests/test_run_counts.py
@@ -51,9 +51,7 @@
         await request.grant("e1")
         await request.end(RunNotSent(detail="no connection"))
         await request.grant("e2")
-        self.assertEqual(
-            self.counts, {("runs", "asistente", "first"): 2, ("run_ends", "asistente", "RunNotSent"): 1}
-        )
+        self.assertEqual(self.counts, {("runs", "asistente", "first"): 2, ("run_ends", "asistente", "RunNotSent"): 1})
 
     @on_paused_clock
     async def test_a_retry_that_the_budget_refuses_is_counted(self):
--- a/tests/utils/engine_links.py
+++ b/tests/utils/engine_links.py
@@ -76,6 +76,7 @@
 
     async def cut(self, how):
         """Fail as ``how`` says until :meth:`open`."""
+        await self.open()
         await self._stop_accepting()
         if how is Cut.HANG:
             self._flowing.clear()
