Crashes: runs cut on several engines at once are no crash

A router that loses its links has that on every engine at once, so that each such loss made one incident per engine, and suspects of two incidents run alone on an engine. Cuts on another engine in the same half second now leave the verdict to what follows: a refused connection, which since the tunnels means that others can't connect either, or the engine's departure.

The new test of tests.test_poison failed before: the requests cut on the first engine were reported while others were being cut too. The first engine of a loss may still be reported if two of its runs are cut before any other's.

--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -175,6 +175,13 @@
         self.detector.on_cut("e1", "a")
         self.assertEqual(self.detector.on_cut("e1", "b"), {"a", "b"})
 
+    # Guards against requests blamed for crashes because a router lost its links to several engines at once.
+    def test_cuts_on_several_engines_together_are_no_crash(self):
+        self.assertEqual(self.detector.on_cut("e1", "a"), set())
+        for engine, fingerprint in (("e2", "b"), ("e1", "c"), ("e2", "d"), ("e2", "e")):
+            self.assertEqual(self.detector.on_cut(engine, fingerprint), set())
+        self.assertEqual(self.detector.on_engine_down("e2"), {"b", "d", "e"})
+
     def test_a_cut_and_then_a_refused_connection_is_a_crash(self):
         self.detector.on_cut("e1", "a")
         self.clock.now += 1.0
--- a/wagtailtrestle/entry/poison.py
+++ b/wagtailtrestle/entry/poison.py
@@ -298,7 +298,11 @@
         """
         self._record_cut(engine, fingerprint)
         recent = self._recent_cuts(engine, CUT_WINDOW_S)
-        return self._confirm_crash(engine, recent) if len(recent) >= MIN_CUTS_FOR_CRASH else set()
+        # Cuts on several engines at once come from this router's links. If one of the engines crashed nevertheless, it
+        # refuses connections or leaves the list.
+        if len(recent) < MIN_CUTS_FOR_CRASH or self._any_cut_elsewhere(engine):
+            return set()
+        return self._confirm_crash(engine, recent)
 
     def on_engine_down(self, engine, fingerprint=None, *, within_s=RESTART_WINDOW_S):
         """Record that the engine does not know a run or refuses connections.
@@ -320,6 +324,9 @@
         horizon = self._clock() - window_s
         return {name for name, at in self._cuts_by_engine.get(engine, {}).items() if at >= horizon}
 
+    def _any_cut_elsewhere(self, engine):
+        return any(self._recent_cuts(other, CUT_WINDOW_S) for other in self._cuts_by_engine if other != engine)
+
     def _confirm_crash(self, engine, suspects):
         if suspects:
             self._cuts_by_engine.pop(engine, None)
