--- a/tests/test_lost_engine_links.py
+++ b/tests/test_lost_engine_links.py
@@ -26,6 +26,7 @@
     def setUp(self):
         self.world = World(routers=self.ROUTERS, linked=True, **self.SETTINGS).start()
         self.addCleanup(self.world.close)
+        self.assistants = [self.world.engines["a-1"], self.world.engines["a-2"]]
 
     def steady_callers(self, routers):
         callers = SteadyCallers(world=self.world, paths=PATHS, per_s=PER_S, routers=routers).start()
