Streams go on only at the software version that began them

Cause: a run that goes on with a stream was granted any engine. Within one answer nothing kept the version of the first run; over a caller's attempts nothing read which attempt the caller resumes, and no router could know what another one had delivered. Class of fault: a decision that needs a fact which only one router has, and that dies with it.

Change: the entry takes the version from the engine's declaration at dispatch. A run after forwarded events, or one that resumes another attempt, asks for a slot with that version (GrantRequest.version), which restricts engines wherever excluded engines do, and is refused at once if no engine of the version is left. The router that delivers a stream remembers the version and, while the service has several, tells three others chosen by hashing; the router that resumes the stream asks them. A router that finds nobody who knows uses the only version that the service has had for as long as a stream may live, by its own list or by a note in the store; otherwise it refuses (version_unknown) and does not guess. A rollout judges no version by such runs.

Why it works: the version is recorded before the first event is forwarded, at up to four routers, told again to routers that restart or join, and each resumption makes its router a source again. With one version nothing is sent.

Ruled out: an engine restarted under another version at the same address, as Expect-Instance names the instance and ids are not used again.

--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,5 +1,6 @@
 """Streams of engines of two software versions, interrupted and resumed, with routers and callers in real time."""
 
+import threading
 import time
 import unittest
 
@@ -120,8 +121,14 @@
             world.routers[router].kill()
         world.routers[1].start()
         world.routers[1].wait_ready()
-        for number, stream in enumerate(streams):
-            callers.attempt(stream, 1, f"again-{number}", time.monotonic() + DEADLINE_S)
+        again = [
+            threading.Thread(target=callers.attempt, args=(stream, 1, f"again-{number}", time.monotonic() + DEADLINE_S))
+            for number, stream in enumerate(streams)
+        ]
+        for thread in again:
+            thread.start()
+        for thread in again:
+            thread.join()
         self.check(streams)
 
 
--- a/wagtailtrestle/adapters.py
+++ b/wagtailtrestle/adapters.py
@@ -24,6 +24,9 @@
         Kind of the objects by which routers discover each other; ``None`` where the store lists VMs.
     rollout_kind : str or None
         Kind of the objects by which operators request rollouts; ``None`` where rollouts are not supported.
+    version_kind : str or None
+        Kind of the objects that record services with several software versions; ``None`` where no caller resumes a
+        stream at another router.
     shares_confirmations : bool
         Whether a router may rely on a peer's confirmation of the configuration instead of reading the
         store itself. Safe only if reads are never stale.
@@ -40,6 +43,7 @@
     engine_kind: str | None
     epoch_kind: str | None
     rollout_kind: str | None
+    version_kind: str | None
     shares_confirmations: bool
 
     def open_store(self, url: str, epoch):
@@ -65,6 +69,7 @@
     engine_kind = None
     epoch_kind = None
     rollout_kind = None
+    version_kind = None
     shares_confirmations = False
 
     def open_store(self, url, epoch):
--- a/wagtailtrestle/capacity/admission.py
+++ b/wagtailtrestle/capacity/admission.py
@@ -434,7 +434,7 @@
 
     @staticmethod
     def _is_possible(engine, request):
-        return not engine.leaving and engine.name not in request.excluded_engines
+        return not engine.leaving and request.accepts(engine)
 
     def could_finish(self, waiting: WaitingRequest, engine):
         """Whether the engine could finish it in time if all runs that may be preempted for it were cancelled."""
@@ -453,7 +453,10 @@
         if self._clock() >= waiting.wait_for_suitable_until:
             return False
         return any(
-            engine.limit and not engine.rate_limit.in_force and meets_targets_when_idle(waiting, engine)
+            engine.limit
+            and waiting.request.accepts_version(engine.version)
+            and not engine.rate_limit.in_force
+            and meets_targets_when_idle(waiting, engine)
             for engine in self._engines
         )
 
@@ -540,7 +543,10 @@
         return any(engine.rate_limit.in_force for engine in self._engines)
 
     def _has_free_slot(self, request):
-        return any(engine.free_slots and not engine.rest_s(request.entry) for engine in self._engines)
+        return any(
+            engine.free_slots and request.accepts_version(engine.version) and not engine.rest_s(request.entry)
+            for engine in self._engines
+        )
 
     def _back_off_s(self, request):
         """Time until some engine's back-off for this entry ends; 0 if one accepts requests now."""
--- a/wagtailtrestle/capacity/engine_match.py
+++ b/wagtailtrestle/capacity/engine_match.py
@@ -142,9 +142,8 @@
         factor, fastest = self._strictest(waiting)
         if fastest is None:
             return None if self._is_hopeless(waiting) else available
-        excluded = waiting.request.excluded_engines
-        if excluded:
-            available = [engine for engine in available if engine.name not in excluded]
+        if waiting.request.excluded_engines:
+            available = [engine for engine in available if waiting.request.accepts(engine)]
         slow_names = self.slow_names
         if not slow_names:
             return self._fitting(waiting, available, factor, self._fast)
@@ -252,7 +251,7 @@
 
 
 def _may_be_granted(waiting, engine, now):
-    if not engine.limit or engine.name in waiting.request.excluded_engines:
+    if not engine.limit or not waiting.request.accepts(engine):
         return False
     return engine.rest_s(waiting.request.entry) <= max(0.0, waiting.latest_start - now)
 
--- a/wagtailtrestle/capacity/isolation.py
+++ b/wagtailtrestle/capacity/isolation.py
@@ -125,9 +125,7 @@
 def _usable(waiting, engines):
     request = waiting.request
     return [
-        engine
-        for engine in engines
-        if engine.limit and engine.name not in request.excluded_engines and not engine.rest_s(request.entry)
+        engine for engine in engines if engine.limit and request.accepts(engine) and not engine.rest_s(request.entry)
     ]
 
 
--- a/wagtailtrestle/capacity/preemption.py
+++ b/wagtailtrestle/capacity/preemption.py
@@ -178,7 +178,7 @@
         heapq.heappush(self._slots, (slot.free_at, next(self._sequence), slot))
 
     def _run_s(self, waiting, engine):
-        if engine.name in waiting.request.excluded_engines or engine.rest_s(waiting.request.entry):
+        if not waiting.request.accepts(engine) or engine.rest_s(waiting.request.entry):
             return float("inf")
         if self._planner.passes_over(waiting, engine):
             return float("inf")
@@ -231,7 +231,7 @@
     def _would_save(self, waiting, engine, free_at):
         # The same prediction as for grants: otherwise the request would not be granted the freed slot, which would go
         # to another one, and the next round would cancel another run for it.
-        if engine.name in waiting.request.excluded_engines or engine.rest_s(waiting.request.entry):
+        if not waiting.request.accepts(engine) or engine.rest_s(waiting.request.entry):
             return False
         if self._planner.passes_over(waiting, engine):
             return False
--- a/wagtailtrestle/capacity/scheduler.py
+++ b/wagtailtrestle/capacity/scheduler.py
@@ -300,6 +300,7 @@
         self._admission.measure_speed()
         self._match.measure(self._runs.usable_engines)
         self._retries_used_up = not self._may_retry()
+        self._refuse_version_gone()
         for waiting in self._queue.pop_expired(self._clock()):
             if waiting.is_late or not self._admission.make_late(waiting):
                 self._unfit_refusals += bool(waiting.tried_engines) and self._match.applies(waiting)
@@ -365,7 +366,8 @@
         grant = self._runs.grants_by_request_id.get(message.request_id)
         if self._rollout is not None and grant is not None and grant.engine == message.engine and message.duration_s:
             engine = self._runs.engines_by_name.get(grant.engine)
-            if engine is not None:
+            # A resumed stream has no choice of version, so its run says nothing of how the versions compare.
+            if engine is not None and not grant.request.version:
                 self._rollout.record_run_end(
                     request=grant.request,
                     engine=engine.name,
@@ -452,11 +454,14 @@
             self._log.log_refused_retry(request, self._retries)
             self._refuse(request, Reason.RETRY_BUDGET)
             return
+        if self._is_version_gone(request):
+            self._refuse(request, Reason.VERSION_GONE)
+            return
         waiting = self._admission.waiting(request)
         if is_new:
             # Registered requests arrived over the time that they have waited; as new ones they would look like a burst.
             self._admission.offer(waiting)
-        reason = self._admission.refusal(waiting)
+        reason = None if self._reserved_engines(request) else self._admission.refusal(waiting)
         if reason is not None:
             self._refuse(request, reason)
             return
@@ -560,6 +565,8 @@
         """Grant the request on one of the engines with free slots, park it, or refuse it."""
         available_engines = [engine for engine in available_engines if not engine.rest_s(waiting.request.entry)]
         tried_engines = frozenset(engine.name for engine in available_engines)
+        if waiting.request.version:
+            available_engines = [engine for engine in available_engines if waiting.request.accepts(engine)]
         if waiting.is_late:
             open_names = self._queue.refused_by_timely()
             if open_names is not None:
@@ -592,6 +599,9 @@
             self._grant(waiting, engine)
             return
         others = [engine for engine in self._runs.usable_engines if not engine.leaving]
+        if waiting.request.version:
+            others = [engine for engine in others if waiting.request.accepts_version(engine.version)]
+            others += self._reserved_engines(waiting.request)
         if any(self._admission.could_finish(waiting, engine) for engine in others):
             refused_engines = frozenset()
             if matched:
@@ -605,8 +615,16 @@
     def _exposed_engine(self, request):
         """Return the fullest engine on which the rollout tries this request, or ``None``.
 
-        The fullest one is used so that the new version is also observed on a full engine.
+        The fullest one is used so that the new version is also observed on a full engine. A stream that a reserved
+        version began goes on there at the least loaded one.
         """
+        if request.version:
+            free = [
+                engine
+                for engine in self._reserved_engines(request)
+                if request.accepts(engine) and engine.free_rollout_slots and not engine.rest_s(request.entry)
+            ]
+            return min(free, key=lambda engine: (engine.running, engine.name), default=None)
         if self._rollout is None or not self._rollout.should_expose(request):
             return None
         tried = [
@@ -619,6 +637,31 @@
         ]
         return max(tried, key=lambda engine: (engine.running, engine.name), default=None)
 
+    def _reserved_engines(self, request):
+        """Return the engines reserved by a rollout in progress that have the version of a resumed stream."""
+        if not request.version or self._rollout is None or not self._rollout.is_running:
+            return []
+        return [
+            engine
+            for engine in self._runs.engines
+            if engine.reserved and not engine.leaving and request.accepts_version(engine.version)
+        ]
+
+    def _is_version_gone(self, request):
+        """Whether a resumed stream can't go on, since no engine of its version is left."""
+        if not request.version or self._reserved_engines(request):
+            return False
+        return not any(
+            request.accepts_version(engine.version) and not engine.leaving for engine in self._runs.usable_engines
+        )
+
+    def _refuse_version_gone(self):
+        waiting_by_id = self._queue.waiting_by_request_id
+        gone = [waiting for waiting in waiting_by_id.values() if self._is_version_gone(waiting.request)]
+        for waiting in gone:
+            self._queue.remove(waiting.request_id)
+            self._refuse(waiting.request, Reason.VERSION_GONE)
+
     def _suitable(self, waiting, available_engines):
         """Return the engines that can finish the request, from the shortlist or, failing that, from all."""
         if self._match.applies(waiting):
@@ -681,10 +724,16 @@
             request_id=request.request_id,
             attempt=request.attempt,
             reason=reason,
-            retry_after_s=self._admission.retry_after_s(request),
+            retry_after_s=self._retry_after_s(request, reason),
         )
         self._entries.send(entry=request.entry, message=refused)
 
+    def _retry_after_s(self, request, reason):
+        if reason is Reason.VERSION_GONE:
+            # Nothing tells whether the version comes back; a retry within the deadline would be refused again.
+            return request.remaining_s
+        return self._admission.retry_after_s(request)
+
     # Preemption, departed members, process pauses.
 
     def _preempt(self):
--- a/wagtailtrestle/contracts/exchange.py
+++ b/wagtailtrestle/contracts/exchange.py
@@ -47,6 +47,11 @@
         The caller's estimate of the output's length, often inaccurate; 0 if it gave none.
     patience_s : float
         Time from the request's arrival for which the caller waits for the first event; 0 if unknown.
+    stream_id : str
+        Name under which the caller may resume the stream at any router; empty if it can't.
+    resumes : str or None
+        ``stream_id`` of the stream that this request resumes, empty if the caller doesn't name it; ``None`` for a
+        request that begins.
     """
 
     __slots__ = (
@@ -70,6 +75,8 @@
         "event_tokens",
         "hinted_tokens",
         "patience_s",
+        "stream_id",
+        "resumes",
     )
 
     def __init__(
@@ -95,6 +102,8 @@
         event_tokens=1,
         hinted_tokens=0,
         patience_s=0.0,
+        stream_id="",
+        resumes=None,
     ):
         self.request_id = request_id
         self.service = service
@@ -116,6 +125,8 @@
         self.event_tokens = event_tokens
         self.hinted_tokens = hinted_tokens
         self.patience_s = patience_s
+        self.stream_id = stream_id
+        self.resumes = resumes
 
 
 # Commands from the request's task to the caller's side.
--- a/wagtailtrestle/contracts/messages.py
+++ b/wagtailtrestle/contracts/messages.py
@@ -58,6 +58,9 @@
         Availability zone of the entry; empty if unknown.
     patience_s : float
         Time from now for which the caller waits for the first event; 0 if unknown.
+    version : str
+        Software version of the engines that may serve it, since it goes on with a stream that this version began;
+        empty if any may.
     """
 
     request_id: str
@@ -84,6 +87,15 @@
     is_retry: bool = False
     zone: str = ""
     patience_s: float = 0.0
+    version: str = ""
+
+    def accepts(self, engine):
+        """Whether the request may be sent to this engine, by its name and version."""
+        return engine.name not in self.excluded_engines and self.accepts_version(engine.version)
+
+    def accepts_version(self, version):
+        """Whether engines of this version may serve the request."""
+        return not self.version or version == self.version
 
 
 @record
--- a/wagtailtrestle/contracts/outcomes.py
+++ b/wagtailtrestle/contracts/outcomes.py
@@ -40,6 +40,8 @@
     CALLER_GONE = "caller_gone"
     QUOTA = "quota_exhausted"
     KEYS_STALE = "keys_stale"
+    VERSION_GONE = "version_gone"
+    VERSION_UNKNOWN = "version_unknown"
 
 
 @record
--- a/wagtailtrestle/engines/policies.py
+++ b/wagtailtrestle/engines/policies.py
@@ -36,6 +36,7 @@
     slots: int
     zone: str
     hardware: str
+    version: str
     available: bool
 
 
@@ -50,7 +51,7 @@
 
 def candidates(request, engines):
     """Return the available engines that the request doesn't exclude."""
-    return [engine for engine in engines if engine.available and engine.name not in request.excluded_engines]
+    return [engine for engine in engines if engine.available and request.accepts(engine)]
 
 
 class PredictedFinish:
--- a/wagtailtrestle/entry/direct_dispatch.py
+++ b/wagtailtrestle/entry/direct_dispatch.py
@@ -179,11 +179,14 @@
         engines = [
             engine for engine in self._declaration().engines_by_name.values() if engine.service == request.service
         ]
-        excluded = self._reserved_engines(request.service, engines) | set(request.excluded_engines)
+        reserved = self._reserved_engines(request.service, engines)
         runs_by_engine = {
             engine.name: self._occupancy(engine.name)
             for engine in engines
-            if engine.cell == request.cell and engine.name not in excluded and self._accepts_runs(engine)
+            if engine.cell == request.cell
+            and engine.name not in reserved
+            and request.accepts(engine)
+            and self._accepts_runs(engine)
         }
         # An engine whose slots this entry alone fills would refuse the run.
         slots_by_engine = {engine.name: engine.slots for engine in engines}
--- a/wagtailtrestle/entry/entry.py
+++ b/wagtailtrestle/entry/entry.py
@@ -54,6 +54,8 @@
         This router's availability zone.
     direct : DirectDispatch
         Decides on runs without a silent scheduler.
+    streams : StreamVersions or None
+        Versions that began streams; ``None`` where no caller resumes a stream at another router.
     """
 
     __slots__ = (
@@ -65,15 +67,30 @@
         "now",
         "zone",
         "direct",
+        "streams",
         "_schedulers",
         "_declaration",
         "_notices",
     )
 
     def __init__(
-        self, *, name, schedulers, claims, crashes, retries, declaration, notices, run_counts, now, zone, direct
+        self,
+        *,
+        name,
+        schedulers,
+        claims,
+        crashes,
+        retries,
+        declaration,
+        notices,
+        run_counts,
+        now,
+        zone,
+        direct,
+        streams,
     ):
         self.name = name
+        self.streams = streams
         self.zone = zone
         self.direct = direct
         self.claims = claims
@@ -99,6 +116,11 @@
         declared = self._declaration().engines_by_name.get(engine)
         return declared.start_ms if declared else 0
 
+    def version_of(self, engine):
+        """Software version of a declared engine as known here; empty if it is not declared."""
+        declared = self._declaration().engines_by_name.get(engine)
+        return declared.version if declared else ""
+
     def is_available(self, engine):
         """Whether an engine is declared and not draining, as far as this router knows.
 
@@ -167,6 +189,8 @@
         default, if this entry may dispatch nothing there without it.
     reserved_engines : callable, optional
         ``reserved_engines(service, engines)`` returns the names of the engines that a rollout may have reserved.
+    streams : StreamVersions, optional
+        Versions that began streams, where callers may resume them at any router.
     """
 
     __slots__ = (
@@ -198,6 +222,7 @@
         features=all_off,
         routers=lambda cell: 0,
         reserved_engines=lambda service, engines: frozenset(),
+        streams=None,
     ):
         self.name = name
         self.tasks_by_id = {}
@@ -230,6 +255,7 @@
             now=loop.time,
             zone=zone,
             direct=self._direct,
+            streams=streams,
         )
 
     def submit(self, request, caller):
--- a/wagtailtrestle/entry/final_answers.py
+++ b/wagtailtrestle/entry/final_answers.py
@@ -22,6 +22,8 @@
     Reason.CALLER_GONE: 499,
     Reason.QUOTA: 429,
     Reason.KEYS_STALE: 503,
+    Reason.VERSION_GONE: 503,
+    Reason.VERSION_UNKNOWN: 503,
 }
 
 DETAIL_BY_REASON = {
@@ -44,6 +46,8 @@
     Reason.CALLER_GONE: "The caller closed the connection.",
     Reason.QUOTA: "The team has used up its quota for now.",
     Reason.KEYS_STALE: "This router can't tell at present whether the key still holds.",
+    Reason.VERSION_GONE: "No engine of the software version that began this stream is left.",
+    Reason.VERSION_UNKNOWN: "This router can't tell at present which software version began this stream.",
 }
 
 
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -137,6 +137,8 @@
         "_alone",
         "_direct_runs",
         "_received_at",
+        "_version",
+        "_run_version",
     )
 
     def __init__(self, *, request, caller, context, cell):
@@ -170,6 +172,8 @@
         self._alone = False
         self._direct_runs = 0
         self._received_at = context.now()
+        self._version = ""
+        self._run_version = ""
 
     @property
     def is_dispatched(self):
@@ -187,7 +191,7 @@
 
     async def serve(self):
         """Run the request to its final answer."""
-        if not await self._claim():
+        if not await self._claim() or not await self._find_version():
             return
         while self._passes_poison_check():
             granted = await self._acquire_slot()
@@ -230,6 +234,7 @@
             is_retry=self._next_kind in RETRIES,
             zone=self.context.zone,
             patience_s=self._patience_s(),
+            version=self._version,
         )
 
     def running_record(self):
@@ -262,6 +267,26 @@
                 self._refuse(Reason.LEDGER_UNAVAILABLE, executed=Executed.NO)
         return False
 
+    # Version of a stream.
+
+    async def _find_version(self):
+        """Find the version that began the resumed stream, if it is one; refuse the request if it is not known."""
+        request, streams = self.request, self.context.streams
+        if request.resumes is None or streams is None:
+            return True
+        version = await streams.find(service=request.service, stream_id=request.resumes)
+        if version is None:
+            self._refuse(Reason.VERSION_UNKNOWN)
+            return False
+        self._version = version
+        return True
+
+    def _record_version(self):
+        request, streams = self.request, self.context.streams
+        if request.stream_id and streams is not None:
+            stream_id = request.resumes or request.stream_id
+            streams.record(service=request.service, stream_id=stream_id, version=self._run_version)
+
     # Slot.
 
     def _passes_poison_check(self):
@@ -302,7 +327,7 @@
                 case Refused(attempt=self.attempt, reason=reason, retry_after_s=retry_after_s):
                     return self._handle_refusal(reason, retry_after_s)
                 case Granted(attempt=self.attempt):
-                    is_available = self.context.is_available(message.engine)
+                    is_available = self._is_available(message.engine)
                     if is_available and self.context.scheduler_is_informed(message):
                         self.state = RequestState.GRANTED
                         self._retries_used_up = message.retries_used_up
@@ -331,6 +356,12 @@
             wake=lambda: self.post(DirectRunEnded(attempt=grant_request.attempt)),
         )
 
+    def _is_available(self, engine):
+        """Whether this router knows the engine as one that may serve the request now."""
+        if not self.context.is_available(engine):
+            return False
+        return not self._version or self.context.version_of(engine) == self._version
+
     def _start_direct_run(self, wait):
         """Take an engine without the silent scheduler, or return ``None`` to wait on."""
         if not self._inbox.is_empty:
@@ -365,8 +396,16 @@
             reason = Reason.PREEMPTED
         if reason is Reason.RETRY_BUDGET:
             self.context.run_counts.count_refused_retry(service=self.request.service)
+        if reason is Reason.VERSION_GONE:
+            self._log_version_gone()
         self._refuse(reason, retry_after_s=retry_after_s)
 
+    def _log_version_gone(self):
+        self.context.run_counts.count_version_gone(service=self.request.service)
+        logger.bind(
+            request_id=self.request.request_id, service=self.request.service, version=self._version, runs=self.runs
+        ).warning("a stream can't go on: no engine of the software version that began it is left")
+
     # Run.
 
     async def _run_on_engine(self, granted):
@@ -393,6 +432,7 @@
     def _start_run(self, granted, *, attach):
         if not attach:
             self._address = self.context.address_of(granted.engine)
+            self._run_version = self.context.version_of(granted.engine)
             self.dispatched_at = self.context.now()
             self.run_tokens = 0
             self._cancelling = False
@@ -453,6 +493,7 @@
                 case RunBegan():
                     self._attach_attempts.confirm()
                     self._evidence.possibly_executed = self._evidence.known_executed = True
+                    self._record_version()
                     self._reports.began(self.engine, message)
                 case RunAdvanced(output_tokens=output_tokens):
                     self.run_tokens = output_tokens
@@ -523,6 +564,7 @@
         logger.bind(
             request_id=self.request.request_id,
             engine=self.engine,
+            version=self._run_version,
             run=self.runs,
             outcome=type(outcome).__name__,
             detail=getattr(outcome, "detail", "") or str(getattr(outcome, "status", "")),
@@ -582,6 +624,9 @@
     def _update_done_tokens(self, outcome):
         tokens = getattr(outcome, "output_tokens", 0)
         self.done_tokens = max(self.done_tokens, tokens)
+        if self.done_tokens and not self._version:
+            # What the caller holds can only be continued by the version that wrote it.
+            self._version = self._run_version
 
     def _answer_complete(self, ended):
         if isinstance(ended.outcome, RunDone):
--- a/wagtailtrestle/entry/run_counts.py
+++ b/wagtailtrestle/entry/run_counts.py
@@ -70,6 +70,10 @@
             "a request reached an engine during its back-off"
         )
 
+    def count_version_gone(self, *, service):
+        """Count a stream that can't go on since no engine of the version that began it is left."""
+        self._count("streams_of_gone_versions", service=service)
+
     def count_refused_retry(self, *, service):
         """Count a retry that the cell's retry budget did not allow."""
         self._count("retries_refused", service=service)
--- /dev/null
+++ b/wagtailtrestle/entry/stream_versions.py
@@ -0,0 +1,285 @@
+"""The software versions that began streams, known to the routers at which callers may resume them.
+
+What two versions of a service's software write does not fit together, so a stream may go on only at the version that
+began it. The router that delivers a stream remembers its version. While the service has several versions, that router
+also tells three others, chosen by hashing the stream's name, which the router that resumes the stream asks. A version
+that nobody remembers is never guessed.
+"""
+
+import asyncio
+import hashlib
+from collections import OrderedDict
+from enum import StrEnum
+from itertools import groupby
+
+from loguru import logger
+
+from wagtailtrestle.contracts.stream_messages import StreamVersion, StreamVersionAsk
+from wagtailtrestle.peers.rendezvous import Rendezvous
+
+HOLDERS = 3
+"""Other routers that remember a stream's version."""
+
+MORE_ASKED = 5
+"""Routers, next in the ranking, that are asked if no holder knows the version: they may have been holders before."""
+
+SHARDS = 32
+"""Groups of streams with the same holders. They bound the connections and the rankings of a large fleet."""
+
+ASK_TIMEOUT_S = 0.25
+MAX_STREAMS = 16_384
+"""Streams remembered, some 200 bytes each; the oldest are dropped first."""
+
+MAX_STREAMS_PER_MESSAGE = 512
+
+
+class Source(StrEnum):
+    """How the version of a resumed stream was found; the values are metric labels."""
+
+    OWN = "own"
+    PEER = "peer"
+    ONLY_VERSION = "only_version"
+    UNKNOWN = "unknown"
+
+
+class _Record:
+    """The version that began one stream, and when this router last learned of it."""
+
+    __slots__ = ("version", "service", "at")
+
+    def __init__(self, *, version, service, at):
+        self.version = version
+        self.service = service
+        self.at = at
+
+
+class StreamVersions:
+    """Remembers and finds the versions that began streams, on this router and with the others.
+
+    Parameters
+    ----------
+    name : str
+        This router.
+    peers : Peers
+    members : callable
+        Returns the names of all routers in the view, as a tuple.
+    clock : callable
+        Returns the loop's time in seconds.
+    retention_s : callable
+        Returns the time for which a stream's version is remembered.
+    history : VersionHistory
+    note : VersionNote
+        Tells a router whose own history is too short whether a service has had one version.
+    count : callable
+        ``count(name, **labels)`` counts an event.
+    """
+
+    __slots__ = (
+        "_name",
+        "_peers",
+        "_members",
+        "_clock",
+        "_retention_s",
+        "_history",
+        "_note",
+        "_count",
+        "_rendezvous",
+        "_own_by_key",
+        "_told_by_key",
+        "_holders_by_shard",
+        "_services_with_several",
+    )
+
+    def __init__(self, *, name, peers, members, clock, retention_s, history, note, count):
+        self._name = name
+        self._peers = peers
+        self._members = members
+        self._clock = clock
+        self._retention_s = retention_s
+        self._history = history
+        self._note = note
+        self._count = count
+        self._rendezvous = Rendezvous()
+        self._own_by_key = OrderedDict()
+        self._told_by_key = OrderedDict()
+        self._holders_by_shard = {}
+        self._services_with_several = frozenset()
+        peers.on(StreamVersion, self._on_told)
+        peers.on(StreamVersionAsk, self._on_ask)
+        peers.on_reconnect(self._tell_again)
+
+    def record(self, *, service, stream_id, version):
+        """Remember the version of a stream whose first event is about to be delivered, or that goes on here."""
+        key = stream_key(service=service, stream_id=stream_id)
+        _put(self._own_by_key, key, _Record(version=version, service=service, at=self._clock()))
+        if service in self._services_with_several:
+            self._tell(key, version)
+
+    async def find(self, *, service, stream_id):
+        """Find the version that began a stream.
+
+        Returns
+        -------
+        str or None
+            ``None`` if it is not known for certain.
+        """
+        version, source = await self._find(service, stream_id)
+        self._count("stream_resumes", source=str(source))
+        log = logger.bind(service=service, stream=stream_id, version=version or "", source=str(source))
+        if source is Source.UNKNOWN:
+            log.warning("a stream can't be resumed: the software version that began it is not known")
+        else:
+            log.info("a stream is resumed")
+        return version
+
+    def update_services(self, services):
+        """Apply the services of a new list of engines, already applied to the history."""
+        several = frozenset(service for service in services if len(self._history.versions(service)) > 1)
+        added = several - self._services_with_several
+        self._services_with_several = several
+        if added:
+            # Streams that began while the service had one version are known here alone.
+            self._tell_all(lambda key, record: record.service in added and self._holders(key))
+
+    def update_members(self):
+        """Tell routers that hold other streams since the view has changed."""
+        if not self._services_with_several:
+            self._holders_by_shard = {}
+            return
+        before, self._holders_by_shard = self._holders_by_shard, {}
+        self._tell_all(
+            lambda key, record: [peer for peer in self._holders(key) if peer not in before.get(_shard(key), ())]
+        )
+
+    def dump(self):
+        """Return plain data for the state dump."""
+        return {
+            "own": len(self._own_by_key),
+            "told": len(self._told_by_key),
+            "services_with_several": sorted(self._services_with_several),
+        }
+
+    # Search.
+
+    async def _find(self, service, stream_id):
+        key = stream_key(service=service, stream_id=stream_id)
+        version = self._remembered(key)
+        if version:
+            return version, Source.OWN
+        others = self._ranked_others(key)
+        version, answered = await self._ask(others[:HOLDERS], key)
+        if version:
+            return version, Source.PEER
+        # Whoever delivered the stream may have seen a version that this router does not see yet. With an answer of a
+        # holder, or without any other router, that is ruled out.
+        if (answered or not others) and (version := await self._only_version(service)):
+            return version, Source.ONLY_VERSION
+        version, _ = await self._ask(others[HOLDERS : HOLDERS + MORE_ASKED], key)
+        return (version, Source.PEER) if version else (None, Source.UNKNOWN)
+
+    async def _only_version(self, service):
+        versions = self._history.versions(service)
+        if len(versions) != 1:
+            return None
+        (version,) = versions
+        if self._history.covers_retention or await self._note.confirms(service=service, version=version):
+            return version
+        return None
+
+    async def _ask(self, routers, key):
+        """Return the version that some router remembers, or ``None``, and whether any router answered."""
+        asks = [
+            asyncio.ensure_future(self._peers.query(peer, StreamVersionAsk(stream=key), ASK_TIMEOUT_S))
+            for peer in routers
+        ]
+        answered = False
+        try:
+            for ask in asyncio.as_completed(asks):
+                answer = await ask
+                if isinstance(answer, StreamVersion):
+                    answered = True
+                    if answer.version:
+                        return answer.version, True
+        finally:
+            for ask in asks:
+                ask.cancel()
+        return None, answered
+
+    def _remembered(self, key):
+        horizon = self._clock() - self._retention_s()
+        for records in (self._own_by_key, self._told_by_key):
+            record = records.get(key)
+            if record is not None and record.at >= horizon:
+                return record.version
+        return ""
+
+    # Messages.
+
+    def _on_told(self, peer, message, cell):
+        now = self._clock()
+        for key in message.streams:
+            _put(self._told_by_key, key, _Record(version=message.version, service="", at=now))
+        self._drop_expired(self._told_by_key)
+
+    def _on_ask(self, peer, message, cell):
+        return StreamVersion(version=self._remembered(message.stream))
+
+    def _tell(self, key, version):
+        for peer in self._holders(key):
+            self._peers.send(peer, StreamVersion(version=version, streams=(key,)))
+
+    def _tell_again(self, peer):
+        # A router that restarted has forgotten what it held.
+        if self._services_with_several:
+            self._tell_all(lambda key, record: [peer] if peer in self._holders(key) else [])
+
+    def _tell_all(self, receivers_of):
+        """Send the records of services with several versions to the routers that ``receivers_of`` names."""
+        self._drop_expired(self._own_by_key)
+        told = sorted(
+            (peer, record.version, key)
+            for key, record in self._own_by_key.items()
+            if record.service in self._services_with_several
+            for peer in receivers_of(key, record)
+        )
+        for (peer, version), group in groupby(told, key=lambda entry: entry[:2]):
+            keys = tuple(key for _, _, key in group)
+            for start in range(0, len(keys), MAX_STREAMS_PER_MESSAGE):
+                self._peers.send(
+                    peer, StreamVersion(version=version, streams=keys[start : start + MAX_STREAMS_PER_MESSAGE])
+                )
+
+    # Holders.
+
+    def _ranked_others(self, key):
+        ranked = self._rendezvous.ranked(key=f"streams/{_shard(key)}", members=self._members())
+        return [name for name in ranked if name != self._name]
+
+    def _holders(self, key):
+        shard = _shard(key)
+        holders = self._holders_by_shard.get(shard)
+        if holders is None:
+            holders = self._holders_by_shard[shard] = tuple(self._ranked_others(key)[:HOLDERS])
+        return holders
+
+    def _drop_expired(self, records):
+        horizon = self._clock() - self._retention_s()
+        while records and next(iter(records.values())).at < horizon:
+            records.popitem(last=False)
+
+
+def stream_key(*, service, stream_id):
+    """Return the 64-bit key of a service's stream."""
+    digest = hashlib.blake2b(f"{service}\0{stream_id}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def _shard(key):
+    return key % SHARDS
+
+
+def _put(records, key, record):
+    records[key] = record
+    records.move_to_end(key)
+    while len(records) > MAX_STREAMS:
+        records.popitem(last=False)
--- a/wagtailtrestle/measure/rollout_ways.py
+++ b/wagtailtrestle/measure/rollout_ways.py
@@ -153,7 +153,7 @@
     while clock.now < DURATION_S:
         clock.now += rng.expovariate(RATE_PER_S)
         route = "read" if rng.random() < 2 / 3 else "book"
-        request = SimpleNamespace(route=route, excluded_engines=(), alone=False, done_tokens=0)
+        request = SimpleNamespace(route=route, excluded_engines=(), alone=False, done_tokens=0, version="")
         is_target = rollout.phase is Phase.SHIFT or rollout.should_expose(request)
         granted += 1
         exposed += is_target
--- a/wagtailtrestle/peers/codec.py
+++ b/wagtailtrestle/peers/codec.py
@@ -8,7 +8,14 @@
 from enum import Enum
 from typing import get_type_hints
 
-from wagtailtrestle.contracts import ledger_messages, messages, peer_messages, quota_messages, rollout_messages
+from wagtailtrestle.contracts import (
+    ledger_messages,
+    messages,
+    peer_messages,
+    quota_messages,
+    rollout_messages,
+    stream_messages,
+)
 from wagtailtrestle.contracts.outcomes import Reason
 from wagtailtrestle.contracts.peer_messages import MemberState
 from wagtailtrestle.contracts.rollout_messages import RolloutState
@@ -45,6 +52,8 @@
     messages.Preempt: ("preempt", pb.Preempt),
     messages.EngineDown: ("engine_down", pb.EngineDown),
     messages.Queued: ("queued", pb.Queued),
+    stream_messages.StreamVersion: ("stream_version", pb.StreamVersion),
+    stream_messages.StreamVersionAsk: ("stream_version_ask", pb.StreamVersionAsk),
     ledger_messages.ClaimAsk: ("claim_ask", pb.ClaimAsk),
     ledger_messages.ClaimAnswer: ("claim_answer", pb.ClaimAnswer),
     ledger_messages.SettleAsk: ("settle_ask", pb.SettleAsk),
--- a/wagtailtrestle/peers/delays.py
+++ b/wagtailtrestle/peers/delays.py
@@ -7,6 +7,7 @@
 
 from wagtailtrestle.contracts.messages import Granted, RunFinished, RunProgress, RunStarted
 from wagtailtrestle.contracts.peer_messages import EnginesAnswer, EnginesAsk, Heartbeat, Pong
+from wagtailtrestle.contracts.stream_messages import StreamVersion
 from wagtailtrestle.record import record
 
 
@@ -51,6 +52,8 @@
     # The requester has a short timeout of its own.
     EnginesAsk: Delay(patience_s=None),
     EnginesAnswer: Delay(patience_s=None),
+    # Needed once the stream is interrupted, which may be soon after it began.
+    StreamVersion: Delay(leave_within_s=0.02, patience_s=None),
     # If a pong expected a response, both ends would ping each other forever.
     Pong: Delay(patience_s=None),
 }
--- a/wagtailtrestle/platform/callers.py
+++ b/wagtailtrestle/platform/callers.py
@@ -140,7 +140,9 @@
         if isinstance(charge, Refusal):
             return charge
         declaration = in_force.declaration
-        service = choose_service(route=route, request_id=incoming.response.request_id)
+        resumes = _resumed_stream(route, environ)
+        # A resumed stream goes on at the service that began it, also while a route is split over several.
+        service = choose_service(route=route, request_id=resumes or incoming.response.request_id)
         tier = declaration.tiers_by_name[tier_of(route=route, team=team)]
         prompt_tokens, output_tokens = sizes or (0, 0)
         declared = declaration.services_by_name.get(service)
@@ -177,6 +179,8 @@
             event_tokens=event_tokens,
             hinted_tokens=_length_hint(environ.get("HTTP_LENGTH_HINT", "")),
             patience_s=_patience_s(route),
+            stream_id=call.request_id if route.streaming and route.resumable else "",
+            resumes=resumes,
         )
         return PreparedRequest(
             request=request,
@@ -286,6 +290,13 @@
     return max(MIN_PATIENCE_S, patience_s)
 
 
+def _resumed_stream(route, environ):
+    """Return the id of the attempt that began the stream which the request resumes, or ``None`` if it begins one."""
+    if not (route.streaming and route.resumable and environ.get("HTTP_LAST_EVENT_ID", "").strip()):
+        return None
+    return environ.get("HTTP_RESUMES", "").strip()
+
+
 def _prefix(text):
     """Return chained hashes of the prompt's leading parts, and the tokens of each.
 
--- a/wagtailtrestle/platform/engines.py
+++ b/wagtailtrestle/platform/engines.py
@@ -197,8 +197,9 @@
             if events.data:
                 received.events += events.count
                 received.last_event_id = splitter.last_id
-                exchange.on_token(received.events, events.data)
+                # The begin of a run is reported first, so that the caller can't resume a stream that is not recorded.
                 exchange.progress.update()
+                exchange.on_token(received.events, events.data)
             exchange.set_read_timeout(exchange.progress.time_left_for_token_s())
         if splitter.has_partial_event or left:
             return exchange.cut("the stream ended inside an event")
--- a/wagtailtrestle/platform/headers.py
+++ b/wagtailtrestle/platform/headers.py
@@ -3,6 +3,8 @@
 REQUEST_ID = "Request-Id"
 DEADLINE_MS = "Deadline-Milliseconds"
 LAST_EVENT_ID = "Last-Event-Id"
+RESUMES = "Resumes"
+"""On a request that resumes a stream: ``Request-Id`` of the attempt that brought the stream's first event."""
 AUTHORIZATION = "Authorization"
 KEY_SCHEME = "token"
 RETRY_AFTER = "Retry-After"
--- a/wagtailtrestle/rollouts/rollout.py
+++ b/wagtailtrestle/rollouts/rollout.py
@@ -92,6 +92,11 @@
         """Time since the order was first seen."""
         return self._clock() - self._began_at
 
+    @property
+    def is_running(self):
+        """Whether the rollout has not ended."""
+        return self.phase is not Phase.ENDED
+
     def is_target(self, version):
         """Return whether this is the target version."""
         return version == self.order.target
@@ -101,7 +106,7 @@
         if self.phase not in (Phase.TRIAL, Phase.RAMP):
             return False
         # Retries and requests suspected of crashes are not sent to the untested version.
-        if request.excluded_engines or request.alone or request.done_tokens:
+        if request.excluded_engines or request.alone or request.done_tokens or request.version:
             return False
         return self.exposure.may_expose(request.route, self._clock())
 
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -22,6 +22,7 @@
 from wagtailtrestle.configuration.peer_configuration import PeerConfiguration
 from wagtailtrestle.configuration.store_epoch import StoreEpoch
 from wagtailtrestle.configuration.store_readers import StoreReaders
+from wagtailtrestle.configuration.version_note import VersionNote
 from wagtailtrestle.contracts.declaration import LANGUAGE
 from wagtailtrestle.contracts.ledger_messages import ClaimAsk, NonceAsk, SettleAsk
 from wagtailtrestle.contracts.outcomes import Reason
@@ -36,6 +37,8 @@
 from wagtailtrestle.entry.crash_watch import CrashWatch
 from wagtailtrestle.entry.entry import Entry
 from wagtailtrestle.entry.poison import CrashClearance, CrashDetector, CrashReport, CrashTable
+from wagtailtrestle.entry.stream_versions import StreamVersions
+from wagtailtrestle.entry.version_history import VersionHistory
 from wagtailtrestle.ledger.ledger import Ledger
 from wagtailtrestle.membership.announcement import Announcement
 from wagtailtrestle.membership.membership import Membership
@@ -55,6 +58,9 @@
 TICK_S = 0.1
 MS_PER_S = 1000.0
 CONNECT_TIMEOUT_S = 1.0
+STREAM_RETENTION_FACTOR = 2
+"""Retention of a stream's version, as a multiple of the time in which its route answers."""
+MAX_STREAM_RETENTION_S = 600.0
 ENGINE_ROLE = "engine"
 ROUTER_ROLE = "router"
 
@@ -247,6 +253,7 @@
         self._peers.on_reconnect(self._send_crash_reports)
         self._make_ledger()
         self._make_rollouts()
+        self._make_stream_versions()
         self._entry = Entry(
             name=name,
             schedulers=self._directory.scheduler_link,
@@ -260,6 +267,7 @@
             features=self._features_in_force,
             routers=self._directory.routers_sharing,
             reserved_engines=self._reserved_engines,
+            streams=self._stream_versions,
         )
         self._reports = EngineReports(
             interval_s=self._settings.report_interval_s,
@@ -295,6 +303,36 @@
         self._peers.on_reconnect(self._send_rollout_states)
         self._membership.on_view_change(lambda view: self._rollouts.refresh())
 
+    def _make_stream_versions(self):
+        self._stream_versions = None
+        if self._adapter.version_kind is None:
+            return
+        self._version_history = VersionHistory(clock=self._loop.time, retention_s=self._stream_retention_s)
+        self._version_note = VersionNote(
+            store=self._store,
+            kind=self._adapter.version_kind,
+            history=self._version_history,
+            own_services=self._own_cells,
+        )
+        self._stream_versions = StreamVersions(
+            name=self._settings.name,
+            peers=self._peers,
+            members=lambda: self._membership.view.members,
+            clock=self._loop.time,
+            retention_s=self._stream_retention_s,
+            history=self._version_history,
+            note=self._version_note,
+            count=self._metrics.count,
+        )
+        self._membership.on_view_change(lambda view: self._stream_versions.update_members())
+
+    def _stream_retention_s(self):
+        """Time for which the version of a stream matters: a caller may resume until its own deadline."""
+        if self._in_force is None:
+            return MAX_STREAM_RETENTION_S
+        limits_ms = [route.timeout_ms for route in self._declaration().host_routes if route.resumable]
+        return min(MAX_STREAM_RETENTION_S, STREAM_RETENTION_FACTOR * max(limits_ms, default=0) / MS_PER_S)
+
     def _reserved_engines(self, service, engines):
         return frozenset() if self._rollouts is None else self._rollouts.unproven_engines(service, engines)
 
@@ -386,6 +424,9 @@
         if self._epoch_note is not None:
             self._epoch_note.start()
             self._exit_stack.push_async_callback(self._epoch_note.close)
+        if self._stream_versions is not None:
+            self._version_note.start()
+            self._exit_stack.push_async_callback(self._version_note.close)
         self._exit_stack.push_async_callback(self._ledger.close)
         if self._rollouts is not None:
             self._rollouts.start()
@@ -489,6 +530,7 @@
             "ledger": self._ledger.dump(),
             "crashes": self._crashes.dump(),
             "rollouts": None if self._rollouts is None else self._rollouts.dump(),
+            "stream_versions": None if self._stream_versions is None else self._stream_versions.dump(),
         }
 
     # Callbacks between the components.
@@ -538,6 +580,9 @@
         if self._rollouts is not None:
             # First, so that no engine is used before it is known whether its version is permitted.
             self._rollouts.refresh()
+        if self._stream_versions is not None and self._engine_list.is_known:
+            self._version_history.update(declaration.engines_by_name.values())
+            self._stream_versions.update_services(declaration.services_by_name)
         self._connector.retain_engines(declaration.engines_by_name.keys())
         self._schedulers.set_declaration(declaration)
         self._directory.refresh()
@@ -636,6 +681,8 @@
                 self._directory.request_registrations(cell=cell, entries=scheduler.awaited_entries)
             if self._in_force is not None:
                 self._quotas.tick()
+                if self._stream_versions is not None:
+                    self._stream_versions.update_services(self._declaration().services_by_name)
             if self._rollouts is not None:
                 self._rollouts.tick()
 
