--- a/tests/utils/crashing_engine.py
+++ b/tests/utils/crashing_engine.py
@@ -21,6 +21,8 @@
     ----------
     store : Store
         Store in which it registers: its entry expires while it is down, and is created again under another id.
+    down_s, expiry_s : float
+        Time after a crash until it is back, and until its entry expires.
 
     Attributes
     ----------
@@ -28,7 +30,9 @@
         Times by the monotonic clock.
     """
 
-    def __init__(self, *, name, service, store):
+    def __init__(self, *, name, service, store, down_s=DOWN_S, expiry_s=EXPIRY_S):
+        self._down_s = down_s
+        self._expiry_s = expiry_s
         self.arrivals_of_poison = []
         self.crashes = []
         self._store = store
@@ -45,7 +49,7 @@
             self._connections.add(handler.connection)
         try:
             expected = handler.headers.get("Expect-Instance")
-            if MARK in handler.path and expected in (None, self.name):
+            if self.is_poison(handler) and expected in (None, self.name):
                 self.arrivals_of_poison.append(time.monotonic())
                 time.sleep(WORK_S)
                 self._crash(handler)
@@ -55,6 +59,10 @@
             with self._lock:
                 self._connections.discard(handler.connection)
 
+    def is_poison(self, handler):
+        """Whether the engine crashes when it runs this request."""
+        return MARK in handler.path
+
     def _crash(self, handler):
         handler.close_connection = True
         with self._lock:
@@ -71,9 +79,26 @@
         threading.Thread(target=self._come_back, daemon=True).start()
 
     def _come_back(self):
-        time.sleep(EXPIRY_S)
+        time.sleep(self._expiry_s)
         self._store.delete("servers", self.name)
-        time.sleep(DOWN_S - EXPIRY_S)
+        time.sleep(self._down_s - self._expiry_s)
         self.name = f"{self._first_name}-{len(self.crashes)}"
         self.resume_listening()
         self._store.put("servers", self.name, self.entry())
+
+
+class PartCrashingEngine(CrashingEngine):
+    """Crashes on each request whose prompt holds one of ``bad_parts``, wherever it stands, before any event.
+
+    Attributes
+    ----------
+    bad_parts : set of str
+    """
+
+    def __init__(self, *, bad_parts, **options):
+        self.bad_parts = bad_parts
+        super().__init__(**options)
+
+    def is_poison(self, handler):
+        parts = (handler.headers.get("Prompt-Prefix") or "").split(",")
+        return any(part.partition(":")[0] in self.bad_parts for part in parts[:-1])
