Baselines and fake views have the version of an engine

The whole test run on showed eight errors: policies now read an engine's version, which the measured baselines' engines and a test's view lacked. Both have it; no check changed.

--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -20,6 +20,7 @@
         self.slots = slots
         self.zone = "gijon"
         self.hardware = "gen2"
+        self.version = "v1"
         self.available = available
 
 
--- a/wagtailtrestle/measure/baseline_routers.py
+++ b/wagtailtrestle/measure/baseline_routers.py
@@ -30,6 +30,7 @@
         "slots",
         "zone",
         "hardware",
+        "version",
         "available",
     )
 
@@ -48,6 +49,7 @@
         self.slots = declared.slots
         self.zone = declared.zone
         self.hardware = declared.hardware
+        self.version = declared.version
         self.available = True
 
 
