Tests: answers that end with their connection, over own links and tunnels

Streams and calls with neither a length nor chunks, that end whole, inside an event or by a reset, directly and through another router. All are told apart by the code as it is: what ends whole is whole, the rest is resumed or broken off visibly. The links between routers and engines in tests now pass a reset on as one; they had closed in order instead.

--- a/tests/utils/engine_links.py
+++ b/tests/utils/engine_links.py
@@ -117,10 +117,14 @@
 
     def _reset_connections(self):
         for writer in list(self._writers):
-            sock = writer.get_extra_info("socket")
-            if sock is not None and sock.fileno() >= 0:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            writer.transport.abort()
+            self._reset(writer)
+
+    @staticmethod
+    def _reset(writer):
+        sock = writer.get_extra_info("socket")
+        if sock is not None and sock.fileno() >= 0:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        writer.transport.abort()
 
     async def _accept(self):
         loop = asyncio.get_running_loop()
@@ -159,7 +163,9 @@
                 writer.write(data)
                 await writer.drain()
         except ConnectionError:
-            pass
+            # Either end was reset, so the other one is too.
+            await self._flowing.wait()
+            self._reset(writer)
         finally:
             await self._flowing.wait()
             writer.close()
--- a/tests/utils/world_engine.py
+++ b/tests/utils/world_engine.py
@@ -1,12 +1,15 @@
 """Stand-in for an engine of the users' platform, with scripted answers."""
 
 import json
+import socket
+import struct
 import threading
 import time
 
 from tests.utils.world_server import Server
 
 SIGNATURE = "signed"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class Engine(Server):
@@ -37,7 +40,9 @@
     events : int
     script : list of str
         ``full``, ``cut``, ``torn``, ``fail``, ``coded``, ``crossed`` or ``unsigned``; each request
-        consumes one, and when none is left requests are answered without a fault.
+        consumes one, and when none is left requests are answered without a fault. ``unframed`` answers with neither
+        a length nor chunks, and ends with its connection; ``unframed-torn`` ends inside an event, and
+        ``unframed-reset`` with a reset after a part of the answer.
     """
 
     def __init__(self, *, name, service, events=6, pause_s=0.005):
@@ -154,6 +159,9 @@
 
     def _send_complete(self, handler, how):
         body = f"whole from {self.name}".encode()
+        if how.startswith("unframed"):
+            self._send_unframed(handler, how, [body[:3], body[3:]])
+            return
         handler.send_response(200)
         for name, value in self._answer_headers(handler, how):
             handler.send_header(name, value)
@@ -165,7 +173,30 @@
         else:
             handler.wfile.write(body)
 
+    def _send_unframed(self, handler, how, pieces):
+        handler.send_response(200)
+        for name, value in [*self._answer_headers(handler, how), ("Connection", "close")]:
+            handler.send_header(name, value)
+        handler.end_headers()
+        handler.close_connection = True
+        if how != "unframed":
+            *pieces, last = pieces[: 1 + len(pieces) // 2]
+            pieces.append(last[:7] if how == "unframed-torn" else last)
+        for piece in pieces:
+            handler.wfile.write(piece)
+            time.sleep(self.pause_s)
+        if how == "unframed-reset":
+            handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            # While its reader is open the socket stays open too, and the server would shut it down in order.
+            handler.rfile.close()
+            handler.connection.close()
+
     def _send_stream(self, handler, how):
+        if how.startswith("unframed"):
+            first = int(handler.headers.get("Last-Event-Id") or 0) + 1
+            events = [f"id: {n}\ndata: {self.name}\n\n".encode() for n in range(first, self.events + 1)]
+            self._send_unframed(handler, how, events)
+            return
         handler.send_response(200)
         for name, value in [*self._answer_headers(handler, how), ("Content-Type", "text/event-stream")]:
             handler.send_header(name, value)
