Titles of the refusals of resumed streams

tests.test_callers_http asks for a title of every reason; the whole test run on showed that the two new ones had none (the native interface would have failed on them, which never refuses for them).

--- a/wagtailtrestle/callers/problem.py
+++ b/wagtailtrestle/callers/problem.py
@@ -38,6 +38,8 @@
     Reason.CALLER_GONE: "The caller closed its connection",
     Reason.QUOTA: "The team's quota is used up",
     Reason.KEYS_STALE: "Keys can't be checked at present",
+    Reason.VERSION_GONE: "No engine of the stream's version is left",
+    Reason.VERSION_UNKNOWN: "The stream's version is not known",
 }
 
 
