Routers hold as many requests as their memory lasts for

What callers see: while most new connections of a region go to one router, each long stream takes one of its threads. With the 256 threads of the deployed settings a router that got 150 streams of 3 s a second refused nearly half with router_full, although engines and the other routers had room.

Cause: a fixed number of threads, chosen for connections that are spread evenly. Class of fault: a share of a fleet's load taken for its bound at one router.

Change: the deployed settings allow 1,024 threads, made as they are needed, and name the machine's memory (memory_mb); a router makes only as many as that lasts for, 440 of them with 152 MB, all with 300 MB.

--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -27,6 +27,7 @@
     "bounds.revoke_ms": "5000",
     "bounds.strict_revocation": "true",
     "bounds.grace_s": "8",
+    "limits.memory_mb": "152",
 }
 
 
@@ -48,6 +49,7 @@
         self.assertNotIsInstance(settings, SettingsFaults, getattr(settings, "faults", ""))
         self.assertEqual(settings.adapter, "platform")
         self.assertEqual((settings.key_freshness_s, settings.max_drain_s), (4.5, 0.84 * 8))
+        self.assertEqual((settings.caller_threads, settings.affordable_caller_threads), (1024, 440))
         self.assertEqual((settings.retry_share, settings.retry_extra, settings.retry_window_s), (0.2, 58.0, 8.0))
 
     def test_template_without_optional_bounds_is_valid(self):
@@ -56,6 +58,10 @@
         settings = parse_router_settings(render(template, fields))
         self.assertNotIsInstance(settings, SettingsFaults, getattr(settings, "faults", ""))
         self.assertEqual((settings.key_freshness_s, settings.quota_window_s), (0.0, 0.0))
+        self.assertEqual(settings.affordable_caller_threads, 440)
+        fields["limits.memory_mb"] = "16"
+        settings = parse_router_settings(render(template, fields))
+        self.assertEqual(settings.affordable_caller_threads, 4)
 
     def test_router_role_and_metrics_address_match_the_template(self):
         system = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
--- a/wagtailtrestle/declarations/settings.py
+++ b/wagtailtrestle/declarations/settings.py
@@ -30,6 +30,11 @@
 """Share of the key revocation time for which a proof is valid; the rest covers the request's own transit time."""
 DRAIN_SHARE = 0.84
 """Share of the stop grace period for which a process waits for requests in flight; shutting down takes 1.1 s."""
+MIN_CALLER_THREADS = 4
+BASE_MEMORY_MB = 64.0
+"""Memory of a router without requests, after hours of use."""
+CALLER_THREAD_MEMORY_MB = 0.2
+"""Memory of one request in progress, with its thread and connections."""
 OWN_ADAPTER = "own"
 PLATFORM_ADAPTER = "platform"
 ADAPTERS = (OWN_ADAPTER, PLATFORM_ADAPTER)
@@ -110,6 +115,8 @@
         Share of a service's requests that an untested version may get; 0 where no rollouts are ordered.
     rollout_slack : float
         Requests that an untested version may get in addition.
+    memory_mb : float
+        Memory that this process may use; 0 if unknown.
     cpu_share : float
         Share of a processor core that this process may use; 0 if unknown.
     cpu_speed : float
@@ -167,6 +174,7 @@
         "engine_return_grace_s",
         "rollout_share",
         "rollout_slack",
+        "memory_mb",
         "cpu_share",
         "cpu_speed",
         "tight_target_ms",
@@ -216,6 +224,7 @@
         engine_return_grace_s=DEFAULT_ENGINE_RETURN_GRACE_S,
         rollout_share=0.0,
         rollout_slack=0.0,
+        memory_mb=0.0,
         cpu_share=0.0,
         cpu_speed=1.0,
         tight_target_ms=0.0,
@@ -261,6 +270,7 @@
         self.engine_return_grace_s = engine_return_grace_s
         self.rollout_share = rollout_share
         self.rollout_slack = rollout_slack
+        self.memory_mb = memory_mb
         self.cpu_share = cpu_share
         self.cpu_speed = cpu_speed
         self.tight_target_ms = tight_target_ms
@@ -276,6 +286,14 @@
         """Processor capacity in usual cores; 0 if unknown."""
         return self.cpu_share * self.cpu_speed
 
+    @property
+    def affordable_caller_threads(self):
+        """``caller_threads``, or fewer if the memory would not last for all of them to be in use."""
+        if not self.memory_mb:
+            return self.caller_threads
+        affordable = int((self.memory_mb - BASE_MEMORY_MB) / CALLER_THREAD_MEMORY_MB)
+        return min(self.caller_threads, max(MIN_CALLER_THREADS, affordable))
+
     @property
     def key_freshness_s(self):
         """How long a key may be used without new proof that it is valid; 0 for no such limit."""
@@ -358,7 +376,7 @@
     seconds = Number(minimum=0, maximum=3600)
     return {
         "caller_threads": reader.value(
-            "caller_threads", Integer(minimum=4, maximum=4096), default=DEFAULT_CALLER_THREADS
+            "caller_threads", Integer(minimum=MIN_CALLER_THREADS, maximum=4096), default=DEFAULT_CALLER_THREADS
         ),
         "max_body_bytes": reader.value(
             "max_body_bytes", Integer(minimum=1024, maximum=67_108_864), default=DEFAULT_MAX_BODY_BYTES
@@ -405,6 +423,7 @@
 def _read_tight_targets(reader):
     milliseconds = Number(minimum=0, maximum=60_000)
     return {
+        "memory_mb": reader.value("memory_mb", Number(minimum=0, maximum=1_000_000), default=0.0),
         "cpu_share": reader.value("cpu_share", Number(minimum=0, maximum=4096), default=0.0),
         "cpu_speed": reader.value("cpu_speed", Number(minimum=0.01, maximum=1000), default=1.0),
         "tight_target_ms": reader.value("tight_target_ms", milliseconds, default=0.0),
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -355,7 +355,7 @@
 
     def _make_servers(self):
         settings = self._settings
-        limits = CallerLimits(held=max_held_requests(settings.caller_threads), body_bytes=DEFAULT_BODY_BYTES)
+        limits = CallerLimits(held=max_held_requests(settings.affordable_caller_threads), body_bytes=DEFAULT_BODY_BYTES)
         self._callers = CallersServer(
             name=f"{settings.name}-{self._incarnation}",
             address=split_address(settings.callers_address),
@@ -367,7 +367,7 @@
             limits=limits,
             metrics=self._metrics,
             ready=self.not_ready,
-            threads=settings.caller_threads,
+            threads=settings.affordable_caller_threads,
             max_body_bytes=settings.max_body_bytes,
             max_header_bytes=settings.max_header_bytes,
             start_hold_s=settings.start_hold_s,
