Tunnels: the last router that is asked has all the time left

What callers saw, beside load: runs that ended as not sent although another router reaches the engine, and then, for half a second, runs that were not even tried through others.

Change: the last one has the time that is left, and only a router's own refusal makes an engine unreachable.

--- a/wagtailtrestle/engines/connector.py
+++ b/wagtailtrestle/engines/connector.py
@@ -12,6 +12,7 @@
 from urllib3.exceptions import TimeoutError as UrllibTimeoutError
 
 from wagtailtrestle.declarations.argument_types import split_address
+from wagtailtrestle.engines.paths import NoTunnel
 
 CONNECT_ERRORS = (NewConnectionError, UrllibTimeoutError, OSError)
 DIRECT_TIMEOUT_S = 0.3
@@ -161,8 +162,10 @@
             is_partitioned = self._paths.any_lost
         tunnel = self._open_tunnel(engine, timeout_s, is_partitioned=is_partitioned)
         with self._lock:
-            if tunnel is None:
-                self._paths.record_unreachable(engine)
+            if isinstance(tunnel, NoTunnel):
+                # A router that answered late, or not at all, tells nothing of the engine.
+                if tunnel.is_unreachable:
+                    self._paths.record_unreachable(engine)
                 return None
             self._paths.record_tunnel(engine, via=tunnel.via, direct_failed=direct_failed)
         self._count("tunnels_opened", via=tunnel.via)
@@ -177,12 +180,12 @@
             future = asyncio.run_coroutine_threadsafe(opening, self._loop)
         except RuntimeError:
             opening.close()
-            return None  # The loop has closed: the process is ending.
+            return NoTunnel()  # The loop has closed: the process is ending.
         try:
             return future.result(timeout_s + TUNNEL_TIMEOUT_TOLERANCE_S)
         except (concurrent.futures.TimeoutError, concurrent.futures.CancelledError):
             future.cancel()
-            return None
+            return NoTunnel()
 
     def _probe_if_due(self, engine, address):
         with self._lock:
--- a/wagtailtrestle/engines/paths.py
+++ b/wagtailtrestle/engines/paths.py
@@ -8,6 +8,8 @@
 
 from loguru import logger
 
+from wagtailtrestle.record import record
+
 FIRST_PROBE_DELAY_S = 1.0
 MAX_PROBE_DELAY_S = 8.0
 FLAP_WINDOW_S = 10.0
@@ -16,6 +18,17 @@
 """Time for which other routers are not asked again about an engine that they could not reach."""
 
 
+@record
+class NoTunnel:
+    """No router that was asked opened a tunnel to an engine.
+
+    ``is_unreachable`` tells whether some router reported that it can't connect to the engine either, rather than
+    answering late or not at all.
+    """
+
+    is_unreachable: bool = False
+
+
 class EnginePaths:
     """Paths of this router to engines.
 
--- a/wagtailtrestle/peers/tunnel_client.py
+++ b/wagtailtrestle/peers/tunnel_client.py
@@ -9,13 +9,15 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from loguru import logger
 
+from wagtailtrestle.engines.paths import NoTunnel
 from wagtailtrestle.generated import peers_pb2 as pb
 from wagtailtrestle.generated.peers_grpc import PeersStub
 from wagtailtrestle.peers.helper_choice import HelperChoice
 from wagtailtrestle.peers.tunnel_server import TunnelRefusal
 
 TRY_TIMEOUT_S = 0.4
-"""Time that one router has to connect to the engine: its own connect timeout and two transits."""
+"""Time that a router has to connect to the engine while others are left to ask: its own connect timeout and two
+transits."""
 MAX_TRIES = 4
 REFUSAL_LOG_INTERVAL_S = 1.0
 MAX_UNREACHABLE = 2
@@ -148,16 +150,18 @@
 
         Returns
         -------
-        Tunnel or None
-            ``None`` if no router that was asked could connect to the engine.
+        Tunnel or NoTunnel
         """
         ends_at = self._loop.time() + timeout_s
         unreachable = 0
-        for helper in self._choice.order(name for name in self._members() if name != self._name)[:MAX_TRIES]:
+        helpers = self._choice.order(name for name in self._members() if name != self._name)[:MAX_TRIES]
+        for helper in helpers:
             left_s = ends_at - self._loop.time()
             if left_s <= 0.0 or (unreachable >= MAX_UNREACHABLE and not is_partitioned):
                 break
-            opened = await self._open_through(helper, engine, min(TRY_TIMEOUT_S, left_s))
+            # Time that is left after the last router would be of no use to anybody.
+            limit_s = left_s if helper == helpers[-1] else min(TRY_TIMEOUT_S, left_s)
+            opened = await self._open_through(helper, engine, limit_s)
             if isinstance(opened, Tunnel):
                 self._choice.record_success(helper)
                 self._opened += 1
@@ -166,7 +170,7 @@
             self._choice.record_failure(helper)
             unreachable += opened == TunnelRefusal.UNREACHABLE
         self._failed += 1
-        return None
+        return NoTunnel(is_unreachable=unreachable > 0)
 
     async def close(self):
         """End all tunnels."""
