--- a/tests/utils/stream_callers.py
+++ b/tests/utils/stream_callers.py
@@ -42,13 +42,14 @@
         handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
         first = int(handler.headers.get("Last-Event-Id") or 0) + 1
+        version = self.version
         breaks = self.break_after is not None and next(self._numbers) % self._break_every == 0
         try:
             for number in range(first, self.events + 1):
                 if breaks and number > first + self.break_after:
                     handler.close_connection = True
                     return
-                self._send_chunk(handler, f"id: {number}\ndata: {self.version}\n\n".encode())
+                self._send_chunk(handler, f"id: {number}\ndata: {version}\n\n".encode())
                 time.sleep(self.pause_s)
             handler.wfile.write(b"0\r\n\r\n")
         except OSError:
