A second service with several versions is told of like the first

Found in reading the diff: with one service in several versions already, the second one that got several raised TypeError for each stream of the first, and with it the list of engines was not applied. The receivers of a record are now always a tuple. tests.test_version_records, each service has versions of its own, failed with the TypeError before.

--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -79,12 +79,13 @@
         self.list_versions(versions)
 
     def list_versions(self, versions):
-        self.history.update(self._engine(version) for version in versions)
+        self.history.update(self.engine(version) for version in versions)
         self.streams.update_services([SERVICE])
 
     @staticmethod
-    def _engine(version):
-        declared = engine(f"e-{version}")
+    def engine(version, service=SERVICE):
+        declared = engine(f"e-{service}-{version}")
+        declared.service = service
         declared.version = version
         return declared
 
@@ -190,6 +191,21 @@
         self.assertEqual(await fleet.routers["r1"].find("s"), "v1")
         await fleet.close()
 
+    # Guards against a second service that gets several versions while another one has them already.
+    @on_paused_clock
+    async def test_each_service_has_versions_of_its_own(self):
+        fleet = Fleet(size=3)
+        router = fleet.routers["r0"]
+        router.record("s", "v1")
+        router.streams.record(service="other", stream_id="s", version="v7")
+        others = [FakeRouter.engine(version, service="other") for version in ("v7", "v8")]
+        router.history.update([FakeRouter.engine("v1"), FakeRouter.engine("v2"), *others])
+        router.streams.update_services([SERVICE, "other"])
+        await asyncio.sleep(0.1)
+        self.assertEqual(await fleet.routers["r1"].streams.find(service="other", stream_id="s"), "v7")
+        self.assertEqual(await fleet.routers["r1"].find("s"), "v1")
+        await fleet.close()
+
     # Guards against a version that is taken for the only one although another one has just left.
     @on_paused_clock
     async def test_version_that_just_left_still_counts(self):
--- a/wagtailtrestle/entry/stream_versions.py
+++ b/wagtailtrestle/entry/stream_versions.py
@@ -139,7 +139,7 @@
         self._services_with_several = several
         if added:
             # Streams that began while the service had one version are known here alone.
-            self._tell_all(lambda key, record: record.service in added and self._holders(key))
+            self._tell_all(lambda key, record: self._holders(key) if record.service in added else ())
 
     def update_members(self):
         """Tell routers that hold other streams since the view has changed."""
@@ -231,7 +231,7 @@
     def _tell_again(self, peer):
         # A router that restarted has forgotten what it held.
         if self._services_with_several:
-            self._tell_all(lambda key, record: [peer] if peer in self._holders(key) else [])
+            self._tell_all(lambda key, record: (peer,) if peer in self._holders(key) else ())
 
     def _tell_all(self, receivers_of):
         """Send the records of services with several versions to the routers that ``receivers_of`` names."""
