Retention of streams' versions is computed once per declaration

It was computed from all routes for each message and tick. A scheduler that knows no engine of its cell yet no longer tells a caller that the version is gone; the refusal is then no_engine, as for others.

--- a/wagtailtrestle/capacity/scheduler.py
+++ b/wagtailtrestle/capacity/scheduler.py
@@ -648,8 +648,8 @@
         ]
 
     def _is_version_gone(self, request):
-        """Whether a resumed stream can't go on, since no engine of its version is left."""
-        if not request.version or self._reserved_engines(request):
+        """Whether a resumed stream can't go on, since no engine of its version is left among those of its cell."""
+        if not request.version or not self._runs.engines or self._reserved_engines(request):
             return False
         return not any(
             request.accepts_version(engine.version) and not engine.leaving for engine in self._runs.usable_engines
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -308,9 +308,10 @@
 
     def _make_stream_versions(self):
         self._stream_versions = None
+        self._stream_retention_s = MAX_STREAM_RETENTION_S
         if self._adapter.version_kind is None:
             return
-        self._version_history = VersionHistory(clock=self._loop.time, retention_s=self._stream_retention_s)
+        self._version_history = VersionHistory(clock=self._loop.time, retention_s=lambda: self._stream_retention_s)
         self._version_note = VersionNote(
             store=self._store,
             kind=self._adapter.version_kind,
@@ -322,19 +323,20 @@
             peers=self._peers,
             members=lambda: self._membership.view.members,
             clock=self._loop.time,
-            retention_s=self._stream_retention_s,
+            retention_s=lambda: self._stream_retention_s,
             history=self._version_history,
             note=self._version_note,
             count=self._metrics.count,
         )
         self._membership.on_view_change(lambda view: self._stream_versions.update_members())
 
-    def _stream_retention_s(self):
-        """Time for which the version of a stream matters: a caller may resume until its own deadline."""
-        if self._in_force is None:
-            return MAX_STREAM_RETENTION_S
-        limits_ms = [route.timeout_ms for route in self._declaration().host_routes if route.resumable]
-        return min(MAX_STREAM_RETENTION_S, STREAM_RETENTION_FACTOR * max(limits_ms, default=0) / MS_PER_S)
+    def _update_stream_versions(self, declaration):
+        limits_ms = [route.timeout_ms for route in declaration.host_routes if route.resumable]
+        retention_s = STREAM_RETENTION_FACTOR * max(limits_ms, default=0) / MS_PER_S
+        self._stream_retention_s = min(MAX_STREAM_RETENTION_S, retention_s)
+        if self._engine_list.is_known:
+            self._version_history.update(declaration.engines_by_name.values())
+            self._stream_versions.update_services(declaration.services_by_name)
 
     def _reserved_engines(self, service, engines):
         return frozenset() if self._rollouts is None else self._rollouts.unproven_engines(service, engines)
@@ -583,9 +585,8 @@
         if self._rollouts is not None:
             # First, so that no engine is used before it is known whether its version is permitted.
             self._rollouts.refresh()
-        if self._stream_versions is not None and self._engine_list.is_known:
-            self._version_history.update(declaration.engines_by_name.values())
-            self._stream_versions.update_services(declaration.services_by_name)
+        if self._stream_versions is not None:
+            self._update_stream_versions(declaration)
         self._connector.retain_engines(declaration.engines_by_name.keys())
         self._schedulers.set_declaration(declaration)
         self._directory.refresh()
