--- a/tests/test_crashing_part.py
+++ b/tests/test_crashing_part.py
@@ -1,6 +1,7 @@
 """Prompts that share one part which crashes each engine, while no two of them are alike."""
 
 import itertools
+import signal
 import threading
 import time
 import unittest
@@ -94,6 +95,10 @@
     return SYSTEM, TOOL, f"5e55{number % SESSIONS:04x}", f"0000{number:08x}"
 
 
+def second_part(number):
+    return SYSTEM, BAD, f"5e55{number % SESSIONS:04x}", f"bbbb{number:08x}"
+
+
 class CrashingPartTest(unittest.TestCase):
     def play(self, bad_parts_of, *, bad_per_s=BAD_PER_S, engines=ENGINES, method="POST", bad=(BAD,), during=None):
         world = World(
@@ -145,11 +150,11 @@
 
     # Guards against a part that is in no fingerprint, so that each prompt with it is a suspect of one crash only.
     def test_second_part(self):
-        self.play(lambda number: (SYSTEM, BAD, f"5e55{number % SESSIONS:04x}", f"bbbb{number:08x}"))
+        self.play(second_part)
 
     # Guards against sound callers who are blamed with it, since they have the same target and no body.
     def test_second_part_of_calls_without_a_body(self):
-        self.play(lambda number: (SYSTEM, BAD, f"5e55{number % SESSIONS:04x}", f"bbbb{number:08x}"), method="GET")
+        self.play(second_part, method="GET")
 
     def test_first_part(self):
         self.play(lambda number: (BAD, TOOL, f"5e55{number % SESSIONS:04x}", f"bbbb{number:08x}"))
@@ -166,6 +171,25 @@
             bad=(BAD, other),
         )
 
+    # Guards against a router that was frozen while the others learned of the part.
+    def test_router_that_freezes_meanwhile(self):
+        def freeze(world):
+            time.sleep(1.0)
+            world.routers[2].signal(signal.SIGSTOP)
+            time.sleep(4.0)
+            world.routers[2].signal(signal.SIGCONT)
+
+        self.play(second_part, during=freeze)
+
+    # Guards against parts of sound prompts that are blamed for engines which lost power at the same time.
+    def test_engines_that_fail_for_another_reason(self):
+        def fail(world):
+            time.sleep(0.5)
+            for engine in list(world.engines.values())[:3]:
+                engine.fail()
+
+        self.play(second_part, during=fail)
+
     # Guards against a router that has just started and knows of no crash.
     def test_router_that_restarts_meanwhile(self):
         def restart(world):
@@ -174,7 +198,7 @@
             world.routers[1].start()
             world.routers[1].wait_ready()
 
-        self.play(lambda number: (SYSTEM, BAD, f"5e55{number % SESSIONS:04x}", f"bbbb{number:08x}"), during=restart)
+        self.play(second_part, during=restart)
 
 
 if __name__ == "__main__":
--- a/tests/utils/crashing_engine.py
+++ b/tests/utils/crashing_engine.py
@@ -65,6 +65,10 @@
 
     def _crash(self, handler):
         handler.close_connection = True
+        self.fail()
+
+    def fail(self):
+        """End all connections, and restart later."""
         with self._lock:
             connections, self._connections = self._connections, set()
         self.crashes.append(time.monotonic())
