Tests: engines that are down already don't fail again

It now takes engines that are up, and an engine that resets a connection which its client has closed goes on.

--- a/tests/test_crashing_part.py
+++ b/tests/test_crashing_part.py
@@ -185,7 +185,7 @@
     def test_engines_that_fail_for_another_reason(self):
         def fail(world):
             time.sleep(0.5)
-            for engine in list(world.engines.values())[:3]:
+            for engine in [engine for engine in world.engines.values() if not engine.is_down][:3]:
                 engine.fail()
 
         self.play(second_part, during=fail)
--- a/tests/utils/crashing_engine.py
+++ b/tests/utils/crashing_engine.py
@@ -26,6 +26,7 @@
 
     Attributes
     ----------
+    is_down : bool
     arrivals_of_poison, crashes : list of float
         Times by the monotonic clock.
     """
@@ -33,6 +34,7 @@
     def __init__(self, *, name, service, store, down_s=DOWN_S, expiry_s=EXPIRY_S):
         self._down_s = down_s
         self._expiry_s = expiry_s
+        self.is_down = False
         self.arrivals_of_poison = []
         self.crashes = []
         self._store = store
@@ -72,11 +74,12 @@
         with self._lock:
             connections, self._connections = self._connections, set()
         self.crashes.append(time.monotonic())
+        self.is_down = True
         self.stop_listening()
         for connection in connections:
             # With or without unread bytes, the peer gets a reset, as from a killed process.
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 connection.shutdown(socket.SHUT_RDWR)
             except OSError:
                 continue  # The client has closed the connection already.
@@ -88,6 +91,7 @@
         time.sleep(self._down_s - self._expiry_s)
         self.name = f"{self._first_name}-{len(self.crashes)}"
         self.resume_listening()
+        self.is_down = False
         self._store.put("servers", self.name, self.entry())
 
 
