--- a/tests/test_crashing_part.py
+++ b/tests/test_crashing_part.py
@@ -156,6 +156,7 @@
     def test_second_part_of_calls_without_a_body(self):
         self.play(second_part, method="GET")
 
+    # Guards against a part that is sought only behind the parts that all prompts share.
     def test_first_part(self):
         self.play(lambda number: (BAD, TOOL, f"5e55{number % SESSIONS:04x}", f"bbbb{number:08x}"))
 
--- a/tests/test_part_crashes.py
+++ b/tests/test_part_crashes.py
@@ -32,6 +32,7 @@
             CrashReport(engine=f"e{self.crashes}", incident=f"r/{self.crashes}", suspects=tuple(sorted(parts)))
         )
 
+    # Guards against a part that is never blamed since no two prompts with it are alike.
     def test_part_of_unlike_prompts_is_blocked_after_the_limit(self):
         for number in range(CRASH_LIMIT):
             self.assertFalse(self.table.blocked((SYSTEM, BAD)))
@@ -94,12 +95,14 @@
         self.table.merge(CrashReport(engine="e9", incident="r/9", suspects=(BAD, SYSTEM), age_s=1.0))
         self.assertEqual(self.table.dump()["blame"], {BAD: 2.0})
 
+    # Guards against two bad parts of which one hides the other.
     def test_two_bad_parts_are_blamed_each_for_itself(self):
         for number in range(2 * CRASH_LIMIT):
             self.crash(SYSTEM, BAD if number % 2 else "s/bad-2")
             self.table.record_began((SYSTEM,))
         self.assertTrue(self.table.blocked((SYSTEM, BAD)) and self.table.blocked((SYSTEM, "s/bad-2")))
 
+    # Guards against memory that grows with callers who send ever new parts.
     def test_memory_is_bounded(self):
         for number in range(MAX_INCIDENTS + 50):
             self.crash(f"s/{number}", after_s=0.1)
@@ -174,6 +177,7 @@
         watch.record_run_end(engine="e", body_digest="d", outcome=RunDone(), was_sent=True, parts=(BAD,))
         self.assertFalse(watch.blocked_parts((BAD,)))
 
+    # Guards against parts blamed for crashes of engines on which their streams had begun.
     def test_runs_that_had_begun_name_no_parts(self):
         for number in range(CRASH_LIMIT):
             self.crash(self.watches[0], number)
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -80,6 +80,7 @@
         self.cell.advance(0.1)
         self.assertEqual(self.refusals().get("s3"), Reason.VERSION_GONE)
 
+    # Guards against a stream that waits for engines which take nothing more.
     def test_draining_engines_of_a_version_do_not_count(self):
         self.cell.scheduler.mark_leaving("e3")
         self.cell.receive(ask("s", version="v2"))
@@ -99,6 +100,7 @@
         self.cell.receive(finished("s", on="e3", result="RunCut"))
         self.assertEqual(rollout.analysis.target_runs, 0)
 
+    # Guards against a rolled-back version that still gets runs.
     def test_stream_does_not_go_on_at_a_version_that_was_rolled_back(self):
         rollout = self.make_rollout()
         rollout.end_as(RolloutState.ROLLED_BACK)
--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -247,6 +247,7 @@
         self.assertEqual(fleet.table.list(kind=KIND).value, {})
         await fleet.close()
 
+    # Guards against a guess while the store can not be asked.
     @on_paused_clock
     async def test_one_version_is_not_confirmed_without_the_store(self):
         fleet = Fleet(size=2, versions=("v1",))
@@ -268,6 +269,7 @@
             await fleet.kill(f"r{number}")
         await fleet.close()
 
+    # Guards against memory and messages that grow with the number of streams.
     @on_paused_clock
     async def test_memory_and_messages_are_bounded(self):
         fleet = Fleet(size=20)
