--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,24 +1,28 @@
-"""A client's request that holds another request in its body, and whose length is not a valid one.
+"""A booking that crashes each engine that begins to run it, sent again and again at any machine.
 
-In turn the length is -1, or there are two lengths that differ. The router has to refuse the request and end the
-connection. An engine must not run what was smuggled inside it, nor run the request without its body. TROUBLE=0: the same
-requests with one length, that of the body.
+The engines are back after some seconds, under the id that they had. After the third crash and contact_ms, the request
+may reach engines three times more. TROUBLE=0: the same request, which crashes no engine.
 """
 
-import socket
 import sys
+import threading
 import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from lib.client import head_of
-from lib.deployment import KEY, SERVICE_HOST, Deployment, Record, configuration, finish
-from lib.engine import Engine
+from lib.client import exchange, head_of
+from lib.deployment import BOUNDS, KEY, SERVICE_HOST, Deployment, Record, configuration, finish
+from lib.engine import CrashingEngine, Engine
 
-ROUNDS = 12
-READ_S = 1.0
+ENGINES = 3
+DOWN_S = 2.2
+INTERVAL_S = 2.5
+SENDINGS = 18
+CRASHES = 3
+MAX_RETRIES = 3
+POISON = "/book/poison"
 
 
 def main(trouble):
@@ -27,56 +31,55 @@
     try:
         options = {"store": deployment.store, "record": record}
         engines = [Engine(name=f"i-a{n}", service="asistente", **options) for n in (1, 2)]
-        engines += [Engine(name=f"i-r{n}", service="reservas", **options) for n in (1, 2)]
-        deployment.start(configuration(), engines)
+        crashing = [
+            CrashingEngine(name=f"i-r{n}", service="reservas", down_s=DOWN_S, crashes=trouble, **options)
+            for n in range(ENGINES)
+        ]
+        deployment.start(configuration(), engines + crashing)
         deployment.wait_served()
-        bodies = {}
-        for number in range(ROUNDS):
-            bodies |= send(deployment, record, number, trouble)
-        time.sleep(1.0)
-        return judge(engines, record, bodies)
+        answers = send_all(deployment, record)
+        return judge(crashing, record, answers, trouble)
     finally:
         deployment.close()
 
 
-def send(deployment, record, number, trouble):
-    """Send one booking whose body is a text that looks like another booking; return its body by its id."""
-    router = deployment.routers[number % len(deployment.routers)]
-    inner = head_of("POST", f"/book/inner{number}", f"inner{number}", host=SERVICE_HOST, key=KEY)
-    body = inner + b"Content-Length: 0\r\n\r\n"
-    lengths = [f"Content-Length: {len(body)}"]
-    if trouble:
-        lengths = ["Content-Length: -1"] if number % 2 == 0 else [*lengths, "Content-Length: 0"]
-    head = head_of("POST", f"/book/outer{number}", f"outer{number}", host=SERVICE_HOST, key=KEY, extra=lengths)
-    record(f"client sends outer{number} to {router.name}: {', '.join(lengths)}; a body of {len(body)} bytes")
-    host, _, port = router.front.rpartition(":")
-    received = b""
-    with socket.create_connection((host, int(port)), timeout=READ_S) as sock:
-        sock.sendall(head + b"\r\n" + body)
-        try:
-            while data := sock.recv(65536):
-                received += data
-        except OSError:
-            pass
-    statuses = [part[:3].decode("latin-1") for part in received.split(b"HTTP/1.1 ")[1:]]
-    record(f"client gets {len(statuses)} answers for outer{number}: {' '.join(statuses)}")
-    return {f"outer{number}": body}
+def send_all(deployment, record):
+    answers = {}
+    threads = []
+    for number in range(SENDINGS):
+        router = deployment.routers[number % len(deployment.routers)]
+        threads.append(threading.Thread(target=send, args=(router, record, f"p{number:04d}", POISON, answers)))
+        threads[-1].start()
+        name = f"s{number:04d}"
+        threads.append(threading.Thread(target=send, args=(router, record, name, f"/book/{name}", answers)))
+        threads[-1].start()
+        time.sleep(INTERVAL_S)
+    for thread in threads:
+        thread.join()
+    return answers
 
 
-def judge(engines, record, bodies):
-    wrong = []
-    for engine in engines:
-        for _, request_id, _, _, body in engine.ran:
-            if request_id.startswith("inner"):
-                wrong.append(f"{engine.name} ran {request_id}, which was the body of another request")
-            elif request_id in bodies and body != bodies[request_id]:
-                wrong.append(f"{engine.name} ran {request_id} with {len(body)} of {len(bodies[request_id])} bytes")
-    for text in wrong:
-        record(f"BROKEN: {text}")
-    summary = f"{len(wrong)} runs of requests that no client sent or whose body was changed"
-    record(summary)
-    print(summary)
-    return bool(wrong)
+def send(router, record, request_id, path, answers):
+    head = head_of("POST", path, request_id, host=SERVICE_HOST, key=KEY, deadline_ms=4000)
+    record(f"client sends {request_id} {path} to {router.name}")
+    answers[request_id] = exchange(router.front, head + b"Content-Length: 4\r\n\r\nbody", timeout_s=5.0)
+    record(f"client gets {request_id}: {answers[request_id]}")
+
+
+def judge(engines, record, answers, trouble):
+    crashes = sorted(at for engine in engines for at in engine.crashed_at)
+    runs = sorted(at for engine in engines for at, _, _, path, _ in engine.ran if path == POISON)
+    served = sum(answer.status == 200 for answer in answers.values())
+    record(f"{len(runs)} runs of the request, {len(crashes)} crashes; {served} of {len(answers)} requests were served")
+    if trouble and len(crashes) < CRASHES:
+        print(f"{len(crashes)} crashes")
+        return False
+    after = crashes[CRASHES - 1] + BOUNDS["contact_ms"] / 1000.0 if crashes else float("inf")
+    late = sum(at > after for at in runs)
+    text = f"{late} runs of the request over contact_ms after its third crash, {len(crashes)} crashes in all"
+    record(text)
+    print(text)
+    return late > MAX_RETRIES
 
 
 finish(main)
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -176,7 +176,7 @@
             router.start()
         self.wait_ready()
 
-    def wait_ready(self, timeout_s=20.0):
+    def wait_ready(self, timeout_s=40.0):
         until = time.monotonic() + timeout_s
         while not all(router.is_ready() for router in self.routers):
             if time.monotonic() > until:
--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -1,6 +1,7 @@
 """Stand-in for a sound engine: streams of numbered events and plain answers, a registration and a load report."""
 
 import json
+import socket
 import threading
 import time
 
@@ -34,6 +35,7 @@
         self.framed = framed
         self.state = "ready"
         self.ran = []
+        self.born = int(time.time() * 1000)
         self._store = store
         self._record = record
         self._sequence = 0
@@ -61,6 +63,7 @@
                 "state": self.state,
                 "cold_remaining_ms": 0,
                 "sequence": self._sequence,
+                "born": self.born,
             }
             return self._store.put("servers", self.name, entry)
 
@@ -89,6 +92,7 @@
                 "kv_used": 0,
                 "kv_total": 580000,
                 "handles": 0,
+                "born": self.born,
             }
             reply(handler, 200, json.dumps(report).encode(), [("Content-Type", "application/json")])
             return
@@ -171,10 +175,97 @@
 
     def _break_off(self, handler, request_id):
         """Stop at the deadline so that nobody can take the answer for a complete one: reset the connection."""
-        import socket
-
         self._record(f"engine {self.name} breaks off {request_id} at its deadline")
         handler.close_connection = True
         handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, STOP_RESET)
         handler.rfile.close()
         handler.connection.close()
+
+
+class CrashingEngine(Engine):
+    """An engine that crashes when it begins to run a request with ``poison`` in its path, and starts again.
+
+    It has the same id and address again, and another ``born``. While it is down it sends nothing; its entry is removed
+    after three heartbeat intervals of silence.
+
+    Parameters
+    ----------
+    down_s : float
+    crashes : bool
+        Whether such a request crashes it.
+    """
+
+    def __init__(self, *, down_s, crashes=True, **options):
+        self.down_s = down_s
+        self.crashed_at = []
+        self._crashes = crashes
+        self._is_down = False
+        self._beat_at = time.monotonic()
+        self._connections = set()
+        super().__init__(**options)
+
+    def register(self):
+        self._beat_at = time.monotonic()
+        return super().register()
+
+    def _beat(self):
+        while not self._closed.wait(0.1):
+            silent_s = time.monotonic() - self._beat_at
+            if not self._is_down and silent_s >= HEARTBEAT_S:
+                self.register()
+            elif silent_s > 3 * HEARTBEAT_S:
+                self._remove_entry()
+
+    def _remove_entry(self):
+        try:
+            self._store.delete("servers", self.name)
+        except KeyError:
+            return
+
+    def serve(self, handler):
+        with self._lock:
+            self._connections.add(handler.connection)
+        try:
+            super().serve(handler)
+        finally:
+            with self._lock:
+                self._connections.discard(handler.connection)
+
+    def _plain(self, handler, request_id, ends_at):
+        if self._crashes and "poison" in handler.path:
+            self._crash(handler)
+        else:
+            super()._plain(handler, request_id, ends_at)
+
+    def _crash(self, handler):
+        with self._lock:
+            connections, self._connections = self._connections, set()
+        self._is_down = True
+        self.crashed_at.append(time.monotonic())
+        self._record(f"engine {self.name} crashes")
+        port = int(self.address.rpartition(":")[2])
+        self.stop_listening()
+        for connection in connections:
+            # The peer gets a reset, as from a process that was killed.
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, STOP_RESET)
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        handler.close_connection = True
+        threading.Thread(target=self._start_again, args=(port,), daemon=True).start()
+
+    def _start_again(self, port):
+        if self._closed.wait(self.down_s):
+            return
+        self.listen(port)
+        self.born = int(time.time() * 1000)
+        self._is_down = False
+        self.register()
+        self._record(f"engine {self.name} has started again")
+
+    def close(self):
+        if self._is_down:
+            self._closed.set()
+        else:
+            super().close()
--- a/review/lib/platform.py
+++ b/review/lib/platform.py
@@ -30,16 +30,27 @@
             def log_message(self, *args):
                 return None
 
-        self._server = ThreadingHTTPServer((host, 0), Handler)
+        self._handler_class = Handler
+        self._host = host
+        self._server = None
+        self.listen(0)
+
+    def listen(self, port):
+        """Accept connections on a port, 0 for any."""
+        self._server = ThreadingHTTPServer((self._host, port), self._handler_class)
         self._server.handle_error = lambda request, client_address: None
         self._server.daemon_threads = True
-        self.address = f"{host}:{self._server.server_port}"
+        self.address = f"{self._host}:{self._server.server_port}"
         threading.Thread(target=self._server.serve_forever, kwargs={"poll_interval": 0.02}, daemon=True).start()
 
-    def close(self):
+    def stop_listening(self):
+        """Refuse new connections."""
         self._server.shutdown()
         self._server.server_close()
 
+    def close(self):
+        self.stop_listening()
+
     def serve(self, handler):
         raise NotImplementedError
 
