--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -201,7 +201,6 @@
         self._crashes = crashes
         self._is_down = False
         self._beat_at = time.monotonic()
-        self._connections = set()
         super().__init__(**options)
 
     def register(self):
@@ -222,14 +221,11 @@
         except KeyError:
             return
 
-    def serve(self, handler):
-        with self._lock:
-            self._connections.add(handler.connection)
-        try:
-            super().serve(handler)
-        finally:
-            with self._lock:
-                self._connections.discard(handler.connection)
+    def _stream(self, handler, request_id, ends_at):
+        if self._crashes and "poison" in handler.path:
+            self._crash(handler)
+        else:
+            super()._stream(handler, request_id, ends_at)
 
     def _plain(self, handler, request_id, ends_at):
         if self._crashes and "poison" in handler.path:
@@ -238,17 +234,15 @@
             super()._plain(handler, request_id, ends_at)
 
     def _crash(self, handler):
-        with self._lock:
-            connections, self._connections = self._connections, set()
         self._is_down = True
         self.crashed_at.append(time.monotonic())
         self._record(f"engine {self.name} crashes")
         port = int(self.address.rpartition(":")[2])
         self.stop_listening()
-        for connection in connections:
-            # The peer gets a reset, as from a process that was killed.
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, STOP_RESET)
+        for connection in list(self.connections):
+            # All connections end, the idle ones too, as those of a process that was killed.
             try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, STOP_RESET)
                 connection.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
--- a/review/lib/platform.py
+++ b/review/lib/platform.py
@@ -20,6 +20,14 @@
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
+            def setup(self):
+                super().setup()
+                outer.connections.add(self.connection)
+
+            def finish(self):
+                outer.connections.discard(self.connection)
+                super().finish()
+
             def answer(self):
                 length = int(self.headers.get("Content-Length") or 0)
                 self.body = self.rfile.read(length) if length else b""
@@ -30,6 +38,7 @@
             def log_message(self, *args):
                 return None
 
+        self.connections = set()
         self._handler_class = Handler
         self._host = host
         self._server = None
