--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,8 @@
-"""A booking that crashes each engine that begins to run it, sent again and again at any machine.
+"""All machines lose power for three seconds while the engines of a service are replaced by ones of another version.
 
-The engines are back after some seconds, under the id that they had. After the third crash and contact_ms, the request
-may reach engines three times more. TROUBLE=0: the same request, which crashes no engine.
+Streams that the old version began are taken up again by their clients once the machines are back. They may go on only at
+the version that began them, of which no engine is left, so they have to be refused. TROUBLE=0: the same release, with
+no loss of power.
 """
 
 import sys
@@ -14,72 +15,133 @@
 
 from lib.client import exchange, head_of
 from lib.deployment import BOUNDS, KEY, SERVICE_HOST, Deployment, Record, configuration, finish
-from lib.engine import CrashingEngine, Engine
+from lib.engine import Engine
 
-ENGINES = 3
-DOWN_S = 2.2
-INTERVAL_S = 2.5
-SENDINGS = 18
-CRASHES = 3
-MAX_RETRIES = 3
-POISON = "/book/poison"
+STREAMS = 9
+EVENTS = 70
+PAUSE_S = 0.1
+BEGUN_S = 1.5
+DOWN_S = 3.0
+LEAVES_AFTER_S = 0.2
+DEADLINE_S = 15.0
+MAX_TRIES = 4
+MAX_JOINED = 2
 
 
 def main(trouble):
     record = Record(FOLDER / "record.txt")
     deployment = Deployment(routers=3, record=record)
     try:
-        options = {"store": deployment.store, "record": record}
-        engines = [Engine(name=f"i-a{n}", service="asistente", **options) for n in (1, 2)]
-        crashing = [
-            CrashingEngine(name=f"i-r{n}", service="reservas", down_s=DOWN_S, crashes=trouble, **options)
-            for n in range(ENGINES)
-        ]
-        deployment.start(configuration(), engines + crashing)
+        options = {"store": deployment.store, "record": record, "events": EVENTS, "pause_s": PAUSE_S}
+        old = [Engine(name=f"i-old{n}", service="asistente", version="v1", **options) for n in (1, 2)]
+        new = [Engine(name=f"i-new{n}", service="asistente", version="v2", **options) for n in (1, 2)]
+        plain = [Engine(name="i-r1", service="reservas", **options)]
+        deployment.start(configuration(resumable=True), old + plain)
+        deployment.engines += new
         deployment.wait_served()
-        answers = send_all(deployment, record)
-        return judge(crashing, record, answers, trouble)
+        time.sleep(BOUNDS["contact_ms"] / 1000.0)
+        streams = {}
+        threads = [threading.Thread(target=follow, args=(deployment, record, n, streams)) for n in range(STREAMS)]
+        for thread in threads:
+            thread.start()
+        time.sleep(BEGUN_S)
+        release(deployment, record, old, new, trouble)
+        for thread in threads:
+            thread.join()
+        return judge(record, streams)
     finally:
         deployment.close()
 
 
-def send_all(deployment, record):
-    answers = {}
-    threads = []
-    for number in range(SENDINGS):
-        router = deployment.routers[number % len(deployment.routers)]
-        threads.append(threading.Thread(target=send, args=(router, record, f"p{number:04d}", POISON, answers)))
-        threads[-1].start()
-        name = f"s{number:04d}"
-        threads.append(threading.Thread(target=send, args=(router, record, name, f"/book/{name}", answers)))
-        threads[-1].start()
-        time.sleep(INTERVAL_S)
-    for thread in threads:
-        thread.join()
-    return answers
-
-
-def send(router, record, request_id, path, answers):
-    head = head_of("POST", path, request_id, host=SERVICE_HOST, key=KEY, deadline_ms=4000)
-    record(f"client sends {request_id} {path} to {router.name}")
-    answers[request_id] = exchange(router.front, head + b"Content-Length: 4\r\n\r\nbody", timeout_s=5.0)
-    record(f"client gets {request_id}: {answers[request_id]}")
-
-
-def judge(engines, record, answers, trouble):
-    crashes = sorted(at for engine in engines for at in engine.crashed_at)
-    runs = sorted(at for engine in engines for at, _, _, path, _ in engine.ran if path == POISON)
-    served = sum(answer.status == 200 for answer in answers.values())
-    record(f"{len(runs)} runs of the request, {len(crashes)} crashes; {served} of {len(answers)} requests were served")
-    if trouble and len(crashes) < CRASHES:
-        print(f"{len(crashes)} crashes")
-        return False
-    after = crashes[CRASHES - 1] + BOUNDS["contact_ms"] / 1000.0 if crashes else float("inf")
-    late = sum(at > after for at in runs)
-    text = f"{late} runs of the request over contact_ms after its third crash, {len(crashes)} crashes in all"
+def release(deployment, record, old, new, trouble):
+    """Replace the engines: new ones start, old ones drain for drain_ms and exit; meanwhile the power fails."""
+    if trouble:
+        for router in deployment.routers:
+            router.kill()
+        record("all machines lose power")
+    back_at = time.monotonic() + DOWN_S
+    for engine in new:
+        engine.start()
+        record(f"engine {engine.name} of version {engine.version} starts")
+    time.sleep(LEAVES_AFTER_S)
+    for engine in old:
+        engine.leave()
+        record(f"engine {engine.name} of version {engine.version} is draining")
+    time.sleep(BOUNDS["drain_ms"] / 1000.0 + 0.2)
+    for engine in old:
+        engine.exit()
+        record(f"engine {engine.name} has left")
+    time.sleep(max(0.0, back_at - time.monotonic()))
+    if trouble:
+        for router in deployment.routers:
+            router.start()
+        record("all machines have power again")
+
+
+def follow(deployment, record, number, streams):
+    """Begin a stream, and take it up again where it broke off; keep what its events say of their engine."""
+    until = time.monotonic() + DEADLINE_S
+    path = f"/stream/{number}"
+    first_id = f"b{number}"
+    events = streams[number] = {}
+    begin = ask(deployment.routers[number % 3], record, path, first_id, until, ())
+    keep(events, begin)
+    for attempt in range(MAX_TRIES):
+        if not events or len(events) == EVENTS:
+            return
+        router = ready_router(deployment, number + attempt + 1, until)
+        if router is None:
+            return
+        extra = (f"Last-Event-Id: {max(events)}", f"Resumes: {first_id}")
+        answer = ask(router, record, path, f"c{number}-{attempt}", until, extra)
+        keep(events, answer)
+        # Clients honour Retry-After up to a third of the time that they have left.
+        wait_s = float(answer.headers.get("retry-after", 0.2))
+        time.sleep(max(0.0, min(wait_s, (until - time.monotonic()) / 3)))
+
+
+def ready_router(deployment, number, until):
+    """Return a router that is ready, as the platform hands no connection to others; None at the deadline."""
+    while time.monotonic() < until:
+        for place in range(3):
+            router = deployment.routers[(number + place) % 3]
+            if router.is_ready():
+                return router
+        time.sleep(0.1)
+    return None
+
+
+def ask(router, record, path, request_id, until, extra):
+    left_ms = max(1, int((until - time.monotonic()) * 1000))
+    extra = ["Token-Counts: 300,350", *extra]
+    head = head_of("POST", path, request_id, host=SERVICE_HOST, key=KEY, deadline_ms=left_ms, extra=extra)
+    record(f"client sends {request_id} {path} {', '.join(extra)} to {router.name}")
+    answer = exchange(router.front, head + b"Content-Length: 4\r\n\r\nbody", timeout_s=left_ms / 1000.0)
+    record(f"client gets {request_id}: {answer}, events {answer.event_ids[:1]} to {answer.event_ids[-1:]}")
+    return answer
+
+
+def keep(events, answer):
+    """Keep, by event id, the engine that the event names."""
+    if answer.status != 200:
+        return
+    for event in answer.body.decode("latin-1").split("\n\n"):
+        lines = event.split("\n")
+        if len(lines) == 2 and lines[0].startswith("id: ") and lines[1].startswith("data: "):
+            events[int(lines[0][4:])] = lines[1].split()[1]
+
+
+def judge(record, streams):
+    joined = []
+    for number, events in sorted(streams.items()):
+        versions = {"v1" if engine.startswith("i-old") else "v2" for engine in events.values()}
+        record(f"stream {number}: {len(events)} of {EVENTS} events, versions {' '.join(sorted(versions))}")
+        if len(versions) > 1:
+            joined.append(number)
+    text = f"{len(joined)} of {len(streams)} streams hold events of two software versions"
     record(text)
     print(text)
-    return late > MAX_RETRIES
+    return len(joined) > MAX_JOINED
 
 
 finish(main)
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -42,7 +42,7 @@
 SERVICE_HOST = "ficu95.example"
 
 
-def configuration(version=1, *, stream_timeout_ms=15000, plain_timeout_ms=2000, rate_per_s=0, burst=0):
+def configuration(version=1, *, stream_timeout_ms=15000, plain_timeout_ms=2000, rate_per_s=0, burst=0, resumable=False):
     """Return an operator's configuration: one streaming and two plain routes, two tenants."""
 
     def route(name, kind, service, prefix, timeout_ms, target_ms, attempts, **more):
@@ -64,7 +64,17 @@
     return {
         "version": version,
         "routes": [
-            route("plan", "streaming", "asistente", "/stream/", stream_timeout_ms, 1000, 1, gap_target_ms=600),
+            route(
+                "plan",
+                "streaming",
+                "asistente",
+                "/stream/",
+                stream_timeout_ms,
+                1000,
+                2 if resumable else 1,
+                gap_target_ms=600,
+                resumable=resumable,
+            ),
             route("reserva", "non_idempotent", "reservas", "/book/", plain_timeout_ms, 300, 1),
             route("cuota", "idempotent", "reservas", "/status/", plain_timeout_ms, 300, 2),
         ],
--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -26,8 +26,11 @@
         Whether answers have a length or chunks; otherwise they end with their connection.
     """
 
-    def __init__(self, *, store, name, service, record, events=10, pause_s=0.05, plain_s=0.05, framed=True):
+    def __init__(
+        self, *, store, name, service, record, events=10, pause_s=0.05, plain_s=0.05, framed=True, version="v1"
+    ):
         self.name = name
+        self.version = version
         self.service = service
         self.events = events
         self.pause_s = pause_s
@@ -58,7 +61,7 @@
                 "service": self.service,
                 "address": self.address,
                 "zone": "gijon",
-                "version": "v1",
+                "version": self.version,
                 "slots": 10,
                 "state": self.state,
                 "cold_remaining_ms": 0,
@@ -72,7 +75,16 @@
         self.state = "draining"
         return self.register()
 
+    def exit(self):
+        """End as after a drain: the entry is removed, and the connections end."""
+        self._closed.set()
+        with self._lock:
+            self._store.delete("servers", self.name)
+        self._end_connections()
+
     def close(self):
+        if self._closed.is_set():
+            return
         self._closed.set()
         super().close()
 
@@ -80,6 +92,16 @@
         while not self._closed.wait(HEARTBEAT_S):
             self.register()
 
+    def _end_connections(self):
+        """Stop listening and reset all connections, the idle ones too, as those of a process that ends."""
+        self.stop_listening()
+        for connection in list(self.connections):
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, STOP_RESET)
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def serve(self, handler):
         if handler.path == "/v1/report":
             report = {
@@ -180,86 +202,3 @@
         handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, STOP_RESET)
         handler.rfile.close()
         handler.connection.close()
-
-
-class CrashingEngine(Engine):
-    """An engine that crashes when it begins to run a request with ``poison`` in its path, and starts again.
-
-    It has the same id and address again, and another ``born``. While it is down it sends nothing; its entry is removed
-    after three heartbeat intervals of silence.
-
-    Parameters
-    ----------
-    down_s : float
-    crashes : bool
-        Whether such a request crashes it.
-    """
-
-    def __init__(self, *, down_s, crashes=True, **options):
-        self.down_s = down_s
-        self.crashed_at = []
-        self._crashes = crashes
-        self._is_down = False
-        self._beat_at = time.monotonic()
-        super().__init__(**options)
-
-    def register(self):
-        self._beat_at = time.monotonic()
-        return super().register()
-
-    def _beat(self):
-        while not self._closed.wait(0.1):
-            silent_s = time.monotonic() - self._beat_at
-            if not self._is_down and silent_s >= HEARTBEAT_S:
-                self.register()
-            elif silent_s > 3 * HEARTBEAT_S:
-                self._remove_entry()
-
-    def _remove_entry(self):
-        try:
-            self._store.delete("servers", self.name)
-        except KeyError:
-            return
-
-    def _stream(self, handler, request_id, ends_at):
-        if self._crashes and "poison" in handler.path:
-            self._crash(handler)
-        else:
-            super()._stream(handler, request_id, ends_at)
-
-    def _plain(self, handler, request_id, ends_at):
-        if self._crashes and "poison" in handler.path:
-            self._crash(handler)
-        else:
-            super()._plain(handler, request_id, ends_at)
-
-    def _crash(self, handler):
-        self._is_down = True
-        self.crashed_at.append(time.monotonic())
-        self._record(f"engine {self.name} crashes")
-        port = int(self.address.rpartition(":")[2])
-        self.stop_listening()
-        for connection in list(self.connections):
-            # All connections end, the idle ones too, as those of a process that was killed.
-            try:
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, STOP_RESET)
-                connection.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
-        handler.close_connection = True
-        threading.Thread(target=self._start_again, args=(port,), daemon=True).start()
-
-    def _start_again(self, port):
-        if self._closed.wait(self.down_s):
-            return
-        self.listen(port)
-        self.born = int(time.time() * 1000)
-        self._is_down = False
-        self.register()
-        self._record(f"engine {self.name} has started again")
-
-    def close(self):
-        if self._is_down:
-            self._closed.set()
-        else:
-            super().close()
