--- a/review/lib/platform.py
+++ b/review/lib/platform.py
@@ -1,6 +1,7 @@
 """Stand-in for the users' store: objects by kind and name, with revisions and watches."""
 
 import json
+import socketserver
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -11,6 +12,20 @@
 ERA = "1"
 
 
+class Listener(ThreadingHTTPServer):
+    """Listens without a look-up of its own name, which could wait for a name server."""
+
+    daemon_threads = True
+    request_queue_size = 128
+
+    def server_bind(self):
+        socketserver.TCPServer.server_bind(self)
+        self.server_name, self.server_port = self.server_address[:2]
+
+    def handle_error(self, request, client_address):
+        """Ignore a peer that closed its connection."""
+
+
 class HttpServer:
     """A threaded HTTP/1.1 server; ``serve(handler)`` answers one request."""
 
@@ -46,9 +61,7 @@
 
     def listen(self, port):
         """Accept connections on a port, 0 for any."""
-        self._server = ThreadingHTTPServer((self._host, port), self._handler_class)
-        self._server.handle_error = lambda request, client_address: None
-        self._server.daemon_threads = True
+        self._server = Listener((self._host, port), self._handler_class)
         self.address = f"{self._host}:{self._server.server_port}"
         threading.Thread(target=self._server.serve_forever, kwargs={"poll_interval": 0.02}, daemon=True).start()
 
