--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -190,7 +191,8 @@
         until = time.monotonic() + timeout_s
         while not all(router.is_ready() for router in self.routers):
             if time.monotonic() > until:
-                raise TimeoutError("the routers were not ready in time")
+                states = {router.name: router.exit_status for router in self.routers}
+                raise TimeoutError(f"the routers were not ready in time; exit statuses {states}")
             time.sleep(0.05)
 
     def wait_served(self, path="/status/probe", timeout_s=20.0):
@@ -213,12 +215,22 @@
         shutil.rmtree(self._folder, ignore_errors=True)
 
 
+FIRST_PORT, LAST_PORT = 15000, 32000
+"""Below the ports that the kernel gives to connections, one of which could take a port before its router listens."""
+
+
 def free_ports(count):
     """Return free ports; all are held until the last is found, so that they differ."""
-    held = [socket.socket() for _ in range(count)]
+    held = []
     try:
-        for sock in held:
-            sock.bind((HOST, 0))
+        while len(held) < count:
+            sock = socket.socket()
+            try:
+                sock.bind((HOST, random.randint(FIRST_PORT, LAST_PORT)))
+            except OSError:
+                sock.close()
+                continue
+            held.append(sock)
         return [sock.getsockname()[1] for sock in held]
     finally:
         for sock in held:
