--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -170,6 +170,8 @@
 class Deployment:
     """A store and routers; close it in any case."""
 
+    running = []
+
     def __init__(self, *, routers, record):
         self.record = record
         self._folder = Path(tempfile.mkdtemp(prefix="review-"))
@@ -179,6 +181,7 @@
             Router(name=f"front-gijon-{number + 1}", folder=self._folder, store_address=self.store.address)
             for number in range(routers)
         ]
+        self.running.append(self)
 
     def start(self, config, engines):
         self.store.put("config", "main", config)
@@ -212,6 +215,9 @@
     def close(self):
         for part in (*self.routers, *self.engines, self.store):
             part.close()
+        self.remove_folder()
+
+    def remove_folder(self):
         shutil.rmtree(self._folder, ignore_errors=True)
 
 
@@ -268,8 +274,25 @@
     return value
 
 
+MAX_S = 115
+"""Time after which a case ends as one that could not run."""
+
+
+def stop_all(number, frame):
+    """End the routers at a signal or after ``MAX_S``, and the case as one that could not run."""
+    for deployment in Deployment.running:
+        for router in deployment.routers:
+            router.close()
+        deployment.remove_folder()
+    print(f"the case could not run: ended by signal {number}", flush=True)
+    os._exit(2)
+
+
 def finish(main):
     """Run a case: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+        signal.signal(number, stop_all)
+    signal.alarm(MAX_S)
     try:
         is_broken = main(os.environ.get("TROUBLE", "1") != "0")
     except Exception as error:
--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -22,12 +22,12 @@
     pause_s : float
     plain_s : float
         Time that a plain call takes.
-    framed : bool
-        Whether answers have a length or chunks; otherwise they end with their connection.
+    unframed_every : int
+        Each so-manyth stream comes with neither a length nor chunks and ends with its connection; 0 for none.
     """
 
     def __init__(
-        self, *, store, name, service, record, events=10, pause_s=0.05, plain_s=0.05, framed=True, version="v1"
+        self, *, store, name, service, record, events=10, pause_s=0.05, plain_s=0.05, unframed_every=0, version="v1"
     ):
         self.name = name
         self.version = version
@@ -35,7 +35,7 @@
         self.events = events
         self.pause_s = pause_s
         self.plain_s = plain_s
-        self.framed = framed
+        self.unframed_every = unframed_every
         self.state = "ready"
         self.ran = []
         self.born = int(time.time() * 1000)
@@ -43,7 +43,9 @@
         self._record = record
         self._sequence = 0
         self._running = 0
+        self._streams = 0
         self._closed = threading.Event()
+        self._withdrawn = threading.Event()
         self._lock = threading.Lock()
         super().__init__()
 
@@ -56,6 +58,8 @@
     def register(self):
         """Write the registration; return the time of the acknowledgement."""
         with self._lock:
+            if self._withdrawn.is_set():
+                return time.monotonic()
             self._sequence += 1
             entry = {
                 "service": self.service,
@@ -75,11 +79,16 @@
         self.state = "draining"
         return self.register()
 
-    def exit(self):
-        """End as after a drain: the entry is removed, and the connections end."""
-        self._closed.set()
+    def withdraw(self):
+        """Leave without having reported draining: the entry is removed, and the engine serves on."""
+        self.state = "draining"
+        self._withdrawn.set()
         with self._lock:
             self._store.delete("servers", self.name)
+
+    def exit(self):
+        """End as after a drain, with all connections."""
+        self._closed.set()
         self._end_connections()
 
     def close(self):
@@ -89,7 +98,7 @@
         super().close()
 
     def _beat(self):
-        while not self._closed.wait(HEARTBEAT_S):
+        while not self._closed.wait(HEARTBEAT_S) and not self._withdrawn.is_set():
             self.register()
 
     def _end_connections(self):
@@ -156,8 +165,13 @@
             handler.send_header("Server-Leaving", "1")
 
     def _stream(self, handler, request_id, ends_at):
+        with self._lock:
+            self._streams += 1
+            framed = not self.unframed_every or self._streams % self.unframed_every != 0
+        if not framed:
+            self._record(f"engine {self.name} answers {request_id} without a length")
         self._head(handler, request_id, "text/event-stream")
-        if self.framed:
+        if framed:
             handler.send_header("Transfer-Encoding", "chunked")
         else:
             handler.send_header("Connection", "close")
@@ -170,8 +184,8 @@
                 self._break_off(handler, request_id)
                 return
             event = f"id: {number}\ndata: {self.name} {request_id} {number}\n\n".encode()
-            handler.wfile.write(b"%x\r\n%b\r\n" % (len(event), event) if self.framed else event)
-        if self.framed:
+            handler.wfile.write(b"%x\r\n%b\r\n" % (len(event), event) if framed else event)
+        if framed:
             handler.wfile.write(b"0\r\n\r\n")
         self._record(f"engine {self.name} ended {request_id} after event {self.events}")
 
@@ -179,11 +193,7 @@
         body = json.dumps({"engine": self.name, "request": request_id, "text": "x" * 800}).encode()
         half = len(body) // 2
         self._head(handler, request_id, "application/json")
-        if self.framed:
-            handler.send_header("Content-Length", str(len(body)))
-        else:
-            handler.send_header("Connection", "close")
-            handler.close_connection = True
+        handler.send_header("Content-Length", str(len(body)))
         handler.end_headers()
         handler.wfile.write(body[:half])
         done_at = time.monotonic() + self.plain_s
