--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,8 @@
-"""All machines lose power for 1.4 s while the engines of a service are replaced by ones of another version.
+"""Another writer overwrites one engine's entry, with text as its version that can't be encoded.
 
-Streams that the old version began are taken up again by their clients once the machines are back. They may go on only at
-the version that began them, of which no engine is left, so they have to be refused. TROUBLE=0: the same release, with
-no loss of power.
+The entry names no engine to use until the engine writes its own again, at its next heartbeat. The routers use it all the
+same, and the task of each resumable stream that begins at that engine fails, which ends the process. TROUBLE=0: the same
+without that entry.
 """
 
 import sys
@@ -14,135 +14,89 @@
 sys.path.insert(0, str(FOLDER.parent))
 
 from lib.client import exchange, head_of
-from lib.deployment import BOUNDS, KEY, SERVICE_HOST, Deployment, Record, configuration, finish
+from lib.deployment import KEY, SERVICE_HOST, Deployment, Record, configuration, finish
 from lib.engine import Engine
 
-STREAMS = 9
-EVENTS = 70
+TIMEOUT_S = 3.0
+"""The route's timeout_ms."""
+
+ALLOWED_S = 0.5
+WAIT_S = 8.0
+CLIENTS = 12
+"""Clients of each router, each with one stream at a time."""
+
 PAUSE_S = 0.1
-BEGUN_S = 1.5
-DOWN_S = 1.4
-LEAVES_AFTER_S = 0.2
-DEADLINE_S = 15.0
-MAX_TRIES = 4
-MAX_JOINED = 2
+BEFORE_S, AFTER_S = 2.0, 6.0
+EXIT_S = 12.0
 
 
 def main(trouble):
     record = Record(FOLDER / "record.txt")
     deployment = Deployment(routers=3, record=record)
     try:
-        options = {"store": deployment.store, "record": record, "events": EVENTS, "pause_s": PAUSE_S}
-        old = [Engine(name=f"i-old{n}", service="asistente", version="v1", **options) for n in (1, 2)]
-        new = [Engine(name=f"i-new{n}", service="asistente", version="v2", **options) for n in (1, 2)]
-        plain = [Engine(name="i-r1", service="reservas", **options)]
-        deployment.start(configuration(resumable=True), old + plain)
-        deployment.engines += new
+        options = {"store": deployment.store, "record": record}
+        engines = [Engine(name=f"i-a{n}", service="asistente", **options) for n in (1, 2, 3)]
+        engines += [Engine(name="i-r1", service="reservas", **options)]
+        deployment.start(configuration(resumable=True, stream_timeout_ms=int(TIMEOUT_S * 1000)), engines)
         deployment.wait_served()
-        time.sleep(BOUNDS["contact_ms"] / 1000.0)
-        streams = {}
-        threads = [threading.Thread(target=follow, args=(deployment, record, n, streams), daemon=True) for n in range(STREAMS)]
+        stopped = threading.Event()
+        answers = {}
+        threads = [
+            threading.Thread(target=ask_on, args=(router, record, f"{place}c{n}", stopped, answers), daemon=True)
+            for place, router in enumerate(deployment.routers)
+            for n in range(CLIENTS)
+        ]
         for thread in threads:
             thread.start()
-        time.sleep(BEGUN_S)
-        release(deployment, record, old, new, trouble)
+        time.sleep(BEFORE_S)
+        if trouble:
+            overwrite(deployment, record, engines[0])
+        time.sleep(AFTER_S)
+        stopped.set()
         for thread in threads:
             thread.join()
-        return judge(record, streams)
+        return judge(deployment, record, answers)
     finally:
         deployment.close()
 
 
-def release(deployment, record, old, new, trouble):
-    """Replace the engines while the power fails: new ones start, the entries of the old ones go, which serve on."""
-    if trouble:
-        for router in deployment.routers:
-            router.kill()
-        record("all machines lose power")
-    back_at = time.monotonic() + DOWN_S
-    for engine in new:
-        engine.start()
-        record(f"engine {engine.name} of version {engine.version} starts")
-    time.sleep(LEAVES_AFTER_S)
-    for engine in old:
-        engine.withdraw()
-        record(f"the entry of engine {engine.name} of version {engine.version} is removed")
-    exit_at = time.monotonic() + BOUNDS["drain_ms"] / 1000.0 + 0.2
-    time.sleep(max(0.0, back_at - time.monotonic()))
-    if trouble:
-        for router in deployment.routers:
-            router.start()
-        record("all machines have power again")
-    time.sleep(max(0.0, exit_at - time.monotonic()))
-    for engine in old:
-        engine.exit()
-        record(f"engine {engine.name} exits")
-
-
-def follow(deployment, record, number, streams):
-    """Begin a stream, and take it up again where it broke off; keep what its events say of their engine."""
-    until = time.monotonic() + DEADLINE_S
-    path = f"/stream/{number}"
-    first_id = f"b{number}"
-    events = streams[number] = {}
-    begin = ask(deployment.routers[number % 3], record, path, first_id, until, ())
-    keep(events, begin)
-    for attempt in range(MAX_TRIES):
-        if not events or len(events) == EVENTS:
-            return
-        router = ready_router(deployment, number + attempt + 1, until)
-        if router is None:
-            return
-        extra = (f"Last-Event-Id: {max(events)}", f"Resumes: {first_id}")
-        answer = ask(router, record, path, f"c{number}-{attempt}", until, extra)
-        keep(events, answer)
-        # Clients honour Retry-After up to a third of the time that they have left.
-        wait_s = float(answer.headers.get("retry-after", 0.2))
-        time.sleep(max(0.0, min(wait_s, (until - time.monotonic()) / 3)))
-
-
-def ready_router(deployment, number, until):
-    """Return a router that is ready, as the platform hands no connection to others; None at the deadline."""
-    while time.monotonic() < until:
-        for place in range(3):
-            router = deployment.routers[(number + place) % 3]
-            if router.is_ready():
-                return router
+def overwrite(deployment, record, engine):
+    """Write the engine's entry as another writer; the engine writes its own again at its next heartbeat."""
+    engine.wait_heartbeat()
+    entry = engine.entry() | {"version": "\udcff"}
+    deployment.store.put("servers", engine.name, entry)
+    record(f"another writer writes the entry of {engine.name}, with a version that can't be encoded")
+
+
+def ask_on(router, record, name, stopped, answers):
+    """Ask for one stream after the other, until the router's process takes no more."""
+    number = 0
+    while not stopped.is_set():
+        number += 1
+        request_id = f"s{name}x{number}"
+        head = head_of("POST", f"/stream/{request_id}", request_id, host=SERVICE_HOST, key=KEY, deadline_ms=int(WAIT_S * 1000))
+        record(f"client sends {request_id} to {router.name}")
+        answer = answers[request_id] = exchange(router.front, head + b"Content-Length: 4\r\n\r\nbody", timeout_s=WAIT_S)
+        record(f"client gets {request_id}: {answer}")
+        time.sleep(PAUSE_S)
+
+
+def judge(deployment, record, answers):
+    """Return whether more than half of the requests unanswered at the route's timeout are so half a second later."""
+    until = time.monotonic() + EXIT_S
+    while time.monotonic() < until and not all(router.exit_status is not None for router in deployment.routers):
         time.sleep(0.1)
-    return None
-
-
-def ask(router, record, path, request_id, until, extra):
-    left_ms = max(1, int((until - time.monotonic()) * 1000))
-    extra = ["Token-Counts: 300,350", *extra]
-    head = head_of("POST", path, request_id, host=SERVICE_HOST, key=KEY, deadline_ms=left_ms, extra=extra)
-    record(f"client sends {request_id} {path} {', '.join(extra)} to {router.name}")
-    answer = exchange(router.front, head + b"Content-Length: 4\r\n\r\nbody", timeout_s=left_ms / 1000.0)
-    record(f"client gets {request_id}: {answer}, events {answer.event_ids[:1]} to {answer.event_ids[-1:]}")
-    return answer
-
-
-def keep(events, answer):
-    """Keep, by event id, the engine that the event names."""
-    if answer.status != 200:
-        return
-    for event in answer.body.decode("latin-1").split("\n\n"):
-        lines = event.split("\n")
-        if len(lines) == 2 and lines[0].startswith("id: ") and lines[1].startswith("data: "):
-            events[int(lines[0][4:])] = lines[1].split()[1]
-
-
-def judge(record, streams):
-    joined = []
-    for number, events in sorted(streams.items()):
-        versions = {"v1" if engine.startswith("i-old") else "v2" for engine in events.values()}
-        record(f"stream {number}: {len(events)} of {EVENTS} events, versions {' '.join(sorted(versions))}")
-        if len(versions) > 1:
-            joined.append(number)
-    text = f"{len(joined)} of {len(streams)} streams hold events of two software versions"
+    ended = [f"{router.name} {router.exit_status}" for router in deployment.routers if router.exit_status is not None]
+    sent = [answer for answer in answers.values() if answer.status]
+    unanswered = [answer for answer in sent if answer.took_s > TIMEOUT_S]
+    still = [answer for answer in unanswered if answer.took_s > TIMEOUT_S + ALLOWED_S]
+    text = (
+        f"{len(still)} of {len(unanswered)} requests unanswered at timeout_ms, of {len(sent)}, had no answer"
+        f" {ALLOWED_S} s later; processes that ended by themselves: {', '.join(ended) or 'none'}"
+    )
     record(text)
     print(text)
-    return len(joined) > MAX_JOINED
+    return 2 * len(still) > len(unanswered)
 
 
 finish(main)
