--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,7 @@
-"""Another writer overwrites one engine's entry, with text as its version that can't be encoded.
+"""All machines lose power for 1.4 s while two versions of a service's engines serve side by side.
 
-The entry names no engine to use until the engine writes its own again, at its next heartbeat. The routers use it all the
-same, and the task of each resumable stream that begins at that engine fails, which ends the process. TROUBLE=0: the same
-without that entry.
+Later than contact_ms after the machines are back, the clients take their streams up again, while two engines of each version
+serve. TROUBLE=0: the same clients take up streams that they hold whole, with no loss of power.
 """
 
 import sys
@@ -14,89 +13,96 @@
 sys.path.insert(0, str(FOLDER.parent))
 
 from lib.client import exchange, head_of
-from lib.deployment import KEY, SERVICE_HOST, Deployment, Record, configuration, finish
+from lib.deployment import BOUNDS, KEY, SERVICE_HOST, Deployment, Record, configuration, finish
 from lib.engine import Engine
 
-TIMEOUT_S = 3.0
-"""The route's timeout_ms."""
-
-ALLOWED_S = 0.5
-WAIT_S = 8.0
-CLIENTS = 12
-"""Clients of each router, each with one stream at a time."""
-
+STREAMS = 18
+EVENTS = 70
 PAUSE_S = 0.1
-BEFORE_S, AFTER_S = 2.0, 6.0
-EXIT_S = 12.0
+BEGUN_S = 1.5
+DOWN_S = 1.4
+SETTLE_S = 0.6
+"""Added to contact_ms, before the streams are taken up."""
+
+RESUMED_AFTER = 14
+"""Last event that the clients name, with no loss of power."""
 
 
 def main(trouble):
     record = Record(FOLDER / "record.txt")
     deployment = Deployment(routers=3, record=record)
     try:
-        options = {"store": deployment.store, "record": record}
-        engines = [Engine(name=f"i-a{n}", service="asistente", **options) for n in (1, 2, 3)]
-        engines += [Engine(name="i-r1", service="reservas", **options)]
-        deployment.start(configuration(resumable=True, stream_timeout_ms=int(TIMEOUT_S * 1000)), engines)
-        deployment.wait_served()
-        stopped = threading.Event()
-        answers = {}
-        threads = [
-            threading.Thread(target=ask_on, args=(router, record, f"{place}c{n}", stopped, answers), daemon=True)
-            for place, router in enumerate(deployment.routers)
-            for n in range(CLIENTS)
+        options = {"store": deployment.store, "record": record, "events": EVENTS, "pause_s": PAUSE_S}
+        engines = [
+            Engine(name=f"i-{version}{n}", service="asistente", version=version, **options)
+            for version in ("v1", "v2")
+            for n in (1, 2)
         ]
-        for thread in threads:
-            thread.start()
-        time.sleep(BEFORE_S)
+        engines.append(Engine(name="i-r1", service="reservas", **options))
+        deployment.start(configuration(resumable=True), engines)
+        deployment.wait_served()
+        time.sleep(2 * BOUNDS["contact_ms"] / 1000.0)
+        begun = {}
+        threads = [start(ask, deployment, record, begun, n, f"b{n}", ()) for n in range(STREAMS)]
+        time.sleep(BEGUN_S)
         if trouble:
-            overwrite(deployment, record, engines[0])
-        time.sleep(AFTER_S)
-        stopped.set()
+            lose_power(deployment, record)
         for thread in threads:
             thread.join()
-        return judge(deployment, record, answers)
+        time.sleep(BOUNDS["contact_ms"] / 1000.0 + SETTLE_S)
+        return judge(record, *take_up(deployment, record, begun, trouble))
     finally:
         deployment.close()
 
 
-def overwrite(deployment, record, engine):
-    """Write the engine's entry as another writer; the engine writes its own again at its next heartbeat."""
-    engine.wait_heartbeat()
-    entry = engine.entry() | {"version": "\udcff"}
-    deployment.store.put("servers", engine.name, entry)
-    record(f"another writer writes the entry of {engine.name}, with a version that can't be encoded")
-
-
-def ask_on(router, record, name, stopped, answers):
-    """Ask for one stream after the other, until the router's process takes no more."""
-    number = 0
-    while not stopped.is_set():
-        number += 1
-        request_id = f"s{name}x{number}"
-        head = head_of("POST", f"/stream/{request_id}", request_id, host=SERVICE_HOST, key=KEY, deadline_ms=int(WAIT_S * 1000))
-        record(f"client sends {request_id} to {router.name}")
-        answer = answers[request_id] = exchange(router.front, head + b"Content-Length: 4\r\n\r\nbody", timeout_s=WAIT_S)
-        record(f"client gets {request_id}: {answer}")
-        time.sleep(PAUSE_S)
-
-
-def judge(deployment, record, answers):
-    """Return whether more than half of the requests unanswered at the route's timeout are so half a second later."""
-    until = time.monotonic() + EXIT_S
-    while time.monotonic() < until and not all(router.exit_status is not None for router in deployment.routers):
-        time.sleep(0.1)
-    ended = [f"{router.name} {router.exit_status}" for router in deployment.routers if router.exit_status is not None]
-    sent = [answer for answer in answers.values() if answer.status]
-    unanswered = [answer for answer in sent if answer.took_s > TIMEOUT_S]
-    still = [answer for answer in unanswered if answer.took_s > TIMEOUT_S + ALLOWED_S]
-    text = (
-        f"{len(still)} of {len(unanswered)} requests unanswered at timeout_ms, of {len(sent)}, had no answer"
-        f" {ALLOWED_S} s later; processes that ended by themselves: {', '.join(ended) or 'none'}"
-    )
+def lose_power(deployment, record):
+    for router in deployment.routers:
+        router.kill()
+    record("all machines lose power")
+    time.sleep(DOWN_S)
+    for router in deployment.routers:
+        router.start()
+    record("all machines have power again")
+    deployment.wait_ready()
+    record("all machines are ready")
+
+
+def take_up(deployment, record, begun, trouble):
+    """Take up each stream and begin as many new ones, all at once; return the answers of both."""
+    resumed, fresh, threads = {}, {}, []
+    for number, answer in begun.items():
+        last = answer.event_ids[-1] if trouble else RESUMED_AFTER
+        extra = (f"Last-Event-Id: {last}", f"Resumes: b{number}")
+        threads.append(start(ask, deployment, record, resumed, number, f"c{number}", extra))
+        threads.append(start(ask, deployment, record, fresh, number, f"n{number}", ()))
+    for thread in threads:
+        thread.join()
+    return resumed, fresh
+
+
+def start(function, *arguments):
+    thread = threading.Thread(target=function, args=arguments, daemon=True)
+    thread.start()
+    return thread
+
+
+def ask(deployment, record, answers, number, request_id, extra):
+    """Send one request for a stream to a machine that depends on its number, and keep the answer."""
+    router = deployment.routers[(number + len(extra)) % len(deployment.routers)]
+    extra = ["Token-Counts: 300,350", *extra]
+    head = head_of("POST", f"/stream/{number}", request_id, host=SERVICE_HOST, key=KEY, extra=extra)
+    record(f"client sends {request_id} {', '.join(extra)} to {router.name}")
+    answer = answers[number] = exchange(router.front, head + b"Content-Length: 4\r\n\r\nbody", timeout_s=15.0)
+    record(f"client gets {request_id}: {answer}, events {answer.event_ids[:1]} to {answer.event_ids[-1:]}")
+
+
+def judge(record, resumed, fresh):
+    went_on = sum(answer.status == 200 for answer in resumed.values())
+    began = sum(answer.status == 200 for answer in fresh.values())
+    text = f"{went_on} of {len(resumed)} streams that were taken up went on, {began} of {len(fresh)} new ones began"
     record(text)
     print(text)
-    return 2 * len(still) > len(unanswered)
+    return 2 * went_on * len(fresh) < began * len(resumed)
 
 
 finish(main)
--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -61,27 +61,18 @@
             if self._withdrawn.is_set():
                 return time.monotonic()
             self._sequence += 1
-            return self._store.put("servers", self.name, self.entry())
-
-    def entry(self):
-        """Return the registration as it is now."""
-        return {
-            "service": self.service,
-            "address": self.address,
-            "zone": "gijon",
-            "version": self.version,
-            "slots": 10,
-            "state": self.state,
-            "cold_remaining_ms": 0,
-            "sequence": self._sequence,
-            "born": self.born,
-        }
-
-    def wait_heartbeat(self):
-        """Wait until the engine has just written its entry."""
-        sequence = self._sequence
-        while self._sequence == sequence:
-            time.sleep(0.01)
+            entry = {
+                "service": self.service,
+                "address": self.address,
+                "zone": "gijon",
+                "version": self.version,
+                "slots": 10,
+                "state": self.state,
+                "cold_remaining_ms": 0,
+                "sequence": self._sequence,
+                "born": self.born,
+            }
+            return self._store.put("servers", self.name, entry)
 
     def leave(self):
         """Report that it is draining; return the time of the acknowledgement."""
