--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,8 @@
 """Streams without a length that the router cuts at the route's timeout: does the client see that they are cut?
 
-Three of five sound engines answer one stream in twenty with neither a length nor chunks (TROUBLE=0: none). All runs last
-longer than the route's timeout_ms, so the router has to end the answers early. The clients would wait longer. An answer
-that ends early must not look complete.
+For five seconds, and again after a pause, three of six sound engines answer one stream in twenty with neither a length nor
+chunks (TROUBLE=0: none). All runs last longer than the route's timeout_ms, so the router has to end the answers early. The
+clients would wait longer. An answer that ends early must not look complete.
 """
 
 import sys
@@ -20,9 +20,10 @@
 TIMEOUT_MS = 2000
 EVENTS = 50
 PAUSE_S = 0.1
-ENGINES = 5
+ENGINES = 6
 UNFRAMED_ENGINES = 3
 UNFRAMED_EVERY = 20
+UNFRAMED_S, BETWEEN_S = 5.0, 1.0
 CLIENTS = 40
 LASTS_S = 40.0
 
@@ -32,25 +33,29 @@
     deployment = Deployment(routers=3, record=record)
     try:
         options = {"store": deployment.store, "record": record, "events": EVENTS, "pause_s": PAUSE_S}
-        engines = [
-            Engine(
-                name=f"i-a{number}",
-                service="asistente",
-                unframed_every=UNFRAMED_EVERY if trouble and number < UNFRAMED_ENGINES else 0,
-                **options,
-            )
-            for number in range(ENGINES)
-        ]
+        engines = [Engine(name=f"i-a{number}", service="asistente", **options) for number in range(ENGINES)]
         engines.append(Engine(name="i-r1", service="reservas", **options))
         deployment.start(configuration(stream_timeout_ms=TIMEOUT_MS), engines)
         deployment.wait_served()
-        return judge(deployment, record)
+        ends_at = time.monotonic() + LASTS_S
+        if trouble:
+            threading.Thread(target=unframe, args=(engines[:UNFRAMED_ENGINES], ends_at, record), daemon=True).start()
+        return judge(deployment, record, ends_at)
     finally:
         deployment.close()
 
 
-def judge(deployment, record):
-    ends_at = time.monotonic() + LASTS_S
+def unframe(engines, ends_at, record):
+    """Have engines answer without lengths for a while, again and again."""
+    while time.monotonic() < ends_at:
+        for every, seconds in ((UNFRAMED_EVERY, UNFRAMED_S), (0, BETWEEN_S)):
+            for engine in engines:
+                engine.unframed_every = every
+            record(f"{len(engines)} engines answer one stream in {every} without a length" if every else "all have a length")
+            time.sleep(seconds)
+
+
+def judge(deployment, record, ends_at):
     answers, wrong = [], []
     clients = [
         threading.Thread(target=press, args=(deployment, record, number, ends_at, answers, wrong), daemon=True)
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -225,14 +225,21 @@
 """Below the ports that the kernel gives to connections, one of which could take a port before its router listens."""
 
 
+GIVEN_PORTS = set()
+
+
 def free_ports(count):
-    """Return free ports; all are held until the last is found, so that they differ."""
+    """Return free ports that no router of this process has yet."""
     held = []
     try:
         while len(held) < count:
+            port = random.randint(FIRST_PORT, LAST_PORT)
+            if port in GIVEN_PORTS:
+                continue
+            GIVEN_PORTS.add(port)
             sock = socket.socket()
             try:
-                sock.bind((HOST, random.randint(FIRST_PORT, LAST_PORT)))
+                sock.bind((HOST, port))
             except OSError:
                 sock.close()
                 continue
