--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,10 @@
 """All machines lose power for 1.4 s while two versions of a service's engines serve side by side.
 
 Later than contact_ms after the machines are back, the clients take their streams up again, while two engines of each version
-serve. TROUBLE=0: the same clients take up streams that they hold whole, with no loss of power.
+serve. TROUBLE=0: the same with no loss of power; the clients' connections break instead.
 """
 
+import socket
 import sys
 import threading
 import time
@@ -12,7 +13,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from lib.client import exchange, head_of
+from lib.client import Connection, exchange, head_of
 from lib.deployment import BOUNDS, KEY, SERVICE_HOST, Deployment, Record, configuration, finish
 from lib.engine import Engine
 
@@ -24,8 +25,8 @@
 SETTLE_S = 0.6
 """Added to contact_ms, before the streams are taken up."""
 
-RESUMED_AFTER = 14
-"""Last event that the clients name, with no loss of power."""
+MIN_STREAMS = 12
+"""Fewer streams break no rule."""
 
 
 def main(trouble):
@@ -42,15 +43,17 @@
         deployment.start(configuration(resumable=True), engines)
         deployment.wait_served()
         time.sleep(2 * BOUNDS["contact_ms"] / 1000.0)
-        begun = {}
-        threads = [start(ask, deployment, record, begun, n, f"b{n}", ()) for n in range(STREAMS)]
+        begun, connections = {}, []
+        threads = [start(ask, deployment, record, begun, n, f"b{n}", (), connections) for n in range(STREAMS)]
         time.sleep(BEGUN_S)
         if trouble:
             lose_power(deployment, record)
+        else:
+            break_connections(connections, record)
         for thread in threads:
             thread.join()
         time.sleep(BOUNDS["contact_ms"] / 1000.0 + SETTLE_S)
-        return judge(record, *take_up(deployment, record, begun, trouble))
+        return judge(record, *take_up(deployment, record, begun))
     finally:
         deployment.close()
 
@@ -67,12 +70,18 @@
     record("all machines are ready")
 
 
-def take_up(deployment, record, begun, trouble):
+def break_connections(connections, record):
+    for connection in connections:
+        connection.sock.shutdown(socket.SHUT_RDWR)
+    record("the clients' connections break")
+    time.sleep(DOWN_S)
+
+
+def take_up(deployment, record, begun):
     """Take up each stream and begin as many new ones, all at once; return the answers of both."""
     resumed, fresh, threads = {}, {}, []
     for number, answer in begun.items():
-        last = answer.event_ids[-1] if trouble else RESUMED_AFTER
-        extra = (f"Last-Event-Id: {last}", f"Resumes: b{number}")
+        extra = (f"Last-Event-Id: {answer.event_ids[-1]}", f"Resumes: b{number}")
         threads.append(start(ask, deployment, record, resumed, number, f"c{number}", extra))
         threads.append(start(ask, deployment, record, fresh, number, f"n{number}", ()))
     for thread in threads:
@@ -86,13 +95,18 @@
     return thread
 
 
-def ask(deployment, record, answers, number, request_id, extra):
+def ask(deployment, record, answers, number, request_id, extra, connections=None):
     """Send one request for a stream to a machine that depends on its number, and keep the answer."""
     router = deployment.routers[(number + len(extra)) % len(deployment.routers)]
     extra = ["Token-Counts: 300,350", *extra]
     head = head_of("POST", f"/stream/{number}", request_id, host=SERVICE_HOST, key=KEY, extra=extra)
     record(f"client sends {request_id} {', '.join(extra)} to {router.name}")
-    answer = answers[number] = exchange(router.front, head + b"Content-Length: 4\r\n\r\nbody", timeout_s=15.0)
+    connection = Connection(router.front, timeout_s=15.0)
+    if connections is not None:
+        connections.append(connection)
+    data = head + b"Content-Length: 4\r\n\r\nbody"
+    answer = answers[number] = exchange(router.front, data, connection=connection)
+    connection.close()
     record(f"client gets {request_id}: {answer}, events {answer.event_ids[:1]} to {answer.event_ids[-1:]}")
 
 
@@ -102,7 +116,7 @@
     text = f"{went_on} of {len(resumed)} streams that were taken up went on, {began} of {len(fresh)} new ones began"
     record(text)
     print(text)
-    return 2 * went_on * len(fresh) < began * len(resumed)
+    return len(resumed) >= MIN_STREAMS and 2 * went_on * len(fresh) < began * len(resumed)
 
 
 finish(main)
