Known red: faults that are shown outside the suite have entries of their own

The lines of the review stood under the name of tests.test_retry_fleet...test_most_routers_die_with_the_scheduler, which has nothing to do with them, as the list took names of the suite only. Twelve lines passed over one test, and a reader could not tell which fault a failure was.

An entry whose first field holds a slash, such as review/2, is no test: it covers none, is never stale, and is printed like the others as "outside the suite". A name without a slash that covers no test fails the run as before.

The test of the reader checks that a failing test stays a failure beside such entries, also where the field resembles the test's name.

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -74,6 +74,18 @@
         # After a misspelt name or a renamed test, the fault behind the entry would go unnoticed.
         self.assertFalse(verdict_of(suite_of(test_a="pass"), "tests.made_up.Case.test_z").is_good)
 
+    # Guards against a fault outside the suite whose entry passes over a test, or hides that its own test is gone.
+    def test_fault_outside_the_suite_is_printed_and_covers_no_test(self):
+        for listed in ("review/2", "tests/made_up", "tests.made_up/Case.test_a"):
+            with self.subTest(listed):
+                verdict = verdict_of(suite_of(test_a="fail", test_b="pass"), listed)
+                self.assertFalse(verdict.is_good)
+                self.assertEqual(verdict.failed, {"tests.made_up.Case.test_a"})
+                self.assertIn(f"known red, outside the suite: {LINE.format(listed)}", list(verdict.lines()))
+                verdict = verdict_of(suite_of(test_b="pass"), listed)
+                self.assertTrue(verdict.is_good)
+                self.assertEqual(list(verdict.lines())[-1], "1 passed, 0 failed, 0 skipped")
+
     def test_a_run_of_no_test_is_not_good(self):
         self.assertFalse(verdict_of(unittest.TestSuite()).is_good)
 
--- a/tests/utils/known_red.py
+++ b/tests/utils/known_red.py
@@ -7,16 +7,17 @@
 LIST_FILE = Path(__file__).resolve().parents[2] / "KNOWN-RED.txt"
 FIELDS = ("test", "cause", "command and seed", "what was seen", "open issue")
 SEPARATOR = " | "
+PATH_SEPARATOR = "/"
 FIXTURE = re.compile(r"^(?:setUp|tearDown)(?:Class|Module) \((.+)\)$")
 
 
 class KnownRed:
-    """One listed test: a method, a class or a module.
+    """One entry: a test (a method, a class or a module), or a fault that is shown outside the suite.
 
     Parameters
     ----------
     test : str
-        Its dotted name.
+        Its dotted name; for a fault outside the suite a path, such as that of a review's case.
     line : str
         The complete entry.
     """
@@ -27,8 +28,15 @@
         self.test = test
         self.line = line
 
+    @property
+    def is_test(self):
+        """Whether the entry is for tests of the suite, and so has to cover one."""
+        return PATH_SEPARATOR not in self.test
+
     def covers(self, test_id):
         """Whether the entry covers this test, one of its subtests, or a fixture of its class or module."""
+        if not self.is_test:
+            return False
         fixture = FIXTURE.match(test_id)
         name = fixture.group(1) if fixture else test_id
         return name == self.test or name.startswith((f"{self.test}.", f"{self.test} "))
@@ -88,7 +96,8 @@
         # An unexpected success counts as a failure, like any other.
         ids = {_test_id(test) for test, _ in failures} | {test.id() for test in result.unexpectedSuccesses}
         self.known_failed = {name for name in ids if any(entry.covers(name) for entry in entries)}
-        stale = {entry.test for entry in entries if not any(entry.covers(name) for name in test_ids)}
+        tests = [entry for entry in entries if entry.is_test]
+        stale = {entry.test for entry in tests if not any(entry.covers(name) for name in test_ids)}
         self.failed = (ids - self.known_failed) | stale
         self.skipped = len(result.skipped)
         # A failed fixture is not a test, and the tests that depend on it did not run.
@@ -104,6 +113,8 @@
         for entry in self._entries:
             failed = sorted(name for name in self.known_failed if entry.covers(name))
             outcome = f"failed: {', '.join(failed)}" if failed else "passed this time"
+            if not entry.is_test:
+                outcome = "outside the suite"
             yield f"known red, {outcome}: {entry.line}"
         if self.failed:
             yield f"failed: {', '.join(sorted(self.failed))}"
