Answers that this process cut off no longer count as complete

Cause: an answer with neither a length nor chunks ends where its connection ends. RunExchange.abort shuts the connection down, and the thread that reads it took that for the engine's end: RunDone, RunRejected or RunFailed, which meant no more than "the reader stopped". The same class on the head: the library takes the end of the connection for the empty line after it, so that a head that lost its last lines, and with them its length, was a whole and empty answer.

Change: the end of a connection is the end of an answer only if this process did not shut it down and no tunnel broke. Outcomes that mean a whole answer need an end that was seen (last chunk, declared length, the engine's close, an end that the dialect recognises); anything else is a cut, whatever a dialect returns. A head that ends with its connection is a cut. Why it works: the flag is set before the connection is shut down, so a reader that sees that end sees the flag too; an answer that ends at the same moment may be reported either way.

--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -1,14 +1,16 @@
 """Tunnels to engines between two routers' ends, over loopback connections."""
 
 import asyncio
+import errno
 import socket
 import struct
 import threading
 import unittest
+from unittest import mock
 
 from tests.utils.tcp_forwarder import TcpForwarder
 from wagtailtrestle.contracts.exchange import StartRun
-from wagtailtrestle.contracts.outcomes import RunCut, RunDone, RunNotSent
+from wagtailtrestle.contracts.outcomes import RunCancelled, RunCut, RunDone, RunNotSent
 from wagtailtrestle.engines.connector import PathConnector
 from wagtailtrestle.engines.paths import EnginePaths
 from wagtailtrestle.engines.run_exchange import RunExchange
@@ -162,6 +164,44 @@
         await self.forwarder.close()
         self.assertIsInstance((await ended).outcome, RunCut)
 
+    async def exchange_at_half_an_answer(self, **options):
+        """Return an exchange that received the head and the first half of the body, and its end."""
+        engine = await self.engine(HEAD + b"\r\nbo", b"dy")
+        self.addCleanup(engine.release.set)
+        exchange, ended = self.run_exchange(**options)
+        while not engine.requests:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        return exchange, ended
+
+    # Guards against an answer that counts as whole because the entry gave up its run.
+    async def test_abort_at_the_entry_is_not_the_end_of_an_answer(self):
+        for is_streamed in (False, True):
+            with self.subTest(is_streamed=is_streamed):
+                exchange, ended = await self.exchange_at_half_an_answer(is_streamed=is_streamed)
+                exchange.abort()
+                self.assertIsInstance((await ended).outcome, RunCancelled)
+                self.assertEqual(exchange.received.body, b"")
+
+    # Guards against the same when the helper's own connection to the engine times out.
+    async def test_timeout_at_the_helper_is_not_the_end_of_an_answer(self):
+        readers_by_port = {}
+        open_connection = asyncio.open_connection
+
+        async def record_connection(*args, **kwargs):
+            reader, writer = await open_connection(*args, **kwargs)
+            if args:
+                readers_by_port[args[1]] = reader
+            return reader, writer
+
+        with mock.patch.object(tunnel_server.asyncio, "open_connection", record_connection):
+            exchange, ended = await self.exchange_at_half_an_answer()
+        port = int(self.engines[ENGINE].rpartition(":")[2])
+        # The error that a socket reports whose probes stay unanswered.
+        readers_by_port[port].set_exception(TimeoutError(errno.ETIMEDOUT, "timed out"))
+        self.assertIsInstance((await ended).outcome, RunCut)
+        self.assertEqual(exchange.received.body, b"")
+
     # Guards against runs that an engine continues although the entry has given them up.
     async def test_engine_loses_its_reader_when_the_entry_gives_up(self):
         engine = await self.engine()
--- a/wagtailtrestle/engines/native_call.py
+++ b/wagtailtrestle/engines/native_call.py
@@ -195,10 +195,23 @@
     fault = check.end()
     if fault is not None:
         return exchange.cut(fault.detail)
+    exchange.mark_end()
     return exchange.done()
 
 
 def _rejected(exchange):
-    exchange.set_read_timeout(exchange.progress.time_left_s(exchange.command.first_token_deadline_s))
-    exchange.record_answer(exchange.response.read(MAX_ERROR_BYTES, decode_content=False))
+    exchange.record_answer(_read_error(exchange))
     return RunRejected(status=exchange.response.status)
+
+
+def _read_error(exchange):
+    """Read the body of an error; none is returned of one that is longer than ``MAX_ERROR_BYTES``."""
+    exchange.set_read_timeout(exchange.progress.time_left_s(exchange.command.first_token_deadline_s))
+    body = b""
+    for data in exchange.chunks():
+        body += data
+        if len(body) > MAX_ERROR_BYTES:
+            exchange.mark_end()
+            return b""
+        exchange.set_read_timeout(exchange.progress.time_left_for_token_s())
+    return body
--- a/wagtailtrestle/engines/run_exchange.py
+++ b/wagtailtrestle/engines/run_exchange.py
@@ -21,6 +21,7 @@
 )
 from wagtailtrestle.engines.chunked_body import ChunkedDecoder
 from wagtailtrestle.engines.connector import CONNECT_ERRORS
+from wagtailtrestle.engines.raw_response import RawResponse
 from wagtailtrestle.engines.run_progress import RunProgress
 
 READ_BYTES = 65536
@@ -34,6 +35,8 @@
 OK = 200
 LATE_SEND_THRESHOLD_S = 0.25
 """Connect time above which a late send is logged: the decision behind the grant may be out of date by then."""
+WHOLE_ANSWERS = RunDone | RunRejected | RunFailed
+"""Outcomes that mean that the answer was received to its end."""
 
 
 class RunExchange:
@@ -83,6 +86,7 @@
         "_method",
         "_raw_response",
         "_read_timeout_s",
+        "_saw_end",
         "_socket",
     )
 
@@ -105,6 +109,7 @@
         self._method = ""
         self._raw_response = None
         self._read_timeout_s = -math.inf
+        self._saw_end = False
         self._socket = None
 
     def run(self) -> RunEnded:
@@ -151,8 +156,18 @@
         self._connection.timeout = seconds
         self._socket.settimeout(seconds)
 
+    def mark_end(self):
+        """Record that the answer shows its own end: by an event of its stream, or as an answer that has no body."""
+        self._saw_end = True
+
     def chunks(self):
-        """Iterate over the body in pieces as they arrive."""
+        """Iterate over the body in pieces as they arrive.
+
+        Raises
+        ------
+        OSError, urllib3.exceptions.HTTPError
+            If the connection ended before the body did, or was closed by this process.
+        """
         if self.response.chunked:
             return self._read_chunked()
         return self._read_until_closed()
@@ -174,6 +189,7 @@
                 raise ConnectionError("the body ended early")
             parts.append(data)
             left -= len(data)
+        self.mark_end()
         return b"".join(parts)
 
     def record_answer(self, body):
@@ -198,13 +214,16 @@
     def _read_until_closed(self):
         while data := self.response.read1(READ_BYTES, decode_content=False):
             yield data
+        # An answer without a length ends with its connection, so an end that the engine did not cause must not count.
+        if self._aborted:
+            raise ConnectionAbortedError("the connection was shut down to cancel the run")
         if self._engine_connection.is_broken:
-            # To a reader, a tunnel that broke looks like an engine that closed its connection, and where the answer
-            # has no length that is its end.
             raise ConnectionResetError("the path through another router was lost")
+        self.mark_end()
 
     def _read_chunked(self):
         if self._method == "HEAD":
+            self.mark_end()
             return
         decoder = ChunkedDecoder()
         # The first read returns what was received together with the head, if anything was. The file's buffer is
@@ -214,6 +233,7 @@
             if body := decoder.feed(data):
                 yield body
             if decoder.is_complete:
+                self.mark_end()
                 return
             if not body:
                 # The caller of this iterator sets the timeout only after data. Without this, an engine that sends a
@@ -222,9 +242,10 @@
             data = self._socket.recv(CHUNK_READ_BYTES)
         if not decoder.has_last_chunk:
             raise ProtocolError("Response ended prematurely")
+        self.mark_end()
 
     def _make_raw_response(self, sock, **options):
-        self._raw_response = http.client.HTTPResponse(sock, **options)
+        self._raw_response = RawResponse(sock, **options)
         return self._raw_response
 
     # Connecting and sending.
@@ -256,6 +277,8 @@
             outcome = RunSilent(output_tokens=self.output_tokens, reached=self.reached, held=self.held)
         except (HTTPError, http.client.HTTPException, OSError) as error:
             outcome = self.cut(f"connection lost: {type(error).__name__}")
+        if isinstance(outcome, WHOLE_ANSWERS) and not self._saw_end:
+            outcome = self.cut("the answer's end was not received")
         if self._aborted and isinstance(outcome, RunCut | RunSilent):
             return RunCancelled(output_tokens=self.output_tokens)
         return outcome
--- a/wagtailtrestle/platform/engines.py
+++ b/wagtailtrestle/platform/engines.py
@@ -167,6 +167,7 @@
     def _body(self, exchange):
         response = exchange.response
         if self.method == "HEAD" or response.status in NO_BODY_STATUSES:
+            exchange.mark_end()
             return b""
         length = response.headers.get("Content-Length", "")
         if length.isdecimal() and not response.chunked:
