Streams of several software versions go on after all routers lost power

Cause: the version that began a stream is kept by routers alone, the one that delivered it and three others. After a loss of power nobody knows it, and with two versions it isn't guessed.

Ruled out: engines that aren't granted (no place was asked for), lists of engines that aren't complete (both versions were listed).

Change: while a service has several versions, a stream is also told to the writer of its part of the store (four parts, writers chosen by hashing), which collects for 0.05 s, writes at most every 0.5 s and merges what is stored; streams that run when a second version appears are told and written at once. A router that finds a stream at no other router asks the writer and one holder to read the store, and reads it itself where they can't. A stream that is not there is refused as before, since it may have been written late.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -18,6 +18,7 @@
     "entry.retry_record",
     "entry.poison",
     "entry.part_crashes",
+    "entry.stream_store",
     "entry.stream_versions",
     "entry.version_history",
     "configuration.version_note",
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -13,6 +13,9 @@
 MIN_RESUMED_SHARE = 0.5
 """Share of resumed streams that go on, relative to the share of new streams that begin."""
 MAX_REFUSAL_S = 1.0
+DOWN_S = 1.4
+RECORDED_S = 1.0
+"""Time after which the versions of streams are in the store."""
 UNAVAILABLE = 503
 
 
@@ -131,6 +134,62 @@
             thread.join()
         self.check(streams)
 
+    # Guards against streams that nobody can resume since all routers that knew their version lost power together.
+    def test_all_routers_lose_power(self):
+        world = self.make_world("v1", "v1", "v2", "v2")
+        streams = self.begin_streams(world)
+        for _ in range(2):
+            time.sleep(RECORDED_S)
+            lose_power(world)
+            self.resume_streams(world, streams, leave_after=3)
+        self.check(streams)
+
+    # Guards against the same where the second version joined just before.
+    def test_all_routers_lose_power_after_a_version_joined(self):
+        world = self.make_world("v1", "v1")
+        streams = self.begin_streams(world)
+        engine = world.engines["v2-2"] = VersionedStreamEngine(name="v2-2", version="v2")
+        world.store.put("servers", "v2-2", engine.entry())
+        time.sleep(2 * RECORDED_S)
+        lose_power(world)
+        self.resume_streams(world, streams)
+        self.check(streams)
+
+    def begin_streams(self, world):
+        callers = StreamCallers(world=world)
+        streams = [Stream() for _ in range(24)]
+        for number, stream in enumerate(streams):
+            until = time.monotonic() + DEADLINE_S
+            callers.attempt(stream, number % ROUTERS, f"first-{number}", until, leave_after=5)
+        return streams
+
+    def resume_streams(self, world, streams, *, leave_after=None):
+        """Resume all streams at once, each at another router than before."""
+        callers = StreamCallers(world=world)
+        until = time.monotonic() + DEADLINE_S
+        threads = [
+            threading.Thread(
+                target=callers.attempt,
+                args=(stream, (number + 1) % ROUTERS, f"again-{number}-{len(stream.statuses)}", until),
+                kwargs={"leave_after": leave_after},
+            )
+            for number, stream in enumerate(streams)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+
+def lose_power(world):
+    for router in world.routers:
+        router.kill()
+    time.sleep(DOWN_S)
+    for router in world.routers:
+        router.start()
+    for router in world.routers:
+        router.wait_ready()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/wagtailtrestle/adapters.py
+++ b/wagtailtrestle/adapters.py
@@ -27,6 +27,8 @@
     version_kind : str or None
         Kind of the objects that record services with several software versions; ``None`` where no caller resumes a
         stream at another router.
+    stream_kind : str or None
+        Kind of the objects that record the versions of running streams; ``None`` as for ``version_kind``.
     shares_confirmations : bool
         Whether a router may rely on a peer's confirmation of the configuration instead of reading the
         store itself. Safe only if reads are never stale.
@@ -44,6 +46,7 @@
     epoch_kind: str | None
     rollout_kind: str | None
     version_kind: str | None
+    stream_kind: str | None
     shares_confirmations: bool
 
     def open_store(self, url: str, epoch):
@@ -70,6 +73,7 @@
     epoch_kind = None
     rollout_kind = None
     version_kind = None
+    stream_kind = None
     shares_confirmations = False
 
     def open_store(self, url, epoch):
--- a/wagtailtrestle/contracts/stream_messages.py
+++ b/wagtailtrestle/contracts/stream_messages.py
@@ -16,10 +16,13 @@
         Empty, in an answer, if it is not known.
     streams : tuple of int
         Keys of the streams.
+    is_unread : bool
+        Whether the router could not read the store, in the answer to a query that asks for it.
     """
 
     version: str
     streams: tuple = ()
+    is_unread: bool = False
 
 
 @record
@@ -30,6 +33,9 @@
     ----------
     stream : int
         Key of the stream.
+    reads_store : bool
+        Whether the router is to read the store if it does not remember the stream.
     """
 
     stream: int
+    reads_store: bool = False
--- a/wagtailtrestle/entry/stream_versions.py
+++ b/wagtailtrestle/entry/stream_versions.py
@@ -2,8 +2,9 @@
 
 What two versions of a service's software write does not fit together, so a stream may go on only at the version that
 began it. The router that delivers a stream remembers its version. While the service has several versions, that router
-also tells three others, chosen by hashing the stream's name, which the router that resumes the stream asks. A version
-that nobody remembers is never guessed.
+also tells three others, chosen by hashing the stream's name, which the router that resumes the stream asks, and one
+that writes the versions to the store for the case that all of them are lost. A version that is neither remembered nor
+stored is never guessed.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 from loguru import logger
 
 from wagtailtrestle.contracts.stream_messages import StreamVersion, StreamVersionAsk
+from wagtailtrestle.entry.stream_store import part_of
 from wagtailtrestle.peers.rendezvous import Rendezvous
 
 HOLDERS = 3
@@ -24,9 +26,12 @@
 """Routers, next in the ranking, that are asked if no holder knows the version: they may have been holders before."""
 
 SHARDS = 32
-"""Groups of streams with the same holders. They bound the connections and the rankings of a large fleet."""
+"""Groups of streams with the same holders. They bound the connections and the rankings of a large fleet. Streams of a
+shard are in the same part of the store."""
 
 ASK_TIMEOUT_S = 0.25
+STORE_ASK_TIMEOUT_S = 1.0
+"""Time for the answer of a router that may have to read the store."""
 MAX_STREAMS = 16_384
 """Streams remembered, some 200 bytes each; the oldest are dropped first."""
 
@@ -38,6 +43,7 @@
 
     OWN = "own"
     PEER = "peer"
+    STORE = "store"
     ONLY_VERSION = "only_version"
     UNKNOWN = "unknown"
 
@@ -70,6 +76,7 @@
     history : VersionHistory
     note : VersionNote
         Tells a router whose own history is too short whether a service has had one version.
+    store : StreamStore
     count : callable
         ``count(name, **labels)`` counts an event.
     """
@@ -82,15 +89,16 @@
         "_retention_s",
         "_history",
         "_note",
+        "_store",
         "_count",
         "_rendezvous",
         "_own_by_key",
         "_told_by_key",
-        "_holders_by_shard",
+        "_receivers_by_shard",
         "_services_with_several",
     )
 
-    def __init__(self, *, name, peers, members, clock, retention_s, history, note, count):
+    def __init__(self, *, name, peers, members, clock, retention_s, history, note, store, count):
         self._name = name
         self._peers = peers
         self._members = members
@@ -98,11 +106,12 @@
         self._retention_s = retention_s
         self._history = history
         self._note = note
+        self._store = store
         self._count = count
         self._rendezvous = Rendezvous()
         self._own_by_key = OrderedDict()
         self._told_by_key = OrderedDict()
-        self._holders_by_shard = {}
+        self._receivers_by_shard = {}
         self._services_with_several = frozenset()
         peers.on(StreamVersion, self._on_told)
         peers.on(StreamVersionAsk, self._on_ask)
@@ -123,11 +132,16 @@
         str or None
             ``None`` if it is not known for certain.
         """
-        version, source = await self._find(service, stream_id)
+        key = stream_key(service=service, stream_id=stream_id)
+        others = self._ranked_others(key)
+        version, source = await self._find(service, key, others)
         self._count("stream_resumes", source=str(source))
         log = logger.bind(service=service, stream=stream_id, version=version or "", source=str(source))
         if source is Source.UNKNOWN:
-            log.warning("a stream can't be resumed: the software version that began it is not known")
+            versions = sorted(self._history.versions(service))
+            log.bind(holders=others[:HOLDERS], writer=self._writer(key), versions=versions).warning(
+                "a stream can't be resumed: the software version that began it is not known"
+            )
         else:
             log.info("a stream is resumed")
         return version
@@ -139,17 +153,19 @@
         self._services_with_several = several
         if added:
             # Streams that began while the service had one version are known here alone.
-            self._tell_all(lambda key, record: self._holders(key) if record.service in added else ())
+            self._tell_all(lambda key, record: self._receivers(key) if record.service in added else ())
+            self._store_all()
 
     def update_members(self):
-        """Tell routers that hold other streams since the view has changed."""
+        """Tell routers that hold or store other streams since the view has changed."""
         if not self._services_with_several:
-            self._holders_by_shard = {}
+            self._receivers_by_shard = {}
             return
-        before, self._holders_by_shard = self._holders_by_shard, {}
+        before, self._receivers_by_shard = self._receivers_by_shard, {}
         self._tell_all(
-            lambda key, record: [peer for peer in self._holders(key) if peer not in before.get(_shard(key), ())]
+            lambda key, record: [peer for peer in self._receivers(key) if peer not in before.get(_shard(key), ())]
         )
+        self._store_all()
 
     def dump(self):
         """Return plain data for the state dump."""
@@ -157,25 +173,40 @@
             "own": len(self._own_by_key),
             "told": len(self._told_by_key),
             "services_with_several": sorted(self._services_with_several),
+            "stored": self._store.dump(),
         }
 
     # Search.
 
-    async def _find(self, service, stream_id):
-        key = stream_key(service=service, stream_id=stream_id)
+    async def _find(self, service, key, others):
         version = self._remembered(key)
         if version:
             return version, Source.OWN
-        others = self._ranked_others(key)
-        version, answered = await self._ask(others[:HOLDERS], key)
+        ask = StreamVersionAsk(stream=key)
+        version, answered = await self._ask(others[:HOLDERS], ask, ASK_TIMEOUT_S)
         if version:
             return version, Source.PEER
         # Whoever delivered the stream may have seen a version that this router does not see yet. With an answer of a
         # holder, or without any other router, that is ruled out.
         if (answered or not others) and (version := await self._only_version(service)):
             return version, Source.ONLY_VERSION
-        version, _ = await self._ask(others[HOLDERS : HOLDERS + MORE_ASKED], key)
-        return (version, Source.PEER) if version else (None, Source.UNKNOWN)
+        more = others[HOLDERS : HOLDERS + MORE_ASKED]
+        version, _ = await self._ask(more, ask, ASK_TIMEOUT_S)
+        if version:
+            return version, Source.PEER
+        version = await self._find_stored(key, others)
+        return (version, Source.STORE) if version else (None, Source.UNKNOWN)
+
+    async def _find_stored(self, key, others):
+        """Find the version in the store; few routers read it, as many streams are resumed after all have restarted."""
+        writer = self._writer(key)
+        if writer == self._name:
+            return await self._store.find(key)
+        readers = list(dict.fromkeys([name for name in (writer, *others[:1]) if name is not None]))
+        ask = StreamVersionAsk(stream=key, reads_store=True)
+        version, answered = await self._ask(readers, ask, STORE_ASK_TIMEOUT_S)
+        # Without the answer of a router that read the store, this one does, as the store may reject single routers.
+        return version if answered else await self._store.find(key)
 
     async def _only_version(self, service):
         versions = self._history.versions(service)
@@ -186,18 +217,15 @@
             return version
         return None
 
-    async def _ask(self, routers, key):
-        """Return the version that some router remembers, or ``None``, and whether any router answered."""
-        asks = [
-            asyncio.ensure_future(self._peers.query(peer, StreamVersionAsk(stream=key), ASK_TIMEOUT_S))
-            for peer in routers
-        ]
+    async def _ask(self, routers, message, timeout_s):
+        """Return the version that some router knows, or ``None``, and whether any router answered."""
+        asks = [asyncio.ensure_future(self._peers.query(peer, message, timeout_s)) for peer in routers]
         answered = False
         try:
             for ask in asyncio.as_completed(asks):
                 answer = await ask
                 if isinstance(answer, StreamVersion):
-                    answered = True
+                    answered = answered or not answer.is_unread
                     if answer.version:
                         return answer.version, True
         finally:
@@ -219,19 +247,40 @@
         now = self._clock()
         for key in message.streams:
             _put(self._told_by_key, key, _Record(version=message.version, service="", at=now))
+            self._store_if_writer(key, message.version)
         self._drop_expired(self._told_by_key)
 
     def _on_ask(self, peer, message, cell):
-        return StreamVersion(version=self._remembered(message.stream))
+        version = self._remembered(message.stream)
+        if message.reads_store and not version:
+            return self._answer_from_store(message.stream)
+        return StreamVersion(version=version)
+
+    async def _answer_from_store(self, key):
+        version = await self._store.find(key)
+        return StreamVersion(version=version or "", is_unread=version is None)
 
     def _tell(self, key, version):
-        for peer in self._holders(key):
+        for peer in self._receivers(key):
             self._peers.send(peer, StreamVersion(version=version, streams=(key,)))
+        self._store_if_writer(key, version)
+
+    def _store_if_writer(self, key, version):
+        if self._writer(key) == self._name:
+            self._store.add(key, version)
+
+    def _store_all(self):
+        """Store the streams whose part this router writes since a second version or a change of the view."""
+        for key, record in self._own_by_key.items():
+            if record.service in self._services_with_several:
+                self._store_if_writer(key, record.version)
+        for key, record in self._told_by_key.items():
+            self._store_if_writer(key, record.version)
 
     def _tell_again(self, peer):
         # A router that restarted has forgotten what it held.
         if self._services_with_several:
-            self._tell_all(lambda key, record: (peer,) if peer in self._holders(key) else ())
+            self._tell_all(lambda key, record: (peer,) if peer in self._receivers(key) else ())
 
     def _tell_all(self, receivers_of):
         """Send the records of services with several versions to the routers that ``receivers_of`` names."""
@@ -249,18 +298,25 @@
                     peer, StreamVersion(version=version, streams=keys[start : start + MAX_STREAMS_PER_MESSAGE])
                 )
 
-    # Holders.
+    # Holders and writers.
 
     def _ranked_others(self, key):
         ranked = self._rendezvous.ranked(key=f"streams/{_shard(key)}", members=self._members())
         return [name for name in ranked if name != self._name]
 
-    def _holders(self, key):
+    def _writer(self, key):
+        """Return the router that writes the part of a stream to the store, or ``None`` if no member is known."""
+        return self._rendezvous.choose(key=f"streams/part/{part_of(key)}", members=self._members())
+
+    def _receivers(self, key):
+        """Return the other routers that are told of a stream: its holders, and the writer of its part."""
         shard = _shard(key)
-        holders = self._holders_by_shard.get(shard)
-        if holders is None:
-            holders = self._holders_by_shard[shard] = tuple(self._ranked_others(key)[:HOLDERS])
-        return holders
+        receivers = self._receivers_by_shard.get(shard)
+        if receivers is None:
+            names = dict.fromkeys([*self._ranked_others(key)[:HOLDERS], self._writer(key)])
+            receivers = tuple(name for name in names if name is not None and name != self._name)
+            self._receivers_by_shard[shard] = receivers
+        return receivers
 
     def _drop_expired(self, records):
         horizon = self._clock() - self._retention_s()
--- a/wagtailtrestle/platform/adapter.py
+++ b/wagtailtrestle/platform/adapter.py
@@ -5,7 +5,7 @@
 from wagtailtrestle.platform.declarations import PlatformDeclarations
 from wagtailtrestle.platform.engine_entries import read_engine
 from wagtailtrestle.platform.engines import PlatformReports
-from wagtailtrestle.platform.kinds import ENGINE_KIND, EPOCH_KIND, ROLLOUT_KIND, ROUTER_KIND, VERSION_KIND
+from wagtailtrestle.platform.kinds import ENGINE_KIND, EPOCH_KIND, ROLLOUT_KIND, ROUTER_KIND, STREAM_KIND, VERSION_KIND
 from wagtailtrestle.platform.rollouts import read_rollout, rollout_status
 from wagtailtrestle.platform.store import PlatformStore
 
@@ -21,6 +21,7 @@
     epoch_kind = EPOCH_KIND
     rollout_kind = ROLLOUT_KIND
     version_kind = VERSION_KIND
+    stream_kind = STREAM_KIND
     shares_confirmations = True
 
     def open_store(self, url, epoch):
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -38,6 +38,7 @@
 from wagtailtrestle.entry.entry import Entry
 from wagtailtrestle.entry.part_crashes import PartTable
 from wagtailtrestle.entry.poison import CrashClearance, CrashDetector, CrashReport, CrashTable
+from wagtailtrestle.entry.stream_store import StreamStore
 from wagtailtrestle.entry.stream_versions import StreamVersions
 from wagtailtrestle.entry.version_history import VersionHistory
 from wagtailtrestle.ledger.ledger import Ledger
@@ -318,6 +319,14 @@
             history=self._version_history,
             own_services=self._own_cells,
         )
+        self._stream_store = StreamStore(
+            store=self._store,
+            kind=self._adapter.stream_kind,
+            clock=self._loop.time,
+            retention_s=lambda: self._stream_retention_s,
+            count=self._metrics.count,
+        )
+        self._store_epoch.on_restore(self._stream_store.write_again)
         self._stream_versions = StreamVersions(
             name=self._settings.name,
             peers=self._peers,
@@ -326,6 +335,7 @@
             retention_s=lambda: self._stream_retention_s,
             history=self._version_history,
             note=self._version_note,
+            store=self._stream_store,
             count=self._metrics.count,
         )
         self._membership.on_view_change(lambda view: self._stream_versions.update_members())
@@ -432,6 +442,7 @@
         if self._stream_versions is not None:
             self._version_note.start()
             self._exit_stack.push_async_callback(self._version_note.close)
+            self._exit_stack.push_async_callback(self._stream_store.close)
         self._exit_stack.push_async_callback(self._ledger.close)
         if self._rollouts is not None:
             self._rollouts.start()
