A resumed stream is not refused because the only router that was asked has just died

Callers saw: a stream of a service with one version is resumed right after a router was killed and gets 503, version_unknown, although nothing but that one version ever served.

Cause: the query to the dead router, the only other one in the view, ended after 0.25 s, and the dead router leaves the view at about the same moment. The search went by the view from before: a router exists and none answered, so that a second version could not be ruled out.

An answer later than 0.25 s, the suspect before, was not seen: nobody else was asked.

Change: while no holder has answered, the search waits up to 1 s for the first answer; queries to a router end when it leaves the view. Holders that took the place of those that left are asked then. A router that nobody answers reads the store itself, without another wait.

Test: tests.test_version_records.test_holder_that_is_found_dead_is_replaced, None instead of v1 before (dead before and after the query's time).

--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -18,7 +18,7 @@
     WRITE_INTERVAL_S,
     StreamStore,
 )
-from wagtailtrestle.entry.stream_versions import HOLDERS, MAX_STREAMS, StreamVersions
+from wagtailtrestle.entry.stream_versions import ASK_TIMEOUT_S, HOLDERS, MAX_STREAMS, StreamVersions
 from wagtailtrestle.entry.version_history import VersionHistory
 from wagtailtrestle.standins.object_table import ObjectTable
 
@@ -52,7 +52,9 @@
 
     async def query(self, peer, message, timeout_s):
         if not self._fleet.is_linked(self._name, peer):
-            await asyncio.sleep(timeout_s)
+            until = now() + timeout_s
+            while now() < until and peer in self._fleet.routers:
+                await asyncio.sleep(0.01)
             return PeerUnreachable(peer=peer, detail="no answer")
         await asyncio.sleep(0)
         answer = self._fleet.routers[peer].peers.handlers[type(message)](self._name, message, "")
@@ -171,6 +173,25 @@
                 self.assertEqual(await router.find(f"s{number}"), f"v{1 + number % 2}")
         await fleet.close()
 
+    # Guards against a stream that is refused because the only router that was asked had just died, although the view
+    # has changed meanwhile.
+    @on_paused_clock
+    async def test_holder_that_is_found_dead_is_replaced(self):
+        for size, detected_s in ((2, 0.1), (3, 0.1), (2, ASK_TIMEOUT_S + 0.01), (3, ASK_TIMEOUT_S + 0.01)):
+            with self.subTest(size=size, detected_s=detected_s):
+                fleet = Fleet(size=size, versions=("v1",))
+                await asyncio.sleep(RETENTION_S)
+                fleet.cut.update(name for name in fleet.routers if name not in ("r0", "r2"))
+                dead = "r1"
+                fleet.routers["r0"].streams._members = lambda fleet=fleet: tuple(
+                    name for name in sorted(fleet.routers) if name != "r2" or "r1" not in fleet.routers
+                )
+                finding = asyncio.create_task(fleet.routers["r0"].find("s"))
+                await asyncio.sleep(detected_s)
+                await fleet.kill(dead)
+                self.assertEqual(await finding, "v1")
+                await fleet.close()
+
     # Guards against a version that is forgotten as the routers that hold it restart one after the other.
     @on_paused_clock
     async def test_restarts_in_series_forget_nothing_while_the_stream_runs(self):
--- a/wagtailtrestle/entry/stream_versions.py
+++ b/wagtailtrestle/entry/stream_versions.py
@@ -30,6 +30,10 @@
 shard are in the same part of the store."""
 
 ASK_TIMEOUT_S = 0.25
+FIRST_ANSWER_TIMEOUT_S = 1.0
+"""Time for the answer of any holder, as without one the version can't be told. A holder that died leaves the view well
+before."""
+
 STORE_ASK_TIMEOUT_S = 1.0
 """Time for the answer of a router that may have to read the store."""
 MAX_STREAMS = 16_384
@@ -183,7 +187,11 @@
         if version:
             return version, Source.OWN
         ask = StreamVersionAsk(stream=key)
-        version, answered = await self._ask(others[:HOLDERS], ask, ASK_TIMEOUT_S)
+        version, answered = await self._ask_holders(others, ask)
+        if not answered and (others_now := self._ranked_others(key)) != others:
+            # The holders have left the view, and others have taken their place.
+            others = others_now
+            version, answered = await self._ask_holders(others, ask)
         if version:
             return version, Source.PEER
         # Whoever delivered the stream may have seen a version that this router does not see yet. With an answer of a
@@ -191,16 +199,19 @@
         if (answered or not others) and (version := await self._only_version(service)):
             return version, Source.ONLY_VERSION
         more = others[HOLDERS : HOLDERS + MORE_ASKED]
-        version, _ = await self._ask(more, ask, ASK_TIMEOUT_S)
+        version, more_answered = await self._ask(more, ask, ASK_TIMEOUT_S)
         if version:
             return version, Source.PEER
-        version = await self._find_stored(key, others)
+        version = await self._find_stored(key, others if answered or more_answered else [])
         return (version, Source.STORE) if version else (None, Source.UNKNOWN)
 
     async def _find_stored(self, key, others):
-        """Find the version in the store; few routers read it, as many streams are resumed after all have restarted."""
+        """Find the version in the store; few routers read it, as many streams are resumed after all have restarted.
+
+        This router reads it itself if no router is left in ``others`` that answers.
+        """
         writer = self._writer(key)
-        if writer == self._name:
+        if writer == self._name or not others:
             return await self._store.find(key)
         readers = list(dict.fromkeys([name for name in (writer, *others[:1]) if name is not None]))
         ask = StreamVersionAsk(stream=key, reads_store=True)
@@ -217,19 +228,33 @@
             return version
         return None
 
-    async def _ask(self, routers, message, timeout_s):
-        """Return the version that some router knows, or ``None``, and whether any router answered."""
-        asks = [asyncio.ensure_future(self._peers.query(peer, message, timeout_s)) for peer in routers]
+    def _ask_holders(self, others, ask):
+        return self._ask(others[:HOLDERS], ask, ASK_TIMEOUT_S, first_answer_s=FIRST_ANSWER_TIMEOUT_S)
+
+    async def _ask(self, routers, message, timeout_s, *, first_answer_s=0.0):
+        """Ask routers for a version; wait for ``timeout_s``, and for ``first_answer_s`` while none has answered.
+
+        Returns
+        -------
+        version : str or None
+        answered : bool
+            Whether any router answered.
+        """
+        longest_s = max(timeout_s, first_answer_s)
+        pending = {asyncio.ensure_future(self._peers.query(peer, message, longest_s)) for peer in routers}
+        until = self._clock() + timeout_s
         answered = False
         try:
-            for ask in asyncio.as_completed(asks):
-                answer = await ask
-                if isinstance(answer, StreamVersion):
-                    answered = answered or not answer.is_unread
+            while pending and not (answered and self._clock() >= until):
+                left_s = max(0.0, until - self._clock()) if answered else None
+                done, pending = await asyncio.wait(pending, timeout=left_s, return_when=asyncio.FIRST_COMPLETED)
+                answers = [ask.result() for ask in done if isinstance(ask.result(), StreamVersion)]
+                for answer in answers:
                     if answer.version:
                         return answer.version, True
+                answered = answered or any(not answer.is_unread for answer in answers)
         finally:
-            for ask in asks:
+            for ask in pending:
                 ask.cancel()
         return None, answered
 
