A missing note of versions proves nothing, and a service's note names its versions from the start

Cause: a router that has just started knows only the versions that are listed now, and took the absence of a note in the store for proof that there was no other. Notes were written for several versions only, by a running scheduler, up to a second late.

Change: the scheduler of a service with resumable streams notes its versions as soon as its list of engines changes, also if there is one. A note confirms a version only if it names that one alone and was written in the store's present epoch, so that a copy from before a second version confirms nothing. Why it works: a version that began a stream was listed at a running scheduler and so is in the note, whatever is listed when the routers are back.

Open: a version that joins while no router runs leaves the streams of before refused.

--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -317,7 +317,9 @@
             store=self._store,
             kind=self._adapter.version_kind,
             history=self._version_history,
-            own_services=self._own_cells,
+            own_services=self._own_resumable_services,
+            epoch=self._store_epoch,
+            clock=self._loop.time,
         )
         self._stream_store = StreamStore(
             store=self._store,
@@ -347,6 +349,7 @@
         if self._engine_list.is_known:
             self._version_history.update(declaration.engines_by_name.values())
             self._stream_versions.update_services(declaration.services_by_name)
+            self._version_note.refresh()
 
     def _reserved_engines(self, service, engines):
         return frozenset() if self._rollouts is None else self._rollouts.unproven_engines(service, engines)
@@ -639,6 +642,13 @@
         """Return the cells that this router schedules."""
         return {cell for cell in self._cells() if self._directory.scheduler_of(cell) == self._settings.name}
 
+    def _own_resumable_services(self):
+        """Return the services with resumable streams that this router schedules."""
+        if self._in_force is None:
+            return set()
+        routes = [route for route in self._declaration().host_routes if route.resumable]
+        return {service for route in routes for service in route.weight_by_service} & self._own_cells()
+
     def _handle_report(self, report):
         match report:
             case LoadReport():
