Text that can't be encoded in the store's objects of others no longer ends routers

Cause: JSON holds such a text, and no message between routers can. The entry was used, and the first message that told a stream's version failed in a task that may not fail.

Change: name and texts of an engine's entry and of a router's announcement have to be encodable, or the entry is not used; whole numbers of entries and reports are at most 2**53 - 1, as a start of 64 bits and more overflows the field of a notice. A property test encodes what was read.

--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -16,26 +16,29 @@
 from tests.utils.paused_clock import on_paused_clock
 from wagtailtrestle.configuration.engine_list import RELIST_INTERVAL_S, WATCH_TIMEOUT_S
 from wagtailtrestle.contracts.declaration import DeclaredEngine
+from wagtailtrestle.contracts.messages import EngineNotice
+from wagtailtrestle.contracts.stream_messages import StreamVersion
+from wagtailtrestle.peers.codec import encode
 from wagtailtrestle.platform.declarations import PlatformDeclarations
 from wagtailtrestle.platform.engine_entries import STATES, InvalidField, read_engine
 from wagtailtrestle.platform.engines import PlatformReports
 from wagtailtrestle.platform.rollouts import read_rollout
-from wagtailtrestle.platform.store import _event, _is_event, _is_list, _is_object
+from wagtailtrestle.platform.store import _event, _is_event, _is_list, _is_object, _is_vm
 from wagtailtrestle.store.threaded_http import _parse_json
 
 FOREIGN = {
     "state": ["moon", "", None, 5, ["ready"]],
     "address": [5, "nonsense", "", None, "10.0.0.1", "10.0.0.1:0", "10.0.0.1:99999", "host:80", ["10.0.0.1:80"]],
     "slots": [-3, 0, "6", 6.0, True, None, 10**9],
-    "service": [["x"], 5, "", None, {"a": 1}, "s" * 300],
-    "zone": [7, None, ["a"]],
-    "version": [7, None],
+    "service": [["x"], 5, "", None, {"a": 1}, "s" * 300, "\udcff"],
+    "zone": [7, None, ["a"], "a\ud800"],
+    "version": [7, None, "\udcff"],
     "cold_remaining_ms": ["0", None, False],
     "sequence": ["4", None, 1.5],
-    "born": ["1", 1.5, True, None, -1],
+    "born": ["1", 1.5, True, None, -1, 2**64, 10**30],
 }
 VALUES = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=20),
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(st.characters(), max_size=20),
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner, max_size=3),
     max_leaves=6,
 )
@@ -63,6 +66,18 @@
         for value in ("text", 5, [], [entry()], True):
             self.assertIsNone(read_engine("i-1", value))
 
+    # Guards against an engine's entry that ends the router, as no message to another router can hold its text.
+    def test_an_entry_whose_name_cannot_be_encoded_is_rejected(self):
+        self.assertIsNone(read_engine("i-\udcff", entry()))
+
+    # Guards against the same by the announcement of a router.
+    def test_an_announcement_that_cannot_be_encoded_is_rejected(self):
+        announced = {"role": "router", "address": "127.0.0.1:1", "zone": "a", "admin": "http://127.0.0.1:2"}
+        self.assertTrue(_is_vm("r-1", announced))
+        self.assertFalse(_is_vm("r-\udcff", announced))
+        for field in announced:
+            self.assertFalse(_is_vm("r-1", announced | {field: "\udcff"}), field)
+
     def test_the_start_is_read(self):
         self.assertEqual(read_engine("i-1", entry(born=1781425589123)).start_ms, 1781425589123)
         self.assertEqual(read_engine("i-1", entry()).start_ms, 0)
@@ -78,6 +93,8 @@
         self.assertGreater(int(engine.address.rpartition(":")[2]), 0)
         self.assertGreater(engine.slots, 0)
         self.assertIn(value["state"], STATES)
+        encode(StreamVersion(version=engine.version, streams=(1,)))
+        encode(EngineNotice(engine=engine.name, limit_per_s=1.0, leaving=False, start_ms=engine.start_ms))
 
 
 class ForeignStoreAnswerTest(unittest.TestCase):
--- a/wagtailtrestle/peers/codec.py
+++ b/wagtailtrestle/peers/codec.py
@@ -159,6 +159,15 @@
 _converters_by_body = {body: _converters_by_class[cls] for cls, (body, _) in BODIES.items()}
 
 
+def is_encodable(text):
+    """Whether a text can be a field of a message: JSON may hold half of a surrogate pair, UTF-8 can't."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def encode(message, *, cell="", question=0, answer_to=0):
     """Encode one message as a ``pb.Item``.
 
--- a/wagtailtrestle/platform/engine_entries.py
+++ b/wagtailtrestle/platform/engine_entries.py
@@ -8,12 +8,15 @@
 
 from wagtailtrestle.contracts.declaration import DeclaredEngine
 from wagtailtrestle.declarations.argument_types import HostPort, InvalidValue
+from wagtailtrestle.peers.codec import is_encodable
 
 READY = "ready"
 DRAINING = "draining"
 STATES = (READY, DRAINING)
 MAX_TEXT_CHARS = 256
 """Longest name or version accepted; real ones have under 64 characters."""
+MAX_INTEGER = 2**53 - 1
+"""Largest integer that every JSON reader represents exactly; a larger one is not a count or a time."""
 MAX_SLOTS = 4096
 """Largest number of slots accepted, a few hundred times that of current engines."""
 PRIOR_STEP_MS = 6.0
@@ -64,6 +67,7 @@
 def _engine(name, value):
     if not isinstance(value, dict):
         raise InvalidField(f"it holds {_shortened(value)}, which has no fields")
+    _check_encodable("its name", name)
     service = _text(value, "service")
     # Required although unused: an entry without these fields was not written by an engine.
     _number(value, "cold_remaining_ms")
@@ -95,16 +99,22 @@
     text = _field(value, name)
     if not isinstance(text, str) or not 0 < len(text) <= MAX_TEXT_CHARS:
         raise InvalidField(f"{name} is {_shortened(text)}, no valid name")
+    _check_encodable(name, text)
     return text
 
 
-def read_integer(value, name, *, minimum=0, maximum=None):
+def _check_encodable(name, text):
+    if not is_encodable(text):
+        raise InvalidField(f"{name} is {_shortened(text)}, which is not valid Unicode")
+
+
+def read_integer(value, name, *, minimum=0, maximum=MAX_INTEGER):
     """Return an integer field; raises ``InvalidField`` if it is anything else."""
     number = _field(value, name)
     # In Python, bool is a subclass of int.
     if not isinstance(number, int) or isinstance(number, bool) or number < minimum:
         raise InvalidField(f"{name} is {_shortened(number)}, no whole number from {minimum}")
-    if maximum is not None and number > maximum:
+    if number > maximum:
         raise InvalidField(f"{name} is {_shortened(number)}, above {maximum}")
     return number
 
--- a/wagtailtrestle/platform/store.py
+++ b/wagtailtrestle/platform/store.py
@@ -16,6 +16,7 @@
     StoreUnknown,
 )
 from wagtailtrestle.membership.vm_list import vm_from_json
+from wagtailtrestle.peers.codec import is_encodable
 from wagtailtrestle.platform.headers import STORE_ERA
 from wagtailtrestle.platform.kinds import ROLLOUT_KIND, ROUTER_KIND
 from wagtailtrestle.store.threaded_http import ThreadedHttpClient, describe_answer
@@ -115,7 +116,7 @@
         outcome = answer.outcome
         if not isinstance(outcome, StoreDone):
             return answer
-        vms = tuple(_vm(name, value) for name, (_, value) in sorted(outcome.value.items()) if _is_vm(value))
+        vms = tuple(_vm(name, value) for name, (_, value) in sorted(outcome.value.items()) if _is_vm(name, value))
         return RevisionAnswer(outcome=StoreDone(version=outcome.version, value=vms), epoch=answer.epoch)
 
     async def _list(self, kind, *, may_be_stale):
@@ -213,9 +214,12 @@
     return False
 
 
-def _is_vm(value):
+def _is_vm(name, value):
     """Whether a router's announcement is valid; another client may have written it."""
-    return isinstance(value, dict) and all(isinstance(value.get(name), str) for name in VM_FIELDS)
+    if not isinstance(value, dict):
+        return False
+    texts = [name, *(value.get(field) for field in VM_FIELDS)]
+    return all(isinstance(text, str) and is_encodable(text) for text in texts)
 
 
 def _vm(name, value):
