Numbers of callers that overflow messages between routers are refused at the edge

Cause: the numbers go unchecked into QuotaAsk and GrantRequest, whose fields have 64 bits, and the task that sends the message may not fail.

Change: a number of more than nine digits in Token-Counts is a 400, not run; in Deadline-Milliseconds, where the limits of the route hold anyway, it counts as no deadline (thousands of digits raised an error in the caller's thread). Prompt-Prefix and Length-Hint were bounded already.

--- a/wagtailtrestle/platform/callers.py
+++ b/wagtailtrestle/platform/callers.py
@@ -5,7 +5,7 @@
 import uuid
 
 from wagtailtrestle.callers.authentication import KeyIndex, team_of_key
-from wagtailtrestle.callers.body import body_digest
+from wagtailtrestle.callers.body import bad_request, body_digest
 from wagtailtrestle.callers.body_reader import BodyReader
 from wagtailtrestle.callers.dialect import PreparedRequest
 from wagtailtrestle.callers.native_dialect import not_accepting
@@ -83,7 +83,9 @@
     def caller_timeout_s(self, environ):
         """Return the seconds until the caller's deadline, or ``None``."""
         deadline_ms = environ.get("HTTP_DEADLINE_MILLISECONDS", "").strip()
-        return int(deadline_ms) / MS_PER_S if deadline_ms.isdecimal() else None
+        if not deadline_ms.isdecimal():
+            return None
+        return int(deadline_ms) / MS_PER_S if len(deadline_ms) <= MAX_HINT_DIGITS else None
 
     def problem(self, refusal, request_id):
         """Return status, headers and body of a refusal."""
@@ -139,6 +141,8 @@
     def _prepared(self, incoming, in_force, route, team, pairs, body):
         environ = incoming.environ
         sizes = _token_counts(environ.get("HTTP_TOKEN_COUNTS"))
+        if isinstance(sizes, Refusal):
+            return sizes
         charge = charge_team(accounts=self._quotas, team=team, tokens=None if sizes is None else sum(sizes))
         if isinstance(charge, Refusal):
             return charge
@@ -275,10 +279,12 @@
 
 
 def _token_counts(text):
-    """Return prompt tokens and maximum output tokens, or ``None`` if the request states none."""
-    parts = (text or "").split(",")
-    if len(parts) != 2 or not all(part.strip().isdecimal() for part in parts):
+    """Return prompt tokens and maximum output tokens, ``None`` if the request states none, or a refusal."""
+    parts = [part.strip() for part in (text or "").split(",")]
+    if len(parts) != 2 or not all(part.isdecimal() for part in parts):
         return None
+    if any(len(part) > MAX_HINT_DIGITS for part in parts):
+        return bad_request(f"A number in {names.TOKEN_COUNTS} has more than {MAX_HINT_DIGITS} digits.")
     return int(parts[0]), int(parts[1])
 
 
