A number of an engine's answer that can't be read ends its run as a cut

Callers saw: no answer at all to a request whose engine names a Content-Length, or an event id, of thousands of digits.

Cause: Python refuses to read such a number with ValueError, which no handler of the run's thread expects, so that the run has no end. Found beside the callers' numbers, by reading; engines at fault may send any bytes.

Change: such a length is a cut, as every ValueError while an answer is read; such an event id counts as none.

Tests, failing before: tests.test_answer_end.CloseTest.test_length_of_thousands_of_digits_is_a_cut, tests.test_platform_events (an id of thousands of digits).

--- a/tests/test_answer_end.py
+++ b/tests/test_answer_end.py
@@ -137,6 +137,13 @@
                 with self.subTest(status=status, is_streamed=is_streamed, data=data):
                     self.assertIsInstance(self.outcome_at_close(data, is_streamed=is_streamed), RunCut)
 
+    # Guards against an answer whose caller waits for good, as its length can't be read.
+    def test_length_of_thousands_of_digits_is_a_cut(self):
+        data = head_of(200) + b"Content-Length: " + b"9" * 5000 + b"\r\n\r\n" + EVENT
+        for is_streamed in (True, False):
+            with self.subTest(is_streamed=is_streamed):
+                self.assertIsInstance(self.outcome_at_close(data, is_streamed=is_streamed), RunCut)
+
     def test_close_ends_an_answer_without_a_length(self):
         for status, is_streamed in KINDS:
             expected = {200: RunDone, 404: RunRejected, 500: RunFailed}[status]
--- a/tests/test_platform_events.py
+++ b/tests/test_platform_events.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from wagtailtrestle.platform.events import EventFault, EventSplitter
+from wagtailtrestle.platform.events import EventFault, Events, EventSplitter
 
 
 def event(number, text="x"):
@@ -45,6 +45,12 @@
         taken = self.splitter.feed(b"data: hello\n\n")
         self.assertEqual((taken.data, taken.count), (b"data: hello\n\n", 1))
 
+    # Guards against a stream whose caller waits for good, as the id of an event can't be read.
+    def test_an_id_of_thousands_of_digits_passes_as_none(self):
+        data = event("9" * 5000)
+        self.assertEqual(self.splitter.feed(data), Events(data=data, count=1))
+        self.assertIsNone(self.splitter.last_id)
+
     def test_an_event_that_never_ends_is_a_fault(self):
         self.assertIsInstance(self.splitter.feed(b"data: " + b"x" * 2_000_000), EventFault)
 
--- a/wagtailtrestle/engines/run_exchange.py
+++ b/wagtailtrestle/engines/run_exchange.py
@@ -277,6 +277,8 @@
             outcome = RunSilent(output_tokens=self.output_tokens, reached=self.reached, held=self.held)
         except (HTTPError, http.client.HTTPException, OSError) as error:
             outcome = self.cut(f"connection lost: {type(error).__name__}")
+        except ValueError as error:
+            outcome = self.cut(f"the answer can't be read: {error}")
         if isinstance(outcome, WHOLE_ANSWERS) and not self._saw_end:
             outcome = self.cut("the answer's end was not received")
         if self._aborted and isinstance(outcome, RunCut | RunSilent):
--- a/wagtailtrestle/platform/events.py
+++ b/wagtailtrestle/platform/events.py
@@ -6,6 +6,8 @@
 ID_FIELD = b"id:"
 MAX_PARTIAL_BYTES = 1_048_576
 """Limit on an unfinished event, so that a stream without event ends can't exhaust the memory."""
+MAX_ID_DIGITS = 18
+"""A longer number is no id: Python refuses to read one of thousands of digits."""
 
 
 @record
@@ -83,5 +85,5 @@
     for line in lines:
         if line.startswith(ID_FIELD):
             text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
+            return int(text) if text.isdigit() and len(text) <= MAX_ID_DIGITS else None
     return None
