One entry that the JSON reader refuses no longer hides all engines

Cause: lists and watches hold all objects in one text; the reader refuses it as a whole (RecursionError), which counted as a store without an answer. An integer of more than 4,300 digits does the same (ValueError).

An object that is nested too deeply for other code counts as empty.

Tests, failing before: tests.test_foreign_entries (what the reader refuses; an entry that is nested too deeply; sound values by property, new).

--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -23,8 +23,8 @@
 from wagtailtrestle.platform.engine_entries import STATES, InvalidField, read_engine
 from wagtailtrestle.platform.engines import PlatformReports
 from wagtailtrestle.platform.rollouts import read_rollout
-from wagtailtrestle.platform.store import _event, _is_event, _is_list, _is_object, _is_vm
-from wagtailtrestle.store.threaded_http import _parse_json
+from wagtailtrestle.platform.store import _event, _is_event, _is_list, _is_object, _is_vm, _value
+from wagtailtrestle.store.tolerant_json import MAX_DEPTH, is_too_deep, parse_json
 
 FOREIGN = {
     "state": ["moon", "", None, 5, ["ready"]],
@@ -117,7 +117,32 @@
 
     def test_invalid_utf8_affects_only_its_own_object(self):
         data = b'{"items":[{"specification":"\xff\xfe\x01"},{"specification":"sound"}],"store_revision":5}'
-        self.assertEqual(_parse_json(data)["items"][1], {"specification": "sound"})
+        self.assertEqual(parse_json(data)["items"][1], {"specification": "sound"})
+
+    # Guards against one entry that hides all engines, as the JSON reader refuses it and the list with it.
+    def test_what_the_reader_refuses_affects_only_its_own_object(self):
+        for unreadable in ("[" * 1500 + "]" * 1500, '{"a":' * 5000 + "1" + "}" * 5000, "9" * 5000, f"[{'8' * 4301}]"):
+            text = f'{{"items":[{{"specification":{{"a":{unreadable}}}}},{{"specification":"[so[und"}}]}}'
+            with self.subTest(unreadable=unreadable[:10]):
+                items = parse_json(text.encode())["items"]
+                self.assertEqual(items[1], {"specification": "[so[und"})
+                self.assertFalse(is_too_deep(items[0]))
+        with self.assertRaises(ValueError):
+            parse_json(b'{"items":[' + b"[" * 1500)
+
+    # Guards against an entry that the reader bears and whoever writes it for other routers does not.
+    def test_entry_that_is_nested_too_deeply_is_no_entry(self):
+        for depth, expected in ((MAX_DEPTH - 2, False), (MAX_DEPTH + 2, True), (900, True)):
+            item = {"specification": json.loads("[" * depth + "]" * depth)}
+            self.assertEqual(_value("servers", item) is None, expected, depth)
+
+    @steady
+    @given(VALUES)
+    def test_sound_values_are_read_as_by_the_library(self, value):
+        text = json.dumps([value, json.loads("[" * MAX_DEPTH + "]" * MAX_DEPTH)])
+        self.assertEqual(parse_json(text.encode())[0], json.loads(text)[0])
+        refused = "[" * 2000 + "]" * 2000
+        self.assertEqual(parse_json(f"[{json.dumps(value)}, {refused}]".encode())[0], json.loads(text)[0])
 
     @on_paused_clock
     async def test_an_overwritten_entry_is_not_used_and_the_others_are_kept(self):
--- a/wagtailtrestle/platform/engine_entries.py
+++ b/wagtailtrestle/platform/engine_entries.py
@@ -4,6 +4,8 @@
 and an address or service of another type would cause errors later where it is used.
 """
 
+import reprlib
+
 from loguru import logger
 
 from wagtailtrestle.contracts.declaration import DeclaredEngine
@@ -141,4 +143,4 @@
 
 
 def _shortened(value):
-    return repr(value)[:MAX_SHOWN_CHARS]
+    return reprlib.repr(value)[:MAX_SHOWN_CHARS]
--- a/wagtailtrestle/platform/store.py
+++ b/wagtailtrestle/platform/store.py
@@ -20,6 +20,7 @@
 from wagtailtrestle.platform.headers import STORE_ERA
 from wagtailtrestle.platform.kinds import ROLLOUT_KIND, ROUTER_KIND
 from wagtailtrestle.store.threaded_http import ThreadedHttpClient, describe_answer
+from wagtailtrestle.store.tolerant_json import is_too_deep
 
 WATCH_THREADS = 3
 CALL_THREADS = 4
@@ -235,9 +236,10 @@
 
 
 def _value(kind, item):
+    value = item.get("specification")
     if kind == ROLLOUT_KIND:
-        return {"specification": item.get("specification"), "status": item.get("status")}
-    return item.get("specification")
+        value = {"specification": value, "status": item.get("status")}
+    return None if is_too_deep(value) else value
 
 
 def _path(kind, name=None):
--- a/wagtailtrestle/store/threaded_http.py
+++ b/wagtailtrestle/store/threaded_http.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import json
 import socket
 import threading
 import weakref
@@ -13,6 +12,8 @@
 
 import urllib3
 
+from wagtailtrestle.store.tolerant_json import parse_json
+
 # Added to both socket timeouts: an answer that arrives byte by byte must not block a caller forever.
 CALL_MARGIN_S = 1.0
 MAX_DETAIL_CHARS = 200
@@ -108,7 +109,7 @@
                 retries=NO_RETRIES,
                 redirect=False,
             )
-            body = _parse_json(response.data) if response.data else None
+            body = parse_json(response.data) if response.data else None
             return Answer(status=response.status, headers=response.headers, body=body)
         except NOT_SENT_ERRORS as error:
             return Answer(was_sent=False, detail=_error_text(error))
@@ -137,11 +138,6 @@
         pool.close()
 
 
-def _parse_json(data):
-    # Invalid text in one object must not make a list of all objects unreadable.
-    return json.loads(data.decode(errors="replace"), strict=False)
-
-
 def describe_answer(answer):
     """Return a short text that describes an answer, or why there is none."""
     if not answer.status:
