Nothing behind a request without a certain end is read

Of two lengths the last one counts, so that a request runs without its body and the body as a second one. A chunk of size -1 ends a body.

Cause: the library reads lengths and chunk sizes with int(), which takes signs, underscores and prefixes, keeps the last of two headers, and takes each chunk size up to zero for the end. Our own check of the length came too late to close the connection, as it looked at what the library thought unread.

Change: a second Content-Length, also by a folded line, or one that is not a whole number, and a chunk size that is not hexadecimal, are a 400 and the connection is closed (RFC 9112, 6.3 and 7.1), on all interfaces.

--- a/wagtailtrestle/callers/wsgi.py
+++ b/wagtailtrestle/callers/wsgi.py
@@ -2,6 +2,7 @@
 
 import errno
 import io
+import re
 import socket
 import threading
 import time
@@ -9,15 +10,18 @@
 
 from cheroot import server as http_server
 from cheroot import wsgi
+from cheroot.errors import MaxSizeExceeded
 from cheroot.workers.threadpool import ThreadPool
 from loguru import logger
 
+from wagtailtrestle.callers.body import LENGTH_PATTERN
 from wagtailtrestle.callers.listening import BACKLOG, set_options
 from wagtailtrestle.callers.problem import problem_bytes, problem_headers, status_line
 from wagtailtrestle.contracts.outcomes import Executed, Reason, Refusal
 
 CONNECTION_ENVIRON = "wagtailtrestle.connection"
 REQUEST_ENVIRON = "wagtailtrestle.request"
+MAX_CHUNK_LINE_BYTES = 4096
 READ_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 75
 STOP_TIMEOUT_S = 5.0
@@ -30,6 +34,8 @@
 FULL_RETRY_AFTER_S = 1.0
 REASON_BY_STATUS = {413: Reason.TOO_LARGE, 414: Reason.TOO_LARGE, 431: Reason.TOO_LARGE}
 LOG_LEVELS = (10, 20, 30, 40, 50)
+CONTENT_LENGTH = b"Content-Length"
+CHUNK_SIZE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r\n")
 
 
 class CallersGateway(wsgi.Gateway_10):
@@ -37,6 +43,8 @@
 
     def get_environ(self):
         """Return the environ with cheroot's connection and request added."""
+        if self.req.chunked_read:
+            self.req.rfile = StrictChunkedReader(self.req.conn.rfile, self.req.server.max_request_body_size)
         environ = super().get_environ()
         environ[CONNECTION_ENVIRON] = self.req.conn
         environ[REQUEST_ENVIRON] = self.req
@@ -134,9 +142,55 @@
             raise
 
 
+class StrictChunkedReader(http_server.ChunkedRFile):
+    """Reads a chunked body; a chunk's size that is not a hexadecimal number is an error.
+
+    Cheroot also takes signs, prefixes and underscores, and a negative size for the end of the body. What another
+    server takes for the rest of the body would be run as a request.
+    """
+
+    def _fetch(self):
+        if self.closed:
+            return
+        line = self.rfile.readline(MAX_CHUNK_LINE_BYTES)
+        self._count(len(line))
+        match = CHUNK_SIZE_PATTERN.fullmatch(line)
+        if match is None:
+            raise ValueError(f"Bad size of a chunk: {line[:20]!r}")
+        size = int(match.group(1), 16)
+        if not size:
+            self.closed = True
+            return
+        self._count(size)
+        self.buffer += self.rfile.read(size)
+        if self.rfile.read(2) != b"\r\n":
+            raise ValueError("A chunk does not end with CRLF.")
+
+    def _count(self, size):
+        self.bytes_read += size
+        if self.maxlen and self.bytes_read > self.maxlen:
+            raise MaxSizeExceeded("Request Entity Too Large", self.maxlen)
+
+
+class RequestHeaders(dict):
+    """Headers of a request; a second length is an error.
+
+    By RFC 9112, 6.3, the end of such a request is not known: what follows one of the lengths may be its body.
+    """
+
+    def __setitem__(self, name, value):
+        if name == CONTENT_LENGTH and (name in self or not LENGTH_PATTERN.fullmatch(value.decode("latin-1"))):
+            raise ValueError("'Content-Length' must be one whole number.")
+        super().__setitem__(name, value)
+
+
 class CallersRequest(http_server.HTTPRequest):
     """Sends cheroot's own errors as problem documents, and each part of a response with one write."""
 
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self.inheaders = RequestHeaders()
+
     def respond(self):
         """Respond; the head of a response without a body is sent at the end."""
         super().respond()
