Answers to HEAD requests have no body

Cause: neither the refusals nor the library look at the method when a body is written.

Change: what writes the body of an answer leaves it out after HEAD (RFC 9110, 9.3.2), the library's own refusals too; Content-Length stays.

Tests, failing before: tests.test_request_framing.test_answers_to_head_have_no_body (404, 401, and a 400 of the library). A 503 goes the same way and is not tested.

--- a/tests/test_request_framing.py
+++ b/tests/test_request_framing.py
@@ -49,6 +49,18 @@
         bodies = [seen["body"] for seen in self.world.runs(service="booking") if seen["request-id"] != "smuggled"]
         self.assertEqual(bodies, [b"body"] * len(sound))
 
+    # Guards against the body of an answer to HEAD, which the caller takes for the beginning of the next answer.
+    def test_answers_to_head_have_no_body(self):
+        last = FOLLOWING.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n")
+        for path, key, status in (("/nowhere/", KEY, 404), ("/status/1", "wrong", 401)):
+            with self.subTest(status=status):
+                first = f"HEAD {path} HTTP/1.1\r\n{HEAD.replace(KEY, key)}Request-Id: r1\r\n\r\n"
+                answers = self.answers_until_closed(first + last)
+                head, _, following = answers.partition(b"\r\n\r\n")
+                self.assertTrue(head.startswith(b"HTTP/1.1 %d " % status), head)
+                self.assertTrue(following.startswith(b"HTTP/1.1 200 "), following[:60])
+        self.assertTrue(self.answers_until_closed(f"HEAD / HTTP/1.1\r\n{LENGTHS[0]}\r\n\r\n").endswith(b"\r\n\r\n"))
+
     def answers_until_closed(self, text):
         host, _, port = self.world.routers[0].values["callers_address"].partition(":")
         with socket.create_connection((host, int(port)), timeout=5) as sock:
--- a/wagtailtrestle/callers/wsgi.py
+++ b/wagtailtrestle/callers/wsgi.py
@@ -36,6 +36,7 @@
 LOG_LEVELS = (10, 20, 30, 40, 50)
 CONTENT_LENGTH = b"Content-Length"
 CHUNK_SIZE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r\n")
+HEAD = b"HEAD"
 
 
 class CallersGateway(wsgi.Gateway_10):
@@ -208,7 +209,9 @@
             writer.head = head.getvalue()
 
     def write(self, chunk):
-        """Send a part of the body."""
+        """Send a part of the body, which an answer to a HEAD request doesn't have."""
+        if self.method == HEAD:
+            chunk = b""
         if self.chunked_write and chunk:
             chunk = b"%x\r\n%b\r\n" % (len(chunk), chunk)
         self.conn.wfile.write(chunk)
@@ -228,7 +231,7 @@
         )
         self.close_connection = True
         self.sent_headers = True
-        self.conn.send_problem(refusal)
+        self.conn.send_problem(refusal, has_body=getattr(self, "method", b"") != HEAD)
 
 
 class CallersConnection(http_server.HTTPConnection):
@@ -253,14 +256,14 @@
         finally:
             self.server.watch.received(connection=self)
 
-    def send_problem(self, refusal):
+    def send_problem(self, refusal, *, has_body=True):
         """Send a problem as the complete response; the connection closes after it."""
         request_id = uuid.uuid4().hex
         body = problem_bytes(refusal=refusal, request_id=request_id)
         headers = problem_headers(refusal=refusal, request_id=request_id, length=len(body))
         head = [f"HTTP/1.1 {status_line(refusal.status)}", "Connection: close"]
         head.extend(f"{name}: {value}" for name, value in headers)
-        data = "\r\n".join(head).encode("latin-1") + b"\r\n\r\n" + body
+        data = "\r\n".join(head).encode("latin-1") + b"\r\n\r\n" + (body if has_body else b"")
         self.has_unread_input = True
         try:
             self.wfile.write(data)
