A stream after a failed run has the head of the engine that sent it

Cause: PlatformReceived kept the head of the first run that answered, also of one that brought no event, and the body of a failure.

Change: the head is that of the run that brings the first event; until then a later run replaces it, and the body too.

Test, failing before (500 instead of 200): tests.test_platform_router.BrokenAnswersTest.test_a_stream_after_a_failure_has_the_head_of_its_engine.

--- a/tests/test_platform_router.py
+++ b/tests/test_platform_router.py
@@ -90,6 +90,15 @@
                 runs = self.world.runs(service="assistant")
                 self.assertEqual(sorted(seen.get("last-event-id", "") for seen in runs), ["", "2"])
 
+    # Guards against a stream that is forwarded with the status and the signature of an engine that failed before.
+    def test_a_stream_after_a_failure_has_the_head_of_its_engine(self):
+        self.script("assistant", "fail")
+        answer = self.world.request("POST", "/stream/x")
+        self.assertEqual((answer.status, answer.event_ids, answer.is_complete), (200, [1, 2, 3, 4, 5, 6], True))
+        name = answer.body.decode().split("data: ")[1].split("\n")[0]
+        self.assertEqual(answer.headers["Response-Stamp"], f"{SIGNATURE}-{name}")
+        self.assertEqual(len(self.world.runs(service="assistant")), 2)
+
     def test_a_stream_that_may_not_be_resumed_is_aborted(self):
         # The request may run only once: the caller got part of the stream, which must not look complete.
         self.script("assistant", "cut")
--- a/wagtailtrestle/platform/engines.py
+++ b/wagtailtrestle/platform/engines.py
@@ -28,7 +28,8 @@
     Attributes
     ----------
     status, headers, body
-        Those of the first run that answered; a stream resumed on another engine keeps them.
+        Those of the run that brought the first event, or of the last run; a stream resumed on another engine keeps
+        them.
     events : int
         Number of complete events forwarded.
     last_event_id : int or None
@@ -184,9 +185,11 @@
 
     def _read_stream(self, exchange):
         received = exchange.received
-        if not received.headers:
+        if not received.events:
+            # The head is sent with the first event. That of a run that failed before belongs to another answer.
             received.status = exchange.response.status
             received.headers = dict(exchange.response.headers)
+            received.body = b""
         splitter = EventSplitter(after_id=received.last_event_id)
         length = exchange.response.headers.get("Content-Length", "")
         left = int(length) if length.isdecimal() and not exchange.response.chunked else None
