--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -464,6 +464,9 @@
                 await asyncio.sleep(GATHER_S + WRITE_INTERVAL_S)
                 await self.lose_power(fleet)
                 self.assertEqual(await self.found(fleet), self.STREAMS)
+                # Nor does a router keep for good what it has read.
+                await asyncio.sleep(RETENTION_S + 2.0)
+                self.assertEqual([router.stream_store.dump() for router in fleet.routers.values()], [{}] * size)
                 await fleet.close()
 
     # Guards against the same after losses in series, with streams that were resumed in between.
@@ -589,6 +592,7 @@
         self.assertEqual(len(fleet.table.list(kind=STREAM_KIND).value), PARTS)
         await asyncio.sleep(2 * RETENTION_S + 1.0)
         self.assertEqual(fleet.table.list(kind=STREAM_KIND).value, {})
+        self.assertEqual([router.stream_store.dump() for router in fleet.routers.values()], [{}] * 12)
         router = fleet.routers["r0"]
         for number in range(MAX_RECORDS + 10):
             router.stream_store.add(number * PARTS, "v1")
--- a/tests/test_version_series.py
+++ b/tests/test_version_series.py
@@ -26,6 +26,7 @@
     def __init__(self, *, world, seed):
         self.world = world
         self.random = random.Random(seed)
+        self._power = random.Random(f"power {seed}")
         self.history = []
         self._locks = [threading.Lock() for _ in world.routers]
         self._engines = len(world.engines)
@@ -34,7 +35,8 @@
         """Bring about the events in their turn, and wait until all have ended."""
         times = sorted(self.random.uniform(0.5, SERIES_S - 3.0) for _ in range(EVENTS))
         began_at = time.monotonic()
-        threads = []
+        threads = [threading.Thread(target=self._lose_power_in_turn, args=(began_at,), daemon=True)]
+        threads[0].start()
         for at in times:
             time.sleep(max(0.0, began_at + at - time.monotonic()))
             what = self.random.choice((self.kill, self.kill, self.pause, self.stop, self.add_engine, self.crash_engine))
@@ -47,6 +49,28 @@
             thread.join()
         time.sleep(max(0.0, began_at + SERIES_S - time.monotonic()))
 
+    def _lose_power_in_turn(self, began_at):
+        """Cut the power of all routers, or of all but one, twice, the second time soon after the first."""
+        at = self._power.uniform(2.0, SERIES_S - 7.0)
+        for _ in range(2):
+            time.sleep(max(0.0, began_at + at - time.monotonic()))
+            spared = self._power.choice((None, self._power.randrange(ROUTERS)))
+            for_s = round(self._power.uniform(0.2, 1.4), 2)
+            self.history.append((round(at, 2), "lose_power", spared, for_s))
+            self.lose_power(spared, for_s)
+            at = time.monotonic() - began_at + self._power.uniform(0.5, 3.0)
+
+    def lose_power(self, spared, for_s):
+        routers = [number for number in range(ROUTERS) if number != spared]
+        for number in routers:
+            self._locks[number].acquire()
+        for number in routers:
+            self.world.routers[number].kill()
+        time.sleep(for_s)
+        for number in routers:
+            self.world.routers[number].start()
+            self._locks[number].release()
+
     def kill(self, choice, for_s):
         with self._locks[choice % ROUTERS]:
             router = self.world.routers[choice % ROUTERS]
@@ -98,7 +122,8 @@
 
 
 class VersionSeriesTest(unittest.TestCase):
-    # Guards against streams of two versions after the routers that knew their version died, froze or restarted.
+    # Guards against streams of two versions after the routers that knew their version died, froze, restarted or lost
+    # power together.
     def test_no_stream_has_events_of_two_versions(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
--- a/wagtailtrestle/entry/stream_store.py
+++ b/wagtailtrestle/entry/stream_store.py
@@ -82,9 +82,7 @@
         if part.put(key, version, self._clock()):
             part.changed.set()
             if part.number not in self._tasks_by_part:
-                task = asyncio.get_running_loop().create_task(self._keep(part))
-                self._tasks_by_part[part.number] = task
-                task.add_done_callback(lambda ended: self._tasks_by_part.pop(part.number, None))
+                self._tasks_by_part[part.number] = asyncio.get_running_loop().create_task(self._keep(part))
 
     async def find(self, key):
         """Find the version of a stream.
@@ -121,8 +119,13 @@
             if self._clock() >= part.next_read_at:
                 part.is_read = await self._read(part)
                 part.next_read_at = self._clock() + (READ_INTERVAL_S if part.is_read else FAILED_READ_INTERVAL_S)
+                # What a router has read for others only is not dropped by any write.
+                asyncio.get_running_loop().call_later(self._retention_s() + 1.0, self._drop_old, part)
             return part.is_read
 
+    def _drop_old(self, part):
+        part.drop_older(self._clock() - self._retention_s())
+
     async def _read(self, part):
         """Merge the stored records into the part; return whether the store answered."""
         outcome = await self._call(self._store.get(kind=self._kind, name=part.name))
@@ -144,13 +147,20 @@
 
     async def _keep(self, part):
         """Write a part while streams begin, and delete its object once all that it held are old."""
+        try:
+            await self._write_changes(part)
+        finally:
+            # Here, so that a stream that begins right after finds no task and starts the next one.
+            del self._tasks_by_part[part.number]
+
+    async def _write_changes(self, part):
         delay_s = GATHER_S
         while True:
             try:
                 async with asyncio.timeout(self._retention_s()):
                     await part.changed.wait()
             except TimeoutError:
-                part.drop_older(self._clock() - self._retention_s())
+                self._drop_old(part)
                 if part.records:
                     continue
                 await self._delete(part)
@@ -168,7 +178,7 @@
         """Write the part's records, with those that another router wrote; return whether the store has them."""
         if part.stored_version is None and not await self._read(part):
             return False
-        part.drop_older(self._clock() - self._retention_s())
+        self._drop_old(part)
         value = {"streams": _keys_by_version(part.records)}
         if part.stored_version:
             call = self._store.update(kind=self._kind, name=part.name, value=value, if_version=part.stored_version)
