Measures how long requests wait for the router's own process

Three stages: the kernel's accept queue, a thread, the event loop (own_queue_seconds). The kernel doesn't tell the age of connections that aren't accepted; the time since its queue was last empty is an upper limit. No change of logic but for the accepting loop, which is now ours, in the same order as cheroot's.

--- /dev/null
+++ b/wagtailtrestle/callers/accepting.py
@@ -0,0 +1,64 @@
+"""The accepting thread of the callers' server, and how long connections have waited for it."""
+
+import time
+
+from cheroot.connections import ConnectionManager
+
+ACCEPT_STAGE = "accept"
+"""Wait of a connection in the kernel's queue of connections that aren't accepted yet."""
+
+
+class AcceptQueue:
+    """Upper limit of the time for which connections have waited in the kernel's accept queue.
+
+    The kernel doesn't report this time. Since the queue is served in order, no connection in it is older than the
+    time since the queue was last seen empty.
+    """
+
+    __slots__ = ("_waiting_since",)
+
+    def __init__(self):
+        self._waiting_since = None
+
+    def observe(self, *, is_empty, now) -> float:
+        """Record whether the queue is empty now; return the seconds since it was last seen empty."""
+        if is_empty:
+            self._waiting_since = None
+            return 0.0
+        if self._waiting_since is None:
+            self._waiting_since = now
+        return now - self._waiting_since
+
+
+class CallerConnections(ConnectionManager):
+    """Accepts connections and passes those with data to the worker threads."""
+
+    def __init__(self, server):
+        super().__init__(server)
+        self._accept_queue = AcceptQueue()
+
+    def _run(self, expiration_interval):
+        next_expiration = time.monotonic() + expiration_interval
+        while not self._stop_requested:
+            try:
+                readable = list(self._selector.select(timeout=expiration_interval))
+            except OSError:
+                self._remove_invalid_sockets()
+                continue
+            self._accept(is_waiting=any(conn is self.server for _, conn in readable))
+            for fd, conn in readable:
+                if conn is not self.server:
+                    self._selector.unregister(fd)
+                    self.server.process_conn(conn)
+            if time.monotonic() >= next_expiration:
+                next_expiration = time.monotonic() + expiration_interval
+                self._expire(threshold=time.time() - self.server.timeout)
+
+    def _accept(self, *, is_waiting):
+        waited_s = self._accept_queue.observe(is_empty=not is_waiting, now=time.monotonic())
+        if not is_waiting:
+            return
+        conn = self._from_server_socket(self.server.socket)
+        if conn is not None:
+            self.server.on_delay(ACCEPT_STAGE, waited_s)
+            self.server.process_conn(conn)
--- a/wagtailtrestle/callers/server.py
+++ b/wagtailtrestle/callers/server.py
@@ -34,6 +34,8 @@
 RETRY_AFTER_S = 1.0
 DRAIN_POLL_S = 0.02
 SMALL_UNREAD_BYTES = 65_536
+LOOP_STAGE = "loop"
+"""Wait of a read request for the event loop."""
 
 
 class CallersServer:
@@ -134,6 +136,7 @@
             max_connections=max_connections,
             max_header_bytes=max_header_bytes,
             max_body_bytes=max_body_bytes,
+            on_delay=self._record_delay,
             listener=listener,
         )
 
@@ -346,13 +349,20 @@
             metrics=self._metrics,
         )
         fd = incoming.environ[CONNECTION_ENVIRON].socket.fileno()
-        self._loop.call_soon_threadsafe(self._submit, prepared.request, exchange)
+        self._loop.call_soon_threadsafe(self._submit_read, prepared.request, exchange, time.monotonic())
         self._watch.watch(fd=fd, on_disconnect=exchange.caller_gone)
         try:
             handler.handle(wait_s=max(0.0, prepared.request.deadline - self._loop.time()))
         finally:
             self._watch.unwatch(fd=fd)
 
+    def _submit_read(self, request, exchange, read_at):
+        self._record_delay(LOOP_STAGE, time.monotonic() - read_at)
+        self._submit(request, exchange)
+
+    def _record_delay(self, stage, seconds):
+        self._metrics.observe("own_queue", seconds=seconds, stage=stage)
+
     def _cancel(self, *, run_id, engine, address):
         self._cancel_pool.submit(self._engine_client.cancel, address=address, run_id=run_id, engine=engine)
 
--- a/wagtailtrestle/callers/wsgi.py
+++ b/wagtailtrestle/callers/wsgi.py
@@ -14,6 +14,7 @@
 from cheroot.workers.threadpool import ThreadPool
 from loguru import logger
 
+from wagtailtrestle.callers.accepting import CallerConnections
 from wagtailtrestle.callers.body import LENGTH_PATTERN
 from wagtailtrestle.callers.listening import BACKLOG, set_options
 from wagtailtrestle.callers.problem import problem_bytes, problem_headers, status_line
@@ -37,6 +38,8 @@
 CONTENT_LENGTH = b"Content-Length"
 CHUNK_SIZE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r\n")
 HEAD = b"HEAD"
+THREAD_STAGE = "thread"
+"""Wait of a readable connection for a thread that reads it."""
 
 
 class CallersGateway(wsgi.Gateway_10):
@@ -243,6 +246,7 @@
         super().__init__(server, sock, _make_file)
         sock.settimeout(READ_TIMEOUT_S)
         self.too_slow = False
+        self.readable_at = time.monotonic()
         self.has_waited = False
         self.closed = False
         self.has_unread_input = False
@@ -250,6 +254,7 @@
 
     def communicate(self):
         """Read one request and respond to it."""
+        self.server.on_delay(THREAD_STAGE, time.monotonic() - self.readable_at)
         self.server.watch.expect(connection=self)
         try:
             return super().communicate()
@@ -338,6 +343,8 @@
     threads : int
     watch : ConnectionWatcher
     max_connections, max_header_bytes, max_body_bytes : int
+    on_delay : callable
+        ``on_delay(stage, seconds)``: how long a connection waited in one of this process's queues.
     listener : socket.socket, optional
         A socket that already listens on the address; by default one is bound at the start.
     """
@@ -354,9 +361,11 @@
         max_connections,
         max_header_bytes,
         max_body_bytes,
+        on_delay,
         listener=None,
     ):
         self._listener = listener
+        self.on_delay = on_delay
         super().__init__(address, application, numthreads=threads, server_name="wagtailtrestle")
         self.gateway = CallersGateway
         self.requests = CallerThreads(self, min=min(INITIAL_THREADS, threads), max=threads)
@@ -371,6 +380,12 @@
         self.connections = 0
         self._count_lock = threading.Lock()
 
+    def prepare(self):
+        """Bind the listener and prepare to accept connections."""
+        super().prepare()
+        self._connections.close()
+        self._connections = CallerConnections(self)
+
     def connection_opened(self):
         """Count a connection as open."""
         with self._count_lock:
@@ -384,6 +399,7 @@
     def process_conn(self, conn):
         """Pass a connection to a worker thread once it has data to read."""
         if conn.has_waited:
+            conn.readable_at = time.monotonic()
             super().process_conn(conn)
             return
         # Cheroot passes a new connection to a worker thread before any data has arrived. A load
