Requests no longer queue for the lock of the connection watcher

Callers of a busy router waited for seconds, got 408 for requests that they had sent, or no answer before their deadline.

Cause: each request takes the watcher's lock four times (expect, received, watch, unwatch), and watch, unwatch and the watching thread make system calls under it. A system call releases the interpreter, so the holder has to wait for the interpreter among all other threads before it can release the lock: a lock convoy. The more threads, the longer each hold, and the more threads. Evidence: of the threads that a sampling profiler found in a request, 1,099 of some 1,360 samples waited for this lock. A request whose thread waited in received() counted as still being sent: the 408.

The lock is gone. Timeouts are single operations on a dictionary. A disconnect is verified on the descriptor between two reads of its callback, which shows that the descriptor wasn't reused; EPOLLONESHOT replaces the removal.

test_requests_do_not_wait_for_a_registration_of_another fails on the code before.

--- a/tests/test_caller_watch.py
+++ b/tests/test_caller_watch.py
@@ -30,6 +30,23 @@
         return events
 
 
+class SlowEpoll:
+    """An epoll whose ``register`` does not return before an event is set."""
+
+    def __init__(self, *, epoll, proceed):
+        self._epoll = epoll
+        self._proceed = proceed
+        self.is_registering = threading.Event()
+
+    def __getattr__(self, name):
+        return getattr(self._epoll, name)
+
+    def register(self, *arguments):
+        self.is_registering.set()
+        self._proceed.wait()
+        self._epoll.register(*arguments)
+
+
 class ConnectionWatcherTest(unittest.TestCase):
     def setUp(self):
         self.watch = ConnectionWatcher(timeout_s=10.0, max_receiving=100)
@@ -82,6 +99,32 @@
         ours.close()
         next_ours.close()
 
+    # Guards against threads that queue behind a system call of another thread's request.
+    def test_requests_do_not_wait_for_a_registration_of_another(self):
+        ours, theirs = self.pair()
+        self.addCleanup(ours.close)
+        proceed = threading.Event()
+        self.addCleanup(proceed.set)
+        slow = self.watch._epoll = SlowEpoll(epoll=self.watch._epoll, proceed=proceed)
+        registration = threading.Thread(
+            target=self.watch.watch, kwargs={"fd": ours.fileno(), "on_disconnect": lambda: None}, daemon=True
+        )
+        registration.start()
+        self.assertTrue(slow.is_registering.wait(DETECTION_S))
+        ended = threading.Event()
+
+        def receive_another():
+            connection = object()
+            self.watch.expect(connection=connection)
+            self.watch.received(connection=connection)
+            self.watch.unwatch(fd=theirs.fileno())
+            ended.set()
+
+        threading.Thread(target=receive_another, daemon=True).start()
+        self.assertTrue(ended.wait(DETECTION_S))
+        proceed.set()
+        registration.join()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/wagtailtrestle/callers/connection_watcher.py
+++ b/wagtailtrestle/callers/connection_watcher.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 DISCONNECT_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+POLL_DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 POLL_INTERVAL_S = 0.25
 # Time to receive a request while most threads are receiving: enough for any request from a caller with
 # a latency of a few milliseconds, and short enough that the requests of other callers get a thread.
@@ -21,6 +22,9 @@
     occupied until the run's end. The kernel reports a closed peer through epoll, which costs nothing
     until then. Pipelined data is not reported.
 
+    There is no lock: each request would take it four times, and system calls under it release the interpreter, so
+    that all threads of a busy process queued for it. Single operations on a dictionary are atomic.
+
     Parameters
     ----------
     timeout_s : float
@@ -31,7 +35,6 @@
 
     __slots__ = (
         "_epoll",
-        "_lock",
         "_callback_by_fd",
         "_since_by_connection",
         "_closing",
@@ -44,7 +47,6 @@
         self._timeout_s = timeout_s
         self._max_receiving = max_receiving
         self._epoll = select.epoll()
-        self._lock = threading.Lock()
         self._callback_by_fd = {}
         self._since_by_connection = {}
         self._closing = threading.Event()
@@ -62,14 +64,13 @@
 
     def watch(self, *, fd: int, on_disconnect: Callable[[], None]):
         """Call ``on_disconnect`` once, in the watching thread, when the peer of ``fd`` closes."""
-        with self._lock:
-            self._callback_by_fd[fd] = on_disconnect
-            self._epoll.register(fd, DISCONNECT_EVENTS)
+        self._callback_by_fd[fd] = on_disconnect
+        self._epoll.register(fd, DISCONNECT_EVENTS | select.EPOLLONESHOT)
 
     def unwatch(self, *, fd: int):
         """Stop watching ``fd``; must be called before it is closed, since descriptors are reused."""
-        with self._lock:
-            self._unregister(fd)
+        if self._callback_by_fd.pop(fd, None) is not None:
+            self._epoll.unregister(fd)
 
     def expect(self, *, connection):
         """Start the timeout for receiving a request on ``connection``.
@@ -78,43 +79,41 @@
         a thread for hours, and a hundred such callers the whole router. This timeout applies to the
         complete request and is shortened while most threads are receiving.
         """
-        with self._lock:
-            self._since_by_connection[connection] = time.monotonic()
+        self._since_by_connection[connection] = time.monotonic()
 
     def received(self, *, connection):
         """Stop the timeout: the request was received completely, or its connection ended."""
-        with self._lock:
-            self._since_by_connection.pop(connection, None)
+        self._since_by_connection.pop(connection, None)
 
     def _run(self):
         while not self._closing.is_set():
-            if self._epoll.poll(POLL_INTERVAL_S):
-                for on_disconnect in self._pop_disconnected():
+            for fd, _ in self._epoll.poll(POLL_INTERVAL_S):
+                on_disconnect = self._disconnected(fd)
+                if on_disconnect is not None:
                     on_disconnect()
             self._stop_slow_senders()
 
-    def _pop_disconnected(self):
-        # An event returned before the lock was acquired may belong to a connection that has been closed since and
-        # whose descriptor has been reused. Acting on it aborted the request of a caller that was still connected.
-        # Polled again under the lock, the kernel reports only connections that are watched now.
-        with self._lock:
-            dropped = [self._unregister(fd) for fd, _ in self._epoll.poll(0)]
-        return [on_disconnect for on_disconnect in dropped if on_disconnect is not None]
-
-    def _unregister(self, fd):
-        callback = self._callback_by_fd.pop(fd, None)
-        if callback is not None:
-            self._epoll.unregister(fd)
-        return callback
+    def _disconnected(self, fd):
+        """Return the callback of ``fd`` if its peer has closed, else ``None``.
+
+        The event may belong to a connection that has been closed since and whose descriptor has been reused. If the
+        same callback is registered before and after the check, the descriptor was not reused in between.
+        """
+        on_disconnect = self._callback_by_fd.get(fd)
+        if on_disconnect is None:
+            return None
+        poll = select.poll()
+        poll.register(fd, POLL_DISCONNECT_EVENTS)
+        is_closed = bool(poll.poll(0))
+        return on_disconnect if is_closed and self._callback_by_fd.get(fd) is on_disconnect else None
 
     def _stop_slow_senders(self):
         now = time.monotonic()
-        with self._lock:
-            is_busy = len(self._since_by_connection) > self._max_receiving
-            allowed_s = min(BUSY_TIMEOUT_S, self._timeout_s) if is_busy else self._timeout_s
-            late = [c for c, since in self._since_by_connection.items() if now - since > allowed_s]
-            for connection in late:
-                del self._since_by_connection[connection]
+        since_by_connection = self._since_by_connection.copy()
+        is_busy = len(since_by_connection) > self._max_receiving
+        allowed_s = min(BUSY_TIMEOUT_S, self._timeout_s) if is_busy else self._timeout_s
+        for connection, since in since_by_connection.items():
+            if now - since > allowed_s and self._since_by_connection.pop(connection, None) is not None:
                 connection.too_slow = True
                 _stop_reading(connection.socket)
 
