A router closes connections unread that it can't accept in time

While most new connections went to one router with half of its processor time, callers waited to be accepted for seconds, got their answers late or none before their deadline.

Cause: nothing limits what a router takes. Class of fault: an unbounded wait in a queue whose age nobody measures.

Once the kernel's queue has not been empty for 0.25 s, all that wait in it are closed unread, provided that the view holds another router. Their callers lose a quarter of a second and try another router, as after a refused connection; what was accepted is served in time. Closing costs two system calls; a refusal would cost a thread and the reading. A router that was frozen starts the count anew if its queue was empty before.

--- /dev/null
+++ b/tests/test_accepting.py
@@ -0,0 +1,60 @@
+"""How long connections have waited to be accepted, and when those that wait are closed."""
+
+import contextlib
+import socket
+import unittest
+
+from wagtailtrestle.callers.accepting import MAX_ACCEPT_WAIT_S, AcceptQueue, CallerConnections
+
+
+class ListeningServer:
+    """The part of the callers' server that accepting needs."""
+
+    def __init__(self, *, may_close):
+        self.socket = socket.create_server(("127.0.0.1", 0))
+        self.socket.setblocking(False)
+        self.may_close_unread = lambda: may_close
+        self.closed_unread = 0
+        self.stats = {"Enabled": False}
+
+    def on_closed_unread(self, count):
+        self.closed_unread += count
+
+
+class AcceptQueueTest(unittest.TestCase):
+    def test_time_since_the_queue_was_empty(self):
+        queue = AcceptQueue()
+        self.assertEqual(queue.observe(is_empty=False, now=5.0), 0.0)
+        self.assertEqual(queue.observe(is_empty=False, now=5.5), 0.5)
+        self.assertEqual(queue.observe(is_empty=True, now=6.0), 0.0)
+        self.assertEqual(queue.observe(is_empty=False, now=7.0), 0.0)
+
+
+class CloseWaitingTest(unittest.TestCase):
+    def play(self, *, may_close):
+        """Return how many of three waiting connections are closed once they have waited too long."""
+        server = ListeningServer(may_close=may_close)
+        self.addCleanup(server.socket.close)
+        connections = CallerConnections(server)
+        self.addCleanup(connections.close)
+        connections._from_server_socket = lambda listener: None
+        with contextlib.ExitStack() as callers:
+            for _ in range(3):
+                callers.enter_context(socket.create_connection(server.socket.getsockname()))
+            connections._accept(is_waiting=True, now=1.0)
+            connections._accept(is_waiting=True, now=1.0 + MAX_ACCEPT_WAIT_S)
+            self.assertEqual(server.closed_unread, 0)
+            connections._accept(is_waiting=True, now=1.1 + MAX_ACCEPT_WAIT_S)
+        return server.closed_unread
+
+    # Guards against connections that wait to be accepted until their callers have given up.
+    def test_connections_that_waited_too_long_are_closed(self):
+        self.assertEqual(self.play(may_close=True), 3)
+
+    # Guards against callers of a single router that are closed without anywhere else to go.
+    def test_without_another_router_none_is_closed(self):
+        self.assertEqual(self.play(may_close=False), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wagtailtrestle/callers/accepting.py
+++ b/wagtailtrestle/callers/accepting.py
@@ -4,6 +4,10 @@
 
 from cheroot.connections import ConnectionManager
 
+from wagtailtrestle.callers.listening import BACKLOG
+
+MAX_ACCEPT_WAIT_S = 0.25
+"""Callers give up on a connection that isn't read within a third of their time, or a second."""
 ACCEPT_STAGE = "accept"
 """Wait of a connection in the kernel's queue of connections that aren't accepted yet."""
 
@@ -31,7 +35,11 @@
 
 
 class CallerConnections(ConnectionManager):
-    """Accepts connections and passes those with data to the worker threads."""
+    """Accepts connections and passes those with data to the worker threads.
+
+    If they come faster than they can be accepted, those that wait are closed unread, so that their callers turn to
+    another router while they still have time. What has been accepted before is served without this queue behind it.
+    """
 
     def __init__(self, server):
         super().__init__(server)
@@ -45,7 +53,7 @@
             except OSError:
                 self._remove_invalid_sockets()
                 continue
-            self._accept(is_waiting=any(conn is self.server for _, conn in readable))
+            self._accept(is_waiting=any(conn is self.server for _, conn in readable), now=time.monotonic())
             for fd, conn in readable:
                 if conn is not self.server:
                     self._selector.unregister(fd)
@@ -54,11 +62,26 @@
                 next_expiration = time.monotonic() + expiration_interval
                 self._expire(threshold=time.time() - self.server.timeout)
 
-    def _accept(self, *, is_waiting):
-        waited_s = self._accept_queue.observe(is_empty=not is_waiting, now=time.monotonic())
+    def _accept(self, *, is_waiting, now):
+        waited_s = self._accept_queue.observe(is_empty=not is_waiting, now=now)
         if not is_waiting:
             return
+        if waited_s > MAX_ACCEPT_WAIT_S and self.server.may_close_unread():
+            self._close_waiting(now)
+            return
         conn = self._from_server_socket(self.server.socket)
         if conn is not None:
             self.server.on_delay(ACCEPT_STAGE, waited_s)
             self.server.process_conn(conn)
+
+    def _close_waiting(self, now):
+        closed = 0
+        while closed < BACKLOG:
+            try:
+                sock, _ = self.server.socket.accept()
+            except OSError:
+                break
+            sock.close()
+            closed += 1
+        self._accept_queue.observe(is_empty=True, now=now)
+        self.server.on_closed_unread(closed)
--- a/wagtailtrestle/callers/server.py
+++ b/wagtailtrestle/callers/server.py
@@ -67,6 +67,8 @@
         Upper limit of the deadline of a request.
     start_hold_s : float
         Maximum time to hold requests while ``ready`` returns ``NOT_READY``; with 0 they are refused immediately.
+    has_alternatives : callable
+        Whether other routers serve callers; only then are new connections closed unread when too many wait.
     listener : socket.socket, optional
         A socket that already listens on ``address``.
     make_dialect : callable
@@ -94,6 +96,7 @@
         receive_timeout_s=DEFAULT_RECEIVE_TIMEOUT_S,
         max_deadline_s=DEFAULT_MAX_DEADLINE_S,
         start_hold_s=0.0,
+        has_alternatives=lambda: False,
         listener=None,
         make_dialect=NativeDialect,
     ):
@@ -137,6 +140,8 @@
             max_header_bytes=max_header_bytes,
             max_body_bytes=max_body_bytes,
             on_delay=self._record_delay,
+            may_close_unread=has_alternatives,
+            on_closed_unread=self._record_closed_unread,
             listener=listener,
         )
 
@@ -363,6 +368,12 @@
     def _record_delay(self, stage, seconds):
         self._metrics.observe("own_queue", seconds=seconds, stage=stage)
 
+    def _record_closed_unread(self, count):
+        self._metrics.count("connections_closed_unread", by=count)
+        logger.bind(connections=count, active=self._active_requests).warning(
+            "connections come faster than they can be accepted; closed the waiting ones unread"
+        )
+
     def _cancel(self, *, run_id, engine, address):
         self._cancel_pool.submit(self._engine_client.cancel, address=address, run_id=run_id, engine=engine)
 
--- a/wagtailtrestle/callers/wsgi.py
+++ b/wagtailtrestle/callers/wsgi.py
@@ -345,6 +345,10 @@
     max_connections, max_header_bytes, max_body_bytes : int
     on_delay : callable
         ``on_delay(stage, seconds)``: how long a connection waited in one of this process's queues.
+    may_close_unread : callable
+        Whether callers whose connections are closed unread can turn to another router.
+    on_closed_unread : callable
+        ``on_closed_unread(count)``: that many connections were closed because they had waited too long.
     listener : socket.socket, optional
         A socket that already listens on the address; by default one is bound at the start.
     """
@@ -362,10 +366,14 @@
         max_header_bytes,
         max_body_bytes,
         on_delay,
+        may_close_unread,
+        on_closed_unread,
         listener=None,
     ):
         self._listener = listener
         self.on_delay = on_delay
+        self.may_close_unread = may_close_unread
+        self.on_closed_unread = on_closed_unread
         super().__init__(address, application, numthreads=threads, server_name="wagtailtrestle")
         self.gateway = CallersGateway
         self.requests = CallerThreads(self, min=min(INITIAL_THREADS, threads), max=threads)
@@ -383,6 +391,7 @@
     def prepare(self):
         """Bind the listener and prepare to accept connections."""
         super().prepare()
+        self.socket.setblocking(False)
         self._connections.close()
         self._connections = CallerConnections(self)
 
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -386,6 +386,7 @@
             max_body_bytes=settings.max_body_bytes,
             max_header_bytes=settings.max_header_bytes,
             start_hold_s=settings.start_hold_s,
+            has_alternatives=lambda: self._is_initialized and len(self._membership.view.members) > 1,
             listener=self._listener,
             make_dialect=lambda **parts: self._adapter.make_dialect(
                 key_proof=self._key_proof, quotas=self._quotas.accounts, **parts
