Load reports, cancels and the store's answers are limited as a whole

Cause: a timeout for each read, no limit for the answer: not of its bytes, not of its time. The store's client gave up on its caller's side while a thread read on.

ShortResponse limits bytes and time of a whole response below the library, head, interim heads, chunk extensions and trailers included; bodies are limited after decompression.

--- a/wagtailtrestle/engines/client.py
+++ b/wagtailtrestle/engines/client.py
@@ -5,6 +5,7 @@
 """
 
 import http.client
+import json
 import threading
 
 from urllib3.exceptions import HTTPError
@@ -12,12 +13,14 @@
 from wagtailtrestle.contracts.exchange import RunEnded
 from wagtailtrestle.engines.connector import CONNECT_ERRORS, DirectConnector
 from wagtailtrestle.engines.run_exchange import OK, RunExchange
+from wagtailtrestle.short_response import limit_responses, read_body
 
 CANCEL_TIMEOUT_S = 1.0
 """Timeout of an engine's answer to a cancel; a healthy engine answers within a decode step or two, under 0.1 s."""
 CANCEL_GRACE_S = 0.5
 """Time that a cancelled run has to end before its connection is cut; about ten decode steps of 40 ms."""
 FINISHED_STATE = "finished"
+MAX_CANCEL_ANSWER_BYTES = 65_536
 
 
 class EngineClient:
@@ -115,9 +118,11 @@
         try:
             connection.timeout = CANCEL_TIMEOUT_S
             connection.sock.settimeout(CANCEL_TIMEOUT_S)
-            connection.request("POST", path)
+            limit_responses(connection, max_bytes=MAX_CANCEL_ANSWER_BYTES)
+            connection.request("POST", path, preload_content=False)
             response = connection.getresponse()
-            return response.json().get("state") if response.status == OK else None
+            body = read_body(response, max_bytes=MAX_CANCEL_ANSWER_BYTES)
+            return json.loads(body).get("state") if response.status == OK else None
         except (HTTPError, http.client.HTTPException, OSError, ValueError):
             return None
         finally:
--- a/wagtailtrestle/engines/reports.py
+++ b/wagtailtrestle/engines/reports.py
@@ -5,6 +5,7 @@
 """
 
 import http.client
+import json
 import threading
 import time
 from collections.abc import Callable
@@ -14,10 +15,13 @@
 
 from wagtailtrestle.contracts.report_messages import CacheEvents, EngineReport, LoadReport, LoadUnreachable
 from wagtailtrestle.engines.connector import DirectConnector
+from wagtailtrestle.short_response import limit_responses, read_body
 
 CONNECT_TIMEOUT_S = 0.9
 """Time for a connection on the direct path and, failing that, through another router."""
 READ_TIMEOUT_S = 0.5
+"""Time for a complete answer."""
+MAX_REPORT_BYTES = 4 * 1024 * 1024
 LOAD_POLLS_PER_CACHE_POLL = 4
 OK = 200
 NOT_FOUND_PROBLEM = "HTTP status 404"
@@ -227,10 +231,11 @@
         try:
             if self._connection is None:
                 self._connect()
-            self._connection.request("GET", path)
+            self._connection.request("GET", path, preload_content=False)
             response = self._connection.getresponse()
+            body = read_body(response, max_bytes=MAX_REPORT_BYTES)
             if response.status == OK:
-                return response.json(), ""
+                return json.loads(body), ""
             problem = f"HTTP status {response.status}"
         except (HTTPError, http.client.HTTPException, OSError, ValueError) as error:
             problem = type(error).__name__
@@ -241,6 +246,7 @@
         connected = self._connector.connect(engine=self._name, address=self._address, timeout_s=CONNECT_TIMEOUT_S)
         connection = connected.http
         connection.timeout = READ_TIMEOUT_S
+        limit_responses(connection, max_bytes=MAX_REPORT_BYTES)
         self._connection = connection
 
     def _disconnect(self):
--- a/wagtailtrestle/store/threaded_http.py
+++ b/wagtailtrestle/store/threaded_http.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import http.client
 import socket
 import threading
 import weakref
@@ -12,11 +13,13 @@
 
 import urllib3
 
+from wagtailtrestle.short_response import limit_responses, read_body
 from wagtailtrestle.store.tolerant_json import parse_json
 
 # Added to both socket timeouts: an answer that arrives byte by byte must not block a caller forever.
 CALL_MARGIN_S = 1.0
 MAX_DETAIL_CHARS = 200
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
 # If the library retried a write, a write that was applied would return a conflict with
 # itself; the caller of the store decides on retries.
 NO_RETRIES = False
@@ -108,8 +111,10 @@
                 timeout=timeout,
                 retries=NO_RETRIES,
                 redirect=False,
+                preload_content=False,
             )
-            body = parse_json(response.data) if response.data else None
+            data = read_body(response, max_bytes=MAX_ANSWER_BYTES)
+            body = parse_json(data) if data else None
             return Answer(status=response.status, headers=response.headers, body=body)
         except NOT_SENT_ERRORS as error:
             return Answer(was_sent=False, detail=_error_text(error))
@@ -118,7 +123,7 @@
             # and each would cost one more timeout: the next call opens a new connection.
             self._replace_pool(pool)
             return Answer(detail=_error_text(error))
-        except (urllib3.exceptions.HTTPError, OSError, ValueError, RecursionError) as error:
+        except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError, ValueError, RecursionError) as error:
             return Answer(detail=_error_text(error))
 
     def _make_pool(self):
@@ -128,6 +133,7 @@
 
     def _make_connection(self, **options):
         connection = urllib3.connection.HTTPConnection(**options)
+        limit_responses(connection, max_bytes=MAX_ANSWER_BYTES, margin_s=CALL_MARGIN_S)
         with self._connections_lock:
             self._connections.add(connection)
         return connection
