A starting router doesn't close what had to wait for its start

Found in reading the code: the wait before a router may close connections (not initialized, or no other router in its view) counted, so that its first act once ready was to close all that waited, while their callers' other routers may be starting too. The time now counts from when closing became possible. The new test fails on the code before (3 closed, none is allowed).

--- a/tests/test_accepting.py
+++ b/tests/test_accepting.py
@@ -13,10 +13,13 @@
     def __init__(self, *, may_close):
         self.socket = socket.create_server(("127.0.0.1", 0))
         self.socket.setblocking(False)
-        self.may_close_unread = lambda: may_close
+        self.may_close = may_close
         self.closed_unread = 0
         self.stats = {"Enabled": False}
 
+    def may_close_unread(self):
+        return self.may_close
+
     def on_closed_unread(self, count):
         self.closed_unread += count
 
@@ -31,7 +34,7 @@
 
 
 class CloseWaitingTest(unittest.TestCase):
-    def play(self, *, may_close):
+    def play(self, *, may_close, may_close_later=None):
         """Return how many of three waiting connections are closed once they have waited too long."""
         server = ListeningServer(may_close=may_close)
         self.addCleanup(server.socket.close)
@@ -44,6 +47,7 @@
             connections._accept(is_waiting=True, now=1.0)
             connections._accept(is_waiting=True, now=1.0 + MAX_ACCEPT_WAIT_S)
             self.assertEqual(server.closed_unread, 0)
+            server.may_close = may_close if may_close_later is None else may_close_later
             connections._accept(is_waiting=True, now=1.1 + MAX_ACCEPT_WAIT_S)
         return server.closed_unread
 
@@ -55,6 +59,10 @@
     def test_without_another_router_none_is_closed(self):
         self.assertEqual(self.play(may_close=False), 0)
 
+    # Guards against a starting router that closes what had to wait for its start as soon as it is ready.
+    def test_the_wait_before_closing_was_possible_does_not_count(self):
+        self.assertEqual(self.play(may_close=False, may_close_later=True), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/wagtailtrestle/callers/accepting.py
+++ b/wagtailtrestle/callers/accepting.py
@@ -44,6 +44,7 @@
     def __init__(self, server):
         super().__init__(server)
         self._accept_queue = AcceptQueue()
+        self._closable_queue = AcceptQueue()
 
     def _run(self, expiration_interval):
         next_expiration = time.monotonic() + expiration_interval
@@ -65,8 +66,11 @@
     def _accept(self, *, is_waiting, now):
         waited_s = self._accept_queue.observe(is_empty=not is_waiting, now=now)
         if not is_waiting:
+            self._closable_queue.observe(is_empty=True, now=now)
             return
-        if waited_s > MAX_ACCEPT_WAIT_S and self.server.may_close_unread():
+        # A router that has just started has many connections waiting, and time to accept them.
+        closable_s = self._closable_queue.observe(is_empty=not self.server.may_close_unread(), now=now)
+        if closable_s > MAX_ACCEPT_WAIT_S:
             self._close_waiting(now)
             return
         conn = self._from_server_socket(self.server.socket)
@@ -83,5 +87,6 @@
                 break
             sock.close()
             closed += 1
-        self._accept_queue.observe(is_empty=True, now=now)
+        for queue in (self._accept_queue, self._closable_queue):
+            queue.observe(is_empty=True, now=now)
         self.server.on_closed_unread(closed)
