--- a/wagtailtrestle/short_response.py
+++ b/wagtailtrestle/short_response.py
@@ -32,7 +32,6 @@
 
     def __init__(self, sock, *, max_bytes, margin_s=0.0, **options):
         super().__init__(sock, **options)
-        self._max_bytes = max_bytes
         raw = _LimitedSocket(raw=self.fp.detach(), sock=sock, max_bytes=max_bytes, margin_s=margin_s)
         self.fp = _LimitedReader(raw=raw, max_bytes=max_bytes)
 
