--- a/review/lib-2/trial.py
+++ b/review/lib-2/trial.py
@@ -147,6 +147,12 @@
         handler.wfile.write("\r\n".join(lines).encode() + body)
 
 
+def _without_sequence(entry):
+    """An engine's entry changes when more than ``sequence`` changes."""
+    entry = entry.get("specification", entry)
+    return {name: value for name, value in entry.items() if name != "sequence"}
+
+
 class Store(Server):
     """The platform's store: objects by kind and name, revisions, watches, and returns from a copy."""
 
@@ -162,7 +168,9 @@
     def put(self, kind, name, specification):
         """Write as the operator or an engine; return the moment of the acknowledgement."""
         with self._changed:
-            self._write(kind, name, specification)
+            found = self._objects.get((kind, name))
+            if kind != "servers" or found is None or _without_sequence(found) != _without_sequence(specification):
+                self._write(kind, name, specification)
         return time.monotonic()
 
     def delete(self, kind, name):
