--- a/review/lib-2/trial.py
+++ b/review/lib-2/trial.py
@@ -41,6 +41,8 @@
 PLACEHOLDER = re.compile(r"\{\{([\w.]+)\}\}")
 SECTION = re.compile(r"\{\{#([\w.]+)\}\}\n?(.*?)\{\{/\1\}\}\n?", re.DOTALL)
 READY_WAIT_S = 30.0
+MAX_RUN_S = 115
+"""A case that takes longer ends as one that could not run."""
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -596,8 +598,8 @@
 class Deployment:
     """A store, engines and routers on loopback addresses of their own; a context manager that ends all of it."""
 
-    def __init__(self, *, folder, routers, bounds=BOUNDS, limits=LIMITS):
-        self.record = Record(folder)
+    def __init__(self, *, folder, routers, bounds=BOUNDS, limits=LIMITS, record=None):
+        self.record = record or Record(folder)
         self._folder = tempfile.TemporaryDirectory()
         self._net = f"127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}"
         self.store = Store(ip=self.ip(1))
@@ -658,8 +660,9 @@
 def main(case):
     """Run ``case(record_folder)``, which returns whether the rule held, and exit with the status of the review."""
     folder = Path(sys.argv[0]).resolve().parent
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
         signal.signal(number, _stop)
+    signal.alarm(MAX_RUN_S)
     try:
         held = case(folder)
     except Exception as error:
