--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,5 +1,6 @@
 """Case 4: one engine answers with a body without end; the routers that read it grow until the platform kills them."""
 
+import os
 import subprocess
 import sys
 import threading
@@ -15,11 +16,12 @@
     Engine,
     configuration,
     free_ports,
-    has_trouble,
     main,
     route,
 )
 
+TROUBLE = os.environ.get("TROUBLE") != "0"
+"""Whether the disruption is played."""
 ROUTERS = 3
 LINK_BYTES_PER_S = 1000e6 / 8
 """`link_mbps` 1,000 of the small sites."""
@@ -121,7 +123,7 @@
     with Deployment(folder=folder, routers=ROUTERS) as deployment:
         for number in range(2):
             deployment.add_engine(name=f"i-a{number}", service="asistente", slots=10, events=20, pause_s=0.02)
-        if has_trouble():
+        if TROUBLE:
             deployment.add_engine(make=EndlessEngine, name="i-endless", service="asistente")
         else:
             deployment.add_engine(name="i-sound", service="asistente", slots=10, events=20, pause_s=0.02)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,5 +1,6 @@
 """Case 5: an engine's head holds a line that is no header, in front of the headers that tell how its body is framed."""
 
+import os
 import random
 import sys
 import threading
@@ -8,14 +9,20 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib-2"))
 
-from trial import Client, Deployment, Engine, configuration, has_trouble, main, route  # noqa: E402
+from trial import Client, Deployment, Engine, configuration, main, route  # noqa: E402
 
+TROUBLE = os.environ.get("TROUBLE") != "0"
+"""Whether the disruption is played."""
 ROUTERS = 2
 ENGINES = 3
 SETTLE_S = 7.0
-PLAY_S = 25.0
-SPOILED_SHARE = 0.05
-"""`garble` of the site's days: x = 0.05."""
+PLAY_S = 30.0
+SPOILED_SHARE = 0.028
+"""`garble` of the site's days: x = 0.0284, share 0.347; one engine of three spoils answers here."""
+SPOILING_S = 5.5
+PAUSE_S = 1.0
+"""`garble` of the site: for_s = 5.5; it comes again after a pause."""
+CLIENTS_PER_ROUTER = 8
 NO_HEADER = b"segment 3 flushed\r\n"
 
 
@@ -26,10 +33,14 @@
         self._spoils = spoils
         self._body_by_id = body_by_id
         self._random = random.Random(options["name"])
+        self._began_at = time.monotonic()
         super().__init__(**options)
 
+    def _is_time(self):
+        return (time.monotonic() - self._began_at) % (SPOILING_S + PAUSE_S) < SPOILING_S
+
     def run(self, handler, request_id):
-        is_spoiled = self._spoils and self._random.random() < SPOILED_SHARE
+        is_spoiled = self._spoils and self._is_time() and self._random.random() < SPOILED_SHARE
         time.sleep(self.work_s)
         if "/stream" in handler.path:
             pieces = [f"id: {number}\ndata: {request_id} {number}\n\n".encode() for number in range(1, 6)]
@@ -74,7 +85,7 @@
                     service=service,
                     slots=10,
                     work_s=0.03,
-                    spoils=has_trouble() and number == 0,
+                    spoils=TROUBLE and number == 0,
                     body_by_id=body_by_id,
                 )
         routes = [
@@ -91,7 +102,7 @@
         threads = [
             threading.Thread(target=ask, args=(deployment, router, name, "POST", path, answers, until), daemon=True)
             for router in deployment.routers
-            for number in range(3)
+            for number in range(CLIENTS_PER_ROUTER)
             for name, path in (
                 (f"s-{router.name}-{number}", "/stream/1"),
                 (f"b-{router.name}-{number}", "/book/1"),
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,5 +1,6 @@
 """Case 7: a request of one caller crashes the engines that run it; another caller's like it is sound."""
 
+import os
 import sys
 import threading
 import time
@@ -7,8 +8,10 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib-2"))
 
-from trial import Client, Deployment, Engine, configuration, has_trouble, main, route, tenant  # noqa: E402
+from trial import Client, Deployment, Engine, configuration, main, route, tenant  # noqa: E402
 
+TROUBLE = os.environ.get("TROUBLE") != "0"
+"""Whether the disruption is played."""
 ROUTERS = 3
 ENGINES = 6
 SETTLE_S = 7.0
@@ -97,7 +100,7 @@
             ):
                 arguments = (deployment, router, name, method, path, answers, until)
                 threads.append(threading.Thread(target=ask, args=arguments, kwargs={"pause_s": 0.05}, daemon=True))
-        if has_trouble():
+        if TROUBLE:
             threads.append(threading.Thread(target=poison, args=(deployment, until), daemon=True))
         for thread in threads:
             thread.start()
--- a/review/lib-2/trial.py
+++ b/review/lib-2/trial.py
@@ -41,6 +41,7 @@
 PLACEHOLDER = re.compile(r"\{\{([\w.]+)\}\}")
 SECTION = re.compile(r"\{\{#([\w.]+)\}\}\n?(.*?)\{\{/\1\}\}\n?", re.DOTALL)
 READY_WAIT_S = 30.0
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM)
 MAX_RUN_S = 115
 """A case that takes longer ends as one that could not run."""
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -377,7 +378,8 @@
 
     def close(self):
         self._stopped.set()
-        self._thread.join()
+        if self._thread.is_alive():
+            self._thread.join()
 
 
 def tenant(name, keys, *, rate_per_s=0, burst=0):
@@ -648,19 +650,16 @@
         self._folder.cleanup()
 
 
-def has_trouble():
-    """Whether the case's disruption is to be played."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def _stop(number, frame):
+    for other in STOP_SIGNALS:
+        signal.signal(other, signal.SIG_IGN)  # the processes are being ended: once is enough
     raise CannotRun(f"stopped by {signal.Signals(number).name}")
 
 
 def main(case):
     """Run ``case(record_folder)``, which returns whether the rule held, and exit with the status of the review."""
     folder = Path(sys.argv[0]).resolve().parent
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+    for number in STOP_SIGNALS:
         signal.signal(number, _stop)
     signal.alarm(MAX_RUN_S)
     try:
