Limit the memory for answers of engines over all runs

Cause: limits for each run at most, none for the process. A declared length was believed, errors had the limit of answers, pieces were joined (held twice), and freed blocks stayed in the heap arenas of their threads or, by a reference cycle of the run and its connection, until a garbage collection.

Change: one reservation for all answers over 64 KiB (a fifth of memory_mb, at least 32 MiB); a reader without memory stops reading, and is granted some only if all answers being read could still end one after the other. Errors have 1 MiB. Large answers are kept once, in a mapping that is unmapped with them. Such runs end as RunTooLong or RunDropped, which are no signs of a crash. The native dialect's incomplete event had no limit either; it has 1 MiB.

--- a/tests/test_answer_end.py
+++ b/tests/test_answer_end.py
@@ -6,8 +6,10 @@
 import unittest
 
 from tests.utils.engines import RunSender, chat_call
+from tests.utils.platform_world import wait_until
 from wagtailtrestle.contracts.exchange import StartRun
 from wagtailtrestle.contracts.outcomes import RunCancelled, RunCut, RunDone, RunFailed, RunRejected
+from wagtailtrestle.engines.answer_memory import SMALL_ANSWER_BYTES
 from wagtailtrestle.engines.connector import DirectConnector
 from wagtailtrestle.engines.run_exchange import RunExchange
 from wagtailtrestle.platform.engines import PlatformCall, PlatformReceived
@@ -99,6 +101,18 @@
         return self.ended.outcome
 
 
+class PartialEventTest(AnswerCase):
+    # Guards against incomplete events of many streams that are not counted in the memory for answers.
+    def test_an_incomplete_event_counts_until_its_run_ends(self):
+        data = head_of(200) + b"\r\nid: 1\ndata: " + b"x" * (2 * SMALL_ANSWER_BYTES)
+        engine, exchange, thread = self.exchange(data, is_streamed=True)
+        wait_until(lambda: self.received.hold.size, "memory is reserved")
+        engine.release.set()
+        thread.join(WAIT_S)
+        self.assertIsInstance(self.ended.outcome, RunCut)
+        self.assertEqual(self.received.hold.size, 0)
+
+
 class AbortTest(AnswerCase):
     # Guards against an answer that counts as whole because this process shut down its connection.
     def test_abort_is_no_end_wherever_it_comes(self):
--- a/wagtailtrestle/callers/answer.py
+++ b/wagtailtrestle/callers/answer.py
@@ -258,7 +258,7 @@
 
     def recordable(self, received):
         """Return content type and body; the status is recorded separately."""
-        return RecordableAnswer(content_type=received.headers.get("Content-Type", ""), body=received.body)
+        return RecordableAnswer(content_type=received.headers.get("Content-Type", ""), body=bytes(received.body))
 
     def recorded(self, command):
         """Give an earlier answer."""
--- a/wagtailtrestle/callers/request_handler.py
+++ b/wagtailtrestle/callers/request_handler.py
@@ -63,10 +63,19 @@
 
     def handle(self, *, wait_s: float):
         """Execute the task's commands, then send the response and record the outcome."""
-        command = self._exchange.run_commands(run=self._run, wait_s=wait_s)
-        outcome = self._answer(command)
+        try:
+            command = self._exchange.run_commands(run=self._run, wait_s=wait_s)
+            outcome = self._answer(command)
+        finally:
+            self._release_answer()
         self._record_outcome(outcome)
 
+    def _release_answer(self):
+        received = self._received
+        if received is not None and received.hold is not None:
+            received.body = b""
+            received.hold.close()
+
     def _run(self, command):
         request = self._prepared.request
         if not self._limits.mark_running(request_id=request.request_id):
--- a/wagtailtrestle/callers/wsgi.py
+++ b/wagtailtrestle/callers/wsgi.py
@@ -38,6 +38,8 @@
 CONTENT_LENGTH = b"Content-Length"
 CHUNK_SIZE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r\n")
 HEAD = b"HEAD"
+MAX_JOINED_BYTES = 65_536
+"""Size up to which a part of a body is copied behind its head, to save a system call."""
 THREAD_STAGE = "thread"
 """Wait of a readable connection for a thread that reads it."""
 
@@ -128,8 +130,11 @@
             response, would make it look complete.
         """
         if self.head:
-            data = self.head + data
-            self.head = b""
+            head, self.head = self.head, b""
+            if len(data) > MAX_JOINED_BYTES:
+                self.write(head)
+            else:
+                data = head + data
         if not data:
             return
         if self._has_failed:
--- a/wagtailtrestle/contracts/outcomes.py
+++ b/wagtailtrestle/contracts/outcomes.py
@@ -131,6 +131,22 @@
     held: bool = False
 
 
+@record
+class RunTooLong:
+    """The answer has more bytes than allowed; this process closed the connection."""
+
+    detail: str
+    output_tokens: int = 0
+
+
+@record
+class RunDropped:
+    """The answer was given up because this process had no memory for the rest of it."""
+
+    detail: str
+    output_tokens: int = 0
+
+
 @record
 class RunCancelled:
     """The run ended because this router cancelled it."""
@@ -145,7 +161,18 @@
     output_tokens: int = 0
 
 
-RunOutcome = RunDone | RunRejected | RunFailed | RunNotSent | RunCut | RunSilent | RunCancelled | RunLost
+RunOutcome = (
+    RunDone
+    | RunRejected
+    | RunFailed
+    | RunNotSent
+    | RunCut
+    | RunSilent
+    | RunTooLong
+    | RunDropped
+    | RunCancelled
+    | RunLost
+)
 
 
 # Outcomes of a call to the platform's object API.
--- a/wagtailtrestle/engines/answer_check.py
+++ b/wagtailtrestle/engines/answer_check.py
@@ -8,6 +8,8 @@
 EVENT_END = b"\n\n"
 CARRIAGE_RETURN = b"\r"
 DONE_DATA = b"[DONE]"
+MAX_EVENT_BYTES = 1_048_576
+"""Limit on an incomplete event, which is copied with each piece that arrives."""
 DECODE_JSON = json.JSONDecoder().raw_decode
 
 
@@ -33,9 +35,15 @@
         Whether the end mark was received.
     status, headers, body
         Those of a plain answer or of an engine's error.
+    text_bytes : int
+        Size of the tokens' texts, estimated as one byte for each character.
+    hold : AnswerHold or None
+        The memory of the tokens, and of an event that is incomplete.
     """
 
     __slots__ = (
+        "hold",
+        "text_bytes",
         "tokens",
         "finish_reason",
         "prompt_tokens",
@@ -48,6 +56,8 @@
     )
 
     def __init__(self):
+        self.hold = None
+        self.text_bytes = 0
         self.tokens = []
         self.finish_reason = ""
         self.prompt_tokens = 0
@@ -68,6 +78,11 @@
         """Text received so far."""
         return "".join(self.tokens)
 
+    def add_token(self, text):
+        """Add the text of the next token."""
+        self.tokens.append(text)
+        self.text_bytes += len(text)
+
 
 class AnswerCheck:
     """Checks the events of one run and adds its tokens to what was received.
@@ -109,6 +124,8 @@
             data = data.replace(CARRIAGE_RETURN + b"\n", b"\n")
         events = data.split(EVENT_END)
         self._unparsed = events.pop()
+        if len(self._unparsed) > MAX_EVENT_BYTES:
+            return AnswerFault(detail="an event does not end")
         for event in events:
             if self._frame_prefix and self._apply_matching_event(event):
                 continue
@@ -128,6 +145,11 @@
             )
         return None
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of the tokens received so far and of an incomplete event."""
+        return self._received.text_bytes + len(self._unparsed)
+
     @property
     def cancelled(self) -> bool:
         """Whether the engine reports that the run was cancelled."""
@@ -150,7 +172,7 @@
             return False
         if end != len(quoted) or not isinstance(text, str):
             return False
-        self._received.tokens.append(text)
+        self._received.add_token(text)
         self._on_token(index, text)
         return True
 
@@ -196,7 +218,7 @@
         text = choice["text"] if "text" in choice else choice.get("delta", {}).get("content")
         if not isinstance(text, str):
             return AnswerFault(detail=f"token {index} has no text")
-        tokens.append(text)
+        self._received.add_token(text)
         self._on_token(index, text)
         if not self._frame_prefix:
             self._learn_event_frame(data, text)
--- a/wagtailtrestle/engines/client.py
+++ b/wagtailtrestle/engines/client.py
@@ -11,6 +11,7 @@
 from urllib3.exceptions import HTTPError
 
 from wagtailtrestle.contracts.exchange import RunEnded
+from wagtailtrestle.engines.answer_memory import AnswerMemory
 from wagtailtrestle.engines.connector import CONNECT_ERRORS, DirectConnector
 from wagtailtrestle.engines.run_exchange import OK, RunExchange
 from wagtailtrestle.short_response import limit_responses, read_body
@@ -34,12 +35,15 @@
         ``None`` where engines stop a run when its connection closes.
     connector : Connector, optional
         Opens the connections; direct ones by default.
+    memory : AnswerMemory, optional
+        Limits the memory for large answers of all runs.
     """
 
-    def __init__(self, *, connect_timeout_s, ended_call=None, connector=None):
+    def __init__(self, *, connect_timeout_s, ended_call=None, connector=None, memory=None):
         self._connect_timeout_s = connect_timeout_s
         self._ended_call = ended_call
         self._connector = connector or DirectConnector()
+        self._memory = memory or AnswerMemory()
         self._exchange_by_run_id = {}
         self._lock = threading.Lock()
 
@@ -75,6 +79,7 @@
             on_token=on_token,
             connect_timeout_s=self._connect_timeout_s,
             connector=self._connector,
+            memory=self._memory,
         )
         with self._lock:
             self._exchange_by_run_id[command.run_id] = exchange
--- a/wagtailtrestle/engines/health.py
+++ b/wagtailtrestle/engines/health.py
@@ -21,7 +21,7 @@
 
 MAX_EJECTED_SHARE = 0.34
 
-FAILED_RESULTS = frozenset({"RunNotSent", "RunSilent", "RunCut", "RunLost", "RunFailed"})
+FAILED_RESULTS = frozenset({"RunNotSent", "RunSilent", "RunCut", "RunLost", "RunFailed", "RunTooLong"})
 NEUTRAL_RESULTS = frozenset({"RunCancelled"})
 """A cancelled run is no evidence on the engine: the caller, the deadline or a higher tier ended it."""
 
--- a/wagtailtrestle/engines/native_call.py
+++ b/wagtailtrestle/engines/native_call.py
@@ -6,9 +6,10 @@
 from wagtailtrestle.contracts.declaration import LANGUAGE
 from wagtailtrestle.contracts.outcomes import RunCancelled, RunDone, RunLost, RunNotSent, RunRejected
 from wagtailtrestle.engines.answer_check import AnswerCheck
+from wagtailtrestle.engines.answer_memory import MAX_ANSWER_BYTES
 from wagtailtrestle.engines.dialect import CallHead
 from wagtailtrestle.engines.notices import read_notice
-from wagtailtrestle.engines.run_exchange import MAX_ERROR_BYTES, MAX_PLAIN_BYTES
+from wagtailtrestle.engines.run_exchange import MAX_ERROR_BYTES, MAX_FAILURE_BYTES
 
 NO_CONTENT = 204
 NOT_MODIFIED = 304
@@ -139,10 +140,9 @@
         length = self._plain_length(response)
         if length is None:
             return exchange.cut("the answer has no Content-Length, so its completeness can't be checked")
-        if length > MAX_PLAIN_BYTES:
-            return exchange.cut(f"the answer is longer than {MAX_PLAIN_BYTES} bytes")
         exchange.progress.begin()
-        exchange.record_answer(exchange.read_body(length))
+        max_bytes = MAX_ANSWER_BYTES if response.status < FIRST_ERROR_STATUS else MAX_FAILURE_BYTES
+        exchange.record_answer(exchange.read_body(length, max_bytes=max_bytes))
         if response.status >= FIRST_ERROR_STATUS:
             return RunRejected(status=response.status)
         return RunDone()
@@ -187,6 +187,7 @@
         if not data:
             break
         fault = check.feed(data)
+        exchange.reserve(check.buffered_bytes)
         exchange.progress.update()
         if fault is not None:
             return exchange.cut(fault.detail)
--- a/wagtailtrestle/engines/run_exchange.py
+++ b/wagtailtrestle/engines/run_exchange.py
@@ -14,10 +14,20 @@
     RunCancelled,
     RunCut,
     RunDone,
+    RunDropped,
     RunFailed,
     RunNotSent,
     RunRejected,
     RunSilent,
+    RunTooLong,
+)
+from wagtailtrestle.engines.answer_memory import (
+    MAX_ANSWER_BYTES,
+    SMALL_ANSWER_BYTES,
+    AnswerBuffer,
+    AnswerMemory,
+    AnswerMemoryFull,
+    AnswerTooLong,
 )
 from wagtailtrestle.engines.chunked_body import ChunkedDecoder
 from wagtailtrestle.engines.connector import CONNECT_ERRORS
@@ -26,7 +36,8 @@
 
 READ_BYTES = 65536
 MAX_ERROR_BYTES = 65536
-MAX_PLAIN_BYTES = 32 * 1024 * 1024
+MAX_FAILURE_BYTES = 1024 * 1024
+"""Limit on the body of an error, which is only passed on."""
 MAX_RECORDED_BYTES = 65536
 CHUNK_READ_BYTES = 16384
 MIN_TIMEOUT_S = 0.001
@@ -55,6 +66,8 @@
         See :meth:`wagtailtrestle.engines.client.EngineClient.run`.
     connect_timeout_s : float
     connector : Connector
+    memory : AnswerMemory, optional
+        Shared by all runs of the process.
 
     Attributes
     ----------
@@ -83,6 +96,7 @@
         "_connection",
         "_connector",
         "_engine_connection",
+        "_memory",
         "_method",
         "_raw_response",
         "_read_timeout_s",
@@ -90,7 +104,7 @@
         "_socket",
     )
 
-    def __init__(self, *, command, call, received, on_event, on_token, connect_timeout_s, connector):
+    def __init__(self, *, command, call, received, on_event, on_token, connect_timeout_s, connector, memory=None):
         self.ended = threading.Event()
         self.command = command
         self.call = call
@@ -103,6 +117,9 @@
         self.response = None
         self._connect_timeout_s = connect_timeout_s
         self._connector = connector
+        self._memory = memory or AnswerMemory()
+        if received.hold is None:
+            received.hold = self._memory.open()
         self._aborted = False
         self._connection = None
         self._engine_connection = None
@@ -131,6 +148,7 @@
                 self._socket.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass  # Already closed: the exchange is ending by itself.
+        self._memory.wake()
 
     # Used by dialects.
 
@@ -172,25 +190,47 @@
             return self._read_chunked()
         return self._read_until_closed()
 
-    def read_body(self, length) -> bytes:
-        """Read a body of the declared length.
+    def read_body(self, length=None, *, max_bytes) -> bytes | memoryview:
+        """Read a body to its end.
+
+        Parameters
+        ----------
+        length : int or None
+            The declared length; without one, the body ends with its chunks or with the connection.
+        max_bytes : int
 
         Raises
         ------
+        AnswerTooLong, AnswerMemoryFull
         ConnectionError
             If the body ends early.
         """
-        parts = []
-        left = length
-        while left > 0:
-            self.set_read_timeout(self.progress.time_left_s(self.command.progress_deadline_s))
-            data = self.response.read1(min(left, READ_BYTES), decode_content=False)
-            if not data:
-                raise ConnectionError("the body ended early")
-            parts.append(data)
-            left -= len(data)
-        self.mark_end()
-        return b"".join(parts)
+        if length is not None and length > max_bytes:
+            raise AnswerTooLong(f"the answer's declared length of {length} bytes is over {max_bytes}")
+        body = AnswerBuffer(length=length)
+        for data in self.chunks() if length is None else self._read_length(length):
+            self.reserve(body.size + len(data), max_bytes=max_bytes if length is None else length)
+            body.append(data)
+            if length is None:
+                self.set_read_timeout(self.progress.time_left_for_token_s())
+        return body.value()
+
+    def reserve(self, size, *, max_bytes=MAX_ANSWER_BYTES):
+        """Wait for memory for the first ``size`` bytes of the answer, or those of it that can't be passed on yet.
+
+        Raises
+        ------
+        AnswerTooLong, AnswerMemoryFull
+        """
+        hold = self.received.hold
+        if size <= SMALL_ANSWER_BYTES and not hold.partial:
+            return
+        hold.grow(
+            size,
+            max_bytes=max_bytes,
+            timeout_s=self.progress.time_left_s(self.command.progress_deadline_s),
+            is_cancelled=lambda: self._aborted,
+        )
 
     def record_answer(self, body):
         """Record a plain answer, or an engine's error, as received."""
@@ -211,6 +251,17 @@
             output_tokens=self.output_tokens,
         )
 
+    def _read_length(self, length):
+        left = length
+        while left > 0:
+            self.set_read_timeout(self.progress.time_left_s(self.command.progress_deadline_s))
+            data = self.response.read1(min(left, READ_BYTES), decode_content=False)
+            if not data:
+                raise ConnectionError("the body ended early")
+            left -= len(data)
+            yield data
+        self.mark_end()
+
     def _read_until_closed(self):
         while data := self.response.read1(READ_BYTES, decode_content=False):
             yield data
@@ -275,13 +326,21 @@
             outcome = self._exchange()
         except (ReadTimeoutError, TimeoutError):
             outcome = RunSilent(output_tokens=self.output_tokens, reached=self.reached, held=self.held)
+        except AnswerTooLong as error:
+            outcome = RunTooLong(detail=str(error), output_tokens=self.output_tokens)
+        except AnswerMemoryFull as error:
+            outcome = RunDropped(detail=str(error), output_tokens=self.output_tokens)
         except (HTTPError, http.client.HTTPException, OSError) as error:
             outcome = self.cut(f"connection lost: {type(error).__name__}")
         except ValueError as error:
             outcome = self.cut(f"the answer can't be read: {error}")
         if isinstance(outcome, WHOLE_ANSWERS) and not self._saw_end:
             outcome = self.cut("the answer's end was not received")
-        if self._aborted and isinstance(outcome, RunCut | RunSilent):
+        if isinstance(outcome, WHOLE_ANSWERS):
+            self.received.hold.keep()
+        else:
+            self.received.hold.drop()
+        if self._aborted and isinstance(outcome, RunCut | RunSilent | RunDropped):
             return RunCancelled(output_tokens=self.output_tokens)
         return outcome
 
@@ -332,6 +391,8 @@
             self.response.close()
         if self._connection is not None:
             self._connection.close()
+        # The connection refers to this object, which would keep the answer until the next garbage collection.
+        self._connection = self.response = self._raw_response = None
 
     def _ended(self, outcome) -> RunEnded:
         ended = {
@@ -344,6 +405,6 @@
         if not is_complete_plain_answer and not isinstance(outcome, RunRejected | RunFailed):
             return RunEnded(**ended)
         received = self.received
-        body = received.body if len(received.body) <= MAX_RECORDED_BYTES else b""
+        body = bytes(received.body) if len(received.body) <= MAX_RECORDED_BYTES else b""
         content_type = received.headers.get("Content-Type", "")
         return RunEnded(**ended, status=received.status or OK, content_type=content_type, body=body)
--- a/wagtailtrestle/platform/engines.py
+++ b/wagtailtrestle/platform/engines.py
@@ -2,12 +2,13 @@
 
 from wagtailtrestle.contracts.outcomes import RunDone, RunFailed, RunNotSent, RunRejected
 from wagtailtrestle.contracts.report_messages import LoadReport
+from wagtailtrestle.engines.answer_memory import MAX_ANSWER_BYTES
 from wagtailtrestle.engines.dialect import CallHead
 from wagtailtrestle.engines.notices import read_notice
-from wagtailtrestle.engines.run_exchange import MAX_PLAIN_BYTES
+from wagtailtrestle.engines.run_exchange import MAX_FAILURE_BYTES
 from wagtailtrestle.platform import headers as names
 from wagtailtrestle.platform.engine_entries import DRAINING, InvalidField, read_integer, start_ms
-from wagtailtrestle.platform.events import EventFault, EventSplitter
+from wagtailtrestle.platform.events import MAX_PARTIAL_BYTES, EventFault, EventSplitter
 
 MS_PER_S = 1000.0
 MISDIRECTED = 421
@@ -33,9 +34,12 @@
     events : int
         Number of complete events forwarded.
     last_event_id : int or None
+    hold : AnswerHold or None
+        The memory of ``body``, and of an event that is incomplete.
     """
 
     __slots__ = (
+        "hold",
         "status",
         "headers",
         "body",
@@ -50,6 +54,7 @@
         self.status = 0
         self.headers = {}
         self.body = b""
+        self.hold = None
         self.events = 0
         self.last_event_id = None
         self.prompt_tokens = prompt_tokens
@@ -171,17 +176,9 @@
             exchange.mark_end()
             return b""
         length = response.headers.get("Content-Length", "")
-        if length.isdecimal() and not response.chunked:
-            return exchange.read_body(int(length))
-        parts = []
-        size = 0
-        for data in exchange.chunks():
-            exchange.set_read_timeout(exchange.progress.time_left_for_token_s())
-            parts.append(data)
-            size += len(data)
-            if size > MAX_PLAIN_BYTES:
-                raise ConnectionError(f"the answer is longer than {MAX_PLAIN_BYTES} bytes")
-        return b"".join(parts)
+        has_length = length.isdecimal() and not response.chunked
+        max_bytes = MAX_ANSWER_BYTES if response.status < FIRST_ERROR_STATUS else MAX_FAILURE_BYTES
+        return exchange.read_body(int(length) if has_length else None, max_bytes=max_bytes)
 
     def _read_stream(self, exchange):
         received = exchange.received
@@ -204,6 +201,7 @@
                 # The begin of a run is reported first, so that the caller can't resume a stream that is not recorded.
                 exchange.progress.update()
                 exchange.on_token(received.events, events.data)
+            exchange.reserve(splitter.partial_bytes, max_bytes=MAX_PARTIAL_BYTES)
             exchange.set_read_timeout(exchange.progress.time_left_for_token_s())
         if splitter.has_partial_event or left:
             return exchange.cut("the stream ended inside an event")
--- a/wagtailtrestle/platform/events.py
+++ b/wagtailtrestle/platform/events.py
@@ -47,6 +47,11 @@
         self.last_id = after_id
         self._partial = b""
 
+    @property
+    def partial_bytes(self):
+        """Bytes buffered of an incomplete event."""
+        return len(self._partial)
+
     @property
     def has_partial_event(self):
         """Whether part of an event is buffered."""
--- a/wagtailtrestle/rollouts/canary_analysis.py
+++ b/wagtailtrestle/rollouts/canary_analysis.py
@@ -37,7 +37,7 @@
 """A crash ends all runs of its engine together, so only one lost run per engine counts within this time."""
 
 FAILED = "RunFailed"
-CUT_RESULTS = frozenset({"RunCut", "RunSilent", "RunLost"})
+CUT_RESULTS = frozenset({"RunCut", "RunSilent", "RunLost", "RunTooLong"})
 DONE = "RunDone"
 
 
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -29,6 +29,7 @@
 from wagtailtrestle.contracts.peer_messages import PeerUnreachable
 from wagtailtrestle.contracts.report_messages import CacheEvents, LoadReport, LoadUnreachable
 from wagtailtrestle.declarations.argument_types import split_address
+from wagtailtrestle.engines.answer_memory import AnswerMemory, answer_memory_bytes
 from wagtailtrestle.engines.client import EngineClient
 from wagtailtrestle.engines.connector import PathConnector
 from wagtailtrestle.engines.paths import EnginePaths
@@ -152,10 +153,12 @@
         )
         self._peers.serve_tunnels(self._tunnel_server.serve)
         self._membership.on_view_change(lambda view: self._tunnel_server.close_departed(view.all_members))
+        self._answer_memory = AnswerMemory(limit_bytes=answer_memory_bytes(self._settings.memory_mb))
         self._engine_client = EngineClient(
             connect_timeout_s=CONNECT_TIMEOUT_S,
             ended_call=self._adapter.ended_call,
             connector=self._connector,
+            memory=self._answer_memory,
         )
 
     def _make_configuration(self):
@@ -547,6 +550,7 @@
             "stewards": self._schedulers.dump(),
             "entry": self._entry.dump(),
             "callers": self._callers.dump(),
+            "answer_memory": self._answer_memory.dump(),
             "ledger": self._ledger.dump(),
             "crashes": self._crashes.dump(),
             "rollouts": None if self._rollouts is None else self._rollouts.dump(),
