Read heads and framings of responses strictly

Cause: the standard library drops a head's lines from the first one on that it can't parse, and nothing asked whether the head had been read to its end. Without its framing a body ends with the connection. In the same way lengths that are no number, unknown codings and sizes such as 0x5 or 1_0 were ignored or read, and the bytes behind a chunk were skipped unseen.

Change: one strict reader (RFC 9112) for runs, tunnels, load reports, cancels, the store and the operators' status, which had no limit either. Blanks before a colon and folded lines are read as the RFC has a proxy do; all interim responses but 101 are skipped.

--- a/wagtailtrestle/configuration/status_report.py
+++ b/wagtailtrestle/configuration/status_report.py
@@ -1,6 +1,8 @@
 """The report of ``wagtailtrestle status``: the accepted generation, and the one in force on each router."""
 
 import asyncio
+import http.client
+import json
 
 import urllib3
 
@@ -8,8 +10,10 @@
 from wagtailtrestle.contracts.outcomes import StoreDone, StoreUnavailable
 from wagtailtrestle.membership.vm_list import ROUTER
 from wagtailtrestle.record import record
+from wagtailtrestle.short_response import limit_responses, read_body
 
 FETCH_TIMEOUT_S = 2.0
+MAX_STATE_BYTES = 64 * 1024 * 1024
 MAX_CONCURRENT_FETCHES = 16
 
 
@@ -83,11 +87,17 @@
         The decoded JSON, or a text that describes the error.
     """
     try:
-        response = urllib3.request("GET", url, timeout=FETCH_TIMEOUT_S, retries=False)
-        if response.status != 200:
-            return f"HTTP {response.status}"
-        return response.json()
-    except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+        parsed = urllib3.util.parse_url(url)
+        connection = urllib3.connection.HTTPConnection(parsed.host, parsed.port, timeout=FETCH_TIMEOUT_S)
+        limit_responses(connection, max_bytes=MAX_STATE_BYTES)
+        try:
+            connection.request("GET", parsed.request_uri, preload_content=False)
+            response = connection.getresponse()
+            body = read_body(response, max_bytes=MAX_STATE_BYTES)
+        finally:
+            connection.close()
+        return json.loads(body) if response.status == 200 else f"HTTP {response.status}"
+    except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError, ValueError) as error:
         return f"{type(error).__name__}: {error}"
 
 
--- a/wagtailtrestle/engines/chunked_body.py
+++ b/wagtailtrestle/engines/chunked_body.py
@@ -2,6 +2,8 @@
 
 from urllib3.exceptions import ProtocolError
 
+from wagtailtrestle.strict_response import InvalidResponse, parse_chunk_size
+
 LINE_FEED = b"\n"
 CARRIAGE_RETURN = b"\r"
 LINE_END = b"\r\n"
@@ -56,9 +58,8 @@
                 # The line end after a chunk counts as part of it, and is left out of its data.
                 taken = data[at : at + self._chunk_left]
                 at += len(taken)
+                parts.append(self._without_line_end(taken))
                 self._chunk_left -= len(taken)
-                missing = LINE_END_BYTES - self._chunk_left
-                parts.append(taken if missing <= 0 else taken[: max(0, len(taken) - missing)])
                 continue
             line_end = data.find(LINE_FEED, at)
             if line_end < 0:
@@ -80,12 +81,18 @@
         else:
             self.has_last_chunk = True
 
+    def _without_line_end(self, taken):
+        """Return the data in the next bytes of a chunk, whose line end they may hold in part."""
+        data_left = max(0, self._chunk_left - LINE_END_BYTES)
+        line_end_start = LINE_END_BYTES - (self._chunk_left - data_left)
+        found = taken[data_left:]
+        if found != LINE_END[line_end_start : line_end_start + len(found)]:
+            raise ProtocolError("Response chunk does not end where its size says")
+        return taken[:data_left]
+
     @staticmethod
     def _size(line):
         try:
-            size = int(line.partition(b";")[0], 16)
-        except ValueError as error:
-            raise ProtocolError("Response chunk size is not a number") from error
-        if size < 0:
-            raise ProtocolError("Response chunk size is negative")
-        return size
+            return parse_chunk_size(line)
+        except InvalidResponse as error:
+            raise ProtocolError(str(error)) from error
--- a/wagtailtrestle/engines/run_exchange.py
+++ b/wagtailtrestle/engines/run_exchange.py
@@ -31,8 +31,8 @@
 )
 from wagtailtrestle.engines.chunked_body import ChunkedDecoder
 from wagtailtrestle.engines.connector import CONNECT_ERRORS
-from wagtailtrestle.engines.raw_response import RawResponse
 from wagtailtrestle.engines.run_progress import RunProgress
+from wagtailtrestle.strict_response import InvalidResponse, StrictResponse
 
 READ_BYTES = 65536
 MAX_ERROR_BYTES = 65536
@@ -296,7 +296,7 @@
         self.mark_end()
 
     def _make_raw_response(self, sock, **options):
-        self._raw_response = RawResponse(sock, **options)
+        self._raw_response = StrictResponse(sock, **options)
         return self._raw_response
 
     # Connecting and sending.
@@ -330,6 +330,8 @@
             outcome = RunTooLong(detail=str(error), output_tokens=self.output_tokens)
         except AnswerMemoryFull as error:
             outcome = RunDropped(detail=str(error), output_tokens=self.output_tokens)
+        except InvalidResponse as error:
+            outcome = self.cut(f"the answer can't be read: {error}")
         except (HTTPError, http.client.HTTPException, OSError) as error:
             outcome = self.cut(f"connection lost: {type(error).__name__}")
         except ValueError as error:
--- a/wagtailtrestle/short_response.py
+++ b/wagtailtrestle/short_response.py
@@ -4,12 +4,14 @@
 import io
 import time
 
+from wagtailtrestle.strict_response import StrictResponse
+
 
 class ResponseTooLong(http.client.HTTPException):
     """The response has more bytes than allowed."""
 
 
-class ShortResponse(http.client.HTTPResponse):
+class ShortResponse(StrictResponse):
     """Limits the bytes and the time of a response, its head included.
 
     A socket's timeout applies to each read: a peer that never ends its response could occupy a thread forever, and
