Count engine crashes by caller as well as by request

Cause: crashes were counted by method, path, prompt and body, and a complete answer of any caller cleared the request of all its crashes.

Change: the caller is part of a request's identity (CallerRequest.identity), for both dialects. Clearances are logged, and the line of a crash names its suspects.

The parameter body_digest of CrashWatch is named identity now, in its callers and tests.

--- a/tests/test_crash_signs.py
+++ b/tests/test_crash_signs.py
@@ -48,7 +48,7 @@
 
     def cut(self, engine, body="poison", *, notified_after_s=1.0):
         self.crashes.record_run_end(
-            engine=engine, body_digest=body, outcome=RunCut(detail="cut", reached=True), was_sent=False
+            engine=engine, identity=body, outcome=RunCut(detail="cut", reached=True), was_sent=False
         )
         self.clock.now += notified_after_s
         self.crashes.record_engine_down(engine)
@@ -64,7 +64,7 @@
     def test_engine_that_leaves_in_order_is_blamed_on_no_request(self):
         for number in range(CRASH_LIMIT):
             self.crashes.record_engine_down(f"e{number}")
-            self.crashes.record_run_end(engine=f"e{number}", body_digest="sound", outcome=RunDone(), was_sent=False)
+            self.crashes.record_run_end(engine=f"e{number}", identity="sound", outcome=RunDone(), was_sent=False)
             self.cut(f"e{number}", "sound", notified_after_s=REPORTED_DOWN_WINDOW_S + 1.0)
         self.assertFalse(self.crashes.is_blocked("sound"))
 
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -489,7 +489,7 @@
     @on_paused_clock
     async def test_only_plain_calls_that_need_no_engine_alone_run_directly(self):
         class Suspect(NoCrashes):
-            def must_run_alone(self, body_digest, parts=()):
+            def must_run_alone(self, identity, parts=()):
                 return True
 
         self.assertEqual(await self.engines_used(World(kind=LANGUAGE)), set())
--- a/tests/test_part_crashes.py
+++ b/tests/test_part_crashes.py
@@ -140,7 +140,7 @@
     def crash(self, watch, number, *parts):
         self.clock.now += 1.0
         watch.record_run_end(
-            engine=f"e{number}", body_digest=f"d{number}", outcome=RunCut(detail="reset"), was_sent=True, parts=parts
+            engine=f"e{number}", identity=f"d{number}", outcome=RunCut(detail="reset"), was_sent=True, parts=parts
         )
         self.clock.now += 1.0
         watch.record_engine_down(f"e{number}")
@@ -174,7 +174,7 @@
         for number in range(CRASH_LIMIT):
             self.crash(watch, number, BAD)
         self.assertTrue(watch.blocked_parts((BAD,)))
-        watch.record_run_end(engine="e", body_digest="d", outcome=RunDone(), was_sent=True, parts=(BAD,))
+        watch.record_run_end(engine="e", identity="d", outcome=RunDone(), was_sent=True, parts=(BAD,))
         self.assertFalse(watch.blocked_parts((BAD,)))
 
     # Guards against parts blamed for crashes of engines on which their streams had begun.
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -148,11 +148,11 @@
         sent = []
         table = CrashTable(clock=Clock())
         watch = CrashWatch(table=table, detector=CrashDetector(clock=Clock()), broadcast=sent.append)
-        for body_digest in ("a", "b"):
-            watch.record_run_end(engine="e1", body_digest=body_digest, outcome=RunCut(detail="cut"), was_sent=True)
+        for identity in ("a", "b"):
+            watch.record_run_end(engine="e1", identity=identity, outcome=RunCut(detail="cut"), was_sent=True)
         done = RunDone(prompt_tokens=1, cached_tokens=0, output_tokens=1)
-        watch.record_run_end(engine="e2", body_digest="a", outcome=done, was_sent=True)
-        watch.record_run_end(engine="e2", body_digest="a", outcome=done, was_sent=True)
+        watch.record_run_end(engine="e2", identity="a", outcome=done, was_sent=True)
+        watch.record_run_end(engine="e2", identity="a", outcome=done, was_sent=True)
         self.assertEqual([type(message) for message in sent], [CrashReport, CrashClearance])
 
     def test_fingerprint_hides_the_digest(self):
--- a/tests/test_run_counts.py
+++ b/tests/test_run_counts.py
@@ -23,7 +23,7 @@
 
 
 class CrashedOften(NoCrashes):
-    def crash_count(self, body_digest):
+    def crash_count(self, identity):
         return CRASH_LIMIT
 
 
--- a/tests/utils/scheduling_replay.py
+++ b/tests/utils/scheduling_replay.py
@@ -187,13 +187,13 @@
 class NoCrashes:
     """Crash records without any crash: nothing is blocked."""
 
-    def is_blocked(self, body_digest):
+    def is_blocked(self, identity):
         return False
 
-    def must_run_alone(self, body_digest, parts=()):
+    def must_run_alone(self, identity, parts=()):
         return False
 
-    def crash_count(self, body_digest):
+    def crash_count(self, identity):
         return 0
 
     def record_run_end(self, **_):
--- a/wagtailtrestle/contracts/exchange.py
+++ b/wagtailtrestle/contracts/exchange.py
@@ -138,6 +138,11 @@
         self.prompt_parts = prompt_parts
         self.is_streamed = is_streamed
 
+    @property
+    def identity(self) -> str:
+        """What the request and its repetitions have in common: their caller, and method, path and body."""
+        return f"{self.team}\n{self.body_digest}"
+
 
 # Commands from the request's task to the caller's side.
 
--- a/wagtailtrestle/entry/crash_watch.py
+++ b/wagtailtrestle/entry/crash_watch.py
@@ -13,6 +13,9 @@
 at once; the first clearance that arrives makes the others unnecessary."""
 
 MAX_REPORTED_PARTS = 256
+LOGGED_DIGITS = 12
+"""Digits of a fingerprint in a log line."""
+MAX_LOGGED_SUSPECTS = 8
 
 
 class _Cut:
@@ -62,23 +65,23 @@
         self._cuts_by_engine = {}
         self._clearances_by_due_time = {}
 
-    def is_blocked(self, body_digest):
-        """Whether a request with this body must not run again."""
-        return self._table.is_blocked(fingerprint_of(body_digest))
+    def is_blocked(self, identity):
+        """Whether a request with this identity must not run again; see :attr:`CallerRequest.identity`."""
+        return self._table.is_blocked(fingerprint_of(identity))
 
     def blocked_parts(self, parts):
         """Return the parts, among these of a prompt, for which it must not run."""
         return () if self._parts is None else self._parts.blocked(parts)
 
-    def must_run_alone(self, body_digest, parts=()):
-        """Whether a request with this body and these parts of its prompt must run alone on its engine."""
-        if self._table.must_run_alone(fingerprint_of(body_digest)):
+    def must_run_alone(self, identity, parts=()):
+        """Whether a request with this identity and these parts of its prompt must run alone on its engine."""
+        if self._table.must_run_alone(fingerprint_of(identity)):
             return True
         return bool(parts) and self._parts is not None and self._parts.on_probation(parts)
 
-    def crash_count(self, body_digest):
-        """Number of crashes of which a request with this body is a suspect."""
-        return self._table.crash_count(fingerprint_of(body_digest))
+    def crash_count(self, identity):
+        """Number of crashes of which a request with this identity is a suspect."""
+        return self._table.crash_count(fingerprint_of(identity))
 
     def record_began(self, parts):
         """Process the begin of a stream on a prompt with these parts."""
@@ -88,7 +91,7 @@
             delay_s = self._jitter.uniform(MIN_CLEARANCE_DELAY_S, MAX_CLEARANCE_DELAY_S)
             self._clearances_by_due_time[self._clock() + delay_s] = dataclasses.replace(clearance, is_part=True)
 
-    def record_run_end(self, *, engine, body_digest, outcome, was_sent, parts=()):
+    def record_run_end(self, *, engine, identity, outcome, was_sent, parts=()):
         """Process the end of a run or of an attempt to attach to it.
 
         Parameters
@@ -98,7 +101,7 @@
         parts : tuple of str
             Parts of the prompt that the engine may have crashed on; none if the stream had begun.
         """
-        fingerprint = fingerprint_of(body_digest)
+        fingerprint = fingerprint_of(identity)
         match outcome:
             case RunDone():
                 self._clear(fingerprint)
@@ -154,6 +157,9 @@
     def _clear(self, fingerprint):
         clearance = self._table.record_success(fingerprint)
         if clearance is not None:
+            logger.bind(fingerprint=fingerprint[:LOGGED_DIGITS], crashes=len(clearance.incidents)).info(
+                "a suspect of engine crashes ran to completion and was cleared"
+            )
             self._broadcast(clearance)
 
     def _record_cut(self, engine, fingerprint, parts):
@@ -178,9 +184,13 @@
         age_s = self._clock() - min(cut.at for cut in cuts) if cuts else 0.0
         report = self._table.record_crash(engine, suspects, parts=parts, age_s=age_s)
         self._merge_parts(report)
-        logger.bind(engine=engine, suspects=len(suspects), parts=len(parts), age_s=round(age_s, 3)).warning(
-            "an engine crashed"
-        )
+        logger.bind(
+            engine=engine,
+            suspects=len(suspects),
+            fingerprints=[fingerprint[:LOGGED_DIGITS] for fingerprint in sorted(suspects)[:MAX_LOGGED_SUSPECTS]],
+            parts=len(parts),
+            age_s=round(age_s, 3),
+        ).warning("an engine crashed")
         self._broadcast(report)
 
     def _merge_parts(self, report):
--- a/wagtailtrestle/entry/poison.py
+++ b/wagtailtrestle/entry/poison.py
@@ -1,11 +1,12 @@
 """Detection of poison requests: those that crash the engines that run them.
 
-A request is identified by its fingerprint, the SHA-256 of its body's digest, so that it is
-recognised when its caller resends it through another router. Each crash of an engine is an
-incident; every request that ran there is a suspect, and one of them is to blame. The blame for
-an incident is split equally among the suspects that were in the most incidents: an innocent
-request that was lost beside the poison request once or twice is cleared as soon as the poison
-request crashes an engine without it. Suspects of two crashes run alone, which speeds that up.
+A request is identified by its fingerprint, the SHA-256 of its caller and its body's digest, so that
+it is recognised when its caller resends it through another router, and not taken for another
+caller's. Each crash of an engine is an incident; every request that ran there is a suspect, and one
+of them is to blame. The blame for an incident is split equally among the suspects that were in the
+most incidents: an innocent request that was lost beside the poison request once or twice is cleared
+as soon as the poison request crashes an engine without it. Suspects of two crashes run alone, which
+speeds that up.
 """
 
 import hashlib
@@ -49,9 +50,9 @@
 """The same for a report that the engine is down: a silent engine leaves the list only after some heartbeats."""
 
 
-def fingerprint_of(body_digest: str) -> str:
-    """Identifier of a request body by which crashes are counted; it does not reveal the body."""
-    return hashlib.sha256(body_digest.encode()).hexdigest()
+def fingerprint_of(identity: str) -> str:
+    """Identifier of a request by which crashes are counted; it reveals neither its caller nor its body."""
+    return hashlib.sha256(identity.encode()).hexdigest()
 
 
 @record
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -296,7 +296,7 @@
 
     def _passes_poison_check(self):
         """Refuse a request that is blocked as poison; return whether it may run."""
-        if self.context.crashes.is_blocked(self.request.body_digest):
+        if self.context.crashes.is_blocked(self.request.identity):
             self._refuse(Reason.POISONED)
             return False
         if self.request.prompt_parts:
@@ -320,7 +320,7 @@
     async def _acquire_slot(self):
         self.state = RequestState.QUEUED
         request = self.request
-        self._alone = self.context.crashes.must_run_alone(request.body_digest, request.prompt_parts)
+        self._alone = self.context.crashes.must_run_alone(request.identity, request.prompt_parts)
         try:
             return await self._wait_for_slot()
         finally:
@@ -490,7 +490,7 @@
         counts.count_run(service=request.service, kind=RunKind.ATTACH if attach else self._next_kind)
         if request.max_runs is not None and self._losses >= request.max_runs:
             counts.count_run_beyond_limit(request_id=request.request_id, service=request.service, runs=self._losses + 1)
-        crashes = self.context.crashes.crash_count(request.body_digest)
+        crashes = self.context.crashes.crash_count(request.identity)
         if crashes >= CRASH_LIMIT and not attach:
             counts.count_crashing_run(request_id=request.request_id, service=request.service, crashes=crashes)
 
@@ -545,7 +545,7 @@
     def _update_crash_watch(self, outcome, *, was_sent):
         self.context.crashes.record_run_end(
             engine=self.engine,
-            body_digest=self.request.body_digest,
+            identity=self.request.identity,
             outcome=outcome,
             was_sent=was_sent,
             parts=self._suspect_parts,
