Prove the only version of a service before a stream goes on at it

What callers would see: a stream that is taken up after its routers were lost runs to its end, joined from two versions, with nothing to show it (ORDER).

Cause: two proofs of "this version alone served" were weaker than taken. Streams could begin at a version before the note in the store named it, and routers that are alone, or have as old a list of engines as all that are left, trusted it whatever its age.

Change: the scheduler sends nothing to engines of a version that its note doesn't name, while these are at most half of the service's. A router that is alone, or whose list was last proved over 5 s ago, relies on a note read within 0.25 s alone. Reads of a note are made one at a time.

--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,11 +1,13 @@
 """Streams of engines of two software versions, interrupted and resumed, with routers and callers in real time."""
 
+import functools
 import threading
 import time
 import unittest
 
 from tests.utils.platform_world import World, wait_until
 from tests.utils.stream_callers import DEADLINE_S, Stream, StreamCallers, VersionedStreamEngine
+from wagtailtrestle.platform.kinds import STREAM_KIND, VERSION_KIND
 
 ROUTERS = 3
 LEAVE_AFTER = (8, 8, 8)
@@ -172,6 +174,43 @@
         self.assertEqual([set(stream.versions) for stream in streams], [{"v1"}] * len(streams))
         self.assertEqual({stream.statuses[-1] for stream in streams}, {UNAVAILABLE})
 
+    # Guards against streams of a version that the store could not be told of, and that is gone when all routers are
+    # back: they would go on at the version that the store names.
+    def test_version_that_could_not_be_noted(self):
+        world = self.make_world("v1", "v1")
+        time.sleep(RECORDED_S)
+        world.store.refused_kinds = frozenset({VERSION_KIND, STREAM_KIND})
+        add_engine(world, "v2-2", "v2")
+        time.sleep(RECORDED_S)
+        streams = self.begin_streams(world)
+        lose_power(world, meanwhile=lambda: world.store.delete("servers", "v2-2"))
+        self.resume_streams(world, streams)
+        self.check(streams, min_share=0.0)
+        # It serves once the store has been told.
+        world.store.refused_kinds = frozenset()
+        add_engine(world, "v2-3", "v2")
+        time.sleep(2 * RECORDED_S)
+        versions = {version for stream in self.begin_streams(world) for version in stream.versions}
+        self.assertEqual(versions, {"v1", "v2"})
+
+    # Guards against streams joined from two versions where all routers are lost beside each change of versions.
+    def test_versions_are_replaced_in_series_and_all_routers_lost(self):
+        world = self.make_world("v1", "v1", "v1")
+        callers = StreamCallers(world=world, callers=24, leave_after=(8, 8, 8), pause_s=0.1).start()
+        former = ["v1-0", "v1-1", "v1-2"]
+        for version in ("v2", "v3", "v4"):
+            time.sleep(1.0)
+            names = [f"{version}-{number}" for number in range(3)]
+            for number, name in enumerate(names):
+                add_engine(world, name, version)
+                time.sleep(0.2)
+                if number or version == "v3":
+                    world.store.delete("servers", former[number])
+            lose_power(world, meanwhile=functools.partial(remove_engines, world, former[:2]))
+            former = names
+        time.sleep(1.0)
+        self.assertGreater(self.check(callers.stop(), min_share=0.0), 50)
+
     def begin_streams(self, world):
         callers = StreamCallers(world=world)
         streams = [Stream() for _ in range(24)]
@@ -198,6 +237,16 @@
             thread.join()
 
 
+def add_engine(world, name, version):
+    engine = world.engines[name] = VersionedStreamEngine(name=name, version=version)
+    world.store.put("servers", name, engine.entry())
+
+
+def remove_engines(world, names):
+    for name in names:
+        world.store.delete("servers", name)
+
+
 def lose_power(world, *, meanwhile=lambda: None):
     for router in world.routers:
         router.kill()
--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -19,7 +19,7 @@
     WRITE_INTERVAL_S,
     StreamStore,
 )
-from wagtailtrestle.entry.stream_versions import ASK_TIMEOUT_S, HOLDERS, MAX_STREAMS, StreamVersions
+from wagtailtrestle.entry.stream_versions import ASK_TIMEOUT_S, HOLDERS, MAX_LIST_AGE_S, MAX_STREAMS, StreamVersions
 from wagtailtrestle.entry.version_history import VersionHistory
 from wagtailtrestle.standins.object_table import ObjectTable
 
@@ -72,6 +72,7 @@
     def __init__(self, *, fleet, name, versions):
         self.peers = FakePeers(fleet=fleet, name=name)
         self.counts = Counter()
+        self.list_age_s = 0.0
         self.history = VersionHistory(clock=now, retention_s=lambda: RETENTION_S)
         self.store = MemoryStore(table=fleet.table)
         self.note = VersionNote(
@@ -99,6 +100,7 @@
             history=self.history,
             note=self.note,
             store=self.stream_store,
+            list_age_s=lambda: self.list_age_s,
             count=lambda counted, source: self.counts.update([source]),
         )
         self.list_versions(versions)
@@ -143,6 +145,10 @@
         """Return the versions that the store names for the service."""
         return self.table.get(kind=KIND, name=SERVICE).value["versions"]
 
+    def may_begin(self, version):
+        """Whether the scheduler lets streams begin at a version."""
+        return version not in self.routers[self.scheduler].note.unnoted(SERVICE)
+
     def is_linked(self, one, other):
         return other in self.routers and one not in self.cut and other not in self.cut
 
@@ -392,6 +398,45 @@
         self.assertIsNone(await fleet.routers["r1"].find("s"))
         await fleet.close()
 
+    # Guards against routers that missed the second version and are the only ones left: they would take the one version
+    # that they know for the one that began the stream.
+    @on_paused_clock
+    async def test_last_routers_with_an_old_list_do_not_guess(self):
+        for left, waited_s in ((1, 1.0), (1, RETENTION_S + 1.0), (3, 1.0), (3, RETENTION_S + 1.0)):
+            with self.subTest(left=left, waited_s=waited_s):
+                fleet = Fleet(size=12, versions=("v1",))
+                await asyncio.sleep(waited_s)
+                last = [fleet.routers[f"r{number}"] for number in range(12 - left, 12)]
+                self.assertEqual(await last[0].find("old"), "v1")
+                for router in fleet.routers.values():
+                    if router in last:
+                        router.list_age_s = MAX_LIST_AGE_S + 1.0
+                    else:
+                        router.list_versions(("v1", "v2"))
+                await asyncio.sleep(READ_INTERVAL_S)
+                streams = [f"s{number}" for number in range(40)]
+                for stream in streams:
+                    fleet.routers["r3"].record(stream, "v2")
+                await asyncio.sleep(0.1)
+                await fleet.kill(*(f"r{number}" for number in range(12 - left)))
+                found = [await last[0].find(stream) for stream in streams]
+                self.assertLessEqual(set(found), {None, "v2"})
+                last[0].store.down = True
+                self.assertIsNone(await last[0].find("another"))
+                await fleet.close()
+
+    # Guards against streams that a router which is alone refuses although the store says that one version served them.
+    @on_paused_clock
+    async def test_router_that_is_alone_reads_the_note(self):
+        fleet = Fleet(size=1, versions=("v1",))
+        await asyncio.sleep(RETENTION_S + 1.0)
+        router = fleet.routers["r0"]
+        calls = router.store.calls["reads"]
+        found = await asyncio.gather(*(router.find(f"s{number}") for number in range(50)))
+        self.assertEqual(found, ["v1"] * 50)
+        self.assertLessEqual(router.store.calls["reads"] - calls, 2)
+        await fleet.close()
+
     # Guards against a stream resumed several times, each time after the router that resumed it last has died.
     @on_paused_clock
     async def test_stream_resumed_again_and_again(self):
@@ -566,6 +611,28 @@
             self.assertEqual(await self.found(fleet, first=number * self.STREAMS), self.STREAMS)
         await fleet.close()
 
+    # Guards against a version that began streams before the note named it, and that is gone after the loss: the note
+    # then names another one alone.
+    @on_paused_clock
+    async def test_no_stream_begins_at_a_version_that_could_not_be_noted(self):
+        fleet = Fleet(size=3, versions=("v1",))
+        await asyncio.sleep(1.0)
+        for router in fleet.routers.values():
+            router.store.down = True
+            router.list_versions(("v1", "v2"))
+        for _ in range(3):
+            self.assertTrue(fleet.may_begin("v1"))
+            self.assertFalse(fleet.may_begin("v2"))
+            await asyncio.sleep(CHECK_INTERVAL_S)
+        for router in fleet.routers.values():
+            router.store.down = False
+        await asyncio.sleep(CHECK_INTERVAL_S)
+        self.assertTrue(fleet.may_begin("v2"))
+        fleet.routers["r1"].record("s", "v2")
+        await self.lose_power(fleet, versions=("v1",))
+        self.assertIn(await fleet.routers["r2"].find("s"), (None, "v2"))
+        await fleet.close()
+
     # Guards against an object of another writer that ends the router or hides the streams that begin later.
     @on_paused_clock
     async def test_objects_that_cannot_be_read(self):
--- a/tests/utils/world_store.py
+++ b/tests/utils/world_store.py
@@ -23,12 +23,15 @@
     Attributes
     ----------
     down : bool
+    refused_kinds : frozenset of str
+        Kinds of objects of which it answers reads only.
     epoch : int
         Sent in each answer; 0 for a store that sends none.
     """
 
     def __init__(self):
         self.down = False
+        self.refused_kinds = frozenset()
         self.epoch = 0
         self.calls = 0
         self._objects = {}
@@ -102,6 +105,9 @@
         _, _, _, kind, *rest = parts.path.split("/")
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         name = rest[0] if rest else None
+        if kind in self.refused_kinds and handler.command != "GET":
+            self.reply(handler, 503, b"{}")
+            return
         with self._changed:
             if rest[1:] == ["status"]:
                 status, body = self._put_status(kind, name, handler.body)
--- a/wagtailtrestle/capacity/scheduler_set.py
+++ b/wagtailtrestle/capacity/scheduler_set.py
@@ -42,6 +42,7 @@
         "_members",
         "_router_lost_at",
         "_rollouts_by_cell",
+        "_unnoted_by_cell",
         "_leaving",
         "_granting",
     )
@@ -60,6 +61,7 @@
         self._declaration = None
         self._cells_by_service = {}
         self._rollouts_by_cell = {}
+        self._unnoted_by_cell = {}
         self._members = frozenset()
         self._leaving = frozenset()
         self._granting = True
@@ -112,7 +114,15 @@
         """Pass the rollout of a service to the cell's scheduler; see :meth:`Scheduler.set_rollout`."""
         self._rollouts_by_cell[cell] = (rollout, reserved)
         if cell in self.by_cell:
-            self.by_cell[cell].set_rollout(rollout, reserved)
+            self._apply_reserved(self.by_cell[cell])
+
+    def set_unnoted(self, cell, engines):
+        """Send nothing to these engines, a frozenset of names, whose version no note names yet."""
+        if self._unnoted_by_cell.get(cell, frozenset()) == engines:
+            return
+        self._unnoted_by_cell[cell] = engines
+        if cell in self.by_cell:
+            self._apply_reserved(self.by_cell[cell])
 
     def runs_by_version(self, cell):
         """Count the runs on the engines of each version in a cell, as far as its scheduler here knows."""
@@ -152,6 +162,10 @@
         """Return plain data for the state dump."""
         return {cell: scheduler.dump() for cell, scheduler in self.by_cell.items()}
 
+    def _apply_reserved(self, scheduler):
+        rollout, reserved = self._rollouts_by_cell.get(scheduler.cell, (None, frozenset()))
+        scheduler.set_rollout(rollout, reserved | self._unnoted_by_cell.get(scheduler.cell, frozenset()))
+
     def _expect_orphans(self, scheduler):
         if self._reports_orphans(scheduler.cell) and self._clock() - self._router_lost_at < ORPHAN_WINDOW_S:
             scheduler.expect_orphans()
@@ -178,7 +192,7 @@
         )
         self.by_cell[cell] = scheduler
         self._expect_orphans(scheduler)
-        scheduler.set_rollout(*self._rollouts_by_cell.get(cell, (None, frozenset())))
+        self._apply_reserved(scheduler)
         scheduler.set_members(self._members)
         self._update(scheduler)
         if not self._granting:
--- a/wagtailtrestle/configuration/engine_list.py
+++ b/wagtailtrestle/configuration/engine_list.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import random
 
 from loguru import logger
@@ -85,8 +86,14 @@
         self._listed_at = None
         self._answered_at = None
         self._missing_kept_until = None
+        self._proved_at = -math.inf
         self._task = None
 
+    @property
+    def proof_age_s(self):
+        """Time since the store itself is known to have had this list; infinite before the first one."""
+        return self._clock() - self._proved_at
+
     def start(self):
         """Start the task that follows the list; must be called on the running event loop."""
         self._task = asyncio.get_running_loop().create_task(self._follow())
@@ -205,6 +212,7 @@
     def _apply_update(self, update):
         if update.is_whole and update.version < self._version:
             return  # A full list older than the version known here.
+        self._proved_at = max(self._proved_at, self._clock() - update.age_s)
         if epoch_of(update.version) != epoch_of(self._version):
             self._begin_epoch(update)
         self._version = max(self._version, update.version)
--- a/wagtailtrestle/configuration/version_note.py
+++ b/wagtailtrestle/configuration/version_note.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 
 from wagtailtrestle.contracts.outcomes import StoreAbsent, StoreConflict, StoreDone
 from wagtailtrestle.record import record
@@ -14,6 +15,7 @@
 READ_TIMEOUT_S = 0.5
 READ_INTERVAL_S = 1.0
 """Minimum time between two reads of a note that does not confirm what this router knows."""
+FAILED_READ_INTERVAL_S = 0.25
 
 
 @record
@@ -48,9 +50,12 @@
     epoch : StoreEpoch
     clock : callable
         Returns the loop's time in seconds.
+    on_check : callable, optional
+        Called after each look at the notes that this router writes: :meth:`unnoted` may have changed.
     """
 
     __slots__ = (
+        "_on_check",
         "_store",
         "_kind",
         "_history",
@@ -58,6 +63,7 @@
         "_epoch",
         "_clock",
         "_read_by_service",
+        "_reading_by_service",
         "_noted_by_service",
         "_known_by_service",
         "_writers",
@@ -65,14 +71,16 @@
         "_task",
     )
 
-    def __init__(self, *, store, kind, history, own_services, epoch, clock):
+    def __init__(self, *, store, kind, history, own_services, epoch, clock, on_check=lambda: None):
         self._store = store
         self._kind = kind
         self._history = history
         self._own_services = own_services
         self._epoch = epoch
         self._clock = clock
+        self._on_check = on_check
         self._read_by_service = {}
+        self._reading_by_service = {}
         self._noted_by_service = {}
         self._known_by_service = {}
         self._writers = frozenset()
@@ -94,16 +102,42 @@
         """Write the notes soon, as the list of engines or the services that this router schedules may have changed."""
         self._changed.set()
 
-    async def confirms(self, *, service, version):
-        """Whether the note names this version of the service alone; ``False`` if there is none, or no answer."""
+    def unnoted(self, service):
+        """Return the versions of a service that the note, as last written or read by its writer, does not name.
+
+        A stream that begins at one of them could be taken for one of the versions that are named, if all routers
+        are lost before the note is written.
+        """
+        noted = self._noted_by_service.get(service)
+        if noted is None or not noted.number or noted.epoch != self._epoch.number:
+            return frozenset()
+        return self._history.versions(service) - noted.versions
+
+    async def confirms(self, *, service, version, max_age_s=math.inf):
+        """Whether the note names this version of the service alone; ``False`` if there is none, or no answer.
+
+        Parameters
+        ----------
+        service, version : str
+        max_age_s : float
+            Time for which a note that was read before counts.
+        """
         if self._kind is None:
             return False
-        read_at, noted = self._read_by_service.get(service, (0.0, None))
-        if not self._is_confirmed(noted, version) and (noted is None or self._clock() - read_at >= READ_INTERVAL_S):
-            noted = await self._read(service)
-            self._read_by_service[service] = (self._clock(), noted)
+        # One read at a time: after all routers have restarted, many streams are resumed at once.
+        async with self._reading_by_service.setdefault(service, asyncio.Lock()):
+            read_at, noted = self._read_by_service.get(service, (-math.inf, None))
+            age_s = self._clock() - read_at
+            is_confirmed = self._is_confirmed(noted, version)
+            if age_s >= (max_age_s if is_confirmed else self._min_read_interval_s(noted, max_age_s)):
+                noted = await self._read(service)
+                self._read_by_service[service] = (self._clock(), noted)
         return self._is_confirmed(noted, version)
 
+    @staticmethod
+    def _min_read_interval_s(noted, max_age_s):
+        return FAILED_READ_INTERVAL_S if noted is None else min(READ_INTERVAL_S, max_age_s)
+
     def _is_confirmed(self, noted, version):
         return noted is not None and noted.epoch == self._epoch.number and noted.versions == {version}
 
@@ -131,6 +165,7 @@
             self._writers = own
             for service in own:
                 await self._write_if_changed(service)
+            self._on_check()
 
     async def _wait_for_change(self):
         try:
--- a/wagtailtrestle/entry/stream_versions.py
+++ b/wagtailtrestle/entry/stream_versions.py
@@ -36,6 +36,11 @@
 
 STORE_ASK_TIMEOUT_S = 1.0
 """Time for the answer of a router that may have to read the store."""
+MAX_LIST_AGE_S = 5.0
+"""Age up to which this router's list of engines, with that of another router that answers, tells which versions there
+are. An older one may lack a version that routers served which are gone by now."""
+MAX_NOTE_AGE_S = 0.25
+"""The same for the note in the store, where the list doesn't tell."""
 MAX_STREAMS = 16_384
 """Streams remembered, some 200 bytes each; the oldest are dropped first."""
 
@@ -81,6 +86,8 @@
     note : VersionNote
         Tells a router whose own history is too short whether a service has had one version.
     store : StreamStore
+    list_age_s : callable
+        Returns the time since the store is known to have had this router's list of engines.
     count : callable
         ``count(name, **labels)`` counts an event.
     """
@@ -94,6 +101,7 @@
         "_history",
         "_note",
         "_store",
+        "_list_age_s",
         "_count",
         "_rendezvous",
         "_own_by_key",
@@ -102,7 +110,7 @@
         "_services_with_several",
     )
 
-    def __init__(self, *, name, peers, members, clock, retention_s, history, note, store, count):
+    def __init__(self, *, name, peers, members, clock, retention_s, history, note, store, list_age_s, count):
         self._name = name
         self._peers = peers
         self._members = members
@@ -111,6 +119,7 @@
         self._history = history
         self._note = note
         self._store = store
+        self._list_age_s = list_age_s
         self._count = count
         self._rendezvous = Rendezvous()
         self._own_by_key = OrderedDict()
@@ -195,8 +204,8 @@
         if version:
             return version, Source.PEER
         # Whoever delivered the stream may have seen a version that this router does not see yet. With an answer of a
-        # holder, or without any other router, that is ruled out.
-        if (answered or not others) and (version := await self._only_version(service)):
+        # holder that is ruled out, and without any other router by a note that names no other.
+        if (answered or not others) and (version := await self._only_version(service, is_alone=not others)):
             return version, Source.ONLY_VERSION
         more = others[HOLDERS : HOLDERS + MORE_ASKED]
         version, more_answered = await self._ask(more, ask, ASK_TIMEOUT_S)
@@ -219,11 +228,14 @@
         # Without the answer of a router that read the store, this one does, as the store may reject single routers.
         return version if answered else await self._store.find(key)
 
-    async def _only_version(self, service):
+    async def _only_version(self, service, *, is_alone):
         versions = self._history.versions(service)
         if len(versions) != 1:
             return None
         (version,) = versions
+        if is_alone or self._list_age_s() > MAX_LIST_AGE_S:
+            is_noted = await self._note.confirms(service=service, version=version, max_age_s=MAX_NOTE_AGE_S)
+            return version if is_noted else None
         if self._history.covers_retention or await self._note.confirms(service=service, version=version):
             return version
         return None
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -323,6 +323,7 @@
             own_services=self._own_resumable_services,
             epoch=self._store_epoch,
             clock=self._loop.time,
+            on_check=self._hold_unnoted_engines,
         )
         self._stream_store = StreamStore(
             store=self._store,
@@ -341,6 +342,7 @@
             history=self._version_history,
             note=self._version_note,
             store=self._stream_store,
+            list_age_s=lambda: self._engine_list.proof_age_s,
             count=self._metrics.count,
         )
         self._membership.on_view_change(lambda view: self._stream_versions.update_members())
@@ -352,8 +354,22 @@
         if self._engine_list.is_known:
             self._version_history.update(declaration.engines_by_name.values())
             self._stream_versions.update_services(declaration.services_by_name)
+            self._hold_unnoted_engines()
             self._version_note.refresh()
 
+    def _hold_unnoted_engines(self):
+        """Keep streams from engines whose version the note doesn't name yet, where others can serve meanwhile."""
+        engines_by_service = {}
+        for engine in self._engine_list.by_name.values():
+            if not engine.leaving:
+                engines_by_service.setdefault(engine.service, []).append(engine)
+        own = self._own_resumable_services()
+        for service, engines in engines_by_service.items():
+            unnoted = self._version_note.unnoted(service) if service in own else frozenset()
+            names = frozenset(engine.name for engine in engines if engine.version in unnoted)
+            # The note can't be written while the store is away: most of the engines must not wait for it.
+            self._schedulers.set_unnoted(service, names if 2 * len(names) <= len(engines) else frozenset())
+
     def _reserved_engines(self, service, engines):
         return frozenset() if self._rollouts is None else self._rollouts.unproven_engines(service, engines)
 
