Wait for the log line of a refusal in test_keys_are_not_used_beyond_their_freshness

The log it printed ends right before the refusal: the router's log is written by a thread of its own, and the test read it once, at once.

--- a/tests/test_platform_router.py
+++ b/tests/test_platform_router.py
@@ -1,6 +1,7 @@
 """A router process on the users' platform, as seen by callers and engines."""
 
 import json
+import re
 import signal
 import socket
 import threading
@@ -161,7 +162,9 @@
         self.assertEqual(answer.status, 503)
         self.assertIn("Retry-After", answer.headers)
         self.assertEqual(len(self.world.runs(service="booking")), ran)
-        self.assertRegex(self.world.routers[0].log_path.read_text(), r"keys proved \d+\.\d s ago, limit 1\.5")
+        # Another thread of the router writes its log.
+        line = re.compile(r"keys proved \d+\.\d s ago, limit 1\.5")
+        wait_until(lambda: line.search(self.world.routers[0].log_path.read_text()), "the reason in the log")
         self.world.store.down = False
         wait_until(lambda: self.world.request("GET", "/status/1").status == 200, "service again")
 
