Forget streams in the account of answer memory once they hold nothing

A stream whose incomplete event had needed memory stayed in the account with 0 bytes after the event was complete, for as long as the process ran: drop and close only released what had bytes. Found in reading the diff; the test fails without the change (1 large answer left).

--- a/tests/test_answer_memory.py
+++ b/tests/test_answer_memory.py
@@ -83,6 +83,15 @@
         self.first.drop()
         grow(self.second, 900, max_bytes=900)
 
+    # Guards against streams that stay in the account after their last incomplete event.
+    def test_an_answer_that_shrinks_to_nothing_is_forgotten(self):
+        grow(self.first, 900, max_bytes=900)
+        grow(self.first, 0, max_bytes=900)
+        self.first.drop()
+        self.first.close()
+        self.assertEqual(self.memory.dump()["large_answers"], 0)
+        grow(self.second, 1_000, max_bytes=1_000)
+
     # Guards against a cancelled run that waits for memory until its deadline.
     def test_a_cancelled_reader_stops_waiting(self):
         grow(self.first, 900, max_bytes=900)
--- a/wagtailtrestle/engines/answer_memory.py
+++ b/wagtailtrestle/engines/answer_memory.py
@@ -146,7 +146,10 @@
                     raise AnswerMemoryFull("no memory for the rest of the answer")
                 self._changed.wait(left_s)
             hold.partial, hold.missing = partial, missing
-            self._large.add(hold)
+            if hold.size:
+                self._large.add(hold)
+            else:
+                self._large.discard(hold)
             self._peak_bytes = max(self._peak_bytes, sum(each.size for each in self._large))
 
     def release(self, hold, *, kept=0):
