Tell routers that join together of each other at once

What callers saw: for up to 1.2 s after a start, requests to one of four routers waited, and those with a target for their first token were refused with 429, "The service is full", while the service was idle.

Cause, traced in a scratch copy that logs views, links, registrations and messages at schedulers: two routers that start within a millisecond aren't on each other's list. A third one hears of both within one batch, and forwards the news to its partners, which newcomers are not yet. The pull that repairs it reached a router that had no view to send, and was repeated after 1 s. Meanwhile the router without the scheduler in its view sent its requests to another one, which awaits its own router's registration for 1.5 s: that one names the true scheduler.

Change: events of a batch are sent again to the partners that the next ring adds; pulls repeat after 0.25 s; a router that gets a request for a cell which another router schedules, by its own view, sends the entry that router's event. With views that agree nothing more is sent.

Evidence: the three new tests failed before ("1 != 2" pulls, a view of ('a', 'c') for ('a', 'b', 'c'), no such message).

--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -5,7 +5,7 @@
 from wagtailtrestle.contracts.messages import Granted, Register, Withdraw
 from wagtailtrestle.contracts.peer_messages import RegisterAsk, Relayed
 from wagtailtrestle.membership.view import View
-from wagtailtrestle.peers.directory import Directory
+from wagtailtrestle.peers.directory import VIEW_SHARE_INTERVAL_S, Directory
 from wagtailtrestle.peers.rendezvous import Rendezvous
 
 REGISTRATION = Register(entry="a", cell="c1", waiting=(grant_request(),))
@@ -43,6 +43,7 @@
 class FakeMembership:
     def __init__(self, *members):
         self.view, self.trusted, self.draining = View(members=members), True, False
+        self.shared = []
 
     def on_view_change(self, callback):
         self.view_changed = callback
@@ -50,6 +51,9 @@
     def on_trusted(self, callback):
         self.trusted_again = callback
 
+    def share_member(self, *, peer, name):
+        self.shared.append((peer, name))
+
     def change(self, *members, **more):
         self.view = View(members=members, **more)
         self.view_changed(self.view)
@@ -134,6 +138,22 @@
         self.assertEqual(self.to_scheduler, [("c1", grant_request())])
         self.assertEqual(self.peers.sent, [])
 
+    async def test_a_router_that_sends_to_another_scheduler_learns_of_the_one_it_does_not_know(self):
+        # Guards against requests that wait at a router which is not the scheduler by its own view, until they are
+        # refused as if the service were full: its scheduler there awaits this router's registration in vain.
+        self.make("a", "b")
+        self.peers.receive("c", grant_request())
+        self.assertEqual(self.membership.shared, [])
+        self.membership.change("b")
+        self.peers.receive("c", Register(entry="c", cell="c1", elsewhere=True))
+        self.assertEqual(self.membership.shared, [])
+        for _ in range(3):
+            self.peers.receive("c", grant_request())
+        self.assertEqual(self.membership.shared, [("c", "b")])
+        await asyncio.sleep(VIEW_SHARE_INTERVAL_S)
+        self.peers.receive("c", REGISTRATION)
+        self.assertEqual(self.membership.shared, [("c", "b")] * 2)
+
     async def test_draining_router_forwards(self):
         # The router leaves and grants nothing more; a peer that doesn't know this yet still sends it a request.
         self.make("b")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,9 +5,11 @@
 
 from tests.utils.fake_routers import FakeNet
 from wagtailtrestle.contracts.messages import Withdraw
-from wagtailtrestle.contracts.peer_messages import Hello, MemberState, ViewEvent
+from wagtailtrestle.contracts.peer_messages import Hello, MemberState, PeerUnreachable, ViewEvent
 from wagtailtrestle.membership.member_table import MemberTable
+from wagtailtrestle.membership.membership import HEARTBEAT_S
 from wagtailtrestle.membership.partners import position_of
+from wagtailtrestle.membership.view_sync import ViewSync
 from wagtailtrestle.membership.vm_list import VM
 from wagtailtrestle.peers.broadcast import Broadcast
 
@@ -52,6 +54,16 @@
         await asyncio.sleep(0.5)
         self.assertEqual([name for name in names if not self.net.by_name[name].trusted], [])
 
+    @on_fast_loop
+    async def test_routers_that_start_together_and_only_know_a_third_find_each_other(self):
+        # Guards against newcomers that the third router announces to nobody, as it hears of them before they are
+        # its partners: each would schedule by a view that lacks the other until the next exchange of whole views.
+        await self.net.add("c")
+        await self.net.add("a", seeds=["c"])
+        await self.net.add("b", seeds=["c"])
+        await asyncio.sleep(0.1)
+        self.assert_views(["a", "b", "c"])
+
     @on_fast_loop
     async def test_a_large_fleet_that_starts_together_costs_each_router_little(self):
         # Ninety routers lose power and start within a second, each with the list of the routers announced before it.
@@ -224,6 +236,42 @@
             self.assertLessEqual(set(left if name in left else right), set(view.all_members))
 
 
+class ViewSyncTest(MembershipCase):
+    @on_fast_loop
+    async def test_a_view_is_pulled_again_soon_from_a_peer_that_had_just_started(self):
+        # Guards against views that differ for a second as the first pull reached a peer that can't answer it yet.
+        pulls = []
+
+        class Peers:
+            def on(self, message_type, handler):
+                pass
+
+            async def query(self, peer, message, timeout_s):
+                pulls.append(asyncio.get_running_loop().time())
+                return PeerUnreachable(peer=peer, detail="the peer has no answer")
+
+        loop = asyncio.get_running_loop()
+        table = MemberTable(name="a", zone="z1", incarnation=1, now=0.0)
+        sync = ViewSync(
+            table=table,
+            peers=Peers(),
+            loop=loop,
+            is_trusted=lambda: True,
+            on_events=lambda *_: None,
+            on_lost=lambda _: None,
+        )
+        for _ in range(2):
+            sync.compare("b", own=1, other=2)
+        await asyncio.sleep(HEARTBEAT_S)
+        sync.compare("b", own=1, other=2)
+        await asyncio.sleep(0.0)
+        self.assertEqual(len(pulls), 2)
+        for _ in range(100):
+            await asyncio.sleep(HEARTBEAT_S)
+            sync.compare("b", own=1, other=2)
+        self.assertLess(len(pulls), 12)
+
+
 class FleetSizeTest(MembershipCase):
     def sizes(self, names):
         return {self.net.by_name[name].fleet_size() for name in names}
--- a/wagtailtrestle/membership/membership.py
+++ b/wagtailtrestle/membership/membership.py
@@ -116,6 +116,7 @@
         self._partners = set()
         self._fingers = set()
         self._ring_names = ()
+        self._events_before_refresh = {}
         self._view_callbacks = []
         self._trusted_callbacks = []
         self._generation_callbacks = []
@@ -208,6 +209,12 @@
         self._contacts.observe(vms)
         self._refresh()
 
+    def share_member(self, *, peer, name):
+        """Send a peer what is known here of a member that its view may lack."""
+        member = self._table.by_name.get(name)
+        if member is not None:
+            self._peers.send(peer, member.event())
+
     def fleet_size(self):
         """Number of routers that may be running: all that are not known to have left.
 
@@ -348,6 +355,7 @@
         and to a few fingers. When every router forwarded to all fingers, each event arrived nine times at each router
         in a start of 195.
         """
+        self._events_before_refresh[event.name] = event
         fingers = sorted(self._fingers - self._partners)
         if exclude is not None and len(fingers) > RELAY_FINGERS:
             fingers = self._jitter.sample(fingers, RELAY_FINGERS)
@@ -465,6 +473,7 @@
         view = self._table.view(now)
         if view.all_members != self._ring_names:
             self._update_ring(view)
+        self._events_before_refresh = {}
         if view.digest == self.view.digest:
             return
         self.view = view
@@ -475,7 +484,13 @@
         self._ring_names = view.all_members
         ring = Ring(names=view.all_members)
         self._heartbeat_s = self._mesh_heartbeat_s if ring.is_small else max(self._mesh_heartbeat_s, RING_HEARTBEAT_S)
+        before = self._partners
         if self.name in view.all_members:
             self._partners = ring.partners(self.name)
             self._fingers = ring.fingers(self.name)
         self._peers.keep_open(self._partners)
+        # Routers that joined together were not partners yet when the events about the others were forwarded.
+        for peer in self._partners - before:
+            for event in self._events_before_refresh.values():
+                if event.name not in (peer, self.name):
+                    self._peers.send(peer, event)
--- a/wagtailtrestle/membership/view_sync.py
+++ b/wagtailtrestle/membership/view_sync.py
@@ -6,7 +6,8 @@
 
 TIMEOUT_S = 0.5
 MIN_MISMATCHES = 2
-PULL_INTERVAL_S = 1.0
+PULL_INTERVAL_S = 0.25
+"""First interval between two pulls from a peer: one that has just started can't answer for about as long."""
 MAX_PULL_INTERVAL_S = 60.0
 
 
--- a/wagtailtrestle/peers/directory.py
+++ b/wagtailtrestle/peers/directory.py
@@ -11,13 +11,16 @@
 names this router, would send it here again, and the request would hang until the views agree;
 (2) forward it: two routers that each consider the other the scheduler would forward it in
 circles; (3) act as scheduler anyway. We do (3): a grant is capacity, not identity, so two
-schedulers may overfill an engine for the second or so that views differ, but only the entry
-dispatches, once per request. When the sender's view changes, it registers with the new
-scheduler and sends the old one an empty registration, which releases what was held here. Only
-a draining router does (2), since it grants nothing more: it forwards the message to the
-scheduler in its own view, which is never itself.
+schedulers may overfill an engine while views differ, but only the entry dispatches, once per
+request. The sender is also sent what is known here of the scheduler in this router's view, so
+that the difference ends within a round trip where the sender lacks that router. When the sender's
+view changes, it registers with the new scheduler and sends the old one an empty registration,
+which releases what was held here. Only a draining router does (2), since it grants nothing more:
+it forwards the message to the scheduler in its own view, which is never itself.
 """
 
+import math
+
 from loguru import logger
 
 from wagtailtrestle.capacity.features import all_off
@@ -48,6 +51,8 @@
 EMPTY_REGISTRATION_LIMIT = 32
 RELAYED_REGISTER_INTERVAL_S = 1.0
 REGISTRATION_REQUEST_INTERVAL_S = 0.3
+VIEW_SHARE_INTERVAL_S = 0.2
+"""Minimum time between two corrections of one peer's view."""
 
 
 class Directory:
@@ -108,6 +113,7 @@
         self._incarnations_by_name = dict(membership.view.incarnations_by_name)
         self._relayed_cells = set()
         self._registration_requested_at = {}
+        self._view_shared_at_by_peer = {}
         self.scheduler_link = _SchedulerLink(directory=self)
         self.entry_link = _EntryLink(directory=self)
         for message_type in ENTRY_MESSAGES:
@@ -256,6 +262,8 @@
     def _on_view_change(self, view):
         if not self._membership.trusted:
             return
+        for peer in self._view_shared_at_by_peer.keys() - set(view.all_members):
+            del self._view_shared_at_by_peer[peer]
         restarted = self._update_incarnations(view)
         if restarted:
             # A new process doesn't know what its predecessor of the same name held, so that is released first.
@@ -296,6 +304,19 @@
                 self._routes.send(scheduler, message, cell=cell)
                 return
         self._deliver_to_scheduler(cell, message)
+        if isinstance(message, GrantRequest) or (isinstance(message, Register) and not message.elsewhere):
+            self._correct_view(peer, cell)
+
+    def _correct_view(self, peer, cell):
+        """Send a peer that takes this router for the scheduler of a cell the one in this router's view."""
+        scheduler = self.scheduler_of(cell)
+        if scheduler in (None, self.name, peer) or not self._membership.trusted:
+            return
+        now = self._loop.time()
+        if now - self._view_shared_at_by_peer.get(peer, -math.inf) < VIEW_SHARE_INTERVAL_S:
+            return
+        self._view_shared_at_by_peer[peer] = now
+        self._membership.share_member(peer=peer, name=scheduler)
 
     def _on_scheduler_message(self, peer, message, cell):
         self._deliver_to_entry(message)
