Name the resumed stream in the log line of its request

The line of a request's end didn't tell whether the request took up a stream, and the lines on versions name the stream alone, so that refusals of resumed streams could not be counted by their reason.

--- a/wagtailtrestle/callers/request_handler.py
+++ b/wagtailtrestle/callers/request_handler.py
@@ -157,6 +157,8 @@
             tier=prepared.tier_name,
             generation=prepared.generation,
         )
+        if request.resumes is not None:
+            bound = bound.bind(resumed_stream=request.resumes)
         bound.info(
             "{}/{} {} after {:.3f} s, {} runs",
             request.service,
