Tell no version beyond a removal that is held back

Cause: after an outage of the store a reader ignores removals for two seconds, while its version goes on past them, and tells this version to the routers that ask it. The removal is applied later under a version that was told before, so that nobody asks for it again, at this reader, another one or the store. Besides, a reader that was frozen takes its own pause for an outage of the store.

Change: the version told stays before the first removal held back; later changes keep their true versions, and the relay remembers for each asker, while something is held back, how many changes it was sent. Time counts as an outage only while the process ran.

--- a/tests/test_engine_list.py
+++ b/tests/test_engine_list.py
@@ -6,6 +6,7 @@
 from tests.utils.memory_store import MemoryStore
 from tests.utils.paused_clock import now, on_paused_clock
 from wagtailtrestle.configuration.engine_list import RELIST_INTERVAL_S, WATCH_TIMEOUT_S, EngineList
+from wagtailtrestle.configuration.running_time import RunningTime
 from wagtailtrestle.contracts.outcomes import StoreConflict, StoreDone, StoreHistoryGone
 from wagtailtrestle.membership.announcement import Announcement
 from wagtailtrestle.platform.engine_entries import read_engine
@@ -44,6 +45,7 @@
 
     def __init__(self):
         self.store = CompactableStore()
+        self.paused_s = 0.0
         self.changes = []
         self.list = EngineList(
             store=self.store,
@@ -52,6 +54,7 @@
             on_change=self.changes.append,
             clock=asyncio.get_running_loop().time,
             return_grace_s=GRACE_S,
+            running_s=lambda: asyncio.get_running_loop().time() - self.paused_s,
         )
 
     async def put(self, name, value):
@@ -124,6 +127,20 @@
         self.assertEqual(set(followed.list.by_name), {"i-2"})
         await followed.list.close()
 
+    @on_paused_clock
+    async def test_a_pause_of_this_process_is_no_outage_of_the_store(self):
+        # Guards against a router that was frozen, and ignores the removals of engines for the grace period.
+        followed = await self.started()
+        followed.store.down = True
+        await asyncio.sleep(6.0)
+        followed.paused_s = 6.0
+        followed.store.down = False
+        await asyncio.sleep(1.0)
+        await followed.remove("i-1")
+        await asyncio.sleep(0.01)
+        self.assertEqual(set(followed.list.by_name), {"i-2"})
+        await followed.list.close()
+
     @on_paused_clock
     async def test_an_invalid_entry_does_not_affect_the_others(self):
         followed = await self.started()
@@ -133,6 +150,20 @@
         await followed.list.close()
 
 
+class RunningTimeTest(unittest.TestCase):
+    def test_pauses_are_left_out_whoever_reads_first(self):
+        time_s = 100.0
+        running = RunningTime(clock=lambda: time_s)
+        for _ in range(10):
+            time_s += 0.1
+            running.running_s()
+        before = running.running_s()
+        time_s += 4.0
+        self.assertEqual(running.running_s(), before)
+        time_s += 0.5
+        self.assertAlmostEqual(running.running_s(), before + 0.5)
+
+
 class AnnouncementTest(unittest.TestCase):
     def announcement(self, store, address="10.0.0.9:7000"):
         return Announcement(store=store, kind="routers", name="router-1", value={"address": address})
--- a/tests/test_engine_relay.py
+++ b/tests/test_engine_relay.py
@@ -5,7 +5,7 @@
 
 from tests.utils.memory_store import MemoryStore
 from tests.utils.paused_clock import on_paused_clock
-from wagtailtrestle.configuration.engine_list import EngineList
+from wagtailtrestle.configuration.engine_list import DEFAULT_RETURN_GRACE_S, EngineList
 from wagtailtrestle.configuration.engine_relay import EngineRelay, RelayLimits
 from wagtailtrestle.configuration.store_readers import MIN_READERS, READERS_KEY, StoreReaders
 from wagtailtrestle.contracts.outcomes import StoreDone
@@ -125,6 +125,9 @@
     def calls(self):
         return {name: store.calls["reads"] + store.calls["watches"] for name, store in self.store_by_router.items()}
 
+    def routers_that_list(self, name):
+        return {router for router, engines in self.list_by_router.items() if name in engines.by_name}
+
     def routers_that_know_leaving(self, name):
         return {router for router, engines in self.list_by_router.items() if engines.by_name[name].leaving}
 
@@ -251,6 +254,49 @@
         self.assertLessEqual(len(relay.readers._paused_until_by_name), 2)
         await fleet.close()
 
+    @on_paused_clock
+    async def test_a_removal_that_a_reader_held_back_reaches_the_routers_that_query_it(self):
+        # Guards against a reader that tells the version of a removal which it applies only after its grace period:
+        # the routers that query it would ask for later changes only, and keep the engine for good.
+        for outage_s in (5.0, 5.4, 5.8, 6.2, 6.6):
+            with self.subTest(outage_s=outage_s):
+                fleet = await self.started()
+                reader = fleet.ranked()[0]
+                for name in fleet.members_by_router:
+                    fleet.members_by_router[name] = (reader,)
+                fleet.store_by_router[reader].down = True
+                await asyncio.sleep(outage_s)
+                fleet.store_by_router[reader].down = False
+                await asyncio.sleep(1.8)
+                found = await fleet.operator.get(kind=KIND, name="i-1")
+                await fleet.operator.delete(kind=KIND, name="i-1", if_version=found.version)
+                await asyncio.sleep(DEFAULT_RETURN_GRACE_S + 1.0)
+                self.assertEqual(fleet.routers_that_list("i-1"), set())
+                await fleet.close()
+
+    @on_paused_clock
+    async def test_changes_beside_a_removal_that_is_held_back_are_sent_at_once_and_once(self):
+        # Guards against a drain that is held back with the removal, and against routers that query without a pause.
+        fleet = await self.started()
+        reader = fleet.ranked()[0]
+        requester = next(name for name in NAMES if name not in fleet.readers())
+        fleet.members_by_router[requester] = (reader,)
+        engines, relay = fleet.list_by_router[reader], fleet.relay_by_router[requester]
+        await asyncio.sleep(3.0)
+        engines._missing_kept_until = asyncio.get_running_loop().time() + DEFAULT_RETURN_GRACE_S
+        found = await fleet.operator.get(kind=KIND, name="i-1")
+        await fleet.operator.delete(kind=KIND, name="i-1", if_version=found.version)
+        await asyncio.sleep(0.1)
+        asked = relay.dump()["asked_total"]
+        await fleet.leave("i-2")
+        await asyncio.sleep(0.02)
+        self.assertTrue(fleet.list_by_router[requester].by_name["i-2"].leaving)
+        await asyncio.sleep(1.0)
+        self.assertLessEqual(relay.dump()["asked_total"] - asked, 6)
+        await asyncio.sleep(DEFAULT_RETURN_GRACE_S)
+        self.assertEqual(fleet.routers_that_list("i-1"), set())
+        await fleet.close()
+
     @on_paused_clock
     async def test_two_routers_that_query_each_other_return_to_the_store(self):
         # Views differ, and each router considers another one the reader. If the answer's age restarted
--- a/wagtailtrestle/configuration/engine_list.py
+++ b/wagtailtrestle/configuration/engine_list.py
@@ -2,7 +2,8 @@
 
 A full read and a watch keep the list up to date. The store's answers are applied as they are, with one
 exception: entries expire during a store outage although their engines live. After an outage a missing
-entry is kept for a grace period and removed if it is still missing then.
+entry is kept for a grace period and removed if it is still missing then. Until then, the version that
+other routers are told stays before the removal that is held back.
 """
 
 import asyncio
@@ -50,6 +51,8 @@
     jitter : random.Random, optional
     relay : EngineRelay, optional
         Queried before the store, where routers relay engine entries to each other.
+    running_s : callable, optional
+        Returns the time for which this process ran, in seconds; ``clock`` by default.
 
     Attributes
     ----------
@@ -69,8 +72,10 @@
         return_grace_s=DEFAULT_RETURN_GRACE_S,
         jitter=None,
         relay=None,
+        running_s=None,
     ):
         self._relay = relay
+        self._running_s = running_s or clock
         self.by_name = {}
         self.is_known = False
         self._store = store
@@ -82,9 +87,12 @@
         self._jitter = jitter or random.Random()
         self._pre_restore = PreRestoreEngines(clock=clock)
         self._version = 0
+        self._complete_version = 0
+        self._holds_removals = False
         self._first_version = 0
         self._listed_at = None
         self._answered_at = None
+        self._answered_running_s = None
         self._missing_kept_until = None
         self._proved_at = -math.inf
         self._task = None
@@ -112,6 +120,7 @@
                 for name, engine in sorted(self.by_name.items())
             },
             "version": self._version,
+            "complete_version": self._complete_version,
             "listed_age_s": None if self._listed_at is None else round(now - self._listed_at, 3),
             "answered_age_s": None if self._answered_at is None else round(now - self._answered_at, 3),
             "keeps_missing_entries": self._missing_kept_until is not None,
@@ -203,11 +212,13 @@
         return max(0.05, min(max_watch_s, self._missing_kept_until - self._clock()))
 
     def _record_answer(self):
-        now = self._clock()
-        if self._answered_at is not None and now - self._answered_at > WATCH_TIMEOUT_S + MIN_OUTAGE_S:
-            logger.warning("the store answered nothing for {:.1f} s; missing engines are kept", now - self._answered_at)
+        # A process that was stopped itself hears nothing either, while the store is well and its removals are meant.
+        now, running_s = self._clock(), self._running_s()
+        silent_s = 0.0 if self._answered_running_s is None else running_s - self._answered_running_s
+        if silent_s > WATCH_TIMEOUT_S + MIN_OUTAGE_S:
+            logger.warning("the store answered nothing for {:.1f} s; missing engines are kept", silent_s)
             self._missing_kept_until = now + self._return_grace_s
-        self._answered_at = now
+        self._answered_at, self._answered_running_s = now, running_s
 
     def _apply_update(self, update):
         if update.is_whole and update.version < self._version:
@@ -229,6 +240,7 @@
         # engine is listed again once it writes its entry itself.
         by_name = {name: engine for name, engine in by_name.items() if name not in invalid}
         self.is_known = True
+        self._update_complete_version(update)
         self._publish(by_name, update)
 
     def _begin_epoch(self, update):
@@ -244,8 +256,10 @@
     def _from_full_list(self, listed):
         """The engines after a full list; entries that expired in an outage are kept for the grace period."""
         if self._missing_kept_until is not None and self._clock() < self._missing_kept_until:
+            self._holds_removals = bool(self.by_name.keys() - listed.keys())
             return {**self.by_name, **listed}
         self._missing_kept_until = None
+        self._holds_removals = False
         return listed
 
     def _from_changes(self, listed, gone):
@@ -254,15 +268,26 @@
         if self._missing_kept_until is None:
             for name in gone:
                 by_name.pop(name, None)
+        elif gone & by_name.keys():
+            self._holds_removals = True
         return by_name
 
+    def _update_complete_version(self, update):
+        """Tell other routers no version beyond a removal that is held back: they would never ask for it."""
+        if not self._holds_removals:
+            self._complete_version = self._version
+        elif epoch_of(self._complete_version) != epoch_of(self._version):
+            self._complete_version = update.version - 1
+
     def _publish(self, by_name, update):
         self._pre_restore.record_departed(self.by_name.keys() - by_name.keys())
         known, facts = _compared_fields(self.by_name), _compared_fields(by_name)
         changed = {name for name in known.keys() | facts.keys() if known.get(name) != facts.get(name)}
         if self._relay is not None:
             values = {name: update.value_by_name[name] if name in by_name else None for name in changed}
-            self._relay.record_update(version=self._version, age_s=update.age_s, changed=values)
+            self._relay.record_update(
+                version=self._complete_version, changed_at=self._version, age_s=update.age_s, changed=values
+            )
         if not changed:
             return
         self._log_changes(by_name)
--- a/wagtailtrestle/configuration/engine_relay.py
+++ b/wagtailtrestle/configuration/engine_relay.py
@@ -121,9 +121,11 @@
         self._history = deque()
         self._history_from = 0
         self._changed = asyncio.Event()
+        self._changes_total = 0
+        self._changes_sent_by_peer = {}
         self.asked_total = 0
         self.failed_total = 0
-        peers.on(EnginesAsk, lambda peer, request, cell: self._answer(request))
+        peers.on(EnginesAsk, lambda peer, request, cell: self._answer(peer, request))
 
     def dump(self):
         """Return the state as a plain dict."""
@@ -181,19 +183,22 @@
 
     # Answers to other routers.
 
-    def record_update(self, *, version, age_s, changed):
+    def record_update(self, *, version, age_s, changed, changed_at=None):
         """Record an update from the store or from a reader.
 
         Parameters
         ----------
         version : int
-            The store's version up to which the list here is complete.
+            The store's version up to which the list here is complete: no change up to it is held back.
         age_s : float
             Seconds since the store itself returned the data. If the age restarted at each router, two routers
             that query each other would accept each other's list indefinitely without the store.
         changed : dict of str to object
             The entries changed since the last call, ``None`` for a deleted one.
+        changed_at : int, optional
+            The store's version of these entries, later than ``version`` while changes are held back.
         """
+        changed_at = version if changed_at is None else changed_at
         if self._proved_at is None:
             self._history_from = version
             self._proved_at = -math.inf
@@ -206,7 +211,10 @@
             self._wake_requesters()
         self._version = max(self._version, version)
         for name, value in changed.items():
-            self._record_change(name, value)
+            self._record_change(name, value, changed_at)
+        self._changes_total += len(changed)
+        if not self._holds_changes():
+            self._changes_sent_by_peer.clear()
         if changed:
             self._wake_requesters()
 
@@ -214,23 +222,34 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def _record_change(self, name, value):
+    def _record_change(self, name, value, changed_at):
         text = "" if value is None else json.dumps(value)
         if text:
             self._text_by_name[name] = text
         else:
             self._text_by_name.pop(name, None)
-        self._history.append((self._version, EngineEntry(name=name, value=text)))
+        self._history.append((changed_at, EngineEntry(name=name, value=text)))
         while len(self._history) > MAX_HISTORY:
             self._history_from, _ = self._history.popleft()
 
-    async def _answer(self, request):
+    def _holds_changes(self):
+        """Whether entries are later than the version told, which then can't tell what a requester has got."""
+        return bool(self._history) and self._history[-1][0] > self._version
+
+    def _has_news(self, peer, version):
+        if self._holds_changes() and version >= self._version:
+            return self._changes_sent_by_peer.get(peer) != self._changes_total
+        return bool(self._entries_after(version))
+
+    async def _answer(self, peer, request):
         requested_at = self._clock()
         if self._proved_at is None:
             return EnginesAnswer(version=0, age_s=-1.0, waited_s=0.0, is_whole=False, entries=())
         is_old = requested_at - self._proved_at > self.limits.max_age_s
-        if not is_old and not self._entries_after(request.version):
+        if not is_old and not self._has_news(peer, request.version):
             await self._wait_for_change(min(request.wait_s, MAX_REQUESTED_WAIT_S))
+        if self._holds_changes():
+            self._changes_sent_by_peer[peer] = self._changes_total
         is_whole = request.version < self._history_from
         return EnginesAnswer(
             version=self._version,
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -20,6 +20,7 @@
 from wagtailtrestle.configuration.engine_relay import EngineRelay, RelayLimits
 from wagtailtrestle.configuration.epoch_note import EpochNote
 from wagtailtrestle.configuration.peer_configuration import PeerConfiguration
+from wagtailtrestle.configuration.running_time import RunningTime
 from wagtailtrestle.configuration.store_epoch import StoreEpoch
 from wagtailtrestle.configuration.store_readers import StoreReaders
 from wagtailtrestle.configuration.version_note import VersionNote
@@ -182,6 +183,7 @@
             epoch=self._store_epoch,
         )
         self._engine_list = None
+        self._running_time = RunningTime(clock=self._loop.time)
         if self._adapter.engine_kind is not None:
             self._engine_list = EngineList(
                 store=self._store,
@@ -191,6 +193,7 @@
                 clock=self._loop.time,
                 return_grace_s=self._settings.engine_return_grace_s,
                 relay=None if readers is None else self._make_engine_relay(readers),
+                running_s=self._running_time.running_s,
             )
         self._epoch_note = None
         if readers is not None and self._adapter.epoch_kind is not None:
@@ -721,6 +724,7 @@
     async def _tick(self):
         while True:
             await asyncio.sleep(TICK_S)
+            self._running_time.running_s()
             self._callers.deliver_deferred()
             self._schedulers.tick()
             self._crashes.tick()
