Use a restarted engine once an entry of its present start tells its version

Cause: an engine that starts again under its id shows the new start by its load report first; its entry, which tells the version, follows 0.8 s later. The scheduler used the engine at once with the version of the old entry and resumed streams there. By reading: an entry with an older list than the scheduler's records the version of the former start for a new stream.

Change: such an engine gets no run, where the service's streams may be resumed, until an entry of that start is known. A grant names the version by the scheduler's list, and an entry that knows another one returns it for a stream. Streams whose version is gone with a new list are refused as that at once.

--- a/tests/test_counted_runs.py
+++ b/tests/test_counted_runs.py
@@ -101,6 +101,20 @@
         self.assertEqual(request.caller.starts[-1].engine, "e2")
 
 
+class RestartedEngineTest(unittest.TestCase):
+    @on_paused_clock
+    async def test_a_stream_does_not_begin_where_the_scheduler_knows_another_version(self):
+        # Guards against a stream that is recorded under the version of an engine's former start, as the list of this
+        # router is older than the scheduler's: callers would resume it at that version.
+        for stream_id, engines in (("s1", []), ("", ["e1"])):
+            with self.subTest(stream_id=stream_id):
+                request = OneRequest(max_runs=1, stream_id=stream_id)
+                await request.grant("e1", version="v2")
+                self.assertEqual([start.engine for start in request.caller.starts], engines)
+                await request.grant("e2", version="")
+                self.assertEqual(len(request.caller.starts), 1)
+
+
 class RefusedByEngineTest(unittest.TestCase):
     @on_paused_clock
     async def test_a_refused_request_moves_to_another_engine_even_if_it_may_run_once(self):
--- a/tests/test_engine_restart.py
+++ b/tests/test_engine_restart.py
@@ -9,7 +9,8 @@
 import unittest
 
 from tests.utils.scheduler_fakes import Cell, ask, engine, report
-from wagtailtrestle.contracts.messages import Granted
+from wagtailtrestle.contracts.messages import Granted, Refused
+from wagtailtrestle.contracts.outcomes import Reason
 
 FIRST_START_MS = 1_781_425_589_000
 SECOND_START_MS = FIRST_START_MS + 5_000
@@ -19,6 +20,7 @@
     found = engine("e1", slots=2)
     found.start_ms = start_ms
     found.leaving = leaving
+    found.version = "v1"
     return found
 
 
@@ -56,6 +58,25 @@
         self.set_engine(declared(SECOND_START_MS))
         self.assertEqual(self.state().running, 1)
 
+    def test_a_restarted_engine_gets_no_stream_until_its_entry_tells_its_version(self):
+        # Guards against a stream that goes on at an engine that is back under its name with another version: the
+        # report shows the restart first, and the entry is still that of the former start.
+        self.cell = Cell(engines=(), needs_version=lambda: True)
+        self.set_engine(declared(FIRST_START_MS))
+        self.cell.receive(ask("a", version="v1"))
+        self.report(SECOND_START_MS)
+        self.cell.receive(ask("new"), ask("resumed", version="v1"))
+        self.set_engine(declared(FIRST_START_MS))
+        self.cell.advance(0.5)
+        self.assertEqual(self.granted(), ["a"])
+        upgraded = declared(SECOND_START_MS)
+        upgraded.version = "v2"
+        self.set_engine(upgraded)
+        self.cell.advance(0.1)
+        self.assertEqual(self.granted(), ["a", "new"])
+        refused = {message.request_id: message.reason for message in self.cell.entries.of(Refused)}
+        self.assertEqual(refused, {"resumed": Reason.VERSION_GONE})
+
     def test_state_from_before_the_restart_is_discarded(self):
         self.cell.measure()
         self.report(FIRST_START_MS, running=2, waiting=7, leaving=True)
--- a/tests/utils/scheduler_fakes.py
+++ b/tests/utils/scheduler_fakes.py
@@ -91,7 +91,7 @@
 class Cell:
     """A scheduler, its clock and its entries."""
 
-    def __init__(self, *, engines=("e1",), slots=2, members=(), prefill_weight=0.5, features=all_off):
+    def __init__(self, *, engines=("e1",), slots=2, members=(), prefill_weight=0.5, features=all_off, **options):
         self.clock = Clock()
         self.entries = FakeEntries()
         self.scheduler = Scheduler(
@@ -101,6 +101,7 @@
             entries=self.entries,
             prefill_weight=prefill_weight,
             features=features,
+            **options,
         )
         self.scheduler.set_members(frozenset(members))
         self.scheduler.set_engines({name: engine(name, slots=slots) for name in engines})
--- a/wagtailtrestle/capacity/run_table.py
+++ b/wagtailtrestle/capacity/run_table.py
@@ -20,6 +20,8 @@
     Parameters
     ----------
     clock : callable
+    needs_version : callable
+        Returns whether streams go on at engines of one version only, so that a run needs an engine of known version.
 
     Attributes
     ----------
@@ -39,9 +41,11 @@
         "_declared_by_name",
         "_clock",
         "_health",
+        "_needs_version",
     )
 
-    def __init__(self, *, clock):
+    def __init__(self, *, clock, needs_version=lambda: False):
+        self._needs_version = needs_version
         self.engines_by_name = {}
         self._declared_by_name = {}
         self.grants_by_request_id = {}
@@ -167,6 +171,9 @@
         self._discard_state(state)
         fresh = self._new_state(self._declared_by_name[state.name])
         fresh.start_ms = start_ms
+        if self._needs_version():
+            # The entry is of the former start, and the engine may be back with another version.
+            fresh.await_entry()
         self.engines_by_name[state.name] = fresh
         return fresh
 
--- a/wagtailtrestle/capacity/scheduler.py
+++ b/wagtailtrestle/capacity/scheduler.py
@@ -75,6 +75,8 @@
         Returns the ``Features`` in force.
     serves_plain_calls : bool
         Whether the cell's service is a plain one, whose calls entries may dispatch while the scheduler is silent.
+    needs_version : callable
+        See :class:`RunTable`.
     """
 
     __slots__ = (
@@ -121,6 +123,7 @@
         retry_limits=RetryLimits,
         features=all_off,
         serves_plain_calls=False,
+        needs_version=lambda: False,
     ):
         self.cell = cell
         self._runs_outlive_routers = runs_outlive_routers
@@ -136,7 +139,7 @@
         self._policy = policy
         self._clock = clock
         self._entries = entries
-        self._runs = RunTable(clock=clock)
+        self._runs = RunTable(clock=clock, needs_version=needs_version)
         self._queue = TierQueue()
         self._floor = TierFloor(clock=clock, features=features)
         self._admission = Admission(
@@ -180,6 +183,7 @@
         self._admission.set_engines(self._runs.usable_engines)
         if self._registration.recovering:
             self._runs.invalidate_reports()
+        self._refuse_version_gone()
         self._grant_ready()
 
     def set_rollout(self, rollout, reserved):
--- a/wagtailtrestle/capacity/scheduler_log.py
+++ b/wagtailtrestle/capacity/scheduler_log.py
@@ -6,6 +6,7 @@
 
 AVAILABLE = "available"
 UNREACHABLE = "unreachable"
+AWAITS_ENTRY = "awaits its entry"
 EJECTED = "ejected"
 
 FLOOR_LOG_INTERVAL_S = 1.0
@@ -79,6 +80,8 @@
         for engine in self._runs.engines:
             if engine.is_unreachable:
                 unavailable[engine.name] = UNREACHABLE
+            elif engine.awaits_entry:
+                unavailable[engine.name] = AWAITS_ENTRY
             elif not engine.health_share:
                 unavailable[engine.name] = EJECTED
         for name in sorted(unavailable.keys() | self._unavailable.keys()):
--- a/wagtailtrestle/capacity/scheduler_set.py
+++ b/wagtailtrestle/capacity/scheduler_set.py
@@ -28,6 +28,8 @@
         Returns the current ``RetryLimits`` of each service.
     features : callable
         Returns the ``Features`` in force.
+    needs_version : callable
+        ``needs_version(service)`` returns whether its streams go on at engines of one version only.
     """
 
     __slots__ = (
@@ -36,6 +38,7 @@
         "_entries",
         "_retry_limits",
         "_features",
+        "_needs_version",
         "_runs_outlive_routers",
         "_declaration",
         "_cells_by_service",
@@ -47,7 +50,17 @@
         "_granting",
     )
 
-    def __init__(self, *, clock, entries, runs_outlive_routers=False, retry_limits=RetryLimits, features=all_off):
+    def __init__(
+        self,
+        *,
+        clock,
+        entries,
+        runs_outlive_routers=False,
+        retry_limits=RetryLimits,
+        features=all_off,
+        needs_version=lambda service: False,
+    ):
+        self._needs_version = needs_version
         self.by_cell = {}
         self._clock = clock
         self._entries = entries
@@ -189,6 +202,7 @@
             retry_limits=lambda: self._retry_limits_of(service.name),
             features=self._features,
             serves_plain_calls=service.kind == PLAIN,
+            needs_version=lambda: self._needs_version(service.name),
         )
         self.by_cell[cell] = scheduler
         self._expect_orphans(scheduler)
--- a/wagtailtrestle/contracts/messages.py
+++ b/wagtailtrestle/contracts/messages.py
@@ -270,6 +270,8 @@
         Whether the cell's retry budget is exhausted.
     limits_rejections : bool
         Whether the engine announced that it falls over if it has to reject too many requests.
+    version : str
+        Version of the engine's software by the entry that the scheduler knows; empty if it is not known.
     """
 
     request_id: str
@@ -280,6 +282,7 @@
     limit_age_s: float = math.inf
     retries_used_up: bool = False
     limits_rejections: bool = False
+    version: str = ""
 
 
 @record
--- a/wagtailtrestle/engines/silence_limits.py
+++ b/wagtailtrestle/engines/silence_limits.py
@@ -33,4 +33,5 @@
         limit_age_s=engine.rate_limit.age_s,
         retries_used_up=retries_used_up,
         limits_rejections=engine.rejection_limit.in_force,
+        version=engine.version,
     )
--- a/wagtailtrestle/engines/state.py
+++ b/wagtailtrestle/engines/state.py
@@ -36,7 +36,7 @@
     ----------
     limit : int
         Concurrency that saturates the engine; lower while its health is in doubt, 0 while it is unreachable, reserved
-        or draining.
+        or draining, or awaits its entry.
     phantom : int
         Runs that the engine reported and that match no grant known to this scheduler.
     health_share : float
@@ -44,7 +44,7 @@
     start_ms : int
         Start of the engine that this state describes, where engines report it; see ``DeclaredEngine``.
     version : str
-        Version of the software it runs.
+        Version of the software it runs, by its entry.
     reserved : bool
         Whether a rollout has reserved the engine: only requests chosen by the rollout are sent there.
     rate_limit : RateLimit
@@ -75,6 +75,7 @@
         "_kept_for",
         "start_ms",
         "version",
+        "_version_is_known",
         "reserved",
         "_alone_runs",
         "_declared_leaving",
@@ -113,6 +114,7 @@
         self._kept_for = None
         self.start_ms = declared.start_ms
         self.version = declared.version
+        self._version_is_known = True
         self.reserved = False
         self._alone_runs = 0
         self._declared_leaving = declared.leaving
@@ -194,6 +196,8 @@
         """Apply a newer declaration of the engine."""
         self._declared_leaving = declared.leaving
         self.version = declared.version
+        if declared.start_ms == self.start_ms:
+            self._version_is_known = True
         self._refresh_limit()
 
     def mark_leaving(self, leaving):
@@ -211,10 +215,20 @@
         """Whether it did not answer the last request for its load report."""
         return self._unreachable
 
+    @property
+    def awaits_entry(self):
+        """Whether it restarted and its version is not known until its entry shows the same start."""
+        return not self._version_is_known
+
+    def await_entry(self):
+        """Grant nothing on the engine until an entry of its present start tells its version."""
+        self._version_is_known = False
+        self._refresh_limit()
+
     @property
     def free_rollout_slots(self):
         """Free slots for requests that a rollout sends here."""
-        if self.leaving or self._unreachable or self._kept_for is not None or self._alone_runs > 0:
+        if self.awaits_entry or self.leaving or self._unreachable or self._kept_for is not None or self._alone_runs > 0:
             return 0
         return self._cap_by_limits(self.model.concurrency_limit() - self.running)
 
@@ -406,12 +420,13 @@
             "report_age_s": round(self.report_age_s, 3) if self._report else None,
             "leaving": self.leaving,
             "unreachable": self._unreachable,
+            "awaits_entry": self.awaits_entry,
             "health_share": self.health_share,
             "model": self.model.dump(),
         }
 
     def _refresh_limit(self):
-        usable = not self.leaving and not self._unreachable and not self.reserved
+        usable = not self.leaving and not self._unreachable and not self.reserved and self._version_is_known
         self.limit = math.ceil(self.model.concurrency_limit() * self.health_share) if usable else 0
         self._update_free_slots()
 
--- a/wagtailtrestle/entry/request_task.py
+++ b/wagtailtrestle/entry/request_task.py
@@ -349,7 +349,7 @@
                 case Refused(attempt=self.attempt, reason=reason, retry_after_s=retry_after_s):
                     return self._handle_refusal(reason, retry_after_s)
                 case Granted(attempt=self.attempt):
-                    is_available = self._is_available(message.engine)
+                    is_available = self._is_available(message)
                     if is_available and self.context.scheduler_is_informed(message):
                         self.state = RequestState.GRANTED
                         self._retries_used_up = message.retries_used_up
@@ -378,11 +378,15 @@
             wake=lambda: self.post(DirectRunEnded(attempt=grant_request.attempt)),
         )
 
-    def _is_available(self, engine):
+    def _is_available(self, granted):
         """Whether this router knows the engine as one that may serve the request now."""
-        if not self.context.is_available(engine):
+        if not self.context.is_available(granted.engine):
             return False
-        return not self._version or self.context.version_of(engine) == self._version
+        version = self.context.version_of(granted.engine)
+        if self.request.stream_id and granted.version not in ("", version):
+            # It restarted with another version, and the scheduler's list or the one here is of its former start.
+            return False
+        return self._version in ("", version)
 
     def _start_direct_run(self, wait):
         """Take an engine without the silent scheduler, or return ``None`` to wait on."""
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -249,6 +249,7 @@
             runs_outlive_routers=self._adapter.ended_call is not None,
             retry_limits=self._retry_limits,
             features=self._features_in_force,
+            needs_version=lambda service: service in self._resumable_services(),
         )
         self._schedulers.set_members(self._membership.view.all_members)
         self._crashes = CrashWatch(
@@ -668,10 +669,14 @@
 
     def _own_resumable_services(self):
         """Return the services with resumable streams that this router schedules."""
+        return self._resumable_services() & self._own_cells()
+
+    def _resumable_services(self):
+        """Return the services with resumable streams."""
         if self._in_force is None:
             return set()
         routes = [route for route in self._declaration().host_routes if route.resumable]
-        return {service for route in routes for service in route.weight_by_service} & self._own_cells()
+        return {service for route in routes for service in route.weight_by_service}
 
     def _handle_report(self, report):
         match report:
