Wait for further declarations after the first one written since a restore

Cause: a declaration that was written in the store's present epoch counted as proof that nothing is missing. It is newer than the copy, not newer than what the copy lacks.

Change: while the store's contents don't count as complete, each new declaration restarts the wait of 5 s, up to 10 s after the return. Routers that carry a proof over the restore, and their peers, are not concerned.

The test test_configuration_written_after_the_restore_is_proved_by_its_read wanted the fault. It is replaced by three: two declarations in a row (fails on the former code), the limit of the wait, and a later declaration, which is proved by its read as before.

--- a/tests/test_store_epoch.py
+++ b/tests/test_store_epoch.py
@@ -271,9 +271,33 @@
         self.read(source, epoch=2, revision=5)
         self.assertEqual(source.confirmed_at, self.clock.now)
 
-    def test_configuration_written_after_the_restore_is_proved_by_its_read(self):
+    def test_configuration_written_after_the_restore_is_no_proof_while_others_may_be_missing(self):
+        # Guards against a key that runs again: the backup lacks two configurations, the operator writes the first one
+        # again, and only the second one revokes the key.
         source = self.source(self.store, self.epoch)
         self.read(source, epoch=2, revision=5)
+        self.clock.now += RESTORE_SETTLE_S - 1.0
+        self.read(source, epoch=2, revision=9, generation=2)
+        self.clock.now += 1.7
+        self.read(source, epoch=2, revision=9, generation=2)
+        self.assertIsNone(source.confirmed_at)
+        self.read(source, epoch=2, revision=11, generation=3)
+        self.clock.now += RESTORE_SETTLE_S - 0.1
+        self.read(source, epoch=2, revision=11, generation=3)
+        self.assertEqual(source.confirmed_at, self.clock.now)
+
+    def test_configurations_that_are_written_all_the_while_delay_the_proof_for_a_limited_time(self):
+        source = self.source(self.store, self.epoch)
+        self.read(source, epoch=2, revision=5)
+        for number in range(1, 2 * int(RESTORE_SETTLE_S) + 1):
+            self.clock.now += 1.0
+            self.read(source, epoch=2, revision=5 + number, generation=number)
+        self.assertEqual(source.confirmed_at, self.clock.now)
+
+    def test_configuration_written_long_after_the_restore_is_proved_by_its_read(self):
+        source = self.source(self.store, self.epoch)
+        self.read(source, epoch=2, revision=5)
+        self.clock.now += RESTORE_SETTLE_S
         self.read(source, epoch=2, revision=9, generation=2)
         self.assertEqual(source.confirmed_at, self.clock.now)
 
--- a/wagtailtrestle/configuration/proof.py
+++ b/wagtailtrestle/configuration/proof.py
@@ -1,7 +1,9 @@
 """The proof of when the declaration in force was last known to be the platform's newest."""
 
+import math
+
 from wagtailtrestle.configuration.boot_clock import boot_time_s
-from wagtailtrestle.configuration.store_epoch import StoreEpoch, epoch_of
+from wagtailtrestle.configuration.store_epoch import RESTORE_SETTLE_S, StoreEpoch, epoch_of
 
 MAX_CARRIED_AGE_S = 5.0
 """Maximum age of a proof that stays valid over a restore of the store from a backup."""
@@ -28,6 +30,8 @@
         "_pending",
         "_newest_generation",
         "_first_version",
+        "_declared_version",
+        "_rewrites_until",
         "_proved_epoch",
     )
 
@@ -39,6 +43,8 @@
         self._pending = None
         self._newest_generation = 0
         self._first_version = 0
+        self._declared_version = 0
+        self._rewrites_until = -math.inf
         self._proved_epoch = 0
         epoch.on_restore(self._carry_over_restore)
 
@@ -58,7 +64,7 @@
     @property
     def own_reads_are_proof(self):
         """Whether the store's contents are known to be complete, so that a read of them is a proof."""
-        return self._epoch.is_settled or self._is_epoch_proved()
+        return self._clock() >= self._settled_at() or self._is_epoch_proved()
 
     def confirm(self, at):
         """Record a proof as of ``at``, from this router's own read or from a peer."""
@@ -71,10 +77,11 @@
 
     def record_declaration(self, version, generation):
         """Record a declaration that was read from the store."""
-        if version > self._first_version and self._proved_epoch != epoch_of(version):
-            # Written in this epoch, so it is newer than anything that the backup lacks. Earlier reads don't prove it.
-            self._proved_epoch = epoch_of(version)
-            self._pending = None
+        if version > max(self._first_version, self._declared_version) and self._clock() < self._settled_at():
+            # Written in this epoch. The backup may lack several declarations, which the operator writes again in their
+            # order: a key that the last of them revokes is still in this one.
+            self._rewrites_until = self._clock() + RESTORE_SETTLE_S
+        self._declared_version = max(self._declared_version, version)
         self._newest_generation = max(self._newest_generation, generation)
 
     def record_read(self, began_at):
@@ -88,9 +95,14 @@
         # A store restored from a backup may lack the newest configuration, which the operator writes again some
         # seconds later. A router that starts in between can't detect this: if the backup's configuration counted as
         # the newest, it would prove a key that was revoked.
-        is_whole = read_at >= self._epoch.settled_at or self._is_epoch_proved()
+        is_whole = read_at >= self._settled_at() or self._is_epoch_proved()
         return is_whole and self._is_settled(generation)
 
+    def _settled_at(self):
+        """Time from which no declaration counts as missing; later while the operator writes, within a limit."""
+        settled_at = self._epoch.settled_at
+        return max(settled_at, min(self._rewrites_until, settled_at + RESTORE_SETTLE_S))
+
     def _is_epoch_proved(self):
         return self._proved_epoch == self._epoch.number
 
