--- a/wagtailtrestle/capacity/team_queue.py
+++ b/wagtailtrestle/capacity/team_queue.py
@@ -16,18 +16,8 @@
 """Width of the due-time buckets in which waiting work is summed."""
 
 
-BEGUN_LEAD_S = 3600.0
-"""Time by which streams that go on are due before new requests, longer than any of these waits."""
-
-
 def due_time(waiting):
-    """Return the time that orders a waiting request among those of its team.
-
-    A stream that goes on comes first: part of its work is done, its caller holds part of the answer, and only engines
-    of one version may serve it.
-    """
-    if waiting.request.version:
-        return waiting.arrived_at - BEGUN_LEAD_S
+    """Return the time that orders a waiting request among those of its team."""
     return min(waiting.arrived_at + AGEING_FACTOR * waiting.work_s, waiting.latest_start - URGENT_MARGIN_S)
 
 
