Don't count a pause of the process as a wait to be accepted

Cause, by the code and a unit test: the accepting thread closes what waits once the queue hasn't been empty for 0.25 s. If the process is stopped while one connection waits, the whole pause counts, and the first pass after it closes all that arrived. Change: a pass of the thread adds 0.1 s at most to the wait by which connections are closed. A router that can't keep up is seen after three passes, so 0.3 s of running. The reported delay (own_queue_seconds) still holds the pause. Evidence: test_a_pause_of_the_process_is_no_wait fails without the change ("3 != 0"). The three other tests of closing advance the clock in passes now, with the same bounds.

--- a/tests/test_accepting.py
+++ b/tests/test_accepting.py
@@ -34,8 +34,8 @@
 
 
 class CloseWaitingTest(unittest.TestCase):
-    def play(self, *, may_close, may_close_later=None):
-        """Return how many of three waiting connections are closed once they have waited too long."""
+    def play(self, *, may_close, may_close_later=None, passes=(MAX_ACCEPT_WAIT_S / 4,) * 4):
+        """Return how many of three waiting connections are closed after passes that took so many seconds."""
         server = ListeningServer(may_close=may_close)
         self.addCleanup(server.socket.close)
         connections = CallerConnections(server)
@@ -44,11 +44,14 @@
         with contextlib.ExitStack() as callers:
             for _ in range(3):
                 callers.enter_context(socket.create_connection(server.socket.getsockname()))
-            connections._accept(is_waiting=True, now=1.0)
-            connections._accept(is_waiting=True, now=1.0 + MAX_ACCEPT_WAIT_S)
+            now = 1.0
+            connections._accept(is_waiting=True, now=now)
+            for pass_s in passes:
+                now += pass_s
+                connections._accept(is_waiting=True, now=now)
             self.assertEqual(server.closed_unread, 0)
             server.may_close = may_close if may_close_later is None else may_close_later
-            connections._accept(is_waiting=True, now=1.1 + MAX_ACCEPT_WAIT_S)
+            connections._accept(is_waiting=True, now=now + 0.1)
         return server.closed_unread
 
     # Guards against connections that wait to be accepted until their callers have given up.
@@ -63,6 +66,10 @@
     def test_the_wait_before_closing_was_possible_does_not_count(self):
         self.assertEqual(self.play(may_close=False, may_close_later=True), 0)
 
+    # Guards against connections that are closed because the process, not the queue, stood still.
+    def test_a_pause_of_the_process_is_no_wait(self):
+        self.assertEqual(self.play(may_close=True, passes=(1.0,)), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/wagtailtrestle/callers/accepting.py
+++ b/wagtailtrestle/callers/accepting.py
@@ -1,5 +1,6 @@
 """The accepting thread of the callers' server, and how long connections have waited for it."""
 
+import math
 import time
 
 from cheroot.connections import ConnectionManager
@@ -8,6 +9,9 @@
 
 MAX_ACCEPT_WAIT_S = 0.25
 """Callers give up on a connection that isn't read within a third of their time, or a second."""
+MAX_COUNTED_PASS_S = 0.1
+"""What a single pass of the accepting thread adds to a wait at most. After a pause of the process all that arrived
+meanwhile has waited long, and can be served at once."""
 ACCEPT_STAGE = "accept"
 """Wait of a connection in the kernel's queue of connections that aren't accepted yet."""
 
@@ -17,21 +21,30 @@
 
     The kernel doesn't report this time. Since the queue is served in order, no connection in it is older than the
     time since the queue was last seen empty.
+
+    Parameters
+    ----------
+    max_pass_s : float, optional
+        What the time between two observations counts at most, in seconds.
     """
 
-    __slots__ = ("_waiting_since",)
+    __slots__ = ("_max_pass_s", "_observed_at", "_waited_s")
 
-    def __init__(self):
-        self._waiting_since = None
+    def __init__(self, *, max_pass_s=math.inf):
+        self._max_pass_s = max_pass_s
+        self._observed_at = None
+        self._waited_s = 0.0
 
     def observe(self, *, is_empty, now) -> float:
         """Record whether the queue is empty now; return the seconds since it was last seen empty."""
         if is_empty:
-            self._waiting_since = None
+            self._observed_at = None
+            self._waited_s = 0.0
             return 0.0
-        if self._waiting_since is None:
-            self._waiting_since = now
-        return now - self._waiting_since
+        if self._observed_at is not None:
+            self._waited_s += min(now - self._observed_at, self._max_pass_s)
+        self._observed_at = now
+        return self._waited_s
 
 
 class CallerConnections(ConnectionManager):
@@ -44,7 +57,7 @@
     def __init__(self, server):
         super().__init__(server)
         self._accept_queue = AcceptQueue()
-        self._closable_queue = AcceptQueue()
+        self._closable_queue = AcceptQueue(max_pass_s=MAX_COUNTED_PASS_S)
 
     def _run(self, expiration_interval):
         next_expiration = time.monotonic() + expiration_interval
