Count an engine that starts again under its id as one that went down

Cause: a single cut may be a broken connection. Plain services have no load reports, and the engines' list told the crash watch only of engines that leave it. Change: an entry with another start counts like one that is gone. The stand-in engine tells its start in its entry, and keeps its id if it is back first.

--- a/tests/test_quiet_crashes.py
+++ b/tests/test_quiet_crashes.py
@@ -4,7 +4,7 @@
 import time
 import unittest
 
-from tests.utils.crashing_engine import MARK, CrashingEngine
+from tests.utils.crashing_engine import DOWN_S, MARK, CrashingEngine
 from tests.utils.platform_world import World
 
 ROUTERS = 8
@@ -20,6 +20,7 @@
 class QuietCrashesTest(unittest.TestCase):
     def setUp(self):
         self.service = "assistant"
+        self.down_s = DOWN_S
         self.answers = []
 
     def world(self):
@@ -27,7 +28,7 @@
         world = World(
             routers=ROUTERS,
             make_engines=lambda store: {
-                name: CrashingEngine(name=name, service=self.service, store=store) for name in names
+                name: CrashingEngine(name=name, service=self.service, store=store, down_s=self.down_s) for name in names
             },
         )
         self.addCleanup(world.close)
@@ -62,6 +63,12 @@
         self.service = "booking"
         self.check("GET", f"/status/{MARK}")
 
+    # Guards against the same where engines are back under their id before their entry expires.
+    def test_a_call_that_crashes_engines_which_restart_quickly(self):
+        self.service = "booking"
+        self.down_s = 2.2
+        self.check("GET", f"/status/{MARK}")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/utils/crashing_engine.py
+++ b/tests/utils/crashing_engine.py
@@ -20,9 +20,9 @@
     Parameters
     ----------
     store : Store
-        Store in which it registers: its entry expires while it is down, and is created again under another id.
+        Store in which it registers: if its entry expires while it is down, it is created again under another id.
     down_s, expiry_s : float
-        Time after a crash until it is back, and until its entry expires.
+        Time after a crash until it is back, and until its entry expires. If it is back first, it keeps its id.
 
     Attributes
     ----------
@@ -34,6 +34,7 @@
     def __init__(self, *, name, service, store, down_s=DOWN_S, expiry_s=EXPIRY_S):
         self._down_s = down_s
         self._expiry_s = expiry_s
+        self._born_ms = time.time_ns() // 1_000_000
         self.is_down = False
         self.arrivals_of_poison = []
         self.crashes = []
@@ -43,6 +44,9 @@
         self._lock = threading.Lock()
         super().__init__(name=name, service=service, events=10, pause_s=0.03)
 
+    def entry(self, state="ready"):
+        return super().entry(state) | {"born": self._born_ms}
+
     def serve(self, handler):
         if handler.path == "/v1/report":
             super().serve(handler)
@@ -86,10 +90,14 @@
         threading.Thread(target=self._come_back, daemon=True).start()
 
     def _come_back(self):
-        time.sleep(self._expiry_s)
-        self._store.delete("servers", self.name)
-        time.sleep(self._down_s - self._expiry_s)
-        self.name = f"{self._first_name}-{len(self.crashes)}"
+        if self._expiry_s < self._down_s:
+            time.sleep(self._expiry_s)
+            self._store.delete("servers", self.name)
+            time.sleep(self._down_s - self._expiry_s)
+            self.name = f"{self._first_name}-{len(self.crashes)}"
+        else:
+            time.sleep(self._down_s)
+        self._born_ms = time.time_ns() // 1_000_000
         self.resume_listening()
         self.is_down = False
         self._store.put("servers", self.name, self.entry())
--- a/wagtailtrestle/entry/crash_watch.py
+++ b/wagtailtrestle/entry/crash_watch.py
@@ -116,7 +116,7 @@
                 self._report(engine, self._detector.on_engine_down(engine, fingerprint if was_sent else None))
 
     def record_engine_down(self, engine):
-        """Process a report of the scheduler or the engines' list that an engine went down."""
+        """Process a report of the scheduler or the engines' list that an engine went down or started again."""
         self._report(engine, self._detector.on_engine_down(engine, within_s=REPORTED_DOWN_WINDOW_S))
 
     def tick(self):
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -98,7 +98,7 @@
         self._adapter = make_adapter(settings)
         self._in_force = None
         self._features = ALL_OFF
-        self._listed_engines = frozenset()
+        self._start_ms_by_engine = {}
         self._store_epoch = StoreEpoch()
         self._store = self._adapter.open_store(settings.platform_url, self._store_epoch)
         self._make_peers()
@@ -609,12 +609,17 @@
         self._features = features
 
     def _apply_engine_list(self, by_name):
-        for name in self._listed_engines - by_name.keys():
-            self._crashes.record_engine_down(name)
-        self._listed_engines = by_name.keys()
+        self._record_ended_engines({name: engine.start_ms for name, engine in by_name.items()})
         if self._configuration.in_force is not None:
             self._apply_declaration(self._configuration.in_force)
 
+    def _record_ended_engines(self, start_ms_by_engine):
+        """Tell the crash watch which engines left the list, or started again before their entry expired."""
+        for name, start_ms in self._start_ms_by_engine.items():
+            if start_ms_by_engine.get(name) != start_ms:
+                self._crashes.record_engine_down(name)
+        self._start_ms_by_engine = start_ms_by_engine
+
     def _apply_declaration(self, in_force):
         """Apply a declaration, with the engines that register themselves if the platform has such."""
         declaration = in_force.declaration
