Log from whom, how old and how late a router learns that an engine leaves

A second line tells when a router sends requests by a list that nobody proves any more. No decision changes.

--- a/tests/test_engine_list.py
+++ b/tests/test_engine_list.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+from loguru import logger
+
 from tests.utils.memory_store import MemoryStore
 from tests.utils.paused_clock import now, on_paused_clock
 from wagtailtrestle.configuration.engine_list import RELIST_INTERVAL_S, WATCH_TIMEOUT_S, EngineList
@@ -141,6 +143,27 @@
         self.assertEqual(set(followed.list.by_name), {"i-2"})
         await followed.list.close()
 
+    @on_paused_clock
+    async def test_a_departure_that_may_be_learned_late_is_a_warning_with_its_source(self):
+        # Guards against logs that don't tell how late a router learned that an engine left, and from whom.
+        followed = await self.started()
+        records = []
+        sink = logger.add(lambda line: records.append(line.record), level="WARNING")
+        self.addCleanup(logger.remove, sink)
+        followed.store.down = True
+        await asyncio.sleep(2.5)
+        followed.list.check_proof()
+        followed.list.check_proof()
+        followed.store.down = False
+        await followed.put("i-1", entry("draining"))
+        await asyncio.sleep(1.0)
+        unproved, departure = records
+        self.assertIn("not proved", unproved["message"])
+        self.assertIn("engine i-1 of assistant", departure["message"])
+        self.assertEqual(departure["extra"]["source"], "store")
+        self.assertGreater(departure["extra"]["unproved_s"], 2.0)
+        await followed.list.close()
+
     @on_paused_clock
     async def test_an_invalid_entry_does_not_affect_the_others(self):
         followed = await self.started()
--- a/wagtailtrestle/configuration/engine_list.py
+++ b/wagtailtrestle/configuration/engine_list.py
@@ -12,7 +12,7 @@
 
 from loguru import logger
 
-from wagtailtrestle.configuration.engine_relay import EngineUpdate
+from wagtailtrestle.configuration.engine_relay import EngineUpdate, RelayLimits
 from wagtailtrestle.configuration.pre_restore_engines import PreRestoreEngines
 from wagtailtrestle.configuration.store_epoch import epoch_of
 from wagtailtrestle.contracts.outcomes import StoreDone, StoreHistoryGone
@@ -84,6 +84,8 @@
         self._on_change = on_change
         self._clock = clock
         self._return_grace_s = return_grace_s
+        limits = RelayLimits() if relay is None else relay.limits
+        self._propagation_limit_s = limits.propagation_limit_s
         self._jitter = jitter or random.Random()
         self._pre_restore = PreRestoreEngines(clock=clock)
         self._version = 0
@@ -95,6 +97,7 @@
         self._answered_running_s = None
         self._missing_kept_until = None
         self._proved_at = -math.inf
+        self._is_reported_unproved = False
         self._task = None
 
     @property
@@ -102,6 +105,17 @@
         """Time since the store itself is known to have had this list; infinite before the first one."""
         return self._clock() - self._proved_at
 
+    def check_proof(self):
+        """Log when the list becomes older than the time in which a draining engine has to be known, and its end."""
+        is_unproved = self.is_known and self.proof_age_s > self._propagation_limit_s
+        if is_unproved and not self._is_reported_unproved:
+            logger.bind(version=self._version, proof_age_s=round(self.proof_age_s, 3)).warning(
+                "the list of engines is not proved any more; requests are sent by the last one"
+            )
+        elif self._is_reported_unproved and not is_unproved:
+            logger.bind(version=self._version).info("the list of engines is proved again")
+        self._is_reported_unproved = is_unproved
+
     def start(self):
         """Start the task that follows the list; must be called on the running event loop."""
         self._task = asyncio.get_running_loop().create_task(self._follow())
@@ -223,6 +237,7 @@
     def _apply_update(self, update):
         if update.is_whole and update.version < self._version:
             return  # A full list older than the version known here.
+        unproved_s = self.proof_age_s
         self._proved_at = max(self._proved_at, self._clock() - update.age_s)
         if epoch_of(update.version) != epoch_of(self._version):
             self._begin_epoch(update)
@@ -241,7 +256,7 @@
         by_name = {name: engine for name, engine in by_name.items() if name not in invalid}
         self.is_known = True
         self._update_complete_version(update)
-        self._publish(by_name, update)
+        self._publish(by_name, update, unproved_s)
 
     def _begin_epoch(self, update):
         """Handle a restore of the store: engines started since the backup need time to write their entries again."""
@@ -279,7 +294,7 @@
         elif epoch_of(self._complete_version) != epoch_of(self._version):
             self._complete_version = update.version - 1
 
-    def _publish(self, by_name, update):
+    def _publish(self, by_name, update, unproved_s):
         self._pre_restore.record_departed(self.by_name.keys() - by_name.keys())
         known, facts = _compared_fields(self.by_name), _compared_fields(by_name)
         changed = {name for name in known.keys() | facts.keys() if known.get(name) != facts.get(name)}
@@ -290,18 +305,31 @@
             )
         if not changed:
             return
-        self._log_changes(by_name)
+        self._log_changes(by_name, update, unproved_s)
         self.by_name = by_name
         self._on_change(by_name)
 
-    def _log_changes(self, by_name):
+    def _log_changes(self, by_name, update, unproved_s):
+        """Log engines that join, drain and leave, and by which answer this router learned of it.
+
+        A change may be as old as the former proof of the list. Requests may have been sent to an engine that left
+        earlier than routers have to know, so that is a warning.
+        """
+        source = logger.bind(
+            version=update.version,
+            source=update.source,
+            is_whole=update.is_whole,
+            age_s=round(update.age_s, 3),
+            unproved_s=None if math.isinf(unproved_s) else round(unproved_s, 3),
+        )
+        departure_level = "WARNING" if self._propagation_limit_s < unproved_s < math.inf else "INFO"
         for name in sorted(set(self.by_name) - set(by_name)):
-            logger.info("engine {} is no longer listed", name)
+            source.log(departure_level, "engine {} is no longer listed", name)
         for name, engine in sorted(by_name.items()):
             known = self.by_name.get(name)
             if known is None or known.leaving != engine.leaving:
-                state = "leaving" if engine.leaving else "ready"
-                logger.info("engine {} of {} at {} is {}", name, engine.service, engine.address, state)
+                state, level = ("leaving", departure_level) if engine.leaving else ("ready", "INFO")
+                source.log(level, "engine {} of {} at {} is {}", name, engine.service, engine.address, state)
 
 
 def _compared_fields(by_name):
--- a/wagtailtrestle/configuration/engine_relay.py
+++ b/wagtailtrestle/configuration/engine_relay.py
@@ -28,6 +28,8 @@
 """Time for an answer beyond the wait: a hundred times the delay between two zones."""
 MAX_HISTORY = 512
 """Changes kept for requesters: they span minutes, while each requester queries every half second."""
+STORE = "store"
+"""Source of an update that was read from the store."""
 MAX_REQUESTED_WAIT_S = 5.0
 """Longest wait that a requester may demand, so that a faulty one can't keep requests open indefinitely."""
 
@@ -47,20 +49,25 @@
         Seconds since the store itself returned this data.
     written_names : frozenset of str
         In a full list, the engines whose entries were certainly written in the store's present epoch.
-    is_relayed : bool
-        Whether another router sent the update.
+    source : str
+        Name of the router that sent the update, or ``STORE``.
     """
 
-    __slots__ = ("version", "value_by_name", "is_whole", "age_s", "written_names", "is_relayed")
+    __slots__ = ("version", "value_by_name", "is_whole", "age_s", "written_names", "source")
 
-    def __init__(self, *, version, value_by_name, is_whole, age_s=0.0, written_names=frozenset(), is_relayed=False):
-        self.is_relayed = is_relayed
+    def __init__(self, *, version, value_by_name, is_whole, age_s=0.0, written_names=frozenset(), source=STORE):
+        self.source = source
         self.age_s = age_s
         self.written_names = written_names
         self.version = version
         self.value_by_name = value_by_name
         self.is_whole = is_whole
 
+    @property
+    def is_relayed(self):
+        """Whether another router sent the update."""
+        return self.source != STORE
+
 
 class RelayLimits:
     """Waits and ages with which a draining engine becomes known to all routers in time, as shares of that time.
@@ -76,6 +83,7 @@
 
     Attributes
     ----------
+    propagation_limit_s : float
     watch_s : float
         Longest watch of a reader: each answer, even an empty one, renews the proof of its list.
     wait_s : float
@@ -84,10 +92,10 @@
         Maximum age of an accepted proof: a watch, and a slow reader's delays.
     """
 
-    __slots__ = ("watch_s", "wait_s", "max_age_s")
+    __slots__ = ("propagation_limit_s", "watch_s", "wait_s", "max_age_s")
 
     def __init__(self, *, propagation_limit_s=DEFAULT_PROPAGATION_LIMIT_S):
-        limit_s = min(propagation_limit_s, MAX_PROPAGATION_LIMIT_S)
+        limit_s = self.propagation_limit_s = min(propagation_limit_s, MAX_PROPAGATION_LIMIT_S)
         self.watch_s = WATCH_SHARE * limit_s
         self.wait_s = WAIT_SHARE * limit_s
         self.max_age_s = MAX_AGE_SHARE * limit_s
@@ -178,7 +186,7 @@
             value_by_name={entry.name: json.loads(entry.value) if entry.value else None for entry in answer.entries},
             is_whole=answer.is_whole,
             age_s=answer.age_s + transit_s,
-            is_relayed=True,
+            source=reader,
         )
 
     # Answers to other routers.
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -735,6 +735,8 @@
         while True:
             await asyncio.sleep(TICK_S)
             self._running_time.running_s()
+            if self._engine_list is not None:
+                self._engine_list.check_proof()
             self._callers.deliver_deferred()
             self._schedulers.tick()
             self._crashes.tick()
