--- a/tests/test_engine_list.py
+++ b/tests/test_engine_list.py
@@ -151,15 +151,15 @@
         sink = logger.add(lambda line: records.append(line.record), level="WARNING")
         self.addCleanup(logger.remove, sink)
         followed.store.down = True
-        await asyncio.sleep(2.5)
+        await asyncio.sleep(2 * WATCH_TIMEOUT_S + 0.5)
         followed.list.check_proof()
         followed.list.check_proof()
         followed.store.down = False
         await followed.put("i-1", entry("draining"))
-        await asyncio.sleep(1.0)
-        unproved, departure = records
-        self.assertIn("not proved", unproved["message"])
-        self.assertIn("engine i-1 of assistant", departure["message"])
+        await asyncio.sleep(1.5)
+        (unproved,) = [record for record in records if "is not proved any more" in record["message"]]
+        (departure,) = [record for record in records if "engine i-1 of assistant" in record["message"]]
+        self.assertGreater(unproved["extra"]["proof_age_s"], 2.0)
         self.assertEqual(departure["extra"]["source"], "store")
         self.assertGreater(departure["extra"]["unproved_s"], 2.0)
         await followed.list.close()
