Relay each change of an engine's entry with the store's version of it

Callers' requests reached engines that had left, for up to 22 s, through routers that had no fault of their own. A router that gets a change from a reader that holds removals back is told a version before that change. It recorded the change under its own version, so that a router which asked it later, already at that version, got nothing, then a higher version, and never heard of the change. Class: a position in a log that is made up by the receiver.

Entries carry their own version now, from the store to the last router; an entry older than the one known is dropped, which also keeps a draining engine from turning ready by an answer that is behind. A router of the former code sends no version; its answer's version stands in, as before.

--- a/tests/test_engine_relay.py
+++ b/tests/test_engine_relay.py
@@ -347,7 +347,7 @@
             readers=StoreReaders(name=reader, members=lambda: NAMES, clock=clock),
             clock=clock,
         )
-        fresh.record_update(version=50, age_s=0.0, changed={"i-9": entry(address="10.0.0.9:80")})
+        fresh.record_update(version=50, age_s=0.0, changed={"i-9": (50, entry(address="10.0.0.9:80"))})
         fleet.members_by_router[other] = (reader,)
         update = await fleet.relay_by_router[other].fetch_update(3)
         self.assertTrue(update.is_whole)
--- a/wagtailtrestle/configuration/engine_list.py
+++ b/wagtailtrestle/configuration/engine_list.py
@@ -29,6 +29,8 @@
 query a store that keeps no history a hundred times a second."""
 DEFAULT_RETURN_GRACE_S = 2.0
 """How long engines need after an outage to write their entries again."""
+MAX_REMOVALS = 512
+"""Removed entries whose versions are remembered; answers that are older than the last of them are rejected for age."""
 MIN_OUTAGE_S = 0.8
 """Without an answer for this long beyond a watch, the store may have let entries expire."""
 
@@ -89,6 +91,7 @@
         self._jitter = jitter or random.Random()
         self._pre_restore = PreRestoreEngines(clock=clock)
         self._version = 0
+        self._version_by_name = {}
         self._complete_version = 0
         self._holds_removals = False
         self._first_version = 0
@@ -187,9 +190,16 @@
             self._listed_at = None
             return None
         value_by_name = {name: value for name, _, value in outcome.value}
+        version_by_name = {name: version for name, version, _ in outcome.value}
         # A watch without events is answered at its timeout and proves the list up to that moment.
         age_s = 0.0 if value_by_name else max(0.0, self._clock() - began_at - watch_s)
-        return EngineUpdate(version=outcome.version, value_by_name=value_by_name, is_whole=False, age_s=age_s)
+        return EngineUpdate(
+            version=outcome.version,
+            value_by_name=value_by_name,
+            version_by_name=version_by_name,
+            is_whole=False,
+            age_s=age_s,
+        )
 
     async def _read_full_list(self):
         began_at = self._clock()
@@ -201,6 +211,7 @@
         return EngineUpdate(
             version=outcome.version,
             value_by_name={name: value for name, (_, value) in outcome.value.items()},
+            version_by_name={name: version for name, (version, _) in outcome.value.items()},
             is_whole=True,
             # The list is valid as of the request; a delay in transit adds to its age.
             age_s=self._listed_at - began_at,
@@ -242,15 +253,14 @@
         if epoch_of(update.version) != epoch_of(self._version):
             self._begin_epoch(update)
         self._version = max(self._version, update.version)
-        gone = {name for name, value in update.value_by_name.items() if value is None}
-        read = {
-            name: self._read_entry(name, value) for name, value in update.value_by_name.items() if value is not None
-        }
+        newer = self._newer_entries(update)
+        gone = {name for name, value in newer.items() if value is None}
+        read = {name: self._read_entry(name, value) for name, value in newer.items() if value is not None}
         listed = {name: engine for name, engine in read.items() if engine is not None}
         invalid = read.keys() - listed.keys()
-        self._pre_restore.record_written(update.written_names if update.is_whole else listed.keys())
+        self._pre_restore.record_written(update.written_names & newer.keys() if update.is_whole else listed.keys())
         listed = self._pre_restore.corrected(listed)
-        by_name = self._from_full_list(listed) if update.is_whole else self._from_changes(listed, gone)
+        by_name = self._from_full_list(listed, update) if update.is_whole else self._from_changes(listed, gone)
         # An invalid entry was overwritten by another writer and no longer describes its engine. The
         # engine is listed again once it writes its entry itself.
         by_name = {name: engine for name, engine in by_name.items() if name not in invalid}
@@ -258,6 +268,20 @@
         self._update_complete_version(update)
         self._publish(by_name, update, unproved_s)
 
+    def _newer_entries(self, update):
+        """Return the entries that are not older than those known here, and record their versions.
+
+        Answers of two readers may arrive in another order than their versions: an entry that is `ready` in the later
+        one may have been `draining` in the earlier one.
+        """
+        newer = {}
+        for name, value in update.value_by_name.items():
+            version = update.version_by_name[name]
+            if version >= self._version_by_name.get(name, 0):
+                self._version_by_name[name] = version
+                newer[name] = value
+        return newer
+
     def _begin_epoch(self, update):
         """Handle a restore of the store: engines started since the backup need time to write their entries again."""
         self._first_version = update.version
@@ -268,14 +292,17 @@
             # Only readers of the store wait for them; they relay the engines they keep to the others.
             self._missing_kept_until = self._clock() + self._return_grace_s
 
-    def _from_full_list(self, listed):
+    def _from_full_list(self, listed, update):
         """The engines after a full list; entries that expired in an outage are kept for the grace period."""
+        later = {
+            name: engine for name, engine in self.by_name.items() if self._version_by_name.get(name, 0) > update.version
+        }
         if self._missing_kept_until is not None and self._clock() < self._missing_kept_until:
-            self._holds_removals = bool(self.by_name.keys() - listed.keys())
+            self._holds_removals = bool(self.by_name.keys() - listed.keys() - later.keys())
             return {**self.by_name, **listed}
         self._missing_kept_until = None
         self._holds_removals = False
-        return listed
+        return {**later, **listed}
 
     def _from_changes(self, listed, gone):
         """The engines after incremental changes."""
@@ -298,10 +325,13 @@
         self._pre_restore.record_departed(self.by_name.keys() - by_name.keys())
         known, facts = _compared_fields(self.by_name), _compared_fields(by_name)
         changed = {name for name in known.keys() | facts.keys() if known.get(name) != facts.get(name)}
+        self._record_removals(self.by_name.keys() - by_name.keys(), update)
         if self._relay is not None:
             values = {name: update.value_by_name[name] if name in by_name else None for name in changed}
             self._relay.record_update(
-                version=self._complete_version, changed_at=self._version, age_s=update.age_s, changed=values
+                version=self._complete_version,
+                age_s=update.age_s,
+                changed={name: (self._version_by_name[name], value) for name, value in values.items()},
             )
         if not changed:
             return
@@ -309,6 +339,18 @@
         self.by_name = by_name
         self._on_change(by_name)
 
+    def _record_removals(self, names, update):
+        """Record the versions of removals, so that an older answer does not list their engines again."""
+        for name in names:
+            # An entry that is missing from a full list was removed at some version up to that of the list. A removal
+            # that was held back is applied now, and later than all that other routers were told.
+            self._version_by_name[name] = max(self._version_by_name.get(name, 0), update.version)
+        surplus = len(self._version_by_name) - len(self.by_name) - MAX_REMOVALS
+        if surplus > 0:
+            removed = self._version_by_name.keys() - self.by_name.keys()
+            for name in sorted(removed, key=self._version_by_name.__getitem__)[:surplus]:
+                del self._version_by_name[name]
+
     def _log_changes(self, by_name, update, unproved_s):
         """Log engines that join, drain and leave, and by which answer this router learned of it.
 
--- a/wagtailtrestle/configuration/engine_relay.py
+++ b/wagtailtrestle/configuration/engine_relay.py
@@ -43,6 +43,8 @@
         The store's version up to which the update is complete.
     value_by_name : dict of str to object
         The store's value for each engine; ``None`` for a deleted entry.
+    version_by_name : dict of str to int
+        The store's version of each entry, which may be later than ``version``.
     is_whole : bool
         Whether the update holds all entries instead of the changed ones.
     age_s : float
@@ -53,9 +55,20 @@
         Name of the router that sent the update, or ``STORE``.
     """
 
-    __slots__ = ("version", "value_by_name", "is_whole", "age_s", "written_names", "source")
-
-    def __init__(self, *, version, value_by_name, is_whole, age_s=0.0, written_names=frozenset(), source=STORE):
+    __slots__ = ("version", "value_by_name", "version_by_name", "is_whole", "age_s", "written_names", "source")
+
+    def __init__(
+        self,
+        *,
+        version,
+        value_by_name,
+        version_by_name,
+        is_whole,
+        age_s=0.0,
+        written_names=frozenset(),
+        source=STORE,
+    ):
+        self.version_by_name = version_by_name
         self.source = source
         self.age_s = age_s
         self.written_names = written_names
@@ -125,9 +138,10 @@
         self._clock = clock
         self._version = 0
         self._proved_at = None
-        self._text_by_name = {}
+        self._entry_by_name = {}
         self._history = deque()
         self._history_from = 0
+        self._newest_version = 0
         self._changed = asyncio.Event()
         self._changes_total = 0
         self._changes_sent_by_peer = {}
@@ -184,6 +198,7 @@
         return EngineUpdate(
             version=answer.version,
             value_by_name={entry.name: json.loads(entry.value) if entry.value else None for entry in answer.entries},
+            version_by_name={entry.name: entry.version or answer.version for entry in answer.entries},
             is_whole=answer.is_whole,
             age_s=answer.age_s + transit_s,
             source=reader,
@@ -191,7 +206,7 @@
 
     # Answers to other routers.
 
-    def record_update(self, *, version, age_s, changed, changed_at=None):
+    def record_update(self, *, version, age_s, changed):
         """Record an update from the store or from a reader.
 
         Parameters
@@ -201,12 +216,11 @@
         age_s : float
             Seconds since the store itself returned the data. If the age restarted at each router, two routers
             that query each other would accept each other's list indefinitely without the store.
-        changed : dict of str to object
-            The entries changed since the last call, ``None`` for a deleted one.
-        changed_at : int, optional
-            The store's version of these entries, later than ``version`` while changes are held back.
+        changed : dict of str to tuple of (int, object)
+            The store's version and value of the entries changed since the last call, ``None`` for a deleted one. A
+            change may be later than ``version``, while changes are held back here or at the reader that sent it.
+            Recorded under any other version, it would be skipped by routers that already have that version.
         """
-        changed_at = version if changed_at is None else changed_at
         if self._proved_at is None:
             self._history_from = version
             self._proved_at = -math.inf
@@ -215,10 +229,10 @@
             # A requester with a version of the former epoch may hold changes that the store has lost and that never
             # arrived here: it gets the full list.
             self._history.clear()
-            self._history_from = version
+            self._history_from = self._newest_version = version
             self._wake_requesters()
         self._version = max(self._version, version)
-        for name, value in changed.items():
+        for name, (changed_at, value) in changed.items():
             self._record_change(name, value, changed_at)
         self._changes_total += len(changed)
         if not self._holds_changes():
@@ -231,18 +245,19 @@
         self._changed = asyncio.Event()
 
     def _record_change(self, name, value, changed_at):
-        text = "" if value is None else json.dumps(value)
-        if text:
-            self._text_by_name[name] = text
+        entry = EngineEntry(name=name, value="" if value is None else json.dumps(value), version=changed_at)
+        if entry.value:
+            self._entry_by_name[name] = entry
         else:
-            self._text_by_name.pop(name, None)
-        self._history.append((changed_at, EngineEntry(name=name, value=text)))
+            self._entry_by_name.pop(name, None)
+        self._newest_version = max(self._newest_version, changed_at)
+        self._history.append(entry)
         while len(self._history) > MAX_HISTORY:
-            self._history_from, _ = self._history.popleft()
+            self._history_from = max(self._history_from, self._history.popleft().version)
 
     def _holds_changes(self):
         """Whether entries are later than the version told, which then can't tell what a requester has got."""
-        return bool(self._history) and self._history[-1][0] > self._version
+        return self._newest_version > self._version
 
     def _has_news(self, peer, version):
         if self._holds_changes() and version >= self._version:
@@ -275,12 +290,12 @@
             return
 
     def _all_entries(self):
-        return [EngineEntry(name=name, value=text) for name, text in sorted(self._text_by_name.items())]
+        return [entry for _, entry in sorted(self._entry_by_name.items())]
 
     def _entries_after(self, version):
         if version < self._history_from:
             return self._all_entries()
-        return [entry for changed_at, entry in self._history if changed_at > version]
+        return [entry for entry in self._history if entry.version > version]
 
     def _rejection_reason(self, answer, transit_s, version):
         """Return why an answer can't be accepted, or ``None``."""
--- a/wagtailtrestle/contracts/peer_messages.py
+++ b/wagtailtrestle/contracts/peer_messages.py
@@ -174,10 +174,13 @@
     name : str
     value : str
         The stored value as JSON; empty if the entry was removed.
+    version : int
+        The store's version of this state of the entry; 0 from a router that does not send it.
     """
 
     name: str
     value: str
+    version: int = 0
 
 
 @record
