--- a/wagtailtrestle/configuration/engine_list.py
+++ b/wagtailtrestle/configuration/engine_list.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from wagtailtrestle.configuration.engine_relay import EngineUpdate, RelayLimits
+from wagtailtrestle.configuration.entry_versions import EntryVersions
 from wagtailtrestle.configuration.pre_restore_engines import PreRestoreEngines
 from wagtailtrestle.configuration.store_epoch import epoch_of
 from wagtailtrestle.contracts.outcomes import StoreDone, StoreHistoryGone
@@ -29,8 +30,6 @@
 query a store that keeps no history a hundred times a second."""
 DEFAULT_RETURN_GRACE_S = 2.0
 """How long engines need after an outage to write their entries again."""
-MAX_REMOVALS = 512
-"""Removed entries whose versions are remembered; answers that are older than the last of them are rejected for age."""
 MIN_OUTAGE_S = 0.8
 """Without an answer for this long beyond a watch, the store may have let entries expire."""
 
@@ -91,7 +90,7 @@
         self._jitter = jitter or random.Random()
         self._pre_restore = PreRestoreEngines(clock=clock)
         self._version = 0
-        self._version_by_name = {}
+        self._entry_versions = EntryVersions()
         self._complete_version = 0
         self._holds_removals = False
         self._first_version = 0
@@ -253,7 +252,7 @@
         if epoch_of(update.version) != epoch_of(self._version):
             self._begin_epoch(update)
         self._version = max(self._version, update.version)
-        newer = self._newer_entries(update)
+        newer = self._entry_versions.record(update)
         gone = {name for name, value in newer.items() if value is None}
         read = {name: self._read_entry(name, value) for name, value in newer.items() if value is not None}
         listed = {name: engine for name, engine in read.items() if engine is not None}
@@ -268,20 +267,6 @@
         self._update_complete_version(update)
         self._publish(by_name, update, unproved_s)
 
-    def _newer_entries(self, update):
-        """Return the entries that are not older than those known here, and record their versions.
-
-        Answers of two readers may arrive in another order than their versions: an entry that is `ready` in the later
-        one may have been `draining` in the earlier one.
-        """
-        newer = {}
-        for name, value in update.value_by_name.items():
-            version = update.version_by_name[name]
-            if version >= self._version_by_name.get(name, 0):
-                self._version_by_name[name] = version
-                newer[name] = value
-        return newer
-
     def _begin_epoch(self, update):
         """Handle a restore of the store: engines started since the backup need time to write their entries again."""
         self._first_version = update.version
@@ -295,7 +280,7 @@
     def _from_full_list(self, listed, update):
         """The engines after a full list; entries that expired in an outage are kept for the grace period."""
         later = {
-            name: engine for name, engine in self.by_name.items() if self._version_by_name.get(name, 0) > update.version
+            name: engine for name, engine in self.by_name.items() if self._entry_versions.is_later(name, update.version)
         }
         if self._missing_kept_until is not None and self._clock() < self._missing_kept_until:
             self._holds_removals = bool(self.by_name.keys() - listed.keys() - later.keys())
@@ -325,13 +310,14 @@
         self._pre_restore.record_departed(self.by_name.keys() - by_name.keys())
         known, facts = _compared_fields(self.by_name), _compared_fields(by_name)
         changed = {name for name in known.keys() | facts.keys() if known.get(name) != facts.get(name)}
-        self._record_removals(self.by_name.keys() - by_name.keys(), update)
+        removed = self.by_name.keys() - by_name.keys()
+        self._entry_versions.record_removals(removed, version=update.version, listed=by_name.keys())
         if self._relay is not None:
             values = {name: update.value_by_name[name] if name in by_name else None for name in changed}
             self._relay.record_update(
                 version=self._complete_version,
                 age_s=update.age_s,
-                changed={name: (self._version_by_name[name], value) for name, value in values.items()},
+                changed={name: (self._entry_versions[name], value) for name, value in values.items()},
             )
         if not changed:
             return
@@ -339,18 +325,6 @@
         self.by_name = by_name
         self._on_change(by_name)
 
-    def _record_removals(self, names, update):
-        """Record the versions of removals, so that an older answer does not list their engines again."""
-        for name in names:
-            # An entry that is missing from a full list was removed at some version up to that of the list. A removal
-            # that was held back is applied now, and later than all that other routers were told.
-            self._version_by_name[name] = max(self._version_by_name.get(name, 0), update.version)
-        surplus = len(self._version_by_name) - len(self.by_name) - MAX_REMOVALS
-        if surplus > 0:
-            removed = self._version_by_name.keys() - self.by_name.keys()
-            for name in sorted(removed, key=self._version_by_name.__getitem__)[:surplus]:
-                del self._version_by_name[name]
-
     def _log_changes(self, by_name, update, unproved_s):
         """Log engines that join, drain and leave, and by which answer this router learned of it.
 
