Compare the lists of engines of a reader and of the routers that ask it

Callers' requests reached engines that had left, through routers without a fault. A router relays the changes that it has seen. An engine that came and went while the reader was frozen or without the store is in none of them: the full list with which the reader goes on doesn't hold it. A router that had seen the engine come, by another reader, was told the version of that list and kept the engine for good, as it reads no full list while readers answer it. Class: changes after a version, from a history that has a hole.

Each answer carries a digest of the engines known at its version (8 bytes). Where it differs, all entries are requested at once, and again after 0.5 to 8 s if even they differ, as between routers of two versions of the code. No digest is told while removals are held back or a restored store is corrected.

--- a/tests/test_engine_relay.py
+++ b/tests/test_engine_relay.py
@@ -6,7 +6,7 @@
 from tests.utils.memory_store import MemoryStore
 from tests.utils.paused_clock import on_paused_clock
 from wagtailtrestle.configuration.engine_list import DEFAULT_RETURN_GRACE_S, EngineList
-from wagtailtrestle.configuration.engine_relay import EngineRelay, RelayLimits
+from wagtailtrestle.configuration.engine_relay import EngineRelay, EngineUpdate, RelayLimits
 from wagtailtrestle.configuration.store_readers import MIN_READERS, READERS_KEY, StoreReaders
 from wagtailtrestle.contracts.outcomes import StoreDone
 from wagtailtrestle.contracts.peer_messages import PeerUnreachable
@@ -35,6 +35,15 @@
     } | changes
 
 
+def update_of(version, entries, *, is_whole=False):
+    return EngineUpdate(
+        version=version,
+        value_by_name={name: value for name, (_, value) in entries.items()},
+        version_by_name={name: at for name, (at, _) in entries.items()},
+        is_whole=is_whole,
+    )
+
+
 class Network:
     """Carries requests between routers in memory."""
 
@@ -297,6 +306,75 @@
         self.assertEqual(fleet.routers_that_list("i-1"), set())
         await fleet.close()
 
+    @on_paused_clock
+    async def test_a_later_change_is_relayed_by_a_router_that_heard_of_it_early(self):
+        # Guards against a router that relays a change under its own version: routers that have this version skip it.
+        holding, middle, last = NAMES[:3]
+        fleet = Fleet(members={holding: (holding,), middle: (holding,), last: (middle,)})
+        entries = {"i-1": (10, entry()), "i-2": (10, entry(address="10.0.0.2:80"))}
+        for name in (holding, middle, last):
+            fleet.list_by_router[name]._apply_update(update_of(10, entries, is_whole=True))
+        # The removal of i-1 is held back at the reader; the two others have it from elsewhere.
+        fleet.list_by_router[holding]._missing_kept_until = 10.0
+        for name in (holding, middle, last):
+            fleet.list_by_router[name]._apply_update(update_of(13, {"i-1": (12, None)}))
+        draining = entry("draining", address="10.0.0.2:80")
+        fleet.list_by_router[holding]._apply_update(update_of(15, {"i-2": (15, draining)}))
+        for name in (middle, last):
+            self.assertTrue(await fleet.list_by_router[name]._step())
+            self.assertTrue(fleet.list_by_router[name].by_name["i-2"].leaving, name)
+
+    @on_paused_clock
+    async def test_an_older_state_of_an_entry_replaces_no_newer_one(self):
+        # Guards against a draining engine that is ready again for a router that asks a second reader, which is behind.
+        fleet = Fleet()
+        engines = fleet.list_by_router[NAMES[0]]
+        engines._apply_update(update_of(10, {"i-1": (9, entry()), "i-2": (8, entry())}, is_whole=True))
+        engines._apply_update(update_of(10, {"i-1": (14, entry("draining")), "i-2": (15, None)}))
+        engines._apply_update(update_of(12, {"i-1": (11, entry()), "i-2": (12, entry())}))
+        engines._apply_update(update_of(13, {"i-1": (11, entry()), "i-2": (12, entry())}, is_whole=True))
+        self.assertTrue(engines.by_name["i-1"].leaving)
+        self.assertEqual(set(engines.by_name), {"i-1"})
+
+    @on_paused_clock
+    async def test_an_engine_that_came_and_went_unseen_by_a_reader_is_dropped(self):
+        # Guards against an engine that a router keeps for good, as its present reader was out of touch with the store
+        # while the engine came and went, and relays no removal.
+        reader, requester = NAMES[:2]
+        fleet = Fleet(members={reader: (reader,), requester: (reader,)})
+        entries = {"i-1": (10, entry())}
+        for name in (reader, requester):
+            fleet.list_by_router[name]._apply_update(update_of(10, entries, is_whole=True))
+        fleet.list_by_router[requester]._apply_update(update_of(11, {"i-9": (11, entry(address="10.0.0.9:80"))}))
+        fleet.list_by_router[reader]._apply_update(update_of(13, entries, is_whole=True))
+        for _ in range(2):
+            self.assertTrue(await fleet.list_by_router[requester]._step())
+        self.assertEqual(set(fleet.list_by_router[requester].by_name), {"i-1"})
+        asked = fleet.relay_by_router[requester].dump()["asked_total"]
+        await fleet.list_by_router[requester]._step()
+        self.assertEqual(fleet.relay_by_router[requester].dump()["differences_total"], 1)
+        self.assertEqual(fleet.relay_by_router[requester].dump()["asked_total"], asked + 1)
+
+    @on_paused_clock
+    async def test_whole_lists_that_differ_are_not_requested_all_the_time(self):
+        # Guards against two versions of the code that read an entry differently, and fill the links with full lists.
+        reader, requester = NAMES[:2]
+        fleet = Fleet(members={reader: (reader,), requester: (reader,)})
+        fleet.list_by_router[requester]._read_entry = lambda name, value: None
+        wholes = []
+        answer = fleet.relay_by_router[reader]._answer
+
+        async def counted(peer, request):
+            wholes.append(request.version == 0)
+            return await answer(peer, request)
+
+        fleet.relay_by_router[reader]._answer = counted
+        await fleet.start()
+        await asyncio.sleep(60.0)
+        self.assertGreater(sum(wholes), 3)
+        self.assertLess(sum(wholes), 16)
+        await fleet.close()
+
     @on_paused_clock
     async def test_two_routers_that_query_each_other_return_to_the_store(self):
         # Views differ, and each router considers another one the reader. If the answer's age restarted
--- a/wagtailtrestle/configuration/engine_list.py
+++ b/wagtailtrestle/configuration/engine_list.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import hashlib
 import math
 import random
 
@@ -30,6 +31,7 @@
 query a store that keeps no history a hundred times a second."""
 DEFAULT_RETURN_GRACE_S = 2.0
 """How long engines need after an outage to write their entries again."""
+DIGEST_BYTES = 8
 MIN_OUTAGE_S = 0.8
 """Without an answer for this long beyond a watch, the store may have let entries expire."""
 
@@ -92,6 +94,7 @@
         self._version = 0
         self._entry_versions = EntryVersions()
         self._complete_version = 0
+        self._digest = 0
         self._holds_removals = False
         self._first_version = 0
         self._listed_at = None
@@ -279,9 +282,7 @@
 
     def _from_full_list(self, listed, update):
         """The engines after a full list; entries that expired in an outage are kept for the grace period."""
-        later = {
-            name: engine for name, engine in self.by_name.items() if self._entry_versions.is_later(name, update.version)
-        }
+        later = {name: engine for name, engine in self.by_name.items() if self._is_later(name, update)}
         if self._missing_kept_until is not None and self._clock() < self._missing_kept_until:
             self._holds_removals = bool(self.by_name.keys() - listed.keys() - later.keys())
             return {**self.by_name, **listed}
@@ -289,6 +290,10 @@
         self._holds_removals = False
         return {**later, **listed}
 
+    def _is_later(self, name, update):
+        """Whether an engine is known here at a version later than that in a full list."""
+        return self._entry_versions.is_later(name, update.version_by_name.get(name, update.version))
+
     def _from_changes(self, listed, gone):
         """The engines after incremental changes."""
         by_name = {**self.by_name, **listed}
@@ -310,6 +315,7 @@
         self._pre_restore.record_departed(self.by_name.keys() - by_name.keys())
         known, facts = _compared_fields(self.by_name), _compared_fields(by_name)
         changed = {name for name in known.keys() | facts.keys() if known.get(name) != facts.get(name)}
+        self._digest = self._digest if self._digest and not changed else _digest_of(facts)
         removed = self.by_name.keys() - by_name.keys()
         self._entry_versions.record_removals(removed, version=update.version, listed=by_name.keys())
         if self._relay is not None:
@@ -318,7 +324,9 @@
                 version=self._complete_version,
                 age_s=update.age_s,
                 changed={name: (self._entry_versions[name], value) for name, value in values.items()},
+                digest=0 if self._holds_removals or self._pre_restore.counts else self._digest,
             )
+            self._relay.compare(update)
         if not changed:
             return
         self._log_changes(by_name, update, unproved_s)
@@ -348,6 +356,12 @@
                 source.log(level, "engine {} of {} at {} is {}", name, engine.service, engine.address, state)
 
 
+def _digest_of(facts):
+    """Return a number by which two routers tell whether they know the same engines; never 0."""
+    text = repr(sorted(facts.items()))
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).digest(), "big") or 1
+
+
 def _compared_fields(by_name):
     """The engines' fields whose change is reported to ``on_change``; entries also change in other fields."""
     return {
--- a/wagtailtrestle/configuration/engine_relay.py
+++ b/wagtailtrestle/configuration/engine_relay.py
@@ -28,6 +28,8 @@
 """Time for an answer beyond the wait: a hundred times the delay between two zones."""
 MAX_HISTORY = 512
 """Changes kept for requesters: they span minutes, while each requester queries every half second."""
+MIN_RESYNC_DELAY_S = 0.5
+MAX_RESYNC_DELAY_S = 8.0
 STORE = "store"
 """Source of an update that was read from the store."""
 MAX_REQUESTED_WAIT_S = 5.0
@@ -53,9 +55,20 @@
         In a full list, the engines whose entries were certainly written in the store's present epoch.
     source : str
         Name of the router that sent the update, or ``STORE``.
+    digest : int
+        Digest of the engines that the sender knows at ``version``; 0 for none.
     """
 
-    __slots__ = ("version", "value_by_name", "version_by_name", "is_whole", "age_s", "written_names", "source")
+    __slots__ = (
+        "version",
+        "value_by_name",
+        "version_by_name",
+        "is_whole",
+        "age_s",
+        "written_names",
+        "source",
+        "digest",
+    )
 
     def __init__(
         self,
@@ -67,7 +80,9 @@
         age_s=0.0,
         written_names=frozenset(),
         source=STORE,
+        digest=0,
     ):
+        self.digest = digest
         self.version_by_name = version_by_name
         self.source = source
         self.age_s = age_s
@@ -142,11 +157,15 @@
         self._history = deque()
         self._history_from = 0
         self._newest_version = 0
+        self._digest = 0
+        self._resync_at = None
+        self._resync_delay_s = MIN_RESYNC_DELAY_S
         self._changed = asyncio.Event()
         self._changes_total = 0
         self._changes_sent_by_peer = {}
         self.asked_total = 0
         self.failed_total = 0
+        self.differences_total = 0
         peers.on(EnginesAsk, lambda peer, request, cell: self._answer(peer, request))
 
     def dump(self):
@@ -157,6 +176,7 @@
             "proof_age_s": None if self._proved_at is None else round(self._clock() - self._proved_at, 3),
             "asked_total": self.asked_total,
             "failed_total": self.failed_total,
+            "differences_total": self.differences_total,
         }
 
     # Queries to other routers.
@@ -182,7 +202,8 @@
         """Query one reader; ``None`` if its answer can't be accepted."""
         self.asked_total += 1
         requested_at = self._clock()
-        answer = await self._peers.query(reader, EnginesAsk(version=version, wait_s=wait_s), wait_s + ANSWER_TIMEOUT_S)
+        request = EnginesAsk(version=self._version_to_request(version), wait_s=wait_s)
+        answer = await self._peers.query(reader, request, wait_s + ANSWER_TIMEOUT_S)
         # The full transit time counts as age: the age in the answer does not include delays on the link.
         transit_s = max(0.0, self._clock() - requested_at - getattr(answer, "waited_s", 0.0))
         problem = self._rejection_reason(answer, transit_s, version)
@@ -202,11 +223,40 @@
             is_whole=answer.is_whole,
             age_s=answer.age_s + transit_s,
             source=reader,
+            digest=answer.digest,
         )
 
+    def compare(self, update):
+        """Compare the list here with that of the router that sent an update, after the update was recorded.
+
+        A reader can relay only changes that it has seen. An engine that came and went while it was out of touch with
+        the store is in none of them: a router that has seen the engine come would keep it until the next full list.
+        """
+        is_comparable = update.digest and self._digest and not self._holds_changes()
+        if not is_comparable or update.version != self._version:
+            return
+        if update.digest == self._digest:
+            self._resync_at = None
+            self._resync_delay_s = MIN_RESYNC_DELAY_S
+        elif self._resync_at is None:
+            self._resync_at = self._clock()
+            self.differences_total += 1
+            logger.bind(reader=update.source, version=update.version).warning(
+                "the list of engines differs from that of the router that reads it; requesting all entries"
+            )
+
+    def _version_to_request(self, version):
+        """The version after which to request changes; 0 for all entries if the lists were found to differ."""
+        if self._resync_at is None or self._clock() < self._resync_at:
+            return version
+        # If even the whole lists differ, as between routers of different code, they are not requested all the time.
+        self._resync_at = self._clock() + self._resync_delay_s
+        self._resync_delay_s = min(MAX_RESYNC_DELAY_S, 2 * self._resync_delay_s)
+        return 0
+
     # Answers to other routers.
 
-    def record_update(self, *, version, age_s, changed):
+    def record_update(self, *, version, age_s, changed, digest=0):
         """Record an update from the store or from a reader.
 
         Parameters
@@ -220,7 +270,10 @@
             The store's version and value of the entries changed since the last call, ``None`` for a deleted one. A
             change may be later than ``version``, while changes are held back here or at the reader that sent it.
             Recorded under any other version, it would be skipped by routers that already have that version.
+        digest : int
+            Digest of the engines known here; 0 if they differ from the store's, such as while removals are held back.
         """
+        self._digest = digest
         if self._proved_at is None:
             self._history_from = version
             self._proved_at = -math.inf
@@ -280,6 +333,7 @@
             waited_s=self._clock() - requested_at,
             is_whole=is_whole,
             entries=tuple(self._all_entries() if is_whole else self._entries_after(request.version)),
+            digest=0 if self._holds_changes() else self._digest,
         )
 
     async def _wait_for_change(self, wait_s):
--- a/wagtailtrestle/contracts/peer_messages.py
+++ b/wagtailtrestle/contracts/peer_messages.py
@@ -198,6 +198,8 @@
     is_whole : bool
         Whether ``entries`` is the complete list rather than the changes.
     entries : tuple of EngineEntry
+    digest : int
+        Digest of the engines that the peer knows at ``version``; 0 if it knows others, or does not send it.
     """
 
     version: int
@@ -205,6 +207,7 @@
     waited_s: float
     is_whole: bool
     entries: tuple
+    digest: int = 0
 
 
 @record
