Prove no list to other routers while removals are held back after an outage of this router's own

Requests reached an engine for up to 2.3 s after its entry was gone, through routers that were in touch with the store. A reader that lost the store alone ignores removals for two seconds, as entries expire in an outage. Its answers had a young age all the same, so routers that asked it as their second reader kept the engine as long.

After a restore, which concerns all routers, readers still tell the engines that they keep.

--- a/tests/test_engine_relay.py
+++ b/tests/test_engine_relay.py
@@ -4,7 +4,7 @@
 import unittest
 
 from tests.utils.memory_store import MemoryStore
-from tests.utils.paused_clock import on_paused_clock
+from tests.utils.paused_clock import now, on_paused_clock
 from wagtailtrestle.configuration.engine_list import DEFAULT_RETURN_GRACE_S, EngineList
 from wagtailtrestle.configuration.engine_relay import EngineRelay, EngineUpdate, RelayLimits
 from wagtailtrestle.configuration.store_readers import MIN_READERS, READERS_KEY, StoreReaders
@@ -375,6 +375,27 @@
         self.assertLess(sum(wholes), 16)
         await fleet.close()
 
+    @on_paused_clock
+    async def test_a_reader_that_holds_removals_back_proves_no_list(self):
+        # Guards against a reader that lost the store alone: while it ignores removals, routers that were in touch with
+        # the store would take its list for proved, and send requests to an engine that left.
+        fleet = await self.started()
+        reader, requester = fleet.ranked()[0], fleet.ranked()[-1]
+        fleet.members_by_router[reader] = (reader,)
+        fleet.store_by_router[reader].down = True
+        await asyncio.sleep(5.0)
+        fleet.store_by_router[reader].down = False
+        await asyncio.sleep(1.0)
+        fleet.members_by_router[requester] = (reader,)
+        self.assertTrue(fleet.list_by_router[reader].dump()["keeps_missing_entries"])
+        found = await fleet.operator.get(kind=KIND, name="i-1")
+        await fleet.operator.delete(kind=KIND, name="i-1", if_version=found.version)
+        fleet.list_by_router[reader]._missing_kept_until = now() + DEFAULT_RETURN_GRACE_S
+        await asyncio.sleep(PROPAGATION_LIMIT_S)
+        self.assertIn(reader, fleet.routers_that_list("i-1"))
+        self.assertNotIn(requester, fleet.routers_that_list("i-1"))
+        await fleet.close()
+
     @on_paused_clock
     async def test_two_routers_that_query_each_other_return_to_the_store(self):
         # Views differ, and each router considers another one the reader. If the answer's age restarted
--- a/wagtailtrestle/configuration/engine_list.py
+++ b/wagtailtrestle/configuration/engine_list.py
@@ -96,6 +96,7 @@
         self._complete_version = 0
         self._digest = 0
         self._holds_removals = False
+        self._was_silent = False
         self._first_version = 0
         self._listed_at = None
         self._answered_at = None
@@ -245,6 +246,7 @@
         if silent_s > WATCH_TIMEOUT_S + MIN_OUTAGE_S:
             logger.warning("the store answered nothing for {:.1f} s; missing engines are kept", silent_s)
             self._missing_kept_until = now + self._return_grace_s
+            self._was_silent = True
         self._answered_at, self._answered_running_s = now, running_s
 
     def _apply_update(self, update):
@@ -288,6 +290,7 @@
             return {**self.by_name, **listed}
         self._missing_kept_until = None
         self._holds_removals = False
+        self._was_silent = False
         return {**later, **listed}
 
     def _is_later(self, name, update):
@@ -311,6 +314,15 @@
         elif epoch_of(self._complete_version) != epoch_of(self._version):
             self._complete_version = update.version - 1
 
+    def _hides_removals(self):
+        """Whether removals are held back for a reason that only this router has.
+
+        The store may have been away for this router alone. Routers that were in touch with it all the while have to
+        hear of a removal at once, and must not take this list for proved. After a restore, which concerns all, they
+        rely on their readers to keep the engines that the backup lacks.
+        """
+        return self._holds_removals and self._was_silent
+
     def _publish(self, by_name, update, unproved_s):
         self._pre_restore.record_departed(self.by_name.keys() - by_name.keys())
         known, facts = _compared_fields(self.by_name), _compared_fields(by_name)
@@ -322,7 +334,7 @@
             values = {name: update.value_by_name[name] if name in by_name else None for name in changed}
             self._relay.record_update(
                 version=self._complete_version,
-                age_s=update.age_s,
+                age_s=math.inf if self._hides_removals() else update.age_s,
                 changed={name: (self._entry_versions[name], value) for name, value in values.items()},
                 digest=0 if self._holds_removals or self._pre_restore.counts else self._digest,
             )
