Count the time that a watched change was under way as the age of the list

A reader whose link to the store loses packets, or whose process is late, told others a list as fresh that was up to 1.4 s old: an answer of a watch that holds changes counted as proved at its arrival. What the store acknowledged in between is not in it, and the age that other routers accept (1 s) came on top. docs/design and the model check say so of every read already: a read proves what held when it began.

Such an answer proves the list as of its request now, and the next watch is as much shorter, so that the proof is renewed in the usual time: one more call for a batch of changes, at most. An empty answer that comes before its timeout is treated alike. test_transit_time_of_a_watched_change_counts_as_age failed before (age 0.01, 0.59 is true).

--- a/tests/test_engine_relay.py
+++ b/tests/test_engine_relay.py
@@ -434,6 +434,29 @@
         self.assertGreaterEqual(fleet.relay_by_router[reader].dump()["proof_age_s"], 0.9)
         await fleet.list_by_router[reader].close()
 
+    @on_paused_clock
+    async def test_transit_time_of_a_watched_change_counts_as_age(self):
+        # Guards against a reader that loses packets to the store: a change arrives 0.6 s late, and hides for another
+        # second that a second engine has left meanwhile.
+        fleet = await self.started()
+        reader = fleet.ranked()[0]
+        store, watch = fleet.store_by_router[reader], fleet.store_by_router[reader].watch
+
+        async def delayed_watch(**arguments):
+            outcome = await watch(**arguments)
+            await asyncio.sleep(0.6 if outcome.value else 0.0)
+            return outcome
+
+        store.watch = delayed_watch
+        await asyncio.sleep(2 * READER_WATCH_S)
+        await fleet.leave("i-1")
+        await asyncio.sleep(0.61)
+        self.assertTrue(fleet.list_by_router[reader].by_name["i-1"].leaving)
+        self.assertGreaterEqual(fleet.relay_by_router[reader].dump()["proof_age_s"], 0.59)
+        await asyncio.sleep(READER_WATCH_S)
+        self.assertLess(fleet.relay_by_router[reader].dump()["proof_age_s"], READER_WATCH_S + 0.1)
+        await fleet.close()
+
     @on_paused_clock
     async def test_a_reader_with_a_shorter_history_sends_the_full_list(self):
         # A router sends a version from before its reader started.
--- a/wagtailtrestle/configuration/engine_list.py
+++ b/wagtailtrestle/configuration/engine_list.py
@@ -32,6 +32,9 @@
 DEFAULT_RETURN_GRACE_S = 2.0
 """How long engines need after an outage to write their entries again."""
 DIGEST_BYTES = 8
+MIN_WATCH_S = 0.05
+TIMEOUT_TOLERANCE_S = 0.001
+"""Resolution of a watch's timeout in the store's interface."""
 MIN_OUTAGE_S = 0.8
 """Without an answer for this long beyond a watch, the store may have let entries expire."""
 
@@ -194,8 +197,11 @@
             return None
         value_by_name = {name: value for name, _, value in outcome.value}
         version_by_name = {name: version for name, version, _ in outcome.value}
-        # A watch without events is answered at its timeout and proves the list up to that moment.
-        age_s = 0.0 if value_by_name else max(0.0, self._clock() - began_at - watch_s)
+        # A watch without events is answered at its timeout and proves the list up to that moment. Any other answer may
+        # have been under way since the request, delayed by lost packets or by this process.
+        elapsed_s = self._clock() - began_at
+        is_timeout = not value_by_name and elapsed_s > watch_s - TIMEOUT_TOLERANCE_S
+        age_s = max(0.0, elapsed_s - watch_s) if is_timeout else elapsed_s
         return EngineUpdate(
             version=outcome.version,
             value_by_name=value_by_name,
@@ -235,9 +241,11 @@
 
     def _watch_s(self):
         max_watch_s = WATCH_TIMEOUT_S if self._relay is None else self._relay.limits.watch_s
-        if self._missing_kept_until is None:
-            return max_watch_s
-        return max(0.05, min(max_watch_s, self._missing_kept_until - self._clock()))
+        # Answers with changes prove the list as of their requests only, so the proof may already have an age.
+        watch_s = max_watch_s - self.proof_age_s
+        if self._missing_kept_until is not None:
+            watch_s = min(watch_s, self._missing_kept_until - self._clock())
+        return max(MIN_WATCH_S, min(max_watch_s, watch_s))
 
     def _record_answer(self):
         # A process that was stopped itself hears nothing either, while the store is well and its removals are meant.
