Give a list of several pages the version of its first page

A change of an object on an earlier page, made before the last page was read, was in neither the list nor in a watch from its version: an engine that began to drain then got requests until the next full list, up to 8 s. A page takes 500 objects or 1 MB, so one large entry of another writer is enough. The watch goes on from the first page's version now; what it repeats is told by the entries' versions. A page without any readable object made the list end there, and engines behind it count as gone; such a list counts as none now.

--- a/tests/test_store_epoch.py
+++ b/tests/test_store_epoch.py
@@ -361,8 +361,8 @@
         threading.Thread(target=self.serve_forever, kwargs={"poll_interval": 0.01}, daemon=True).start()
 
 
-def stored(revision):
-    return {"metadata": {"name": "main", "revision": revision}, "specification": {}}
+def stored(revision, *, name="main"):
+    return {"metadata": {"name": name, "revision": revision}, "specification": {}}
 
 
 class PlatformStoreEraTest(unittest.TestCase):
@@ -406,6 +406,24 @@
         outcome = self.call(self.store.watch(kind="servers", from_version=make_version(1, 7), timeout_s=0.1))
         self.assertIsInstance(outcome, StoreHistoryGone)
 
+    def test_a_list_of_several_pages_has_the_version_of_its_first_page(self):
+        # Guards against a change of an object on the first page, made before the last page is read, that no watch from
+        # the list's version returns: an engine that began to drain then would get requests until the next full list.
+        pages = [
+            {"items": [stored(5, name="i-1")], "has_more": True, "store_revision": 7},
+            {"items": [stored(9, name="i-2")], "has_more": False, "store_revision": 12},
+        ]
+        self.server.script = [("1", 200, page) for page in pages]
+        outcome = self.call(self.store.list(kind="servers"))
+        self.assertEqual(outcome.version, make_version(1, 7))
+        self.assertEqual(set(outcome.value), {"i-1", "i-2"})
+
+    def test_a_list_that_ends_with_an_unreadable_page_is_no_list(self):
+        # Guards against engines that count as gone, since a page before theirs can't be read.
+        page = {"items": [{"metadata": 3}], "has_more": True, "store_revision": 7}
+        self.server.script = [("1", 200, page)]
+        self.assertIsInstance(self.call(self.store.list(kind="servers")), StoreUnavailable)
+
     def test_write_under_a_version_of_a_former_epoch_is_not_sent(self):
         self.epoch.observe(2)
         update = self.store.update(kind="config", name="main", value={}, if_version=make_version(1, 7))
--- a/wagtailtrestle/platform/store.py
+++ b/wagtailtrestle/platform/store.py
@@ -123,7 +123,7 @@
     async def _list(self, kind, *, may_be_stale):
         by_name = {}
         after = ""
-        epoch = None
+        epoch = first_revision = None
         for _ in range(MAX_PAGES):
             answer = await self._call("GET", _path(kind) + _query(after=after, may_be_stale=may_be_stale))
             if answer.status != HTTPStatus.OK or not _is_list(answer.body, "items"):
@@ -132,10 +132,16 @@
                 # The store was restored from a backup between two pages, so they do not form one list.
                 return _with_epoch(answer, StoreUnavailable(detail="two pages of a list are of different epochs"))
             epoch = _epoch(answer)
+            if first_revision is None:
+                # An object of an earlier page may change before the last page is read. Only a watch from the
+                # revision of the first page returns such a change.
+                first_revision = answer.body["store_revision"]
             items = [item for item in answer.body["items"] if _is_object(item)]
             by_name.update((_name(item), (_revision(item), _value(kind, item))) for item in items)
-            if not answer.body.get("has_more") or not items:
-                return _with_epoch(answer, StoreDone(version=answer.body["store_revision"], value=by_name))
+            if not answer.body.get("has_more"):
+                return _with_epoch(answer, StoreDone(version=first_revision, value=by_name))
+            if not items:
+                return _with_epoch(answer, StoreUnavailable(detail="a page of a list has no readable object"))
             # The parameter is called `after_revision` but takes the name of the last object read.
             after = _name(items[-1])
         return RevisionAnswer(outcome=StoreUnavailable(detail=f"the list of {kind} has over {MAX_PAGES} pages"))
