Ask whether the engine has left once the connection to it is open

A router asked when the grant arrived; then came a thread, a connection of up to a second, or a tunnel. What it heard in this time changed nothing, so an engine that left meanwhile got the request as late as it took to connect. The run isn't sent then, and asks for another slot, which costs no retry. A run that the engine holds is still attached to.

--- a/wagtailtrestle/engines/client.py
+++ b/wagtailtrestle/engines/client.py
@@ -37,9 +37,14 @@
         Opens the connections; direct ones by default.
     memory : AnswerMemory, optional
         Limits the memory for large answers of all runs.
+    may_send : callable, optional
+        ``may_send(engine)``: whether an engine may get a run now; called in the callers' threads.
     """
 
-    def __init__(self, *, connect_timeout_s, ended_call=None, connector=None, memory=None):
+    def __init__(
+        self, *, connect_timeout_s, ended_call=None, connector=None, memory=None, may_send=lambda engine: True
+    ):
+        self._may_send = may_send
         self._connect_timeout_s = connect_timeout_s
         self._ended_call = ended_call
         self._connector = connector or DirectConnector()
@@ -80,6 +85,7 @@
             connect_timeout_s=self._connect_timeout_s,
             connector=self._connector,
             memory=self._memory,
+            may_send=self._may_send,
         )
         with self._lock:
             self._exchange_by_run_id[command.run_id] = exchange
--- a/wagtailtrestle/engines/run_exchange.py
+++ b/wagtailtrestle/engines/run_exchange.py
@@ -68,6 +68,9 @@
     connector : Connector
     memory : AnswerMemory, optional
         Shared by all runs of the process.
+    may_send : callable, optional
+        ``may_send(engine)``: whether an engine may get a run now. Asked once the connection is open, as that may take
+        long enough for the engine to leave.
 
     Attributes
     ----------
@@ -96,6 +99,7 @@
         "_connection",
         "_connector",
         "_engine_connection",
+        "_may_send",
         "_memory",
         "_method",
         "_raw_response",
@@ -104,7 +108,19 @@
         "_socket",
     )
 
-    def __init__(self, *, command, call, received, on_event, on_token, connect_timeout_s, connector, memory=None):
+    def __init__(
+        self,
+        *,
+        command,
+        call,
+        received,
+        on_event,
+        on_token,
+        connect_timeout_s,
+        connector,
+        memory=None,
+        may_send=lambda engine: True,
+    ):
         self.ended = threading.Event()
         self.command = command
         self.call = call
@@ -117,6 +133,7 @@
         self.response = None
         self._connect_timeout_s = connect_timeout_s
         self._connector = connector
+        self._may_send = may_send
         self._memory = memory or AnswerMemory()
         if received.hold is None:
             received.hold = self._memory.open()
@@ -353,6 +370,8 @@
         # hidden second send would be a second dispatch.
         head = self.call.head(self.command, self.received)
         self._method = head.method
+        if not self.command.attach and not self._may_send(self.command.engine):
+            return RunNotSent(detail="the engine left before the run was sent")
         try:
             self._connection.request(
                 head.method,
--- a/wagtailtrestle/entry/entry.py
+++ b/wagtailtrestle/entry/entry.py
@@ -296,6 +296,10 @@
         if rested_s > NOTICE_AGE_TOLERANCE_S:
             self._run_counts.count_broken_back_off(engine=notice.engine, rested_s=rested_s)
 
+    def is_available(self, engine):
+        """Whether an engine is declared and not draining, as far as this router knows; may be called by any thread."""
+        return self._context.is_available(engine)
+
     def usable_address(self, engine):
         """Address of an engine that runs may be sent to now, or ``None``.
 
--- a/wagtailtrestle/router.py
+++ b/wagtailtrestle/router.py
@@ -160,6 +160,7 @@
             ended_call=self._adapter.ended_call,
             connector=self._connector,
             memory=self._answer_memory,
+            may_send=lambda engine: self._entry.is_available(engine),
         )
 
     def _make_configuration(self):
