Rule out other versions of a stream by what the routers that answer know

A router that was out of step while engines of a second version joined, but whose list was under 5 s old, took up streams of that version at the first one: it asked the holders of its own view, got 'not known' from routers that had never been told of the stream (an old view, holders that restarted, holders it couldn't reach), and took any answer for the proof that the version it knew was the only one. Class: an answer that doesn't know, taken for an answer that denies.

An answer names the versions of the service that its router has seen recently; 'only' holds if all agree. The stream is looked for with more routers and in the store otherwise, as before. One field more in the query, none more messages.

test_router_out_of_step_does_not_guess_by_answers_of_others failed before in all three cases ('v1' among the versions found for streams of v2). What stays: two routers out of step together, both with lists under 5 s old.

--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -425,6 +425,37 @@
                 self.assertIsNone(await last[0].find("another"))
                 await fleet.close()
 
+    # Guards against a router that was out of step while a second version joined, asks routers that don't hold the
+    # stream, and takes their answers for a proof that the version it knows is the only one.
+    @on_paused_clock
+    async def test_router_out_of_step_does_not_guess_by_answers_of_others(self):
+        streams = [f"s{number}" for number in range(40)]
+        for case in ("old view", "holders unreachable", "holders just started"):
+            with self.subTest(case=case):
+                fleet = Fleet(size=9, versions=("v1",))
+                await asyncio.sleep(RETENTION_S + 1.0)
+                last = fleet.routers["r8"]
+                last.list_age_s = MAX_LIST_AGE_S / 2
+                for router in fleet.routers.values():
+                    if router is not last:
+                        router.list_versions(("v1", "v2"))
+                for stream in streams:
+                    fleet.routers["r3"].record(stream, "v2")
+                await asyncio.sleep(0.1)
+                last.store.down = True
+                if case == "old view":
+                    last.streams._members = lambda: ("r0", "r1", "r8")
+                elif case == "holders unreachable":
+                    fleet.cut.update(("r2", "r3", "r4", "r5", "r6", "r7"))
+                else:
+                    fleet.cut.add("r3")
+                    for name in ("r0", "r1", "r2", "r4", "r5", "r6", "r7"):
+                        await fleet.kill(name)
+                        fleet.start(name)
+                found = [await last.find(stream) for stream in streams]
+                self.assertLessEqual(set(found), {None, "v2"})
+                await fleet.close()
+
     # Guards against streams that a router which is alone refuses although the store says that one version served them.
     @on_paused_clock
     async def test_router_that_is_alone_reads_the_note(self):
--- a/wagtailtrestle/contracts/stream_messages.py
+++ b/wagtailtrestle/contracts/stream_messages.py
@@ -18,11 +18,14 @@
         Keys of the streams.
     is_unread : bool
         Whether the router could not read the store, in the answer to a query that asks for it.
+    known_versions : tuple of str
+        In an answer, the versions of the service that the router has seen recently.
     """
 
     version: str
     streams: tuple = ()
     is_unread: bool = False
+    known_versions: tuple = ()
 
 
 @record
@@ -35,7 +38,10 @@
         Key of the stream.
     reads_store : bool
         Whether the router is to read the store if it does not remember the stream.
+    service : str
+        Service of the stream; empty from a router that does not send it.
     """
 
     stream: int
     reads_store: bool = False
+    service: str = ""
--- a/wagtailtrestle/entry/stream_versions.py
+++ b/wagtailtrestle/entry/stream_versions.py
@@ -68,6 +68,34 @@
         self.at = at
 
 
+class _Answers:
+    """What other routers answered to a query for a stream's version.
+
+    Attributes
+    ----------
+    version : str or None
+    answered : bool
+        Whether any router answered.
+    known_versions : set of str
+        Versions of the service that the routers have seen recently.
+    """
+
+    __slots__ = ("version", "answered", "known_versions")
+
+    def __init__(self):
+        self.version = None
+        self.answered = False
+        self.known_versions = set()
+
+    def add(self, answer):
+        """Add the outcome of one query."""
+        if not isinstance(answer, StreamVersion):
+            return
+        self.version = self.version or answer.version or None
+        self.answered = self.answered or not answer.is_unread
+        self.known_versions.update(answer.known_versions)
+
+
 class StreamVersions:
     """Remembers and finds the versions that began streams, on this router and with the others.
 
@@ -195,23 +223,25 @@
         version = self._remembered(key)
         if version:
             return version, Source.OWN
-        ask = StreamVersionAsk(stream=key)
-        version, answered = await self._ask_holders(others, ask)
-        if not answered and (others_now := self._ranked_others(key)) != others:
+        ask = StreamVersionAsk(stream=key, service=service)
+        answers = await self._ask_holders(others, ask)
+        if not answers.answered and (others_now := self._ranked_others(key)) != others:
             # The holders have left the view, and others have taken their place.
             others = others_now
-            version, answered = await self._ask_holders(others, ask)
-        if version:
-            return version, Source.PEER
-        # Whoever delivered the stream may have seen a version that this router does not see yet. With an answer of a
-        # holder that is ruled out, and without any other router by a note that names no other.
-        if (answered or not others) and (version := await self._only_version(service, is_alone=not others)):
+            answers = await self._ask_holders(others, ask)
+        if answers.version:
+            return answers.version, Source.PEER
+        # Whoever delivered the stream may have seen a version that this router does not see yet. That is ruled out if
+        # a holder answers and knows no other version either, and without any other router by a note that names none.
+        # The answer alone proves nothing: by an old view it may come from a router that was never told of the stream.
+        if (answers.answered or not others) and (
+            version := await self._only_version(service, answers.known_versions, is_alone=not others)
+        ):
             return version, Source.ONLY_VERSION
-        more = others[HOLDERS : HOLDERS + MORE_ASKED]
-        version, more_answered = await self._ask(more, ask, ASK_TIMEOUT_S)
-        if version:
-            return version, Source.PEER
-        version = await self._find_stored(key, others if answered or more_answered else [])
+        more = await self._ask(others[HOLDERS : HOLDERS + MORE_ASKED], ask, ASK_TIMEOUT_S)
+        if more.version:
+            return more.version, Source.PEER
+        version = await self._find_stored(key, others if answers.answered or more.answered else [])
         return (version, Source.STORE) if version else (None, Source.UNKNOWN)
 
     async def _find_stored(self, key, others):
@@ -224,12 +254,12 @@
             return await self._store.find(key)
         readers = list(dict.fromkeys([name for name in (writer, *others[:1]) if name is not None]))
         ask = StreamVersionAsk(stream=key, reads_store=True)
-        version, answered = await self._ask(readers, ask, STORE_ASK_TIMEOUT_S)
+        answers = await self._ask(readers, ask, STORE_ASK_TIMEOUT_S)
         # Without the answer of a router that read the store, this one does, as the store may reject single routers.
-        return version if answered else await self._store.find(key)
+        return answers.version if answers.answered else await self._store.find(key)
 
-    async def _only_version(self, service, *, is_alone):
-        versions = self._history.versions(service)
+    async def _only_version(self, service, known_versions, *, is_alone):
+        versions = self._history.versions(service) | known_versions
         if len(versions) != 1:
             return None
         (version,) = versions
@@ -248,27 +278,22 @@
 
         Returns
         -------
-        version : str or None
-        answered : bool
-            Whether any router answered.
+        _Answers
         """
         longest_s = max(timeout_s, first_answer_s)
         pending = {asyncio.ensure_future(self._peers.query(peer, message, longest_s)) for peer in routers}
         until = self._clock() + timeout_s
-        answered = False
+        answers = _Answers()
         try:
-            while pending and not (answered and self._clock() >= until):
-                left_s = max(0.0, until - self._clock()) if answered else None
+            while pending and not answers.version and not (answers.answered and self._clock() >= until):
+                left_s = max(0.0, until - self._clock()) if answers.answered else None
                 done, pending = await asyncio.wait(pending, timeout=left_s, return_when=asyncio.FIRST_COMPLETED)
-                answers = [ask.result() for ask in done if isinstance(ask.result(), StreamVersion)]
-                for answer in answers:
-                    if answer.version:
-                        return answer.version, True
-                answered = answered or any(not answer.is_unread for answer in answers)
+                for ask in done:
+                    answers.add(ask.result())
         finally:
             for ask in pending:
                 ask.cancel()
-        return None, answered
+        return answers
 
     def _remembered(self, key):
         horizon = self._clock() - self._retention_s()
@@ -291,7 +316,7 @@
         version = self._remembered(message.stream)
         if message.reads_store and not version:
             return self._answer_from_store(message.stream)
-        return StreamVersion(version=version)
+        return StreamVersion(version=version, known_versions=tuple(sorted(self._history.versions(message.service))))
 
     async def _answer_from_store(self, key):
         version = await self._store.find(key)
