--- a/tests/test_strict_response.py
+++ b/tests/test_strict_response.py
@@ -212,6 +212,24 @@
             with self.subTest(name=name), self.assertRaises((http.client.HTTPException, ProtocolError)):
                 self.short_body(data)
 
+    # Guards against answers with an empty or short body that pass for whole, as the engine closed within the head.
+    def test_no_head_that_is_cut_is_taken_for_a_complete_response(self):
+        heads = {
+            "length": STATUS + FIELDS + LENGTH,
+            "length first": STATUS + LENGTH + FIELDS,
+            "chunks": STATUS + FIELDS + CHUNKED,
+            "no length": STATUS + FIELDS,
+            "not run": b"HTTP/1.1 503 x\r\nRequest-Id: r1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n",
+        }
+        for name, head in heads.items():
+            for size in range(len(head) + 1):
+                with self.subTest(name=name, size=size):
+                    outcome, body = self.run_outcome(head[:size], is_streamed=bool(size % 2))
+                    self.assertIsInstance(outcome, RunCut)
+                    self.assertFalse(body)
+                    with self.assertRaises((http.client.HTTPException, ProtocolError, ConnectionError)):
+                        self.short_body(head[:size])
+
     # Guards against sound engines whose unusual responses are refused.
     def test_unusual_responses_are_read(self):
         heads = [(name, head + FIELDS, CHUNKED, CHUNKS) for name, head in LEGAL_HEADS.items()]
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -154,6 +154,15 @@
         await self.engine(HEAD + b"\r\nbo", resets=True)
         self.assertIsInstance(await self.outcome(), RunCut)
 
+    # Guards against an empty answer that looks complete, as the engine closed its connection within the head.
+    async def test_close_within_the_head_is_not_the_end_of_an_answer(self):
+        head = HEAD + b"Content-Length: 4\r\n"
+        for size in (0, 5, len(HEAD) - 2, len(HEAD), len(HEAD) + 9, len(head) - 1, len(head)):
+            for is_streamed in (False, True):
+                with self.subTest(size=size, is_streamed=is_streamed):
+                    await self.engine(head[:size])
+                    self.assertIsInstance(await self.outcome(is_streamed=is_streamed), RunCut)
+
     # Guards against the same when the router that carries the connection dies.
     async def test_death_of_the_helper_is_not_the_end_of_an_answer(self):
         engine = await self.engine(HEAD + b"\r\nbo", b"dy")
