Reject announcements with addresses that no socket takes, and relayed entries that can't be read

The engines' own entries were read strictly already; other places that read what another writer left were not:

* A router's announcement with a port out of range, of thousands of digits, or a host that can't be encoded made each attempt to connect to it end with an exception instead of a failure: no back-off, nobody told that it is unreachable.
* An entry that a router of another version relays and that can't be parsed ended the task that follows the engines, silently; the router went on with the engines of that moment.
* A version of streams in the store that UTF-8 can't hold ended the answer to another router.

They are checked where they are read now. The tasks that follow the store stop the process if they fail, as tasks of the configuration do, rather than end unseen.

--- a/tests/test_engine_relay.py
+++ b/tests/test_engine_relay.py
@@ -5,11 +5,12 @@
 
 from tests.utils.memory_store import MemoryStore
 from tests.utils.paused_clock import now, on_paused_clock
+from wagtailtrestle.broken_invariant import BROKEN_INVARIANT
 from wagtailtrestle.configuration.engine_list import DEFAULT_RETURN_GRACE_S, EngineList
 from wagtailtrestle.configuration.engine_relay import EngineRelay, EngineUpdate, RelayLimits
 from wagtailtrestle.configuration.store_readers import MIN_READERS, READERS_KEY, StoreReaders
 from wagtailtrestle.contracts.outcomes import StoreDone
-from wagtailtrestle.contracts.peer_messages import PeerUnreachable
+from wagtailtrestle.contracts.peer_messages import EngineEntry, PeerUnreachable
 from wagtailtrestle.peers.rendezvous import Rendezvous
 from wagtailtrestle.platform.engine_entries import read_engine
 from wagtailtrestle.standins.object_table import ObjectTable
@@ -355,6 +356,34 @@
         self.assertEqual(fleet.relay_by_router[requester].dump()["differences_total"], 1)
         self.assertEqual(fleet.relay_by_router[requester].dump()["asked_total"], asked + 1)
 
+    @on_paused_clock
+    async def test_a_relayed_entry_that_cannot_be_read_affects_no_other(self):
+        # Guards against a router of another version that relays an entry which ends the task that follows the list.
+        reader, requester = NAMES[:2]
+        for text in ("[" * 100_000, "9" * 5000, "{", "Infinity", '"\\ud800"', '{"a":' * 5000 + "1" + "}" * 5000):
+            with self.subTest(text=text[:10]):
+                fleet = Fleet(members={reader: (reader,), requester: (reader,)})
+                fleet.relay_by_router[reader].record_update(version=10, age_s=0.0, changed={"i-1": (9, entry())})
+                odd = EngineEntry(name="i-2", value=text, version=10)
+                fleet.relay_by_router[reader]._entry_by_name["i-2"] = odd
+                fleet.relay_by_router[reader]._history_from = 5
+                fleet.list_by_router[requester].is_known = True
+                self.assertTrue(await fleet.list_by_router[requester]._step())
+                self.assertEqual(set(fleet.list_by_router[requester].by_name), {"i-1"})
+
+    @on_paused_clock
+    async def test_a_failure_in_the_task_that_follows_the_list_is_reported(self):
+        # Guards against a router that silently goes on with the engines of one moment.
+        fleet = Fleet()
+        reported = []
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: reported.append(context))
+        engines = fleet.list_by_router[NAMES[0]]
+        engines._read_entry = lambda name, value: 1 / 0
+        await fleet.operator.create(kind=KIND, name="i-1", value=entry())
+        engines.start()
+        await asyncio.sleep(1.0)
+        self.assertTrue(reported[0][BROKEN_INVARIANT])
+
     @on_paused_clock
     async def test_whole_lists_that_differ_are_not_requested_all_the_time(self):
         # Guards against two versions of the code that read an entry differently, and fill the links with full lists.
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import base64
 import json
 import unittest
 
@@ -17,8 +18,11 @@
 from wagtailtrestle.configuration.engine_list import RELIST_INTERVAL_S, WATCH_TIMEOUT_S
 from wagtailtrestle.contracts.declaration import DeclaredEngine
 from wagtailtrestle.contracts.messages import EngineNotice
+from wagtailtrestle.contracts.peer_messages import Hello
 from wagtailtrestle.contracts.stream_messages import StreamVersion
+from wagtailtrestle.entry.stream_store import _read_records
 from wagtailtrestle.peers.codec import encode
+from wagtailtrestle.peers.connection import connect
 from wagtailtrestle.platform.declarations import PlatformDeclarations
 from wagtailtrestle.platform.engine_entries import STATES, InvalidField, read_engine
 from wagtailtrestle.platform.engines import PlatformReports
@@ -37,6 +41,18 @@
     "sequence": ["4", None, 1.5],
     "born": ["1", 1.5, True, None, -1, 2**64, 10**30],
 }
+ODD_ADDRESSES = (
+    "127.0.0.1:99999",
+    "127.0.0.1:65536",
+    "127.0.0.1:" + "9" * 5000,
+    f"127.0.0.1:{2**70}",
+    "127.0.0.1:\u0663",
+    "127.0.0.1:0",
+    "127.0.0.1:-1",
+    "127.0.0.1",
+    "\x00:80",
+    "a" * 300 + ":80",
+)
 VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(st.characters(), max_size=20),
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner, max_size=3),
@@ -78,6 +94,26 @@
         for field in announced:
             self.assertFalse(_is_vm("r-1", announced | {field: "\udcff"}), field)
 
+    # Guards against an announcement with an address that no socket takes, at which routers dial again and again.
+    def test_an_announcement_with_an_invalid_address_is_rejected(self):
+        announcement = {"role": "router", "address": "10.0.0.1:80", "zone": "a", "admin": "http://10.0.0.1:81"}
+        self.assertTrue(_is_vm("r1", announcement))
+        for address in ODD_ADDRESSES:
+            with self.subTest(address=address[:20]):
+                self.assertFalse(_is_vm("r1", announcement | {"address": address}))
+
+    # Guards against the same address from a router of a version that accepts it.
+    def test_an_address_that_no_socket_takes_is_a_failed_connection(self):
+        hello = Hello(name="r1", incarnation=1, zone="a", address="10.0.0.1:80")
+        for address in ODD_ADDRESSES:
+            with self.subTest(address=address[:20]):
+                self.assertIsInstance(asyncio.run(connect(address=address, name="r2", own_hello=hello)), str)
+
+    # Guards against a version in the store that ends the answer to another router, which can't hold its text.
+    def test_versions_of_streams_that_cannot_be_encoded_are_not_read(self):
+        data = base64.b64encode(bytes(8)).decode()
+        self.assertEqual(_read_records({"streams": {"v1": data, "\udcff": data}}), {0: "v1"})
+
     def test_the_start_is_read(self):
         self.assertEqual(read_engine("i-1", entry(born=1781425589123)).start_ms, 1781425589123)
         self.assertEqual(read_engine("i-1", entry()).start_ms, 0)
--- a/wagtailtrestle/broken_invariant.py
+++ b/wagtailtrestle/broken_invariant.py
@@ -24,6 +24,13 @@
     loop.set_exception_handler(handle)
 
 
+def create_watched_task(coroutine, message):
+    """Start a task that ends by cancellation only; an exception in it stops the process instead of its work alone."""
+    task = asyncio.get_running_loop().create_task(coroutine)
+    task.add_done_callback(lambda ended: report_failed_task(ended, message))
+    return task
+
+
 def report_failed_task(task, message):
     """Done-callback body for a task that may end only by cancellation."""
     if task.cancelled() or task.exception() is None:
--- a/wagtailtrestle/configuration/engine_list.py
+++ b/wagtailtrestle/configuration/engine_list.py
@@ -13,6 +13,7 @@
 
 from loguru import logger
 
+from wagtailtrestle.broken_invariant import create_watched_task
 from wagtailtrestle.configuration.engine_relay import EngineUpdate, RelayLimits
 from wagtailtrestle.configuration.entry_versions import EntryVersions
 from wagtailtrestle.configuration.pre_restore_engines import PreRestoreEngines
@@ -127,7 +128,7 @@
 
     def start(self):
         """Start the task that follows the list; must be called on the running event loop."""
-        self._task = asyncio.get_running_loop().create_task(self._follow())
+        self._task = create_watched_task(self._follow(), "the task that follows the list of engines ended")
 
     async def close(self):
         """Stop the task; the last list stays readable."""
--- a/wagtailtrestle/configuration/engine_relay.py
+++ b/wagtailtrestle/configuration/engine_relay.py
@@ -28,6 +28,8 @@
 """Time for an answer beyond the wait: a hundred times the delay between two zones."""
 MAX_HISTORY = 512
 """Changes kept for requesters: they span minutes, while each requester queries every half second."""
+UNREADABLE = "unreadable"
+"""Value of a relayed entry that can't be read; no engine's entry is a string."""
 MIN_RESYNC_DELAY_S = 0.5
 MAX_RESYNC_DELAY_S = 8.0
 STORE = "store"
@@ -218,7 +220,7 @@
             return None
         return EngineUpdate(
             version=answer.version,
-            value_by_name={entry.name: json.loads(entry.value) if entry.value else None for entry in answer.entries},
+            value_by_name={entry.name: _read_value(entry.value) for entry in answer.entries},
             version_by_name={entry.name: entry.version or answer.version for entry in answer.entries},
             is_whole=answer.is_whole,
             age_s=answer.age_s + transit_s,
@@ -362,3 +364,17 @@
         if answer.age_s + transit_s > self.limits.max_age_s:
             return f"list was last proved {answer.age_s + transit_s:.1f} s ago"
         return None
+
+
+def _read_value(text):
+    """Return the stored value in a relayed entry, ``None`` if the entry was removed.
+
+    A router of another version may have relayed text that can't be read here. It counts as an invalid entry: it must
+    neither remove the engine's entry nor end the task that follows the list.
+    """
+    if not text:
+        return None
+    try:
+        return json.loads(text)
+    except (ValueError, RecursionError):
+        return UNREADABLE
--- a/wagtailtrestle/configuration/epoch_note.py
+++ b/wagtailtrestle/configuration/epoch_note.py
@@ -8,6 +8,7 @@
 
 import asyncio
 
+from wagtailtrestle.broken_invariant import create_watched_task
 from wagtailtrestle.configuration.store_epoch import StoreEpoch
 from wagtailtrestle.contracts.outcomes import StoreAbsent, StoreDone
 from wagtailtrestle.membership.announcement import Announcement
@@ -57,7 +58,7 @@
 
     def start(self):
         """Start the task that follows the epoch; must be called on the running event loop."""
-        self._task = asyncio.get_running_loop().create_task(self._follow())
+        self._task = create_watched_task(self._follow(), "the task that notes the store's epoch ended")
 
     async def close(self):
         """Stop the task and the write of the note."""
--- a/wagtailtrestle/configuration/version_note.py
+++ b/wagtailtrestle/configuration/version_note.py
@@ -8,6 +8,7 @@
 import asyncio
 import math
 
+from wagtailtrestle.broken_invariant import create_watched_task
 from wagtailtrestle.contracts.outcomes import StoreAbsent, StoreConflict, StoreDone
 from wagtailtrestle.record import record
 
@@ -90,7 +91,7 @@
     def start(self):
         """Start the task that writes; must be called on the running event loop."""
         if self._kind is not None:
-            self._task = asyncio.get_running_loop().create_task(self._write_changes())
+            self._task = create_watched_task(self._write_changes(), "the task that notes versions ended")
 
     async def close(self):
         """Stop writing."""
--- a/wagtailtrestle/entry/stream_store.py
+++ b/wagtailtrestle/entry/stream_store.py
@@ -14,7 +14,9 @@
 
 from loguru import logger
 
+from wagtailtrestle.broken_invariant import create_watched_task
 from wagtailtrestle.contracts.outcomes import StoreAbsent, StoreDone, StoreUnavailable, StoreUnknown
+from wagtailtrestle.peers.codec import is_encodable
 
 PARTS = 4
 """Objects in the store. Each costs up to two writes a second while a service has several versions."""
@@ -82,7 +84,9 @@
         if part.put(key, version, self._clock()):
             part.changed.set()
             if part.number not in self._tasks_by_part:
-                self._tasks_by_part[part.number] = asyncio.get_running_loop().create_task(self._keep(part))
+                self._tasks_by_part[part.number] = create_watched_task(
+                    self._keep(part), "a task that stores streams ended"
+                )
 
     async def find(self, key):
         """Find the version of a stream.
@@ -288,6 +292,8 @@
     streams = value.get("streams") if isinstance(value, dict) else None
     version_by_key = {}
     for version, text in (streams if isinstance(streams, dict) else {}).items():
+        if not is_encodable(version):
+            continue
         try:
             data = base64.b64decode(text, validate=True)
         except (TypeError, ValueError, binascii.Error):
--- a/wagtailtrestle/membership/announcement.py
+++ b/wagtailtrestle/membership/announcement.py
@@ -5,8 +5,10 @@
 
 from loguru import logger
 
+from wagtailtrestle.broken_invariant import create_watched_task
 from wagtailtrestle.contracts.outcomes import StoreConflict, StoreDone
 
+ANNOUNCING_FAILED = "the task that announces this router ended"
 RETRY_S = 0.3
 MAX_RETRY_S = 2.0
 REANNOUNCE_SPREAD_S = 0.6
@@ -46,7 +48,7 @@
 
     def start(self):
         """Write the entry, retrying until the store has accepted it."""
-        self._task = asyncio.get_running_loop().create_task(self._announce())
+        self._task = create_watched_task(self._announce(), ANNOUNCING_FAILED)
 
     async def close(self):
         """Stop retrying. The entry stays for the next process of the same name."""
@@ -70,9 +72,8 @@
         if self._task is None or self._is_withdrawn:
             return
         self._task.cancel()
-        self._task = asyncio.get_running_loop().create_task(
-            self._announce(after_s=REANNOUNCE_SPREAD_S * self._jitter.random())
-        )
+        after_s = REANNOUNCE_SPREAD_S * self._jitter.random()
+        self._task = create_watched_task(self._announce(after_s=after_s), ANNOUNCING_FAILED)
 
     async def _announce(self, *, after_s=0.0):
         await asyncio.sleep(after_s)
--- a/wagtailtrestle/membership/vm_list.py
+++ b/wagtailtrestle/membership/vm_list.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from wagtailtrestle.broken_invariant import create_watched_task
 from wagtailtrestle.contracts.outcomes import StoreDone
 
 DEFAULT_INTERVAL_S = 1.0
@@ -99,7 +100,7 @@
 
     def start(self):
         """Start polling; must be called on the running event loop."""
-        self._task = asyncio.get_running_loop().create_task(self._poll())
+        self._task = create_watched_task(self._poll(), "the task that reads the list of VMs ended")
 
     async def close(self):
         """Stop polling; the last list stays readable."""
--- a/wagtailtrestle/peers/connection.py
+++ b/wagtailtrestle/peers/connection.py
@@ -20,6 +20,10 @@
 LOST_ATTRIBUTE = "_transport"
 
 CONNECTION_ERRORS = (OSError, GRPCError, StreamTerminatedError, TimeoutError)
+ADDRESS_ERRORS = (ValueError, OverflowError)
+"""Raised for a host or a port that no socket takes, which a peer may have read from an invalid announcement."""
+MAX_PORT_DIGITS = 5
+MAX_SHOWN_CHARS = 80
 
 
 class Connection:
@@ -67,14 +71,14 @@
         A string is the reason of a failure.
     """
     host, _, port = address.rpartition(":")
-    if not port.isdigit():
-        return f"not an address: {address!r}"
+    if not (port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS):
+        return f"not an address: {address[:MAX_SHOWN_CHARS]!r}"
     channel = Channel(host.strip("[]"), int(port))
     connection = Connection(channel=channel, context=PeersStub(channel).Link.open())
     try:
         async with asyncio.timeout(HELLO_TIMEOUT_S):
             await connection.exchange_hello(own_hello)
-    except CONNECTION_ERRORS as error:
+    except (*CONNECTION_ERRORS, *ADDRESS_ERRORS) as error:
         connection.close()
         return str(error) or type(error).__name__
     except asyncio.CancelledError:
--- a/wagtailtrestle/platform/store.py
+++ b/wagtailtrestle/platform/store.py
@@ -15,6 +15,7 @@
     StoreUnavailable,
     StoreUnknown,
 )
+from wagtailtrestle.declarations.argument_types import HostPort, InvalidValue
 from wagtailtrestle.membership.vm_list import vm_from_json
 from wagtailtrestle.peers.codec import is_encodable
 from wagtailtrestle.platform.headers import STORE_ERA
@@ -226,7 +227,9 @@
     if not isinstance(value, dict):
         return False
     texts = [name, *(value.get(field) for field in VM_FIELDS)]
-    return all(isinstance(text, str) and is_encodable(text) for text in texts)
+    if not all(isinstance(text, str) and is_encodable(text) for text in texts):
+        return False
+    return not isinstance(HostPort().read(value["address"]), InvalidValue)
 
 
 def _vm(name, value):
--- a/wagtailtrestle/rollouts/order_watcher.py
+++ b/wagtailtrestle/rollouts/order_watcher.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from wagtailtrestle.broken_invariant import create_watched_task
 from wagtailtrestle.contracts.outcomes import StoreDone, StoreHistoryGone
 
 WATCH_TIMEOUT_S = 20.0
@@ -70,7 +71,7 @@
 
     def start(self):
         """Start watching; must be called on the running event loop."""
-        self._task = asyncio.get_running_loop().create_task(self._follow())
+        self._task = create_watched_task(self._follow(), "the task that follows rollout orders ended")
 
     async def close(self):
         """Stop; a write in flight may have taken effect."""
