Take a higher incarnation where the clock was set back since a router's former process

The incarnation of a process is the time of day at its start; with a lower one than its predecessor's all other routers took it for that predecessor, dropped its connections and made new ones without a pause, and it drained itself once it heard of 'a later process'.

A router's hello names the incarnation that it knows of the other one. A process that has run for under 30 s and hears of a higher incarnation of itself, by a hello or in a view, takes the next one. One that has run for longer was replaced while it was paused and drains, as before. Routers of the former code don't send the field and ignore it.

--- a/tests/utils/fake_routers.py
+++ b/tests/utils/fake_routers.py
@@ -45,6 +45,12 @@
     def on_reconnect(self, callback):
         self.connected_callbacks.append(callback)
 
+    def on_superseded(self, callback):
+        self.superseded_callback = callback
+
+    def set_incarnation(self, incarnation):
+        self.incarnation = incarnation
+
     def on_unreachable(self, callback):
         self.unreachable_callbacks.append(callback)
 
--- a/wagtailtrestle/contracts/peer_messages.py
+++ b/wagtailtrestle/contracts/peer_messages.py
@@ -26,6 +26,8 @@
         ``host:port`` on which the sender accepts connections.
     cores : float
         Processor capacity in usual cores; 0 if unknown.
+    known_incarnation : int
+        Highest incarnation that the sender knows of the receiver; 0 if it knows none.
     """
 
     name: str
@@ -33,6 +35,7 @@
     zone: str
     address: str
     cores: float = 0.0
+    known_incarnation: int = 0
 
 
 @record
--- a/wagtailtrestle/membership/membership.py
+++ b/wagtailtrestle/membership/membership.py
@@ -42,6 +42,8 @@
 """Longest wait for a peer's view after a start or a pause: five times the roughly 50 ms that a live peer takes to
 answer. If all routers start simultaneously none has a view to send, and none serves anything for this long."""
 CONTACT_INTERVAL_S = 1.0
+MAX_START_S = 30.0
+"""Time from its start in which a process may take a higher incarnation."""
 
 
 class Membership:
@@ -122,6 +124,7 @@
         self._generation_callbacks = []
         self._timer = None
         self._refreshing = None
+        self._started_at = loop.time()
         self._tick_at = loop.time()
         self._heartbeat_at = loop.time()
         self._contact_at = loop.time()
@@ -138,6 +141,7 @@
         self._peers.on(ViewEvent, self._on_view_event)
         self._peers.on_reconnect(self._on_connected)
         self._peers.on_unreachable(self._on_unreachable)
+        self._peers.on_superseded(self._on_superseded)
 
     # Public interface.
 
@@ -264,6 +268,8 @@
                 self._gossip(member.event(), exclude=peer)
                 self._refresh_soon()
             self._on_sign_of_life(member)
+        else:
+            self._peers.send(peer, member.event())
 
     def _on_connected(self, peer):
         self._peers.send(peer, self._table.own.event())
@@ -325,6 +331,8 @@
 
     def _on_own_event(self, event):
         own = self._table.own
+        if event.incarnation > own.incarnation and self._on_superseded(event.incarnation):
+            return
         if event.incarnation > own.incarnation and not own.draining:
             # A later process of the same name runs, so this one was paused or left running by mistake. If it
             # continued as scheduler, two processes would act under one name.
@@ -335,6 +343,26 @@
             self._gossip(own.event())
             self._refresh_soon()
 
+    def _on_superseded(self, incarnation):
+        """Take a higher incarnation if this process has just started; return whether it did.
+
+        Incarnations are times of day. If the clock was set back since the former process started, a new one would be
+        taken for an old one by all peers and reach none. A process that has run for longer was replaced by a later one
+        while it was paused: if it outbid that, the two would go on outbidding each other.
+        """
+        own = self._table.own
+        now = self._loop.time()
+        if own.draining or incarnation <= own.incarnation or now - self._started_at > MAX_START_S:
+            return False
+        logger.bind(before=own.incarnation, known=incarnation).warning(
+            "the clock was set back since the former process of this router started; using a higher incarnation"
+        )
+        own.incarnation = incarnation + 1
+        self._peers.set_incarnation(own.incarnation)
+        self._gossip(own.event())
+        self._refresh_soon()
+        return True
+
     def _on_pulled(self, peer, events, applied):
         """React to a merged view of a peer; ``applied`` are the events that were new to the table."""
         for event in events:
--- a/wagtailtrestle/peers/connection.py
+++ b/wagtailtrestle/peers/connection.py
@@ -90,13 +90,16 @@
     return connection
 
 
-async def receive_hello(stream, *, own_hello):
-    """Receive the ``Hello`` of a router that connected, and answer it; ``None`` if it sent none."""
+async def receive_hello(stream, *, own_name, make_answer):
+    """Receive the ``Hello`` of a router that connected, and answer it; ``None`` if it sent none.
+
+    ``make_answer(hello)`` returns the answer to a ``Hello``.
+    """
     try:
         async with asyncio.timeout(HELLO_TIMEOUT_S):
             hello = hello_from(await stream.recv_message())
-            if hello is not None and hello.name != own_hello.name:
-                await stream.send_message(pb.Batch(items=[encode(own_hello)]))
+            if hello is not None and hello.name != own_name:
+                await stream.send_message(pb.Batch(items=[encode(make_answer(hello))]))
                 return hello
     except CONNECTION_ERRORS:
         pass
--- a/wagtailtrestle/peers/links.py
+++ b/wagtailtrestle/peers/links.py
@@ -36,7 +36,13 @@
         ``(PeerState, detail)``: its link was lost, with all messages in flight.
     on_failed : callable
         ``(PeerState, detail)``: no connection could be opened.
+    on_superseded : callable
+        ``(incarnation)``: a peer knows this router by a higher incarnation than this process has.
     seed : int, optional
+
+    Attributes
+    ----------
+    incarnation : int
     """
 
     def __init__(
@@ -54,11 +60,12 @@
         on_linked,
         on_lost,
         on_failed,
+        on_superseded,
         seed=None,
     ):
         self._name = name
         self._zone = zone
-        self._incarnation = incarnation
+        self.incarnation = incarnation
         self._advertised_address = advertised_address
         self._cores = cores
         self._listener = Listener(address=listen_address, accept=self._accept)
@@ -68,6 +75,7 @@
         self._on_linked = on_linked
         self._on_lost = on_lost
         self._on_failed = on_failed
+        self._on_superseded = on_superseded
         self._random = random.Random(seed)
         self._tasks = set()
         self._closed = False
@@ -135,10 +143,15 @@
 
     async def _dial(self, state):
         """Make one attempt; ``True`` if a link is up."""
-        connection = await connect(address=state.address, name=state.name, own_hello=self._hello())
+        connection = await connect(address=state.address, name=state.name, own_hello=self._hello(state))
         if isinstance(connection, str):
             self._dial_failed(state, connection)
             return False
+        if connection.hello.known_incarnation > self.incarnation:
+            # The peer closes this connection. With a higher incarnation the next one is kept.
+            connection.close()
+            self._on_superseded(connection.hello.known_incarnation)
+            return False
         link = self._make_link(state, stream=connection.stream, hello=connection.hello, dialed_by=self._name)
         if not self._adopt(state, link):
             connection.close()
@@ -163,7 +176,7 @@
     # Accepting connections.
 
     async def _accept(self, stream):
-        hello = await receive_hello(stream, own_hello=self._hello())
+        hello = await receive_hello(stream, own_name=self._name, make_answer=self._answer_hello)
         if hello is None or self._closed:
             return
         state = self._state_of(hello.name)
@@ -175,13 +188,19 @@
         finally:
             self._link_ended(state, link)
 
-    def _hello(self):
+    def _answer_hello(self, hello):
+        if hello.known_incarnation > self.incarnation:
+            self._on_superseded(hello.known_incarnation)
+        return self._hello(self._state_of(hello.name))
+
+    def _hello(self, state):
         return Hello(
             name=self._name,
-            incarnation=self._incarnation,
+            incarnation=self.incarnation,
             zone=self._zone,
             address=self.address,
             cores=self._cores,
+            known_incarnation=state.incarnation,
         )
 
     def _make_link(self, state, *, stream, hello, dialed_by):
--- a/wagtailtrestle/peers/peers_grpc.py
+++ b/wagtailtrestle/peers/peers_grpc.py
@@ -55,6 +55,7 @@
         self._states_by_name = {}
         self._handlers_by_type = {}
         self._reconnect_callbacks = []
+        self._superseded_callbacks = []
         self._unreachable_callbacks = []
         self._pending_queries = PendingQueries(loop=loop)
         self._tasks = set()
@@ -74,6 +75,7 @@
             on_linked=self._on_linked,
             on_lost=lambda state, detail: self._pending_queries.fail(state.name, detail),
             on_failed=self._on_failed,
+            on_superseded=self._on_superseded,
             seed=seed,
         )
         self._watch = LinkWatch(
@@ -136,6 +138,14 @@
         """Register ``callback(peer, detail)``, called when a new connection to a peer failed too."""
         self._unreachable_callbacks.append(callback)
 
+    def on_superseded(self, callback):
+        """Register ``callback(incarnation)``, called when a peer knows this router by a higher incarnation."""
+        self._superseded_callbacks.append(callback)
+
+    def set_incarnation(self, incarnation):
+        """Set the incarnation that new connections carry."""
+        self._links.incarnation = incarnation
+
     def set_addresses(self, addresses_by_name):
         """Set or correct the addresses of peers. Open links are not affected."""
         for name, address in addresses_by_name.items():
@@ -256,6 +266,10 @@
         for callback in self._reconnect_callbacks:
             callback(state.name)
 
+    def _on_superseded(self, incarnation):
+        for callback in self._superseded_callbacks:
+            callback(incarnation)
+
     def _on_failed(self, state, detail):
         for callback in self._unreachable_callbacks:
             callback(state.name, detail)
