Tests of the relay: draw retry delays from the seed; a reader without a list is replaced

The series of faults at readers drew its faults from the seed, but not the retry delays of the lists, so that a seed was no whole play.

--- a/tests/test_engine_relay.py
+++ b/tests/test_engine_relay.py
@@ -239,6 +239,24 @@
         self.assertLessEqual(querying - {refused}, {healthy, replacement})
         await fleet.close()
 
+    @on_paused_clock
+    async def test_the_next_of_the_ranking_replaces_a_reader_without_a_list(self):
+        # Guards against a reader that neither the store nor another router answers, and that nobody replaces.
+        fleet = await self.started()
+        refused, healthy = sorted(fleet.readers())
+        replacement = fleet.ranked()[MIN_READERS]
+        fleet.store_by_router[refused].down = True
+        fleet.members_by_router[refused] = (refused,)
+        await asyncio.sleep(READER_WATCH_S)
+        before = fleet.calls()
+        await fleet.leave("i-1")
+        await asyncio.sleep(PROPAGATION_LIMIT_S)
+        self.assertEqual(fleet.routers_that_know_leaving("i-1"), set(NAMES) - {refused})
+        await asyncio.sleep(10.0)
+        querying = {name for name, calls in fleet.calls().items() if calls > before[name]}
+        self.assertEqual(querying - {refused}, {healthy, replacement})
+        await fleet.close()
+
     @on_paused_clock
     async def test_a_longer_propagation_limit_needs_fewer_calls_to_the_store(self):
         # The operator lets draining engines serve for four seconds instead of two.
--- a/tests/test_engine_relay_series.py
+++ b/tests/test_engine_relay_series.py
@@ -79,6 +79,7 @@
         for name in NAMES:
             self.fleet.store_by_router[name] = FaultyStore(table=self.fleet.table)
             self.fleet.list_by_router[name]._store = self.fleet.store_by_router[name]
+            self.fleet.list_by_router[name]._jitter = random.Random(self.random.random())
         self.faulty = self.fleet.ranked()[:FAULTY_ROUTERS]
         self.left_at_by_engine = {}
         self.late = set()
